--- a/ringgw/drill.py
+++ b/lupinladder/drill.py
@@ -5,8 +5,8 @@
 import sys
 from typing import BinaryIO
 
-from ringgw import wire
-from ringgw.rules import Balancer
+from lupinladder import wire
+from lupinladder.rules import Balancer
 
 
 class Host:
@@ -82,7 +82,7 @@
 
 
 def _bad(text: str) -> int:
-    print(f"ringgw.drill: {text}", file=sys.stderr)
+    print(f"lupinladder.drill: {text}", file=sys.stderr)
     return 2
 
 
--- a/ringgw/rules.py
+++ b/lupinladder/rules.py
@@ -1,4 +1,4 @@
-"""Every decision of the balancer. Its settings, events and actions stand in ringgw/api.py; read that first.
+"""Every decision of the balancer. Its settings, events and actions are in lupinladder/api.py; read it first.
 
 The ordinary path: a key hashes to a slot, a slot has an owner, the owner has a limit (brpc's formula). Within
 it the request goes to the owner, over it to the next owner, else it is refused. Departures: docs/design.md.
@@ -9,7 +9,7 @@
 from bisect import bisect
 from math import inf, log, sqrt
 
-from ringgw import api
+from lupinladder import api
 
 # Dimensionless constants; every time and rate comes from the settings or from what is observed.
 EMA_ALPHA, RETEST_LATENCIES = 0.1, 100  # brpc's smoothing; latencies between retests, which pause two
--- a/ringgw/wire.py
+++ b/lupinladder/wire.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from ringgw import api
+from lupinladder import api
 
 HEADER = struct.Struct("<Id")
 REPLY = struct.Struct("<II")
--- a/ringgw/__init__.py
+++ /dev/null
@@ -1,5 +0,0 @@
-"""ringgw: the decisions of a router in front of a fleet of cache servers."""
-
-from ringgw.rules import Balancer
-
-__all__ = ["Balancer"]
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from ringgw import Balancer, api
+from lupinladder import Balancer, api
 
 NEVER_RAN = {api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.MOOT, api.Outcome.MISS}
 
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from ringgw import wire
+from lupinladder import wire
 from tests.test_wire import DEFINE, NODE, SETTINGS
 
 ROOT = Path(__file__).resolve().parent.parent
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,7 +4,7 @@
 
 import sys
 
-from ringgw import Balancer, api
+from lupinladder import Balancer, api
 from tests import fleet
 from tests.fleet import Proxy, entries, sid
 
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -4,7 +4,7 @@
 
 from math import inf, isclose, sqrt
 
-from ringgw.rules import (
+from lupinladder.rules import (
     ALPHA_LEAST,
     EMA_ALPHA,
     RETEST_LATENCIES,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -11,8 +11,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ringgw import Balancer, api
-from ringgw.rules import Life, Limiter, Server
+from lupinladder import Balancer, api
+from lupinladder.rules import Life, Limiter, Server
 from tests import fleet
 from tests.fleet import Proxy, entries, sid
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -4,8 +4,8 @@
 
 import random
 
-from ringgw import api
-from ringgw.rules import SLOTS, Limiter, Server, Slots
+from lupinladder import api
+from lupinladder.rules import SLOTS, Limiter, Server, Slots
 from tests.fleet import sid
 
 
--- a/tests/test_tree.py
+++ b/tests/test_tree.py
@@ -11,16 +11,16 @@
 
 
 def test_the_module_stays_within_its_lines_and_columns() -> None:
-    lines = (ROOT / "ringgw" / "rules.py").read_text().splitlines()
+    lines = (ROOT / "lupinladder" / "rules.py").read_text().splitlines()
     assert sum(1 for line in lines if line.strip()) <= 400
     assert max(len(line) for line in lines) <= 110
-    assert "ringgw/api.py" in lines[0]
+    assert "lupinladder/api.py" in lines[0]
 
 
 def test_the_module_has_no_clock_and_no_input() -> None:
-    text = (ROOT / "ringgw" / "rules.py").read_text()
+    text = (ROOT / "lupinladder" / "rules.py").read_text()
     imports = set(re.findall(r"^(?:from|import) (\S+)", text, re.M))
-    assert imports == {"__future__", "bisect", "math", "ringgw"}
+    assert imports == {"__future__", "bisect", "math", "lupinladder"}
     assert not re.search(r"\b(hash|open|print|input)\(", text)
 
 
@@ -36,12 +36,12 @@
     pip = [sys.executable, "-m", "pip", "-q", "--disable-pip-version-check"]
     build = [*pip, "wheel", "--no-deps", "--no-build-isolation", "-w", str(tmp_path), str(ROOT)]
     subprocess.run(build, check=True, cwd=tmp_path, capture_output=True)
-    [wheel] = tmp_path.glob("ringgw-*.whl")
+    [wheel] = tmp_path.glob("lupinladder-*.whl")
     target = tmp_path / "site"
     install = [*pip, "install", "--no-deps", "--no-index", "--target", str(target), str(wheel)]
     subprocess.run(install, check=True, cwd=tmp_path, capture_output=True)
-    code = "import ringgw; print(ringgw.__file__, ringgw.Balancer.__name__)"
+    code = "import lupinladder; print(lupinladder.__file__, lupinladder.Balancer.__name__)"
     env = {"PYTHONPATH": str(target)}
     ran = subprocess.run([sys.executable, "-c", code], check=True, cwd=tmp_path, env=env, capture_output=True)
-    assert ran.stdout.decode().split() == [str(target / "ringgw" / "__init__.py"), "Balancer"]
-    assert (target / "ringgw" / "py.typed").exists()
+    assert ran.stdout.decode().split() == [str(target / "lupinladder" / "__init__.py"), "Balancer"]
+    assert (target / "lupinladder" / "py.typed").exists()
