--- /dev/null
+++ b/lupinladder/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real proxy: sockets around the decision module."""
--- /dev/null
+++ b/lupinladder/net/command.py
@@ -0,0 +1,123 @@
+"""The one place that translates: words on the sockets to and from the module's terms."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from lupinladder import api
+
+MAX_VALUE = 64 << 10
+_PLAIN = re.compile(rb"[0-9A-Za-z._~-]{1,128}")  # safe in a path and in a header
+_LABELS = re.compile(rb"[a-z0-9_]{1,32}=[!-+\--~]*(,[a-z0-9_]{1,32}=[!-+\--~]*)*")
+_HEX = re.compile(rb"[0-9a-f]{1,16}")
+NOTES = {b"hit": 1, b"miss": 2, b"pending": 3}
+# Load reports use the site's names, the settings those of the simulator's wire.
+REPORT_NAMES = {
+    "fail_rate": "eps",
+    "lat_ms": "latency_ms",
+    "rate": "qps",
+    "rif": "inflight",
+    "q": "queue",
+    "busy": "util",
+}
+
+
+class Malformed(Exception):
+    """A command that no client should send; the text is for its sender."""
+
+
+@dataclass(slots=True)
+class Command:
+    """A client's query as it came, and what the module is told of it."""
+
+    words: list[bytes]
+    labels: dict[bytes, bytes]
+    kind: int
+    patience: float
+    write: bool
+    again: bool
+    work: float
+    size: float
+
+    @property
+    def key(self) -> int:
+        """The key as the module's number, the same at every proxy."""
+        word = self.words[1]
+        if _HEX.fullmatch(word):
+            return int(word, 16)
+        return int.from_bytes(blake2b(word, digest_size=8).digest(), "big")
+
+    @property
+    def raw_labels(self) -> bytes:
+        return self.words[3]
+
+    def relabelled(self, wait: float) -> list[bytes]:
+        """The words for a cache node: unchanged, but `d` gives how long we wait."""
+        labels = {**self.labels, b"d": b"%d" % max(1, round(wait))}
+        joined = b",".join(name + b"=" + value for name, value in labels.items())
+        return [*self.words[:3], joined, *self.words[4:]]
+
+
+@dataclass(slots=True)
+class Reply:
+    """What an execution came to, in the module's terms."""
+
+    outcome: api.Outcome
+    value: bytes | None = None
+    note: int = 0
+    load: tuple[float, ...] = ()
+
+
+def _figure(labels: dict[bytes, bytes], name: bytes) -> float:
+    text = labels.get(name, b"0")
+    try:
+        value = float(text) if re.fullmatch(rb"[0-9]+(\.[0-9]+)?", text) else -1.0
+    except ValueError:
+        value = -1.0
+    if not 0 <= value < 1e12:
+        raise Malformed(f"{name.decode()} is not a figure")
+    return value
+
+
+def command(words: Sequence[bytes], classes: Sequence[str]) -> Command:
+    """Read a query. Malformed for anything that is not exactly one."""
+    name = words[0].upper()
+    write = name == b"OBJ.SET"
+    if name not in (b"OBJ.GET", b"OBJ.SET"):
+        raise Malformed("unknown command")
+    if len(words) != (5 if write else 4):
+        raise Malformed("wrong number of arguments")
+    if not _PLAIN.fullmatch(words[1]) or not _PLAIN.fullmatch(words[2]):
+        raise Malformed("key or id is not plain")
+    if len(words[3]) > 1024 or not _LABELS.fullmatch(words[3]):
+        raise Malformed("labels are not names and values")
+    pairs = [pair.split(b"=", 1) for pair in words[3].split(b",")]
+    labels = {name: value for name, value in pairs}
+    if len(labels) != len(pairs):
+        raise Malformed("a label is given twice")
+    if labels.get(b"c", b"").decode() not in classes:
+        raise Malformed("class is unknown")
+    patience = _figure(labels, b"d")
+    if patience <= 0:
+        raise Malformed("d is missing")
+    kind = classes.index(labels[b"c"].decode())
+    again = labels.get(b"r") == b"1"
+    return Command(
+        list(words), labels, kind, patience, write, again, _figure(labels, b"hint"), _figure(labels, b"size")
+    )
+
+
+def report(text: bytes | None, fields: Sequence[str]) -> tuple[float, ...]:
+    """A load report in the order of the settings' fields; empty if any is missing."""
+    found: dict[str, float] = {}
+    for pair in (text or b"").decode("latin-1").split(","):
+        name, _, value = pair.strip().partition("=")
+        try:
+            found[name] = float(value)
+        except ValueError:
+            continue
+    values = [found.get(field, found.get(REPORT_NAMES.get(field, field))) for field in fields]
+    return tuple(v for v in values if v is not None) if None not in values else ()
--- /dev/null
+++ b/lupinladder/net/connection.py
@@ -0,0 +1,195 @@
+"""Non-blocking TCP connections with one ring a direction, and the budget of descriptors."""
+
+from __future__ import annotations
+
+import errno
+import selectors
+import socket
+from collections.abc import Callable
+from typing import Protocol
+
+from lupinladder.net.log import counters
+from lupinladder.net.loop import Deadline, Loop
+from lupinladder.net.ring import Ring
+
+BOUND = 160 << 10  # of a ring: two of the largest values and their framing
+ROUNDS = 4  # reads from one connection in a turn, so that none holds up the others
+LINGER = 1000.0  # how long a connection that we end is read from, ms
+READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
+Address = tuple[str, int]
+
+
+class Budget:
+    """Descriptors left to open. Clients leave a part of them to the links."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit, self.used = limit, 0
+
+    def spare(self, keep: int = 0) -> bool:
+        return self.used + keep < self.limit
+
+
+class Owner(Protocol):
+    """What a connection calls. After `ended(False)` it is closed; after `ended(True)` it can be written."""
+
+    def opened(self) -> None: ...
+    def received(self) -> None: ...
+    def drained(self) -> None: ...
+    def ended(self, by_peer: bool) -> None: ...
+
+
+class Connection:
+    def __init__(
+        self, loop: Loop, budget: Budget, sock: socket.socket, owner: Owner, opening: bool = False
+    ) -> None:
+        self.inbox, self.outbox = Ring(BOUND), Ring(BOUND)
+        self.queued = self.sent = 0  # bytes ever handed to the connection; taken from it by the system
+        self.open, self.opening, self.eof = True, opening, False
+        self._loop, self._budget, self._sock, self._owner = loop, budget, sock, owner
+        self._mask = 0
+        self._finishing = self._shut = False
+        self._linger: Deadline | None = None
+        budget.used += 1
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._interest()
+
+    @classmethod
+    def dial(cls, loop: Loop, budget: Budget, address: Address, owner: Owner) -> Connection:
+        """Begin to connect. Every failure comes through `ended`, never from here."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        try:
+            code = sock.connect_ex(address)
+        except OSError:  # not an address
+            code = errno.EINVAL
+        self = cls(loop, budget, sock, owner, opening=True)
+        if code not in (0, errno.EINPROGRESS):
+            loop.soon(lambda: self._broken())
+        return self
+
+    def send(self, data: bytes) -> None:
+        """Queue and try to write at once. Check `outbox.room` first."""
+        self.outbox.put(data)
+        self.queued += len(data)
+        if not self.opening and len(self.outbox) == len(data):
+            self._flush()
+        self._interest()
+
+    def resume(self) -> None:
+        """Call after taking bytes out of a full inbox outside of `received`."""
+        self._interest()
+
+    def finish(self) -> None:
+        """Write what is queued, end our sending, read on until the peer ends or a while has passed.
+        Closing with input unread would send a reset, which can destroy an answer still on its way."""
+        if self.open and not self._finishing:
+            self._finishing = True
+            self._linger = self._loop.at(self._loop.now() + LINGER, self.close)
+            self._end_sending()
+
+    def close(self) -> None:
+        """Close at once, without a callback."""
+        if self.open:
+            self.open = False
+            self._loop.cancel(self._linger)
+            self._loop.watch(self._sock, self._mask, 0, self._ready)
+            self._mask = 0
+            self._sock.close()
+            self._budget.used -= 1
+
+    def _broken(self) -> None:
+        if self.open:
+            self.close()
+            self._owner.ended(False)
+
+    def _interest(self) -> None:
+        if not self.open:
+            return
+        read = not self.opening and not self.eof and self.inbox.room
+        mask = (READ if read else 0) | (WRITE if self.opening or len(self.outbox) else 0)
+        self._loop.watch(self._sock, self._mask, mask, self._ready)
+        self._mask = mask
+
+    def _ready(self, mask: int) -> None:
+        try:
+            if self.opening:
+                if self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                    return self._broken()
+                self.opening = False
+                self._owner.opened()
+            if mask & WRITE and self.open and len(self.outbox):
+                self._flush()
+                if self.open:
+                    self._guard(self._owner.drained)
+            if mask & READ and self.open:
+                self._read()
+        finally:
+            self._interest()
+
+    def _guard(self, call: Callable[[], None]) -> None:
+        """A fault in handling one connection's bytes ends that connection, and is then logged."""
+        try:
+            call()
+        except Exception:
+            counters["faulty_connections"] += 1
+            self._broken()
+            raise
+
+    def _read(self) -> None:
+        got = lost = False
+        for _ in range(ROUNDS):
+            space = self.inbox.space()
+            if not len(space):
+                break
+            try:
+                count = self._sock.recv_into(space)
+            except (BlockingIOError, InterruptedError):
+                break
+            except OSError:
+                lost = True
+                break
+            if not count:
+                self.eof = True
+                break
+            if self._finishing:
+                continue  # not ours any more: the peer repeats it elsewhere
+            self.inbox.wrote(count)
+            got = True
+            if count < len(space):
+                break
+        if got:
+            self._guard(self._owner.received)
+        if lost:
+            self._broken()
+        elif self.eof and self.open:
+            if self._finishing:
+                self._end_sending()
+            else:
+                self._guard(lambda: self._owner.ended(True))
+
+    def _flush(self) -> None:
+        try:
+            while len(self.outbox):
+                count = self._sock.send(self.outbox.filled())
+                self.sent += count
+                self.outbox.drop(count)
+        except (BlockingIOError, InterruptedError):
+            pass
+        except OSError:
+            self._loop.soon(self._broken)  # never from within the owner's own call
+            return
+        if self._finishing:
+            self._end_sending()
+
+    def _end_sending(self) -> None:
+        if len(self.outbox) or not self.open:
+            return
+        if self.eof:
+            self.close()
+        elif not self._shut:
+            self._shut = True
+            try:
+                self._sock.shutdown(socket.SHUT_WR)
+            except OSError:
+                self.close()
--- /dev/null
+++ b/lupinladder/net/engine.py
@@ -0,0 +1,235 @@
+"""The engine: feeds events to the decision module and carries out its actions, as the simulator does.
+
+It alone calls the Balancer, and owns queries, executions and their timers. It knows neither RESP nor HTTP:
+who asks and what is passed on are opaque to it, so that another protocol can go through the same decisions.
+"""
+
+from __future__ import annotations
+
+import traceback
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from lupinladder import Balancer, api
+from lupinladder.net.log import counters, say
+from lupinladder.net.loop import Deadline, Loop
+
+OVERDUE = 15.0  # ms past its deadline at which a query is failed if the module has not spoken
+OK, MOOT = api.Outcome.OK, api.Outcome.MOOT
+
+
+class Asker(Protocol):
+    """Who asked a query. Exactly one of these is called, once."""
+
+    def served(self, value: bytes) -> None: ...
+    def refused(self, wait: float) -> None: ...
+    def failed(self) -> None: ...
+
+
+class Link(Protocol):
+    """A way to a server. `start` ends with exactly one `execution.end`, unless abandoned before."""
+
+    def start(self, execution: Execution) -> None: ...
+    def abandon(self, execution: Execution) -> None: ...
+
+
+class Query:
+    """A request from its last byte until its last execution has ended."""
+
+    def __init__(self, number: int, content: Any, deadline: float, asker: Asker) -> None:
+        self.id, self.content, self.deadline, self.asker = number, content, deadline, asker
+        self.executions: list[Execution] = []
+        self.over = False
+        self.guard: Deadline | None = None
+
+
+class Execution:
+    """One attempt."""
+
+    def __init__(self, engine: Engine, query: Query, link: Link | None, started: float, until: float) -> None:
+        self.query, self.link, self.started, self.until = query, link, started, until
+        self.number, self.done = len(query.executions), False
+        self.expiry: Deadline | None = None
+        self._engine = engine
+
+    def end(
+        self,
+        outcome: api.Outcome,
+        value: bytes | None = None,
+        note: int = 0,
+        load: tuple[float, ...] = (),
+    ) -> None:
+        """Report how it went. Whatever is said after the first time is passed over."""
+        self._engine.ended(self, outcome, value, note, load)
+
+
+class Engine:
+    def __init__(
+        self,
+        loop: Loop,
+        settings: api.Settings,
+        seed: int,
+        route: Callable[[api.ServerId], Link | None],
+        follow: Callable[[], None],
+        max_open: int,
+    ) -> None:
+        self._loop, self._settings, self._route, self._follow = loop, settings, route, follow
+        self._max_open = max_open
+        self._queries: dict[int, Query] = {}
+        self._events: deque[api.Event] = deque()
+        self._running, self._number = False, 0
+        self._balancer = Balancer(settings, seed, loop.now())
+
+    def start(self, cached: api.Fleet) -> None:
+        """The module's first actions, and the list as it was last known."""
+        for action in self._balancer.start(self._loop.now()):
+            self._carry_out(action)
+        self.feed(cached)
+
+    @property
+    def idle(self) -> bool:
+        """No query waits for its answer."""
+        return all(query.over for query in self._queries.values())
+
+    def feed(self, event: api.Event) -> None:
+        """Tell the module. What its actions cause at once is told after them, never from within."""
+        self._events.append(event)
+        if self._running:
+            return
+        self._running = True
+        try:
+            while self._events:
+                self._handle(self._events.popleft())
+        finally:
+            self._running = False
+
+    def _handle(self, event: api.Event) -> None:
+        try:
+            actions = self._balancer.handle(event, self._loop.now())
+        except Exception:  # the query of this event is failed below or by its guard; the rest goes on
+            self._fault(f"module, at {type(event).__name__}")
+            if isinstance(event, api.Request) and event.id in self._queries:
+                self._finish(self._queries[event.id]).failed()
+            return
+        for action in actions:
+            try:
+                self._carry_out(action)
+            except Exception:
+                self._fault(f"at {type(action).__name__}")
+
+    def _fault(self, where: str) -> None:
+        counters["engine_faults"] += 1
+        say("fault", where + ": " + traceback.format_exc().strip().replace("\n", " | "))
+
+    def _carry_out(self, action: api.Action) -> None:
+        if isinstance(action, api.Schedule):
+            token = action.token
+            self._loop.at(self._loop.now() + action.delay, lambda: self.feed(api.Timer(token)))
+        elif isinstance(action, api.Follow):
+            counters["follows"] += 1
+            self._follow()
+        elif isinstance(action, api.Note):
+            say("note", action.text)
+        else:
+            query = self._queries.get(action.id)
+            if query is None:
+                return  # finished with all its executions: nothing can be owed or withdrawn
+            if isinstance(action, api.Try):
+                self._try(query, action)
+            elif isinstance(action, api.Withdraw):
+                if action.attempt < len(query.executions):
+                    self._give_up(query.executions[action.attempt], api.Outcome.CANCELLED)
+            elif not query.over:
+                refused = isinstance(action, api.Refuse)
+                counters["refused" if refused else "failed"] += 1
+                asker = self._finish(query)
+                if isinstance(action, api.Refuse):
+                    asker.refused(action.stay_away)
+                else:
+                    asker.failed()
+
+    def ask(self, content: Any, request: Callable[[int], api.Request], asker: Asker) -> Query | None:
+        """Take a query; `request` words it for the module under the given id. None: turned away, as too many
+        are open for the memory we have."""
+        counters["queries"] += 1
+        if len(self._queries) >= self._max_open:
+            counters["turned_away"] += 1
+            asker.refused(self._settings.max_retry_after)
+            return None
+        now = self._loop.now()
+        self._number += 1
+        event = request(self._number)
+        query = self._queries[self._number] = Query(self._number, content, now + event.patience, asker)
+        query.guard = self._loop.at(query.deadline + OVERDUE, lambda: self._overdue(query))
+        self.feed(event)
+        return query
+
+    def left(self, query: Query) -> None:
+        """The client has gone."""
+        if not query.over:
+            counters["left"] += 1
+            self._finish(query)
+            self.feed(api.Left(query.id))
+
+    def _overdue(self, query: Query) -> None:
+        """Guards against a query stranded by a fault: its client gets an answer all the same."""
+        if not query.over:
+            counters["overdue"] += 1
+            say("overdue", f"query {query.id} had no answer at its deadline")
+            self._finish(query).failed()
+            self.feed(api.Left(query.id))
+
+    def _finish(self, query: Query) -> Asker:
+        """From here on the query has its final answer, which the caller gives to the asker."""
+        query.over = True
+        self._loop.cancel(query.guard)
+        self._forget(query)
+        return query.asker
+
+    def _forget(self, query: Query) -> None:
+        if query.over and all(one.done for one in query.executions):
+            self._queries.pop(query.id, None)
+
+    def _try(self, query: Query, action: api.Try) -> None:
+        now = self._loop.now()
+        until = min(action.expire_at or query.deadline, query.deadline)
+        execution = Execution(self, query, self._route(action.server), now, until)
+        query.executions.append(execution)
+        if query.over or execution.number >= self._settings.max_attempts or now >= query.deadline:
+            return execution.end(MOOT)
+        counters["executions"] += 1
+        if execution.link is None:
+            return execution.end(api.Outcome.CONNECT_FAILED)
+        execution.expiry = self._loop.at(until, lambda: self._give_up(execution, api.Outcome.TIMEOUT))
+        try:
+            execution.link.start(execution)
+        except Exception:  # it may be half written, so nothing may be promised
+            self._fault("starting an execution")
+            self._give_up(execution, api.Outcome.RESET)
+
+    def _give_up(self, execution: Execution, outcome: api.Outcome) -> None:
+        if not execution.done and execution.link:
+            execution.link.abandon(execution)
+            execution.end(outcome)
+
+    def ended(
+        self,
+        execution: Execution,
+        outcome: api.Outcome,
+        value: bytes | None,
+        note: int,
+        load: tuple[float, ...],
+    ) -> None:
+        if execution.done:
+            return
+        execution.done = True
+        self._loop.cancel(execution.expiry)
+        query = execution.query
+        counters["ended_" + outcome.name.lower()] += 1
+        if outcome is OK and not query.over:
+            counters["served"] += 1
+            self._finish(query).served(value or b"")
+        latency = self._loop.now() - execution.started
+        self.feed(api.Ended(query.id, execution.number, outcome, latency, query.over, note, load))
+        self._forget(query)
--- /dev/null
+++ b/lupinladder/net/front.py
@@ -0,0 +1,240 @@
+"""The front: the listener, clients' connections and the order of their answers."""
+
+from __future__ import annotations
+
+import socket
+from collections import deque
+
+from lupinladder import api
+from lupinladder.net import resp
+from lupinladder.net.command import MAX_VALUE, Command, Malformed, command
+from lupinladder.net.connection import READ, Address, Budget, Connection
+from lupinladder.net.engine import Engine, Query
+from lupinladder.net.log import counters, say
+from lupinladder.net.loop import Loop
+
+DEPTH = 32  # commands of one client that wait for their answers; beyond, its bytes are left unread
+BACKLOG, ACCEPTS = 1024, 64
+KEEP = 3  # one part in so many of the descriptors is kept from clients, for the links
+STOP_ACCEPTING = 500.0  # ms after the signal to stop: new connections still come
+
+
+class Slot:
+    """The place of one command's answer among its client's answers."""
+
+    def __init__(self, client: Client) -> None:
+        self._client = client
+        self.query: Query | None = None
+        self.answer: bytes | None = None
+
+    def served(self, value: bytes) -> None:
+        self._set(resp.bulk(value))
+
+    def refused(self, wait: float) -> None:
+        self._set(resp.error(f"BUSY {wait:.0f}" if wait >= 1 else "BUSY"))
+
+    def failed(self) -> None:
+        self._set(resp.error("ERR failed"))
+
+    def _set(self, answer: bytes) -> None:
+        self.answer = answer
+        self._client.flush()
+
+
+class Client:
+    def __init__(self, front: Front, sock: socket.socket) -> None:
+        self._front, self._slots = front, deque[Slot]()
+        self._parser = resp.Parser(MAX_VALUE, 16)
+        self._closing = self._reading = self._starved = False
+        self.used = front.loop.now()
+        self.conn = Connection(front.loop, front.budget, sock, self)
+
+    @property
+    def idle(self) -> bool:
+        """Between commands: nothing owed, and nothing begun."""
+        return not self._slots and self._parser.idle and not len(self.conn.inbox)
+
+    @property
+    def owed(self) -> bool:
+        return bool(self._slots) or len(self.conn.outbox) > 0
+
+    def opened(self) -> None:
+        pass
+
+    def received(self) -> None:
+        if self._reading:
+            return  # an answer given at once has come back here through flush
+        self._reading, self._starved = True, False
+        try:
+            while self.conn.open and not self._closing and len(self._slots) < DEPTH:
+                value = self._parser.next(self.conn.inbox)
+                if isinstance(value, resp.Pending):
+                    break
+                self._command(value)
+            else:
+                self._starved = not self._closing
+        except resp.FramingError as bad:
+            counters["bad_framing"] += 1
+            self._say(f"Protocol error: {bad}")
+            self._closing = True
+        finally:
+            self._reading = False
+        self.flush()
+
+    def _command(self, value: resp.Value) -> None:
+        words = value if isinstance(value, list) else None
+        if words is None or not all(type(word) is bytes for word in words):
+            raise resp.FramingError("a command is an array of bulk strings")
+        if not words:
+            return
+        self.used = self._front.loop.now()
+        plain = [word for word in words if isinstance(word, bytes)]
+        if plain[0].upper() == b"PING" and len(plain) <= 2:
+            self._slot().answer = resp.bulk(plain[1]) if len(plain) == 2 else b"+PONG\r\n"
+            return
+        try:
+            content = command(plain, self._front.classes)
+        except Malformed as bad:
+            counters["malformed"] += 1
+            self._say(str(bad))
+            return
+        slot = self._slot()
+        slot.query = self._front.engine.ask(content, lambda number: _request(number, content), slot)
+
+    def _slot(self) -> Slot:
+        self._slots.append(Slot(self))
+        return self._slots[-1]
+
+    def _say(self, text: str) -> None:
+        self._slot().answer = resp.error("ERR " + text)
+
+    def flush(self) -> None:
+        """Write the answers that are next in order, as far as there is room."""
+        while self.conn.open and self._slots:
+            answer = self._slots[0].answer
+            if answer is None or self.conn.outbox.room < len(answer):
+                break
+            self._slots.popleft()
+            self.conn.send(answer)
+        if not self.conn.open:
+            return
+        if self._starved:  # not from here: answers given at once would nest without end
+            self._front.loop.soon(self._more)
+        elif not self._slots and (self._closing or self.conn.eof or (self._front.closing and self.idle)):
+            self._end()
+
+    def _more(self) -> None:
+        if self._starved and self.conn.open and len(self._slots) < DEPTH:
+            self.received()
+            self.conn.resume()
+
+    def drained(self) -> None:
+        self.flush()
+
+    def ended(self, by_peer: bool) -> None:
+        """With answers owed, an end of its bytes may mean that the client only stopped sending, which TCP
+        does not tell from a close: they are still made and written. A broken connection has gone away."""
+        if by_peer:
+            counters["ends_with_answers_owed" if self._slots else "ends"] += 1
+            return self.flush()
+        counters["clients_broken"] += bool(self._slots)
+        self._front.clients.pop(self, None)
+        for slot in self._slots:
+            if slot.query:
+                self._front.engine.left(slot.query)
+        self._front.listen()
+
+    def _end(self) -> None:
+        if self in self._front.clients:
+            del self._front.clients[self]
+            self._front.ending.append(self.conn)
+        self.conn.finish()
+        self._front.listen()
+
+    def close_if_idle(self) -> None:
+        if self.idle:
+            self._end()
+
+
+def _request(number: int, content: Command) -> api.Request:
+    return api.Request(
+        number,
+        content.kind,
+        content.patience,
+        content.key,
+        0,
+        content.write,
+        content.again,
+        content.work,
+        content.size,
+    )
+
+
+class Front:
+    def __init__(
+        self, loop: Loop, budget: Budget, engine: Engine, address: Address, classes: list[str]
+    ) -> None:
+        self.loop, self.budget, self.engine, self.classes = loop, budget, engine, classes
+        self.clients: dict[Client, None] = {}
+        self.ending: list[Connection] = []
+        self.closing = False  # connections are ended as soon as they are between commands
+        self._mask, self._stopped = 0, False
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.setblocking(False)
+        self._sock.bind(address)
+        self._sock.listen(BACKLOG)
+        budget.used += 1
+        self.listen()
+
+    @property
+    def done(self) -> bool:
+        """After `stop`: nothing is owed to a client, and all that was written has been taken."""
+        self.ending = [conn for conn in self.ending if conn.open]
+        return self.closing and not self.ending and not any(client.owed for client in self.clients)
+
+    def listen(self) -> None:
+        """Accept while there are descriptors for clients."""
+        mask = 0
+        if not self._stopped and self.budget.spare(self.budget.limit // KEEP):
+            mask = READ
+        self.loop.watch(self._sock, self._mask, mask, self._ready)
+        self._mask = mask
+
+    def _ready(self, mask: int) -> None:
+        for _ in range(ACCEPTS):
+            if not self.budget.spare(self.budget.limit // KEEP) and not self._evict():
+                say("clients", "no descriptor left for a client; waiting for one to end")
+                break
+            try:
+                sock, _ = self._sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                break
+            except OSError as bad:
+                say("clients", f"accept: {bad}")
+                break
+            counters["clients"] += 1
+            self.clients[Client(self, sock)] = None
+        self.listen()
+
+    def _evict(self) -> bool:
+        """Close the client that has been idle for longest; it may connect again."""
+        idle = min((c for c in self.clients if c.idle), key=lambda c: c.used, default=None)
+        if idle is None:
+            return False
+        self.clients.pop(idle)
+        idle.conn.close()
+        return True
+
+    def stop(self) -> None:
+        """Accept a little longer, answer what was taken, close connections between commands."""
+        self.loop.at(self.loop.now() + STOP_ACCEPTING, self._close)
+
+    def _close(self) -> None:
+        self._ready(READ)  # whoever the system has accepted so far
+        self._stopped = self.closing = True
+        self.listen()
+        self._sock.close()
+        self.budget.used -= 1
+        for client in list(self.clients):
+            client.close_if_idle()
--- /dev/null
+++ b/lupinladder/net/host_group.py
@@ -0,0 +1,178 @@
+"""The host group: the list of servers as discovery tells it, the watch on its changes, and their links."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from lupinladder import api
+from lupinladder.net import http
+from lupinladder.net.connection import Address, Budget, Connection
+from lupinladder.net.log import counters, say
+from lupinladder.net.loop import Deadline, Loop
+from lupinladder.net.server_link import Link
+from lupinladder.wire import read
+
+SILENCE = 5000.0  # ms without a byte on a watch, on which something comes every 2 s, until it counts as dead
+MAX_LINE = 1 << 20
+STATES = {"active": api.State.READY, "leaving": api.State.DRAINING, "left": api.State.GONE}
+
+
+def address_of(text: str) -> Address:
+    """An IPv4 address with its port."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is not an address with a port")
+    return host, int(port)
+
+
+class Listing:
+    """Reads discovery's form into the module's."""
+
+    def __init__(self, zones: Sequence[str], kinds: Sequence[str]) -> None:
+        self._zones, self._kinds = zones, kinds
+
+    def read(self, tree: Any) -> tuple[int, bool, list[api.Entry], dict[api.ServerId, Address]]:
+        """Version, whether the list is whole, its entries, and where they are. ValueError if it is bad."""
+        found, where = [], {}
+        for one in read(tree, "endpoints", list):
+            status, zone, kind = read(one, "status", str), read(one, "zone", str), read(one, "type", str)
+            if status not in STATES or zone not in self._zones or kind not in self._kinds:
+                raise ValueError(f"entry {one!r} is not of this deployment")
+            server = read(one, "name", str).encode()
+            if STATES[status] is not api.State.GONE:
+                where[server] = address_of(read(one, "address", str))
+            found.append(
+                api.Entry(
+                    server,
+                    STATES[status],
+                    read(one, "weight", float, 1.0),
+                    read(one, "since_ms", float, 0.0) if one.get("since_ms") else 0.0,
+                    self._zones.index(zone),
+                    read(one, "group", int, 0),
+                    self._kinds.index(kind),
+                )
+            )
+        return read(tree, "index", int), read(tree, "snapshot", bool, False), found, where
+
+
+class HostGroup:
+    def __init__(
+        self,
+        loop: Loop,
+        budget: Budget,
+        discovery: Address,
+        listing: Listing,
+        make_link: Callable[[api.Entry, Address], Link],
+        tell: Callable[[api.Fleet], None],
+    ) -> None:
+        self._loop, self._budget, self._discovery, self._listing = loop, budget, discovery, listing
+        self._make_link, self._tell = make_link, tell
+        self._links: dict[api.ServerId, tuple[Link, float]] = {}  # with the start they were made for
+        self._index = 0
+        self._watch: Watch | None = None
+
+    def cached(self, tree: Any) -> api.Fleet:
+        """The list as the configuration knows it; it may be out of date."""
+        return self._take(tree, api.ListForm.CACHED)
+
+    def route(self, server: api.ServerId) -> Link | None:
+        found = self._links.get(server)
+        return found[0] if found else None
+
+    def follow(self) -> None:
+        """Open the watch, unless one is open: each call is work for discovery."""
+        if self._watch is None:
+            try:
+                self._watch = Watch(self._loop, self._budget, self._discovery, self._index, self)
+            except OSError as bad:
+                self.lost(str(bad))
+
+    def line(self, text: bytes) -> None:
+        """A line of the watch: what changed, or the whole list. ValueError if it is bad."""
+        try:
+            tree = json.loads(text)
+        except RecursionError:
+            raise ValueError("nested too deep") from None
+        self._tell(self._take(tree, None))
+
+    def lost(self, why: str) -> None:
+        """The watch has ended or failed; the module decides when to ask again."""
+        self._watch = None
+        counters["watches_lost"] += 1
+        say("discovery", why)
+        self._tell(api.Fleet(api.ListForm.FAILED, self._index))
+
+    def _take(self, tree: Any, form: api.ListForm | None) -> api.Fleet:
+        index, whole, entries, where = self._listing.read(tree)
+        form = form or (api.ListForm.FULL if whole else api.ListForm.DELTA)
+        counters["lists"] += 1
+        if form is not api.ListForm.DELTA:
+            for server in set(self._links) - set(where):
+                self._links.pop(server)[0].retire()
+        for entry in entries:
+            link, launched = self._links.get(entry.server, (None, 0.0))
+            stays = entry.state is api.State.READY
+            if link and (not stays or link.address != where[entry.server] or launched != entry.launched):
+                # Gone, leaving or started anew: what is out finishes, the idle connections are of no use.
+                link.retire()
+                link = None
+                del self._links[entry.server]
+            if not link and stays:
+                link = self._make_link(entry, where[entry.server])
+                self._links[entry.server] = (link, entry.launched)
+        self._index = index
+        return api.Fleet(form, index, entries)
+
+
+class Watch:
+    """One call for changes, open until its connection ends or falls silent."""
+
+    def __init__(self, loop: Loop, budget: Budget, address: Address, index: int, group: HostGroup) -> None:
+        self._loop, self._group = loop, group
+        self._http = http.Reader(MAX_LINE)
+        self._silent: Deadline | None = None
+        self._conn = Connection.dial(loop, budget, address, self)
+        path = f"/v1/endpoints?stream=1&index={index}"
+        self._conn.send(http.request("GET", path, f"{address[0]}:{address[1]}", {}, None))
+        self._heard()
+
+    def _heard(self) -> None:
+        self._loop.cancel(self._silent)
+        self._silent = self._loop.at(self._loop.now() + SILENCE, lambda: self._end("the watch is silent"))
+
+    def _end(self, why: str) -> None:
+        self._loop.cancel(self._silent)
+        self._conn.close()
+        self._group.lost(why)
+
+    def opened(self) -> None:
+        pass
+
+    def drained(self) -> None:
+        pass
+
+    def received(self) -> None:
+        self._heard()
+        ended = False
+        try:
+            while len(self._conn.inbox):
+                whole = self._http.feed(self._conn.inbox.take(len(self._conn.inbox)))
+                answer = whole[0] if whole else self._http.current
+                ended = ended or bool(whole)
+                if answer.status not in (0, 200):
+                    return self._end(f"answered {answer.status}")
+                while b"\n" in answer.body:
+                    end = answer.body.index(b"\n")
+                    text = bytes(answer.body[:end]).strip()
+                    del answer.body[: end + 1]
+                    if text:
+                        self._group.line(text)
+        except (http.HttpError, ValueError) as bad:
+            return self._end(f"bad answer: {bad}")
+        if ended:
+            self._end("the watch was ended")
+
+    def ended(self, by_peer: bool) -> None:
+        self._end("the watch was closed" if by_peer else "the connection broke or never came up")
--- /dev/null
+++ b/lupinladder/net/resp.py
@@ -0,0 +1,124 @@
+"""RESP2: an incremental parser over a ring, and encoders. No sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from lupinladder.net.ring import Ring
+
+MAX_LINE, MAX_DEPTH = 4096, 4
+INT_DIGITS = 20
+
+
+class FramingError(Exception):
+    """Bytes after which nothing on the connection can be trusted."""
+
+
+class Line(bytes):
+    """A simple string."""
+
+
+class Error(bytes):
+    """An error line."""
+
+
+Value = bytes | int | None | list["Value"]
+
+
+class Pending:
+    """The type of PENDING: no whole value yet."""
+
+
+PENDING = Pending()
+_OPEN = Pending()  # the head of a bulk string or an array: more follows
+
+
+def number(text: bytes) -> int:
+    """A decimal as RESP writes it. int() alone would take spaces, underscores and plus signs."""
+    digits = text[1:] if text[:1] == b"-" else text
+    if not digits.isdigit() or len(digits) > INT_DIGITS:
+        raise FramingError("not a number")
+    return int(text)
+
+
+class Parser:
+    """Takes one value at a time off a ring and keeps its place between calls."""
+
+    def __init__(self, max_bulk: int, max_items: int) -> None:
+        self._max_bulk, self._max_items = max_bulk, max_items
+        self._arrays: list[tuple[list[Value], int]] = []  # begun arrays, and how long they will be
+        self._bulk, self._need = bytearray(), 0  # a begun bulk string, and its length with CR LF
+
+    @property
+    def idle(self) -> bool:
+        """Between values."""
+        return not self._arrays and not self._need
+
+    def next(self, ring: Ring) -> Value | Pending:
+        while True:
+            value: Value | Pending
+            if self._need:
+                self._bulk += ring.take(self._need - len(self._bulk))
+                if len(self._bulk) < self._need:
+                    return PENDING
+                if self._bulk[-2:] != b"\r\n":
+                    raise FramingError("bulk string is not ended by CR LF")
+                value = bytes(self._bulk[:-2])
+                self._bulk, self._need = bytearray(), 0
+            else:
+                try:
+                    line = ring.line(MAX_LINE)
+                except ValueError as bad:
+                    raise FramingError(str(bad)) from None
+                if line is None:
+                    return PENDING
+                value = self._begin(line)
+                if isinstance(value, Pending):
+                    continue
+            while self._arrays:
+                items, length = self._arrays[-1]
+                items.append(value)
+                if len(items) < length:
+                    break
+                value = items
+                self._arrays.pop()
+            else:
+                return value
+
+    def _begin(self, line: bytes) -> Value | Pending:
+        kind, rest = line[:1], line[1:]
+        if kind == b"+":
+            return Line(rest)
+        if kind == b"-":
+            return Error(rest)
+        if kind == b":":
+            return number(rest)
+        if kind not in (b"$", b"*"):
+            raise FramingError("unknown type byte")
+        length = number(rest)
+        if length == -1:
+            return None
+        if length < 0 or length > (self._max_bulk if kind == b"$" else self._max_items):
+            raise FramingError("length out of bounds")
+        if kind == b"$":
+            self._need = length + 2
+            return _OPEN
+        if not length:
+            return []
+        if len(self._arrays) >= MAX_DEPTH:
+            raise FramingError("arrays nested too deep")
+        self._arrays.append(([], length))
+        return _OPEN
+
+
+def bulk(data: bytes) -> bytes:
+    return b"$%d\r\n%b\r\n" % (len(data), data)
+
+
+def array(words: Sequence[bytes]) -> bytes:
+    return b"*%d\r\n" % len(words) + b"".join(bulk(word) for word in words)
+
+
+def error(text: str) -> bytes:
+    """An error line; whatever would end the line early is replaced."""
+    return b"-" + text.replace("\r", " ").replace("\n", " ").encode("utf-8", "replace") + b"\r\n"
--- /dev/null
+++ b/lupinladder/net/ring.py
@@ -0,0 +1,87 @@
+"""A byte ring that starts small, grows by doubling up to a bound and shrinks again when empty."""
+
+from __future__ import annotations
+
+START = 2048
+
+
+class Ring:
+    def __init__(self, bound: int) -> None:
+        self.bound = bound
+        self._buf = bytearray(min(START, bound))
+        self._head = self._size = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    @property
+    def room(self) -> int:
+        return self.bound - self._size
+
+    def _grow(self, least: int) -> None:
+        size = len(self._buf)
+        while size < least:
+            size *= 2
+        fresh = bytearray(min(size, self.bound))
+        fresh[: self._size] = self.peek(self._size)
+        self._buf, self._head = fresh, 0  # views of the old one stay valid
+
+    def space(self) -> memoryview:
+        """Free bytes in one piece, to be read into; empty only at the bound. Then call `wrote`."""
+        if self._size == len(self._buf) < self.bound:
+            self._grow(self._size + 1)
+        cap = len(self._buf)
+        tail = (self._head + self._size) % cap
+        if self._size == cap:
+            return memoryview(b"")
+        return memoryview(self._buf)[tail : self._head if tail < self._head else cap]
+
+    def wrote(self, count: int) -> None:
+        self._size += count
+
+    def put(self, data: bytes) -> None:
+        if len(data) > self.room:
+            raise BufferError("ring is full")
+        if self._size + len(data) > len(self._buf):
+            self._grow(self._size + len(data))
+        at = 0
+        while at < len(data):
+            space = self.space()
+            part = data[at : at + len(space)]
+            space[: len(part)] = part
+            self.wrote(len(part))
+            at += len(part)
+
+    def filled(self) -> memoryview:
+        """Held bytes in one piece, from the oldest on; not always all. Then call `drop`."""
+        return memoryview(self._buf)[self._head : min(self._head + self._size, len(self._buf))]
+
+    def drop(self, count: int) -> None:
+        self._size -= count
+        self._head = (self._head + count) % len(self._buf) if self._size else 0
+        if not self._size and len(self._buf) > START:
+            self._buf = bytearray(START)
+
+    def peek(self, count: int) -> bytes:
+        """The oldest bytes, left in place."""
+        cap = len(self._buf)
+        end = self._head + min(count, self._size)
+        return bytes(self._buf[self._head : min(end, cap)] + self._buf[: max(end - cap, 0)])
+
+    def take(self, count: int) -> bytes:
+        data = self.peek(count)
+        self.drop(len(data))
+        return data
+
+    def line(self, limit: int) -> bytes | None:
+        """Take a line and strip its CR LF; None while it is not whole. ValueError past the limit."""
+        head = self.peek(limit + 2)
+        end = head.find(b"\n")
+        if end < 0:
+            if len(head) >= limit + 2:
+                raise ValueError("line too long")
+            return None
+        if head[end - 1 : end] != b"\r":
+            raise ValueError("line does not end in CR LF")
+        self.drop(end + 1)
+        return head[: end - 1]
--- /dev/null
+++ b/lupinladder/net/server_link.py
@@ -0,0 +1,220 @@
+"""Server links: a pool of connections to one cache node, and how RESP is spoken on them."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Sequence
+from functools import partial
+from typing import Protocol
+
+from lupinladder import api
+from lupinladder.net import resp
+from lupinladder.net.command import MAX_VALUE, NOTES, Command, Reply, report
+from lupinladder.net.connection import Address, Budget, Connection
+from lupinladder.net.engine import Execution
+from lupinladder.net.log import counters, say
+from lupinladder.net.loop import Deadline, Loop
+from lupinladder.net.ring import Ring
+
+IDLE_SHARE = 0.8  # of the time after which the other side closes an idle connection: by then we have
+
+
+class Reader(Protocol):
+    """Takes replies off a connection's bytes, in order."""
+
+    closes: bool  # the other side ends the connection after the reply last taken
+
+    def next(self, inbox: Ring) -> Reply | None: ...
+
+
+class Dialect(Protocol):
+    def encode(self, command: Command, wait: float) -> bytes: ...
+    def reader(self) -> Reader: ...
+
+
+class ProtocolError(Exception):
+    """An answer that makes no sense; the connection cannot be used on."""
+
+
+class Wire:
+    """One connection of a link, with the executions on it in the order of their writing."""
+
+    def __init__(self, link: Link) -> None:
+        self._link = link
+        self.waiting: deque[tuple[Execution | None, int]] = deque()  # None: abandoned; bytes queued with it
+        self.reader = link.dialect.reader()
+        self.idle_until: Deadline | None = None
+        self.conn = Connection.dial(link.loop, link.budget, link.address, self)
+        counters["links_opened"] += 1
+        self._connecting: Deadline | None = link.loop.at(link.loop.now() + link.connect_ms, self._too_late)
+
+    def write(self, execution: Execution, data: bytes) -> None:
+        self.waiting.append((execution, self.conn.queued + len(data)))
+        self.conn.send(data)
+
+    def opened(self) -> None:
+        self._link.loop.cancel(self._connecting)
+
+    def _too_late(self) -> None:
+        if self.conn.opening:
+            self.break_off()
+
+    def received(self) -> None:
+        while self.conn.open:
+            try:
+                reply = self.reader.next(self.conn.inbox)
+                if reply is None:
+                    return
+                if not self.waiting:
+                    raise ProtocolError("an answer that nothing asked for")
+            except (ProtocolError, resp.FramingError) as bad:
+                say("link", f"{self._link.address}: {bad}")
+                counters["bad_answers"] += 1
+                return self.break_off()
+            execution, _ = self.waiting.popleft()
+            if self.reader.closes:
+                self.break_off()
+            elif not self.waiting:
+                self._link.rest(self)
+            if execution:
+                execution.end(reply.outcome, reply.value, reply.note, reply.load)
+
+    def drained(self) -> None:
+        pass
+
+    def ended(self, by_peer: bool) -> None:
+        self.break_off()
+
+    def break_off(self) -> None:
+        """Close; what is out on it has run only if its last byte was written."""
+        sent = self.conn.sent
+        self.conn.close()
+        self._link.loop.cancel(self._connecting)
+        self._link.loop.cancel(self.idle_until)
+        self._link.gone(self)
+        waiting, self.waiting = self.waiting, deque()
+        for execution, mark in waiting:
+            if execution:
+                ran = sent >= mark
+                execution.end(api.Outcome.RESET if ran else api.Outcome.CONNECT_FAILED)
+
+
+class Link:
+    """The pool. One execution on a connection at a time, since answers come in order; the latest used
+    is taken first, so that the others can grow old and close."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        budget: Budget,
+        address: Address,
+        dialect: Dialect,
+        idle_ms: float,
+        connect_ms: float,
+        streams: int,
+    ) -> None:
+        self.loop, self.budget, self.address, self.dialect = loop, budget, address, dialect
+        self.connect_ms, self._idle_ms, self._streams = connect_ms, idle_ms, streams
+        self._idle: list[Wire] = []
+        self._busy: dict[Wire, None] = {}
+        self._retired = False
+
+    def start(self, execution: Execution) -> None:
+        data = self.dialect.encode(execution.query.content, execution.until - self.loop.now())
+        wire = self._pick(len(data))
+        if wire is None:
+            counters["no_descriptor"] += 1
+            return execution.end(api.Outcome.CONNECT_FAILED)
+        wire.write(execution, data)
+
+    def _pick(self, size: int) -> Wire | None:
+        if self._idle:
+            wire = self._idle.pop()
+            self.loop.cancel(wire.idle_until)
+        elif self.budget.spare() and (fresh := self._open()):
+            wire = fresh
+        else:  # sockets run short: behind the shortest line, if any has room
+            able = [w for w in self._busy if len(w.waiting) < self._streams and w.conn.outbox.room >= size]
+            return min(able, key=lambda w: len(w.waiting), default=None)
+        self._busy[wire] = None
+        return wire
+
+    def _open(self) -> Wire | None:
+        try:
+            return Wire(self)
+        except OSError as bad:  # the system has none left, whatever our count says
+            say("link", f"{self.address}: {bad}")
+            return None
+
+    def abandon(self, execution: Execution) -> None:
+        """Stop waiting: closing tells the other side, unless others wait on the same connection."""
+        for wire in self._busy:
+            for place, (one, mark) in enumerate(wire.waiting):
+                if one is execution:
+                    wire.waiting[place] = (None, mark)
+                    if all(other is None for other, _ in wire.waiting):
+                        wire.break_off()
+                    return
+
+    def rest(self, wire: Wire) -> None:
+        """Nothing is out on it any more."""
+        self._busy.pop(wire, None)
+        if self._retired:
+            wire.break_off()
+            return
+        self._idle.append(wire)
+        wire.idle_until = self.loop.at(self.loop.now() + self._idle_ms * IDLE_SHARE, wire.break_off)
+
+    def gone(self, wire: Wire) -> None:
+        self._busy.pop(wire, None)
+        if wire in self._idle:
+            self._idle.remove(wire)
+
+    def retire(self) -> None:
+        """The server leaves: what is out may finish, nothing is kept for later."""
+        self._retired = True
+        for wire in list(self._idle):
+            wire.break_off()
+
+
+class NodeReader:
+    """Replies of a cache node."""
+
+    closes = False
+
+    def __init__(self, fields: Sequence[str]) -> None:
+        self._fields = fields
+        self._parser = resp.Parser(MAX_VALUE, 16)
+
+    def next(self, inbox: Ring) -> Reply | None:
+        answer = self._parser.next(inbox)
+        return None if isinstance(answer, resp.Pending) else self._reply(answer)
+
+    def _reply(self, answer: resp.Value) -> Reply:
+        if isinstance(answer, resp.Error):
+            word, _, rest = answer.partition(b" ")
+            load = report(rest.rsplit(b" ", 1)[-1], self._fields)
+            if word == b"BUSY":
+                return Reply(api.Outcome.FULL, load=load)
+            if not answer.startswith(b"ERR failed"):
+                counters["node_errors"] += 1
+                say("link", "a cache node answered " + repr(bytes(answer)))
+            return Reply(api.Outcome.ERROR, load=load)
+        if not isinstance(answer, list) or not answer:
+            raise ProtocolError("an answer of an unknown form")
+        value, note, load_text = [*answer, None, None][:3]
+        if not (value is None or isinstance(value, bytes)):
+            raise ProtocolError("a value of an unknown form")
+        told = NOTES.get(note, 0) if isinstance(note, bytes) else 0
+        load = report(load_text, self._fields) if isinstance(load_text, bytes) else ()
+        return Reply(api.Outcome.MISS if value is None else api.Outcome.OK, value, told, load)
+
+
+class NodeDialect:
+    """RESP as cache nodes speak it."""
+
+    def __init__(self, fields: Sequence[str]) -> None:
+        self.reader = partial(NodeReader, fields)
+
+    def encode(self, command: Command, wait: float) -> bytes:
+        return resp.array(command.relabelled(wait))
--- a/lupinladder/wire.py
+++ b/lupinladder/wire.py
@@ -232,7 +232,7 @@
 _MISSING = object()
 
 
-def _get(tree: Any, path: str, kind: type, default: Any = _MISSING) -> Any:
+def read(tree: Any, path: str, kind: type, default: Any = _MISSING) -> Any:
     """The value at a dotted path. A required one that is missing, or any of a wrong kind, is an error."""
     node = tree
     for part in path.split("."):
@@ -254,18 +254,18 @@
 
 def _class(tree: Any, n: int) -> api.RequestClass:
     try:
-        aim, deadline = _get(tree, "goal-time-ms", float), _get(tree, "deadline-ms", float)
+        aim, deadline = read(tree, "goal-time-ms", float), read(tree, "deadline-ms", float)
         if deadline <= 0 or aim <= 0:
             raise ValueError("settings: goal-time-ms and deadline-ms are above 0")
         return api.RequestClass(
             aim,
             deadline,
-            api.Repeat(_get(tree, "repeat", str)),
-            api.Scope(_get(tree, "key-scope", str, None) or "all"),
-            _get(tree, "window-ms", float, 0.0),
-            _get(tree, "worth", float, 1.0),
-            _get(tree, "late-worth", float, 0.0),
-            _get(tree, "stream", bool, False),
+            api.Repeat(read(tree, "repeat", str)),
+            api.Scope(read(tree, "key-scope", str, None) or "all"),
+            read(tree, "window-ms", float, 0.0),
+            read(tree, "worth", float, 1.0),
+            read(tree, "late-worth", float, 0.0),
+            read(tree, "stream", bool, False),
         )
     except ValueError as bad:
         raise ValueError(f"{bad} (class {n})") from None
@@ -277,43 +277,43 @@
         tree = json.loads(text)
     except ValueError as bad:
         raise ValueError(f"settings: not JSON: {bad}") from None
-    classes = [_class(c, n) for n, c in enumerate(_get(tree, "classes", list))]
+    classes = [_class(c, n) for n, c in enumerate(read(tree, "classes", list))]
     if not classes:
         raise ValueError("settings: classes is empty")
-    mode = _get(tree, "membership-mode", str)
+    mode = read(tree, "membership-mode", str)
     if mode not in ("ask", "push"):
         raise ValueError(f"settings: membership-mode is {mode!r}")
-    cache = _get(tree, "family-info.mode", str, "through")
+    cache = read(tree, "family-info.mode", str, "through")
     if cache not in ("through", "aside"):
         raise ValueError(f"settings: family-info.mode is {cache!r}")
-    count = _get(tree, "n-instances", int)
+    count = read(tree, "n-instances", int)
     if count < 1:
         raise ValueError(f"settings: n-instances is {count}")
-    attempts = _get(tree, "ceilings.max-attempts", int)
+    attempts = read(tree, "ceilings.max-attempts", int)
     if attempts < 1:
         raise ValueError(f"settings: ceilings.max-attempts is {attempts}")
-    advises = _get(tree, "ceilings.retry-after", bool, False)
+    advises = read(tree, "ceilings.retry-after", bool, False)
     return api.Settings(
         classes=classes,
         balancers=count,
-        me=_get(tree, "me", int),
-        zone=_get(tree, "zone", int, 0),
+        me=read(tree, "me", int),
+        zone=read(tree, "zone", int, 0),
         ask=mode == "ask",
-        ask_within=_get(tree, "obligations.ask-within-ms", float, 0.0),
+        ask_within=read(tree, "obligations.ask-within-ms", float, 0.0),
         aside=cache == "aside",
-        origin_kind=_get(tree, "family-info.origin-kind", int, -1),
+        origin_kind=read(tree, "family-info.origin-kind", int, -1),
         max_attempts=attempts,
-        may_duplicate=_get(tree, "ceilings.may-duplicate", bool, False),
-        may_cancel=_get(tree, "ceilings.cancel", bool, False),
-        may_probe=_get(tree, "ceilings.probes", bool, False),
-        max_retry_after=_get(tree, "ceilings.max-retry-after-ms", float, 0.0) if advises else 0.0,
-        stop_within=_get(tree, "obligations.stop-sending-within-ms", float),
-        cold_share=_get(tree, "obligations.cold-share", float),
-        cold_for=_get(tree, "obligations.cold-ms", float),
-        overload_factor=_get(tree, "obligations.overload-factor", float),
-        fall_within=_get(tree, "obligations.fall-ms", float),
-        tenant_quotas=[_get(t, "quota-per-s", float) for t in _get(tree, "tenants", list, [])],
-        over_share_worth=_get(tree, "over-share-worth", float, 1.0),
-        live_weights=_get(tree, "weights", str, "none") == "live",
-        report_fields=[str(name) for name in _get(tree, "reporting.fields", list, [])],
+        may_duplicate=read(tree, "ceilings.may-duplicate", bool, False),
+        may_cancel=read(tree, "ceilings.cancel", bool, False),
+        may_probe=read(tree, "ceilings.probes", bool, False),
+        max_retry_after=read(tree, "ceilings.max-retry-after-ms", float, 0.0) if advises else 0.0,
+        stop_within=read(tree, "obligations.stop-sending-within-ms", float),
+        cold_share=read(tree, "obligations.cold-share", float),
+        cold_for=read(tree, "obligations.cold-ms", float),
+        overload_factor=read(tree, "obligations.overload-factor", float),
+        fall_within=read(tree, "obligations.fall-ms", float),
+        tenant_quotas=[read(t, "quota-per-s", float) for t in read(tree, "tenants", list, [])],
+        over_share_worth=read(tree, "over-share-worth", float, 1.0),
+        live_weights=read(tree, "weights", str, "none") == "live",
+        report_fields=[str(name) for name in read(tree, "reporting.fields", list, [])],
     )
