Test the network code: tables for the parsers, real sockets for each rule

Seen: the network code had no tests. Now test_net_parsers.py holds the tables (ring, RESP, HTTP, commands, replies, lists, configuration, deadlines) and test_net_rules.py one test on real sockets for each rule, with the peers on the proxy's own loop (net_scene.py). Nothing in the program changed.

--- /dev/null
+++ b/tests/net_scene.py
@@ -0,0 +1,190 @@
+"""Real sockets for the tests of the network code: peers on the proxy's own loop, and a scripted module."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from typing import Any
+from unittest import TestCase, mock
+
+from lupinladder import api
+from lupinladder.net import engine as engine_module
+from lupinladder.net.connection import READ, Address, Budget, Connection
+from lupinladder.net.engine import Engine, Query
+from lupinladder.net.front import Front
+from lupinladder.net.loop import Loop
+from lupinladder.net.origin import OriginDialect
+from lupinladder.net.server_link import Link, NodeDialect
+
+NODE, ORIGIN = b"s-node", b"s-origin"
+GET = b"*4\r\n$7\r\nOBJ.GET\r\n$2\r\n1f\r\n$1\r\n%b\r\n$12\r\nc=read,d=%d\r\n"
+SERVED = b"*3\r\n$1\r\nV\r\n$3\r\nhit\r\n$-1\r\n"
+MISSED = b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n"
+
+
+def get(ident: bytes = b"a", wait: int = 900) -> bytes:
+    return GET % (ident, wait)
+
+
+class Peer:
+    """The other end of one connection."""
+
+    def __init__(self) -> None:
+        self.got, self.ends = b"", list[bool]()
+        self.conn: Connection
+
+    def opened(self) -> None:
+        pass
+
+    def drained(self) -> None:
+        pass
+
+    def received(self) -> None:
+        self.got += self.conn.inbox.take(len(self.conn.inbox))
+
+    def ended(self, by_peer: bool) -> None:
+        self.ends.append(by_peer)
+
+    def reset(self) -> None:
+        """Close with a reset, as when a process dies."""
+        self.conn._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        self.conn.close()
+
+
+class Door:
+    """A listener on a port of its own, and whoever came."""
+
+    def __init__(self, loop: Loop) -> None:
+        self.peers = list[Peer]()
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.address: Address = self.sock.getsockname()
+        self._loop = loop
+        loop.watch(self.sock, 0, READ, self._ready)
+
+    def _ready(self, mask: int) -> None:
+        peer = Peer()
+        peer.conn = Connection(self._loop, Budget(99), self.sock.accept()[0], peer)
+        self.peers.append(peer)
+
+    def close(self) -> None:
+        if self.sock.fileno() >= 0:
+            self._loop.watch(self.sock, READ, 0, self._ready)
+            self.sock.close()
+
+
+class Script:
+    """Stands in for the Balancer: keeps the events and does as told."""
+
+    def __init__(self) -> None:
+        self.events = list[api.Event]()
+        self.react: Callable[[Any], list[api.Action]] = lambda event: []
+        self.depth = 0
+
+    def start(self, now: float) -> list[api.Action]:
+        return []
+
+    def handle(self, event: api.Event, now: float) -> list[api.Action]:
+        assert not self.depth, "entered again from within"
+        self.depth += 1
+        try:
+            self.events.append(event)
+            return self.react(event)
+        finally:
+            self.depth -= 1
+
+    def ends(self) -> list[tuple[int, str, bool]]:
+        """(attempt, outcome, over) of the executions ended so far."""
+        return [(e.attempt, e.outcome.name, e.over) for e in self.events if isinstance(e, api.Ended)]
+
+
+def once_to(server: bytes = NODE, then: api.Action | None = None) -> Callable[[Any], list[api.Action]]:
+    """Send a request to the server; fail it, or do `then`, when that has ended without an answer."""
+
+    def react(event: Any) -> list[api.Action]:
+        if isinstance(event, api.Request):
+            return [api.Try(event.id, server)]
+        if isinstance(event, api.Ended) and not event.over:
+            return [then or api.Fail(event.id)]
+        return []
+
+    return react
+
+
+class Asked:
+    """An asker that keeps what it was told."""
+
+    def __init__(self) -> None:
+        self.told = list[object]()
+        self.query: Query | None = None
+
+    def served(self, value: bytes) -> None:
+        self.told.append(value)
+
+    def refused(self, wait: float) -> None:
+        self.told.append(wait)
+
+    def failed(self) -> None:
+        self.told.append("failed")
+
+
+class Scene(TestCase):
+    """A front, an engine with a scripted module, one cache node and the origin, all on one loop."""
+
+    IDLE_MS, STREAMS, SOCKETS, MAX_OPEN = 10_000.0, 1, 100, 50
+
+    def setUp(self) -> None:
+        quiet = mock.patch("builtins.print")
+        quiet.start()
+        self.addCleanup(quiet.stop)
+        self.loop, self.budget, self.script = Loop(), Budget(self.SOCKETS), Script()
+        self.node, self.origin = Door(self.loop), Door(self.loop)
+        self.addCleanup(self.node.close)
+        self.addCleanup(self.origin.close)
+        self.links = {
+            NODE: self.link(self.node.address, NodeDialect([])),
+            ORIGIN: self.link(self.origin.address, OriginDialect(self.origin.address, [])),
+        }
+        settings = api.Settings([api.RequestClass(500, 1500)], max_attempts=2, max_retry_after=400.0)
+        with mock.patch.object(engine_module, "Balancer", lambda *_: self.script):
+            self.engine = Engine(self.loop, settings, 1, self.links.get, lambda: None, self.MAX_OPEN)
+        self.front = Front(self.loop, self.budget, self.engine, ("127.0.0.1", 0), ["read"])
+        self.address: Address = self.front._sock.getsockname()
+        self.addCleanup(self.front._sock.close)
+        self.script.react = once_to()
+
+    def link(self, address: Address, dialect: Any) -> Link:
+        return Link(self.loop, self.budget, address, dialect, self.IDLE_MS, 120.0, self.STREAMS)
+
+    def until(self, done: Callable[[], object], what: str = "") -> None:
+        """Turn the loop until it is so; a test fails after 5 s."""
+        late = list[bool]()
+        limit = self.loop.at(self.loop.now() + 5000, lambda: late.append(True))
+        while not done():
+            self.loop.turn()
+            self.assertFalse(late, f"never came: {what}")
+        self.loop.cancel(limit)
+
+    def client(self, data: bytes = b"") -> Peer:
+        peer = Peer()
+        peer.conn = Connection.dial(self.loop, Budget(99), self.address, peer)
+        peer.conn.send(data)
+        return peer
+
+    def ask(self, wait: float = 900) -> Asked:
+        """A query straight to the engine."""
+        from lupinladder.net.command import command
+
+        asked = Asked()
+        content = command([b"OBJ.GET", b"1f", b"a", b"c=read,d=%d" % wait], ["read"])
+        asked.query = self.engine.ask(content, lambda n: api.Request(n, 0, wait), asked)
+        return asked
+
+    def at_node(self, number: int = 0, door: Door | None = None) -> Peer:
+        """The connection of this number at the node, once a request has come on it."""
+        door = door or self.node
+        self.until(lambda: len(door.peers) > number and door.peers[number].got, "a request")
+        return door.peers[number]
+
+    def answers(self, peer: Peer, data: bytes) -> None:
+        self.until(lambda: len(peer.got) >= len(data) or peer.ends, "an answer")
+        self.assertEqual(peer.got, data)
--- /dev/null
+++ b/tests/test_net_parsers.py
@@ -0,0 +1,326 @@
+"""Tables of cases for what reads bytes and texts: ring, RESP, HTTP, commands, lists, configuration."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from lupinladder import api
+from lupinladder.net import config, http, resp
+from lupinladder.net.command import Malformed, command, report
+from lupinladder.net.host_group import Listing
+from lupinladder.net.loop import Loop
+from lupinladder.net.origin import OriginDialect
+from lupinladder.net.ring import START, Ring
+from lupinladder.net.server_link import NodeReader, ProtocolError
+from tests.test_wire import SETTINGS
+
+CLASSES = ["read", "put"]
+MISS, OK, FULL, ERROR = api.Outcome.MISS, api.Outcome.OK, api.Outcome.FULL, api.Outcome.ERROR
+
+
+def ring_of(data: bytes) -> Ring:
+    ring = Ring(1 << 20)
+    ring.put(data)
+    return ring
+
+
+class Rings(unittest.TestCase):
+    def test_bytes_come_out_as_they_went_in_round_the_end_and_through_growth(self) -> None:
+        ring, put, took = Ring(5 * START), b"", b""
+        for n in range(400):
+            data = bytes([n % 251]) * (n * 37 % 300)
+            if len(data) <= ring.room:
+                ring.put(data)
+                put += data
+            took += ring.take(n * 31 % 290)
+        took += ring.take(len(ring))
+        self.assertEqual(took, put)
+
+    def test_the_bound_holds_and_an_empty_ring_is_small_again(self) -> None:
+        ring = Ring(3 * START)
+        ring.put(b"x" * 3 * START)
+        self.assertEqual((ring.room, len(ring.space())), (0, 0))
+        with self.assertRaises(BufferError):
+            ring.put(b"y")
+        ring.drop(3 * START)
+        self.assertLessEqual(len(ring.space()), START)
+
+    def test_lines(self) -> None:
+        for data, line in [(b"ab\r\ncd", b"ab"), (b"\r\n", b""), (b"ab", None), (b"ab\r", None)]:
+            with self.subTest(data=data):
+                self.assertEqual(ring_of(data).line(8), line)
+        for data in (b"ab\n", b"123456789012\r\n"):
+            with self.subTest(data=data), self.assertRaises(ValueError):
+                ring_of(data).line(8)
+
+
+class Resp(unittest.TestCase):
+    WHOLE: tuple[tuple[bytes, resp.Value], ...] = (
+        (b"+OK\r\n", b"OK"),
+        (b"-ERR x\r\n", b"ERR x"),
+        (b":-12\r\n", -12),
+        (b"$3\r\na\r\n\r\n", b"a\r\n"),
+        (b"$0\r\n\r\n", b""),
+        (b"$-1\r\n", None),
+        (b"*-1\r\n", None),
+        (b"*0\r\n", []),
+        (b"*3\r\n$1\r\na\r\n*1\r\n:1\r\n$-1\r\n", [b"a", [1], None]),
+    )
+
+    def test_values_whole_and_byte_by_byte(self) -> None:
+        for data, value in self.WHOLE:
+            with self.subTest(data=data):
+                self.assertEqual(resp.Parser(64, 8).next(ring_of(data)), value)
+                parser, ring = resp.Parser(64, 8), Ring(64)
+                for byte in data[:-1]:
+                    ring.put(bytes([byte]))
+                    self.assertIs(parser.next(ring), resp.PENDING)
+                ring.put(data[-1:])
+                self.assertEqual(parser.next(ring), value)
+                self.assertTrue(parser.idle)
+
+    def test_broken_framing(self) -> None:
+        for data in (
+            b"PING\r\n",
+            b"*x\r\n",
+            b"*-2\r\n",
+            b"*9\r\n",
+            b"$65\r\n",
+            b"$+3\r\n",
+            b"$1_0\r\n",
+            b"$2\r\nabc\r\n",
+            b"*1\r\n" * 5,
+            b"+" + b"x" * 5000,
+            b"+x\n",
+        ):
+            with self.subTest(data=data), self.assertRaises(resp.FramingError):
+                resp.Parser(64, 8).next(ring_of(data))
+
+    def test_an_error_line_cannot_be_broken_out_of(self) -> None:
+        self.assertEqual(resp.error("ERR a\r\n+OK"), b"-ERR a  +OK\r\n")
+
+
+class Commands(unittest.TestCase):
+    GET = (b"OBJ.GET", b"7f3a9c21e0b4d655", b"9b1f03aa", b"c=read,d=480")
+
+    def test_a_read_and_a_write(self) -> None:
+        read = command(self.GET, CLASSES)
+        self.assertEqual(
+            (read.kind, read.patience, read.write, read.key), (0, 480.0, False, 0x7F3A9C21E0B4D655)
+        )
+        write = command([b"OBJ.SET", b"1f", b"x", b"c=put,d=90,k=5c,r=1,size=12.5", b"V"], CLASSES)
+        self.assertEqual((write.kind, write.write, write.again, write.size), (1, True, True, 12.5))
+        # Only d changes on the way to a cache node, in its place; the origin gets the labels as they came.
+        self.assertEqual(write.relabelled(41.4)[3], b"c=put,d=41,k=5c,r=1,size=12.5")
+        self.assertEqual(read.relabelled(0.2), [*self.GET[:3], b"c=read,d=1"])
+        sent = OriginDialect(("127.0.0.1", 80), []).encode(write, 41.4)
+        for part in (
+            b"PUT /1f HTTP/1.1\r\n",
+            b"\r\nX-Txn: x\r\n",
+            b"X-Labels: " + write.words[3],
+            b"\r\n\r\nV",
+        ):
+            self.assertIn(part, sent)
+
+    def test_malformed(self) -> None:
+        key, ident = self.GET[1:3]
+        for words in (
+            [b"OBJ.DEL", key, ident, b"c=read,d=1"],
+            [b"OBJ.GET", key, ident],
+            [b"OBJ.GET", key, ident, b"c=read,d=1", b"V"],
+            [b"OBJ.SET", key, ident, b"c=put,d=1"],
+            [b"OBJ.GET", b"a b", ident, b"c=read,d=1"],
+            [b"OBJ.GET", b"../x", ident, b"c=read,d=1"],
+            [b"OBJ.GET", key, b"", b"c=read,d=1"],
+            [b"OBJ.GET", key, ident, b"c=read"],
+            [b"OBJ.GET", key, ident, b"c=none,d=1"],
+            [b"OBJ.GET", key, ident, b"c=read,d=0"],
+            [b"OBJ.GET", key, ident, b"c=read,d=nan"],
+            [b"OBJ.GET", key, ident, b"c=read,d=-5"],
+            [b"OBJ.GET", key, ident, b"c=read,d=1,d=2"],
+            [b"OBJ.GET", key, ident, b"c=read,d=1\r\nX-Y: 1"],
+            [b"OBJ.GET", key, ident, b"c=read,d=" + b"9" * 2000],
+        ):
+            with self.subTest(words=words), self.assertRaises(Malformed):
+                command(words, CLASSES)
+
+    def test_load_reports_in_the_order_of_the_settings(self) -> None:
+        fields = ["fail_rate", "rif"]
+        for text, load in (
+            (b"inflight=7,queue=2,eps=0.5", (0.5, 7.0)),
+            (b"rif=7,fail_rate=0.5", (0.5, 7.0)),
+            (b"inflight=7", ()),
+            (b"inflight=x,eps=1", ()),
+            (None, ()),
+        ):
+            with self.subTest(text=text):
+                self.assertEqual(report(text, fields), load)
+
+
+class Replies(unittest.TestCase):
+    def test_what_a_cache_node_answers(self) -> None:
+        for data, outcome, value, note, load in (
+            (b"*3\r\n$1\r\nV\r\n$3\r\nhit\r\n$5\r\nrif=2\r\n", OK, b"V", 1, (2.0,)),
+            (b"*3\r\n$-1\r\n$7\r\npending\r\n$-1\r\n", MISS, None, 3, ()),
+            (b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", MISS, None, 0, ()),
+            (b"-ERR failed rif=3\r\n", ERROR, None, 0, (3.0,)),
+            (b"-BUSY\r\n", FULL, None, 0, ()),
+            (b"-BUSY rif=9\r\n", FULL, None, 0, (9.0,)),
+            (b"-SYNTAX\r\n", ERROR, None, 0, ()),
+        ):
+            with self.subTest(data=data):
+                reply = NodeReader(["rif"]).next(ring_of(data))
+                assert reply is not None
+                self.assertEqual(
+                    (reply.outcome, reply.value, reply.note, reply.load), (outcome, value, note, load)
+                )
+        for data in (b"+OK\r\n", b"*0\r\n", b"*1\r\n:1\r\n", b"$1\r\nV\r\n"):
+            with self.subTest(data=data), self.assertRaises(ProtocolError):
+                NodeReader([]).next(ring_of(data))
+
+    def test_what_the_origin_answers(self) -> None:
+        head = b"HTTP/1.1 %s\r\nContent-Length: 1\r\n%s\r\nV"
+        for data, outcome, value, load in (
+            (head % (b"200 OK", b"X-Pressure: inflight=2\r\n"), OK, b"V", (2.0,)),
+            (head % (b"500 No", b""), ERROR, None, ()),
+            (head % (b"503 No", b"X-Turned-Away: 1\r\n"), FULL, None, ()),
+            (head % (b"504 No", b"X-Turned-Away: 1\r\n"), FULL, None, ()),
+            (head % (b"503 No", b""), ERROR, None, ()),
+            (head % (b"500 No", b"X-Turned-Away: 1\r\n"), ERROR, None, ()),
+            (head % (b"404 No", b""), ERROR, None, ()),
+        ):
+            with self.subTest(data=data):
+                reader = OriginDialect(("127.0.0.1", 80), ["rif"]).reader()
+                self.assertIsNone(reader.next(ring_of(data[:-1])))  # not whole yet
+                reply = reader.next(ring_of(data[-1:]))
+                assert reply is not None
+                self.assertEqual((reply.outcome, reply.value, reply.load), (outcome, value, load))
+                self.assertFalse(reader.closes)
+
+    def test_http_that_cannot_be_trusted(self) -> None:
+        for data in (
+            b"nonsense\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\n\r\nVALUE",  # no length: no end would prove it whole
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n123456789",
+            b"HTTP/1.1 200 OK\r\n" + b"a: b\r\n" * 99 + b"\r\n",
+        ):
+            with self.subTest(data=data), self.assertRaises(http.HttpError):
+                http.Reader(8).feed(data)
+        reader = http.Reader(8)
+        self.assertEqual(
+            len(reader.feed(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")), 1
+        )
+        self.assertTrue(reader.closes)
+
+
+ENTRY = {
+    "name": "s-1",
+    "address": "127.0.0.1:6379",
+    "zone": "b",
+    "type": "origin",
+    "group": 3,
+    "status": "active",
+    "weight": 1.0,
+    "since_ms": 5,
+}
+
+
+def listing(**more: object) -> dict[str, object]:
+    return {"index": 4, "snapshot": True, "endpoints": [{**ENTRY, **more}]}
+
+
+class Lists(unittest.TestCase):
+    READER = Listing(["a", "b"], ["m2", "origin"])
+
+    def test_entries(self) -> None:
+        version, whole, entries, where = self.READER.read(listing())
+        self.assertEqual((version, whole, where), (4, True, {b"s-1": ("127.0.0.1", 6379)}))
+        self.assertEqual(entries, [api.Entry(b"s-1", api.State.READY, 1.0, 5.0, 1, 3, 1)])
+        gone = self.READER.read(listing(status="left", address="", since_ms=0))
+        self.assertEqual((gone[2][0].state, gone[2][0].launched, gone[3]), (api.State.GONE, 0.0, {}))
+
+    def test_bad_lists(self) -> None:
+        trees: list[object] = [
+            [],
+            {},
+            {"index": "4", "endpoints": []},
+            listing(status="asleep"),
+            listing(zone="c"),
+            listing(type="m3"),
+            listing(address="127.0.0.1"),
+            listing(address="127.0.0.1:0"),
+            listing(since_ms="x"),
+        ]
+        for tree in trees:
+            with self.subTest(tree=tree), self.assertRaises(ValueError):
+                self.READER.read(tree)
+
+
+def configuration() -> dict[str, Any]:
+    told = json.loads(json.dumps(SETTINGS))
+    told["ceilings"] |= {"conn-idle-ms": 9000.0, "connect-timeout-ms": 120.0, "max-open": 20000}
+    told["classes"][0]["name"] = "read"
+    told |= {"zones": ["a", "b"], "kinds": ["m2", "origin"]}
+    told["family-info"] = {"mode": "aside", "origin-kind": 1}
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:7001",
+        "discovery": "127.0.0.1:7002",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": listing(),
+        "settings": told,
+    }
+
+
+class Configuration(unittest.TestCase):
+    def test_a_good_one(self) -> None:
+        conf = config.parse(json.dumps(configuration()))
+        self.assertEqual(
+            (conf.listen, conf.classes, conf.seed), (("127.0.0.1", 7001), ["read"], 0x8C1F30D27A5BE964)
+        )
+        self.assertLess(conf.sockets, 1024)
+        self.assertLess(conf.max_open * 2 * (64 << 10), 192 << 20)  # what all open queries may hold
+
+    def test_bad_ones_are_one_line(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            texts = ["{", "[" * 100_000, "[]"]
+            for name, value in (
+                ("listen", "x"),
+                ("seed", "zz"),
+                ("limits", {}),
+                ("known", {}),
+                ("settings", {}),
+            ):
+                texts.append(json.dumps({**configuration(), name: value}))
+            for text in texts:
+                path.write_text(text)
+                with self.subTest(text=text[:60]), self.assertRaises(config.ConfigError) as caught:
+                    config.load({"GW_CONFIG": str(path)})
+                self.assertNotIn("\n", str(caught.exception))
+        for env in ({}, {"GW_CONFIG": "/nowhere/config.json"}):
+            with self.subTest(env=env), self.assertRaises(config.ConfigError):
+                config.load(env)
+
+
+class Deadlines(unittest.TestCase):
+    def test_they_come_in_order_can_be_cancelled_and_do_not_starve_a_turn(self) -> None:
+        loop, ran = Loop(), list[str]()
+        now = loop.now()
+        loop.at(now - 1, lambda: ran.append("second"))
+        loop.at(now - 2, lambda: ran.append("first"))
+        dropped = loop.at(now - 3, lambda: ran.append("never"))
+        loop.at(now - 0.5, lambda: loop.cancel(late))
+        late = loop.at(now - 0.4, lambda: ran.append("cancelled in the same turn"))
+        loop.at(now - 0.3, lambda: loop.at(now - 9, lambda: ran.append("next turn")) and None)
+        loop.cancel(dropped)
+        loop.cancel(dropped)
+        loop.turn()
+        self.assertEqual(ran, ["first", "second"])
+        loop.turn()
+        self.assertEqual(ran, ["first", "second", "next turn"])
--- /dev/null
+++ b/tests/test_net_rules.py
@@ -0,0 +1,357 @@
+"""One test on real sockets for each rule that the network code keeps."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from lupinladder import api
+from lupinladder.net import host_group
+from lupinladder.net.host_group import HostGroup
+from lupinladder.net.server_link import NodeDialect
+from tests.net_scene import MISSED, NODE, ORIGIN, SERVED, Asked, Door, Scene, get, once_to
+from tests.test_net_parsers import ENTRY, Lists, configuration, listing
+
+ROOT = Path(__file__).resolve().parent.parent
+PING = b"*1\r\n$4\r\nPING\r\n"
+OK_HTTP = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nV"
+
+
+class Serving(Scene):
+    def test_a_hit_goes_through_with_nothing_changed_but_d(self) -> None:
+        client = self.client(get())
+        node = self.at_node()
+        head, wait = node.got.rsplit(b"d=", 1)
+        self.assertEqual(head, get().rsplit(b"d=", 1)[0])
+        self.assertIn(int(wait), range(1, 901))
+        node.conn.send(SERVED)
+        self.answers(client, b"$1\r\nV\r\n")
+        self.assertEqual(self.script.ends(), [(0, "OK", True)])
+
+    def test_a_miss_goes_on_to_the_origin(self) -> None:
+        self.script.react = once_to(then=api.Try(1, ORIGIN))
+        client = self.client(get())
+        self.at_node().conn.send(MISSED)
+        origin = self.at_node(0, self.origin)
+        self.assertIn(b"GET /1f HTTP/1.1\r\n", origin.got)
+        self.assertIn(b"X-Txn: a\r\nX-Labels: c=read,d=900\r\n", origin.got)
+        origin.conn.send(OK_HTTP)
+        self.answers(client, b"$1\r\nV\r\n")
+        self.assertEqual(self.script.ends(), [(0, "MISS", False), (1, "OK", True)])
+
+    def test_a_refusal_says_when_to_come_back(self) -> None:
+        self.script.react = lambda event: [api.Refuse(event.id, 75.0)]
+        self.answers(self.client(get()), b"-BUSY 75\r\n")
+
+    def test_pipelined_commands_are_answered_in_order_and_bad_ones_do_no_harm(self) -> None:
+        bad = b"*1\r\n$7\r\nOBJ.GET\r\n"
+        client = self.client(get() + PING + bad + get(b"b"))
+        first, second = self.at_node(0), self.at_node(1)
+        second.conn.send(SERVED)
+        self.until(lambda: self.script.ends(), "the second answer")
+        self.assertEqual(client.got, b"")  # the first is still owed
+        first.conn.send(SERVED)
+        value = b"$1\r\nV\r\n"
+        self.answers(client, value + b"+PONG\r\n-ERR wrong number of arguments\r\n" + value)
+
+    def test_more_commands_than_wait_at_once_and_more_than_a_stack_could_nest(self) -> None:
+        client = self.client(PING * 9000)
+        self.answers(client, b"+PONG\r\n" * 9000)
+
+    def test_broken_framing_is_told_after_what_is_owed_and_closes(self) -> None:
+        client = self.client(get() + b"GET / HTTP/1.1\r\n\r\n")
+        self.at_node().conn.send(SERVED)
+        self.until(lambda: client.ends, "a close")
+        self.assertEqual(client.got, b"$1\r\nV\r\n-ERR Protocol error: unknown type byte\r\n")
+        self.assertEqual(client.ends, [True])  # an end, no reset
+
+    def test_a_client_that_only_stopped_sending_is_answered_one_that_broke_has_left(self) -> None:
+        client = self.client(get())
+        node = self.at_node()
+        client.conn._sock.shutdown(socket.SHUT_WR)
+        gone = self.client(get(b"b"))
+        self.at_node(1)
+        gone.reset()
+        self.until(lambda: api.Left(2) in self.script.events, "the second client's leaving")
+        node.conn.send(SERVED)
+        self.answers(client, b"$1\r\nV\r\n")
+        self.assertNotIn(api.Left(1), self.script.events)
+
+    def test_a_slow_reader_is_not_read_from_and_loses_nothing(self) -> None:
+        value = b"$65536\r\n" + b"x" * 65536 + b"\r\n"
+        self.script.react = lambda event: []
+        client = self.client()
+        client.conn._loop.watch(client.conn._sock, client.conn._mask, 0, client.conn._ready)
+        client.conn._mask = 0  # it does not read
+        client.conn._sock.setblocking(True)
+        client.conn._sock.sendall(b"".join(get(b"%c" % (97 + n % 26)) for n in range(40)))
+        self.until(lambda: len(self.script.events) == 32, "as many as may wait")
+        for query in list(self.engine._queries.values()):
+            query.asker.served(b"x" * 65536)
+        held = [c.conn for c in self.front.clients]
+        self.until(lambda: held[0].sent > 0, "some bytes")
+        self.assertLessEqual(len(held[0].outbox), held[0].outbox.bound)
+        client.conn._sock.setblocking(False)
+        client.conn._interest()
+        self.until(lambda: len(client.got) >= 32 * len(value), "all answers")
+        self.assertEqual(client.got, value * 32)
+
+
+class DidItRun(Scene):
+    def outcome(self, asked: Asked) -> str:
+        self.until(lambda: asked.told, "an end")
+        self.assertEqual(asked.told, ["failed"])
+        return self.script.ends()[0][1]
+
+    def test_refused(self) -> None:
+        self.node.close()
+        self.assertEqual(self.outcome(self.ask()), "CONNECT_FAILED")
+
+    def test_broken_before_the_last_byte_was_written(self) -> None:
+        with mock.patch("tests.net_scene.NodeDialect.encode", return_value=b"x" * 150_000):
+            asked = self.ask()
+            wire = next(iter(self.links[NODE]._busy))
+            wire.conn._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        with mock.patch("tests.net_scene.Peer.received"):  # the node does not read
+            self.until(lambda: self.node.peers and wire.conn.sent, "some bytes")
+            self.node.peers[0].reset()
+            self.assertEqual(self.outcome(asked), "CONNECT_FAILED")
+
+    def test_broken_after_it(self) -> None:
+        asked = self.ask()
+        node = self.at_node()
+        node.conn.send(SERVED[:-3])  # only whole answers count
+        node.conn.finish()
+        self.assertEqual(self.outcome(asked), "RESET")
+
+    def test_turned_away(self) -> None:
+        asked = self.ask()
+        self.at_node().conn.send(b"-BUSY\r\n")
+        self.assertEqual(self.outcome(asked), "FULL")
+
+    def test_an_answer_that_makes_no_sense(self) -> None:
+        asked = self.ask()
+        self.at_node().conn.send(b"?\r\n")
+        self.assertEqual(self.outcome(asked), "RESET")
+
+    def test_no_answer_by_the_deadline_closes_the_connection(self) -> None:
+        asked = self.ask(60)
+        node = self.at_node()
+        self.assertEqual(self.outcome(asked), "TIMEOUT")
+        self.until(lambda: node.ends, "the end of the connection")
+
+
+class Pools(Scene):
+    IDLE_MS = 2000.0
+
+    def test_the_latest_used_is_taken_first_and_the_idle_close_before_the_node_does(self) -> None:
+        for _ in range(2):
+            self.ask()
+        for n in (0, 1):
+            self.at_node(n).conn.send(SERVED)
+            self.until(lambda: len(self.script.ends()) > n, "an answer")  # noqa: B023
+            self.node.peers[n].got = b""
+        started = self.loop.now()
+        self.ask()
+        self.at_node(1).conn.send(SERVED)
+        self.until(lambda: self.node.peers[0].ends and self.node.peers[1].ends, "idle ones to close")
+        self.assertLess(self.loop.now() - started, 2000)
+        self.assertEqual(len(self.node.peers), 2)
+
+    def test_a_server_that_leaves_finishes_what_it_has_and_keeps_no_connection(self) -> None:
+        asked = self.ask()
+        node = self.at_node()
+        self.links[NODE].retire()
+        node.conn.send(SERVED)
+        self.until(lambda: asked.told and node.ends, "an answer and an end")
+        self.assertEqual(asked.told, [b"V"])
+
+
+class Short(Scene):
+    SOCKETS, STREAMS, MAX_OPEN = 2, 2, 3
+
+    def test_without_descriptors_executions_share_a_connection_and_the_bound_is_clean(self) -> None:
+        asked = [self.ask(), self.ask(60), self.ask()]
+        self.until(lambda: asked[2].told, "the third to find no room")
+        self.assertEqual(self.script.ends(), [(0, "CONNECT_FAILED", False)])
+        node = self.at_node()
+        self.until(lambda: asked[1].told, "the second to run out of time")
+        self.assertEqual(asked[0].told, [])  # its neighbour on the connection is not cut off
+        node.conn.send(SERVED * 2)
+        self.until(lambda: asked[0].told, "the first answer")
+        self.assertEqual((asked[0].told, asked[1].told), ([b"V"], ["failed"]))
+
+    def test_more_open_queries_than_memory_allows_are_turned_away(self) -> None:
+        self.script.react = lambda event: []
+        kept = [self.ask(), self.ask(), self.ask()]
+        self.assertEqual(self.ask().told, [400.0])
+        self.assertEqual([one.told for one in kept], [[], [], []])
+
+
+class Engines(Scene):
+    """The simulator's semantics."""
+
+    def test_past_the_attempt_limit_or_after_the_end_an_execution_is_moot(self) -> None:
+        def react(event: Any) -> list[api.Action]:
+            if isinstance(event, api.Request):
+                return [api.Try(event.id, NODE)] * 3
+            return [api.Try(event.id, NODE)] if event.attempt == 0 else []
+
+        self.script.react = react
+        asked = self.ask()
+        self.assertEqual(self.script.ends(), [(2, "MOOT", False)])
+        self.at_node(0).conn.send(SERVED)
+        self.at_node(1).conn.send(SERVED)
+        self.until(lambda: len(self.script.ends()) == 4, "all ends")
+        self.assertEqual(asked.told, [b"V"])
+        self.assertIn((3, "MOOT", True), self.script.ends())
+        self.assertIn((1, "OK", True), self.script.ends())
+
+    def test_expiry_is_cut_to_the_clients_deadline_and_the_past_expires_at_once(self) -> None:
+        self.script.react = lambda e: [api.Try(e.id, NODE, e.id * 1e15)] if isinstance(e, api.Request) else []
+        started = self.loop.now()
+        self.ask(50)
+        self.until(lambda: self.script.ends(), "the deadline")
+        self.assertEqual(self.script.ends(), [(0, "TIMEOUT", False)])
+        self.assertLess(self.loop.now() - started, 4000)
+        started = self.loop.now()
+        self.script.react = lambda e: [api.Try(e.id, NODE, 1.0)] if isinstance(e, api.Request) else []
+        self.ask()
+        self.until(lambda: len(self.script.ends()) == 2, "an end at once")
+        self.assertLess(self.loop.now() - started, 800)
+
+    def test_withdraw_ends_one_execution_and_the_last_answer_is_the_only_one(self) -> None:
+        def react(event: Any) -> list[api.Action]:
+            if isinstance(event, api.Request):
+                return [api.Try(event.id, NODE), api.Withdraw(event.id, 0), api.Withdraw(event.id, 9)]
+            return [api.Refuse(event.id), api.Fail(event.id), api.Refuse(77)]
+
+        self.script.react = react
+        asked = self.ask()
+        self.assertEqual((asked.told, self.script.ends()), ([0.0], [(0, "CANCELLED", False)]))
+        self.assertTrue(self.engine.idle)
+
+    def test_a_fault_in_the_module_strands_no_query(self) -> None:
+        self.script.react = lambda event: [][1]
+        self.assertEqual(self.ask().told, ["failed"])
+
+        def forgets(event: Any) -> list[api.Action]:
+            return [api.Try(event.id, NODE)] if isinstance(event, api.Request) else [][1]
+
+        self.script.react = forgets
+        asked = self.ask(60)
+        self.until(lambda: asked.told, "the guard")
+        self.assertEqual(asked.told, ["failed"])
+
+
+class Watching(Scene):
+    def setUp(self) -> None:
+        super().setUp()
+        self.door, self.told = Door(self.loop), list[api.Fleet]()
+        self.addCleanup(self.door.close)
+        self.group = HostGroup(
+            self.loop,
+            self.budget,
+            self.door.address,
+            Lists.READER,
+            lambda entry, address: self.link(address, NodeDialect([])),
+            self.told.append,
+        )
+
+    def follow(self, *lines: bytes, status: bytes = b"200 OK") -> Any:
+        """Follow, and send these lines as chunks. Returns discovery's end of the watch."""
+        before = len(self.door.peers)
+        self.group.follow()
+        self.until(lambda: len(self.door.peers) > before and self.door.peers[-1].got, "a call")
+        peer = self.door.peers[-1]
+        peer.conn.send(b"HTTP/1.1 " + status + b"\r\nTransfer-Encoding: chunked\r\n\r\n")
+        peer.conn.send(b"".join(b"%x\r\n%b\n\r\n" % (len(line) + 1, line) for line in lines))
+        return peer
+
+    def test_one_watch_resumed_by_index_and_an_event_for_each_line(self) -> None:
+        self.group.cached(listing())
+        link = self.group.route(b"s-1")
+        moved = {"index": 9, "snapshot": False, "endpoints": [{**ENTRY, "address": "127.0.0.1:6380"}]}
+        left = {"index": 11, "snapshot": False, "endpoints": [{**ENTRY, "status": "left"}]}
+        peer = self.follow(b"", json.dumps(moved).encode())
+        self.assertIn(b"GET /v1/endpoints?stream=1&index=4 HTTP/1.1\r\n", peer.got)
+        self.until(lambda: self.told, "a change")
+        self.assertEqual((self.told[0].form, self.told[0].version), (api.ListForm.DELTA, 9))
+        self.assertIsNot(self.group.route(b"s-1"), link)
+        self.group.follow()  # while it is open: no second call
+        text = json.dumps(left).encode() + b"\n"
+        peer.conn.send(b"%x\r\n%b\r\n0\r\n\r\n" % (len(text), text))
+        self.until(lambda: len(self.told) == 3, "a change and the end")
+        self.assertIsNone(self.group.route(b"s-1"))
+        self.assertEqual([one.form.name for one in self.told], ["DELTA", "DELTA", "FAILED"])
+        self.assertEqual(len(self.door.peers), 1)
+        self.assertIn(b"index=11", self.follow(json.dumps(listing()).encode()).got)
+        self.until(lambda: len(self.told) == 4, "a whole list")
+        self.assertIs(self.told[3].form, api.ListForm.FULL)
+
+    def test_what_goes_wrong_is_a_failed_call(self) -> None:
+        for lines, status in (((b"{",), b"200 OK"), ((b"[1]",), b"200 OK"), ((), b"503 No")):
+            with self.subTest(lines=lines, status=status):
+                self.follow(*lines, status=status)
+                self.until(lambda: self.told, "a failure")
+                self.assertIs(self.told.pop().form, api.ListForm.FAILED)
+        self.group.follow()
+        self.until(lambda: len(self.door.peers) == 4, "a call")
+        self.door.peers[-1].reset()
+        self.until(lambda: self.told, "a broken watch")
+        with mock.patch.object(host_group, "SILENCE", 50.0):
+            self.follow()
+            self.until(lambda: len(self.told) == 2, "silence")
+        self.door.close()
+        self.group.follow()
+        self.until(lambda: len(self.told) == 3, "a refused call")
+
+
+class Program(Scene):
+    """The program itself, as deploy/balancer.toml starts it."""
+
+    def start(self, env: dict[str, str]) -> subprocess.Popen[bytes]:
+        return subprocess.Popen(
+            [sys.executable, "-m", "lupinladder"], cwd=ROOT, env={**os.environ, **env}, stderr=subprocess.PIPE
+        )
+
+    def test_a_bad_configuration_is_one_plain_line(self) -> None:
+        with self.start({"GW_CONFIG": "/nowhere"}) as process:
+            _, errors = process.communicate(timeout=30)
+        self.assertEqual((process.returncode, errors.count(b"\n")), (2, 1))
+
+    def test_told_to_stop_it_answers_what_it_took_and_ends_with_0(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as spare:
+            listen = f"127.0.0.1:{spare.getsockname()[1]}"
+        where = f"127.0.0.1:{self.node.address[1]}"
+        known = listing(type="m2", address=where, since_ms=0)
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            path.write_text(json.dumps({**configuration(), "listen": listen, "known": known}))
+            with self.start({"GW_CONFIG": str(path)}) as process:
+                assert process.stderr
+                process.stderr.readline()  # it listens
+                self.address = host_group.address_of(listen)
+                client, idle = self.client(get()), self.client(PING)
+                self.answers(idle, b"+PONG\r\n")
+                node = self.at_node()
+                process.send_signal(signal.SIGTERM)
+                late = self.client(PING)
+                self.answers(late, b"+PONG\r\n")  # still accepting
+                self.until(lambda: idle.ends and late.ends, "idle connections to end")
+                self.assertEqual((idle.ends, client.ends), ([True], []))
+                node.conn.send(SERVED)
+                self.until(lambda: client.ends, "the last answer")
+                self.assertEqual((client.got, client.ends), (b"$1\r\nV\r\n", [True]))
+                for peer in (client, idle, late):
+                    peer.conn.close()
+                process.communicate(timeout=30)
+        self.assertEqual(process.returncode, 0)
