Read since_ms as a time of day: no server that started lately made it into the list

Cause: host_group.py read since_ms with wire.read, whose bound of 1e12 is meant for spans of ms; Unix time in ms is above it. Change: since_ms has a reader and a bound of its own; the tests use a real time of day.

--- a/lupinladder/net/host_group.py
+++ b/lupinladder/net/host_group.py
@@ -27,6 +27,15 @@
     return host, int(port)
 
 
+def _since(one: Any) -> float:
+    """When a server last started, as Unix time in ms. Not through the settings' reader: its bound on spans of
+    time refuses a time of day, and a line refused comes again with each new watch, for ever."""
+    since = one.get("since_ms", 0)
+    if isinstance(since, bool) or not isinstance(since, int | float) or not 0 <= since < 1e15:
+        raise ValueError(f"since_ms is {since!r}")
+    return float(since)
+
+
 class Listing:
     """Reads discovery's form into the module's."""
 
@@ -48,7 +57,7 @@
                     server,
                     STATES[status],
                     read(one, "weight", float, 1.0),
-                    read(one, "since_ms", float, 0.0) if one.get("since_ms") else 0.0,
+                    _since(one),
                     self._zones.index(zone),
                     read(one, "group", int, 0),
                     self._kinds.index(kind),
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -225,7 +225,7 @@
     "group": 3,
     "status": "active",
     "weight": 1.0,
-    "since_ms": 5,
+    "since_ms": 1796120872235,  # a time of day, as a server that started lately has
 }
 
 
@@ -239,7 +239,7 @@
     def test_entries(self) -> None:
         version, whole, entries, where = self.READER.read(listing())
         self.assertEqual((version, whole, where), (4, True, {b"s-1": ("127.0.0.1", 6379)}))
-        self.assertEqual(entries, [api.Entry(b"s-1", api.State.READY, 1.0, 5.0, 1, 3, 1)])
+        self.assertEqual(entries, [api.Entry(b"s-1", api.State.READY, 1.0, 1796120872235.0, 1, 3, 1)])
         gone = self.READER.read(listing(status="left", address="", since_ms=0))
         self.assertEqual((gone[2][0].state, gone[2][0].launched, gone[3]), (api.State.GONE, 0.0, {}))
 
@@ -254,6 +254,8 @@
             listing(address="127.0.0.1"),
             listing(address="127.0.0.1:0"),
             listing(since_ms="x"),
+            listing(since_ms=-1),
+            listing(since_ms=True),
         ]
         for tree in trees:
             with self.subTest(tree=tree), self.assertRaises(ValueError):
