Go on accepting after a shortage of descriptors, whoever frees them

Saw, reading the front against its bound: it stops accepting when the clients' part of the descriptors is used, and looks again only when a client ends. With links over that part and no client left, nothing would ever look again; and idle clients were closed only if the bound was met within one round of accepting, then even with nobody waiting. Checked with a test on real sockets that fails on the code before (no answer to PING after the descriptor is free).

--- a/lupinladder/net/front.py
+++ b/lupinladder/net/front.py
@@ -11,11 +11,12 @@
 from lupinladder.net.connection import READ, Address, Budget, Connection
 from lupinladder.net.engine import Engine, Query
 from lupinladder.net.log import counters, say
-from lupinladder.net.loop import Loop
+from lupinladder.net.loop import Deadline, Loop
 
 DEPTH = 32  # commands of one client that wait for their answers; beyond, its bytes are left unread
 BACKLOG, ACCEPTS = 1024, 64
 KEEP = 3  # one part in so many of the descriptors is kept from clients, for the links
+RETRY = 100.0  # ms until a front that found no descriptor for a client looks again
 STOP_ACCEPTING = 500.0  # ms after the signal to stop: new connections still come
 
 
@@ -179,6 +180,7 @@
         self.ending: list[Connection] = []
         self.closing = False  # connections are ended as soon as they are between commands
         self._mask, self._stopped = 0, False
+        self._retry: Deadline | None = None
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.setblocking(False)
@@ -194,16 +196,22 @@
         return self.closing and not self.ending and not any(client.owed for client in self.clients)
 
     def listen(self) -> None:
-        """Accept while there are descriptors for clients."""
+        """Accept while there are descriptors for clients, or idle clients to take one from."""
         mask = 0
-        if not self._stopped and self.budget.spare(self.budget.limit // KEEP):
+        if self._stopped:
+            pass
+        elif self.budget.spare(self.budget.limit // KEEP) or any(client.idle for client in self.clients):
             mask = READ
+        else:  # look again by ourselves: links that close tell nobody here, and no client may be left to end
+            self.loop.cancel(self._retry)
+            self._retry = self.loop.at(self.loop.now() + RETRY, self.listen)
         self.loop.watch(self._sock, self._mask, mask, self._ready)
         self._mask = mask
 
     def _ready(self, mask: int) -> None:
-        for _ in range(ACCEPTS):
-            if not self.budget.spare(self.budget.limit // KEEP) and not self._evict():
+        for count in range(ACCEPTS):
+            # The first round alone knows that somebody waits, and is worth an idle client.
+            if not self.budget.spare(self.budget.limit // KEEP) and (count or not self._evict()):
                 say("clients", "no descriptor left for a client; waiting for one to end")
                 break
             try:
--- a/lupinladder/net/server_link.py
+++ b/lupinladder/net/server_link.py
@@ -16,6 +16,7 @@
 from lupinladder.net.loop import Deadline, Loop
 from lupinladder.net.ring import Ring
 
+KEEP = 6  # one part in so many of the descriptors is kept from links, so that clients can always come
 IDLE_SHARE = 0.8  # of the time after which the other side closes an idle connection: by then we have
 
 
@@ -131,7 +132,7 @@
         if self._idle:
             wire = self._idle.pop()
             self.loop.cancel(wire.idle_until)
-        elif self.budget.spare() and (fresh := self._open()):
+        elif self.budget.spare(self.budget.limit // KEEP) and (fresh := self._open()):
             wire = fresh
         else:  # sockets run short: behind the shortest line, if any has room
             able = [w for w in self._busy if len(w.waiting) < self._streams and w.conn.outbox.room >= size]
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -189,6 +189,15 @@
         self.until(lambda: asked[0].told, "the first answer")
         self.assertEqual((asked[0].told, asked[1].told), ([b"V"], ["failed"]))
 
+    def test_accepting_goes_on_when_a_descriptor_is_free_again_whoever_had_it(self) -> None:
+        self.budget.used += 1  # a link's, and no client is there whose end would tell
+        late = self.client(PING)
+        self.until(lambda: not self.front._mask, "a front that does not accept")
+        self.budget.used -= 1
+        self.answers(late, b"+PONG\r\n")
+        self.answers(self.client(PING), b"+PONG\r\n")  # at the bound, in the place of the idle one
+        self.until(lambda: late.ends, "the idle one to end")
+
     def test_more_open_queries_than_memory_allows_are_turned_away(self) -> None:
         self.script.react = lambda event: []
         kept = [self.ask(), self.ask(), self.ask()]
