Round a limit to the nearest number of sends instead of down

Cause: rules.py, Limiter.admits let a send through only with in-flight at most the limit less one, so that 1.9 meant one at a time. Limits here are between one and four: that is up to half of them.

--- a/lupinladder/rules.py
+++ b/lupinladder/rules.py
@@ -48,7 +48,7 @@
         self.retest_at, self.measuring, self.done_at = inf, False, now  # done_at: of the last completed
 
     def admits(self, now: float, share: float = 1.0) -> bool:
-        return now >= self.next_send and self.inflight <= max(self.max_concurrency * share - 1, 0)
+        return now >= self.next_send and self.inflight <= max(self.max_concurrency * share - 0.5, 0)  # rounded
 
     def sent(self, now: float) -> None:
         self.inflight += 1
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -155,6 +155,16 @@
     assert 0 < cut < 100
 
 
+def test_a_limit_is_rounded_to_the_nearest_number_of_sends() -> None:
+    # Rounded down, a limit of 1.9 let one send through at a time; and at least one always goes.
+    limiter = Limiter(0, AIM, 0.5, False)
+    for limit, allowed in ((0.5, 1), (1.0, 1), (1.4, 1), (1.9, 2), (2.4, 2), (2.5, 3), (8.0, 8)):
+        limiter.max_concurrency, limiter.inflight = limit, 0
+        while limiter.admits(0):
+            limiter.inflight += 1
+        assert limiter.inflight == allowed
+
+
 def test_a_started_server_starts_small_and_grows_window_by_window() -> None:
     limiter = Limiter(0, AIM, 0.5, True)
     limits, now = [limiter.max_concurrency], 0.0
