--- a/lupinladder/rules.py
+++ b/lupinladder/rules.py
@@ -47,8 +47,8 @@
         self.next_send = now  # sends wait for this: a drain, or the pace of a limit below one
         self.retest_at, self.measuring, self.done_at = inf, False, now  # done_at: of the last completed
 
-    def admits(self, now: float, share: float = 1.0) -> bool:
-        return now >= self.next_send and self.inflight <= max(self.max_concurrency * share - 0.5, 0)  # rounded
+    def admits(self, now: float, share: float = 1.0) -> bool:  # rounded to the nearest, not down
+        return now >= self.next_send and self.inflight <= max(self.max_concurrency * share - 0.5, 0)
 
     def sent(self, now: float) -> None:
         self.inflight += 1
