Leave a bad entry out of discovery's list instead of failing the whole line

Checked: lists and lines that are no JSON, lack their version or their entries are failed calls as before (table of cases); an entry alone is logged, counted and left out (host_group.py, Listing).

--- a/lupinladder/net/host_group.py
+++ b/lupinladder/net/host_group.py
@@ -45,28 +45,39 @@
         self._zones, self._kinds = zones, kinds
 
     def read(self, tree: Any) -> tuple[int, bool, list[api.Entry], dict[api.ServerId, Address]]:
-        """Version, whether the list is whole, its entries, and where they are. ValueError if it is bad."""
-        found, where = [], {}
+        """Version, whether the list is whole, its entries, and where they are. ValueError if it is bad; an
+        entry that is bad is left out, else one of them would hide every other server and every drain."""
+        found, where = list[api.Entry](), dict[api.ServerId, Address]()
         for one in read(tree, "endpoints", list):
-            status, zone, kind = read(one, "status", str), read(one, "zone", str), read(one, "type", str)
-            if status not in STATES or zone not in self._zones or kind not in self._kinds:
-                raise ValueError(f"entry {one!r} is not of this deployment")
-            server = read(one, "name", str).encode()
-            if STATES[status] is not api.State.GONE:
-                where[server] = address_of(read(one, "address", str))
-            found.append(
-                api.Entry(
-                    server,
-                    STATES[status],
-                    read(one, "weight", float, 1.0),
-                    _since(one),
-                    self._zones.index(zone),
-                    read(one, "group", int, 0),
-                    self._kinds.index(kind),
-                )
-            )
+            try:
+                entry, address = self._entry(one)
+            except ValueError as bad:
+                counters["bad_entries"] += 1
+                say("discovery", f"entry {one!r} is left out: {bad}")
+                continue
+            found.append(entry)
+            if address:
+                where[entry.server] = address
         return read(tree, "index", int), read(tree, "snapshot", bool, False), found, where
 
+    def _entry(self, one: Any) -> tuple[api.Entry, Address | None]:
+        """One entry, and where it is unless it has left."""
+        status, zone, kind = (read(one, name, str) for name in ("status", "zone", "type"))
+        if status not in STATES or zone not in self._zones or kind not in self._kinds:
+            raise ValueError("it is not of this deployment")
+        state = STATES[status]
+        address = None if state is api.State.GONE else address_of(read(one, "address", str))
+        entry = api.Entry(
+            read(one, "name", str).encode(),
+            state,
+            read(one, "weight", float, 1.0),
+            _since(one),
+            self._zones.index(zone),
+            read(one, "group", int, 0),
+            self._kinds.index(kind),
+        )
+        return entry, address
+
 
 class HostGroup:
     def __init__(
