Reread the configuration on SIGHUP and move the watch to the new discovery address

Checked: no SIGHUP handler existed (grep); __main__.py `_on_signal` took any byte of the wake-up socket for a stop and dropped which signal it was. Ruled out: the crash was no fault in config or host_group, as no line was logged before the exit.

Lines at fault: `_on_signal` in __main__.py (only SIGTERM and SIGINT), HostGroup without a way to another address. Now signals are noted in a set (a storm cannot lose one), SIGHUP rereads GW_CONFIG, a bad file leaves all as it is with one line, and the watch is resumed by index at the new address. The old watch is heard until the new one has spoken, as what discovery writes there counts as told; a change older than the newest is dropped, since two watches may tell out of turn.

Both new tests fail with the handler, the overlap or the check of the version taken out.

--- a/lupinladder/__main__.py
+++ b/lupinladder/__main__.py
@@ -26,7 +26,7 @@
     """Wires the parts together."""
 
     def __init__(self, conf: config.Config) -> None:
-        self._conf = conf
+        self._conf, self._stopping = conf, False
         self.loop, self._budget = Loop(), Budget(conf.sockets)
         self._nodes: Dialect = NodeDialect(conf.settings.report_fields)
         self._group = HostGroup(
@@ -56,7 +56,22 @@
         say("figures", summary())
         self.loop.at(self.loop.now() + SUMMARY_MS, self._figures)
 
+    def reload(self) -> None:
+        """Read the configuration file again and follow the list where it says. What else changed in it holds
+        from the next start; with a file that cannot be used all stays as it is."""
+        try:
+            fresh = config.load(os.environ)
+        except config.ConfigError as bad:
+            say("reload", f"the old configuration stays: {bad}")
+            return
+        say("reload", "discovery is at {}:{}".format(*fresh.discovery))
+        self._group.move(fresh.discovery)
+
     def stop(self) -> None:
+        if self._stopping:
+            return
+        self._stopping = True
+        say("stop", "told to stop; answering what was taken")
         self.front.stop()
         self._leave()
 
@@ -67,33 +82,40 @@
             self.loop.at(self.loop.now() + LEAVING_MS, self._leave)
 
 
-def _on_signal(proxy: Proxy) -> None:
-    """A signal wakes the loop through a socket, as a handler may run anywhere."""
-    near, far = socket.socketpair()
-    near.setblocking(False)
-    far.setblocking(False)
-    signal.set_wakeup_fd(far.fileno())
-    stopped: list[socket.socket] = []
-
-    def woken(_: int) -> None:
-        near.recv(64)
-        if not stopped:
-            stopped.append(far)
-            say("stop", "told to stop; answering what was taken")
+class Signals:
+    """What the process was told. A handler may run anywhere, so it only notes the signal; the loop is woken
+    through a socket. Notes cannot be lost, as bytes could on a socket that a storm of signals has filled."""
+
+    def __init__(self) -> None:
+        self._told: set[int] = set()
+        self._near, self._far = socket.socketpair()
+        self._near.setblocking(False)
+        self._far.setblocking(False)
+        signal.set_wakeup_fd(self._far.fileno(), warn_on_full_buffer=False)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, lambda number, _: self._told.add(number))
+
+    def attach(self, proxy: Proxy) -> None:
+        proxy.loop.watch(self._near, 0, READ, lambda _: self._woken(proxy))
+
+    def _woken(self, proxy: Proxy) -> None:
+        self._near.recv(4096)
+        told = set(self._told)
+        self._told -= told
+        if signal.SIGHUP in told:
+            proxy.reload()
+        if told - {signal.SIGHUP}:
             proxy.stop()
 
-    signal.signal(signal.SIGTERM, lambda *_: None)
-    signal.signal(signal.SIGINT, lambda *_: None)
-    proxy.loop.watch(near, 0, READ, woken)
-
 
 def main() -> int:
+    signals = Signals()  # first of all: without a handler SIGHUP ends the process
     try:
         proxy = Proxy(config.load(os.environ))
     except (config.ConfigError, OSError) as bad:
         print(f"lupinladder: {bad}", file=sys.stderr)
         return 2
-    _on_signal(proxy)
+    signals.attach(proxy)
     # The start leaves much that lives for good: keep the collector from walking it again and again.
     gc.collect()
     gc.freeze()
--- a/lupinladder/net/host_group.py
+++ b/lupinladder/net/host_group.py
@@ -94,6 +94,7 @@
         self._links: dict[api.ServerId, tuple[Link, float]] = {}  # with the start they were made for
         self._index = 0
         self._watch: Watch | None = None
+        self._former: Watch | None = None  # at the address before; it is listened to until the new one speaks
 
     def cached(self, tree: Any) -> api.Fleet:
         """The list as the configuration knows it; it may be out of date."""
@@ -111,16 +112,36 @@
             except OSError as bad:
                 self.lost(str(bad))
 
-    def line(self, text: bytes) -> None:
-        """A line of the watch: what changed, or the whole list. ValueError if it is bad."""
+    def move(self, discovery: Address) -> None:
+        """Follow the list at another address, from the version that is known. The old watch stays until the
+        new one has spoken: what is still written to it counts as told. Links and queries are not touched."""
+        if discovery == self._discovery:
+            return
+        self._discovery = discovery
+        self._drop_former()
+        self._former, self._watch = self._watch, None
+        self.follow()
+
+    def _drop_former(self) -> None:
+        former, self._former = self._former, None
+        if former:
+            former.close()
+
+    def line(self, watch: Watch, text: bytes) -> None:
+        """A line of a watch: what changed, or the whole list. ValueError if it is bad."""
         try:
             tree = json.loads(text)
         except RecursionError:
             raise ValueError("nested too deep") from None
         self._tell(self._take(tree, None))
+        if watch is not self._former:
+            self._drop_former()
 
-    def lost(self, why: str) -> None:
+    def lost(self, why: str, watch: Watch | None = None) -> None:
         """The watch has ended or failed; the module decides when to ask again."""
+        if watch and watch is self._former:
+            self._former = None
+            return
         self._watch = None
         counters["watches_lost"] += 1
         say("discovery", why)
@@ -130,6 +151,8 @@
         index, whole, entries, where = self._listing.read(tree)
         form = form or (api.ListForm.FULL if whole else api.ListForm.DELTA)
         counters["lists"] += 1
+        if form is api.ListForm.DELTA and index < self._index:
+            return api.Fleet(form, index, entries)  # of two watches one may lag; the module drops it as well
         if form is not api.ListForm.DELTA:
             for server in set(self._links) - set(where):
                 self._links.pop(server)[0].retire()
@@ -164,10 +187,13 @@
         self._loop.cancel(self._silent)
         self._silent = self._loop.at(self._loop.now() + SILENCE, lambda: self._end("the watch is silent"))
 
-    def _end(self, why: str) -> None:
+    def close(self) -> None:
         self._loop.cancel(self._silent)
         self._conn.close()
-        self._group.lost(why)
+
+    def _end(self, why: str) -> None:
+        self.close()
+        self._group.lost(why, self)
 
     def opened(self) -> None:
         pass
@@ -189,8 +215,8 @@
                     end = answer.body.index(b"\n")
                     text = bytes(answer.body[:end]).strip()
                     del answer.body[: end + 1]
-                    if text:
-                        self._group.line(text)
+                    if text and self._conn.open:  # a line told may have closed this watch
+                        self._group.line(self, text)
         except (http.HttpError, ValueError) as bad:
             return self._end(f"bad answer: {bad}")
         if ended:
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -319,6 +319,31 @@
         self.until(lambda: len(self.told) == 4, "a whole list")
         self.assertIs(self.told[3].form, api.ListForm.FULL)
 
+    def test_at_a_new_address_the_watch_is_resumed_and_the_old_one_heard_until_it_speaks(self) -> None:
+        self.group.cached(listing())
+        link = self.group.route(b"s-1")
+        old, (first, moved) = self.follow(), (self.door, Door(self.loop))
+        self.addCleanup(moved.close)
+        self.door = moved
+        self.group.move(first.address)  # where it is already: no call
+        self.group.move(moved.address)
+        self.until(lambda: moved.peers and moved.peers[0].got, "a call at the new address")
+        self.assertIn(b"index=4 ", moved.peers[0].got)
+        for peer, index in ((old, 9), (moved.peers[0], 8), (moved.peers[0], 10)):
+            status = "leaving" if index == 9 else "active"
+            one = {"index": index, "snapshot": False, "endpoints": [{**ENTRY, "status": status}]}
+            text = json.dumps(one).encode() + b"\n"
+            head = b"" if peer is old else b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            peer.conn.send(head * (index == 8) + b"%x\r\n%b\r\n" % (len(text), text))
+            told = len(self.told)
+            self.until(lambda: len(self.told) > told, "a change")  # noqa: B023
+            # What a watch tells late, after a newer change, brings no link back.
+            self.assertEqual(self.group.route(b"s-1") is None, index != 10)
+        self.until(lambda: old.ends, "the old watch to end")
+        self.assertEqual([one.form.name for one in self.told], ["DELTA"] * 3)  # and no failed call
+        self.assertIsNot(self.group.route(b"s-1"), link)
+        self.assertEqual((len(first.peers), len(moved.peers)), (1, 1))
+
     def test_what_goes_wrong_is_a_failed_call(self) -> None:
         for lines, status in (((b"{",), b"200 OK"), ((b"[1]",), b"200 OK"), ((), b"503 No")):
             with self.subTest(lines=lines, status=status):
@@ -355,6 +380,47 @@
             _, errors = process.communicate(timeout=30)
         self.assertEqual((process.returncode, errors.count(b"\n")), (2, 1))
 
+    def test_told_to_reload_it_follows_the_list_at_the_new_address_and_goes_on(self) -> None:
+        doors = [Door(self.loop) for _ in range(2)]
+        conf = configuration()
+        with socket.create_server(("127.0.0.1", 0)) as spare:
+            conf["listen"] = f"127.0.0.1:{spare.getsockname()[1]}"
+        conf["known"] = listing(type="m2", address=f"127.0.0.1:{self.node.address[1]}", since_ms=0)
+        conf["settings"]["obligations"]["ask-within-ms"] = 50.0
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+
+            def write(door: Door) -> None:
+                conf["discovery"] = f"127.0.0.1:{door.address[1]}"
+                path.write_text(json.dumps(conf))
+
+            write(doors[0])
+            with self.start({"GW_CONFIG": str(path)}) as process:
+                assert process.stderr
+                process.stderr.readline()  # it listens
+                self.until(lambda: doors[0].peers, "the first watch")
+                self.address = host_group.address_of(conf["listen"])
+                client = self.client(get())
+                node = self.at_node()
+                path.write_text("{")
+                process.send_signal(signal.SIGHUP)
+                self.assertIn(b"the old configuration stays", process.stderr.readline())
+                write(doors[1])
+                for _ in range(50):
+                    process.send_signal(signal.SIGHUP)
+                self.until(lambda: doors[1].peers and doors[1].peers[0].got, "the second watch")
+                self.assertIn(b"index=4 ", doors[1].peers[0].got)
+                node.conn.send(SERVED)
+                self.answers(client, b"$1\r\nV\r\n")
+                process.send_signal(signal.SIGTERM)
+                process.send_signal(signal.SIGHUP)
+                self.until(lambda: client.ends, "the end")
+                client.conn.close()
+                process.communicate(timeout=30)
+        self.assertEqual((process.returncode, len(doors[1].peers)), (0, 1))
+        for door in doors:
+            door.close()
+
     def test_told_to_stop_it_answers_what_it_took_and_ends_with_0(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as spare:
             listen = f"127.0.0.1:{spare.getsockname()[1]}"
