Reuse a server link only with nothing unread, and keep good answers that share a read with noise

Checked with small cases: http.Reader raised for an answer followed by noise in one read and dropped the good answer; it failed 100 and 103 for want of a length; a header without an end was kept for ever; a load report took nan, inf and figures below 0; a simple string passed as a value. Ruled out: RESP keeps an answer before noise, as it takes one value at a time.

Lines at fault: Wire.received, Link._pick, NodeReader._reply, http.Reader.feed and on_headers_complete, command.report, Watch.received (dropped lines that came before bad bytes).

New tests fail with the look into the system, the check of leftovers or the order of answer and error taken out.

--- a/lupinladder/net/command.py
+++ b/lupinladder/net/command.py
@@ -13,6 +13,7 @@
 _PLAIN = re.compile(rb"[0-9A-Za-z._~-]{1,128}")  # safe in a path and in a header
 _LABELS = re.compile(rb"[a-z0-9_]{1,32}=[!-+\--~]*(,[a-z0-9_]{1,32}=[!-+\--~]*)*")
 _HEX = re.compile(rb"[0-9a-f]{1,16}")
+REPORTED = re.compile(r"[0-9]{1,15}(\.[0-9]{1,20})?(e-?[0-9]{1,2})?")
 NOTES = {b"hit": 1, b"miss": 2, b"pending": 3}
 # Load reports use the site's names, the settings those of the simulator's wire.
 REPORT_NAMES = {
@@ -111,13 +112,12 @@
 
 
 def report(text: bytes | None, fields: Sequence[str]) -> tuple[float, ...]:
-    """A load report in the order of the settings' fields; empty if any is missing."""
+    """A load report in the order of the settings' fields; empty if any is missing or no figure: the answer
+    that brings it is good all the same. float() alone would take nan, inf and figures below 0."""
     found: dict[str, float] = {}
     for pair in (text or b"").decode("latin-1").split(","):
         name, _, value = pair.strip().partition("=")
-        try:
+        if REPORTED.fullmatch(value):
             found[name] = float(value)
-        except ValueError:
-            continue
     values = [found.get(field, found.get(REPORT_NAMES.get(field, field))) for field in fields]
     return tuple(v for v in values if v is not None) if None not in values else ()
--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -107,6 +107,19 @@
             self._read()
             self._interest()
 
+    @property
+    def quiet(self) -> bool:
+        """Open, with nothing unread and no end of the peer's bytes, not even in the system."""
+        if not self.open or self.eof or len(self.inbox):
+            return False
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
     def finish(self) -> None:
         """Write what is queued, end our sending, read on until the peer ends or a while has passed.
         Closing with input unread would send a reset, which can destroy an answer still on its way."""
--- a/lupinladder/net/host_group.py
+++ b/lupinladder/net/host_group.py
@@ -203,12 +203,16 @@
 
     def received(self) -> None:
         self._heard()
-        ended = False
+        ended = ""
         try:
-            while len(self._conn.inbox):
-                whole = self._http.feed(self._conn.inbox.take(len(self._conn.inbox)))
+            while len(self._conn.inbox) and not ended:
+                whole = list[http.Answer]()
+                try:
+                    whole = self._http.feed(self._conn.inbox.take(len(self._conn.inbox)))
+                    ended = "the watch was ended" if whole else ""
+                except http.HttpError as bad:  # lines that came before the bad bytes have been told
+                    ended = f"bad answer: {bad}"
                 answer = whole[0] if whole else self._http.current
-                ended = ended or bool(whole)
                 if answer.status not in (0, 200):
                     return self._end(f"answered {answer.status}")
                 while b"\n" in answer.body:
@@ -217,10 +221,10 @@
                     del answer.body[: end + 1]
                     if text and self._conn.open:  # a line told may have closed this watch
                         self._group.line(self, text)
-        except (http.HttpError, ValueError) as bad:
+        except ValueError as bad:
             return self._end(f"bad answer: {bad}")
         if ended:
-            self._end("the watch was ended")
+            self._end(ended)
 
     def ended(self, by_peer: bool) -> None:
         self._end("the watch was closed" if by_peer else "the connection broke or never came up")
--- a/lupinladder/net/http.py
+++ b/lupinladder/net/http.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-MAX_HEADERS = 64
+MAX_HEADERS, MAX_HEAD = 64, 32 << 10  # header lines of an answer; bytes fed until the last of them
 
 
 class HttpError(Exception):
@@ -25,22 +25,33 @@
     def __init__(self, max_body: int) -> None:
         self.current = Answer()
         self.closes = False  # the server ends the connection after the answer last handed out
+        self.idle = True  # between answers
         self._max_body, self._whole, self._framed = max_body, list[Answer](), False
+        self._broken: str | None = None  # why nothing after can be read
+        self._head = 0  # bytes fed since the headers before were whole
         self._parser = httptools.HttpResponseParser(self)
 
     def feed(self, data: bytes) -> list[Answer]:
-        """The answers that these bytes completed."""
+        """The answers that these bytes completed. One that was whole before the first bad byte is handed out:
+        the error comes with the next call."""
         try:
-            self._parser.feed_data(data)
+            if self._broken is None:
+                self._parser.feed_data(data)
+            self._head += len(data)  # of a line that never ends the parser would keep every byte
+            if self._head > MAX_HEAD and not self.idle and not self.current.status:
+                self._broken = "the headers do not end"
         except httptools.HttpParserCallbackError as bad:
-            raise HttpError(str(bad.__context__ or bad)) from None
+            self._broken = str(bad.__context__ or bad)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as bad:
-            raise HttpError(str(bad)) from None
+            self._broken = str(bad)
         whole, self._whole = self._whole, []
+        if self._broken is not None and not whole:
+            raise HttpError(self._broken)
+        self.idle = self.idle and self._broken is None
         return whole
 
     def on_message_begin(self) -> None:
-        self.current, self._framed = Answer(), False
+        self.current, self._framed, self.idle = Answer(), False, False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if len(self.current.headers) >= MAX_HEADERS:
@@ -50,19 +61,26 @@
         self._framed = self._framed or key in ("content-length", "transfer-encoding")
 
     def on_headers_complete(self) -> None:
-        self.current.status = self._parser.get_status_code()
-        if not self._framed and self.current.status not in (204, 304):
+        self.current.status, self._head = self._parser.get_status_code(), 0
+        if not self._framed and self.current.status not in (204, 304) and not self._interim:
             raise HttpError("the length of the body is not told, so nothing would prove it whole")
 
+    @property
+    def _interim(self) -> bool:
+        return 100 <= self.current.status < 200 and self.current.status != 101
+
     def on_body(self, body: bytes) -> None:
         if len(self.current.body) + len(body) > self._max_body:
             raise HttpError("body too long")
         self.current.body += body
 
     def on_message_complete(self) -> None:
+        if self._interim:  # the answer proper is still to come
+            self.current = Answer()
+            return
         self.closes = not self._parser.should_keep_alive()
         self._whole.append(self.current)
-        self.current = Answer()
+        self.current, self.idle = Answer(), True
 
 
 def request(method: str, path: str, host: str, headers: Mapping[str, bytes], body: bytes | None) -> bytes:
--- a/lupinladder/net/origin.py
+++ b/lupinladder/net/origin.py
@@ -21,9 +21,13 @@
         self._fields, self._http = fields, http.Reader(MAX_VALUE)
         self._whole: deque[http.Answer] = deque()
 
+    @property
+    def idle(self) -> bool:
+        return self._http.idle and not self._whole
+
     def next(self, inbox: Ring) -> Reply | None:
         try:
-            while len(inbox):
+            while len(inbox) and not self._whole:
                 self._whole += self._http.feed(inbox.take(len(inbox)))
         except http.HttpError as bad:
             raise ProtocolError(str(bad)) from None
--- a/lupinladder/net/server_link.py
+++ b/lupinladder/net/server_link.py
@@ -18,6 +18,7 @@
 
 KEEP = 6  # one part in so many of the descriptors is kept from links, so that clients can always come
 IDLE_SHARE = 0.8  # of the time after which the other side closes an idle connection: by then we have
+ERRORS = (b"ERR", b"NOPERM", b"SYNTAX")  # with BUSY, all that cache nodes answer by; any other is spoilt
 
 
 class Reader(Protocol):
@@ -25,6 +26,9 @@
 
     closes: bool  # the other side ends the connection after the reply last taken
 
+    @property
+    def idle(self) -> bool: ...  # no byte has come since the reply last taken
+
     def next(self, inbox: Ring) -> Reply | None: ...
 
 
@@ -62,24 +66,34 @@
             self.break_off()
 
     def received(self) -> None:
-        while self.conn.open:
+        while self.conn.open and self.waiting:
             try:
                 reply = self.reader.next(self.conn.inbox)
-                if reply is None:
-                    return
-                if not self.waiting:
-                    raise ProtocolError("an answer that nothing asked for")
             except (ProtocolError, resp.FramingError) as bad:
-                say("link", f"{self._link.address}: {bad}")
-                counters["bad_answers"] += 1
-                return self.break_off()
+                return self._spoilt(str(bad))
+            if reply is None:
+                return
             execution, _ = self.waiting.popleft()
             if self.reader.closes:
                 self.break_off()
-            elif not self.waiting:
+            elif not self.waiting and self._clean():
                 self._link.rest(self)
             if execution:
                 execution.end(reply.outcome, reply.value, reply.note, reply.load)
+        if self.conn.open and not self.waiting:
+            self._clean()
+
+    def _clean(self) -> bool:
+        """Whether nothing came behind the last answer that was asked for. What did, a second copy or noise,
+        would be taken for the answer to whatever is written next."""
+        if len(self.conn.inbox) or not self.reader.idle:
+            self._spoilt("bytes that nothing asked for")
+        return self.conn.open
+
+    def _spoilt(self, why: str) -> None:
+        say("link", f"{self._link.address}: {why}")
+        counters["bad_answers"] += 1
+        self.break_off()
 
     def drained(self) -> None:
         pass
@@ -131,11 +145,22 @@
         wire.write(execution, data)
 
     def _pick(self, size: int) -> Wire | None:
-        if self._idle:
+        while self._idle:
             wire = self._idle.pop()
             self.loop.cancel(wire.idle_until)
             wire.idle_until = None
-        elif self.budget.spare(self.budget.limit // KEEP) and (fresh := self._open()):
+            if wire.conn.quiet:
+                break
+            # The server has ended it, or sent more than was asked for, since we last looked.
+            counters["stale_links"] += 1
+            wire.break_off()
+        else:
+            return self._fresh(size)
+        self._busy[wire] = None
+        return wire
+
+    def _fresh(self, size: int) -> Wire | None:
+        if self.budget.spare(self.budget.limit // KEEP) and (fresh := self._open()):
             wire = fresh
         else:  # sockets run short: behind the shortest line, if any has room
             able = [w for w in self._busy if len(w.waiting) < self._streams and w.conn.outbox.room >= size]
@@ -190,6 +215,10 @@
         self._fields = fields
         self._parser = resp.Parser(MAX_VALUE, 16)
 
+    @property
+    def idle(self) -> bool:
+        return self._parser.idle
+
     def next(self, inbox: Ring) -> Reply | None:
         answer = self._parser.next(inbox)
         return None if isinstance(answer, resp.Pending) else self._reply(answer)
@@ -200,14 +229,16 @@
             load = report(rest.rsplit(b" ", 1)[-1], self._fields)
             if word == b"BUSY":
                 return Reply(api.Outcome.FULL, load=load)
+            if word not in ERRORS:
+                raise ProtocolError("an error of an unknown form")
             if not answer.startswith(b"ERR failed"):
                 counters["node_errors"] += 1
                 say("link", "a cache node answered " + repr(bytes(answer)))
             return Reply(api.Outcome.ERROR, load=load)
-        if not isinstance(answer, list) or not answer:
+        if not isinstance(answer, list) or len(answer) != 3:
             raise ProtocolError("an answer of an unknown form")
-        value, note, load_text = [*answer, None, None][:3]
-        if not (value is None or isinstance(value, bytes)):
+        value, note, load_text = answer
+        if not (value is None or type(value) is bytes):  # a simple string is bytes too, and no value
             raise ProtocolError("a value of an unknown form")
         told = NOTES.get(note, 0) if isinstance(note, bytes) else 0
         load = report(load_text, self._fields) if isinstance(load_text, bytes) else ()
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -156,6 +156,12 @@
             (b"rif=7,fail_rate=0.5", (0.5, 7.0)),
             (b"inflight=7", ()),
             (b"inflight=x,eps=1", ()),
+            (b"inflight=1e2,eps=1.5e-05", (1.5e-05, 100.0)),
+            (b"inflight=nan,eps=1", ()),
+            (b"inflight=inf,eps=1", ()),
+            (b"inflight=-1,eps=1", ()),
+            (b"inflight=1e999,eps=1", ()),
+            (b"\xff\x00=,,=", ()),
             (None, ()),
         ):
             with self.subTest(text=text):
@@ -172,6 +178,7 @@
             (b"-BUSY\r\n", FULL, None, 0, ()),
             (b"-BUSY rif=9\r\n", FULL, None, 0, (9.0,)),
             (b"-SYNTAX\r\n", ERROR, None, 0, ()),
+            (b"*3\r\n$1\r\nV\r\n+x\r\n*1\r\n:1\r\n", OK, b"V", 0, ()),  # the value is good all the same
         ):
             with self.subTest(data=data):
                 reply = NodeReader(["rif"]).next(ring_of(data))
@@ -179,7 +186,11 @@
                 self.assertEqual(
                     (reply.outcome, reply.value, reply.note, reply.load), (outcome, value, note, load)
                 )
-        for data in (b"+OK\r\n", b"*0\r\n", b"*1\r\n:1\r\n", b"$1\r\nV\r\n"):
+        value, rest = b"$1\r\nV\r\n", b"$-1\r\n$-1\r\n"
+        for data in (
+            *(b"+OK\r\n", b"*0\r\n", b"*1\r\n:1\r\n", value, b"-BUSYx\r\n", b"-\xf0\x9f\r\n"),
+            *(b"*3\r\n+V\r\n" + rest, b"*3\r\n:1\r\n" + rest, b"*2\r\n" + value + rest[:5]),
+        ):
             with self.subTest(data=data), self.assertRaises(ProtocolError):
                 NodeReader([]).next(ring_of(data))
 
@@ -193,6 +204,9 @@
             (head % (b"503 No", b""), ERROR, None, ()),
             (head % (b"500 No", b"X-Turned-Away: 1\r\n"), ERROR, None, ()),
             (head % (b"404 No", b""), ERROR, None, ()),
+            (b"HTTP/1.1 100 Continue\r\n\r\n" * 2 + head % (b"200 OK", b""), OK, b"V", ()),
+            (b"HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n" + head % (b"200 OK", b""), OK, b"V", ()),
+            (head % (b"200 OK", b"X-Pressure: inflight=nan\r\n"), OK, b"V", ()),
         ):
             with self.subTest(data=data):
                 reader = OriginDialect(("127.0.0.1", 80), ["rif"]).reader()
@@ -208,6 +222,8 @@
             b"HTTP/1.1 200 OK\r\n\r\nVALUE",  # no length: no end would prove it whole
             b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n123456789",
             b"HTTP/1.1 200 OK\r\n" + b"a: b\r\n" * 99 + b"\r\n",
+            b"HTTP/1.1 200 OK\r\na: " + b"x" * 40_000,
+            b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
         ):
             with self.subTest(data=data), self.assertRaises(http.HttpError):
                 http.Reader(8).feed(data)
@@ -217,6 +233,20 @@
         )
         self.assertTrue(reader.closes)
 
+    def test_http_hands_out_what_was_whole_before_the_noise(self) -> None:
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nV"
+        for data, answers, idle in (
+            (whole, 1, True),
+            (whole + whole, 2, True),
+            (whole + whole[:9], 1, False),
+            (whole + b"noise\r\n", 1, False),
+        ):
+            with self.subTest(data=data):
+                reader = http.Reader(8)
+                self.assertEqual((len(reader.feed(data)), reader.idle), (answers, idle))
+        with self.assertRaises(http.HttpError):
+            reader.feed(whole)  # nothing after the noise can be trusted
+
 
 ENTRY = {
     "name": "s-1",
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -183,6 +183,51 @@
         self.assertLess(self.loop.now() - started, 2000)
         self.assertEqual(len(self.node.peers), 2)
 
+    def test_a_connection_with_anything_unread_or_an_end_is_not_used_again(self) -> None:
+        wrong = SERVED.replace(b"V", b"W")
+        answer, twice = OK_HTTP, OK_HTTP.replace(b"V", b"W")
+        for door, server, good, more in (
+            (self.node, NODE, SERVED, wrong),  # a second copy at once
+            (self.node, NODE, SERVED, wrong[:9]),  # part of one
+            (self.node, NODE, SERVED, b""),  # an end
+            (self.origin, ORIGIN, answer, twice),
+            (self.origin, ORIGIN, answer, b"noise\r\n"),
+        ):
+            with self.subTest(server=server, more=more):
+                self.script.react = once_to(server)
+                first, before = self.ask(), len(door.peers)
+                self.until(lambda: any(p.got and not p.ends for p in door.peers), "a request")  # noqa: B023
+                [peer] = [one for one in door.peers if one.got and not one.ends]
+                second = list[Asked]()
+
+                def at_once(value: bytes, peer: Peer = peer, more: bytes = more) -> None:
+                    if not more:
+                        peer.conn.finish()
+                    second.append(self.ask())  # noqa: B023
+
+                with mock.patch.object(first, "served", at_once):
+                    peer.got = b""
+                    peer.conn.send(good + more)
+                    self.until(lambda: second, "an answer")  # noqa: B023
+                self.until(lambda: any(p.got for p in door.peers if p is not peer), "another")  # noqa: B023
+                [other] = [one for one in door.peers if one.got]
+                other.conn.send(good)
+                self.until(lambda: second[0].told, "the second answer")  # noqa: B023
+                self.assertEqual((second[0].told, peer.got), ([b"V"], b""))
+                self.assertGreater(len(door.peers), before)
+                other.got = b""
+
+    def test_noise_that_comes_late_costs_a_resting_connection_alone(self) -> None:
+        self.ask()
+        node = self.at_node()
+        node.conn.send(SERVED)
+        self.until(lambda: self.script.ends(), "an answer")
+        node.conn._sock.send(SERVED.replace(b"V", b"W"))  # it lies in the system: the loop has not looked yet
+        asked = self.ask()
+        self.at_node(1).conn.send(SERVED)
+        self.until(lambda: asked.told, "an answer")
+        self.assertEqual(asked.told, [b"V"])
+
     def test_a_server_that_leaves_finishes_what_it_has_and_keeps_no_connection(self) -> None:
         asked = self.ask()
         node = self.at_node()
