Drain a server for turning sends away only when it does so to almost all of them

Checked with probe lines: six of eleven nodes turned away about every other send there, within a round trip, on links that served the next send, with 0 or 1 in flight by their own reports. Three in four refusals had no attempt: all four owners stood at a limit of 1. Ruled out: too many connections (one or two a node, and the same ones serve), drains, the origin (limit 7 to 9).

Lines at fault: Balancer.judge passed every FULL to Limiter.lost, which drains to the floor when nothing sent since has completed: between sparse sends that is nearly always so. And a FULL used up the few repeats, though it never ran. Now a server is drained once its smoothed share of FULL passes 0.9 (some ten in a row), and below that the next owner is asked without using a repeat.

The new test fails with the old module.

--- a/lupinladder/rules.py
+++ b/lupinladder/rules.py
@@ -20,6 +20,7 @@
 POINTS = 32  # places of a server among the hashed ids, so that many neighbours share what it leaves
 SPLIT = 0.5  # a slot gets one more owner for each such share of a mean server's sends
 HEALTH_EMA, HEALTH_OUT, OUT_MOST = 0.2, 0.5, 1 / 3  # of failed attempts; part of the fleet cut at most
+JAMMED = 0.9  # smoothed share turned away that tells of a full queue: some ten in a row
 MEMORY_AIMS = 16  # how long an answered key counts as kept, and a lost fetch as a sign, in aims
 RETRY_SHARE = 0.1  # further attempts after failures, as a share of requests
 MASK = (1 << 64) - 1
@@ -112,8 +113,12 @@
         self.moved, self.share = 1.0, float(not cold)  # of its slots: left by load; by warmth as well
         self.credit, self.credit_at, self.credit_rate = 0.0, now, 0.0  # what a cold server may be sent
         self.failed = self.out_until = self.out_for = 0.0  # smoothed share of failures; the health cut
+        self.turned = 0.0  # smoothed share of what it turned away; few are no queue, whatever their cause
         self.sends, self.strain = 0, 0.0  # since the last review; smoothed share spilled, lost or late
 
+    def jammed(self) -> bool:
+        return self.turned > JAMMED
+
     def admits(self, now: float, share: float = 1.0) -> bool:
         if now < self.out_until or not self.ready or (self.out_until and self.limiter.inflight):
             return False  # after a cut one trial at a time, until one succeeds
@@ -383,6 +388,8 @@
             self.finished(life)
         elif event.outcome is MISS and self.settings.aside and server is not self.origin:
             self.fetch(life, now)
+        elif event.outcome is FULL and server is not self.origin and not server.jammed():
+            self.place(life, now)  # it never ran and cost no work: not one of the few repeats
         elif event.outcome is TIMEOUT or event.note > 1 or server is self.origin or self.retries < 1:
             self.finish(life)
         else:
@@ -406,8 +413,11 @@
             self.fetches.lost(now - latency, now)  # dead fetches fill its queue, and each miss adds one
         if not slow_origin and outcome is not MISS:
             self.strained(server, outcome in (TIMEOUT, FULL) or latency > self.aim)
+        server.turned += ((outcome is FULL) - server.turned) * HEALTH_EMA
         if outcome is TIMEOUT or outcome is FULL:
-            return None if slow_origin else server.limiter.lost(now - latency, now)
+            # One turned away among many served is no queue: to drain for it would close a sparse server.
+            lost = not slow_origin and (outcome is TIMEOUT or server.jammed())
+            return server.limiter.lost(now - latency, now) if lost else None
         if fetched:
             more = latency - self.hit if outcome is OK else max(latency - self.hit, self.excess)
             self.excess += (more - self.excess) * EMA_ALPHA
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -72,6 +72,31 @@
     assert serve(proxy, 7) == bad
 
 
+def test_a_server_that_turns_some_away_keeps_its_limit_one_that_turns_all_away_is_drained() -> None:
+    proxy = proxy_of()
+    warm(proxy)
+    owner = serve(proxy, 7)
+    assert owner is not None
+    limiter = proxy.balancer.members[owner].limiter
+
+    def turn_away(every: int) -> None:
+        came = 0
+        for key in range(1, 1000):
+            n = ask(proxy, key)
+            proxy.now += 3
+            came += server_of(proxy, n) == owner
+            if server_of(proxy, n) == owner and came % every == 0:
+                proxy.end(n, 0, api.Outcome.FULL)
+                assert server_of(proxy, n, 1) != owner  # and it has not run: the next owner takes it
+            proxy.end(n, len(proxy.seen[n].tries) - 1, api.Outcome.OK, 50)
+
+    limit = limiter.max_concurrency
+    turn_away(every=2)
+    assert limiter.max_concurrency > limit / 2  # what it serves between shows that it has room
+    turn_away(every=1)
+    assert limiter.max_concurrency <= 1
+
+
 def test_a_health_cut_never_takes_most_of_the_fleet() -> None:
     proxy = proxy_of()
     warm(proxy)
