Let min_latency of a far server rise to its way there and part of the bound

Checked with probe lines: 1,155 of 1,857 refusals at one proxy came after a MISS, with the origin at a limit of 1 to 5 and a mean latency of 39 to 67 ms; min_latency stood at 29. Ruled out: spoilt answers (some 100 refusals follow one), bad clients' commands (some 60), shortage of descriptors or CPU.

Lines at fault: Limiter.close held min_latency to aim / 2.3. The formula then settles at a latency that such a server does not reach when idle, and the limit shrinks to its floor.

The bound is now at least the smallest latency seen and 1/2.5 of the old bound.

The new test fails with the bound as it was.

--- a/lupinladder/rules.py
+++ b/lupinladder/rules.py
@@ -47,6 +47,7 @@
         self.count, self.total, self.start, self.lost_at = 0, 0.0, now, -inf
         self.next_send = now  # sends wait for this: a drain, or the pace of a limit below one
         self.retest_at, self.measuring, self.done_at = inf, False, now  # done_at: of the last completed
+        self.least = inf  # of all latencies: the way there and back, and hardly any work
 
     def admits(self, now: float, share: float = 1.0) -> bool:  # rounded to the nearest, not down
         return now >= self.next_send and self.inflight <= max(self.max_concurrency * share - 0.5, 0)
@@ -57,7 +58,7 @@
             self.next_send = now + min(self.latency / self.max_concurrency, WINDOW_AIMS * self.aim)
 
     def completed(self, latency: float, now: float) -> None:
-        self.done_at = now
+        self.done_at, self.least = now, min(self.least, latency)
         if self.measuring and now - latency < self.start:
             return  # sent before the drain: it has queued, and would make min_latency creep
         self.count, self.total = self.count + 1, self.total + latency
@@ -85,7 +86,9 @@
             self.min_latency += (latency - self.min_latency) * self.count / (self.count + SAMPLES_LEAST)
         elif latency > self.min_latency:
             self.min_latency += (latency - self.min_latency) * EMA_ALPHA
-        self.min_latency = min(self.min_latency, self.aim / (2 + ALPHA_LEAST))  # creep ends at the aim
+        # Creep ends at the aim; but a far server is not held to less than its way there and some work.
+        most = self.aim / (2 + ALPHA_LEAST)
+        self.min_latency = min(self.min_latency, max(most, self.least + most / 2.5))
         self.max_qps = qps if qps > self.max_qps else self.max_qps + (qps - self.max_qps) * EMA_ALPHA / 10
         alpha = min(max(self.aim / self.min_latency - 2, ALPHA_LEAST), ALPHA_MOST)
         room = (2 + alpha) * self.min_latency - latency
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -180,3 +180,16 @@
     fill(limiter, 5, 0, 0.0)
     assert limiter.max_qps == SAMPLES
     fill(limiter, 5, 0, 0.0)
+
+
+def test_a_server_that_is_far_away_is_not_held_to_less_than_it_carries_unloaded() -> None:
+    limiter, now = Limiter(0.0, 66.0, 0.5, False), 0.0
+    for n in range(400):  # 8 in flight; 28 of the 40 ms are the way there and back
+        now += 5
+        limiter.completed(40 if n % 2 else 42, now)
+    assert limiter.max_concurrency >= 8
+    near, now = Limiter(0.0, 66.0, 0.5, False), 0.0
+    for n in range(400):  # 1 ms away: that it takes 40 is its queue, and the bound stays
+        now += 5
+        near.completed(40 if n % 20 else 1, now)
+    assert near.min_latency <= 66 / 2.3
