Close clients that say nothing or half a command, and refuse the id of an open query

Nothing closed a client that had connected and said nothing, or half a command, but a shortage of descriptors.

Checked: a probe line printed the commands called bad: all were whole and well formed, with one id several times at once. A client that had been refused went on to send at full speed, and up to four reads of 2 KiB a turn were spent on it for a second.

Lines at fault: Client._command (no look at open ids), Front (no deadline for silence), Connection._read (no bound on what is discarded). Now a client must have sent a whole command 2.3 s after connecting, a command ends within 2.4 s of its first byte, idle clients go after 2 s once half of the descriptors are in use, and a connection that we end is closed after 256 KiB more. When one must be closed for another, the silent go first.

Each of the three new tests fails with its change taken out.

--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -15,8 +15,10 @@
 BOUND = 160 << 10  # of a ring: two of the largest values and their framing
 ROUNDS = 4  # reads from one connection in a turn, so that none holds up the others
 LINGER = 1000.0  # how long a connection that we end is read from, ms
+DISCARD = 256 << 10  # bytes read from such a connection until it is closed all the same
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 Address = tuple[str, int]
+_sink = bytearray(64 << 10)  # where bytes go that nobody wants; shared, as none is ever read
 
 
 class Budget:
@@ -69,6 +71,7 @@
         self._owner: Owner = owner
         self._mask = 0
         self._finishing = self._shut = False
+        self._discarded = 0
         self._linger: Deadline | None = None
         budget.used += 1
         sock.setblocking(False)
@@ -148,7 +151,7 @@
     def _interest(self) -> None:
         if not self.open:
             return
-        read = not self.opening and not self.eof and self.inbox.room
+        read = not self.opening and not self.eof and (self.inbox.room or self._finishing)
         mask = (READ if read else 0) | (WRITE if self.opening or len(self.outbox) else 0)
         self._loop.watch(self._sock, self._mask, mask, self._ready)
         self._mask = mask
@@ -181,7 +184,7 @@
     def _read(self) -> None:
         got = lost = False
         for _ in range(ROUNDS):
-            space = self.inbox.space()
+            space = memoryview(_sink) if self._finishing else self.inbox.space()
             if not len(space):
                 break
             try:
@@ -194,8 +197,11 @@
             if not count:
                 self.eof = True
                 break
-            if self._finishing:
-                continue  # not ours any more: the peer repeats it elsewhere
+            if self._finishing:  # not ours any more: the peer repeats it elsewhere
+                self._discarded += count
+                if self._discarded > DISCARD:  # a peer that sends on at full speed would cost a core
+                    return self.close()
+                continue
             self.inbox.wrote(count)
             got = True
             if count < len(space):
--- a/lupinladder/net/front.py
+++ b/lupinladder/net/front.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections import deque
+from math import inf
 
 from lupinladder import api
 from lupinladder.net import resp
@@ -17,14 +18,18 @@
 BACKLOG, ACCEPTS = 1024, 64
 KEEP = 3  # one part in so many of the descriptors is kept from clients, for the links
 RETRY = 100.0  # ms until a front that found no descriptor for a client looks again
+# Ms until a client that has never asked, or has begun a command and not ended it, is closed: within 3 s of
+# connecting it must be. The next: after which an idle one may be closed, and is when descriptors run short.
+SILENT, HALF, IDLE = 2300.0, 2400.0, 2000.0
+SWEEP = 200.0  # ms between looks for such clients
 STOP_ACCEPTING = 500.0  # ms after the signal to stop: new connections still come
 
 
 class Slot:
     """The place of one command's answer among its client's answers."""
 
-    def __init__(self, client: Client) -> None:
-        self._client = client
+    def __init__(self, client: Client, ident: bytes = b"") -> None:
+        self._client, self.ident = client, ident
         self.query: Query | None = None
         self.answer: bytes | None = None
 
@@ -39,6 +44,7 @@
 
     def _set(self, answer: bytes) -> None:
         self.answer = answer
+        self._client.over(self)
         self._client.flush()
 
 
@@ -46,8 +52,10 @@
     def __init__(self, front: Front, sock: socket.socket) -> None:
         self._front, self._slots = front, deque[Slot]()
         self._parser = resp.Parser(MAX_VALUE, 16)
-        self._closing = self._reading = self._starved = False
+        self._closing = self._reading = self._starved = self._half = False
         self.used = front.loop.now()
+        self.asked = False  # ever sent a whole command
+        self._began = self.used  # when the command that is coming in began
         self.conn = Connection(front.loop, front.budget, sock, self)
 
     @property
@@ -62,9 +70,15 @@
     def opened(self) -> None:
         pass
 
+    def over(self, slot: Slot) -> None:
+        """The query of this slot has its answer, or nobody to hear it."""
+        self._front.open_ids.discard(slot.ident)
+
     def received(self) -> None:
         if self._reading:
             return  # an answer given at once has come back here through flush
+        if self.asked and not self._half:
+            self._began = self._front.loop.now()
         self._reading, self._starved = True, False
         try:
             while self.conn.open and not self._closing and len(self._slots) < DEPTH:
@@ -80,6 +94,7 @@
             self._closing = True
         finally:
             self._reading = False
+        self._half = not self._parser.idle or len(self.conn.inbox) > 0
         self.flush()
 
     def _command(self, value: resp.Value) -> None:
@@ -88,7 +103,8 @@
             raise resp.FramingError("a command is an array of bulk strings")
         if not words:
             return
-        self.used = self._front.loop.now()
+        self.used = self._began = self._front.loop.now()
+        self.asked = True
         plain = [word for word in words if isinstance(word, bytes)]
         if plain[0].upper() == b"PING" and len(plain) <= 2:
             self._slot().answer = resp.bulk(plain[1]) if len(plain) == 2 else b"+PONG\r\n"
@@ -99,11 +115,17 @@
             counters["malformed"] += 1
             self._say(str(bad))
             return
-        slot = self._slot()
+        ident = content.words[2]
+        if ident in self._front.open_ids:  # two executions under one id could be taken for each other's
+            counters["malformed"] += 1
+            self._say("id is that of another open query")
+            return
+        self._front.open_ids.add(ident)
+        slot = self._slot(ident)
         slot.query = self._front.engine.ask(content, lambda number: _request(number, content), slot)
 
-    def _slot(self) -> Slot:
-        self._slots.append(Slot(self))
+    def _slot(self, ident: bytes = b"") -> Slot:
+        self._slots.append(Slot(self, ident))
         return self._slots[-1]
 
     def _say(self, text: str) -> None:
@@ -116,6 +138,7 @@
             if answer is None or self.conn.outbox.room < len(answer):
                 break
             self._slots.popleft()
+            self.used = self._front.loop.now()
             self.conn.send(answer)
         if not self.conn.open:
             return
@@ -144,6 +167,7 @@
         self._front.clients.pop(self, None)
         slots, self._slots = self._slots, deque()
         for slot in slots:
+            self.over(slot)
             if slot.query:
                 self._front.engine.left(slot.query)
         self._front.listen()
@@ -155,6 +179,20 @@
         self.conn.finish()
         self._front.listen()
 
+    def sweep(self, now: float, short: bool) -> None:
+        """Close a client that holds a descriptor for nothing; a usual one writes its command in a moment."""
+        if self._slots or self._closing or len(self.conn.outbox):
+            return
+        if self.idle:
+            if now - self.used > (SILENT if not self.asked else IDLE if short else inf):
+                counters["swept"] += 1
+                self.close_if_idle()
+        elif now - self._began > HALF:
+            counters["swept"] += 1
+            self._closing = True
+            self._say("Protocol error: command not ended in time")
+            self.flush()
+
     def close_if_idle(self) -> bool:
         """End a connection between commands; one that was written before counts as taken, so look first."""
         if self.idle:
@@ -188,6 +226,7 @@
         self.ending: list[Connection] = []
         self.closing = False  # connections are ended as soon as they are between commands
         self._mask, self._stopped = 0, False
+        self.open_ids = set[bytes]()  # of queries that wait for their answer
         self._retry: Deadline | None = None
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -196,6 +235,13 @@
         self._sock.listen(BACKLOG)
         budget.used += 1
         self.listen()
+        self._sweep()
+
+    def _sweep(self) -> None:
+        now, short = self.loop.now(), not self.budget.spare(self.budget.limit // 2)
+        for client in list(self.clients):
+            client.sweep(now, short)
+        self.loop.at(now + SWEEP, self._sweep)
 
     @property
     def done(self) -> bool:
@@ -240,8 +286,12 @@
         self.listen()
 
     def _evict(self) -> bool:
-        """Close the client that has been idle for longest; it may connect again."""
-        for client in sorted((c for c in self.clients if c.idle), key=lambda c: c.used):
+        """Close the client that has been idle for longest; it may connect again. One that has said nothing
+        for a while goes before one that has asked and may ask again any moment."""
+        now = self.loop.now()
+        idle = [client for client in self.clients if client.idle]
+        idle.sort(key=lambda c: (now - c.used < (IDLE if c.asked else IDLE / 8), c.used))
+        for client in idle:
             if client.close_if_idle():
                 client.conn.close()  # its descriptor is needed now; all it was owed has been written
                 return True
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -12,11 +12,12 @@
 import tempfile
 import weakref
 from pathlib import Path
+from string import ascii_letters
 from typing import Any
 from unittest import mock
 
 from lupinladder import api
-from lupinladder.net import host_group
+from lupinladder.net import connection, front, host_group
 from lupinladder.net.connection import Connection
 from lupinladder.net.host_group import HostGroup
 from lupinladder.net.log import say
@@ -108,7 +109,7 @@
         client.conn._loop.watch(client.conn._sock, client.conn._mask, 0, client.conn._ready)
         client.conn._mask = 0  # it does not read
         client.conn._sock.setblocking(True)
-        client.conn._sock.sendall(b"".join(get(b"%c" % (97 + n % 26)) for n in range(40)))
+        client.conn._sock.sendall(b"".join(get(b"%c" % one) for one in ascii_letters.encode()[:40]))
         self.until(lambda: len(self.script.events) == 32, "as many as may wait")
         for query in list(self.engine._queries.values()):
             assert query.asker
@@ -121,6 +122,51 @@
         self.until(lambda: len(client.got) >= 32 * len(value), "all answers")
         self.assertEqual(client.got, value * 32)
 
+    def test_the_id_of_an_open_query_is_refused_until_that_one_is_answered_or_left(self) -> None:
+        first, left = self.client(get()), self.client(get(b"b"))
+        node, _ = self.at_node(0), self.at_node(1)
+        second = self.client(get() + get(b"b"))
+        self.answers(second, b"-ERR id is that of another open query\r\n" * 2)
+        self.assertEqual(len(self.script.events), 2)
+        node.conn.send(SERVED)
+        self.answers(first, b"$1\r\nV\r\n")
+        left.reset()
+        self.until(lambda: len(self.front.clients) == 2, "its leaving")
+        second.conn.send(get() + get(b"b"))
+        self.until(lambda: sum(isinstance(e, api.Request) for e in self.script.events) == 4, "both")
+
+    def test_clients_that_say_nothing_or_half_a_command_are_closed_and_others_stay(self) -> None:
+        short = [mock.patch.object(front, name, 60.0) for name in ("SILENT", "HALF")]
+        for one in short:
+            one.start()
+            self.addCleanup(one.stop)
+        asked, waits = self.client(PING), self.client(get())
+        silent, half, later = self.client(), self.client(get()[:9]), self.client(PING)
+        self.answers(later, b"+PONG\r\n")
+        later.conn.send(get(b"b")[:-3])
+        for peer, got in ((silent, b""), (half, b"-ERR"), (later, b"+PONG\r\n-ERR")):
+            self.until(lambda: peer.ends, "a close")  # noqa: B023
+            self.assertTrue(peer.got.startswith(got) and bool(peer.got) == bool(got))
+        self.assertEqual((asked.got, asked.ends, waits.ends), (b"+PONG\r\n", [], []))
+        self.at_node().conn.send(SERVED)
+        self.answers(waits, b"$1\r\nV\r\n")
+
+    def test_a_client_that_sends_on_after_its_error_is_cut_off(self) -> None:
+        client = self.client()
+        self.until(lambda: self.front.clients, "a client")
+        [mine] = self.front.clients
+
+        def flood() -> bool:
+            if client.conn.open and client.conn.outbox.room >= 9000:
+                client.conn.send(b"x" * 9000)
+            return not mine.conn.open
+
+        with mock.patch.object(connection, "LINGER", 60_000.0):
+            client.conn.send(b"*1\r\n$60000000\r\n")
+            self.until(flood, "a close")
+        self.assertGreater(mine.conn._discarded, 256 << 10)
+        self.assertLess(len(mine.conn.inbox), 1 << 17)
+
 
 class DidItRun(Scene):
     def outcome(self, asked: Asked) -> str:
