--- a/lupinladder/net/command.py
+++ b/lupinladder/net/command.py
@@ -9,7 +9,9 @@
 
 from lupinladder import api
 
-MAX_VALUE = 64 << 10
+MAX_VALUE = 64 << 10  # of a value that a client may store
+# Of a value in an answer. Days of service bring good ones of 400 KB and spoilt ones declared as 3 GB.
+MAX_ANSWER = 1 << 20
 _PLAIN = re.compile(rb"[0-9A-Za-z._~-]{1,128}")  # safe in a path and in a header
 _LABELS = re.compile(rb"[a-z0-9_]{1,32}=[!-+\--~]*(,[a-z0-9_]{1,32}=[!-+\--~]*)*")
 _HEX = re.compile(rb"[0-9a-f]{1,16}")
--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -12,7 +12,8 @@
 from lupinladder.net.loop import Deadline, Loop
 from lupinladder.net.ring import Ring
 
-BOUND = 160 << 10  # of a ring: two of the largest values and their framing
+BOUND = 160 << 10  # of the inbox: two of the largest commands; longer answers are taken off it in parts
+OUT_BOUND = (1 << 20) + 1024  # of the outbox: the largest answer and its framing, since it is put in whole
 ROUNDS = 4  # reads from one connection in a turn, so that none holds up the others
 LINGER = 1000.0  # how long a connection that we end is read from, ms
 DISCARD = 256 << 10  # bytes read from such a connection until it is closed all the same
@@ -64,7 +65,7 @@
     def __init__(
         self, loop: Loop, budget: Budget, sock: socket.socket, owner: Owner, opening: bool = False
     ) -> None:
-        self.inbox, self.outbox = Ring(BOUND), Ring(BOUND)
+        self.inbox, self.outbox = Ring(BOUND), Ring(OUT_BOUND)
         self.queued = self.sent = 0  # bytes ever handed to the connection; taken from it by the system
         self.open, self.opening, self.eof = True, opening, False
         self._loop, self._budget, self._sock = loop, budget, sock
--- a/lupinladder/net/origin.py
+++ b/lupinladder/net/origin.py
@@ -8,7 +8,7 @@
 
 from lupinladder import api
 from lupinladder.net import http
-from lupinladder.net.command import MAX_VALUE, Command, Reply, report
+from lupinladder.net.command import MAX_ANSWER, Command, Reply, report
 from lupinladder.net.connection import Address
 from lupinladder.net.log import counters, say
 from lupinladder.net.ring import Ring
@@ -18,7 +18,7 @@
 class OriginReader:
     def __init__(self, fields: Sequence[str]) -> None:
         self.closes = False
-        self._fields, self._http = fields, http.Reader(MAX_VALUE)
+        self._fields, self._http = fields, http.Reader(MAX_ANSWER)
         self._whole: deque[http.Answer] = deque()
 
     @property
--- a/lupinladder/net/resp.py
+++ b/lupinladder/net/resp.py
@@ -99,7 +99,7 @@
         if length == -1:
             return None
         if length < 0 or length > (self._max_bulk if kind == b"$" else self._max_items):
-            raise FramingError("length out of bounds")
+            raise FramingError(f"length {length} is out of bounds")
         if kind == b"$":
             self._need = length + 2
             return _OPEN
--- a/lupinladder/net/server_link.py
+++ b/lupinladder/net/server_link.py
@@ -9,7 +9,7 @@
 
 from lupinladder import api
 from lupinladder.net import resp
-from lupinladder.net.command import MAX_VALUE, NOTES, Command, Reply, report
+from lupinladder.net.command import MAX_ANSWER, NOTES, Command, Reply, report
 from lupinladder.net.connection import Address, Budget, Connection
 from lupinladder.net.engine import Execution
 from lupinladder.net.log import counters, say
@@ -213,7 +213,7 @@
 
     def __init__(self, fields: Sequence[str]) -> None:
         self._fields = fields
-        self._parser = resp.Parser(MAX_VALUE, 16)
+        self._parser = resp.Parser(MAX_ANSWER, 16)
 
     @property
     def idle(self) -> bool:
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -52,6 +52,17 @@
         self.answers(client, b"$1\r\nV\r\n")
         self.assertEqual(self.script.ends(), [(0, "MISS", False), (1, "OK", True)])
 
+    def test_a_value_larger_than_clients_may_store_is_served_whole(self) -> None:
+        value = b"x" * 400_000
+        client = self.client(get())
+        self.at_node().conn.send(b"*3\r\n$400000\r\n%b\r\n$3\r\nhit\r\n$-1\r\n" % value)
+        self.answers(client, b"$400000\r\n%b\r\n" % value)
+        self.script.react = once_to(ORIGIN)
+        client.got = b""
+        client.conn.send(get())
+        self.at_node(0, self.origin).conn.send(b"HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n" + value)
+        self.answers(client, b"$400000\r\n%b\r\n" % value)
+
     def test_a_refusal_says_when_to_come_back(self) -> None:
         self.script.react = lambda event: [api.Refuse(event.id, 75.0)]
         self.answers(self.client(get()), b"-BUSY 75\r\n")
