Add the lab: a fleet of stand-ins on loopback, faults, a referee, load and make demo

Change: lupinladder/lab holds cache nodes, origin, discovery, datagrams between proxies, good and harmful clients, seventeen kinds of fault on a timeline drawn from one seed, and a referee that holds the four rules on the bytes of both sides. Reports (JSON, tables, plots, comparisons) and the command line stand on libraries that the platform's start never imports. What the stand-ins decide is free of I/O.

--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,18 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: build build-dev test lint run
+.PHONY: build build-lab build-dev demo test lint run
 
 build:
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
 	$(BIN)/pip -q install -r requirements.txt
 
+build-lab: build
+	$(BIN)/pip -q install -r requirements-lab.txt
+
+demo: build-lab
+	$(BIN)/python -m lupinladder demo
+
 build-dev: build
 	$(BIN)/pip -q install -r requirements-dev.txt
 
--- a/lupinladder/__main__.py
+++ b/lupinladder/__main__.py
@@ -128,4 +128,8 @@
 
 
 if __name__ == "__main__":
+    if len(sys.argv) > 1:  # a verb: the command line, which the platform's start never imports
+        from lupinladder.cli.app import app
+
+        app(prog_name="lupinladder")
     sys.exit(main())
--- /dev/null
+++ b/lupinladder/cli/app.py
@@ -0,0 +1,60 @@
+"""The root of the command line. A group of verbs is imported when one of its verbs is called, so that a
+missing extra costs only the verbs that need it."""
+
+from __future__ import annotations
+
+import importlib
+import sys
+
+import click
+
+GROUPS = {"demo": ("lupinladder.cli.lab", "demo"), "lab": ("lupinladder.cli.lab", "lab")}
+HELP = {
+    "demo": "Start a fleet on loopback, play load and trouble, and judge it.",
+    "lab": "Stand-ins, scenarios, load and reports.",
+}
+
+
+class Lazy(click.Group):
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted(GROUPS)
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        if name not in GROUPS:
+            return None
+        module, attribute = GROUPS[name]
+        try:
+            found = getattr(importlib.import_module(module), attribute)
+        except ModuleNotFoundError as bad:
+            raise click.ClickException(
+                f"{name} needs the package {bad.name}: pip install 'lupinladder[lab]'"
+            ) from None
+        assert isinstance(found, click.Command)
+        return found
+
+    def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
+        with formatter.section("Commands"):
+            formatter.write_dl([(name, HELP[name]) for name in sorted(GROUPS)])
+
+
+@click.command(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="lupinladder")
+def app() -> None:
+    """A proxy for fleets of cache nodes, and the tools around it.
+
+    Without arguments the program is the proxy that GW_CONFIG configures.
+
+    \b
+    Example:
+        lupinladder demo --seconds 15
+    """
+
+
+def main() -> None:
+    """The installed command: with no argument the proxy, as `python -m lupinladder`."""
+    if len(sys.argv) > 1:
+        app(prog_name="lupinladder")
+    else:
+        from lupinladder.__main__ import main as proxy
+
+        sys.exit(proxy())
--- /dev/null
+++ b/lupinladder/lab/node.py
@@ -0,0 +1,185 @@
+"""A cache node's decisions, free of I/O: what it does with a command and when it answers.
+
+PROTOCOL, "Proxies to cache nodes". The socket side (`node_server`) and a virtual network can both drive it.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any
+
+import numpy as np
+
+from lupinladder.lab.machine import Job, Machine
+from lupinladder.lab.scenario import Fleet
+from lupinladder.lab.world import Memory, World
+
+REPEATS_MS = 5000.0  # for which the repeat of a keyed write is dropped
+BUSY, FAILED = b"-BUSY\r\n", b"-ERR failed\r\n"
+
+
+def bulk(data: bytes) -> bytes:
+    return b"$%d\r\n%b\r\n" % (len(data), data)
+
+
+class Ask:
+    """One command at a node, from its last byte to its answer. `answer` is called once, with the bytes and
+    the word for them: hit, miss, pending, busy or failed; not at all once it was dropped."""
+
+    __slots__ = ("answer", "ident", "job", "key", "labels", "proxy", "tag", "work", "write")
+
+    def __init__(
+        self,
+        proxy: int,
+        key: bytes,
+        ident: bytes,
+        labels: dict[bytes, bytes],
+        write: bool,
+        work: float,
+        answer: Callable[[bytes, str], None],
+        tag: Any = None,
+    ) -> None:
+        self.proxy, self.key, self.ident, self.labels = proxy, key, ident, labels
+        self.write, self.work, self.answer, self.tag = write, work, answer, tag
+        self.job: Job | None = None
+
+
+class NodeCore:
+    """`wake` tells when `advance` has to be called next."""
+
+    def __init__(
+        self,
+        now: float,
+        name: str,
+        zone: int,
+        fleet: Fleet,
+        world: World,
+        rng: np.random.Generator,
+        cold: bool,
+    ) -> None:
+        self.name, self.zone, self.fleet, self.started = name, zone, fleet, now if cold else 0.0
+        self.cold, self.up, self.draining = cold, True, False
+        self._world, self._rng = world, rng
+        share = world.keys.pooled * fleet.memory / fleet.nodes
+        self.memory = Memory(max(1, round(share)), fleet.evict == "fifo")
+        self.machine = Machine(
+            now,
+            fleet.cores,
+            float(rng.uniform(*fleet.speed)),
+            fleet.slots,
+            fleet.room,
+            thrash=fleet.thrash,
+            thrash_at=fleet.thrash_at,
+            cold_share=fleet.cold_share if cold else 1.0,
+            cold_ms=fleet.cold_s * 1000 if cold else 0.0,
+            warm_work=fleet.cold_s * 500 * fleet.cores if fleet.warm_by == "requests" else float("inf"),
+        )
+        self._pending: dict[bytes, float] = {}  # key: until when a miss told counts as a fetch under way
+        self._repeats: OrderedDict[bytes, float] = OrderedDict()
+        self._window: list[tuple[float, float, bool]] = []  # of answers lately: when, work, failed
+        self._report, self._reported = b"", -1e18
+
+    def ask(self, now: float, ask: Ask) -> None:
+        """A whole command has come."""
+        if self.draining and not self.up:
+            return
+        job = Job(ask.work * (self.fleet.miss_work if ask.write else 1.0), ask)
+        if not ask.write and not self._has(now, ask.key):
+            job.work *= self.fleet.miss_work
+        ask.job = job
+        if self.draining or not self.machine.offer(now, job):
+            ask.answer(BUSY[:-2] + b" " + self.report(now) + b"\r\n", "busy")
+
+    def _has(self, now: float, key: bytes) -> bool:
+        if self._world.held_before(key, not self.cold):
+            age = self._rng.random() * self._world.ttl()
+            self.memory.put(key, self._world.version(key), now + age)
+        return self.memory.get(key, now) is not None
+
+    def store(self, key: bytes, version: int, until: float) -> None:
+        """The origin's answer to a fetch that a miss here began."""
+        self._pending.pop(key, None)
+        self.memory.put(key, version, until)
+
+    def handshake(self, now: float) -> None:
+        """A connection came up, which is work."""
+        self.machine.offer(now, Job(self.fleet.handshake_ms, None))
+
+    def probe(self, now: float, ask: Ask) -> None:
+        """A probe that is served like a request."""
+        ask.work = self.fleet.probe_ms
+        job = ask.job = Job(ask.work, ask)
+        if not self.machine.offer(now, job):
+            ask.answer(b"-ERR busy\r\n", "busy")
+
+    def drop(self, ask: Ask) -> None:
+        """Its connection has gone."""
+        if ask.job:
+            self.machine.drop(ask.job, self.fleet.cancel == "all")
+
+    def advance(self, now: float) -> None:
+        """Answer whatever is done by now."""
+        for job in self.machine.advance(now):
+            ask = job.owner
+            if isinstance(ask, Ask):
+                self._finish(now, ask)
+
+    def wake(self) -> float:
+        return self.machine.next()
+
+    def _finish(self, now: float, ask: Ask) -> None:
+        if ask.tag == "probe":
+            return ask.answer(b"", "probe")
+        failed = self._rng.random() < self.fleet.error_rate
+        self._window.append((now, ask.job.work if ask.job else 0.0, failed))
+        if failed:
+            return ask.answer(b"-ERR failed " + self.report(now) + b"\r\n", "failed")
+        version = None if ask.write else self.memory.get(ask.key, now)
+        if version is not None:
+            value = self._world.value(ask.key, ask.ident, self.name)
+            return ask.answer(self._array(now, bulk(value), b"hit"), "hit")
+        pending = self._pending.get(ask.key, 0) > now
+        if not ask.write:
+            self._world.missed(ask.ident, self.name)
+            self._pending[ask.key] = now + 500
+            if len(self._pending) > 4096:
+                self._pending = {key: until for key, until in self._pending.items() if until > now}
+        word = "pending" if pending else "miss"
+        ask.answer(self._array(now, b"$-1\r\n", word.encode()), word)
+
+    def _array(self, now: float, value: bytes, note: bytes) -> bytes:
+        return b"*3\r\n" + value + bulk(note) + bulk(self.report(now))
+
+    def report(self, now: float) -> bytes:
+        """The load report, refreshed now and then."""
+        if now - self._reported >= self.fleet.report_ms:
+            self._reported = now
+            self._window = [one for one in self._window if one[0] > now - 1000]
+            count = len(self._window)
+            failures = sum(one[2] for one in self._window)
+            mean = sum(one[1] for one in self._window) / count if count else 0.0
+            took = mean / (self.machine.speed * self.machine.warmth(now))
+            self._report = b"eps=%d,latency_ms=%.2f,qps=%d,inflight=%d" % (
+                failures,
+                took,
+                count,
+                self.machine.held,
+            )
+        return self._report
+
+
+class Repeats:
+    """Keyed writes seen lately: all servers of the group drop a repeat (PROTOCOL, BRIEF)."""
+
+    def __init__(self) -> None:
+        self._seen: OrderedDict[bytes, float] = OrderedDict()
+
+    def fresh(self, token: bytes, now: float) -> bool:
+        """Whether this is the first within the window."""
+        while self._seen and next(iter(self._seen.values())) < now - REPEATS_MS:
+            self._seen.popitem(last=False)
+        if token in self._seen:
+            return False
+        self._seen[token] = now
+        return True
--- /dev/null
+++ b/tests/lab/test_runs.py
@@ -0,0 +1,198 @@
+"""The lab on real sockets: every fault, planted faults of the proxy, and the command line."""
+
+from __future__ import annotations
+
+import json
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+from unittest import TestCase
+
+from click.testing import CliRunner
+
+from lupinladder.cli.app import app
+from lupinladder.lab import report, run, scenario
+from lupinladder.lab.scenario import Fault, Hostile, Load, Scenario
+
+TRIES = 3  # of a run that is void: the machine, not the proxy, was late
+
+
+def short(seconds: float, rate: float, *faults: Fault, **more: Any) -> Scenario:
+    made = Scenario(seconds, [Load(0, rate)], lead_s=0.5, faults=list(faults))
+    for path, value in more.items():
+        part, _, name = path.partition("__")
+        setattr(getattr(made, part) if name else made, name or part, value)
+    made.check()
+    return made
+
+
+def play(made: Scenario) -> dict[str, Any]:
+    for _ in range(TRIES):
+        tree = report.figures(run.play(made))
+        if not tree["void"]:
+            return tree
+    raise AssertionError(tree["void"])
+
+
+CASES: dict[str, Scenario] = {
+    "a deploy at used addresses, a hot key": short(
+        7,
+        60,
+        Fault("deploy", 0, 5, 0.4, 0.2, 3.0, reuse=True),
+        Fault("hot-key", 1, 3, keys=2),
+    ),
+    "shrink and grow": short(
+        6,
+        60,
+        Fault("shrink", 0, 2, 0.3, drain_s=3.5),
+        Fault("grow", 1, part=0.25),
+        Fault("term", 2, 0.1, proxy=2),
+    ),
+    "list late, down, moved": short(
+        7,
+        60,
+        Fault("late-list", 0, 2, size=1),
+        Fault("deploy", 0.2, 4, 0.2, 0.1, 3.5),
+        Fault("list-down", 2.5, 1),
+        Fault("list-move", 5),
+    ),
+    "silent, reset, garbled": short(
+        6,
+        60,
+        Fault("silent", 0.5, 2, 0.1),
+        Fault("reset", 1, part=0.5),
+        Fault("garble", 2, 3, 0.1),
+        clients__unanswered="failed",
+    ),
+    "slow origin, far zone": short(
+        4, 60, Fault("slow-origin", 0.5, 2, size=3), Fault("zone-delay", 1, 2, size=0.03, zone="jelgava")
+    ),
+    "restarts": short(
+        9,
+        60,
+        Fault("kill", 0.5, 0.5, proxy=1),
+        Fault("hup", 2, proxy=0),
+        Fault("rolling-restart", 2.5, 0.1),
+    ),
+    "harmful clients": short(
+        6,
+        60,
+        Fault("connections", 0.5, 3, size=300),
+        hostile=[Hostile(per_s=15)],
+        clients__unanswered="failed",
+        clients__hold=0.05,
+    ),
+}
+
+
+class Faults(TestCase):
+    def test_the_proxy_keeps_the_rules_under_each(self) -> None:
+        for name, made in CASES.items():
+            with self.subTest(name):
+                tree = play(made)
+                self.assertTrue(tree["kept"], tree["broken"])
+                self.assertGreater(tree["outcomes"].get("served", 0), tree["asked"] / 2)
+                self.assertFalse(tree["hostile"]["unpaid"])
+                if made.hostile:
+                    self.assertGreater(sum(tree["hostile"]["owed"].values()), 30)
+
+
+class Planted(TestCase):
+    """A proxy with a fault planted is caught, by the rule it breaks."""
+
+    def caught(self, kind: str, made: Scenario) -> dict[str, int]:
+        made.proxies.command = [sys.executable, "-m", "tests.lab.faulty_proxy", kind]
+        rules: dict[str, int] = play(made)["rules"]
+        return rules
+
+    def test_a_claim_sent_twice(self) -> None:
+        rules = self.caught("double", short(3, 100))
+        self.assertGreater(rules["effect"], 3)
+
+    def test_an_answer_that_is_lost(self) -> None:
+        rules = self.caught("lose", short(3, 100))
+        self.assertGreater(rules["lost"], 3)
+
+    def test_work_sent_to_a_draining_node(self) -> None:
+        made = short(7, 60, Fault("deploy", 0, 1, 0.3, 0.3, 6.5), discovery__notice_s=(0.1, 0.3))
+        self.assertGreater(self.caught("stale", made)["drain"], 3)
+
+    def test_a_cold_node_that_is_flooded(self) -> None:
+        made = short(6, 120, Fault("grow", 0, part=0.1), discovery__notice_s=(0.1, 0.3))
+        self.assertGreater(self.caught("flood", made)["cold"], 0)
+
+
+class CommandLine(TestCase):
+    def invoke(self, *words: str) -> tuple[int, str]:
+        done = CliRunner().invoke(app, words)
+        return done.exit_code, done.output
+
+    def test_every_verb_has_help_with_an_example(self) -> None:
+        for words in (["demo"], ["lab"], *(["lab", v] for v in ("run", "list", "compare", "check", "node"))):
+            code, text = self.invoke(*words, "--help")
+            self.assertEqual((code, "Example:" in text), (0, True), words)
+
+    def test_bad_input_is_one_line_and_exit_2(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            bad = Path(folder) / "bad.toml"
+            bad.write_text("seconds = 5\nload = [{ at = 0, rate = 1 }]\n[fleet]\nnods = 3\n")
+            none = Path(folder) / "none.json"
+            none.write_text("{}")
+            for words, part in [
+                (("lab", "run", str(bad)), "bad.toml:4: fleet: Object contains unknown field `nods`"),
+                (("lab", "run", "nonesuch"), "no such file, nor one of the scenarios that ship"),
+                (("lab", "compare", "x.json", "y.json"), "x.json: no such report"),
+                (("lab", "compare", str(none), str(none)), "not a report of schema 1"),
+                (("demo", "--seconds", "x"), "not a valid float"),
+            ]:
+                code, text = self.invoke(*words)
+                self.assertEqual(code, 2, text)
+                self.assertIn(part, text.replace("\n", " "))
+
+    def test_a_run_leaves_a_report_and_a_picture_and_repeats_can_be_compared(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path, plot = Path(folder) / "r.json", Path(folder) / "r.png"
+            words = ("lab", "run", "calm", "--seconds", "2", "--rate", "50", "--repeat", "2", "--quiet")
+            code, text = self.invoke(*words, "--report", str(path), "--plot", str(plot))
+            self.assertIn(code, (0, 3), text)
+            self.assertTrue((Path(folder) / "r-2.png").read_bytes().startswith(b"\x89PNG"))
+            code, text = self.invoke("lab", "compare", str(path), str(path), "--format", "json")
+            rows = {row["figure"]: row for row in json.loads(text)}
+            self.assertEqual(rows["in time"]["before"], rows["in time"]["after"])
+            self.assertFalse(any(row["clear"] for row in rows.values()))
+
+    def test_the_platforms_start_imports_none_of_it(self) -> None:
+        import subprocess
+
+        code = (
+            "import sys, lupinladder.__main__; print([m for m in sys.modules if 'lab' in m or 'click' in m])"
+        )
+        ran = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+        self.assertEqual(ran.stdout.strip(), "[]")
+
+
+class Reports(TestCase):
+    def test_a_stalled_proxy_is_charged_for_what_would_have_come_meanwhile(self) -> None:
+        """Latency counts from the intended time (no coordinated omission)."""
+        from lupinladder.lab.clients import Result
+
+        results = [Result(n / 100, 0, "served", max(5.0, 500 - n * 10), 1, 0) for n in range(100)]
+        self.assertGreater(report._latency(results)["p90"], 400)
+        self.assertAlmostEqual(report._share(results, scenario.read("calm").classes), 0.8, delta=0.02)
+
+    def test_a_change_is_clear_only_if_the_ranges_of_repeats_do_not_meet(self) -> None:
+        def trees(*shares: float) -> list[dict[str, Any]]:
+            return [{"share": one} for one in shares]
+
+        for before, after, clear in [
+            (trees(0.8, 0.82), trees(0.9, 0.95), True),
+            (trees(0.8, 0.92), trees(0.9, 0.95), False),
+            (trees(0.8), trees(0.95), False),
+        ]:
+            [row] = report.compare(before, after)
+            self.assertEqual(row["clear"], clear)
+
+    def test_the_lab_says_when_it_was_late_itself(self) -> None:
+        for void, kept, code in [("late", False, 3), ("", False, 1), ("", True, 0)]:
+            self.assertEqual(report.exit_code({"void": void, "kept": kept}), code)
--- /dev/null
+++ b/tests/lab/test_scenario.py
@@ -0,0 +1,117 @@
+"""Scenarios: what is wrong is told with its line; the same seed draws the same run."""
+
+from __future__ import annotations
+
+import tomllib
+from typing import Any, get_args, get_type_hints
+from unittest import TestCase
+
+import numpy as np
+
+from lupinladder.lab import scenario, tomlfile
+from lupinladder.lab.draws import Keys, Plan
+from lupinladder.lab.scenario import Scenario
+
+GOOD = "seconds = 5\nload = [{ at = 0, rate = 10 }]\n"
+BAD = [  # text, line, a part of what is said
+    ("seconds = 5\nload = [\n", 2, "not TOML"),
+    ("seconds = 'x'\nload = [{ at = 0, rate = 1 }]\n", 1, "seconds: Expected `float`"),
+    (GOOD + "[fleet]\nnodes = 12\ncolour = 1\n", 5, "unknown field `colour`"),
+    (GOOD + "[fleet]\n\nnodes = 0\n", 5, "fleet.nodes: 0 is out of range, expected 1 to 200"),
+    (
+        GOOD + "[[faults]]\nkind = 'reset'\nat = 1\n[[faults]]\nkind = 'reset'\nat = 9\n",
+        8,
+        "faults[1].at: 9 is",
+    ),
+    (GOOD + "[[faults]]\nat = 1\nkind = 'rest'\n", 5, "Invalid enum value 'rest'"),
+    (GOOD + "[[faults]]\nkind = 'reset'\n", 3, "missing required field `at`"),
+    (
+        GOOD + "faults = [{ kind = 'kill', at = 1 },\n { kind = 'kill', at = 1, proxy = 7 }]\n",
+        4,
+        "there are proxies 0 to 2",
+    ),
+    ("seconds = 5\nload = [\n { at = 0, rate = 1 },\n { at = 0, rate = 2 },\n]\n", 4, "later than the step"),
+    (GOOD + "[fleet]\ncores.x = 1\n", 4, "fleet.cores"),
+    (GOOD + "[[hostile]]\nkinds = ['noise',\n 'nosie']\n", 4, "'nosie' is none of"),
+    ("seconds = 5\nschema = 2\nload = [{ at = 0, rate = 1 }]\n", 2, "reads schema 1"),
+    (
+        GOOD
+        + "[[classes]]\nname='a'\nshare=1\nwork_ms=1\naim_ms=9\ndeadline_ms=9\nwrite = true\nrepeat='safe'\n",
+        10,
+        "never safe",
+    ),
+]
+
+
+class Reading(TestCase):
+    def test_each_fault_is_one_line_with_its_place(self) -> None:
+        for text, line, what in BAD:
+            with self.subTest(what):
+                with self.assertRaises(tomlfile.Bad) as caught:
+                    tomlfile.parse(text.encode(), "x.toml", Scenario)
+                said = str(caught.exception)
+                self.assertTrue(said.startswith(f"x.toml:{line}: "), said)
+                self.assertIn(what, said)
+                self.assertNotIn("\n", said)
+
+    def test_places_are_found_in_every_form_of_toml(self) -> None:
+        text = (
+            '[a."b.c"]\nd.e = [1,\n 2]\n[[t]]\nx = {y = 1, z = [\n{q=3}]}\n[t.sub]\nk = 1\n'
+            '[[t]]\n# remark\n"w\\u0061" = 1\n'
+            "[[t.in]]\nm = 1\n[[t.in]]\nm = 2\n"
+        )
+        places = tomlfile.Places(text.encode())
+        cases: list[tuple[list[tomlfile.Step], int]] = [
+            (["a", "b.c", "d", "e", 1], 3),
+            (["t", 0, "x", "z", 0, "q"], 6),
+            (["t", 0, "sub", "k"], 8),
+            (["t", 1, "wa"], 11),
+            (["t", 1, "in", 1, "m"], 15),
+            (["t", 1, "nonesuch"], 9),
+        ]
+        for path, line in cases:
+            with self.subTest(path=path):
+                self.assertEqual(places.line(path), line)
+        self._every_key_has_a_place(tomllib.loads(text), [], places)
+
+    def _every_key_has_a_place(self, tree: Any, path: list[tomlfile.Step], places: tomlfile.Places) -> None:
+        self.assertIn(tuple(path), places._lines)
+        pairs = tree.items() if isinstance(tree, dict) else enumerate(tree) if isinstance(tree, list) else ()
+        for step, value in pairs:
+            self._every_key_has_a_place(value, [*path, step], places)
+
+    def test_the_scenarios_that_ship_can_be_read_and_cover_every_fault(self) -> None:
+        played = {fault.kind for name in scenario.shipped() for fault in scenario.read(name).faults}
+        known = set(get_args(get_type_hints(scenario.Fault)["kind"]))
+        self.assertEqual(known - played, {"term"})  # which a rolling restart plays
+
+
+class Drawing(TestCase):
+    def plan(self, seed: int, **more: Any) -> tuple[Keys, Plan]:
+        made = scenario.read("demo")
+        made.seed = seed
+        for name, value in more.items():
+            setattr(made, name, value)
+        keys = Keys(seed, made.clients)
+        return keys, Plan(made, keys)
+
+    def test_the_same_seed_draws_the_same_and_another_another(self) -> None:
+        first, again, other = (self.plan(seed)[1].arrivals for seed in (3, 3, 4))
+        self.assertEqual(first, again)
+        self.assertNotEqual(first[:50], other[:50])
+
+    def test_a_hot_key_gets_its_share_and_shifts_no_arrival(self) -> None:
+        _, hot = self.plan(3)
+        _, calm = self.plan(3, faults=[])
+        self.assertEqual([one.at for one in hot.arrivals], [one.at for one in calm.arrivals])
+        fault = scenario.read("demo").faults[0]
+        during = [one.key for one in hot.arrivals if fault.at <= one.at < fault.at + fault.for_s]
+        most = max(during.count(key) for key in set(during))
+        self.assertAlmostEqual(most / len(during), fault.size, delta=0.05)
+
+    def test_rates_and_the_pooled_share_of_hits_are_as_set(self) -> None:
+        keys, plan = self.plan(5)
+        rate = len(plan.arrivals) / (plan.scenario.seconds + plan.scenario.lead_s)
+        self.assertAlmostEqual(rate, 150, delta=12)
+        drawn = keys.draw(np.random.default_rng(1), 20_000, np.zeros(20_000))
+        self.assertAlmostEqual(sum(map(keys.kept, drawn)) / 20_000, 0.9, delta=0.01)
