Governor, first part: let go of resting clients that hardly return before they fill their share

Cause: clients hold at most a third of the descriptors for requests.

Change: lupinladder/govern, free of I/O, estimates from all rests seen lately how likely a connection asks again (a product-limit estimate over spans of rest, by commands asked; a span without evidence is taken to be like the one before it) and how much room newcomers need within a second. Every 100 ms the front closes those least likely to return, as many as are missing, none likelier than 0.35. Resting clients stand in the order of their use, so that an eviction looks at eight and no longer sorts and scans all.

The test on sockets fails without the change.

--- a/lupinladder/net/front.py
+++ b/lupinladder/net/front.py
@@ -4,9 +4,11 @@
 
 import socket
 from collections import deque
+from itertools import islice
 from math import inf
 
 from lupinladder import api
+from lupinladder.govern.clients import SPANS, Returns, Room, choose, span
 from lupinladder.net import resp
 from lupinladder.net.command import MAX_VALUE, Command, Malformed, command
 from lupinladder.net.connection import READ, Address, Budget, Connection
@@ -21,7 +23,8 @@
 # Ms until a client that has never asked, or has begun a command and not ended it, is closed: within 3 s of
 # connecting it must be. The next: after which an idle one may be closed, and is when descriptors run short.
 SILENT, HALF, IDLE = 2300.0, 2400.0, 2000.0
-SWEEP = 200.0  # ms between looks for such clients
+SWEEP = 100.0  # ms between looks for such clients
+SHARE = 3  # clients hold at most one part in so many of the descriptors for requests (LATER, "Score")
 STOP_ACCEPTING = 500.0  # ms after the signal to stop: new connections still come
 
 
@@ -46,6 +49,7 @@
         self.answer = answer
         self._client.over(self)
         self._client.flush()
+        self._client.settle()
 
 
 class Client:
@@ -54,7 +58,8 @@
         self._parser = resp.Parser(MAX_VALUE, 16)
         self._closing = self._reading = self._starved = self._half = False
         self.used = front.loop.now()
-        self.asked = False  # ever sent a whole command
+        self.asked = 0  # whole commands sent
+        self.told = 0  # spans that the rest which lasts now has outlived, as far as told
         self._began = self.used  # when the command that is coming in began
         self.conn = Connection(front.loop, front.budget, sock, self)
 
@@ -67,8 +72,14 @@
     def owed(self) -> bool:
         return bool(self._slots) or len(self.conn.outbox) > 0
 
+    def settle(self) -> None:
+        """Take the place among the resting, the latest last, or none."""
+        self._front.unrest(self)
+        if self.conn.open and self.idle and self in self._front.clients:
+            (self._front.resting if self.asked else self._front.silent)[self] = None
+
     def opened(self) -> None:
-        pass
+        self._make_room(now)
 
     def over(self, slot: Slot) -> None:
         """The query of this slot has its answer, or nobody to hear it."""
@@ -96,6 +107,7 @@
             self._reading = False
         self._half = not self._parser.idle or len(self.conn.inbox) > 0
         self.flush()
+        self.settle()
 
     def _command(self, value: resp.Value) -> None:
         words = value if isinstance(value, list) else None
@@ -103,8 +115,12 @@
             raise resp.FramingError("a command is an array of bulk strings")
         if not words:
             return
-        self.used = self._began = self._front.loop.now()
-        self.asked = True
+        now = self._front.loop.now()
+        if self.asked and not self._slots:
+            self._tell(now)
+            self._front.returns.returned(self.asked, now - self.used)
+        self.used = self._began = now
+        self.asked, self.told = self.asked + 1, 0
         plain = [word for word in words if isinstance(word, bytes)]
         if plain[0].upper() == b"PING" and len(plain) <= 2:
             self._slot().answer = resp.bulk(plain[1]) if len(plain) == 2 else b"+PONG\r\n"
@@ -124,6 +140,13 @@
         slot = self._slot(ident)
         slot.query = self._front.engine.ask(content, lambda number: _request(number, content), slot)
 
+    def _tell(self, now: float) -> None:
+        """How long this rest has lasted."""
+        reached = span(now - self.used)
+        if reached > self.told:
+            self._front.returns.outlived(self.asked, self.told, reached)
+            self.told = reached
+
     def _slot(self, ident: bytes = b"") -> Slot:
         self._slots.append(Slot(self, ident))
         return self._slots[-1]
@@ -138,7 +161,7 @@
             if answer is None or self.conn.outbox.room < len(answer):
                 break
             self._slots.popleft()
-            self.used = self._front.loop.now()
+            self.used, self.told = self._front.loop.now(), 0
             self.conn.send(answer)
         if not self.conn.open:
             return
@@ -156,6 +179,7 @@
 
     def drained(self) -> None:
         self.flush()
+        self.settle()
 
     def ended(self, by_peer: bool) -> None:
         """With answers owed, an end of its bytes may mean that the client only stopped sending, which TCP
@@ -164,7 +188,7 @@
             counters["ends_with_answers_owed" if self._slots else "ends"] += 1
             return self.flush()
         counters["clients_broken"] += bool(self._slots)
-        self._front.clients.pop(self, None)
+        self._front.forget(self)
         slots, self._slots = self._slots, deque()
         for slot in slots:
             self.over(slot)
@@ -174,7 +198,7 @@
 
     def _end(self) -> None:
         if self in self._front.clients:
-            del self._front.clients[self]
+            self._front.forget(self)
             self._front.ends(self.conn)
         self.conn.finish()
         self._front.listen()
@@ -184,6 +208,8 @@
         if self._slots or self._closing or len(self.conn.outbox):
             return
         if self.idle:
+            if self.asked and self.told < SPANS:
+                self._tell(now)
             if now - self.used > (SILENT if not self.asked else IDLE if short else inf):
                 counters["swept"] += 1
                 self.close_if_idle()
@@ -223,6 +249,10 @@
     ) -> None:
         self.loop, self.budget, self.engine, self.classes = loop, budget, engine, classes
         self.clients: dict[Client, None] = {}
+        # Between commands, the longest first: those that have asked, and those that have not yet.
+        self.resting: dict[Client, None] = {}
+        self.silent: dict[Client, None] = {}
+        self.returns, self.room = Returns(), Room(budget.limit // SHARE, loop.now())
         self.ending: list[Connection] = []
         self.closing = False  # connections are ended as soon as they are between commands
         self._mask, self._stopped = 0, False
@@ -241,8 +271,27 @@
         now, short = self.loop.now(), not self.budget.spare(self.budget.limit // 2)
         for client in list(self.clients):
             client.sweep(now, short)
+        self._make_room(now)
         self.loop.at(now + SWEEP, self._sweep)
 
+    def _make_room(self, now: float) -> None:
+        """Clients hold only so many connections for requests. Let go of those that hardly return, before
+        the ones that never do leave no room for whoever would ask next."""
+        short = self.room.short(len(self.clients) - len(self.silent), now)
+        if short:
+            resting = list(self.resting)
+            for n in choose([(one.asked, now - one.used) for one in resting], self.returns, short):
+                counters["let_go"] += resting[n].close_if_idle()
+
+    def unrest(self, client: Client) -> None:
+        self.resting.pop(client, None)
+        self.silent.pop(client, None)
+
+    def forget(self, client: Client) -> None:
+        """It is no longer one of ours."""
+        self.clients.pop(client, None)
+        self.unrest(client)
+
     @property
     def done(self) -> bool:
         """After `stop`: nothing is owed to a client, and all that was written has been taken."""
@@ -260,7 +309,7 @@
         mask = 0
         if self._stopped:
             pass
-        elif self.budget.spare(self.budget.limit // KEEP) or any(client.idle for client in self.clients):
+        elif self.budget.spare(self.budget.limit // KEEP) or self.resting or self.silent:
             mask = READ
         else:  # look again by ourselves: links that close tell nobody here, and no client may be left to end
             self.loop.cancel(self._retry)
@@ -282,14 +331,18 @@
                 say("clients", f"accept: {bad}")
                 break
             counters["clients"] += 1
-            self.clients[Client(self, sock)] = None
+            self.room.came()
+            client = Client(self, sock)
+            self.clients[client] = None
+            client.settle()
         self.listen()
 
     def _evict(self) -> bool:
         """Close the client that has been idle for longest; it may connect again. One that has said nothing
         for a while goes before one that has asked and may ask again any moment."""
         now = self.loop.now()
-        idle = [client for client in self.clients if client.idle]
+        # The longest at rest of each kind, and a few more: one may have written a command just now.
+        idle = [*islice(self.silent, 4), *islice(self.resting, 4)]
         idle.sort(key=lambda c: (now - c.used < (IDLE if c.asked else IDLE / 8), c.used))
         for client in idle:
             if client.close_if_idle():
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -162,6 +162,25 @@
         self.at_node().conn.send(SERVED)
         self.answers(waits, b"$1\r\nV\r\n")
 
+    def test_clients_that_ask_once_and_stay_make_room_and_those_that_return_are_kept(self) -> None:
+        """Incident r0d6542: such connections filled the clients' share, and nobody could open the next."""
+        for _ in range(60):  # what was seen of other clients: the second command comes soon, or never
+            self.front.returns.outlived(1, 0, 6)
+            self.front.returns.returned(2, 30)
+        share = self.SOCKETS // 3
+        keen = self.client(PING)
+        self.answers(keen, b"+PONG\r\n")
+        keen.conn.send(PING)
+        self.answers(keen, b"+PONG\r\n" * 2)
+        waits = self.client(get())
+        once = [self.client(PING) for _ in range(share - 2)]
+        for peer in once:
+            self.answers(peer, b"+PONG\r\n")
+        self.until(lambda: sum(bool(peer.ends) for peer in once) >= share // 4, "room")
+        self.assertEqual((keen.ends, waits.ends), ([], []))
+        self.at_node().conn.send(SERVED)
+        self.answers(waits, b"$1\r\nV\r\n")
+
     def test_a_client_that_sends_on_after_its_error_is_cut_off(self) -> None:
         client = self.client()
         self.until(lambda: self.front.clients, "a client")
