Front: mend a line that a trial left in a callback of accepted connections

A trial that took the governor's call out put it back in one place too many; the callback is never called for accepted connections, so nothing was seen, but the linter refuses it.

--- a/lupinladder/net/front.py
+++ b/lupinladder/net/front.py
@@ -79,7 +79,7 @@
             (self._front.resting if self.asked else self._front.silent)[self] = None
 
     def opened(self) -> None:
-        self._make_room(now)
+        pass
 
     def over(self, slot: Slot) -> None:
         """The query of this slot has its answer, or nobody to hear it."""
