Take the time that bytes may have lain unread off a query's patience

Cause: a query's time counted from the turn that read it. At the end of its core a proxy's turns are long, its clients' time runs meanwhile, and it answered after they had given up, which breaks the rule on answers.

Change: the loop keeps how long the last turn took; over 5 ms, the front takes it off the patience that the module and the guard go by.

The test fails without.

--- a/lupinladder/net/front.py
+++ b/lupinladder/net/front.py
@@ -23,6 +23,7 @@
 # Ms until a client that has never asked, or has begun a command and not ended it, is closed: within 3 s of
 # connecting it must be. The next: after which an idle one may be closed, and is when descriptors run short.
 SILENT, HALF, IDLE = 2300.0, 2400.0, 2000.0
+LAG = 5.0  # ms of a turn from which on what it read late counts
 SWEEP = 100.0  # ms between looks for such clients
 SHARE = 3  # clients hold at most one part in so many of the descriptors for requests (LATER, "Score")
 STOP_ACCEPTING = 500.0  # ms after the signal to stop: new connections still come
@@ -138,7 +139,10 @@
             return
         self._front.open_ids.add(ident)
         slot = self._slot(ident)
-        slot.query = self._front.engine.ask(content, lambda number: _request(number, content), slot)
+        # Its client counts from when it wrote, and the bytes may have lain unread for all of the turn before.
+        lag = self._front.loop.lag
+        lag = lag if lag > LAG else 0.0
+        slot.query = self._front.engine.ask(content, lambda number: _request(number, content, lag), slot)
 
     def _tell(self, now: float) -> None:
         """How long this rest has lasted."""
@@ -229,11 +233,11 @@
         return False
 
 
-def _request(number: int, content: Command) -> api.Request:
+def _request(number: int, content: Command, lag: float) -> api.Request:
     return api.Request(
         number,
         content.kind,
-        content.patience,
+        max(content.patience - lag, 1.0),
         content.key,
         0,
         content.write,
--- a/lupinladder/net/loop.py
+++ b/lupinladder/net/loop.py
@@ -28,6 +28,7 @@
         self._soon: deque[Callable[[], object]] = deque()
         self._number = 0
         self._running = True
+        self.lag = 0.0  # ms that the turn before this one took: bytes read now may have come so much earlier
 
     def now(self) -> float:
         return time.monotonic() * 1000 + self._anchor
@@ -66,6 +67,7 @@
         """Wait for the next thing to do and do all that is due."""
         wait = 0.0 if self._soon else self._due[0][0] - self.now() if self._due else inf
         ready = self._selector.select(None if wait == inf else max(wait, 0.0) / 1000)
+        began = self.now()
         for key, mask in ready:
             # A callback earlier in this turn may have closed this socket, and its number may be in use again.
             if self._selector.get_map().get(key.fd) is key:
@@ -76,6 +78,7 @@
             self._run(self._due.pop(0)[2])
         for _ in range(len(self._soon)):
             self._run(self._soon.popleft())
+        self.lag = self.now() - began
 
     def _run(self, call: Callable[[], object]) -> None:
         try:
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -181,6 +181,18 @@
         self.at_node().conn.send(SERVED)
         self.answers(waits, b"$1\r\nV\r\n")
 
+    def test_what_lay_unread_for_a_long_turn_has_that_much_less_time(self) -> None:
+        client = self.client(PING)
+        self.answers(client, b"+PONG\r\n")
+        for ident, lag, patience in ((b"a", 0.4, 900), (b"b", 300.0, 600), (b"c", 5000.0, 1)):
+            client.conn.send(get(ident))
+            count = len(self.script.events)
+            while len(self.script.events) == count:
+                self.loop.lag = lag
+                self.loop.turn()
+            [request] = [e for e in self.script.events[count:] if isinstance(e, api.Request)]
+            self.assertEqual(request.patience, patience)
+
     def test_a_client_that_sends_on_after_its_error_is_cut_off(self) -> None:
         client = self.client()
         self.until(lambda: self.front.clients, "a client")
