Lab: take out what nothing uses

Need: a last read of the change found a parameter, two groups of constants, two attributes and a condition that nothing reads or that always hold. Change: they go; no behaviour changes.

--- a/lupinladder/lab/node.py
+++ b/lupinladder/lab/node.py
@@ -16,7 +16,6 @@
 from lupinladder.lab.world import Memory, World
 
 REPEATS_MS = 5000.0  # for which the repeat of a keyed write is dropped
-BUSY, FAILED = b"-BUSY\r\n", b"-ERR failed\r\n"
 
 
 def bulk(data: bytes) -> bytes:
@@ -59,7 +58,7 @@
         cold: bool,
     ) -> None:
         self.name, self.zone, self.fleet, self.started = name, zone, fleet, now if cold else 0.0
-        self.cold, self.up, self.draining = cold, True, False
+        self.cold, self.up = cold, True
         self._world, self._rng = world, rng
         share = world.keys.pooled * fleet.memory / fleet.nodes
         self.memory = Memory(max(1, round(share)), fleet.evict == "fifo")
@@ -76,7 +75,6 @@
             warm_work=fleet.cold_s * 500 * fleet.cores if fleet.warm_by == "requests" else float("inf"),
         )
         self._pending: dict[bytes, float] = {}  # key: until when a miss told counts as a fetch under way
-        self._repeats: OrderedDict[bytes, float] = OrderedDict()
         self._window: list[tuple[float, float, bool]] = []  # of answers lately: when, work, failed
         self._report, self._reported = b"", -1e18
 
@@ -87,8 +85,8 @@
         if not ask.write and not self._has(now, ask.key):
             job.work *= self.fleet.miss_work
         ask.job = job
-        if self.draining or not self.machine.offer(now, job):
-            ask.answer(BUSY[:-2] + b" " + self.report(now) + b"\r\n", "busy")
+        if not self.machine.offer(now, job):
+            ask.answer(b"-BUSY " + self.report(now) + b"\r\n", "busy")
 
     def _has(self, now: float, key: bytes) -> bool:
         if self._world.held_before(key, not self.cold):
--- a/lupinladder/lab/origin.py
+++ b/lupinladder/lab/origin.py
@@ -14,8 +14,6 @@
 from lupinladder.lab.scenario import Origin
 from lupinladder.lab.world import World
 
-TURNED_AWAY, FAILED, OK = 503, 500, 200
-
 
 class OriginCore:
     """Answers go to `ask.answer` as (body, word) with the words value, receipt, busy and failed."""
--- a/lupinladder/lab/proxies.py
+++ b/lupinladder/lab/proxies.py
@@ -22,7 +22,7 @@
 READY_S, LINGER_S = 15.0, 0.7
 
 
-def settings(scenario: Scenario, me: int, zone: int, hup: bool = False) -> dict[str, Any]:
+def settings(scenario: Scenario, me: int, zone: int) -> dict[str, Any]:
     """The object that DEPLOY calls `settings`, as WIRE describes it."""
     fleet, origin = scenario.fleet, scenario.origin
     return {
--- a/lupinladder/lab/referee.py
+++ b/lupinladder/lab/referee.py
@@ -252,7 +252,7 @@
     def _effects(self, now: float, first: float, query: Query, attempt: Attempt) -> None:
         kind = self._classes[query.kind]
         risky = [one for one in query.attempts if one.state != "never"]
-        if query.proxy >= 0 and query.over and query.over != "excused" and now > query.ended + SLACK:
+        if query.over and query.over != "excused" and now > query.ended + SLACK:
             self._find(
                 "effect", now, query.proxy, query.ident, f"sent after it was {query.over}", attempt.raw
             )
