--- /dev/null
+++ b/benchmarks/fleet_sums.py
@@ -0,0 +1,61 @@
+"""What a fleet of balancers does in sum, by their number, at the same traffic.
+
+`python -m benchmarks.fleet_sums`: model nodes in virtual time (tests/model_fleet.py), 12 of them at 110
+requests a second, mean of three seeds. One is slow, one vanishes without a word, one starts cold, each in a
+run of its own.
+"""
+
+from __future__ import annotations
+
+from statistics import mean
+
+from tests.model_fleet import ORIGIN, Fleet
+
+RATE, SEEDS = 110, (7, 8, 9)
+
+
+def slow(fleet: Fleet) -> dict[str, float]:
+    node = list(fleet.nodes.values())[5]
+    node.speed = 0.05
+    fleet.run(10_000, RATE)
+    return {
+        "sends a second to a slow server": sum(node.sent[s] for s in range(5, 10)) / 5,
+        "answered in time meanwhile": fleet.served(5, 10),
+    }
+
+
+def vanished(fleet: Fleet) -> dict[str, float]:
+    node = list(fleet.nodes.values())[5]
+    node.reached = False
+    fleet.run(10_000, RATE)
+    return {"connects a second to a server that has vanished": sum(node.sent[s] for s in range(5, 10)) / 5}
+
+
+def cold(fleet: Fleet) -> dict[str, float]:
+    node = fleet.join()
+    fleet.run(14_000, RATE)
+    origin = fleet.nodes[ORIGIN]
+    return {
+        "most sends in a second to a cold server, first 5 s": max(node.sent[s] for s in range(4, 9)),
+        "fetches a second at the origin": sum(origin.sent[s] for s in range(5, 13)) / 8,
+    }
+
+
+def main() -> None:
+    table: dict[str, list[str]] = {}
+    for balancers in (3, 12, 40):
+        for scene in (slow, vanished, cold):
+            runs = list[dict[str, float]]()
+            for seed in SEEDS:
+                fleet = Fleet(balancers, 12, seed)
+                fleet.run(4000, RATE)
+                runs.append(scene(fleet))
+            for name in runs[0]:
+                table.setdefault(name, []).append(f"{mean(run[name] for run in runs):.2f}")
+    print(f"{'balancers':55} {'3':>8} {'12':>8} {'40':>8}")
+    for name, values in table.items():
+        print(f"{name:55} " + " ".join(f"{value:>8}" for value in values))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/model_fleet.py
+++ b/tests/model_fleet.py
@@ -113,6 +113,15 @@
         self.at(self.now + LEG, lambda: job.end(end, load))
         self.serve(node)
 
+    def join(self) -> Node:
+        """A server that starts now, and that all balancers hear of at once."""
+        node = Node(len(self.nodes))
+        self.nodes[node.id] = node
+        for n in range(len(self.balancers)):
+            entry = api.Entry(node.id, launched=self.now)
+            self.feed(n, api.Fleet(api.ListForm.DELTA, len(self.nodes), [entry]))
+        return node
+
     def run(self, until: float, rate: float) -> None:
         """Requests at `rate` a second over the whole fleet, until this time in ms."""
         at = self.now
