Space a proxy's trials of a server that lost all by the number of proxies

Lines at fault: Limiter.sent keeps a limit below one as a mean, by spacing sends, but caps the space at WINDOW_AIMS aims (1.2 s), whatever the number of balancers; the floor of 2 / balancers asks for 12 s at forty. So the cap allows 33 trials a second from all. Change: from ten balancers on (floor under 0.2) the cap grows as the floor falls. Up to ten balancers the arithmetic is the same as before.

The new test fails with MANY at 0.

--- a/lupinladder/rules.py
+++ b/lupinladder/rules.py
@@ -22,6 +22,7 @@
 HEALTH_EMA, HEALTH_OUT, OUT_MOST = 0.2, 0.5, 1 / 3  # of failed attempts; part of the fleet cut at most
 JAMMED = 0.9  # smoothed share turned away that tells of a full queue: some ten in a row
 MEMORY_AIMS = 16  # how long an answered key counts as kept, and a lost fetch as a sign, in aims
+MANY = 0.2  # a floor below this, with over ten balancers, spaces the sends of a sparse limit further apart
 BOLD = 0.8  # of what pushes a cold server over, that it is offered at its slowest warm-up
 RETRY_SHARE = 0.1  # further attempts after failures, as a share of requests
 MASK = (1 << 64) - 1
@@ -56,7 +57,8 @@
     def sent(self, now: float) -> None:
         self.inflight += 1
         if self.max_concurrency < 1:  # sparse: many balancers share a server; kept as a mean, by Little's law
-            self.next_send = now + min(self.latency / self.max_concurrency, WINDOW_AIMS * self.aim)
+            most = WINDOW_AIMS * self.aim * max(1.0, MANY / self.floor)  # else all trials add up to a load
+            self.next_send = now + min(self.latency / self.max_concurrency, most)
 
     def completed(self, latency: float, now: float) -> None:
         self.done_at, self.least = now, min(self.least, latency)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -5,7 +5,7 @@
 from unittest import TestCase, mock
 
 from lupinladder import Balancer, api
-from lupinladder.rules import Server
+from lupinladder.rules import Limiter, Server
 from tests.fleet import Proxy, entries, settings
 from tests.model_fleet import Fleet
 
@@ -26,6 +26,27 @@
     return proxy.seen[number].tries[0][0]
 
 
+class Trials(TestCase):
+    def test_trials_of_a_server_that_lost_all_do_not_add_up_with_the_balancers(self) -> None:
+        def trials(balancers: int) -> int:
+            """By all, in 20 s, with whatever is sent lost after 600 ms."""
+            count = 0
+            for _ in range(balancers):
+                limiter, now = Limiter(0.0, 300.0, min(1.0, 2 / balancers), False), 0.0
+                while now < 20_000:
+                    if limiter.admits(now):
+                        limiter.sent(now)
+                        limiter.inflight -= 1
+                        limiter.lost(now, now + 600)
+                        count += 1
+                    now += 50
+            return count
+
+        few = trials(10)
+        for many in (20, 40):
+            self.assertLess(trials(many), 1.5 * few)
+
+
 class Reports(TestCase):
     def test_a_server_is_passed_over_until_it_has_worked_off_what_it_holds(self) -> None:
         proxy = alone()
