Keep the model fleet with the benchmarks, whose sums it serves, not with the tests

A benchmark imported it from the tests; now the test imports it from the benchmarks. A counter that nothing filled went out. No change to the program; the eight tests of scale and tree pass.

--- a/benchmarks/fleet_sums.py
+++ b/benchmarks/fleet_sums.py
@@ -1,6 +1,6 @@
 """What a fleet of balancers does in sum, by their number, at the same traffic.
 
-`python -m benchmarks.fleet_sums`: model nodes in virtual time (tests/model_fleet.py), 12 of them at 110
+`python -m benchmarks.fleet_sums`: model nodes in virtual time (benchmarks/model_fleet.py), 12 of them at 110
 requests a second, mean of three seeds. One is slow, one vanishes without a word, one starts cold, each in a
 run of its own.
 """
@@ -9,7 +9,7 @@
 
 from statistics import mean
 
-from tests.model_fleet import ORIGIN, Fleet
+from benchmarks.model_fleet import ORIGIN, Fleet
 
 RATE, SEEDS = 110, (7, 8, 9)
 
--- a/tests/model_fleet.py
+++ b/benchmarks/model_fleet.py
@@ -10,9 +10,15 @@
 from typing import Any
 
 from lupinladder import Balancer, api
-from tests.fleet import sid
 
 WORK, LEG, DIAL, AIM = 45.0, 2.0, 120.0, 300.0  # ms: mean work, one way, a connect's time-out, the aim
+
+
+def sid(n: int) -> bytes:
+    """A server's id; ids tell nothing of their order."""
+    return (n * 2654435761 % 2**32).to_bytes(4, "big") + n.to_bytes(2, "big")
+
+
 ORIGIN = sid(0)
 
 
@@ -41,7 +47,6 @@
         self.weights = [1 / (n + 5) for n in range(keys)]
         self.balancers = list[Balancer]()
         self.asked, self.in_time, self.refused = Counter[int](), Counter[int](), Counter[int]()
-        self.told = Counter[int]()  # datagrams sent by second
         self.open: dict[tuple[int, int], tuple[float, list[bytes]]] = {}
         listed = [api.Entry(i, kind=int(i == ORIGIN)) for i in self.nodes]
         for n in range(balancers):
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -4,10 +4,10 @@
 
 from unittest import TestCase, mock
 
+from benchmarks.model_fleet import Fleet
 from lupinladder import Balancer, api
 from lupinladder.rules import Limiter, Server
 from tests.fleet import Proxy, entries, settings
-from tests.model_fleet import Fleet
 
 
 def alone(**more: object) -> Proxy:
