Let one sign of a queue last until the next send where many proxies share a server

A proxy's log: "10.191 figures: clients=18 ended_miss=10 ended_ok=67 ended_timeout=10 ... queries=83 refused=10 served=67": 8 requests a second over 101 nodes, one send to a node in 12 s. Over all proxies: queries=33942 served=26307 ended_timeout=5628 refused=7376.

Ruled out: broken attempts (12 errors, no failed connect), the origin (median 47 ms, 0.6% unanswered), processor time (median 1.2 ms to the first attempt). Requests that ended wrongly waited at one owner until their time was over. Own limits say nothing: a window needs four samples, 48 s here. Lines at fault: Server.reported lets what a server tells of its queue hold for at most WINDOW_AIMS aims (1.2 s), a tenth of the time until this proxy's next send to it, so that each sign was forgotten before it could be used; and Limiter.lost closes a server for 24 s on one sample, or nothing is learned at all from an answer that came late.

Change: a server without a limit of its own, shared by more than ten balancers, is asked last after one sign (out of time, later than the aim, or its report) for the spacing of sends to a sparse server, half to one and a half times; a good answer meanwhile ends that. It is not closed for one lost send. Nothing changes for up to ten balancers.

The new test fails without the change.

--- a/lupinladder/rules.py
+++ b/lupinladder/rules.py
@@ -51,14 +51,19 @@
         self.retest_at, self.measuring, self.done_at = inf, False, now  # done_at: of the last completed
         self.least = inf  # of all latencies: the way there and back, and hardly any work
 
+    @property
+    def spacing(self) -> float:
+        """How far apart sends may be, and how long one sign lasts where they are: with many balancers all
+        trials would else add up to a load, and a sign be forgotten before the next send."""
+        return WINDOW_AIMS * self.aim * max(1.0, MANY / self.floor)
+
     def admits(self, now: float, share: float = 1.0) -> bool:  # rounded to the nearest, not down
         return now >= self.next_send and self.inflight <= max(self.max_concurrency * share - 0.5, 0)
 
     def sent(self, now: float) -> None:
         self.inflight += 1
         if self.max_concurrency < 1:  # sparse: many balancers share a server; kept as a mean, by Little's law
-            most = WINDOW_AIMS * self.aim * max(1.0, MANY / self.floor)  # else all trials add up to a load
-            self.next_send = now + min(self.latency / self.max_concurrency, most)
+            self.next_send = now + min(self.latency / self.max_concurrency, self.spacing)
 
     def completed(self, latency: float, now: float) -> None:
         self.done_at, self.least = now, min(self.least, latency)
@@ -426,6 +431,13 @@
             held, rate = (event.load[n] for n in self.reads)
             server.reported(held, rate / 1000, now, self.aim)
         slow_origin = self.excess > self.aim / 2  # then losses tell of it, not of the server
+        sign = outcome is TIMEOUT or latency > self.aim or server.busy_until > now
+        if sign and not (fetched or slow_origin) and self.sparse(server):
+            # No window will tell in time: one sign has to do, and lasts until the next send would have come.
+            self.random = mix(self.random)  # not all balancers return at once
+            server.busy_until = now + server.limiter.spacing * (0.5 + self.random / MASK)
+            if outcome is TIMEOUT:
+                return self.strained(server, 1)  # asked last, not closed: it is one sample
         if attempt.fetch and event.note:
             self.missing = max(self.missing + (fetched - self.missing) * EMA_ALPHA, 1 / SAMPLES)
         if attempt.fetch and fetched and outcome is OK:
@@ -462,6 +474,10 @@
             server.out_until, server.failed = now + server.out_for, HEALTH_OUT
             self.acts.append(api.Note(f"{server.id.hex()} out for {server.out_for:.0f} ms: attempts fail"))
 
+    def sparse(self, server: Server) -> bool:
+        """Many balancers share it, and this one has met it too seldom for a limit of its own."""
+        return server is not self.origin and self.floor < MANY and server.limiter.max_concurrency == inf
+
     def strained(self, server: Server, sign: float) -> None:
         server.strain += (sign - server.strain) * EMA_ALPHA
         self.strain += (sign - self.strain) * EMA_ALPHA / 10
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -62,6 +62,28 @@
             first = send(proxy, 1, load)
             self.assertEqual(send(proxy, 2), first, load)
 
+    def test_with_many_balancers_one_sign_of_a_queue_lasts_until_the_next_sends(self) -> None:
+        ends = {
+            "out of time": (api.Outcome.TIMEOUT, 1500.0, ()),
+            "late": (api.Outcome.OK, 600.0, ()),
+            "late, with a good report": (api.Outcome.OK, 600.0, (20.0, 1.0)),
+            "its report": (api.Outcome.OK, 20.0, (20.0, 13.0)),
+        }
+        for name, (outcome, latency, load) in ends.items():
+            with self.subTest(name):
+                proxy = alone(balancers=200)
+                proxy.feed(api.Request(1, 0, 1500.0, key=1))
+                first = proxy.seen[1].tries[0][0]
+                proxy.now += latency
+                proxy.feed(api.Ended(1, 0, outcome, latency, True, 1, load))
+                proxy.now += 15_000  # a server is met once in some ten seconds: half of 40 s, at the least
+                self.assertNotEqual(send(proxy, 2), first)
+                proxy.now += 50_000
+                self.assertEqual(send(proxy, 3), first)
+        proxy = alone(balancers=200)
+        first = send(proxy, 1, (20.0, 1.0))
+        self.assertEqual(send(proxy, 2), first)
+
     def test_forty_balancers_serve_more_in_time_by_what_servers_report(self) -> None:
         def served() -> float:
             fleets = [Fleet(40, 12, seed) for seed in (7, 8)]
