Ask all known owners of a slot before refusing where many proxies share them

Line at fault: Balancer.place asks as many owners as a slot has parts and one more, and refuses if these two do not admit a send. In a release three in ten pairs of first owners are both cold, and a cold owner admits one send of each proxy in many seconds: its refusal says that it is not this proxy's turn, not that the fleet is full.

Change: where many balancers share the servers (over ten), the eight known owners are asked. Up to ten nothing changes.

The new test fails without the change.

--- a/lupinladder/rules.py
+++ b/lupinladder/rules.py
@@ -369,7 +369,8 @@
         behind = now - origin.lost_at < MEMORY_AIMS * self.aim or origin.latency > 1.25 * origin.min_latency
         if fetch and not self.fetches.admits(now, 1.0 if behind else 1 / self.missing):
             order = []  # the origin is behind: known keys go on, but a fetch would only join its queue
-        tried, left = [a.server for a in life.attempts], parts + 1
+        # One refused for want of own sends says nothing of the next, so with many balancers all are asked.
+        tried, left = [a.server for a in life.attempts], parts + 1 if self.floor >= MANY else OWNERS
         for server in [s for s in order if s not in tried]:
             if self.sent(life, server, now, 0.7 if life.over_share else 1.0):
                 life.attempts[-1].fetch = fetch
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -6,7 +6,7 @@
 
 from benchmarks.model_fleet import Fleet
 from lupinladder import Balancer, api
-from lupinladder.rules import Limiter, Server
+from lupinladder.rules import SLOTS, Limiter, Server, mix
 from tests.fleet import Proxy, entries, settings
 
 
@@ -62,6 +62,17 @@
         self.assertLess(offered, 3 * 0.22 * warm)
 
 
+class Spill(TestCase):
+    def test_with_many_balancers_all_owners_are_asked_before_a_refusal(self) -> None:
+        for balancers, sent in ((200, 1), (4, 0)):
+            proxy = alone(balancers=balancers)
+            owners = [server for server, _ in proxy.balancer.slots.owners(mix(1) % SLOTS)]
+            for server in owners[:3]:  # a retest's drain, or the pace of a limit below one
+                server.limiter.next_send = proxy.now + 1000
+            proxy.feed(api.Request(1, 0, 1500.0, key=1))
+            self.assertEqual([to for to, _ in proxy.seen[1].tries], [owners[3].id][:sent])
+
+
 class Reports(TestCase):
     def test_a_server_is_passed_over_until_it_has_worked_off_what_it_holds(self) -> None:
         proxy = alone()
