Take an attempt that had less than the aim left for no sign of a queue: it closes no origin

Ruled out: the origin's own limit (hardly any refusal without that wait). Line at fault: Balancer.judge takes each TIMEOUT for a lost attempt. A fetch begins when its miss has come, after a long wait perhaps 50 ms before the client gives up, and then ends out of time whatever the origin does; Limiter.lost puts the origin to its floor, and with 200 balancers that is one send in 24 s, with no next owner for misses or writes.

Change: an attempt that ends out of time counts as lost only if it was out for the aim. This holds for any number of balancers.

The new test fails without the change.

--- a/lupinladder/rules.py
+++ b/lupinladder/rules.py
@@ -453,7 +453,8 @@
         server.turned += ((outcome is FULL) - server.turned) * HEALTH_EMA
         if outcome is TIMEOUT or outcome is FULL:
             # One turned away among many served is no queue: to drain for it would close a sparse server.
-            lost = not slow_origin and (outcome is TIMEOUT or server.jammed())
+            # Nor one that began with less than the aim left, as a fetch does after a long wait for the miss.
+            lost = not slow_origin and (server.jammed() if outcome is FULL else latency >= self.aim)
             return server.limiter.lost(now - latency, now) if lost else None
         if fetched:
             more = latency - self.hit if outcome is OK else max(latency - self.hit, self.excess)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -73,6 +73,22 @@
             self.assertEqual([to for to, _ in proxy.seen[1].tries], [owners[3].id][:sent])
 
 
+class Fetches(TestCase):
+    def test_a_fetch_that_had_hardly_any_time_left_closes_no_origin(self) -> None:
+        for left, closed in ((50.0, False), (1400.0, True)):
+            proxy = alone(balancers=200, aside=True, origin_kind=1)
+            origin = api.Entry(b"origin", kind=1)
+            proxy.feed(api.Fleet(api.ListForm.DELTA, 2, [origin]))
+            proxy.feed(api.Request(1, 0, 1500.0, key=1))
+            proxy.now += 1500 - left
+            proxy.feed(api.Ended(1, 0, api.Outcome.MISS, 1500 - left, note=2))
+            proxy.now += left
+            proxy.feed(api.Ended(1, 1, api.Outcome.TIMEOUT, left))
+            proxy.now += 10
+            proxy.feed(api.Request(2, 0, 1500.0, key=2, write=True))
+            self.assertEqual([to for to, _ in proxy.seen[2].tries], [] if closed else [b"origin"], left)
+
+
 class Reports(TestCase):
     def test_a_server_is_passed_over_until_it_has_worked_off_what_it_holds(self) -> None:
         proxy = alone()
