--- a/lupinladder/rules.py
+++ b/lupinladder/rules.py
@@ -256,10 +256,15 @@
             self.finished(self.live[event.id])
         return self.acts
 
+    def draw(self) -> float:
+        """A random number from 0 to 1 of this balancer's own."""
+        self.random = mix(self.random)
+        return self.random / MASK
+
     def later(self, delay: float, life: Life | None) -> None:
-        self.token, self.random = (self.token + 1) & 0xFFFFFFFF, mix(self.random)
+        self.token = (self.token + 1) & 0xFFFFFFFF
         self.timers[self.token] = life
-        delay *= 0.5 + self.random / MASK if life is None else 1  # no two balancers ask for the list at once
+        delay *= 0.5 + self.draw() if life is None else 1  # no two balancers ask for the list at once
         self.acts.append(api.Schedule(max(delay, 0.0), self.token))
 
     def timer(self, token: int, now: float) -> None:
@@ -301,8 +306,7 @@
             aim = self.aim * (5 / 6 if self.settings.aside else 1)  # a miss takes two hops within one
             server = Server(entry, Limiter(now, aim, self.floor, cold), now, cold)
             if cold and self.floor < MANY:  # one send in many seconds: from zero on all would wait at first
-                self.random = mix(self.random)
-                server.credit = self.random / MASK
+                server.credit = self.draw()
             self.members[entry.server], self.origin = server, server if origin else self.origin
         weight = 1.0 if self.settings.live_weights or not 0 < entry.weight < inf else entry.weight
         changed = changed or server.ready is not ready or server.weight != weight
@@ -438,8 +442,7 @@
         sign = outcome is TIMEOUT or latency > self.aim or server.busy_until > now
         if sign and not (fetched or slow_origin) and self.sparse(server):
             # No window will tell in time: one sign has to do, and lasts until the next send would have come.
-            self.random = mix(self.random)  # not all balancers return at once
-            server.busy_until = now + server.limiter.spacing * (0.5 + self.random / MASK)
+            server.busy_until = now + server.limiter.spacing * (0.5 + self.draw())  # not all return at once
             if outcome is TIMEOUT:
                 return self.strained(server, 1)  # asked last, not closed: it is one sample
         if attempt.fetch and event.note:
