Count each query for its own tenant, by its label t, and read the expected work from h

So all traffic counted against the first customer's share (29%), Life.over_share held for nearly all of it, and place() asks one owner alone for such a request, at 0.7 of its limit. Checked: wire.settings hands over eight quotas. Change: Command.tenant from t and the settings' names; where these name tenants, a query of none of them gets an error line and nothing is sent. h in microseconds. Tests: both fail with the literal 0 put back.

--- a/lupinladder/__main__.py
+++ b/lupinladder/__main__.py
@@ -41,7 +41,7 @@
             self.loop, conf.settings, conf.seed, self._group.route, self._group.follow, conf.max_open
         )
         self.engine.start(self._group.cached(conf.known))
-        self.front = Front(self.loop, self._budget, self.engine, conf.listen, conf.classes)
+        self.front = Front(self.loop, self._budget, self.engine, conf.listen, conf.classes, conf.tenants)
         self._figures()
 
     def _link(self, entry: api.Entry, address: Address) -> Link:
--- a/lupinladder/net/command.py
+++ b/lupinladder/net/command.py
@@ -39,6 +39,7 @@
     words: list[bytes]
     labels: dict[bytes, bytes]
     kind: int
+    tenant: int
     patience: float
     write: bool
     again: bool
@@ -85,8 +86,9 @@
     return value
 
 
-def command(words: Sequence[bytes], classes: Sequence[str]) -> Command:
-    """Read a query. Malformed for anything that is not exactly one."""
+def command(words: Sequence[bytes], classes: Sequence[str], tenants: Sequence[str] = ()) -> Command:
+    """Read a query. Malformed for anything that is not exactly one. Where the settings name tenants,
+    each query is one tenant's (label `t`); elsewhere the label is passed on unread."""
     name = words[0].upper()
     write = name == b"OBJ.SET"
     if name not in (b"OBJ.GET", b"OBJ.SET"):
@@ -103,13 +105,24 @@
         raise Malformed("a label is given twice")
     if labels.get(b"c", b"").decode() not in classes:
         raise Malformed("class is unknown")
+    tenant = labels.get(b"t", b"").decode()
+    if tenants and tenant not in tenants:
+        raise Malformed("tenant is unknown")
     patience = _figure(labels, b"d")
     if patience <= 0:
         raise Malformed("d is missing")
     kind = classes.index(labels[b"c"].decode())
     again = labels.get(b"r") == b"1"
     return Command(
-        list(words), labels, kind, patience, write, again, _figure(labels, b"hint"), _figure(labels, b"size")
+        list(words),
+        labels,
+        kind,
+        tenants.index(tenant) if tenants else 0,
+        patience,
+        write,
+        again,
+        _figure(labels, b"h") / 1000,  # told in microseconds
+        _figure(labels, b"size"),
     )
 
 
--- a/lupinladder/net/config.py
+++ b/lupinladder/net/config.py
@@ -29,6 +29,7 @@
     seed: int
     settings: api.Settings
     classes: list[str]
+    tenants: list[str]
     listing: Listing
     origin_kind: int
     idle_ms: float
@@ -69,6 +70,7 @@
         seed=int(wire.read(tree, "seed", str), 16),
         settings=settings,
         classes=[wire.read(one, "name", str) for one in told["classes"]],
+        tenants=[wire.read(one, "name", str) for one in wire.read(told, "tenants", list, [])],
         listing=listing,
         origin_kind=settings.origin_kind,
         idle_ms=wire.read(told, "ceilings.conn-idle-ms", float),
--- a/lupinladder/net/front.py
+++ b/lupinladder/net/front.py
@@ -127,7 +127,7 @@
             self._slot().answer = resp.bulk(plain[1]) if len(plain) == 2 else b"+PONG\r\n"
             return
         try:
-            content = command(plain, self._front.classes)
+            content = command(plain, self._front.classes, self._front.tenants)
         except Malformed as bad:
             counters["malformed"] += 1
             self._say(str(bad))
@@ -239,7 +239,7 @@
         content.kind,
         max(content.patience - lag, 1.0),
         content.key,
-        0,
+        content.tenant,
         content.write,
         content.again,
         content.work,
@@ -249,9 +249,16 @@
 
 class Front:
     def __init__(
-        self, loop: Loop, budget: Budget, engine: Engine, address: Address, classes: list[str]
+        self,
+        loop: Loop,
+        budget: Budget,
+        engine: Engine,
+        address: Address,
+        classes: list[str],
+        tenants: list[str],
     ) -> None:
-        self.loop, self.budget, self.engine, self.classes = loop, budget, engine, classes
+        self.loop, self.budget, self.engine = loop, budget, engine
+        self.classes, self.tenants = classes, tenants
         self.clients: dict[Client, None] = {}
         # Between commands, the longest first: those that have asked, and those that have not yet.
         self.resting: dict[Client, None] = {}
--- a/tests/net_scene.py
+++ b/tests/net_scene.py
@@ -4,7 +4,7 @@
 
 import socket
 from collections.abc import Callable
-from typing import Any
+from typing import Any, ClassVar
 from unittest import TestCase, mock
 
 from lupinladder import api
@@ -131,6 +131,7 @@
     """A front, an engine with a scripted module, one cache node and the origin, all on one loop."""
 
     IDLE_MS, STREAMS, SOCKETS, MAX_OPEN = 10_000.0, 1, 100, 50
+    TENANTS: ClassVar[list[str]] = []
 
     def setUp(self) -> None:
         quiet = mock.patch("builtins.print")
@@ -147,7 +148,7 @@
         settings = api.Settings([api.RequestClass(500, 1500)], max_attempts=2, max_retry_after=400.0)
         with mock.patch.object(engine_module, "Balancer", lambda *_: self.script):
             self.engine = Engine(self.loop, settings, 1, self.links.get, lambda: None, self.MAX_OPEN)
-        self.front = Front(self.loop, self.budget, self.engine, ("127.0.0.1", 0), ["read"])
+        self.front = Front(self.loop, self.budget, self.engine, ("127.0.0.1", 0), ["read"], self.TENANTS)
         self.address: Address = self.front._sock.getsockname()
         self.addCleanup(self.front._sock.close)
         self.script.react = once_to()
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -127,6 +127,17 @@
         ):
             self.assertIn(part, sent)
 
+    def test_the_tenant_and_the_expected_work_by_their_labels(self) -> None:
+        words = [*self.GET[:3], b"c=read,t=b,d=480,h=96500"]
+        read = command(words, CLASSES, ["a", "b"])
+        self.assertEqual((read.tenant, read.work), (1, 96.5))  # told in microseconds
+        self.assertEqual(
+            command(words, CLASSES).tenant, 0
+        )  # where the settings name none it is passed on unread
+        for labels in (b"c=read,d=480", b"c=read,t=c,d=480", b"c=read,t=,d=480", b"c=read,t=b,d=480,h=x"):
+            with self.subTest(labels=labels), self.assertRaises(Malformed):
+                command([*self.GET[:3], labels], CLASSES, ["a", "b"])
+
     def test_malformed(self) -> None:
         key, ident = self.GET[1:3]
         for words in (
@@ -303,7 +314,7 @@
     told = json.loads(json.dumps(SETTINGS))
     told["ceilings"] |= {"conn-idle-ms": 9000.0, "connect-timeout-ms": 120.0, "max-open": 20000}
     told["classes"][0]["name"] = "read"
-    told |= {"zones": ["a", "b"], "kinds": ["m2", "origin"]}
+    told |= {"zones": ["a", "b"], "kinds": ["m2", "origin"], "tenants": []}
     told["family-info"] = {"mode": "aside", "origin-kind": 1}
     return {
         "name": "n0",
@@ -318,9 +329,12 @@
 
 class Configuration(unittest.TestCase):
     def test_a_good_one(self) -> None:
-        conf = config.parse(json.dumps(configuration()))
+        tree = configuration()
+        tree["settings"]["tenants"] = SETTINGS["tenants"]
+        conf = config.parse(json.dumps(tree))
         self.assertEqual(
-            (conf.listen, conf.classes, conf.seed), (("127.0.0.1", 7001), ["read"], 0x8C1F30D27A5BE964)
+            (conf.listen, conf.classes, conf.tenants, conf.seed),
+            (("127.0.0.1", 7001), ["read"], ["a"], 0x8C1F30D27A5BE964),
         )
         self.assertLess(conf.sockets, 1024)
         self.assertLess(conf.max_open * 2 * (64 << 10), 192 << 20)  # what all open queries may hold
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -13,7 +13,7 @@
 import weakref
 from pathlib import Path
 from string import ascii_letters
-from typing import Any
+from typing import Any, ClassVar
 from unittest import mock
 
 from lupinladder import api
@@ -210,6 +210,20 @@
         self.assertLess(len(mine.conn.inbox), 1 << 17)
 
 
+class Tenants(Scene):
+    TENANTS: ClassVar[list[str]] = ["a", "b"]
+
+    def test_each_query_counts_for_its_own_tenant_and_one_nobody_declared_is_an_error(self) -> None:
+        client = self.client(
+            b"".join(
+                get(b"x").replace(b"$12\r\n", b"$16\r\n").replace(b"c=", b"t=%b,c=" % t) for t in (b"z", b"b")
+            )
+        )
+        self.at_node()
+        self.assertEqual([e.tenant for e in self.script.events if isinstance(e, api.Request)], [1])
+        self.answers(client, b"-ERR tenant is unknown\r\n")
+
+
 class DidItRun(Scene):
     def outcome(self, asked: Asked) -> str:
         self.until(lambda: asked.told, "an end")
