Serve on after SIGTERM where no other proxy can, as long as an answer in time can be given

Front._close ended the listener and every resting client 0.5 s after SIGTERM. The next process starts no sooner for that: it comes when the platform would have killed this one (PROTOCOL: longest deadline, counted as 3 s where longer, plus 0.7 s), so the only proxy was away for 3.6 s of which it could have served two and a half. Ruled out: the start of the next one (0.2 s), the release of servers just before (99.5% in time). Change: govern/leaving.py, free of I/O, plans a stop: a sole proxy (settings: one balancer) takes over its open connections whatever can still be answered 0.2 s before the kill, by class (its aim, or what its client will wait, must be left), and cuts its time to that; the rest is told at once, with the time until somebody is back. One of several lets its clients go to the others, as before. While stopping no resting client is let go for newcomers, who do not come. With no client left it ends at once. Tests: the plan's table; on sockets a query after the listener has gone is served, one too late is told -BUSY with the time. Both fail with the plan taken out.

--- /dev/null
+++ b/lupinladder/govern/leaving.py
@@ -0,0 +1,44 @@
+"""What a proxy that was told to stop still takes, and for how long.
+
+The platform ends a stopped process no sooner than a stated time after its signal, and starts the next one
+only then, however early this one goes. Where other proxies serve the same clients, these are best let go to
+them at once. The only proxy has nobody to let them go to: whatever it does not take until then is lost to
+everyone. So it serves on over the connections that it has, as long as an answer in time can still be given,
+and tells the rest when somebody will be back. All times in milliseconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from lupinladder import api
+
+ACCEPT = 500.0  # after the signal new connections still come
+# From the signal to the kill, at the least: the longest deadline, or this if that is less, and the slack
+# (PROTOCOL, "Figures"). What was taken later than the slack after the signal must be answered by then.
+LONGEST, SLACK = 3000.0, 700.0
+MARGIN = 200.0  # before it, by which all is answered: the last answers have to be made, written and read
+
+
+class Leaving:
+    """The plan of one stop, made at the signal."""
+
+    def __init__(self, classes: Sequence[api.RequestClass], balancers: int, now: float) -> None:
+        self._aims = [min(one.aim, one.deadline) for one in classes]
+        self.killed = now + min(max(one.deadline for one in classes), LONGEST) + SLACK
+        self.accepts = now + ACCEPT  # until then new connections are accepted
+        # When all is answered, or None: what is taken has its whole time.
+        self.end = self.killed - MARGIN if balancers == 1 else None
+        # From when on connections are ended as soon as nothing is owed on them.
+        self.closes = max(self.accepts, self.end - min(self._aims)) if self.end else self.accepts
+
+    def patience(self, kind: int, patience: float, now: float) -> float:
+        """How long a query of this class that comes now may take; 0: it is not taken any more."""
+        if self.end is None:
+            return patience
+        left = self.end - now
+        return min(patience, left) if left >= min(self._aims[kind], patience) else 0.0
+
+    def back(self, now: float) -> float:
+        """In how many ms somebody will be back, at the earliest."""
+        return max(self.killed - now, 0.0)
--- a/lupinladder/net/engine.py
+++ b/lupinladder/net/engine.py
@@ -12,6 +12,7 @@
 from typing import Any, Protocol
 
 from lupinladder import Balancer, api
+from lupinladder.govern.leaving import Leaving
 from lupinladder.net.log import counters, say
 from lupinladder.net.loop import Deadline, Loop
 
@@ -88,6 +89,10 @@
             self._carry_out(action)
         self.feed(cached)
 
+    def leaving(self) -> Leaving:
+        """How to stop, beginning now."""
+        return Leaving(self._settings.classes, self._settings.balancers, self._loop.now())
+
     @property
     def idle(self) -> bool:
         """No query waits for its answer."""
--- a/lupinladder/net/front.py
+++ b/lupinladder/net/front.py
@@ -9,6 +9,7 @@
 
 from lupinladder import api
 from lupinladder.govern.clients import SPANS, Returns, Room, choose, span
+from lupinladder.govern.leaving import Leaving
 from lupinladder.net import resp
 from lupinladder.net.command import MAX_VALUE, Command, Malformed, command
 from lupinladder.net.connection import READ, Address, Budget, Connection
@@ -26,7 +27,6 @@
 LAG = 5.0  # ms of a turn from which on what it read late counts
 SWEEP = 100.0  # ms between looks for such clients
 SHARE = 3  # clients hold at most one part in so many of the descriptors for requests (LATER, "Score")
-STOP_ACCEPTING = 500.0  # ms after the signal to stop: new connections still come
 
 
 class Slot:
@@ -139,6 +139,11 @@
             return
         self._front.open_ids.add(ident)
         slot = self._slot(ident)
+        leaving = self._front.leaving
+        if leaving and not (allowed := leaving.patience(content.kind, content.patience, now)):
+            counters["too_late_to_take"] += 1
+            return slot.refused(leaving.back(now))
+        content.patience = allowed if leaving else content.patience
         # Its client counts from when it wrote, and the bytes may have lain unread for all of the turn before.
         lag = self._front.loop.lag
         lag = lag if lag > LAG else 0.0
@@ -265,6 +270,7 @@
         self.silent: dict[Client, None] = {}
         self.returns, self.room = Returns(), Room(budget.limit // SHARE, loop.now())
         self.ending: list[Connection] = []
+        self.leaving: Leaving | None = None  # since the signal to stop
         self.closing = False  # connections are ended as soon as they are between commands
         self._mask, self._stopped = 0, False
         self.open_ids = set[bytes]()  # of queries that wait for their answer
@@ -279,7 +285,7 @@
         self._sweep()
 
     def _sweep(self) -> None:
-        now, short = self.loop.now(), not self.budget.spare(self.budget.limit // 2)
+        now, short = self.loop.now(), not (self.leaving or self.budget.spare(self.budget.limit // 2))
         for client in list(self.clients):
             client.sweep(now, short)
         self._make_room(now)
@@ -289,7 +295,7 @@
         """Clients hold only so many connections for requests. Let go of those that hardly return, before
         the ones that never do leave no room for whoever would ask next."""
         short = self.room.short(len(self.clients) - len(self.silent), now)
-        if short:
+        if short and not self.leaving:  # else nobody new comes
             resting = list(self.resting)
             for n in choose([(one.asked, now - one.used) for one in resting], self.returns, short):
                 counters["let_go"] += resting[n].close_if_idle()
@@ -307,7 +313,8 @@
     def done(self) -> bool:
         """After `stop`: nothing is owed to a client, and all that was written has been taken."""
         self.ending = [conn for conn in self.ending if conn.open]
-        return self.closing and not self.ending and not any(client.owed for client in self.clients)
+        over = self.closing or (self._stopped and not self.clients)
+        return over and not self.ending and not any(client.owed for client in self.clients)
 
     def ends(self, conn: Connection) -> None:
         """Keep a connection until its last bytes are taken. Those that are closed since go: this list lives
@@ -363,13 +370,18 @@
 
     def stop(self) -> None:
         """Accept a little longer, answer what was taken, close connections between commands."""
-        self.loop.at(self.loop.now() + STOP_ACCEPTING, self._close)
+        self.leaving = self.engine.leaving()
+        self.loop.at(self.leaving.accepts, self._shut)
+        self.loop.at(self.leaving.closes, self._close)
 
-    def _close(self) -> None:
+    def _shut(self) -> None:
         self._ready(READ)  # whoever the system has accepted so far
-        self._stopped = self.closing = True
+        self._stopped = True
         self.listen()
         self._sock.close()
         self.budget.used -= 1
+
+    def _close(self) -> None:
+        self.closing = True
         for client in list(self.clients):
             client.close_if_idle()
--- a/tests/test_govern.py
+++ b/tests/test_govern.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from typing import ClassVar
 from unittest import TestCase
 
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lupinladder import api
 from lupinladder.govern.clients import EDGES, SPANS, WORTH, Returns, Room, choose, span
+from lupinladder.govern.leaving import Leaving
 
 RESTS = st.lists(st.tuples(st.integers(1, 9), st.floats(0, 5000)), max_size=60)
 
@@ -95,3 +98,30 @@
         returns = taught(1, 200, 0.0, 0)
         last = EDGES[-1]
         self.assertEqual(choose([(1, last + 5), (1, last + 90), (1, last + 50)], returns, 2), [1, 2])
+
+
+class Stops(TestCase):
+    CLASSES: ClassVar[list[api.RequestClass]] = [api.RequestClass(300, 600), api.RequestClass(2500, 5000)]
+
+    def test_the_only_proxy_takes_what_can_still_be_answered_before_the_kill(self) -> None:
+        plan = Leaving(self.CLASSES, 1, 1000.0)
+        self.assertEqual((plan.accepts, plan.killed, plan.end, plan.closes), (1500, 4700, 4500, 4200))
+        for now, kind, patience, allowed in (
+            (1000, 0, 600, 600),
+            (1000, 1, 5000, 3500),  # cut to what is left
+            (2000, 1, 5000, 2500),
+            (2001, 1, 5000, 0),  # its aim is not left
+            (2001, 1, 400, 400),  # its client waits for less than that
+            (4200, 0, 600, 300),
+            (4201, 0, 600, 0),
+        ):
+            self.assertEqual(plan.patience(kind, patience, now), allowed, (now, kind, patience))
+        self.assertEqual((plan.back(4200), plan.back(5000)), (500, 0))
+
+    def test_one_of_several_lets_its_clients_go_and_takes_whole_what_still_comes(self) -> None:
+        plan = Leaving(self.CLASSES, 3, 1000.0)
+        self.assertEqual((plan.closes, plan.end), (1500, None))
+        self.assertEqual(plan.patience(1, 5000, 1499), 5000)
+
+    def test_deadlines_shorter_than_the_bound_are_killed_sooner(self) -> None:
+        self.assertEqual(Leaving([api.RequestClass(500, 1500)], 1, 0.0).killed, 2200)
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -17,6 +17,7 @@
 from unittest import mock
 
 from lupinladder import api
+from lupinladder.govern.leaving import Leaving
 from lupinladder.net import connection, front, host_group
 from lupinladder.net.connection import Connection
 from lupinladder.net.host_group import HostGroup
@@ -113,6 +114,27 @@
         client.conn.close()
         self.until(lambda: self.front.done, "nothing owed")
 
+    def test_the_only_proxy_serves_on_after_its_signal_and_says_at_last_when_somebody_is_back(self) -> None:
+        client = self.client(PING)
+        self.answers(client, b"+PONG\r\n")
+        self.front.stop()
+        self.front._shut()  # nobody new comes; who is here stays
+        client.conn.send(get())
+        node = self.at_node()
+        node.conn.send(SERVED)
+        self.answers(client, b"+PONG\r\n$1\r\nV\r\n")
+        self.assertFalse(self.front.done)
+        # Deadline 1500 ms, aim 500: by 2 s all is answered, at 2.2 s it may be killed.
+        self.front.leaving = Leaving([api.RequestClass(500, 1500)], 1, self.loop.now() - 1700)
+        client.conn.send(get(b"b"))
+        self.until(lambda: b"-BUSY " in client.got, "a refusal")
+        self.assertIn(int(client.got.rsplit(b" ", 1)[1]), range(300, 501))
+        self.assertEqual(len([e for e in self.script.events if isinstance(e, api.Request)]), 1)
+        self.front._close()
+        self.until(lambda: client.ends, "the end")
+        client.conn.close()
+        self.until(lambda: self.front.done, "nothing owed")
+
     def test_a_slow_reader_is_not_read_from_and_loses_nothing(self) -> None:
         value = b"$65536\r\n" + b"x" * 65536 + b"\r\n"
         self.script.react = lambda event: []
