Try the origin again by what it carried, half as often after each lost trial

Ruled out: the cache nodes (out of time 0.2%, full 0). A floor of 1 for the origin alone (the issue's probe) is no mend: each of 200 proxies would have a fetch out at one that really is behind. Change: the origin's limiter keeps the mean time between its own sends while open (gap); a trial comes after that time, doubled by each trial lost in a row (losses out together count once). All balancers' trials add up to half of what the origin carried before, halved again each time, however uneven they are. Nothing changes for servers with other owners (gap stays unset). Test: 1, 3 and 200 balancers with fetches 40 to 4000 ms apart; a cut of 6 s.

--- a/lupinladder/rules.py
+++ b/lupinladder/rules.py
@@ -50,6 +50,8 @@
         self.next_send = now  # sends wait for this: a drain, or the pace of a limit below one
         self.retest_at, self.measuring, self.done_at = inf, False, now  # done_at: of the last completed
         self.least = inf  # of all latencies: the way there and back, and hardly any work
+        # The mean time between own sends, where nobody else could be asked instead, and trials lost in a row.
+        self.gap, self.sent_at, self.losses = inf, now, 0
 
     @property
     def spacing(self) -> float:
@@ -63,10 +65,16 @@
     def sent(self, now: float) -> None:
         self.inflight += 1
         if self.max_concurrency < 1:  # sparse: many balancers share a server; kept as a mean, by Little's law
-            self.next_send = now + min(self.latency / self.max_concurrency, self.spacing)
+            # Where all depends on it a trial comes by what it carried: all balancers' together are half of that
+            # load, however unevenly they ask, and half again after each trial that is lost.
+            wait = min(self.latency / self.max_concurrency, self.spacing, self.gap * 2.0**self.losses)
+            self.next_send = now + wait
+        elif self.gap < inf:
+            self.gap += (min(now - self.sent_at, self.spacing) - self.gap) * EMA_ALPHA
+        self.sent_at = now
 
     def completed(self, latency: float, now: float) -> None:
-        self.done_at, self.least = now, min(self.least, latency)
+        self.done_at, self.least, self.losses = now, min(self.least, latency), 0
         if self.measuring and now - latency < self.start:
             return  # sent before the drain: it has queued, and would make min_latency creep
         self.count, self.total = self.count + 1, self.total + latency
@@ -80,6 +88,7 @@
         retest does, and resume at the floor. Else dead work fills the queue, and no window would tell."""
         if self.done_at <= sent:
             self.max_concurrency, self.measuring = min(self.max_concurrency, self.floor), False
+            self.losses += sent > self.lost_at  # what was out together counts as one
             self.lost_at, self.latency = now, max(self.latency, now - sent)
             self.count, self.total, self.start = 0, 0.0, now
             self.next_send = max(self.next_send, now + self.latency)
@@ -305,6 +314,8 @@
             cold = not origin and entry.launched > 0 and now - entry.launched < self.settings.cold_for
             aim = self.aim * (5 / 6 if self.settings.aside else 1)  # a miss takes two hops within one
             server = Server(entry, Limiter(now, aim, self.floor, cold), now, cold)
+            if origin:
+                server.limiter.gap = self.aim
             if cold and self.floor < MANY:  # one send in many seconds: from zero on all would wait at first
                 server.credit = self.draw()
             self.members[entry.server], self.origin = server, server if origin else self.origin
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -47,6 +47,29 @@
             self.assertLess(trials(many), 1.5 * few)
 
 
+    def test_the_origin_is_tried_again_by_what_it_carried_however_many_and_uneven_the_balancers(self) -> None:
+        # How many ms apart a balancer fetches differs from one to the next.
+        for balancers, asked in ((1, 40), (3, 200), (200, 200), (200, 1000), (200, 4000)):
+            with self.subTest(balancers=balancers, asked=asked):
+                conf = settings(balancers=balancers, aside=True, origin_kind=1)
+                proxy = Proxy(Balancer(conf, 1, 0.0), conf)
+                proxy.feed(api.Fleet(api.ListForm.CACHED, 1, [api.Entry(b"origin", kind=1)]))
+                lost, back, number = 0, 0.0, 0
+                cut, over = 20_000, 26_000  # nothing comes back in between
+                while not back:
+                    proxy.advance(proxy.now + asked)
+                    number += 1
+                    proxy.feed(api.Request(number, 0, 700.0, key=number, write=True))
+                    if proxy.seen[number].tries and not cut - 100 < proxy.now < over:
+                        proxy.now += 100
+                        proxy.end(number, 0, api.Outcome.OK)
+                        back = proxy.now - over if proxy.now > over else 0.0
+                    elif proxy.seen[number].tries:
+                        lost += 1
+                self.assertLess(lost, 3 + 6000 / asked / 2)
+                self.assertLess(back, 2000 + 8 * asked)
+
+
 class Cold(TestCase):
     def test_many_balancers_offer_a_started_server_its_share_from_the_beginning(self) -> None:
         offered = warm = 0.0
