--- a/lupinladder/rules.py
+++ b/lupinladder/rules.py
@@ -65,8 +65,8 @@
     def sent(self, now: float) -> None:
         self.inflight += 1
         if self.max_concurrency < 1:  # sparse: many balancers share a server; kept as a mean, by Little's law
-            # Where all depends on it a trial comes by what it carried: all balancers' together are half of that
-            # load, however unevenly they ask, and half again after each trial that is lost.
+            # Where all depends on it a trial comes by what it carried: all balancers' together are half of
+            # that load, however unevenly they ask, and half again after each trial that is lost.
             wait = min(self.latency / self.max_concurrency, self.spacing, self.gap * 2.0**self.losses)
             self.next_send = now + wait
         elif self.gap < inf:
