Take out two import circles: the program with its command line, the lab's world with its nodes

Need: imports go one way. cli/app.py imported __main__ to start the proxy, which imports cli/app.py for a verb; lab/world.py named lab/node.py for a type. Change: the installed command is __main__.entry, so the command line no longer knows the proxy; the world names what it does at a node as a Protocol.

--- a/lupinladder/__main__.py
+++ b/lupinladder/__main__.py
@@ -127,9 +127,14 @@
     return 0
 
 
-if __name__ == "__main__":
-    if len(sys.argv) > 1:  # a verb: the command line, which the platform's start never imports
+def entry() -> int:
+    """The installed command: with no argument the proxy, as the platform starts it; else the command line."""
+    if len(sys.argv) > 1:  # which the platform's start never imports
         from lupinladder.cli.app import app
 
         app(prog_name="lupinladder")
-    sys.exit(main())
+    return main()
+
+
+if __name__ == "__main__":
+    sys.exit(entry())
--- a/lupinladder/cli/app.py
+++ b/lupinladder/cli/app.py
@@ -4,7 +4,6 @@
 from __future__ import annotations
 
 import importlib
-import sys
 
 import click
 
@@ -48,13 +47,3 @@
     Example:
         lupinladder demo --seconds 15
     """
-
-
-def main() -> None:
-    """The installed command: with no argument the proxy, as `python -m lupinladder`."""
-    if len(sys.argv) > 1:
-        app(prog_name="lupinladder")
-    else:
-        from lupinladder.__main__ import main as proxy
-
-        sys.exit(proxy())
--- a/lupinladder/lab/world.py
+++ b/lupinladder/lab/world.py
@@ -7,13 +7,10 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from lupinladder.lab.draws import Keys
 
-if TYPE_CHECKING:
-    from lupinladder.lab.node import NodeCore
-
 STORED_AT = 2  # nodes, of those that missed for a request, at which the origin's answer is stored
 MISSES = 20_000  # requests whose misses are remembered; a request is long over before so many more
 
@@ -52,10 +49,19 @@
         self._kept.pop(key, None)
 
 
+class Holder(Protocol):
+    """What the world does at a node."""
+
+    up: bool
+    memory: Memory
+
+    def store(self, key: bytes, version: int, until: float) -> None: ...
+
+
 class World:
     def __init__(self, keys: Keys, ttl: Callable[[], float]) -> None:
         self.keys, self.ttl = keys, ttl
-        self.nodes: dict[str, NodeCore] = {}
+        self.nodes: dict[str, Holder] = {}
         self.versions: dict[bytes, int] = {}
         self._missed: OrderedDict[bytes, list[str]] = OrderedDict()
         self._held: set[bytes] = set()  # keys whose first holder has been settled
