Lab: pauses, neighbours, nodes without load reports, tenants, and a scenario of such a fleet

Change: faults pauses and neighbour, fleet.reports, clients.tenants (drawn from a stream of their own, so that no other draw shifts); scenario labels; a case of six seconds in tests/lab/test_runs.py.

--- a/lupinladder/lab/clients.py
+++ b/lupinladder/lab/clients.py
@@ -311,6 +311,7 @@
         kind = self._classes[arrival.kind]
         ident = self.ident()
         labels = b"c=" + kind.name.encode() + (b",k=" + ident if kind.repeat == "keyed" else b"")
+        labels += b",t=" + arrival.tenant.encode() if arrival.tenant else b""
         value = b"field geometry " * 8 if kind.write else b""
         pool = self._pools[self._front.pick(arrival.zone)]
         Try(pool, ident, arrival.kind, (arrival.key, labels, value), wait, arrival.holds, done)
--- a/lupinladder/lab/draws.py
+++ b/lupinladder/lab/draws.py
@@ -58,6 +58,7 @@
     patience: float  # ms until the client gives a try up
     honours: bool
     holds: bool  # keeps its connection for ever after
+    tenant: str = ""  # where there are any
 
 
 class Plan:
@@ -75,6 +76,9 @@
         patience = rng.uniform(low, high, count)
         honours = rng.random(count) < clients.honour
         holds = rng.random(count) < clients.hold
+        who = stream(scenario.seed, "tenants")
+        shares = np.array(list(clients.tenants.values()))
+        tenants = who.choice(list(clients.tenants), count, p=shares / shares.sum()) if len(shares) else None
         self._heat(times, names, keys)
         deadline = [one.deadline_ms for one in scenario.classes]
         self.arrivals = [
@@ -86,6 +90,7 @@
                 float(deadline[kinds[n]] * patience[n]),
                 bool(honours[n]),
                 bool(holds[n]),
+                "" if tenants is None else str(tenants[n]),
             )
             for n in range(count)
         ]
--- a/lupinladder/lab/faults.py
+++ b/lupinladder/lab/faults.py
@@ -13,6 +13,7 @@
 from lupinladder.lab.scenario import GARBLES, Fault
 
 FRONT_NOTICE_S = 1.5  # until the front notices that a proxy has died
+STILL = 1e6  # times as slow as usual: a machine that stands still
 
 
 class Faults:
@@ -42,6 +43,8 @@
             "hup": self._hup,
             "connections": self._connections,
             "rolling-restart": self._rolling_restart,
+            "pauses": self._pauses,
+            "neighbour": self._neighbour,
         }
 
     def mark(self, what: str) -> None:
@@ -180,6 +183,37 @@
         self._fleet.origin.core.machine.slow /= fault.size
         self.mark("origin as before")
 
+    def _slowed(self, node: NodeServer, factor: float) -> None:
+        node.driver.poke()  # what was done until now was done at the old speed
+        node.core.machine.slow *= factor
+        node.driver.poke()
+
+    async def _pauses(self, fault: Fault) -> None:
+        """A part of the nodes stands still for `size` seconds at a time, each at times of its own."""
+        end = self._clock.now() + fault.for_s * 1000
+        await asyncio.gather(*(self._pause(node, fault.size, end) for node in self._some(fault.part)))
+        self.mark("no more pauses")
+
+    async def _pause(self, node: NodeServer, still: float, end: float) -> None:
+        while True:
+            await asyncio.sleep(float(self._rng.uniform(2, 8)) * still)
+            if self._clock.now() + still * 1000 > end or not node.core.up:
+                return
+            self._slowed(node, STILL)
+            await asyncio.sleep(still)
+            self._slowed(node, 1 / STILL)
+
+    async def _neighbour(self, fault: Fault) -> None:
+        """Another program takes `size` of some machines, on and off."""
+        nodes, end = self._some(fault.part), self._clock.now() + fault.for_s * 1000
+        rest = max(1 - fault.size, 0.05)
+        while self._clock.now() < end:
+            for factor in (1 / rest, rest):
+                for node in nodes:
+                    self._slowed(node, factor)
+                await asyncio.sleep(float(self._rng.uniform(0.5, 1.5)))
+        self.mark("neighbours gone")
+
     async def _zone_delay(self, fault: Fault) -> None:
         zone = self._fleet.scenario.fleet.zones.index(fault.zone)
         ways = [way for ends, way in self._fleet.ways.items() if zone in ends and ends[0] != ends[1]]
--- a/lupinladder/lab/node.py
+++ b/lupinladder/lab/node.py
@@ -86,7 +86,7 @@
             job.work *= self.fleet.miss_work
         ask.job = job
         if not self.machine.offer(now, job):
-            ask.answer(b"-BUSY " + self.report(now) + b"\r\n", "busy")
+            ask.answer(self._error(b"-BUSY", now), "busy")
 
     def _has(self, now: float, key: bytes) -> bool:
         if self._world.held_before(key, not self.cold):
@@ -134,7 +134,7 @@
         failed = self._rng.random() < self.fleet.error_rate
         self._window.append((now, ask.job.work if ask.job else 0.0, failed))
         if failed:
-            return ask.answer(b"-ERR failed " + self.report(now) + b"\r\n", "failed")
+            return ask.answer(self._error(b"-ERR failed", now), "failed")
         version = None if ask.write else self.memory.get(ask.key, now)
         if version is not None:
             value = self._world.value(ask.key, ask.ident, self.name)
@@ -148,11 +148,16 @@
         word = "pending" if pending else "miss"
         ask.answer(self._array(now, b"$-1\r\n", word.encode()), word)
 
+    def _error(self, text: bytes, now: float) -> bytes:
+        return b" ".join(filter(None, (text, self.report(now)))) + b"\r\n"
+
     def _array(self, now: float, value: bytes, note: bytes) -> bytes:
-        return b"*3\r\n" + value + bulk(note) + bulk(self.report(now))
+        return b"*3\r\n" + value + bulk(note) + (bulk(self.report(now)) if self.fleet.reports else b"$-1\r\n")
 
     def report(self, now: float) -> bytes:
-        """The load report, refreshed now and then."""
+        """The load report, refreshed now and then; empty where nodes tell nothing of their load."""
+        if not self.fleet.reports:
+            return b""
         if now - self._reported >= self.fleet.report_ms:
             self._reported = now
             self._window = [one for one in self._window if one[0] > now - 1000]
--- a/lupinladder/lab/proxies.py
+++ b/lupinladder/lab/proxies.py
@@ -25,6 +25,7 @@
 def settings(scenario: Scenario, me: int, zone: int) -> dict[str, Any]:
     """The object that DEPLOY calls `settings`, as WIRE describes it."""
     fleet, origin = scenario.fleet, scenario.origin
+    busiest = max(max(step.rate, step.to or 0) for step in scenario.load)
     return {
         "ceilings": {
             "cancel": True,
@@ -75,8 +76,15 @@
             "stop-sending-within-ms": 1500.0,
         },
         "over-share-worth": 0.1,
-        "reporting": {"fields": ["fail_rate", "lat_ms", "rate", "rif"], "via": "answers"},
-        "tenants": [],
+        "reporting": {
+            "fields": ["fail_rate", "lat_ms", "rate", "rif"] if fleet.reports else [],
+            "via": "answers" if fleet.reports else "none",
+        },
+        "tenants": [
+            # Twice what each asks for at the busiest: shares are uneven over proxies.
+            {"name": name, "quota-per-s": 2 * share * busiest, "fraction": share}
+            for name, share in scenario.clients.tenants.items()
+        ],
         "weights": "none",
         "zone": zone,
         "zones": fleet.zones,
--- a/lupinladder/lab/scenario.py
+++ b/lupinladder/lab/scenario.py
@@ -49,6 +49,7 @@
     probes: bool = True
     probe_ms: float = 1.8
     report_ms: float = 150.0
+    reports: bool = True  # answers tell the load
     streams: int = 128
 
 
@@ -114,6 +115,7 @@
     drift: float = 0.0  # share of the ranks that move a second
     size: tuple[int, float] = (600, 0.6)  # median bytes of a value and sigma
     unanswered: Literal["lost", "failed"] = "lost"
+    tenants: dict[str, float] = msgspec.field(default_factory=dict)  # their shares; none: no tenants
 
 
 class Load(msgspec.Struct, forbid_unknown_fields=True):
@@ -130,6 +132,7 @@
     kind: Literal[
         "deploy", "shrink", "grow", "hot-key", "late-list", "list-down", "list-move", "silent", "reset",
         "garble", "slow-origin", "zone-delay", "kill", "term", "hup", "connections", "rolling-restart",
+        "pauses", "neighbour",
     ]  # fmt: skip
     at: float
     for_s: float = 5.0
@@ -223,6 +226,7 @@
             ("clients.keys", self.clients.keys, 1, 5_000_000),
             ("origin.work_ms", self.origin.work_ms, 0.1, 10_000),
             ("net.jitter", self.net.jitter, 0, 1),
+            *((f"clients.tenants.{name}", share, 0, 1) for name, share in self.clients.tenants.items()),
             *((f"load[{n}].rate", step.rate, 0, 50_000) for n, step in enumerate(self.load)),
         ]
         for path, value, low, high in bounds:
--- a/tests/lab/test_runs.py
+++ b/tests/lab/test_runs.py
@@ -70,6 +70,16 @@
     "slow origin, far zone": short(
         4, 60, Fault("slow-origin", 0.5, 2, size=3), Fault("zone-delay", 1, 2, size=0.03, zone="jelgava")
     ),
+    "pauses, a neighbour, no reports, tenants": short(
+        6,
+        60,
+        Fault("pauses", 0, 5, 0.4, size=0.3),
+        Fault("neighbour", 0.5, 4, 0.4, size=0.6),
+        Fault("list-down", 1, 4),
+        Fault("kill", 1.5, 1, proxy=1),
+        fleet__reports=False,
+        clients__tenants={"a": 0.7, "b": 0.3},
+    ),
     # What waits in line for a connection has less time left when it is sent: its command must say so.
     "more requests than connections": short(3, 150, clients__connections=9),
     "values of 1 MiB": short(3, 15, clients__size=(1 << 20, 0.0)),
