Close the longest idle link when a client or another server needs its descriptor

Link.rest keeps each connection for 12 s; a burst of slow answers leaves some 200 of them, and Front._ready, which could only end idle clients, left newcomers in the backlog while those rested. Link._fresh likewise put executions behind others while other links idled. Change: Budget keeps the idle connections to servers of all links, the longest idle first; at the bound the front and a link that needs one close that. Idle clients are ended only when no link idles. Test: two descriptors, an idle link; a client is accepted in its place, then another server is reached. Fails without the change.

--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -22,11 +22,25 @@
 _sink = bytearray(64 << 10)  # where bytes go that nobody wants; shared, as none is ever read
 
 
+class Resting(Protocol):
+    """A connection with nothing out on it."""
+
+    def break_off(self) -> None: ...
+
+
 class Budget:
     """Descriptors left to open. Clients leave a part of them to the links."""
 
     def __init__(self, limit: int) -> None:
         self.limit, self.used = limit, 0
+        self.resting: dict[Resting, None] = {}  # connections to servers, of all links, the longest idle first
+
+    def reclaim(self) -> bool:
+        """Close the connection to a server that has been idle for longest: at most a handshake is lost."""
+        for one in self.resting:
+            one.break_off()
+            return True
+        return False
 
     def spare(self, keep: int = 0) -> bool:
         return self.used + keep < self.limit
--- a/lupinladder/net/front.py
+++ b/lupinladder/net/front.py
@@ -323,11 +323,11 @@
         self.ending.append(conn)
 
     def listen(self) -> None:
-        """Accept while there are descriptors for clients, or idle clients to take one from."""
-        mask = 0
+        """Accept while there are descriptors for clients, or idle ones to take one from."""
+        mask, budget = 0, self.budget
         if self._stopped:
             pass
-        elif self.budget.spare(self.budget.limit // KEEP) or self.resting or self.silent:
+        elif budget.spare(budget.limit // KEEP) or budget.resting or self.resting or self.silent:
             mask = READ
         else:  # look again by ourselves: links that close tell nobody here, and no client may be left to end
             self.loop.cancel(self._retry)
@@ -337,8 +337,9 @@
 
     def _ready(self, mask: int) -> None:
         for count in range(ACCEPTS):
-            # The first round alone knows that somebody waits, and is worth an idle client.
-            if not self.budget.spare(self.budget.limit // KEEP) and (count or not self._evict()):
+            # The first round alone knows that somebody waits, and is worth an idle link, or an idle client.
+            short = not self.budget.spare(self.budget.limit // KEEP)
+            if short and (count or not (self.budget.reclaim() or self._evict())):
                 say("clients", "no descriptor left for a client; waiting for one to end")
                 break
             try:
--- a/lupinladder/net/server_link.py
+++ b/lupinladder/net/server_link.py
@@ -147,6 +147,7 @@
     def _pick(self, size: int) -> Wire | None:
         while self._idle:
             wire = self._idle.pop()
+            self.budget.resting.pop(wire, None)
             self.loop.cancel(wire.idle_until)
             wire.idle_until = None
             if wire.conn.quiet:
@@ -160,7 +161,8 @@
         return wire
 
     def _fresh(self, size: int) -> Wire | None:
-        if self.budget.spare(self.budget.limit // KEEP) and (fresh := self._open()):
+        spare = self.budget.spare(self.budget.limit // KEEP) or self.budget.reclaim()
+        if spare and (fresh := self._open()):
             wire = fresh
         else:  # sockets run short: behind the shortest line, if any has room
             able = [w for w in self._busy if len(w.waiting) < self._streams and w.conn.outbox.room >= size]
@@ -192,10 +194,12 @@
             wire.break_off()
             return
         self._idle.append(wire)
+        self.budget.resting[wire] = None
         wire.idle_until = self.loop.at(self.loop.now() + self._idle_ms * IDLE_SHARE, wire.break_off)
 
     def gone(self, wire: Wire) -> None:
         self._busy.pop(wire, None)
+        self.budget.resting.pop(wire, None)
         if wire in self._idle:
             self._idle.remove(wire)
 
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -375,6 +375,24 @@
         self.until(lambda: asked[0].told, "the first answer")
         self.assertEqual((asked[0].told, asked[1].told), ([b"V"], ["failed"]))
 
+    def test_an_idle_connection_to_a_server_makes_room_for_a_client_or_another_server(self) -> None:
+        asked = self.ask()
+        self.at_node().conn.send(SERVED)
+        self.until(lambda: asked.told, "the answer")
+        client = self.client(PING)  # the listener and the idle link hold all that there is
+        self.answers(client, b"+PONG\r\n")
+        self.until(lambda: self.node.peers[0].ends, "the idle link to end")
+        client.conn.close()
+        self.until(lambda: self.budget.used == 1, "the client to be gone")
+        asked = self.ask()
+        self.at_node(1).conn.send(SERVED)
+        self.until(lambda: asked.told, "the answer")
+        self.script.react = once_to(ORIGIN)
+        asked = self.ask()
+        self.at_node(0, self.origin).conn.send(OK_HTTP)
+        self.until(lambda: asked.told, "the origin's answer")
+        self.assertEqual((asked.told, set(self.budget.resting)), ([b"V"], set(self.links[ORIGIN]._idle)))
+
     def test_accepting_goes_on_when_a_descriptor_is_free_again_whoever_had_it(self) -> None:
         self.budget.used += 1  # a link's, and no client is there whose end would tell
         late = self.client(PING)
