Let clients take an idle link's descriptor only below their own share

Cause, found by reading the change before: Front._ready ended an idle link for every newcomer at the bound, before any idle client. Clients who connect by the hundreds and say nothing could so take the third of the descriptors that is kept from clients, and each send would open a connection or find no descriptor. Change: a link makes room only while clients hold less than their share (a third, Room.share); beyond it an idle client goes, as before. Test: fails with the condition out (tried).

--- a/lupinladder/net/front.py
+++ b/lupinladder/net/front.py
@@ -324,10 +324,10 @@
 
     def listen(self) -> None:
         """Accept while there are descriptors for clients, or idle ones to take one from."""
-        mask, budget = 0, self.budget
+        mask = 0
         if self._stopped:
             pass
-        elif budget.spare(budget.limit // KEEP) or budget.resting or self.resting or self.silent:
+        elif self.budget.spare(self.budget.limit // KEEP) or self._owed or self.resting or self.silent:
             mask = READ
         else:  # look again by ourselves: links that close tell nobody here, and no client may be left to end
             self.loop.cancel(self._retry)
@@ -335,11 +335,17 @@
         self.loop.watch(self._sock, self._mask, mask, self._ready)
         self._mask = mask
 
+    @property
+    def _owed(self) -> bool:
+        """Whether clients hold less than their share while links rest. Beyond it they displace only each
+        other, or a flood of them would leave the links no descriptor."""
+        return len(self.clients) < self.room.share and bool(self.budget.resting)
+
     def _ready(self, mask: int) -> None:
         for count in range(ACCEPTS):
             # The first round alone knows that somebody waits, and is worth an idle link, or an idle client.
             short = not self.budget.spare(self.budget.limit // KEEP)
-            if short and (count or not (self.budget.reclaim() or self._evict())):
+            if short and (count or not ((self._owed and self.budget.reclaim()) or self._evict())):
                 say("clients", "no descriptor left for a client; waiting for one to end")
                 break
             try:
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -393,6 +393,17 @@
         self.until(lambda: asked.told, "the origin's answer")
         self.assertEqual((asked.told, set(self.budget.resting)), ([b"V"], set(self.links[ORIGIN]._idle)))
 
+    def test_clients_beyond_their_share_take_no_connection_to_a_server(self) -> None:
+        asked = self.ask()
+        self.at_node().conn.send(SERVED)
+        self.until(lambda: asked.told, "the answer")
+        self.budget.limit, self.front.room.share = 4, 1  # one is kept from clients, the listener has one
+        first = self.client(PING)
+        self.answers(first, b"+PONG\r\n")
+        self.answers(self.client(PING), b"+PONG\r\n")
+        self.until(lambda: first.ends, "the first client to end")
+        self.assertEqual((len(self.budget.resting), self.node.peers[0].ends), (1, []))
+
     def test_accepting_goes_on_when_a_descriptor_is_free_again_whoever_had_it(self) -> None:
         self.budget.used += 1  # a link's, and no client is there whose end would tell
         late = self.client(PING)
