Tell a client of a stopping proxy no longer time than the settings allow

Cause, by reading: Leaving.back gave the time until the kill whatever max_retry_after says, 0 (clients are not told) included. Change: the plan reads the settings and cuts the time to it. Test: fails without the cut (450 expected, 500 told).

--- a/lupinladder/govern/leaving.py
+++ b/lupinladder/govern/leaving.py
@@ -9,8 +9,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-
 from lupinladder import api
 
 ACCEPT = 500.0  # after the signal new connections still come
@@ -23,12 +21,13 @@
 class Leaving:
     """The plan of one stop, made at the signal."""
 
-    def __init__(self, classes: Sequence[api.RequestClass], balancers: int, now: float) -> None:
+    def __init__(self, settings: api.Settings, now: float) -> None:
+        classes, self._longest_away = settings.classes, settings.max_retry_after
         self._aims = [min(one.aim, one.deadline) for one in classes]
         self.killed = now + min(max(one.deadline for one in classes), LONGEST) + SLACK
         self.accepts = now + ACCEPT  # until then new connections are accepted
         # When all is answered, or None: what is taken has its whole time.
-        self.end = self.killed - MARGIN if balancers == 1 else None
+        self.end = self.killed - MARGIN if settings.balancers == 1 else None
         # From when on connections are ended as soon as nothing is owed on them.
         self.closes = max(self.accepts, self.end - min(self._aims)) if self.end else self.accepts
 
@@ -40,5 +39,5 @@
         return min(patience, left) if left >= min(self._aims[kind], patience) else 0.0
 
     def back(self, now: float) -> float:
-        """In how many ms somebody will be back, at the earliest."""
-        return max(self.killed - now, 0.0)
+        """In how many ms somebody will be back, at the earliest, as far as clients may be told."""
+        return min(max(self.killed - now, 0.0), self._longest_away)
--- a/lupinladder/net/engine.py
+++ b/lupinladder/net/engine.py
@@ -91,7 +91,7 @@
 
     def leaving(self) -> Leaving:
         """How to stop, beginning now."""
-        return Leaving(self._settings.classes, self._settings.balancers, self._loop.now())
+        return Leaving(self._settings, self._loop.now())
 
     @property
     def idle(self) -> bool:
--- a/tests/test_govern.py
+++ b/tests/test_govern.py
@@ -104,7 +104,7 @@
     CLASSES: ClassVar[list[api.RequestClass]] = [api.RequestClass(300, 600), api.RequestClass(2500, 5000)]
 
     def test_the_only_proxy_takes_what_can_still_be_answered_before_the_kill(self) -> None:
-        plan = Leaving(self.CLASSES, 1, 1000.0)
+        plan = Leaving(api.Settings(self.CLASSES, max_retry_after=450), 1000.0)
         self.assertEqual((plan.accepts, plan.killed, plan.end, plan.closes), (1500, 4700, 4500, 4200))
         for now, kind, patience, allowed in (
             (1000, 0, 600, 600),
@@ -116,12 +116,12 @@
             (4201, 0, 600, 0),
         ):
             self.assertEqual(plan.patience(kind, patience, now), allowed, (now, kind, patience))
-        self.assertEqual((plan.back(4200), plan.back(5000)), (500, 0))
+        self.assertEqual((plan.back(4200), plan.back(4300), plan.back(5000)), (450, 400, 0))
 
     def test_one_of_several_lets_its_clients_go_and_takes_whole_what_still_comes(self) -> None:
-        plan = Leaving(self.CLASSES, 3, 1000.0)
+        plan = Leaving(api.Settings(self.CLASSES, balancers=3), 1000.0)
         self.assertEqual((plan.closes, plan.end), (1500, None))
         self.assertEqual(plan.patience(1, 5000, 1499), 5000)
 
     def test_deadlines_shorter_than_the_bound_are_killed_sooner(self) -> None:
-        self.assertEqual(Leaving([api.RequestClass(500, 1500)], 1, 0.0).killed, 2200)
+        self.assertEqual(Leaving(api.Settings([api.RequestClass(500, 1500)]), 0.0).killed, 2200)
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -125,10 +125,12 @@
         self.answers(client, b"+PONG\r\n$1\r\nV\r\n")
         self.assertFalse(self.front.done)
         # Deadline 1500 ms, aim 500: by 2 s all is answered, at 2.2 s it may be killed.
-        self.front.leaving = Leaving([api.RequestClass(500, 1500)], 1, self.loop.now() - 1700)
+        self.front.leaving = Leaving(
+            api.Settings([api.RequestClass(500, 1500)], max_retry_after=400), self.loop.now() - 1700
+        )
         client.conn.send(get(b"b"))
         self.until(lambda: b"-BUSY " in client.got, "a refusal")
-        self.assertIn(int(client.got.rsplit(b" ", 1)[1]), range(300, 501))
+        self.assertIn(int(client.got.rsplit(b" ", 1)[1]), range(300, 401))
         self.assertEqual(len([e for e in self.script.events if isinstance(e, api.Request)]), 1)
         self.front._close()
         self.until(lambda: client.ends, "the end")
