Pass over an owner that stands still: nothing back for its mean latency, several sends out

Cause: a limit tells of what has completed. Lines: place(), whose order knew only the node's own report. Change: Limiter.silent, a key in place()'s order. No constant: the window's own mean latency. Tests: two in test_failures.py; the first fails without the key in the order, the second with one send as a sign (both tried).

--- a/lupinladder/rules.py
+++ b/lupinladder/rules.py
@@ -53,6 +53,7 @@
         self.least = inf  # of all latencies: the way there and back, and hardly any work
         # The mean time between own sends, where nobody else could be asked instead, and trials lost in a row.
         self.gap, self.sent_at, self.losses = inf, now, 0
+        self.quiet_from = now  # since when sends are out; see silent()
 
     @property
     def spacing(self) -> float:
@@ -63,7 +64,14 @@
     def admits(self, now: float, share: float = 1.0) -> bool:  # rounded to the nearest, not down
         return now >= self.next_send and self.inflight <= max(self.max_concurrency * share - 0.5, 0)
 
+    def silent(self, now: float) -> bool:
+        """Several sends are out, and for a window's mean latency none has completed: it stands still, or
+        another program holds the machine. One send alone may just be long."""
+        return self.inflight > 1 and now - max(self.done_at, self.quiet_from) > self.latency > 0
+
     def sent(self, now: float) -> None:
+        if not self.inflight:
+            self.quiet_from = now
         self.inflight += 1
         if self.max_concurrency < 1:  # sparse: many balancers share a server; kept as a mean, by Little's law
             # Where all depends on it a trial comes by what it carried: all balancers' together are half of
@@ -378,7 +386,8 @@
             turn = (self.settings.me + int(self.slots.heat[slot]) % width) % parts
             order = order[turn:parts] + order[:turn] + order[parts:]
         # With many balancers an owner is overrun without any one's limit telling: go by what it holds of all.
-        order.sort(key=lambda s: s.busy_until > now)
+        # A limit tells only of what has completed: while an owner stands still the next one is asked first.
+        order.sort(key=lambda s: s.busy_until > now or s.limiter.silent(now))
         known = any(life.request.key in generation for generation in self.known)
         fetch = not (self.settings.aside or life.request.write or known)
         origin = self.fetches  # counted by the fetches expected, unless it shows any strain
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -277,3 +277,27 @@
         return proxy.sends
 
     assert run() == run()
+
+
+def test_an_owner_that_stands_still_is_passed_over_until_it_answers() -> None:
+    proxy = proxy_of(balancers=1)
+    warm(proxy, 1000)  # windows have closed: the mean latency is known
+    owner = serve(proxy, 7)
+    assert owner is not None
+    limiter, latency = proxy.balancer.members[owner].limiter, 50.0
+    out = [ask(proxy, 7), ask(proxy, 7)]
+    assert [server_of(proxy, n) for n in out] == [owner, owner]
+    proxy.now += latency + 1  # nothing has come back for longer than its mean latency
+    assert limiter.admits(proxy.now), "its limit has room"
+    assert serve(proxy, 7) not in (owner, None)
+    proxy.end(out[0], 0, api.Outcome.OK)
+    assert serve(proxy, 7) == owner
+
+
+def test_one_long_request_is_no_sign_that_a_server_stands_still() -> None:
+    proxy = proxy_of(balancers=1)
+    warm(proxy, 1000)
+    owner = serve(proxy, 7)
+    first = ask(proxy, 7)
+    proxy.now += 400
+    assert server_of(proxy, first) == serve(proxy, 7) == owner
