Keep the list, limits and hot slots over a restart, used by their age; lab comeback

A restarted proxy begins with the list of its configuration and nothing else; with discovery away and that list empty it refuses everything (8 of 12 proxies killed, discovery down: 41% of the queries refused after the return). Change: store/ (records with CRC-32 and numbers, a flush that ends with a record of its own, atomic replacement, one process a file, bounded size and rate, migrations), recovery/ (trust by age as one pure function, what the module is told at the start), operator/ (the operator's TOML file; tomlfile moved there from the lab), net/keeper.py (looks on the loop, a thread writes), cli/store.py, lab: kill-many, stores kept, lost, torn, flipped, swapped, old; lab comeback with time to full service. In the module: Recalled, RecalledSlots; Limiter.allowed is taken out of close(). Off in run: without LUPINLADDER_OPERATOR none of it is imported (a test). Found on the way and mended: the lab gave proxies ports of the system's own range, and one that was away for 0.8 s found its port taken ('proxy 10 did not start: Address already in use'); a later word of another list replaced the one that was waiting to be written. Tests: every step of writing ended or refused; 10,000 flips, cuts, moved pieces; 12 processes under load.

--- a/lupinladder/__main__.py
+++ b/lupinladder/__main__.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import sys
+from typing import TYPE_CHECKING
 
 from lupinladder import api
 from lupinladder.net import config
@@ -19,15 +20,24 @@
 from lupinladder.net.origin import OriginDialect
 from lupinladder.net.server_link import Dialect, Link, NodeDialect
 
+if TYPE_CHECKING:  # imported only where an operator's file asks for them
+    from lupinladder.net.keeper import Keeper
+    from lupinladder.operator.file import File
+
 SUMMARY_MS, LEAVING_MS = 10_000.0, 20.0  # between lines of figures; between looks whether all is answered
 
 
 class Proxy:
     """Wires the parts together."""
 
-    def __init__(self, conf: config.Config) -> None:
+    def __init__(self, conf: config.Config, operator: File | None = None) -> None:
         self._conf, self._stopping = conf, False
         self.loop, self._budget = Loop(), Budget(conf.sockets)
+        self._keeper: Keeper | None = None
+        if operator and operator.store:
+            from lupinladder.net.keeper import Keeper
+
+            self._keeper = Keeper(conf, operator.store, self.loop.now())
         self._nodes: Dialect = NodeDialect(conf.settings.report_fields)
         self._group = HostGroup(
             self.loop,
@@ -40,7 +50,15 @@
         self.engine = Engine(
             self.loop, conf.settings, conf.seed, self._group.route, self._group.follow, conf.max_open
         )
-        self.engine.start(self._group.cached(conf.known))
+        if self._keeper:
+            begun = self._keeper.beginning
+            self.engine.start(self._group.cached(begun.known))
+            for event in begun.events:
+                self.engine.feed(event)
+            say("store", self._keeper.report())
+            self._keeper.start(self.loop, self.engine, self._group)
+        else:
+            self.engine.start(self._group.cached(conf.known))
         self.front = Front(self.loop, self._budget, self.engine, conf.listen, conf.classes, conf.tenants)
         self._figures()
 
@@ -77,6 +95,8 @@
 
     def _leave(self) -> None:
         if self.engine.idle and self.front.done:
+            if self._keeper:
+                self._keeper.finish()
             self.loop.stop()
         else:
             self.loop.at(self.loop.now() + LEAVING_MS, self._leave)
@@ -108,10 +128,28 @@
             proxy.stop()
 
 
+def operators() -> File | None:
+    """The operator's own file, if the environment names one: what is on beyond the platform's needs.
+    ConfigError if it cannot be used."""
+    path = os.environ.get("LUPINLADDER_OPERATOR")
+    if not path:
+        return None
+    try:
+        from lupinladder.operator import file
+        from lupinladder.operator.tomlfile import Bad
+    except ModuleNotFoundError as bad:
+        need = f"needs the package {bad.name}: pip install 'lupinladder[operator]'"
+        raise config.ConfigError(f"LUPINLADDER_OPERATOR {need}") from None
+    try:
+        return file.load(path)
+    except Bad as bad:
+        raise config.ConfigError(str(bad)) from None
+
+
 def main() -> int:
     signals = Signals()  # first of all: without a handler SIGHUP ends the process
     try:
-        proxy = Proxy(config.load(os.environ))
+        proxy = Proxy(config.load(os.environ), operators())
     except (config.ConfigError, OSError) as bad:
         print(f"lupinladder: {bad}", file=sys.stderr)
         return 2
--- a/lupinladder/api.py
+++ b/lupinladder/api.py
@@ -182,7 +182,35 @@
     load: tuple[float, ...] = ()
 
 
-Event = Fleet | Request | Started | Ended | Left | Timer | Probed
+class Recall(Enum):
+    """What a recalled limit may be used for; docs/recovery.md has the table."""
+
+    TRIAL = "trial"  # one send at a time, doubled by each good window
+    PART = "part"  # half of it, doubled likewise
+    ALL = "all"
+
+
+@dataclass(slots=True)
+class Recalled:
+    """What was known of a server before this balancer stopped. Passed over for one that is not listed, that
+    has lately started, or of which something is known already."""
+
+    server: ServerId
+    use: Recall
+    min_latency: float = 0.0  # ms; 0: nothing is known but the server itself
+    max_qps: float = 0.0  # sends a millisecond
+    moved: float = 1.0  # share of its slots that load had left it
+    failed: float = 0.0  # smoothed share of its attempts that failed
+
+
+@dataclass(slots=True)
+class RecalledSlots:
+    """Own sends by slot, as they were; their numbers are those of this text of the module."""
+
+    heat: dict[int, float]
+
+
+Event = Fleet | Request | Started | Ended | Left | Timer | Probed | Recalled | RecalledSlots
 
 # Actions
 
--- a/lupinladder/cli/app.py
+++ b/lupinladder/cli/app.py
@@ -7,10 +7,15 @@
 
 import click
 
-GROUPS = {"demo": ("lupinladder.cli.lab", "demo"), "lab": ("lupinladder.cli.lab", "lab")}
+GROUPS = {
+    "demo": ("lupinladder.cli.lab", "demo"),
+    "lab": ("lupinladder.cli.lab", "lab"),
+    "store": ("lupinladder.cli.store", "store"),
+}
 HELP = {
     "demo": "Start a fleet on loopback, play load and trouble, and judge it.",
     "lab": "Stand-ins, scenarios, load and reports.",
+    "store": "What a proxy keeps over a restart: show, check, cut.",
 }
 
 
--- a/lupinladder/cli/lab.py
+++ b/lupinladder/cli/lab.py
@@ -5,7 +5,7 @@
 import json
 import sys
 from pathlib import Path
-from typing import Any
+from typing import Any, get_args
 
 import click
 import msgspec
@@ -14,9 +14,9 @@
 from rich.progress import BarColumn, Progress, TextColumn, TimeRemainingColumn
 from rich.table import Table
 
-from lupinladder.lab import report, run, scenario
+from lupinladder.lab import comeback, report, run, scenario
 from lupinladder.lab.scenario import Scenario
-from lupinladder.lab.tomlfile import Bad
+from lupinladder.operator.tomlfile import Bad
 
 console = Console()
 if not console.is_terminal:  # into a file or a pipe: nothing folds its columns
@@ -299,6 +299,66 @@
     )
 
 
+@lab.command("comeback")
+@click.option("--proxies", type=click.IntRange(2, 16), default=12, show_default=True)
+@click.option("--kill", type=click.FloatRange(0.01, 1), default=0.67, show_default=True, help="Share killed.")
+@click.option("--store", type=click.Choice(get_args(comeback.Stores)), default="kept", show_default=True)
+@click.option("--discovery", type=click.Choice(get_args(comeback.Lists)), default="up", show_default=True)
+@click.option("--seeds", default="1", show_default=True, help="One seed, or the first and the last: 1-10.")
+@_REPORT
+@_PLOT
+@_LOGS
+@_QUIET
+def comeback_(
+    proxies: int,
+    kill: float,
+    store: comeback.Stores,
+    discovery: comeback.Lists,
+    seeds: str,
+    report_path: Path | None,
+    plot: Path | None,
+    logs: Path | None,
+    quiet: bool,
+) -> None:
+    """Kill most proxies at once, start them together, and say how long until all is as before.
+
+    Exit codes are those of `lab run`.
+
+    \b
+    Example:
+        lupinladder lab comeback --store lost --discovery down --seeds 1-10 --report lost.json
+    """
+    first, _, last = seeds.partition("-")
+    if not first.isdigit() or not (last or first).isdigit() or int(last or first) < int(first):
+        raise _usage(f"--seeds {seeds}: expected a seed, or the first and the last, as in 1-10")
+    rows = []
+    for seed in range(int(first), int(last or first) + 1):
+        made = comeback.scenario(proxies, kill, store, discovery, seed)
+        with Shown(made, quiet or not errors.is_terminal) as shown:
+            try:
+                outcome = run.play(made, logs / str(seed) if logs else None, shown.look)
+            except RuntimeError as bad:
+                raise click.ClickException(str(bad)) from None
+        rows.append(comeback.figures(outcome))
+        full = rows[-1]["full_after_s"]
+        after = "not within the run" if full is None else f"after {full:.1f} s"
+        console.print(f"seed {seed}: full service {after}{'; void: ' + outcome.void if outcome.void else ''}")
+    tree: dict[str, Any] = {
+        "schema": report.SCHEMA,
+        "about": made.about,
+        "summary": comeback.summary(rows),
+        "runs": rows,
+    }
+    if report_path:
+        report_path.write_text(json.dumps(tree, indent=1) + "\n")
+    if plot:
+        from lupinladder.lab.plot import draw_comeback
+
+        draw_comeback(tree, comeback.KILLED_S, plot)
+    console.print(comeback.show(tree))
+    sys.exit(comeback.exit_code(tree["summary"]))
+
+
 def _alone(part: str) -> click.Command:
     @click.option("--seconds", type=click.FloatRange(0.1, 86_400), default=60.0, show_default=True)
     @click.option("--scenario", "name", default="calm", show_default=True, help="Whose settings to take.")
--- a/lupinladder/lab/clients.py
+++ b/lupinladder/lab/clients.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 import socket
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 
 import hiredis
@@ -21,6 +23,7 @@
 from lupinladder.lab.scenario import Class, Clients
 from lupinladder.lab.sockets import transport_of
 
+PORTS = (12_000, 32_000)  # of what listens; the system gives connections ports above
 LEAST = 5.0  # ms that a client must have left to ask at all
 PAST = GRACE + SLACK + 5.0  # ms past its time for which a client still listens, so that a late answer shows
 
@@ -370,7 +373,10 @@
 
 
 def free_port() -> int:
-    """A port of loopback that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """A port of loopback that is free now, below those that the system gives to whoever connects: a proxy
+    that is away for a second must find its own free when it comes back."""
+    for _ in range(200):
+        with socket.socket() as sock, suppress(OSError):
+            sock.bind(("127.0.0.1", secrets.randbelow(PORTS[1] - PORTS[0]) + PORTS[0]))
+            return int(sock.getsockname()[1])
+    raise RuntimeError(f"no free port from {PORTS[0]} to {PORTS[1]}")
--- a/lupinladder/lab/discovery_server.py
+++ b/lupinladder/lab/discovery_server.py
@@ -133,6 +133,7 @@
 
     def on_message_complete(self) -> None:
         parts, self._url = urlsplit(self._url.decode("latin-1")), b""
+        self._server.referee.tick("calls for the list", self._server.clock.now())
         wait = self._server.turn()
         if wait is None:
             self._answer(503, b"")
--- a/lupinladder/lab/faults.py
+++ b/lupinladder/lab/faults.py
@@ -4,18 +4,35 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import msgspec
 
 from lupinladder.lab.clients import Front
 from lupinladder.lab.draws import stream
 from lupinladder.lab.fleet import Fleet
 from lupinladder.lab.node_server import Garble, NodeServer
-from lupinladder.lab.proxies import Proxies
+from lupinladder.lab.proxies import Managed, Proxies
 from lupinladder.lab.scenario import GARBLES, Fault
+from lupinladder.store import log, state
 
 FRONT_NOTICE_S = 1.5  # until the front notices that a proxy has died
+OLD_MS = 3_600_000.0  # by how much a store is older than its words where `how` is "old"
+SPAWN_S = 0.03  # between starts of processes
 STILL = 1e6  # times as slow as usual: a machine that stands still
 
 
+def aged(data: bytes, by: float) -> bytes:
+    """A store whose every word was said so much earlier (ms)."""
+    found = state.fold(log.scan(data))
+    if found is None:
+        return data
+    parts = [log.begin(1, msgspec.to_builtins(found.owner))]
+    for number, one in enumerate(found.all(), 2):
+        parts.append(state.encode(number, msgspec.structs.replace(one, at=one.at - by)))  # type: ignore[attr-defined]
+    return b"".join([*parts, log.end(len(parts) + 1)])
+
+
 class Faults:
     def __init__(self, fleet: Fleet, proxies: Proxies, front: Front, start: float) -> None:
         self._fleet, self._proxies, self._front, self._start = fleet, proxies, front, start
@@ -45,6 +62,7 @@
             "rolling-restart": self._rolling_restart,
             "pauses": self._pauses,
             "neighbour": self._neighbour,
+            "kill-many": self._kill_many,
         }
 
     def mark(self, what: str) -> None:
@@ -234,6 +252,50 @@
         self._front.alive[fault.proxy] = True
         self.mark(f"proxy {fault.proxy} started")
 
+    async def _kill_many(self, fault: Fault) -> None:
+        """SIGKILL to a part of the proxies in one instant, all started again together after a while. `how`
+        says what becomes of their stores meanwhile."""
+        count = max(1, round(fault.part * len(self._proxies.all)))
+        struck = [self._proxies.all[n] for n in self._rng.permutation(len(self._proxies.all))[:count]]
+        for one in struck:
+            self._proxies.kill(one)
+            self._clock.at(
+                self._clock.now() + FRONT_NOTICE_S * 1000,
+                lambda one=one: self._front_sees(one.number),  # type: ignore[misc]
+            )
+        self.mark(f"{count} proxies killed")
+        await asyncio.gather(*(one.process.wait() for one in struck if one.process))
+        self._spoil([self._proxies.store(one) for one in struck], fault.how or "kept")
+        await asyncio.sleep(fault.for_s)
+        starts = []
+        for one in struck:  # each holds the lab itself up for some 10 ms: together they would make it late
+            starts.append(asyncio.ensure_future(self._again(one)))
+            await asyncio.sleep(SPAWN_S)
+        await asyncio.gather(*starts)
+        self.mark(f"{count} proxies started")
+
+    async def _again(self, one: Managed) -> None:
+        await self._proxies.start(one)
+        self._front.alive[one.number] = True
+
+    def _spoil(self, stores: list[Path], how: str) -> None:
+        stores = [path for path in stores if path.exists()]
+        for path in stores:
+            data = bytearray(path.read_bytes())
+            if how == "lost":
+                path.unlink()
+            elif how == "torn":
+                path.write_bytes(data[: int(self._rng.integers(len(data)))])
+            elif how == "flipped":
+                data[int(self._rng.integers(len(data)))] ^= 1 << int(self._rng.integers(8))
+                path.write_bytes(data)
+            elif how == "old":
+                path.write_bytes(aged(bytes(data), OLD_MS))
+        if how == "swapped" and len(stores) > 1:
+            texts = [path.read_bytes() for path in stores]
+            for path, text in zip(stores, [*texts[1:], texts[0]], strict=True):
+                path.write_bytes(text)
+
     def _front_sees(self, proxy: int) -> None:
         process = self._proxies.all[proxy].process
         if process is None or process.returncode is not None:
--- a/lupinladder/lab/node_server.py
+++ b/lupinladder/lab/node_server.py
@@ -147,6 +147,7 @@
             return
         server.connections.add(self)
         server.core.handshake(now)
+        server.referee.tick("connects", now)
         server.referee.load(now, self._proxy, server.core.name, server.core.fleet.handshake_ms)
         server.driver.poke()
         self._ready = now + server.core.fleet.handshake_rtts * server.rtt(self._proxy)
--- a/lupinladder/lab/plot.py
+++ b/lupinladder/lab/plot.py
@@ -82,3 +82,32 @@
     figure.suptitle(f"{tree['about']}\n{tree['share']:.1%} in time, {kept}, seed {tree['seed']}", fontsize=10)
     figure.savefig(path, dpi=110)
     plt.close(figure)
+
+
+def draw_comeback(tree: dict[str, Any], killed: float, path: Path) -> None:
+    """A picture of many runs of one comeback: the share in time and the highest rates, second by second."""
+    rows = [row for row in tree["runs"] if not row["void"]] or tree["runs"]
+    names = list(rows[0]["by_second"])
+    figure, panels = plt.subplots(
+        1 + len(names),
+        1,
+        figsize=(9, 10),
+        sharex=True,
+        layout="constrained",
+        height_ratios=[2] + [1] * len(names),
+    )
+    series = [("worth in time", [row["in_time_by_second"] for row in rows])]
+    series += [(name + " a second", [row["by_second"][name] for row in rows]) for name in names]
+    for axes, (name, lines) in zip(panels, series, strict=True):
+        for line in lines:
+            axes.step(range(len(line)), line, where="post", linewidth=0.7, color="#8a9aa8")
+        middle = [sorted(values)[len(values) // 2] for values in zip(*lines, strict=True)]
+        axes.step(range(len(middle)), middle, where="post", linewidth=1.8, color="#26456e")
+        axes.axvline(killed, color="#333333", linewidth=0.8, linestyle="--")
+        axes.set_ylabel(name, fontsize=8)
+        axes.set_ylim(bottom=0)
+        axes.spines[["top", "right"]].set_visible(False)
+    panels[-1].set_xlabel("seconds; the line is the kill, thick is the median of the runs")
+    figure.suptitle(tree["about"], fontsize=10)
+    figure.savefig(path, dpi=110)
+    plt.close(figure)
--- a/lupinladder/lab/proxies.py
+++ b/lupinladder/lab/proxies.py
@@ -141,6 +141,10 @@
         self._watchers: set[asyncio.Task[None]] = set()
         self.on_up: Callable[[int], None] = lambda proxy: None
 
+    def store(self, one: Managed) -> Path:
+        """Where it keeps what outlives it."""
+        return one.folder / f"n{one.number}.store"
+
     def write(self, one: Managed) -> Path:
         """The configuration as it stands now, replaced as a whole."""
         path = one.folder / f"proxy-{one.number}.json"
@@ -174,6 +178,12 @@
             "GW_NAME": f"n{one.number}",
             "GW_LISTEN": one.address,
         }
+        if self._scenario.proxies.store:
+            operators = one.folder / "operator.toml"
+            if not operators.exists():
+                store = json.dumps(str(one.folder.resolve() / "{name}.store"))
+                operators.write_text(f"[store]\npath = {store}\nevery_ms = 250\n")
+            env["LUPINLADDER_OPERATOR"] = str(operators)
         with (one.folder / f"proxy-{one.number}.log").open("ab") as log:
             one.process = await asyncio.create_subprocess_exec(
                 *command, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log
--- a/lupinladder/lab/referee.py
+++ b/lupinladder/lab/referee.py
@@ -86,6 +86,7 @@
         self.start = start  # of the counted part, ms
         self.broken: list[Broken] = []
         self.counts: Counter[str] = Counter()
+        self.rates: dict[str, Counter[int]] = {}  # how often something happened, by tenths of a second
         self._classes, self._lost = classes, unanswered == "lost"
         self._queries: OrderedDict[bytes, Query] = OrderedDict()
         self._due: deque[Query] = deque()
@@ -109,6 +110,10 @@
             )
         )
 
+    def tick(self, what: str, now: float) -> None:
+        """Something that all proxies together must not do too often has happened."""
+        self.rates.setdefault(what, Counter())[int((now - self.start) // 100)] += 1
+
     # The proxies' lives
 
     def proxy_up(self, now: float, proxy: int) -> None:
@@ -312,6 +317,7 @@
         if now > cold.until:
             del self._cold[server]
             return False
+        self.tick("sends to cold nodes", now)
         knew = proxy >= 0 and server in self._known[proxy]
         cold.sent.append((now, work, knew))
         cold.total += work
@@ -332,6 +338,7 @@
 
     def origin_load(self, now: float, work: float, cold_miss: bool, span: float) -> None:
         """Work has come to the origin; whether a miss at a cold node made it."""
+        self.tick("fetches", now)
         self._origin.append((now, work, cold_miss))
         while self._origin[0][0] < now - span:
             self._origin.popleft()
--- a/lupinladder/lab/run.py
+++ b/lupinladder/lab/run.py
@@ -22,6 +22,7 @@
 from lupinladder.lab.faults import Faults
 from lupinladder.lab.fleet import Fleet
 from lupinladder.lab.hostile import Hostile
+from lupinladder.lab.listing import Entry
 from lupinladder.lab.peers import Peers
 from lupinladder.lab.proxies import Managed, Proxies
 from lupinladder.lab.referee import Broken, Referee
@@ -57,6 +58,7 @@
     late_begin: float  # 99th percentile of how late requests were begun, ms
     void: str  # why the run says nothing; "" if it does
     origin_stops: int
+    rates: dict[str, Counter[int]] = field(default_factory=dict)  # by tenths of a second, over all proxies
     hostile_owed: Counter[str] = field(default_factory=Counter)
     hostile_unpaid: Counter[str] = field(default_factory=Counter)
     connections: int = 0
@@ -72,6 +74,7 @@
     def __init__(self, scenario: Scenario, folder: Path, live: Live | None = None) -> None:
         self.scenario, self._folder, self._live = scenario, folder, live
         self.seconds: list[Second] = []
+        self._first: tuple[int, list[Entry]] = (0, [])  # the list as the run began
 
     async def play(self) -> Outcome:
         """Until the end, or until SIGTERM or Ctrl-C; whichever comes, no proxy is left behind."""
@@ -127,12 +130,18 @@
     def _config(self, one: Managed) -> dict[str, Any]:
         """What of a proxy's configuration the fleet knows."""
         fleet = self.fleet
-        known = fleet.list.text(True, list(fleet.list.entries.values()), fleet.addresses(one.number))
+        core, told = fleet.list, self.scenario.proxies.known
+        if not self._first[1]:
+            self._first = core.index, list(core.entries.values())
+        index, entries = self._first if told != "now" else (core.index, list(core.entries.values()))
+        if told == "none":  # nothing but where the origin is, as after a stop of days
+            index, entries = 0, [one for one in entries if one.type == "origin"]
+        known = json.loads(core.text(True, entries, fleet.addresses(one.number)))
         return {
             "discovery": fleet.discovery.doors[one.number].address,
             "peers": self.peers.addresses(one.number),
             "peers_all": self.peers.to_all(one.number),
-            "known": json.loads(known),
+            "known": {**known, "index": index},
         }
 
     async def _load(self, plan: Plan) -> Outcome:
@@ -243,6 +252,7 @@
             begun[int(len(begun) * 0.99)] if begun else 0.0,
             void,
             self.fleet.origin.core.stops,
+            self.referee.rates,
             self.hostile.owed,
             self.hostile.unpaid,
             sum(pool.opened for pool in self.pools),
--- a/lupinladder/lab/scenario.py
+++ b/lupinladder/lab/scenario.py
@@ -12,9 +12,10 @@
 
 import msgspec
 
-from lupinladder.lab import tomlfile
-from lupinladder.lab.tomlfile import Bad, Wrong
+from lupinladder.operator import tomlfile
+from lupinladder.operator.tomlfile import Bad, Wrong
 
+STORES = ("kept", "lost", "torn", "flipped", "swapped", "old")  # what becomes of the stores of killed proxies
 GARBLES = ("noise", "endless", "length", "huge", "copy", "trailing", "report", "interim")
 HOSTILES = (
     "noise", "endless", "lengths", "huge", "big", "class", "deadline", "noid",
@@ -78,6 +79,10 @@
     memory_mb: int = 192
     sockets: int = 1024
     command: list[str] = msgspec.field(default_factory=list)  # empty: this program
+    store: bool = False  # each keeps one over its restarts
+    known: Literal["now", "first", "none"] = (
+        "now"  # the list in a configuration: as it is, as it began, empty
+    )
 
 
 class Net(msgspec.Struct, forbid_unknown_fields=True):
@@ -132,7 +137,7 @@
     kind: Literal[
         "deploy", "shrink", "grow", "hot-key", "late-list", "list-down", "list-move", "silent", "reset",
         "garble", "slow-origin", "zone-delay", "kill", "term", "hup", "connections", "rolling-restart",
-        "pauses", "neighbour",
+        "pauses", "neighbour", "kill-many",
     ]  # fmt: skip
     at: float
     for_s: float = 5.0
@@ -242,6 +247,8 @@
             raise Wrong(f"{path}.node", f"there are nodes 0 to {self.fleet.nodes - 1}")
         if fault.kind == "zone-delay" and fault.zone not in self.fleet.zones:
             raise Wrong(f"{path}.zone", f"expected one of {', '.join(self.fleet.zones)}")
+        if fault.kind == "kill-many" and fault.how and fault.how not in STORES:
+            raise Wrong(f"{path}.how", f"{fault.how!r} is none of {', '.join(STORES)}")
         if fault.kind == "garble" and fault.how and fault.how not in GARBLES:
             raise Wrong(f"{path}.how", f"{fault.how!r} is none of {', '.join(GARBLES)}")
 
--- a/lupinladder/net/config.py
+++ b/lupinladder/net/config.py
@@ -30,6 +30,8 @@
     settings: api.Settings
     classes: list[str]
     tenants: list[str]
+    zones: list[str]
+    kinds: list[str]
     listing: Listing
     origin_kind: int
     idle_ms: float
@@ -71,6 +73,8 @@
         settings=settings,
         classes=[wire.read(one, "name", str) for one in told["classes"]],
         tenants=[wire.read(one, "name", str) for one in wire.read(told, "tenants", list, [])],
+        zones=zones,
+        kinds=kinds,
         listing=listing,
         origin_kind=settings.origin_kind,
         idle_ms=wire.read(told, "ceilings.conn-idle-ms", float),
--- a/lupinladder/net/engine.py
+++ b/lupinladder/net/engine.py
@@ -15,6 +15,7 @@
 from lupinladder.govern.leaving import Leaving
 from lupinladder.net.log import counters, say
 from lupinladder.net.loop import Deadline, Loop
+from lupinladder.rules import Server
 
 OVERDUE = 15.0  # ms past its deadline at which a query is failed if the module has not spoken
 OK, MOOT = api.Outcome.OK, api.Outcome.MOOT
@@ -89,6 +90,14 @@
             self._carry_out(action)
         self.feed(cached)
 
+    def servers(self) -> list[Server]:
+        """What the module knows of each listed server, to read and never to change."""
+        return list(self._balancer.members.values())
+
+    def heat(self) -> dict[int, float]:
+        """Its own sends by slot, fading."""
+        return self._balancer.slots.heat
+
     def leaving(self) -> Leaving:
         """How to stop, beginning now."""
         return Leaving(self._settings, self._loop.now())
--- a/lupinladder/net/host_group.py
+++ b/lupinladder/net/host_group.py
@@ -93,6 +93,7 @@
         self._make_link, self._tell = make_link, tell
         self._links: dict[api.ServerId, tuple[Link, float]] = {}  # with the start they were made for
         self._index = 0
+        self.heard = False  # a watch has spoken since its opening: the list is what discovery has
         self._watch: Watch | None = None
         self._former: Watch | None = None  # at the address before; it is listened to until the new one speaks
 
@@ -104,6 +105,16 @@
         found = self._links.get(server)
         return found[0] if found else None
 
+    def address(self, server: api.ServerId) -> Address | None:
+        """Where a server is that may be sent to."""
+        found = self._links.get(server)
+        return found[0].address if found else None
+
+    @property
+    def index(self) -> int:
+        """The version of the list that is held."""
+        return self._index
+
     def follow(self) -> None:
         """Open the watch, unless one is open: each call is work for discovery."""
         if self._watch is None:
@@ -134,6 +145,7 @@
         except RecursionError:
             raise ValueError("nested too deep") from None
         self._tell(self._take(tree, None))
+        self.heard = self.heard or watch is self._watch
         if watch is not self._former:
             self._drop_former()
 
@@ -142,7 +154,7 @@
         if watch and watch is self._former:
             self._former = None
             return
-        self._watch = None
+        self._watch, self.heard = None, False
         counters["watches_lost"] += 1
         say("discovery", why)
         self._tell(api.Fleet(api.ListForm.FAILED, self._index))
--- /dev/null
+++ b/lupinladder/net/keeper.py
@@ -0,0 +1,176 @@
+"""The keeper: puts the store's words into the decision module at the start, and what changes into the store.
+
+The loop only looks and hands over; a thread of the store's own writes, so that no query waits for a disk.
+Imported only where an operator's file asks for a store.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import threading
+import time
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from queue import SimpleQueue
+from typing import Any
+
+import msgspec
+
+from lupinladder import api
+from lupinladder.net.config import Config, ConfigError
+from lupinladder.net.engine import Engine
+from lupinladder.net.host_group import HostGroup
+from lupinladder.net.log import counters, say
+from lupinladder.net.loop import Loop
+from lupinladder.operator.file import Store as StoreSettings
+from lupinladder.recovery import recall
+from lupinladder.recovery.recall import Beginning, Notes
+from lupinladder.recovery.trust import Use, age_text
+from lupinladder.store import files, state
+
+Words = list[msgspec.Struct]
+MINUTE = 60_000.0
+
+
+def site(conf: Config) -> str:
+    """A digest of what limits rest on: classes, zones, kinds, and how many proxies share the servers."""
+    settings = conf.settings
+    parts = [conf.classes, conf.kinds, conf.zones, settings.balancers, settings.cold_for, settings.aside]
+    parts.append([(one.aim, one.deadline) for one in settings.classes])
+    return hashlib.blake2b(json.dumps(parts).encode(), digest_size=8).hexdigest()
+
+
+class Writer(threading.Thread):
+    """Owns the store once it is open: takes batches, one at a time."""
+
+    def __init__(self, store: files.Store, now: Callable[[], float]) -> None:
+        super().__init__(name="store", daemon=True)
+        self._store, self._now = store, now
+        self._batches: SimpleQueue[Words | None] = SimpleQueue()
+        self.busy = False  # a batch is out; the next waits, and what has changed meanwhile comes with it
+
+    def hand(self, batch: Words) -> None:
+        self.busy = True
+        self._batches.put(batch)
+
+    def run(self) -> None:
+        while True:
+            batch = self._batches.get()
+            try:
+                if batch is None:
+                    self._store.close(self._now())
+                    return
+                for one in batch:
+                    self._store.put(one)
+                counters["store_bytes"] += self._store.flush(self._now())
+            except Exception as bad:  # the proxy serves on without a store
+                counters["store_faults"] += 1
+                say("store", f"{type(bad).__name__}: {bad}")
+                if batch is None:
+                    return
+            self.busy = False
+
+    def finish(self, within: float) -> None:
+        """Write what is left and end; at most so many seconds are waited."""
+        self._batches.put(None)
+        self.join(within)
+
+
+class Keeper:
+    """One proxy's store, from its start to its end."""
+
+    def __init__(self, conf: Config, settings: StoreSettings, now: float) -> None:
+        """ConfigError if it cannot be had. Times are the loop's: Unix time in ms."""
+        self._conf, self._every = conf, settings.every_ms
+        self._offset = time.time() * 1000 - now  # the clock that other processes read, by ours
+        path = Path(settings.path.replace("{name}", conf.name))
+        limits = files.Limits(settings.bytes, settings.bytes_per_s, settings.sync)
+        owner = state.Owner(conf.name, site(conf))
+        try:
+            store = files.Store(path, owner, now, lambda text: say("store", text), limits)
+        except files.StoreError as bad:
+            raise ConfigError(str(bad)) from None
+        origin = conf.kinds[conf.origin_kind] if 0 <= conf.origin_kind < len(conf.kinds) else ""
+        self.beginning: Beginning = recall.begin(conf.known, store.found, now, origin)
+        self._lately = sum(now - at < MINUTE for at in store.starts)
+        self._notes, self._listed = Notes(), -1
+        self._generation = self.beginning.generation
+        self._writer = Writer(store, lambda: time.time() * 1000 - self._offset)
+
+    def report(self) -> str:
+        """What this start begins with, in a line."""
+        begun, uses = self.beginning, []
+        for use in (Use.ALL, Use.PART, Use.TRIAL):
+            if begun.used.get(use):
+                uses.append(f"{begun.used[use]} of {use.name.lower()}")
+        age = "nothing stored" if begun.age is None else f"stored {age_text(begun.age)} ago"
+        if self._lately:
+            age += f"; start {self._lately + 1} within a minute"
+        return f"list of the {begun.source.name.lower()}; {age}; limits: {', '.join(uses) or 'none'}"
+
+    def start(self, loop: Loop, engine: Engine, group: HostGroup) -> None:
+        """From now on keep what changes."""
+        self._loop, self._engine, self._group = loop, engine, group
+        self._writer.start()
+        self._look()
+
+    def _look(self) -> None:
+        if not self._writer.busy:
+            batch = self._changed(self._loop.now())
+            if batch:
+                self._writer.hand(batch)
+        self._loop.at(self._loop.now() + self._every, self._look)
+
+    def _changed(self, now: float) -> Words:
+        words: Words = []
+        index = self._group.index
+        if index != self._listed:
+            if index < self._listed:
+                self._generation += 1  # discovery began anew: its numbers say nothing of the older ones
+            self._listed = index
+            words.append(state.Listing(index, now, self._generation, list(self._endpoints())))
+        elif self._group.heard:
+            words.append(state.Heard(index, now))
+        words += self._notes.limits(self._limits())
+        words.append(self._notes.slots(self._engine.heat(), now))
+        return words
+
+    def _endpoints(self) -> Iterable[dict[str, Any]]:
+        conf = self._conf
+        for server in self._engine.servers():
+            entry, address = server.entry, self._group.address(server.id)
+            if address and entry.state is api.State.READY:
+                yield {
+                    "name": server.id.decode(),
+                    "address": f"{address[0]}:{address[1]}",
+                    "zone": conf.zones[entry.zone],
+                    "type": conf.kinds[entry.kind],
+                    "group": entry.cell,
+                    "status": "active",
+                    "weight": entry.weight,
+                    "since_ms": entry.launched,
+                }
+
+    def _limits(self) -> Iterable[state.Limit]:
+        """Of each server on which a window has closed: what it then gave, and when that was."""
+        for server in self._engine.servers():
+            limiter = server.limiter
+            if limiter.seen and not server.cold:
+                yield state.Limit(
+                    server.id.decode(),
+                    server.entry.launched,
+                    limiter.start,
+                    limiter.seen,
+                    round(limiter.min_latency, 3),
+                    round(limiter.max_qps * 1000, 4),
+                    server.moved,
+                    round(server.failed, 3),
+                )
+
+    def finish(self) -> None:
+        """Keep the last words; a disk that hangs holds nobody up for long."""
+        if not self._writer.is_alive():
+            return
+        self._writer.hand(self._changed(self._loop.now()))
+        self._writer.finish(0.5)
--- a/lupinladder/rules.py
+++ b/lupinladder/rules.py
@@ -53,7 +53,7 @@
         self.least = inf  # of all latencies: the way there and back, and hardly any work
         # The mean time between own sends, where nobody else could be asked instead, and trials lost in a row.
         self.gap, self.sent_at, self.losses = inf, now, 0
-        self.quiet_from = now  # since when sends are out; see silent()
+        self.quiet_from, self.seen = now, 0  # since when sends are out; how many windows have counted
 
     @property
     def spacing(self) -> float:
@@ -102,9 +102,29 @@
             self.count, self.total, self.start = 0, 0.0, now
             self.next_send = max(self.next_send, now + self.latency)
 
+    def allowed(self, latency: float) -> float:
+        """brpc's formula, at the mean latency of a window."""
+        alpha = min(max(self.aim / self.min_latency - 2, ALPHA_LEAST), ALPHA_MOST)
+        room = (2 + alpha) * self.min_latency - latency
+        limit = self.max_qps * room
+        if room > 0:  # the swing of few sends at once, less as latency rises
+            limit += (1 + sqrt(limit)) * min(1.0, room / ((1 + alpha) * self.min_latency))
+        return max(limit, self.floor)
+
+    def recall(self, known: api.Recalled, now: float) -> None:
+        """Begin from what was known: all of it, or less, and from there doubled by each window."""
+        limit = 1.0
+        if known.min_latency > 0 and known.use is not api.Recall.TRIAL:
+            self.min_latency = self.latency = known.min_latency
+            self.max_qps, self.retest_at = known.max_qps, now + RETEST_LATENCIES * known.min_latency
+            limit = self.allowed(known.min_latency)
+        self.fresh = known.use is not api.Recall.ALL
+        self.max_concurrency = limit / 2 if known.use is api.Recall.PART else limit
+
     def close(self, now: float) -> None:
         """End the window and set the next limit."""
         qps = self.count / max(now - self.start, 1.0)  # the true span; a clock may stand still
+        self.seen += self.count
         self.latency = latency = max(self.total / self.count, self.aim / 1e6)
         if not self.min_latency:
             self.min_latency, self.retest_at = latency, now + RETEST_LATENCIES * latency
@@ -116,12 +136,7 @@
         most = self.aim / (2 + ALPHA_LEAST)
         self.min_latency = min(self.min_latency, max(most, self.least + most / 2.5))
         self.max_qps = qps if qps > self.max_qps else self.max_qps + (qps - self.max_qps) * EMA_ALPHA / 10
-        alpha = min(max(self.aim / self.min_latency - 2, ALPHA_LEAST), ALPHA_MOST)
-        room = (2 + alpha) * self.min_latency - latency
-        limit = self.max_qps * room
-        if room > 0:  # the swing of few sends at once, less as latency rises
-            limit += (1 + sqrt(limit)) * min(1.0, room / ((1 + alpha) * self.min_latency))
-        limit = max(limit, self.floor)
+        limit = self.allowed(latency)
         if self.fresh:  # doubled at most, until the formula gives less
             limit = min(limit, 2 * self.max_concurrency)
             self.fresh = limit == 2 * self.max_concurrency
@@ -272,6 +287,15 @@
             self.fleet(event, now)
         elif isinstance(event, api.Left) and event.id in self.live:
             self.finished(self.live[event.id])
+        elif isinstance(event, api.Recalled):
+            server = self.members.get(event.server)
+            if server and not server.cold and not server.limiter.latency and not server.limiter.fresh:
+                server.limiter.recall(event, now)
+                server.moved = server.share = min(max(event.moved, 0.25), 1.0)
+                server.failed = event.failed
+        elif isinstance(event, api.RecalledSlots):
+            self.slots.heat = {slot: heat for slot, heat in event.heat.items() if 0 <= slot < SLOTS}
+            self.slots.total = sum(self.slots.heat.values())
         return self.acts
 
     def draw(self) -> float:
--- a/tests/lab/test_runs.py
+++ b/tests/lab/test_runs.py
@@ -30,23 +30,26 @@
     return made
 
 
-def play(made: Scenario) -> dict[str, Any]:
+def outcome_of(made: Scenario) -> run.Outcome:
     """The first run that says something. A machine that is late in all of them has judged nothing: that is
     no verdict on the proxy, so it skips. A fault of the lab's own is a failure."""
     for _ in range(TRIES):
-        tree = report.figures(run.play(made))
-        if not tree["void"]:
-            return tree
-    if tree["void"].startswith(LATE.partition("{")[0]):
-        raise SkipTest(tree["void"])
-    raise AssertionError(tree["void"])
+        found = run.play(made)
+        if not found.void:
+            return found
+    if found.void.startswith(LATE.partition("{")[0]):
+        raise SkipTest(found.void)
+    raise AssertionError(found.void)
+
+
+def play(made: Scenario) -> dict[str, Any]:
+    return report.figures(outcome_of(made))
 
 
 class Void(TestCase):
     def test_a_machine_that_is_late_gives_no_verdict_and_a_fault_of_the_lab_does(self) -> None:
         for void, raised in [(LATE.format(30, 0.013), SkipTest), ("a fault", AssertionError)]:
-            figures = mock.patch.object(report, "figures", return_value={"void": void})
-            with mock.patch.object(run, "play"), figures, self.assertRaises(raised):
+            with mock.patch.object(run, "play", return_value=mock.Mock(void=void)), self.assertRaises(raised):
                 play(CASES["restarts"])
 
 
@@ -213,7 +216,8 @@
 
     def test_the_platforms_start_imports_none_of_it(self) -> None:
         code = (
-            "import sys, lupinladder.__main__; print([m for m in sys.modules if 'lab' in m or 'click' in m])"
+            "import sys, lupinladder.__main__; print([m for m in sys.modules for part in "
+            "('lab', 'click', 'msgspec', 'store', 'recovery', 'operator.') if part in m])"
         )
         ran = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
         self.assertEqual(ran.stdout.strip(), "[]")
--- a/tests/lab/test_scenario.py
+++ b/tests/lab/test_scenario.py
@@ -8,9 +8,10 @@
 
 import numpy as np
 
-from lupinladder.lab import scenario, tomlfile
+from lupinladder.lab import scenario
 from lupinladder.lab.draws import Keys, Plan
 from lupinladder.lab.scenario import Scenario
+from lupinladder.operator import tomlfile
 
 GOOD = "seconds = 5\nload = [{ at = 0, rate = 10 }]\n"
 BAD = [  # text, line, a part of what is said
--- /dev/null
+++ b/tests/recovery/test_trust.py
@@ -0,0 +1,156 @@
+"""What stored words may be used for, and what the module makes of them."""
+
+from __future__ import annotations
+
+import itertools
+from unittest import TestCase
+
+from lupinladder import Balancer, api
+from lupinladder.recovery import recall
+from lupinladder.recovery.recall import Notes
+from lupinladder.recovery.trust import Source, Thing, Use, newer, trust
+from lupinladder.store.state import Limit, Listing, Owner, Slots, State
+from tests import fleet
+from tests.fleet import Proxy, entries
+
+NOW = 1e12
+S, MIN, HOUR = 1e3, 6e4, 3.6e6
+AGES = (S, 10 * S, 10 * MIN, 10 * HOUR)
+TABLE = {  # docs/recovery.md states the same
+    Thing.MEMBER: (Use.ALL, Use.PART, Use.PART, Use.TRIAL),
+    Thing.LIMIT: (Use.ALL, Use.ALL, Use.PART, Use.TRIAL),
+    Thing.HEALTH: (Use.ALL, Use.TRIAL, Use.TRIAL, Use.NOTHING),
+    Thing.SLOT: (Use.ALL, Use.PART, Use.NOTHING, Use.NOTHING),
+    Thing.ORIGIN: (Use.ALL, Use.ALL, Use.PART, Use.TRIAL),
+}
+
+
+class Trust(TestCase):
+    def test_the_stated_table(self) -> None:
+        for thing, uses in TABLE.items():
+            found = tuple(trust(thing, Source.STORE, NOW - age, NOW) for age in AGES)
+            self.assertEqual(found, uses, thing)
+
+    def test_it_never_grows_with_age_and_a_peer_is_good_for_a_trial_at_most(self) -> None:
+        ages = [0, 1, *(10**n for n in range(1, 12))]
+        for thing, source in itertools.product(Thing, Source):
+            uses = [trust(thing, source, NOW - age, NOW) for age in ages]
+            self.assertEqual(uses, sorted(uses, reverse=True))
+            self.assertEqual(uses[-1], Use.NOTHING)
+            if source is Source.PEER:
+                self.assertLessEqual(max(uses), Use.TRIAL)
+
+    def test_a_word_of_another_process_is_void_and_one_from_the_future_has_no_age(self) -> None:
+        for thing in (Thing.LIMIT, Thing.HEALTH):
+            self.assertEqual(trust(thing, Source.STORE, NOW - S, NOW, NOW - S + 1), Use.NOTHING)
+            self.assertEqual(trust(thing, Source.STORE, NOW - S, NOW, NOW - S), Use.ALL)
+        for thing in Thing:  # a clock that jumped back while the proxy was down
+            self.assertEqual(trust(thing, Source.STORE, NOW + HOUR, NOW), Use.TRIAL)
+
+    def test_an_older_index_never_overrules_a_newer_one_unless_discovery_began_anew(self) -> None:
+        for index, generation, ours, theirs in [(5, 0, True, False), (4, 1, True, True), (6, 0, True, True)]:
+            self.assertEqual(newer(index, generation, 5, 0), ours if index >= 5 or generation else theirs)
+        self.assertFalse(newer(4, 0, 5, 0))
+
+
+def point(name: str, since: float = 1.0, kind: str = "small-1") -> dict[str, object]:
+    return {"name": name, "type": kind, "since_ms": since, "status": "active"}
+
+
+def stored(age: float, index: int = 9, names: str = "abc", since: float = 1.0, failed: float = 0.0) -> State:
+    state = State(Owner("n", "s"))
+    state.take(Listing(index, NOW - age, 3, [point(name) for name in names] + [point("o", 0.0, "origin")]))
+    state.take(Slots(NOW - age, {7: 4.0}))
+    for name in names:
+        state.take(Limit(name, since, NOW - age, 99, 50.0, 20.0, 0.5, failed))
+    state.take(Limit("o", 0.0, NOW - age, 99, 40.0, 10.0))
+    return state
+
+
+def uses(begun: recall.Beginning) -> dict[str, str]:
+    return {e.server.decode(): e.use.value for e in begun.events if isinstance(e, api.Recalled)}
+
+
+class Recall(TestCase):
+    CONFIG = {"index": 5, "snapshot": True, "endpoints": [point("a"), point("d"), point("o", 0.0, "origin")]}  # noqa: RUF012
+
+    def begin(self, state: State | None) -> recall.Beginning:
+        return recall.begin(dict(self.CONFIG), state, NOW, "origin")
+
+    def test_the_newer_list_is_begun_with_and_an_old_one_is_good_for_trials(self) -> None:
+        self.assertEqual(self.begin(None).source, Source.CONFIG)
+        for age, source, known in [
+            (S, Source.STORE, {"a": "all", "b": "all", "c": "all", "o": "all"}),
+            (10 * MIN, Source.STORE, {"a": "part", "b": "part", "c": "part", "o": "part"}),
+            (10 * HOUR, Source.STORE, {"a": "trial", "b": "trial", "c": "trial", "o": "trial"}),
+            (9 * 24 * HOUR, Source.CONFIG, {}),
+        ]:
+            begun = self.begin(stored(age))
+            self.assertEqual((begun.source, uses(begun)), (source, known), age)
+            self.assertEqual(begun.generation, 3)
+        older = self.begin(stored(S, index=4))
+        self.assertEqual((older.source, uses(older)), (Source.CONFIG, {"a": "all", "o": "all"}))
+
+    def test_a_limit_of_another_process_is_void_and_a_failing_server_gets_a_trial(self) -> None:
+        restarted = self.begin(stored(S, since=2.0))
+        self.assertEqual(uses(restarted), {"o": "all"})
+        self.assertEqual(uses(self.begin(stored(S, failed=0.9)))["a"], "trial")
+
+    def test_slots_are_hot_for_seconds(self) -> None:
+        for age, heat in [(S, {7: 4.0}), (10 * S, {7: 2.0}), (10 * MIN, None)]:
+            found = [e.heat for e in self.begin(stored(age)).events if isinstance(e, api.RecalledSlots)]
+            self.assertEqual(found, [heat] if heat else [])
+
+    def test_what_has_not_changed_is_not_written_again_until_its_age_would_mislead(self) -> None:
+        notes = Notes()
+
+        def one(at: float, latency: float = 50.0, since: float = 1.0) -> Limit:
+            return Limit("a", since, at, 9, latency, 20.0)
+
+        for seen, written in [
+            (one(0), 1), (one(100), 0), (one(200, 54), 0), (one(300, 60), 1), (one(400, 60, 2.0), 1),
+            (one(9000, 60, 2.0), 1),
+        ]:  # fmt: skip
+            self.assertEqual(len(notes.limits([seen])), written, seen)
+        notes.limits([])  # it has gone: nothing is kept of it
+        self.assertEqual(len(notes.limits([one(9001, 60, 2.0)])), 1)
+
+
+class Module(TestCase):
+    def proxy(self, *events: api.Event) -> Proxy:
+        conf = fleet.settings(balancers=1)
+        proxy = Proxy(Balancer(conf, 1, 0.0), conf)
+        proxy.feed(api.Fleet(api.ListForm.CACHED, 1, entries(4)))
+        for event in events:
+            proxy.feed(event)
+        return proxy
+
+    def test_a_recalled_limit_is_begun_with_by_what_it_may_be_used_for(self) -> None:
+        server = entries(4)[0].server
+        whole = self.proxy().balancer.members[server].limiter
+        self.assertEqual(whole.max_concurrency, float("inf"))
+        limits = {}
+        for use in api.Recall:
+            limiter = self.proxy(api.Recalled(server, use, 50.0, 0.1)).balancer.members[server].limiter
+            limits[use], fresh = limiter.max_concurrency, limiter.fresh
+            self.assertEqual(fresh, use is not api.Recall.ALL)
+        self.assertEqual(limits[api.Recall.TRIAL], 1.0)
+        self.assertEqual(limits[api.Recall.PART] * 2, limits[api.Recall.ALL])
+        self.assertGreater(limits[api.Recall.ALL], 0.1 * 50 * 2)  # Little's law, and room up to the aim
+
+    def test_what_is_known_by_now_what_is_cold_and_what_is_not_listed_is_passed_over(self) -> None:
+        server = entries(4)[0].server
+        cold = api.Fleet(api.ListForm.DELTA, 2, [api.Entry(server, launched=1.0)])
+        proxy = self.proxy(
+            cold, api.Recalled(server, api.Recall.ALL, 50.0, 0.1), api.Recalled(b"none", api.Recall.ALL)
+        )
+        self.assertEqual(proxy.balancer.members[server].limiter.max_concurrency, 1.0)
+        proxy = self.proxy(
+            api.Recalled(server, api.Recall.TRIAL), api.Recalled(server, api.Recall.ALL, 50.0, 0.1)
+        )
+        self.assertEqual(proxy.balancer.members[server].limiter.max_concurrency, 1.0)
+
+    def test_recalled_slots_are_split_from_the_first_request_on(self) -> None:
+        proxy = self.proxy(api.RecalledSlots({5: 40.0, -1: 9.0, 1 << 40: 9.0}))
+        self.assertEqual(proxy.balancer.slots.heat, {5: 40.0})
+        self.assertGreater(proxy.balancer.slots.parts(5), 1)
