Allow the origin one send more in the swing of its limit, as a refusal there is final

A proxy of 200 fetches twice a second; its limit on the origin is 1.0 to 2.6 ('O:FULL:186:0:r:1.4:1'), so the second fetch at a time is refused. Spilled work has a next owner, a fetch has none. Line: Limiter.close, the swing 1 + sqrt(limit). Change: 2 + sqrt(limit) for the one server with nobody beside it; it still falls to nothing as latency uses up the room. Test: test_limiter.py; fails with the old swing (tried).

--- a/lupinladder/rules.py
+++ b/lupinladder/rules.py
@@ -108,7 +108,7 @@
         room = (2 + alpha) * self.min_latency - latency
         limit = self.max_qps * room
         if room > 0:  # the swing of few sends at once, less as latency rises
-            limit += (1 + sqrt(limit)) * min(1.0, room / ((1 + alpha) * self.min_latency))
+            limit += (1 + (self.gap < inf) + sqrt(limit)) * min(1.0, room / ((1 + alpha) * self.min_latency))
         return max(limit, self.floor)
 
     def recall(self, known: api.Recalled, now: float) -> None:
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -44,6 +44,18 @@
     assert isclose(limiter.max_concurrency, 40 + 1 + sqrt(40))
 
 
+def test_where_nobody_else_could_be_asked_the_swing_is_one_send_more_while_latency_leaves_room() -> None:
+    for latency, more in ((50, 1.0), (600, 0.0)):  # 600: beyond the room of what was first seen
+        limits = []
+        for gap in (inf, AIM):
+            limiter = Limiter(0, AIM, 0.01, False)
+            limiter.gap = gap
+            now = fill(limiter, 0, 500, 50)  # two a second, as a balancer among 200 fetches
+            fill(limiter, now, 500, latency)
+            limits.append(limiter.max_concurrency)
+        assert isclose(limits[1] - limits[0], more, abs_tol=0.02), limits
+
+
 def test_a_window_closes_early_on_enough_samples_or_at_its_timeout_with_a_few() -> None:
     limiter = Limiter(0, AIM, 0.5, False)
     fill(limiter, 0, WINDOW_AIMS * AIM / SAMPLES_LEAST, 100, SAMPLES_LEAST)
