Lab: an answer that was under way when its proxy was killed is no second answer

The bytes lay at the client when the proxy ended; the referee had just excused the query. Line: Referee.answered. Change: what is read within the slack (50 ms) of the excuse is that query's one answer; a second, or one later, is found as before. Test: three cases in test_referee.py; two fail without the change (tried).

--- a/lupinladder/lab/referee.py
+++ b/lupinladder/lab/referee.py
@@ -171,7 +171,10 @@
         query = self._queries.get(ident)
         if query is None or query.over == "gone":
             return
-        if query.over:
+        crossed = (
+            query.over == "excused" and now <= query.ended + SLACK
+        )  # its bytes were there before the end
+        if query.over and not crossed:
             self._find("lost", now, query.proxy, ident, f"a second final answer after {query.over}", raw)
             return
         query.over, query.ended = answer, now
--- a/tests/lab/test_referee.py
+++ b/tests/lab/test_referee.py
@@ -153,6 +153,19 @@
     return play
 
 
+def under_way(*answers: float) -> Play:
+    """Its proxy is killed at 100; answers are read at these times."""
+
+    def play(c: Case) -> None:
+        c.ask(0, "a")
+        c.reply(90, "a", c.send(1, "a"), "hit")
+        c.judge.proxy_killed(100, 0)
+        for now in answers:
+            c.answer(now, "a")
+
+    return play
+
+
 CASES: list[tuple[str, Play, list[str]]] = [
     ("served once", lambda c: c.served(0, "a"), []),
     ("a second final answer", second_answer, ["lost"]),
@@ -161,6 +174,9 @@
     ("late beyond it", late(72), ["lost"]),
     ("silence", silence(False), ["lost"]),
     ("silence of a proxy that was killed", silence(True), []),
+    ("an answer that was under way as its proxy was killed", under_way(103), []),
+    ("the same twice", under_way(103, 104), ["lost"]),
+    ("an answer long after its proxy was killed", under_way(200), ["lost"]),
     ("ended without a byte", ended(b"", True), ["lost"]),
     ("ended within a value, so that its client can tell", ended(b"$9\r\nab", True), []),
     ("a close that crossed an unread query", crossed(False), []),
