Let a list begun with take the place of a stored one that is too old

Cause, by re-reading: recall.choose passed the stored generation on with a configuration's list of a lower index, and State.take keeps the higher (generation, index), so a stored list too old to be used would have stayed in the store, and its age never moved on. Change: such a start begins a generation.

--- a/lupinladder/recovery/recall.py
+++ b/lupinladder/recovery/recall.py
@@ -43,7 +43,10 @@
     if stored and use and newer(stored.index, 0, index if isinstance(index, int) else 0, 0):
         tree = {"index": stored.index, "snapshot": True, "endpoints": stored.endpoints}
         return tree, stored.generation, Source.STORE
-    return config, stored.generation if stored else 0, Source.CONFIG
+    # A list with a lower index than a stored one that is too old to be used begins a generation, or it
+    # would never take the old one's place.
+    began = bool(stored) and isinstance(index, int) and index < (stored.index if stored else 0)
+    return config, (stored.generation if stored else 0) + began, Source.CONFIG
 
 
 def begin(config: dict[str, Any], state: State | None, now: float, origin_kind: str) -> Beginning:
