Follow a pushed list from the first moment on, and ask anew in time whatever the settings say

Change: the proxy opens the watch before it listens where lists are pushed; the unit of the pauses is `Settings.ask_again`: pushed, half of the grace at the most; asked for, the first within the 800 ms that silence (3.2 s) and a call (2 s) leave of 6 s.

Tests: the program is followed from its start and after three resets; pauses over 40 seeds.

--- a/lupinladder/__main__.py
+++ b/lupinladder/__main__.py
@@ -59,6 +59,8 @@
             self._keeper.start(self.loop, self.engine, self._group)
         else:
             self.engine.start(self._group.cached(conf.known))
+        if not conf.settings.ask:  # pushed: what waits for us counts as told from our first moment on
+            self._group.follow()
         self.front = Front(self.loop, self._budget, self.engine, conf.listen, conf.classes, conf.tenants)
         self._figures()
 
--- a/lupinladder/api.py
+++ b/lupinladder/api.py
@@ -17,8 +17,12 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from math import inf
 
 ServerId = bytes
+# Ms until a lost list is asked for anew, at most. What a silent watch misses counts as told after 6 s (page of
+# the standing test): 3.2 s until it is known to be silent, this, and the 2 s that a call may take.
+ASK_FIRST = 800.0
 
 
 class Repeat(Enum):
@@ -101,6 +105,14 @@
     live_weights: bool = False  # weights fall with the load of the moment
     report_fields: list[str] = field(default_factory=list)
 
+    @property
+    def ask_again(self) -> float:
+        """The unit of the pauses until a lost list is asked for anew: the first is one to three of it, the
+        longest twelve. Where lists are pushed, what waits there counts as told: half of the grace at most."""
+        if self.ask:
+            return min(self.ask_within / 32 or inf, ASK_FIRST / 3)
+        return max(self.stop_within, 1.0) / 24
+
 
 @dataclass(slots=True)
 class Entry:
--- a/lupinladder/rules.py
+++ b/lupinladder/rules.py
@@ -319,7 +319,7 @@
     def fleet(self, event: api.Fleet, now: float) -> None:
         if event.form is api.ListForm.FAILED:
             self.asks += 1
-            self.later(2 ** min(self.asks, 3) * self.settings.ask_within / 32, None)
+            self.later(2 ** min(self.asks, 3) * self.settings.ask_again, None)
             return
         if event.form is api.ListForm.DELTA and event.version < self.version:
             return  # stale: a newer list is known
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -212,6 +212,28 @@
     assert waits[3] > waits[1] and max(waits) < 10000
 
 
+def test_a_lost_list_is_asked_for_in_time_whatever_the_settings_leave() -> None:
+    def waits(failures: int, **told: object) -> list[float]:
+        found = []
+        for seed in range(40):
+            conf = fleet.settings(**told)
+            proxy = Proxy(Balancer(conf, seed, 0.0), conf)
+            proxy.timers.clear()
+            for _ in range(failures):
+                proxy.feed(api.Fleet(api.ListForm.FAILED))
+                [(at, _token)] = proxy.timers
+                found.append(at - proxy.now)
+                proxy.advance(at)
+        return found
+
+    # A watch is known to be silent after 3.2 s, and a call may take 2 s: within 6 s all of it.
+    for within in (500.0, 10000.0, 60000.0, 0.0):
+        assert min(waits(1, ask=True, ask_within=within)) > 0, within
+        assert max(waits(1, ask=True, ask_within=within)) <= 800, within
+    # Pushed: what waits there counts as told whether or not a watch is open.
+    assert max(waits(6, ask=False, stop_within=400.0, ask_within=10000.0)) <= 200
+
+
 def test_a_tenant_over_its_quota_is_refused_first() -> None:
     conf = fleet.settings(tenant_quotas=[40.0, 40.0], over_share_worth=0.2)
     proxy = Proxy(Balancer(conf, 1, 0.0), conf)
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -698,6 +698,40 @@
         for door in doors:
             door.close()
 
+    def test_a_pushed_list_is_followed_from_the_first_moment_and_again_when_its_watch_is_lost(self) -> None:
+        door, conf = Door(self.loop), configuration()
+        self.addCleanup(door.close)
+        with socket.create_server(("127.0.0.1", 0)) as spare:
+            conf["listen"] = f"127.0.0.1:{spare.getsockname()[1]}"
+        conf["discovery"] = f"127.0.0.1:{door.address[1]}"
+        conf["known"] = listing(type="m2", address=f"127.0.0.1:{self.node.address[1]}", since_ms=0)
+        conf["settings"]["membership-mode"] = "push"
+        conf["settings"]["obligations"] |= {"ask-within-ms": 60000.0, "stop-sending-within-ms": 400.0}
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            path.write_text(json.dumps(conf))
+            process = self.start({"GW_CONFIG": str(path)})
+            self.addCleanup(process.communicate)
+            self.addCleanup(process.kill)
+            assert process.stderr
+            process.stderr.readline()  # it listens
+            for number in range(3):
+                self.at_node(number, door).reset()
+            watch = self.at_node(3, door)
+            gone = listing(type="m2", status="leaving", since_ms=0)
+            text = json.dumps({**gone, "index": 9, "snapshot": False}).encode() + b"\n"
+            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            watch.conn.send(head + b"%x\r\n%b\r\n" % (len(text), text))
+            self.address = host_group.address_of(conf["listen"])
+            self.until(lambda: self.refused(), "nothing sent to the node that leaves")
+
+    def refused(self) -> bool:
+        """Whether a request is refused, as nobody may be sent one."""
+        client = self.client(get(wait=100))
+        self.until(lambda: client.got, "an answer")
+        client.conn.close()
+        return client.got.startswith(b"-BUSY")
+
     def test_told_to_stop_it_answers_what_it_took_and_ends_with_0(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as spare:
             listen = f"127.0.0.1:{spare.getsockname()[1]}"
