Let a client whose bytes end have gone: what waits for it is dropped, nothing new is sent

Checked: the requests that go on are those of clients that close in an orderly way; a broken connection was told to the module as Left already. At fault: front.py Client.ended, which took an end of bytes with answers owed for a half-close, so that retries, fetches after a miss and commands still unread behind the end went on.

--- a/lupinladder/api.py
+++ b/lupinladder/api.py
@@ -20,8 +20,8 @@
 from math import inf
 
 ServerId = bytes
-# Ms until a lost list is asked for anew, at most. What a silent watch misses counts as told after 6 s (page of
-# the standing test): 3.2 s until it is known to be silent, this, and the 2 s that a call may take.
+# Ms until a lost list is asked for anew, at most. What a silent watch misses counts as told after 6 s (the
+# standing test's page): 3.2 s until it is known to be silent, this, and the 2 s that a call may take.
 ASK_FIRST = 800.0
 
 
--- a/lupinladder/net/front.py
+++ b/lupinladder/net/front.py
@@ -191,18 +191,21 @@
         self.settle()
 
     def ended(self, by_peer: bool) -> None:
-        """With answers owed, an end of its bytes may mean that the client only stopped sending, which TCP
-        does not tell from a close: they are still made and written. A broken connection has gone away."""
-        if by_peer:
-            counters["ends_with_answers_owed" if self._slots else "ends"] += 1
-            return self.flush()
-        counters["clients_broken"] += bool(self._slots)
-        self._front.forget(self)
+        """A client that closes has gone, and TCP does not tell a close from an end of sending. What waits, or
+        is still unread, is dropped; what is worded already, as a bad client's error, is written. Answers
+        behind one that is dropped would be taken for it, so the close has to do for them."""
+        counters["ends" if by_peer else "clients_broken"] += 1
+        self._closing, self._starved = True, False
         slots, self._slots = self._slots, deque()
+        while by_peer and slots and slots[0].answer is not None:
+            self._slots.append(slots.popleft())
         for slot in slots:
             self.over(slot)
             if slot.query:
                 self._front.engine.left(slot.query)
+        if by_peer:
+            return self.flush()
+        self._front.forget(self)
         self._front.listen()
 
     def _end(self) -> None:
