Ask at the first byte whether an attempt may still go, and never send what may not

Checked: what is asked of an opening connection was put into its outbox at the decision, so all of these had been decided before their clients left. At fault: server_link.py Link.start (encode and queue at once), Wire.write; abandon cleared the place alone, the bytes went all the same; retire reached resting connections only. The window of a keyed repeat was looked at by the module at its decision alone.

What may not go ends as CONNECT_FAILED, and so does what was not begun when its time ran out. A part-written attempt counts as begun. An answer that is whole before its command is, ends the connection after it.

The test of a command broken before its last byte patches the encoder for longer, since the command is worded later.

--- a/lupinladder/api.py
+++ b/lupinladder/api.py
@@ -234,6 +234,7 @@
     id: int
     server: ServerId
     expire_at: float = 0.0  # clock time to give the attempt up; 0: when the client does
+    begin_by: float = inf  # clock time from which on it may not begin: a repeat would be dropped no more
 
 
 @dataclass(slots=True)
--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -182,7 +182,7 @@
                 if self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
                     return self._broken()
                 self.opening = False
-                self._owner.opened()
+                self._guard(self._owner.opened)
             if mask & WRITE and self.open and len(self.outbox):
                 self._flush()
                 if self.open:
--- a/lupinladder/net/engine.py
+++ b/lupinladder/net/engine.py
@@ -50,9 +50,12 @@
 class Execution:
     """One attempt."""
 
-    def __init__(self, engine: Engine, query: Query, link: Link | None, started: float, until: float) -> None:
+    def __init__(
+        self, engine: Engine, query: Query, link: Link | None, started: float, until: float, begin_by: float
+    ) -> None:
         self.query, self.link, self.started, self.until = query, link, started, until
-        self.number, self.done = len(query.executions), False
+        self.begin_by = begin_by  # its first byte is written before this, or it is not sent
+        self.number, self.done, self.begun = len(query.executions), False, False  # begun: by the link
         self.expiry: Deadline | None = None
         self._engine = engine
 
@@ -214,7 +217,7 @@
     def _try(self, query: Query, action: api.Try) -> None:
         now = self._loop.now()
         until = min(action.expire_at or query.deadline, query.deadline)
-        execution = Execution(self, query, self._route(action.server), now, until)
+        execution = Execution(self, query, self._route(action.server), now, until, action.begin_by)
         query.executions.append(execution)
         if query.over or execution.number >= self._settings.max_attempts or now >= query.deadline:
             return execution.end(MOOT)
@@ -231,7 +234,8 @@
     def _give_up(self, execution: Execution, outcome: api.Outcome) -> None:
         if not execution.done and execution.link:
             execution.link.abandon(execution)
-            execution.end(outcome)
+            never_ran = outcome is api.Outcome.TIMEOUT and not execution.begun
+            execution.end(api.Outcome.CONNECT_FAILED if never_ran else outcome)
 
     def ended(
         self,
--- a/lupinladder/net/server_link.py
+++ b/lupinladder/net/server_link.py
@@ -42,10 +42,12 @@
 
 
 class Wire:
-    """One connection of a link, with the executions on it in the order of their writing."""
+    """One connection of a link, with the executions on it in the order of their writing. It owns what is not
+    written yet, and asks at the moment of writing whether it still may go."""
 
     def __init__(self, link: Link) -> None:
         self._link = link
+        self.unsent: deque[Execution] = deque()  # until the connection is up and what is before them written
         self.waiting: deque[tuple[Execution | None, int]] = deque()  # None: abandoned; bytes queued with it
         self.reader = link.dialect.reader()
         self.idle_until: Deadline | None = None
@@ -53,13 +55,37 @@
         counters["links_opened"] += 1
         self._connecting: Deadline | None = link.loop.at(link.loop.now() + link.connect_ms, self._too_late)
 
-    def write(self, execution: Execution, data: bytes) -> None:
-        self.waiting.append((execution, self.conn.queued + len(data)))
-        self.conn.send(data)
+    @property
+    def load(self) -> int:
+        return len(self.unsent) + len(self.waiting)
+
+    def take(self, execution: Execution) -> None:
+        self.unsent.append(execution)
+        self._write()
+
+    def _write(self) -> None:
+        """Write what may still go, one after another, as the system takes it."""
+        dropped = list[Execution]()
+        while self.unsent and not self.conn.opening and not len(self.conn.outbox):
+            execution = self.unsent.popleft()
+            if self._link.may_begin(execution):
+                execution.begun = True
+                wait = execution.until - self._link.loop.now()
+                data = self._link.dialect.encode(execution.query.content, wait)
+                self.waiting.append((execution, self.conn.queued + len(data)))
+                self.conn.send(data)
+            else:
+                dropped.append(execution)
+        if not (self.load or self.conn.opening):
+            self._link.rest(self)
+        counters["never_begun"] += len(dropped)
+        for execution in dropped:  # last: what follows may come back here
+            execution.end(api.Outcome.CONNECT_FAILED)
 
     def opened(self) -> None:
         self._link.loop.cancel(self._connecting)
         self._connecting = None
+        self._write()
 
     def _too_late(self) -> None:
         if self.conn.opening:
@@ -76,7 +102,7 @@
             execution, _ = self.waiting.popleft()
             if self.reader.closes:
                 self.break_off()
-            elif not self.waiting and self._clean():
+            elif not self.load and self._clean():
                 self._link.rest(self)
             if execution:
                 execution.end(reply.outcome, reply.value, reply.note, reply.load)
@@ -85,8 +111,9 @@
 
     def _clean(self) -> bool:
         """Whether nothing came behind the last answer that was asked for. What did, a second copy or noise,
-        would be taken for the answer to whatever is written next."""
-        if len(self.conn.inbox) or not self.reader.idle:
+        would be taken for the answer to whatever is written next. What is not all taken yet was answered
+        too soon."""
+        if len(self.conn.inbox) or not self.reader.idle or len(self.conn.outbox):
             self._spoilt("bytes that nothing asked for")
         return self.conn.open
 
@@ -96,7 +123,8 @@
         self.break_off()
 
     def drained(self) -> None:
-        pass
+        if self.unsent:
+            self._write()
 
     def ended(self, by_peer: bool) -> None:
         self.break_off()
@@ -110,10 +138,13 @@
         self._connecting = self.idle_until = None
         self._link.gone(self)
         waiting, self.waiting = self.waiting, deque()
+        unsent, self.unsent = self.unsent, deque()
         for execution, mark in waiting:
             if execution:
                 ran = sent >= mark
                 execution.end(api.Outcome.RESET if ran else api.Outcome.CONNECT_FAILED)
+        for execution in unsent:
+            execution.end(api.Outcome.CONNECT_FAILED)
 
 
 class Link:
@@ -137,14 +168,18 @@
         self._retired = False
 
     def start(self, execution: Execution) -> None:
-        data = self.dialect.encode(execution.query.content, execution.until - self.loop.now())
-        wire = self._pick(len(data))
+        wire = self._pick()
         if wire is None:
             counters["no_descriptor"] += 1
             return execution.end(api.Outcome.CONNECT_FAILED)
-        wire.write(execution, data)
+        wire.take(execution)
+
+    def may_begin(self, execution: Execution) -> bool:
+        """Whether its first byte may be written now: its client has not left, the server has not begun to
+        leave, and a repeat would still be dropped."""
+        return not (self._retired or execution.query.over or self.loop.now() >= execution.begin_by)
 
-    def _pick(self, size: int) -> Wire | None:
+    def _pick(self) -> Wire | None:
         while self._idle:
             wire = self._idle.pop()
             self.budget.resting.pop(wire, None)
@@ -156,17 +191,17 @@
             counters["stale_links"] += 1
             wire.break_off()
         else:
-            return self._fresh(size)
+            return self._fresh()
         self._busy[wire] = None
         return wire
 
-    def _fresh(self, size: int) -> Wire | None:
+    def _fresh(self) -> Wire | None:
         spare = self.budget.spare(self.budget.limit // KEEP) or self.budget.reclaim()
         if spare and (fresh := self._open()):
             wire = fresh
         else:  # sockets run short: behind the shortest line, if any has room
-            able = [w for w in self._busy if len(w.waiting) < self._streams and w.conn.outbox.room >= size]
-            return min(able, key=lambda w: len(w.waiting), default=None)
+            able = [w for w in self._busy if w.load < self._streams]
+            return min(able, key=lambda w: w.load, default=None)
         self._busy[wire] = None
         return wire
 
@@ -183,9 +218,14 @@
             for place, (one, mark) in enumerate(wire.waiting):
                 if one is execution:
                     wire.waiting[place] = (None, mark)
-                    if all(other is None for other, _ in wire.waiting):
-                        wire.break_off()
-                    return
+                    break
+            else:
+                if execution not in wire.unsent:
+                    continue
+                wire.unsent.remove(execution)
+            if not wire.unsent and all(other is None for other, _ in wire.waiting):
+                wire.break_off()
+            return
 
     def rest(self, wire: Wire) -> None:
         """Nothing is out on it any more."""
--- a/lupinladder/rules.py
+++ b/lupinladder/rules.py
@@ -227,11 +227,14 @@
         self.attempts: list[Attempt] = []
         self.done = self.over_share = False
 
+    def ran(self) -> list[Attempt]:
+        """What may have run, the earliest first; outstanding ones may run."""
+        return [a for a in self.attempts if a.outcome not in NEVER_RAN]
+
     def rights(self, server: Server | None, now: float, settings: api.Settings) -> bool:
         """THE place that derives from what may have run if a send to this server (or, with none, a refusal)
         is allowed. Wrong here means an effect twice."""
-        kind, all_drop = self.kind, self.kind.scope is api.Scope.ALL
-        ran = [a for a in self.attempts if a.outcome not in NEVER_RAN]  # outstanding ones may run
+        kind, ran, all_drop = self.kind, self.ran(), self.kind.scope is api.Scope.ALL
         if server is None:
             return kind.repeat is SAFE or not ran or (kind.repeat is not UNSAFE and all_drop)
         out = any(a.outcome is None for a in self.attempts) and not settings.may_duplicate
@@ -445,10 +448,12 @@
         """Send an attempt, if the server's limits and the request's rights allow it."""
         if not server.admits(now, share) or not life.rights(server, now, self.settings):
             return False
+        ran = life.ran() if life.kind.repeat is api.Repeat.KEYED else []
+        by = ran[0].sent + life.kind.window if ran else inf
         life.attempts.append(Attempt(server, now))
         server.limiter.sent(now)
         server.sends, server.credit = server.sends + 1, server.credit - 1
-        self.acts.append(api.Try(life.request.id, server.id))
+        self.acts.append(api.Try(life.request.id, server.id, begin_by=by))
         return True
 
     def ended(self, event: api.Ended, now: float) -> None:
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -24,7 +24,7 @@
 from lupinladder.net.host_group import HostGroup
 from lupinladder.net.log import say
 from lupinladder.net.loop import Loop
-from lupinladder.net.server_link import NodeDialect
+from lupinladder.net.server_link import NodeDialect, Wire
 from tests.net_scene import MISSED, NODE, ORIGIN, SERVED, Asked, Door, Peer, Scene, get, once_to
 from tests.test_net_parsers import ENTRY, Lists, configuration, listing
 
@@ -287,11 +287,11 @@
         self.assertEqual(self.outcome(self.ask()), "CONNECT_FAILED")
 
     def test_broken_before_the_last_byte_was_written(self) -> None:
-        with mock.patch("tests.net_scene.NodeDialect.encode", return_value=b"x" * 150_000):
-            asked = self.ask()
-            wire = next(iter(self.links[NODE]._busy))
-            wire.conn._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        with mock.patch("tests.net_scene.Peer.received"):  # the node does not read
+        asked = self.ask()
+        wire = next(iter(self.links[NODE]._busy))
+        wire.conn._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        large = mock.patch("tests.net_scene.NodeDialect.encode", return_value=b"x" * 150_000)
+        with large, mock.patch("tests.net_scene.Peer.received"):  # the node does not read
             self.until(lambda: self.node.peers and wire.conn.sent, "some bytes")
             self.node.peers[0].reset()
             self.assertEqual(self.outcome(asked), "CONNECT_FAILED")
@@ -320,6 +320,105 @@
         self.until(lambda: node.ends, "the end of the connection")
 
 
+class Unsent(Scene):
+    """What may change between the decision and the first byte: a connection that comes up late."""
+
+    STREAMS = 8
+
+    def late(self) -> Any:
+        """Hold back a connection that is opening until it is let through."""
+        real, held = Connection._ready, list[Any]()
+
+        def ready(conn: Connection, mask: int) -> None:
+            if conn.opening and isinstance(conn._owner, Wire):
+                held.append(conn)
+                conn._loop.watch(conn._sock, conn._mask, 0, conn._ready)
+                conn._mask = 0
+                return
+            real(conn, mask)
+
+        patch = mock.patch.object(Connection, "_ready", ready)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+        def come_up() -> None:
+            patch.stop()
+            for conn in held:
+                conn._interest()
+
+        return held, come_up
+
+    def test_a_request_whose_client_has_left_meanwhile_is_not_sent(self) -> None:
+        for way in ("closed", "reset"):
+            with self.subTest(way=way):
+                held, come_up = self.late()
+                before = len(self.node.peers)
+                client = self.client(get())
+                self.until(lambda: held, "a connection")  # noqa: B023
+                client.reset() if way == "reset" else client.conn.close()
+                self.until(lambda: self.engine.idle, "its leaving")
+                come_up()
+                wire = held[0]
+                self.until(lambda: not wire.opening, "the connection")  # noqa: B023
+                self.ask()  # goes on the same connection, and is the first thing on it
+                node = self.at_node(before)
+                self.assertEqual(node.got.count(b"OBJ.GET"), 1)
+                node.conn.send(SERVED)
+                self.until(lambda: self.script.ends()[-1][1] == "OK", "an answer")
+                node.got = b""
+                self.links[NODE].retire()
+                self.links[NODE] = self.link(self.node.address, NodeDialect([]))
+        self.assertEqual([one[1] for one in self.script.ends()], ["CONNECT_FAILED", "OK"] * 2)
+
+    def test_none_goes_to_a_server_that_has_begun_to_leave_meanwhile(self) -> None:
+        held, come_up = self.late()
+        asked = self.ask()
+        self.until(lambda: held, "a connection")
+        self.links[NODE].retire()
+        come_up()
+        self.until(lambda: asked.told, "an end")
+        self.assertEqual(self.script.ends(), [(0, "CONNECT_FAILED", False)])
+        self.until(lambda: self.node.peers and self.node.peers[0].ends, "the end of the connection")
+        self.assertEqual(self.node.peers[0].got, b"")
+
+    def test_no_repeat_begins_when_its_window_is_over(self) -> None:
+        self.script.react = lambda e: (
+            [api.Try(e.id, NODE, begin_by=self.loop.now() + 30)]
+            if isinstance(e, api.Request)
+            else [api.Fail(1)]
+        )
+        held, come_up = self.late()
+        asked = self.ask()
+        self.until(lambda: held, "a connection")
+        passed = list[bool]()
+        self.loop.at(self.loop.now() + 31, lambda: passed.append(True))
+        self.until(lambda: passed, "the end of the window")
+        come_up()
+        self.until(lambda: asked.told, "an end")
+        self.assertEqual(self.script.ends(), [(0, "CONNECT_FAILED", False)])
+        self.assertEqual(self.node.peers[0].got, b"")
+
+    def test_what_was_never_begun_by_its_deadline_never_ran(self) -> None:
+        self.late()
+        asked = self.ask(60)
+        self.until(lambda: asked.told, "an end")
+        self.assertEqual(self.script.ends(), [(0, "CONNECT_FAILED", False)])
+
+    def test_one_behind_others_that_is_given_up_is_not_written(self) -> None:
+        held, come_up = self.late()
+        first = self.ask()
+        self.until(lambda: held, "a connection")
+        with mock.patch.object(self.budget, "spare", lambda keep=0: False):
+            second, third = self.ask(60), self.ask()
+        self.until(lambda: second.told, "its end")
+        come_up()
+        node = self.at_node()
+        self.until(lambda: node.got.count(b"OBJ.GET") == 2, "two of them")
+        node.conn.send(SERVED * 2)
+        self.until(lambda: first.told and third.told, "both answers")
+        self.assertEqual((len(self.node.peers), node.got.count(b"OBJ.GET")), (1, 2))
+
+
 class Pools(Scene):
     IDLE_MS = 2000.0
 
