Answer before the kill what a busy connection brings one of several stopping proxies

With classes beyond 3 s, as in deploy/sites/slow-writes.toml, the kill comes inside a request's own time.

At fault: leaving.py, None for several. Change: one plan for both: what comes has the time until 0.2 s before the kill, and is refused where its aim is not left. Only when connections are closed differs.

Tests: one over a real connection with a request out and another behind it 1.7 s after the signal (without the change it is asked and fails after its deadline); the plan's row for several, which stated that it keeps its whole 5 s, now wants 3,001 ms and two later rows besides.

--- a/lupinladder/govern/leaving.py
+++ b/lupinladder/govern/leaving.py
@@ -26,15 +26,13 @@
         self._aims = [min(one.aim, one.deadline) for one in classes]
         self.killed = now + min(max(one.deadline for one in classes), LONGEST) + SLACK
         self.accepts = now + ACCEPT  # until then new connections are accepted
-        # When all is answered, or None: what is taken has its whole time.
-        self.end = self.killed - MARGIN if settings.balancers == 1 else None
+        self.end = self.killed - MARGIN  # when all is answered
         # From when on connections are ended as soon as nothing is owed on them.
-        self.closes = max(self.accepts, self.end - min(self._aims)) if self.end else self.accepts
+        alone = settings.balancers == 1
+        self.closes = max(self.accepts, self.end - min(self._aims)) if alone else self.accepts
 
     def patience(self, kind: int, patience: float, now: float) -> float:
         """How long a query of this class that comes now may take; 0: it is not taken any more."""
-        if self.end is None:
-            return patience
         left = self.end - now
         return min(patience, left) if left >= min(self._aims[kind], patience) else 0.0
 
--- a/tests/test_govern.py
+++ b/tests/test_govern.py
@@ -118,10 +118,11 @@
             self.assertEqual(plan.patience(kind, patience, now), allowed, (now, kind, patience))
         self.assertEqual((plan.back(4200), plan.back(4300), plan.back(5000)), (450, 400, 0))
 
-    def test_one_of_several_lets_its_clients_go_and_takes_whole_what_still_comes(self) -> None:
+    def test_one_of_several_lets_its_clients_go_and_answers_before_the_kill_what_still_comes(self) -> None:
         plan = Leaving(api.Settings(self.CLASSES, balancers=3), 1000.0)
-        self.assertEqual((plan.closes, plan.end), (1500, None))
-        self.assertEqual(plan.patience(1, 5000, 1499), 5000)
+        self.assertEqual((plan.closes, plan.end), (1500, 4500))
+        for now, kind, patience, allowed in ((1499, 1, 5000, 3001), (1701, 0, 600, 600), (2001, 1, 5000, 0)):
+            self.assertEqual(plan.patience(kind, patience, now), allowed, (now, kind, patience))
 
     def test_deadlines_shorter_than_the_bound_are_killed_sooner(self) -> None:
         self.assertEqual(Leaving(api.Settings([api.RequestClass(500, 1500)]), 0.0).killed, 2200)
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -165,6 +165,25 @@
         client.conn.close()
         self.until(lambda: self.front.done, "nothing owed")
 
+    def test_one_of_several_takes_nothing_on_a_busy_connection_that_the_kill_would_find_unanswered(
+        self,
+    ) -> None:
+        self.script.react = lambda event: []
+        client = self.client(get())
+        self.until(lambda: self.script.events, "a request")
+        self.front.stop()
+        self.front._shut()
+        self.front._close()
+        plan = Leaving(api.Settings([api.RequestClass(500, 1500)], balancers=3), self.loop.now() - 1700)
+        self.front.leaving = plan
+        client.conn.send(get(b"b"))
+        self.until(lambda: any(len(one._slots) == 2 for one in self.front.clients), "the second command")
+        self.script.react = lambda event: [api.Refuse(1)]
+        self.engine.feed(api.Timer(1))
+        self.until(lambda: client.ends, "the end")
+        self.assertEqual(client.got, b"-BUSY\r\n-BUSY\r\n")
+        self.assertEqual(len([e for e in self.script.events if isinstance(e, api.Request)]), 1)
+
     def test_a_slow_reader_is_not_read_from_and_loses_nothing(self) -> None:
         value = b"$65536\r\n" + b"x" * 65536 + b"\r\n"
         self.script.react = lambda event: []
