Keep a client whose answer is not all taken by the system from being let go as idle

A client whose answer was handed over but not yet taken by the system stood among the resting; _evict ended it and closed at once (conn.close() right after finish()), which drops the outbox, and _make_room could pick it too. A taken request was then left without its whole answer.

Change: idle wants nothing owed, which counts the outbox.

Test: the system takes nothing while the node answers; the client is not among the resting, is not evicted and is not ended by a stop, and gets its whole answer afterwards.

--- a/lupinladder/net/front.py
+++ b/lupinladder/net/front.py
@@ -66,8 +66,8 @@
 
     @property
     def idle(self) -> bool:
-        """Between commands: nothing owed, and nothing begun."""
-        return not self._slots and self._parser.idle and not len(self.conn.inbox)
+        """Between commands: nothing owed, all answers taken by the system, and nothing begun."""
+        return not (self.owed or len(self.conn.inbox)) and self._parser.idle
 
     @property
     def owed(self) -> bool:
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -165,6 +165,23 @@
         client.conn.close()
         self.until(lambda: self.front.done, "nothing owed")
 
+    def stop(self) -> None:
+        """All at once what comes in half a second."""
+        self.front.stop()
+        self.front._shut()
+        self.front._close()
+
+    def test_a_client_whose_answer_is_not_all_taken_yet_is_not_at_rest(self) -> None:
+        client = self.client(get())
+        node = self.at_node()
+        with mock.patch.object(Connection, "_flush"):  # the system takes nothing
+            node.conn._sock.sendall(SERVED)
+            self.until(lambda: self.script.ends(), "the answer")
+            self.assertFalse(self.front.resting or self.front._evict())
+            self.stop()
+        self.answers(client, b"$1\r\nV\r\n")
+        self.until(lambda: client.ends, "the end")
+
     def test_one_of_several_takes_nothing_on_a_busy_connection_that_the_kill_would_find_unanswered(
         self,
     ) -> None:
