--- a/lupinladder/net/front.py
+++ b/lupinladder/net/front.py
@@ -225,7 +225,7 @@
             if now - self.used > (SILENT if not self.asked else IDLE if short else inf):
                 counters["swept"] += 1
                 self.close_if_idle()
-        elif now - self._began > HALF:
+        elif now - self._began > HALF or (self._front.leaving and now > self._front.leaving.end):
             counters["swept"] += 1
             self._closing = True
             self._say("Protocol error: command not ended in time")
@@ -314,10 +314,10 @@
 
     @property
     def done(self) -> bool:
-        """After `stop`: nothing is owed to a client, and all that was written has been taken."""
+        """After `stop`: every client has been ended, and all that was written has been taken. One that has
+        begun a command may end it any moment, and it counts as taken then."""
         self.ending = [conn for conn in self.ending if conn.open]
-        over = self.closing or (self._stopped and not self.clients)
-        return over and not self.ending and not any(client.owed for client in self.clients)
+        return self._stopped and not self.clients and not self.ending
 
     def ends(self, conn: Connection) -> None:
         """Keep a connection until its last bytes are taken. Those that are closed since go: this list lives
@@ -351,20 +351,28 @@
             if short and (count or not ((self._owed and self.budget.reclaim()) or self._evict())):
                 say("clients", "no descriptor left for a client; waiting for one to end")
                 break
-            try:
-                sock, _ = self._sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            if not self._accept():
                 break
-            except OSError as bad:
-                say("clients", f"accept: {bad}")
-                break
-            counters["clients"] += 1
-            self.room.came()
-            client = Client(self, sock)
-            self.clients[client] = None
-            client.settle()
         self.listen()
 
+    def _accept(self) -> bool:
+        """Take in one whom the system has accepted; False when there is none, or no descriptor."""
+        try:
+            sock, _ = self._sock.accept()
+        except (InterruptedError, ConnectionAbortedError):
+            return True
+        except BlockingIOError:
+            return False
+        except OSError as bad:
+            say("clients", f"accept: {bad}")
+            return False
+        counters["clients"] += 1
+        self.room.came()
+        client = Client(self, sock)
+        self.clients[client] = None
+        client.settle()
+        return True
+
     def _evict(self) -> bool:
         """Close the client that has been idle for longest; it may connect again. One that has said nothing
         for a while goes before one that has asked and may ask again any moment."""
@@ -385,11 +393,23 @@
         self.loop.at(self.leaving.closes, self._close)
 
     def _shut(self) -> None:
-        self._ready(READ)  # whoever the system has accepted so far
+        """Take in whoever the system has accepted so far, then close the listener: that resets the rest, with
+        what they have asked. The links' part of the descriptors serves as well; without any, look again."""
+        assert self.leaving
+        left = BACKLOG
+        while left and (free := self.budget.spare() or self.budget.reclaim()) and self._accept():
+            left -= 1
+        now = self.loop.now()
+        if not free and now < self.leaving.end:
+            say("clients", "no descriptor left for a client; the listener stays open")
+            self.loop.at(now + RETRY, self._shut)
+            return
         self._stopped = True
         self.listen()
         self._sock.close()
         self.budget.used -= 1
+        if self.closing:  # those who came since
+            self._close()
 
     def _close(self) -> None:
         self.closing = True
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -20,7 +20,7 @@
 from lupinladder.govern.leaving import Leaving
 from lupinladder.net import connection, front, host_group
 from lupinladder.net.connection import READ, Connection
-from lupinladder.net.front import DEPTH
+from lupinladder.net.front import ACCEPTS, DEPTH
 from lupinladder.net.host_group import HostGroup
 from lupinladder.net.log import say
 from lupinladder.net.loop import Loop
@@ -134,7 +134,7 @@
         client = self.client(PING)
         self.answers(client, b"+PONG\r\n")
         client.conn._sock.send(get())  # the front has not looked yet when it is told to close
-        self.front._close()
+        self.stop()
         self.at_node().conn.send(SERVED)
         self.until(lambda: client.ends, "the end")
         self.assertEqual((client.got, client.ends), (b"+PONG\r\n$1\r\nV\r\n", [True]))
@@ -171,6 +171,39 @@
         self.front._shut()
         self.front._close()
 
+    def test_whoever_the_system_has_accepted_when_the_listener_closes_is_answered(self) -> None:
+        came = [socket.create_connection(self.address) for _ in range(ACCEPTS + 5)]
+        for one in came:
+            self.addCleanup(one.close)
+            one.sendall(PING)
+        self.front.stop()
+        limit, self.budget.limit = self.budget.limit, self.budget.used + ACCEPTS + 3
+        self.front._shut()
+        self.assertFalse(self.front.done)
+        self.assertEqual(len(self.front.clients), ACCEPTS + 3)
+        self.budget.limit = limit
+        self.until(lambda: self.front._stopped, "the end of the listener")
+        self.front._close()
+        self.until(lambda: not self.front.clients, "the end of all")
+        self.assertEqual([one.recv(99) for one in came], [b"+PONG\r\n"] * len(came))
+
+    def test_a_client_in_the_middle_of_a_command_is_waited_for_and_answered_or_told(self) -> None:
+        halves = [self.client(get(ident)[:30]) for ident in (b"a", b"b")]
+        self.until(lambda: all(one._half for one in self.front.clients) and len(self.front.clients) == 2)
+        self.stop()
+        self.assertFalse(self.front.done)
+        halves[0].conn.send(get()[30:])
+        self.at_node().conn.send(SERVED)
+        self.until(lambda: halves[0].ends, "its answer")
+        halves[0].conn.close()
+        assert self.front.leaving
+        self.front.leaving.end = self.loop.now()
+        self.until(lambda: halves[1].ends, "its error")
+        halves[1].conn.close()
+        self.until(lambda: self.front.done, "nothing owed")
+        told = [b"$1\r\nV\r\n", b"-ERR Protocol error: command not ended in time\r\n"]
+        self.assertEqual([one.got for one in halves], told)
+
     def test_a_client_whose_answer_is_not_all_taken_yet_is_not_at_rest(self) -> None:
         client = self.client(get())
         node = self.at_node()
@@ -188,9 +221,7 @@
         self.script.react = lambda event: []
         client = self.client(get())
         self.until(lambda: self.script.events, "a request")
-        self.front.stop()
-        self.front._shut()
-        self.front._close()
+        self.stop()
         plan = Leaving(api.Settings([api.RequestClass(500, 1500)], balancers=3), self.loop.now() - 1700)
         self.front.leaving = plan
         client.conn.send(get(b"b"))
