Serve an answer over HTTP that has no length when its connection ends in order, not on a reset

Change: the reader hands out such an answer at an orderly end alone (Reader.end); Wire.ended asks for it before it breaks off. A reset, or more than the largest answer, ends the attempt as RESET as before. A transfer coding that is not chunked counts as no length. Since the refusal hid two holes, header lines are counted themselves (a hundred of one name passed for one), and 101 is refused by its status.

--- a/lupinladder/net/http.py
+++ b/lupinladder/net/http.py
@@ -27,6 +27,8 @@
         self.closes = False  # the server ends the connection after the answer last handed out
         self.idle = True  # between answers
         self._max_body, self._whole, self._framed = max_body, list[Answer](), False
+        self._lines = 0  # of headers, of the answer that is coming in
+        self._unending = False  # the end of the connection alone tells how long the body is
         self._broken: str | None = None  # why nothing after can be read
         self._head = 0  # bytes fed since the headers before were whole
         self._parser = httptools.HttpResponseParser(self)
@@ -50,24 +52,32 @@
         self.idle = self.idle and self._broken is None
         return whole
 
+    def end(self) -> Answer | None:
+        """The answer that the connection's orderly end makes whole. After a reset do not ask."""
+        return self.current if self._unending and self._broken is None else None
+
     def on_message_begin(self) -> None:
-        self.current, self._framed, self.idle = Answer(), False, False
+        self.current, self._framed, self.idle, self._unending = Answer(), False, False, False
+        self._lines = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if len(self.current.headers) >= MAX_HEADERS:
+        self._lines += 1
+        if self._lines > MAX_HEADERS:
             raise HttpError("too many headers")
         key = name.decode("latin-1").lower()
         self.current.headers[key] = value
-        self._framed = self._framed or key in ("content-length", "transfer-encoding")
+        chunked = key == "transfer-encoding" and b"chunked" in value.lower()
+        self._framed = self._framed or chunked or key == "content-length"
 
     def on_headers_complete(self) -> None:
         self.current.status, self._head = self._parser.get_status_code(), 0
-        if not self._framed and self.current.status not in (204, 304) and not self._interim:
-            raise HttpError("the length of the body is not told, so nothing would prove it whole")
+        if self.current.status == 101:
+            raise HttpError("it switches protocols")
+        self._unending = not (self._framed or self.current.status in (204, 304) or self._interim)
 
     @property
     def _interim(self) -> bool:
-        return 100 <= self.current.status < 200 and self.current.status != 101
+        return 100 <= self.current.status < 200
 
     def on_body(self, body: bytes) -> None:
         if len(self.current.body) + len(body) > self._max_body:
--- a/lupinladder/net/origin.py
+++ b/lupinladder/net/origin.py
@@ -37,6 +37,10 @@
         self.closes = self._http.closes and not self._whole
         return self._reply(answer)
 
+    def end(self) -> Reply | None:
+        answer = self._http.end()
+        return self._reply(answer) if answer else None
+
     def _reply(self, answer: http.Answer) -> Reply:
         load = report(answer.headers.get("x-pressure"), self._fields)
         if answer.status == 200:
--- a/lupinladder/net/server_link.py
+++ b/lupinladder/net/server_link.py
@@ -31,6 +31,8 @@
 
     def next(self, inbox: Ring) -> Reply | None: ...
 
+    def end(self) -> Reply | None: ...  # the reply that an orderly end of the connection makes whole
+
 
 class Dialect(Protocol):
     def encode(self, command: Command, wait: float) -> bytes: ...
@@ -127,7 +129,12 @@
             self._write()
 
     def ended(self, by_peer: bool) -> None:
+        execution, reply = None, None
+        if by_peer and self.waiting and (reply := self.reader.end()):
+            execution, _ = self.waiting.popleft()
         self.break_off()
+        if execution and reply:
+            execution.end(reply.outcome, reply.value, reply.note, reply.load)
 
     def break_off(self) -> None:
         """Close; what is out on it has run only if its last byte was written."""
@@ -267,6 +274,9 @@
         answer = self._parser.next(inbox)
         return None if isinstance(answer, resp.Pending) else self._reply(answer)
 
+    def end(self) -> Reply | None:
+        return None  # RESP tells every length
+
     def _reply(self, answer: resp.Value) -> Reply:
         if isinstance(answer, resp.Error):
             word, _, rest = answer.partition(b" ")
