Believe that a server leaves from its name and status alone, whatever else its entry holds

At fault: host_group.py Listing._entry, one check for all statuses.

Change: `left` needs a name; `leaving` with the rest unreadable counts as gone, so that what the module knows of its zone, by which keyed repeats are placed, is not overwritten by a guess. An active entry that is bad is still left out.

Test: five kinds of bad field by both statuses; fails without the change.

--- a/lupinladder/net/host_group.py
+++ b/lupinladder/net/host_group.py
@@ -61,14 +61,26 @@
         return read(tree, "index", int), read(tree, "snapshot", bool, False), found, where
 
     def _entry(self, one: Any) -> tuple[api.Entry, Address | None]:
-        """One entry, and where it is unless it has left."""
-        status, zone, kind = (read(one, name, str) for name in ("status", "zone", "type"))
-        if status not in STATES or zone not in self._zones or kind not in self._kinds:
+        """One entry, and where it is unless it has left. Of one that leaves or has left, name and status are
+        enough: left out as bad, it would be sent to on. With the rest unreadable it counts as gone."""
+        name, status = read(one, "name", str).encode(), read(one, "status", str)
+        state = STATES.get(status)
+        if state is api.State.GONE:
+            return api.Entry(name, state), None
+        try:
+            return self._whole(one, name, state)
+        except ValueError:
+            if state is not api.State.DRAINING:
+                raise
+            return api.Entry(name, api.State.GONE), None
+
+    def _whole(self, one: Any, name: bytes, state: api.State | None) -> tuple[api.Entry, Address | None]:
+        zone, kind = read(one, "zone", str), read(one, "type", str)
+        if state is None or zone not in self._zones or kind not in self._kinds:
             raise ValueError("it is not of this deployment")
-        state = STATES[status]
-        address = None if state is api.State.GONE else address_of(read(one, "address", str))
+        address = address_of(read(one, "address", str))
         entry = api.Entry(
-            read(one, "name", str).encode(),
+            name,
             state,
             read(one, "weight", float, 1.0),
             _since(one),
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -307,6 +307,15 @@
             with self.subTest(tree=tree), self.assertRaises(ValueError):
                 self.READER.read(tree)
 
+    def test_one_that_leaves_needs_a_name_and_its_status(self) -> None:
+        for more in ({}, {"zone": "c"}, {"type": 5}, {"address": "x"}, {"since_ms": "x"}):
+            for status in ("leaving", "left"):
+                with self.subTest(more=more, status=status):
+                    found = self.READER.read(
+                        {"index": 4, "endpoints": [{"name": "s-1", **more, "status": status}]}
+                    )
+                    self.assertEqual((found[2], found[3]), ([api.Entry(b"s-1", api.State.GONE)], {}))
+
     def test_a_bad_entry_hides_no_other(self) -> None:
         more: list[dict[str, object]] = [
             {"status": "asleep"},
