Count a watch as silent by what it makes whole, read indented lists, hear the old watch out

Any byte moved the clock of silence on, so a head that never ends or a line that trickles held a dead watch for good; what it misses counts as told 6 s after. Now the call, its answer's head, a whole object and an empty line between objects are signs of life. 2. Objects are now taken off lines by their brackets, within the bound of a list. 3. _drop_former closed over unread lines when the new watch spoke after SIGHUP; what is written to the old one counts as told. It is read first.

Ruled out: a whole list with an older index is still taken. A call names the index that is known, so discovery answers with less only when it has lost its own; passing that over would leave the proxy deaf until it had caught up.

--- a/lupinladder/net/host_group.py
+++ b/lupinladder/net/host_group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -17,7 +18,8 @@
 # Ms without a byte on a watch until it counts as dead; an empty line comes every 2 s. Whatever discovery has
 # to tell counts as told 6 s later, and asking again takes a wait and a call of up to 2 s.
 SILENCE = 3200.0
-MAX_LINE = 1 << 20
+MAX_LIST = 1 << 20  # bytes of one object
+_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 STATES = {"active": api.State.READY, "leaving": api.State.DRAINING, "left": api.State.GONE}
 
 
@@ -91,6 +93,41 @@
         return entry, address
 
 
+class Objects:
+    """JSON objects off the lines of a watch: one a line, or indented over several."""
+
+    def __init__(self) -> None:
+        self._held, self._depth = bytearray(), 0
+
+    @property
+    def idle(self) -> bool:
+        """Between objects."""
+        return not self._held
+
+    def line(self, text: bytes) -> list[Any]:
+        """What this line made whole. ValueError if it is bad."""
+        if not (self._held or text.strip()):
+            return []
+        if not self._held:
+            try:
+                return [self._whole(text)]
+            except ValueError:
+                pass  # the first of several lines, or bad: its brackets tell
+        self._held += text + b"\n"
+        bare = _STRING.sub(b"", text)
+        self._depth += sum(bare.count(one) for one in b"{[") - sum(bare.count(one) for one in b"}]")
+        if self._depth > 0 and len(self._held) <= MAX_LIST:
+            return []
+        whole, self._held, self._depth = bytes(self._held), bytearray(), 0
+        return [self._whole(whole)]
+
+    def _whole(self, text: bytes) -> Any:
+        try:
+            return json.loads(text)
+        except RecursionError:
+            raise ValueError("nested too deep") from None
+
+
 class HostGroup:
     def __init__(
         self,
@@ -146,16 +183,13 @@
         self.follow()
 
     def _drop_former(self) -> None:
-        former, self._former = self._former, None
-        if former:
+        if former := self._former:
+            former.poll()  # what is written on it counts as told; its last words may end it
+            self._former = None
             former.close()
 
-    def line(self, watch: Watch, text: bytes) -> None:
-        """A line of a watch: what changed, or the whole list. ValueError if it is bad."""
-        try:
-            tree = json.loads(text)
-        except RecursionError:
-            raise ValueError("nested too deep") from None
+    def told(self, watch: Watch, tree: Any) -> None:
+        """An object of a watch: what changed, or the whole list. ValueError if it is bad."""
         self._tell(self._take(tree, None))
         self.heard = self.heard or watch is self._watch
         if watch is not self._former:
@@ -200,15 +234,18 @@
 
     def __init__(self, loop: Loop, budget: Budget, address: Address, index: int, group: HostGroup) -> None:
         self._loop, self._group = loop, group
-        self._http = http.Reader(MAX_LINE)
+        self._http = http.Reader(MAX_LIST)
         self._silent: Deadline | None = None
         self._conn = Connection.dial(loop, budget, address, self)
         self._conn.prefer()
         path = f"/v1/endpoints?stream=1&index={index}"
         self._conn.send(http.request("GET", path, f"{address[0]}:{address[1]}", {}, None))
+        self._objects, self._begun = Objects(), False
         self._heard()
 
     def _heard(self) -> None:
+        """A sign of life: the call begins, is answered, or a whole object or an empty line has come. Bytes
+        that make nothing whole are none, or a watch that trickles would never count as silent."""
         self._loop.cancel(self._silent)
         self._silent = self._loop.at(self._loop.now() + SILENCE, self._quiet)
 
@@ -220,6 +257,9 @@
         if self._silent is None and self._conn.open:
             self._end("the watch is silent")
 
+    def poll(self) -> None:
+        self._conn.poll()
+
     def close(self) -> None:
         self._loop.cancel(self._silent)
         self._conn.close()
@@ -235,7 +275,6 @@
         pass
 
     def received(self) -> None:
-        self._heard()
         ended = ""
         try:
             while len(self._conn.inbox) and not ended:
@@ -248,16 +287,26 @@
                 answer = whole[0] if whole else self._http.current
                 if answer.status not in (0, 200):
                     return self._end(f"answered {answer.status}")
-                while b"\n" in answer.body:
-                    end = answer.body.index(b"\n")
-                    text = bytes(answer.body[:end]).strip()
-                    del answer.body[: end + 1]
-                    if text and self._conn.open:  # a line told may have closed this watch
-                        self._group.line(self, text)
+                if answer.status and not self._begun:
+                    self._begun = True
+                    self._heard()
+                self._lines(answer.body)
         except ValueError as bad:
             return self._end(f"bad answer: {bad}")
         if ended:
             self._end(ended)
 
+    def _lines(self, body: bytearray) -> None:
+        *lines, rest = bytes(body).split(b"\n")
+        body[:] = rest
+        for line in lines:
+            found = self._objects.line(line)
+            if not self._conn.open:
+                return  # what was told has closed this watch
+            if found or self._objects.idle:
+                self._heard()
+            for tree in found:
+                self._group.told(self, tree)
+
     def ended(self, by_peer: bool) -> None:
         self._end("the watch was closed" if by_peer else "the connection broke or never came up")
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -12,7 +12,7 @@
 from lupinladder import api
 from lupinladder.net import config, http, resp
 from lupinladder.net.command import Malformed, command, report
-from lupinladder.net.host_group import Listing
+from lupinladder.net.host_group import Listing, Objects
 from lupinladder.net.loop import Loop
 from lupinladder.net.origin import OriginDialect
 from lupinladder.net.ring import START, Ring
@@ -316,6 +316,34 @@
                     )
                     self.assertEqual((found[2], found[3]), ([api.Entry(b"s-1", api.State.GONE)], {}))
 
+    def test_objects_off_lines_whole_or_indented(self) -> None:
+        tree = listing(name='a{"[\\')
+        flat, indented = json.dumps(tree), json.dumps(tree, indent=2)
+        for text, found in (
+            (flat, [tree]),
+            (indented, [tree]),
+            (f"\n{indented}\n  \n{flat}\n{indented}\n", [tree] * 3),
+            (indented[:-1], []),
+            ("{\n" * 9, []),
+        ):
+            with self.subTest(text=text):
+                objects = Objects()
+                self.assertEqual(
+                    [one for line in text.encode().split(b"\n") for one in objects.line(line)], found
+                )
+        for text in (
+            "{]",
+            "}",
+            "x",
+            '{"a": 1\n,,}',
+            "[" * 100_000 + "]" * 100_000,
+            '{\n"a": "' + "x" * (1 << 20),
+        ):
+            with self.subTest(text=text[:9]), self.assertRaises(ValueError):
+                objects = Objects()
+                for line in text.encode().split(b"\n"):
+                    objects.line(line)
+
     def test_a_bad_entry_hides_no_other(self) -> None:
         more: list[dict[str, object]] = [
             {"status": "asleep"},
