--- a/lupinladder/net/command.py
+++ b/lupinladder/net/command.py
@@ -67,7 +67,7 @@
 
 @dataclass(slots=True)
 class Reply:
-    """What an execution came to, in the module's terms."""
+    """What an attempt came to, in the module's terms."""
 
     outcome: api.Outcome
     value: bytes | None = None
--- a/lupinladder/net/engine.py
+++ b/lupinladder/net/engine.py
@@ -1,6 +1,6 @@
 """The engine: feeds events to the decision module and carries out its actions, as the simulator does.
 
-It alone calls the Balancer, and owns queries, executions and their timers. It knows neither RESP nor HTTP:
+It alone calls the Balancer, and owns queries, attempts and their timers. It knows neither RESP nor HTTP:
 who asks and what is passed on are opaque to it, so that another protocol can go through the same decisions.
 """
 
@@ -30,24 +30,24 @@
 
 
 class Link(Protocol):
-    """A way to a server. `start` ends with exactly one `execution.end`, unless abandoned before."""
+    """A way to a server. `start` ends with exactly one `attempt.end`, unless abandoned before."""
 
-    def start(self, execution: Execution) -> None: ...
-    def abandon(self, execution: Execution) -> None: ...
+    def start(self, attempt: Attempt) -> None: ...
+    def abandon(self, attempt: Attempt) -> None: ...
 
 
 class Query:
-    """A request from its last byte until its last execution has ended."""
+    """A request from its last byte until its last attempt has ended."""
 
     def __init__(self, number: int, content: Any, deadline: float, asker: Asker) -> None:
         self.id, self.content, self.deadline = number, content, deadline
         self.asker: Asker | None = asker  # until told
-        self.executions: list[Execution] = []
+        self.attempts: list[Attempt] = []
         self.over = False
         self.guard: Deadline | None = None
 
 
-class Execution:
+class Attempt:
     """One attempt."""
 
     def __init__(
@@ -55,7 +55,7 @@
     ) -> None:
         self.query, self.link, self.started, self.until = query, link, started, until
         self.begin_by = begin_by  # its first byte is written before this, or it is not sent
-        self.number, self.done, self.begun = len(query.executions), False, False  # begun: by the link
+        self.number, self.done, self.begun = len(query.attempts), False, False  # begun: by the link
         self.expiry: Deadline | None = None
         self._engine = engine
 
@@ -152,12 +152,12 @@
         else:
             query = self._queries.get(action.id)
             if query is None:
-                return  # finished with all its executions: nothing can be owed or withdrawn
+                return  # finished with all its attempts: nothing can be owed or withdrawn
             if isinstance(action, api.Try):
                 self._try(query, action)
             elif isinstance(action, api.Withdraw):
-                if action.attempt < len(query.executions):
-                    self._give_up(query.executions[action.attempt], api.Outcome.CANCELLED)
+                if action.attempt < len(query.attempts):
+                    self._give_up(query.attempts[action.attempt], api.Outcome.CANCELLED)
             elif not query.over:
                 refused = isinstance(action, api.Refuse)
                 counters["refused" if refused else "failed"] += 1
@@ -210,51 +210,51 @@
     def _forget(self, query: Query) -> None:
         """Let go of a query with nothing more to come. Whatever points back at it is cut here, so that it is
         freed at once: the collector comes seldom, and meanwhile each query would hold some KiB."""
-        if query.over and all(one.done for one in query.executions):
+        if query.over and all(one.done for one in query.attempts):
             self._queries.pop(query.id, None)
-            query.executions.clear()
+            query.attempts.clear()
 
     def _try(self, query: Query, action: api.Try) -> None:
         now = self._loop.now()
         until = min(action.expire_at or query.deadline, query.deadline)
-        execution = Execution(self, query, self._route(action.server), now, until, action.begin_by)
-        query.executions.append(execution)
-        if query.over or execution.number >= self._settings.max_attempts or now >= query.deadline:
-            return execution.end(MOOT)
+        attempt = Attempt(self, query, self._route(action.server), now, until, action.begin_by)
+        query.attempts.append(attempt)
+        if query.over or attempt.number >= self._settings.max_attempts or now >= query.deadline:
+            return attempt.end(MOOT)
         counters["executions"] += 1
-        if execution.link is None:
-            return execution.end(api.Outcome.CONNECT_FAILED)
-        execution.expiry = self._loop.at(until, lambda: self._give_up(execution, api.Outcome.TIMEOUT))
+        if attempt.link is None:
+            return attempt.end(api.Outcome.CONNECT_FAILED)
+        attempt.expiry = self._loop.at(until, lambda: self._give_up(attempt, api.Outcome.TIMEOUT))
         try:
-            execution.link.start(execution)
+            attempt.link.start(attempt)
         except Exception:  # it may be half written, so nothing may be promised
-            self._fault("starting an execution")
-            self._give_up(execution, api.Outcome.RESET)
+            self._fault("starting an attempt")
+            self._give_up(attempt, api.Outcome.RESET)
 
-    def _give_up(self, execution: Execution, outcome: api.Outcome) -> None:
-        if not execution.done and execution.link:
-            execution.link.abandon(execution)
-            never_ran = outcome is api.Outcome.TIMEOUT and not execution.begun
-            execution.end(api.Outcome.CONNECT_FAILED if never_ran else outcome)
+    def _give_up(self, attempt: Attempt, outcome: api.Outcome) -> None:
+        if not attempt.done and attempt.link:
+            attempt.link.abandon(attempt)
+            never_ran = outcome is api.Outcome.TIMEOUT and not attempt.begun
+            attempt.end(api.Outcome.CONNECT_FAILED if never_ran else outcome)
 
     def ended(
         self,
-        execution: Execution,
+        attempt: Attempt,
         outcome: api.Outcome,
         value: bytes | None,
         note: int,
         load: tuple[float, ...],
     ) -> None:
-        if execution.done:
+        if attempt.done:
             return
-        execution.done = True
-        self._loop.cancel(execution.expiry)
-        execution.expiry = None
-        query = execution.query
+        attempt.done = True
+        self._loop.cancel(attempt.expiry)
+        attempt.expiry = None
+        query = attempt.query
         counters["ended_" + outcome.name.lower()] += 1
         if outcome is OK and not query.over:
             counters["served"] += 1
             self._finish(query).served(value or b"")
-        latency = self._loop.now() - execution.started
-        self.feed(api.Ended(query.id, execution.number, outcome, latency, query.over, note, load))
+        latency = self._loop.now() - attempt.started
+        self.feed(api.Ended(query.id, attempt.number, outcome, latency, query.over, note, load))
         self._forget(query)
--- a/lupinladder/net/front.py
+++ b/lupinladder/net/front.py
@@ -133,7 +133,7 @@
             self._say(str(bad))
             return
         ident = content.words[2]
-        if ident in self._front.open_ids:  # two executions under one id could be taken for each other's
+        if ident in self._front.open_ids:  # two attempts under one id could be taken for each other's
             counters["malformed"] += 1
             self._say("id is that of another open query")
             return
--- a/lupinladder/net/server_link.py
+++ b/lupinladder/net/server_link.py
@@ -11,7 +11,7 @@
 from lupinladder.net import resp
 from lupinladder.net.command import MAX_ANSWER, NOTES, Command, Reply, report
 from lupinladder.net.connection import Address, Budget, Connection
-from lupinladder.net.engine import Execution
+from lupinladder.net.engine import Attempt
 from lupinladder.net.log import counters, say
 from lupinladder.net.loop import Deadline, Loop
 from lupinladder.net.ring import Ring
@@ -44,13 +44,13 @@
 
 
 class Wire:
-    """One connection of a link, with the executions on it in the order of their writing. It owns what is not
+    """One connection of a link, with the attempts on it in the order of their writing. It owns what is not
     written yet, and asks at the moment of writing whether it still may go."""
 
     def __init__(self, link: Link) -> None:
         self._link = link
-        self.unsent: deque[Execution] = deque()  # until the connection is up and what is before them written
-        self.waiting: deque[tuple[Execution | None, int]] = deque()  # None: abandoned; bytes queued with it
+        self.unsent: deque[Attempt] = deque()  # until the connection is up and what is before them written
+        self.waiting: deque[tuple[Attempt | None, int]] = deque()  # None: abandoned; bytes queued with it
         self.reader = link.dialect.reader()
         self.idle_until: Deadline | None = None
         self.conn = Connection.dial(link.loop, link.budget, link.address, self)
@@ -61,28 +61,28 @@
     def load(self) -> int:
         return len(self.unsent) + len(self.waiting)
 
-    def take(self, execution: Execution) -> None:
-        self.unsent.append(execution)
+    def take(self, attempt: Attempt) -> None:
+        self.unsent.append(attempt)
         self._write()
 
     def _write(self) -> None:
         """Write what may still go, one after another, as the system takes it."""
-        dropped = list[Execution]()
+        dropped = list[Attempt]()
         while self.unsent and not self.conn.opening and not len(self.conn.outbox):
-            execution = self.unsent.popleft()
-            if self._link.may_begin(execution):
-                execution.begun = True
-                wait = execution.until - self._link.loop.now()
-                data = self._link.dialect.encode(execution.query.content, wait)
-                self.waiting.append((execution, self.conn.queued + len(data)))
+            attempt = self.unsent.popleft()
+            if self._link.may_begin(attempt):
+                attempt.begun = True
+                wait = attempt.until - self._link.loop.now()
+                data = self._link.dialect.encode(attempt.query.content, wait)
+                self.waiting.append((attempt, self.conn.queued + len(data)))
                 self.conn.send(data)
             else:
-                dropped.append(execution)
+                dropped.append(attempt)
         if not (self.load or self.conn.opening):
             self._link.rest(self)
         counters["never_begun"] += len(dropped)
-        for execution in dropped:  # last: what follows may come back here
-            execution.end(api.Outcome.CONNECT_FAILED)
+        for attempt in dropped:  # last: what follows may come back here
+            attempt.end(api.Outcome.CONNECT_FAILED)
 
     def opened(self) -> None:
         self._link.loop.cancel(self._connecting)
@@ -101,13 +101,13 @@
                 return self._spoilt(str(bad))
             if reply is None:
                 return
-            execution, _ = self.waiting.popleft()
+            attempt, _ = self.waiting.popleft()
             if self.reader.closes:
                 self.break_off()
             elif not self.load and self._clean():
                 self._link.rest(self)
-            if execution:
-                execution.end(reply.outcome, reply.value, reply.note, reply.load)
+            if attempt:
+                attempt.end(reply.outcome, reply.value, reply.note, reply.load)
         if self.conn.open and not self.waiting:
             self._clean()
 
@@ -129,12 +129,12 @@
             self._write()
 
     def ended(self, by_peer: bool) -> None:
-        execution, reply = None, None
+        attempt, reply = None, None
         if by_peer and self.waiting and (reply := self.reader.end()):
-            execution, _ = self.waiting.popleft()
+            attempt, _ = self.waiting.popleft()
         self.break_off()
-        if execution and reply:
-            execution.end(reply.outcome, reply.value, reply.note, reply.load)
+        if attempt and reply:
+            attempt.end(reply.outcome, reply.value, reply.note, reply.load)
 
     def break_off(self) -> None:
         """Close; what is out on it has run only if its last byte was written."""
@@ -146,16 +146,16 @@
         self._link.gone(self)
         waiting, self.waiting = self.waiting, deque()
         unsent, self.unsent = self.unsent, deque()
-        for execution, mark in waiting:
-            if execution:
+        for attempt, mark in waiting:
+            if attempt:
                 ran = sent >= mark
-                execution.end(api.Outcome.RESET if ran else api.Outcome.CONNECT_FAILED)
-        for execution in unsent:
-            execution.end(api.Outcome.CONNECT_FAILED)
+                attempt.end(api.Outcome.RESET if ran else api.Outcome.CONNECT_FAILED)
+        for attempt in unsent:
+            attempt.end(api.Outcome.CONNECT_FAILED)
 
 
 class Link:
-    """The pool. One execution on a connection at a time, since answers come in order; the latest used
+    """The pool. One attempt on a connection at a time, since answers come in order; the latest used
     is taken first, so that the others can grow old and close."""
 
     def __init__(
@@ -174,17 +174,17 @@
         self._busy: dict[Wire, None] = {}
         self._retired = False
 
-    def start(self, execution: Execution) -> None:
+    def start(self, attempt: Attempt) -> None:
         wire = self._pick()
         if wire is None:
             counters["no_descriptor"] += 1
-            return execution.end(api.Outcome.CONNECT_FAILED)
-        wire.take(execution)
+            return attempt.end(api.Outcome.CONNECT_FAILED)
+        wire.take(attempt)
 
-    def may_begin(self, execution: Execution) -> bool:
+    def may_begin(self, attempt: Attempt) -> bool:
         """Whether its first byte may be written now: its client has not left, the server has not begun to
         leave, and a repeat would still be dropped."""
-        return not (self._retired or execution.query.over or self.loop.now() >= execution.begin_by)
+        return not (self._retired or attempt.query.over or self.loop.now() >= attempt.begin_by)
 
     def _pick(self) -> Wire | None:
         while self._idle:
@@ -219,17 +219,17 @@
             say("link", f"{self.address}: {bad}")
             return None
 
-    def abandon(self, execution: Execution) -> None:
+    def abandon(self, attempt: Attempt) -> None:
         """Stop waiting: closing tells the other side, unless others wait on the same connection."""
         for wire in self._busy:
             for place, (one, mark) in enumerate(wire.waiting):
-                if one is execution:
+                if one is attempt:
                     wire.waiting[place] = (None, mark)
                     break
             else:
-                if execution not in wire.unsent:
+                if attempt not in wire.unsent:
                     continue
-                wire.unsent.remove(execution)
+                wire.unsent.remove(attempt)
             if not wire.unsent and all(other is None for other, _ in wire.waiting):
                 wire.break_off()
             return
--- a/tests/lab/faulty_proxy.py
+++ b/tests/lab/faulty_proxy.py
@@ -14,9 +14,9 @@
     """Sends each claim-submit twice, at once."""
     start = server_link.Link.start
 
-    def twice(self: server_link.Link, execution: Any) -> None:
-        start(self, execution)
-        content = execution.query.content
+    def twice(self: server_link.Link, attempt: Any) -> None:
+        start(self, attempt)
+        content = attempt.query.content
         if content.write and content.kind == 2:
             wire = server_link.Wire(self)
             wire.waiting.append((None, 1 << 40))
--- a/tests/net_scene.py
+++ b/tests/net_scene.py
@@ -93,7 +93,7 @@
             self.depth -= 1
 
     def ends(self) -> list[tuple[int, str, bool]]:
-        """(attempt, outcome, over) of the executions ended so far."""
+        """(attempt, outcome, over) of the attempts ended so far."""
         return [(e.attempt, e.outcome.name, e.over) for e in self.events if isinstance(e, api.Ended)]
 
 
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -648,19 +648,19 @@
             [node] = [peer for peer in self.node.peers if peer.got]
             node.got = b""
             [mine], [query] = list(self.front.clients), list(self.engine._queries.values())
-            [execution], [wire] = query.executions, list(self.links[NODE]._busy)
-            refs += map(weakref.ref, (mine, mine.conn, query, execution))
+            [attempt], [wire] = query.attempts, list(self.links[NODE]._busy)
+            refs += map(weakref.ref, (mine, mine.conn, query, attempt))
             refs += map(weakref.ref, (wire, wire.conn) if case == "broken by the node" else ())
             if case == "left by the client":
                 client.reset()
                 self.until(lambda: not self.front.clients, "its leaving")
-                self.engine._give_up(execution, api.Outcome.TIMEOUT)
+                self.engine._give_up(attempt, api.Outcome.TIMEOUT)
             else:
                 node.reset() if case == "broken by the node" else node.conn.send(SERVED)
                 self.until(lambda: client.got, "an answer")  # noqa: B023
                 client.conn.finish()
                 self.until(lambda: not client.conn.open, "our end")  # noqa: B023
-            del mine, query, execution, wire
+            del mine, query, attempt, wire
         self.front.ends(Connection(self.loop, self.budget, socket.socket(), Peer()))
         self.assertEqual(len(self.front.ending), 1)
         self.script.events.clear()
