--- a/benchmarks/lab_capacity.py
+++ b/benchmarks/lab_capacity.py
@@ -14,20 +14,20 @@
 
 import uvloop
 
-from lupinladder.lab import report, run
-from lupinladder.lab.clients import Crowd, Front, Pool
-from lupinladder.lab.clock import Clock, Lateness
-from lupinladder.lab.draws import Keys, Plan, stream
-from lupinladder.lab.fleet import Fleet
-from lupinladder.lab.referee import Referee
-from lupinladder.lab.scenario import Class, Load, Scenario
+from lupinladder.emulator import report, run
+from lupinladder.emulator.clock import Clock, Lateness
+from lupinladder.emulator.cluster import Cluster
+from lupinladder.emulator.load_generator import ClientPool, LoadGenerator, ProxySelector
+from lupinladder.emulator.rule_checker import RuleChecker
+from lupinladder.emulator.scenario import LoadPhase, RequestClassConfig, Scenario
+from lupinladder.emulator.workload import ArrivalPlan, KeyDistribution, random_stream
 
 SECONDS = 6.0
 
 
 def scenario(rate: float, proxies: int) -> Scenario:
-    made = Scenario(SECONDS, [Load(0, rate)], lead_s=1.0)
-    made.classes = [Class("map-view", 1.0, 1.0, 300, 600, 5, cv=0.1)]
+    made = Scenario(SECONDS, [LoadPhase(0, rate)], lead_s=1.0)
+    made.classes = [RequestClassConfig("map-view", 1.0, 1.0, 300, 600, 5, cv=0.1)]
     made.fleet.cores, made.fleet.slots, made.fleet.thrash = 32.0, 64, 0.0
     made.fleet.error_rate, made.fleet.handshake_ms = 0.0, 0.1
     made.net.cross_ms = 0.0
@@ -66,10 +66,10 @@
 async def _direct(made: Scenario) -> dict[str, Any]:
     made.fleet.nodes = 1  # which then holds every key, as the proxies' nodes do
     clock = Clock()
-    keys = Keys(made.seed, made.clients)
-    referee = Referee(made.classes, 1, clock.now())
+    keys = KeyDistribution(made.seed, made.clients)
+    referee = RuleChecker(made.classes, 1, clock.now())
     referee.proxy_up(clock.now(), 0)
-    fleet = Fleet(clock, made, keys, referee, [0])
+    fleet = Cluster(clock, made, keys, referee, [0])
     fleet.open()
     await asyncio.sleep(0.2)
     start = clock.now() + made.lead_s * 1000
@@ -79,11 +79,13 @@
     pools = []
     for node in fleet.nodes.values():
         host, port = node.doors[0].address.split(":")
-        pools.append(Pool(clock, referee, 0, (host, int(port)), 200))
-    front = Front([0] * len(pools))
-    crowd = Crowd(clock, referee, pools, front, made.classes, made.clients, stream(1, "clients"), start)
+        pools.append(ClientPool(clock, referee, 0, (host, int(port)), 200))
+    front = ProxySelector([0] * len(pools))
+    crowd = LoadGenerator(
+        clock, referee, pools, front, made.classes, made.clients, random_stream(1, "clients"), start
+    )
     late = Lateness(clock)
-    for arrival in Plan(made, keys).arrivals:
+    for arrival in ArrivalPlan(made, keys).arrivals:
         wait = start + arrival.at * 1000 - clock.now()
         if wait > 0.5:
             await asyncio.sleep(wait / 1000)
--- a/benchmarks/model_fleet.py
+++ b/benchmarks/model_fleet.py
@@ -9,7 +9,19 @@
 from dataclasses import replace
 from typing import Any
 
-from lupinladder import Balancer, api
+from lupinladder import Balancer
+from lupinladder.balancing.actions import Action, Fail, Reject, SetTimer, StartAttempt
+from lupinladder.balancing.events import (
+    AttemptEnded,
+    Endpoint,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Event,
+    Outcome,
+    RequestReceived,
+    TimerFired,
+)
+from lupinladder.balancing.settings import RequestClass, Settings
 
 WORK, LEG, DIAL, AIM = 45.0, 2.0, 120.0, 300.0  # ms: mean work, one way, a connect's time-out, the aim
 
@@ -38,8 +50,8 @@
         self.draw, self.now, self.number = random.Random(seed), 0.0, 0
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.nodes = {sid(n): Node(n, 1 if n else 4) for n in range(nodes + 1)}
-        read = api.RequestClass(AIM, 600.0)
-        base = api.Settings(
+        read = RequestClass(AIM, 600.0)
+        base = Settings(
             [read], balancers, ask=True, ask_within=10_000.0, aside=True, origin_kind=1, max_attempts=6,
             may_duplicate=True, may_cancel=True, max_retry_after=2000.0, stop_within=1500.0, cold_share=0.22,
             cold_for=20_000.0, overload_factor=3.0, fall_within=1000.0, report_fields=["rif", "rate"],
@@ -48,12 +60,12 @@
         self.balancers = list[Balancer]()
         self.asked, self.in_time, self.refused = Counter[int](), Counter[int](), Counter[int]()
         self.open: dict[tuple[int, int], tuple[float, list[bytes]]] = {}
-        listed = [api.Entry(i, kind=int(i == ORIGIN)) for i in self.nodes]
+        listed = [Endpoint(i, kind=int(i == ORIGIN)) for i in self.nodes]
         for n in range(balancers):
             one = Balancer(replace(base, me=n, **more), seed + n, 0.0)
             self.balancers.append(one)
             self.act(n, one.start(0.0))
-            self.feed(n, api.Fleet(api.ListForm.CACHED, 1, list(listed)))
+            self.feed(n, EndpointUpdate(EndpointUpdateKind.CACHED, 1, list(listed)))
 
     @property
     def second(self) -> int:
@@ -63,16 +75,16 @@
         self.number += 1
         heapq.heappush(self.queue, (when, self.number, call))
 
-    def feed(self, n: int, event: api.Event) -> None:
+    def feed(self, n: int, event: Event) -> None:
         self.act(n, self.balancers[n].handle(event, self.now))
 
-    def act(self, n: int, actions: list[api.Action]) -> None:
+    def act(self, n: int, actions: list[Action]) -> None:
         for one in list(actions):
-            if isinstance(one, api.Try):
+            if isinstance(one, StartAttempt):
                 self.attempt(n, one.id, self.nodes[one.server])
-            elif isinstance(one, api.Schedule):
-                self.at(self.now + one.delay, lambda t=one.token: self.feed(n, api.Timer(t)))  # type: ignore[misc]
-            elif isinstance(one, api.Refuse | api.Fail):
+            elif isinstance(one, SetTimer):
+                self.at(self.now + one.delay, lambda t=one.token: self.feed(n, TimerFired(t)))  # type: ignore[misc]
+            elif isinstance(one, Reject | Fail):
                 self.refused[self.second] += (n, one.id) in self.open
                 self.open.pop((n, one.id), None)
 
@@ -81,7 +93,7 @@
         key = self.draw.choices(range(1, len(self.weights) + 1), self.weights)[0]
         self.asked[self.second] += 1
         self.open[n, self.number] = (self.now, [])
-        self.feed(n, api.Request(self.number, 0, 600.0, key=key))
+        self.feed(n, RequestReceived(self.number, 0, 600.0, key=key))
 
     def attempt(self, n: int, request: int, node: Node) -> None:
         asked, tried = self.open.get((n, request), (self.now, []))
@@ -89,8 +101,8 @@
         node.sent[self.second] += 1
         job = _Job(self, n, request, len(tried) - 1, self.balancers[n].live[request].request.key, node, asked)
         if not node.reached:
-            return self.at(self.now + DIAL, lambda: job.end(api.Outcome.CONNECT_FAILED))
-        self.at(asked + 600.0, lambda: job.end(api.Outcome.TIMEOUT))
+            return self.at(self.now + DIAL, lambda: job.end(Outcome.CONNECT_FAILED))
+        self.at(asked + 600.0, lambda: job.end(Outcome.TIMEOUT))
         self.at(self.now + LEG, lambda: self.arrive(node, job))
 
     def arrive(self, node: Node, job: _Job) -> None:
@@ -114,7 +126,7 @@
         if node.id == ORIGIN:
             for other in self.open.get((job.balancer, job.request), (0, []))[1]:
                 self.nodes[other].kept.add(job.key)
-        end = api.Outcome.OK if hit else api.Outcome.MISS
+        end = Outcome.OK if hit else Outcome.MISS
         self.at(self.now + LEG, lambda: job.end(end, load))
         self.serve(node)
 
@@ -123,8 +135,8 @@
         node = Node(len(self.nodes))
         self.nodes[node.id] = node
         for n in range(len(self.balancers)):
-            entry = api.Entry(node.id, launched=self.now)
-            self.feed(n, api.Fleet(api.ListForm.DELTA, len(self.nodes), [entry]))
+            entry = Endpoint(node.id, launched=self.now)
+            self.feed(n, EndpointUpdate(EndpointUpdateKind.DELTA, len(self.nodes), [entry]))
         return node
 
     def run(self, until: float, rate: float) -> None:
@@ -153,14 +165,14 @@
         self.fleet, self.balancer, self.request, self.number = fleet, balancer, request, number
         self.key, self.node, self.sent, self.asked, self.over = key, node, fleet.now, asked, False
 
-    def end(self, outcome: api.Outcome, load: tuple[float, ...] = ()) -> None:
+    def end(self, outcome: Outcome, load: tuple[float, ...] = ()) -> None:
         if self.over:
             return
         self.over, fleet = True, self.fleet
-        if outcome is api.Outcome.OK and (self.balancer, self.request) in fleet.open:
+        if outcome is Outcome.OK and (self.balancer, self.request) in fleet.open:
             del fleet.open[self.balancer, self.request]
             fleet.in_time[int(self.asked // 1000)] += fleet.now - self.asked <= AIM
         over = (self.balancer, self.request) not in fleet.open
         took = fleet.now - self.sent
-        note = 1 if outcome is api.Outcome.OK and self.node.id != ORIGIN else 0
-        fleet.feed(self.balancer, api.Ended(self.request, self.number, outcome, took, over, note, load))
+        note = 1 if outcome is Outcome.OK and self.node.id != ORIGIN else 0
+        fleet.feed(self.balancer, AttemptEnded(self.request, self.number, outcome, took, over, note, load))
--- a/benchmarks/store_cost.py
+++ b/benchmarks/store_cost.py
@@ -9,8 +9,8 @@
 import time
 from pathlib import Path
 
-from lupinladder.recovery.recall import Notes
-from lupinladder.store import files, state
+from lupinladder.recovery.warm_start import ChangeTracker
+from lupinladder.store import file_store, records
 
 SECONDS = 60
 
@@ -19,17 +19,17 @@
     """Per second of a busy proxy whose limits all move by more than a tenth each window of ten seconds: ms of
     CPU of the notes, ms of the store, bytes written."""
     with tempfile.TemporaryDirectory() as folder:
-        store = files.Store(Path(folder) / "n.store", state.Owner("n", "s"), 0.0, print)
-        notes, looked, wrote, size = Notes(), 0.0, 0.0, 0
+        store = file_store.Store(Path(folder) / "n.store", records.StoreOwner("n", "s"), 0.0, print)
+        notes, looked, wrote, size = ChangeTracker(), 0.0, 0.0, 0
         points = [{"name": f"s-{n}", "address": "10.0.0.1:6379", "status": "active"} for n in range(servers)]
-        store.put(state.Listing(1, 0.0, 0, points))
+        store.put(records.EndpointListRecord(1, 0.0, 0, points))
         for second in range(SECONDS):
             now, begun = second * 1000.0, time.process_time()
             seen = [
-                state.Limit(f"s-{n}", 1.0, now, 16, 50.0 * (1 + (second + n) // 10 % 2), 3.0)
+                records.LimitRecord(f"s-{n}", 1.0, now, 16, 50.0 * (1 + (second + n) // 10 % 2), 3.0)
                 for n in range(servers)
             ]
-            words = [*notes.limits(seen), state.Heard(1, now)]
+            words = [*notes.limits(seen), records.EndpointListConfirmation(1, now)]
             words.append(notes.slots({n: float(n) for n in range(400)}, now))
             middle = time.process_time()
             for one in words:
--- a/lupinladder/__init__.py
+++ b/lupinladder/__init__.py
@@ -1,5 +1,5 @@
 """lupinladder: the decisions of a router in front of a fleet of cache servers."""
 
-from lupinladder.rules import Balancer
+from lupinladder.balancing.balancer import Balancer
 
 __all__ = ["Balancer"]
--- a/lupinladder/__main__.py
+++ b/lupinladder/__main__.py
@@ -9,20 +9,20 @@
 import sys
 from typing import TYPE_CHECKING
 
-from lupinladder import api
+from lupinladder.balancing.events import Endpoint
 from lupinladder.net import config
-from lupinladder.net.connection import READ, Address, Budget
-from lupinladder.net.engine import Engine
-from lupinladder.net.front import Front
-from lupinladder.net.host_group import HostGroup
-from lupinladder.net.log import say, summary
-from lupinladder.net.loop import Loop
-from lupinladder.net.origin import OriginDialect
-from lupinladder.net.server_link import Dialect, Link, NodeDialect
+from lupinladder.net.client_listener import ClientListener
+from lupinladder.net.connection import READ, Address, DescriptorBudget
+from lupinladder.net.connection_pool import CacheNodeProtocol, ConnectionPool, UpstreamProtocol
+from lupinladder.net.discovery.endpoint_registry import EndpointRegistry
+from lupinladder.net.event_loop import EventLoop
+from lupinladder.net.log import log_event, summary
+from lupinladder.net.origin_protocol import OriginProtocol
+from lupinladder.net.request_dispatcher import RequestDispatcher
 
 if TYPE_CHECKING:  # imported only where an operator's file asks for them
-    from lupinladder.net.keeper import Keeper
-    from lupinladder.operator.file import File
+    from lupinladder.net.state_persister import StatePersister
+    from lupinladder.operator_config.settings import OperatorSettings
 
 SUMMARY_MS, LEAVING_MS = 10_000.0, 20.0  # between lines of figures; between looks whether all is answered
 
@@ -30,16 +30,16 @@
 class Proxy:
     """Wires the parts together."""
 
-    def __init__(self, conf: config.Config, operator: File | None = None) -> None:
+    def __init__(self, conf: config.ProxyConfig, operator: OperatorSettings | None = None) -> None:
         self._conf, self._stopping = conf, False
-        self.loop, self._budget = Loop(), Budget(conf.sockets)
-        self._keeper: Keeper | None = None
+        self.loop, self._budget = EventLoop(), DescriptorBudget(conf.sockets)
+        self._keeper: StatePersister | None = None
         if operator and operator.store:
-            from lupinladder.net.keeper import Keeper
+            from lupinladder.net.state_persister import StatePersister
 
-            self._keeper = Keeper(conf, operator.store, self.loop.now())
-        self._nodes: Dialect = NodeDialect(conf.settings.report_fields)
-        self._group = HostGroup(
+            self._keeper = StatePersister(conf, operator.store, self.loop.now())
+        self._nodes: UpstreamProtocol = CacheNodeProtocol(conf.settings.report_fields)
+        self._group = EndpointRegistry(
             self.loop,
             self._budget,
             conf.discovery,
@@ -47,7 +47,7 @@
             self._link,
             lambda event: self.engine.feed(event),
         )
-        self.engine = Engine(
+        self.engine = RequestDispatcher(
             self.loop, conf.settings, conf.seed, self._group.route, self._group.follow, conf.max_open
         )
         if self._keeper:
@@ -55,25 +55,27 @@
             self.engine.start(self._group.cached(begun.known))
             for event in begun.events:
                 self.engine.feed(event)
-            say("store", self._keeper.report())
+            log_event("store", self._keeper.report())
             self._keeper.start(self.loop, self.engine, self._group)
         else:
             self.engine.start(self._group.cached(conf.known))
         if not conf.settings.ask:  # pushed: what waits for us counts as told from our first moment on
             self._group.follow()
-        self.front = Front(self.loop, self._budget, self.engine, conf.listen, conf.classes, conf.tenants)
+        self.front = ClientListener(
+            self.loop, self._budget, self.engine, conf.listen, conf.classes, conf.tenants
+        )
         self._figures()
 
-    def _link(self, entry: api.Entry, address: Address) -> Link:
+    def _link(self, entry: Endpoint, address: Address) -> ConnectionPool:
         conf, dialect = self._conf, self._nodes
         if entry.kind == conf.origin_kind:
-            dialect = OriginDialect(address, conf.settings.report_fields)
-        return Link(
+            dialect = OriginProtocol(address, conf.settings.report_fields)
+        return ConnectionPool(
             self.loop, self._budget, address, dialect, conf.idle_ms, conf.connect_ms, max(conf.streams, 1)
         )
 
     def _figures(self) -> None:
-        say("figures", summary())
+        log_event("figures", summary())
         self.loop.at(self.loop.now() + SUMMARY_MS, self._figures)
 
     def reload(self) -> None:
@@ -82,16 +84,16 @@
         try:
             fresh = config.load(os.environ)
         except config.ConfigError as bad:
-            say("reload", f"the old configuration stays: {bad}")
+            log_event("reload", f"the old configuration stays: {bad}")
             return
-        say("reload", "discovery is at {}:{}".format(*fresh.discovery))
+        log_event("reload", "discovery is at {}:{}".format(*fresh.discovery))
         self._group.move(fresh.discovery)
 
     def stop(self) -> None:
         if self._stopping:
             return
         self._stopping = True
-        say("stop", "told to stop; answering what was taken")
+        log_event("stop", "told to stop; answering what was taken")
         self.front.stop()
         self._leave()
 
@@ -130,21 +132,21 @@
             proxy.stop()
 
 
-def operators() -> File | None:
+def operators() -> OperatorSettings | None:
     """The operator's own file, if the environment names one: what is on beyond the platform's needs.
     ConfigError if it cannot be used."""
     path = os.environ.get("LUPINLADDER_OPERATOR")
     if not path:
         return None
     try:
-        from lupinladder.operator import file
-        from lupinladder.operator.tomlfile import Bad
+        from lupinladder.operator_config import settings
+        from lupinladder.operator_config.toml_decoder import TomlError
     except ModuleNotFoundError as bad:
         need = f"needs the package {bad.name}: pip install 'lupinladder[operator]'"
         raise config.ConfigError(f"LUPINLADDER_OPERATOR {need}") from None
     try:
-        return file.load(path)
-    except Bad as bad:
+        return settings.load(path)
+    except TomlError as bad:
         raise config.ConfigError(str(bad)) from None
 
 
@@ -163,7 +165,7 @@
     # objects more than were freed, not with 20 million.
     gc.set_threshold(1_000, 5, 5)
     proxy.loop.run()
-    say("stop", "all answered; " + summary())
+    log_event("stop", "all answered; " + summary())
     return 0
 
 
--- /dev/null
+++ b/lupinladder/balancing/actions.py
@@ -0,0 +1,64 @@
+"""The actions of the balancer: what its caller carries out, in order. All times are milliseconds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import inf
+
+from lupinladder.balancing.settings import ServerId
+
+
+@dataclass(slots=True)
+class StartAttempt:
+    """Start an attempt. A request's attempts are numbered from 0 in the order of their Try."""
+
+    id: int
+    server: ServerId
+    expire_at: float = 0.0  # clock time to give the attempt up; 0: when the client does
+    begin_by: float = inf  # clock time from which on it may not begin: a repeat would be dropped no more
+
+
+@dataclass(slots=True)
+class CancelAttempt:
+    """Stop waiting for an attempt."""
+
+    id: int
+    attempt: int
+
+
+@dataclass(slots=True)
+class Reject:
+    """Final answer: not served, and a retry does no harm."""
+
+    id: int
+    stay_away: float = 0.0
+
+
+@dataclass(slots=True)
+class Fail:
+    """Final answer: not served, with no promise about effects."""
+
+    id: int
+
+
+@dataclass(slots=True)
+class SetTimer:
+    """Ask for Timer(token) after a delay."""
+
+    delay: float
+    token: int
+
+
+@dataclass(slots=True)
+class WatchEndpoints:
+    """Subscribe to changes of the list; one Fleet event answers."""
+
+
+@dataclass(slots=True)
+class LogMessage:
+    """A line for the operator's log."""
+
+    text: str
+
+
+Action = StartAttempt | CancelAttempt | Reject | Fail | SetTimer | WatchEndpoints | LogMessage
--- a/lupinladder/rules.py
+++ b/lupinladder/balancing/balancer.py
@@ -1,4 +1,4 @@
-"""Every decision of the balancer. Its settings, events and actions are in lupinladder/api.py; read it first.
+"""Every decision of the balancer. Its settings, events and actions are in lupinladder/balancing/; read these first.
 
 The ordinary path: a key hashes to a slot, a slot has an owner, the owner has a limit (brpc's formula). Within
 it the request goes to the owner, over it to the next owner, else it is refused. Departures: docs/design.md.
@@ -9,16 +9,47 @@
 from bisect import bisect
 from math import inf, log, sqrt
 
-from lupinladder import api
+from lupinladder.balancing.actions import (
+    Action,
+    Fail,
+    LogMessage,
+    Reject,
+    SetTimer,
+    StartAttempt,
+    WatchEndpoints,
+)
+from lupinladder.balancing.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    Endpoint,
+    EndpointState,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Event,
+    LimitRestored,
+    Outcome,
+    RequestReceived,
+    RestoreMode,
+    SlotLoadRestored,
+    TimerFired,
+)
+from lupinladder.balancing.settings import DeduplicationScope, RequestClass, RetrySafety, ServerId, Settings
 
 # Dimensionless constants; every time and rate comes from the settings or from what is observed.
 EMA_ALPHA, RETEST_LATENCIES = 0.1, 400  # brpc's smoothing; latencies between retests (rare: each costs sends)
-ALPHA_LEAST, ALPHA_MOST = 0.3, 4.0  # accepted rise in latency: up to the aim, within these
-SAMPLES, SAMPLES_LEAST = 16, 4  # a window closes on this many, or at its timeout with the fewer
+MIN_ALPHA, MAX_ALPHA = 0.3, 4.0  # accepted rise in latency: up to the aim, within these
+WINDOW_SAMPLES, MIN_WINDOW_SAMPLES = 16, 4  # a window closes on this many, or at its timeout with the fewer
 WINDOW_AIMS, REVIEW_AIMS = 4, 2  # a window's timeout and the time between reviews, in aims
-SLOTS, OWNERS = 1 << 12, 8  # several slots for each of a few hundred servers; owners of one looked at
-SPILL = 2  # further owners asked before a refusal: a third at its limit refuses 0.11 with one, 0.04 with two
-POINTS = 32  # places of a server among the hashed ids, so that many neighbours share what it leaves
+SLOT_COUNT, MAX_OWNERS = (
+    1 << 12,
+    8,
+)  # several slots for each of a few hundred servers; owners of one looked at
+EXTRA_OWNERS_ASKED = (
+    2  # further owners asked before a refusal: a third at its limit refuses 0.11 with one, 0.04 with two
+)
+POINTS_PER_SERVER = (
+    32  # places of a server among the hashed ids, so that many neighbours share what it leaves
+)
 SPLIT = 0.5  # a slot gets one more owner for each such share of a mean server's sends
 HEALTH_EMA, HEALTH_OUT, OUT_MOST = 0.2, 0.5, 1 / 3  # of failed attempts; part of the fleet cut at most
 JAMMED = 0.9  # smoothed share turned away that tells of a full queue: some ten in a row
@@ -27,12 +58,12 @@
 BOLD = 0.8  # of what pushes a cold server over, that it is offered at its slowest warm-up
 RETRY_SHARE = 0.1  # further attempts after failures, as a share of requests
 MASK = (1 << 64) - 1
-OK, MISS, FULL, TIMEOUT = api.Outcome.OK, api.Outcome.MISS, api.Outcome.FULL, api.Outcome.TIMEOUT
-NEVER_RAN = (FULL, MISS, api.Outcome.CONNECT_FAILED, api.Outcome.MOOT)
-SAFE, UNSAFE = api.Repeat.SAFE, api.Repeat.UNSAFE
+OK, MISS, FULL, TIMEOUT = Outcome.OK, Outcome.MISS, Outcome.FULL, Outcome.TIMEOUT
+NEVER_RAN = (FULL, MISS, Outcome.CONNECT_FAILED, Outcome.MOOT)
+SAFE, UNSAFE = RetrySafety.SAFE, RetrySafety.UNSAFE
 
 
-def mix(x: int) -> int:
+def splitmix64(x: int) -> int:
     """A fixed 64-bit hash, the same in every process."""
     x = (x + 0x9E3779B97F4A7C15) & MASK
     x = ((x ^ (x >> 30)) * 0xBF58476D1CE4E5B9) & MASK
@@ -40,7 +71,7 @@
     return x ^ (x >> 31)
 
 
-class Limiter:
+class ConcurrencyLimiter:
     """brpc's adaptive limit for one server, from this balancer's own completed sends."""
 
     def __init__(self, now: float, aim: float, floor: float, fresh: bool) -> None:
@@ -87,9 +118,11 @@
         if self.measuring and now - latency < self.start:
             return  # sent before the drain: it has queued, and would make min_latency creep
         self.count, self.total = self.count + 1, self.total + latency
-        enough = SAMPLES_LEAST * 2 if self.measuring else SAMPLES if self.max_concurrency >= 1 else 1
+        enough = (
+            MIN_WINDOW_SAMPLES * 2 if self.measuring else WINDOW_SAMPLES if self.max_concurrency >= 1 else 1
+        )
         timeout = now - self.start >= WINDOW_AIMS * self.aim
-        if self.count >= enough or (timeout and self.count >= SAMPLES_LEAST):
+        if self.count >= enough or (timeout and self.count >= MIN_WINDOW_SAMPLES):
             self.close(now)
 
     def lost(self, sent: float, now: float) -> None:
@@ -104,22 +137,22 @@
 
     def allowed(self, latency: float) -> float:
         """brpc's formula, at the mean latency of a window."""
-        alpha = min(max(self.aim / self.min_latency - 2, ALPHA_LEAST), ALPHA_MOST)
+        alpha = min(max(self.aim / self.min_latency - 2, MIN_ALPHA), MAX_ALPHA)
         room = (2 + alpha) * self.min_latency - latency
         limit = self.max_qps * room
         if room > 0:  # the swing of few sends at once, less as latency rises
             limit += (1 + (self.gap < inf) + sqrt(limit)) * min(1.0, room / ((1 + alpha) * self.min_latency))
         return max(limit, self.floor)
 
-    def recall(self, known: api.Recalled, now: float) -> None:
+    def recall(self, known: LimitRestored, now: float) -> None:
         """Begin from what was known: all of it, or less, and from there doubled by each window."""
         limit = 1.0
-        if known.min_latency > 0 and known.use is not api.Recall.TRIAL:
+        if known.min_latency > 0 and known.use is not RestoreMode.TRIAL:
             self.min_latency = self.latency = known.min_latency
             self.max_qps, self.retest_at = known.max_qps, now + RETEST_LATENCIES * known.min_latency
             limit = self.allowed(known.min_latency)
-        self.fresh = known.use is not api.Recall.ALL
-        self.max_concurrency = limit / 2 if known.use is api.Recall.PART else limit
+        self.fresh = known.use is not RestoreMode.ALL
+        self.max_concurrency = limit / 2 if known.use is RestoreMode.PART else limit
 
     def close(self, now: float) -> None:
         """End the window and set the next limit."""
@@ -129,11 +162,11 @@
         if not self.min_latency:
             self.min_latency, self.retest_at = latency, now + RETEST_LATENCIES * latency
         elif self.measuring:  # few samples: weigh them against what was known
-            self.min_latency += (latency - self.min_latency) * self.count / (self.count + SAMPLES_LEAST)
+            self.min_latency += (latency - self.min_latency) * self.count / (self.count + MIN_WINDOW_SAMPLES)
         elif latency > self.min_latency:
             self.min_latency += (latency - self.min_latency) * EMA_ALPHA
         # Creep ends at the aim; but a far server is not held to less than its way there and some work.
-        most = self.aim / (2 + ALPHA_LEAST)
+        most = self.aim / (2 + MIN_ALPHA)
         self.min_latency = min(self.min_latency, max(most, self.least + most / 2.5))
         self.max_qps = qps if qps > self.max_qps else self.max_qps + (qps - self.max_qps) * EMA_ALPHA / 10
         limit = self.allowed(latency)
@@ -144,16 +177,18 @@
         self.count, self.total, self.start = 0, 0.0, now
         if now >= self.retest_at and limit >= 1:
             # Cut below what is in flight, drain for twice the latency, resume under the cut until measured.
-            cut = self.inflight / 2 if self.inflight > SAMPLES_LEAST else limit / 4  # few: not down to one
+            cut = (
+                self.inflight / 2 if self.inflight > MIN_WINDOW_SAMPLES else limit / 4
+            )  # few: not down to one
             self.max_concurrency = max(1.0, min(limit, cut))
             self.next_send = self.start = now + 2 * latency
             self.retest_at, self.measuring = now + RETEST_LATENCIES * latency, True
 
 
 class Server:  # a member of the list, as this balancer knows it
-    def __init__(self, entry: api.Entry, limiter: Limiter, now: float, cold: bool) -> None:
+    def __init__(self, entry: Endpoint, limiter: ConcurrencyLimiter, now: float, cold: bool) -> None:
         self.id, self.entry, self.limiter, self.cold = entry.server, entry, limiter, cold
-        self.ready, self.weight, self.hash = True, 1.0, mix(int.from_bytes(entry.server, "big"))
+        self.ready, self.weight, self.hash = True, 1.0, splitmix64(int.from_bytes(entry.server, "big"))
         self.moved, self.share = 1.0, float(not cold)  # of its slots: left by load; by warmth as well
         self.credit, self.credit_at, self.credit_rate = 0.0, now, 0.0  # what a cold server may be sent
         self.failed = self.out_until = self.out_for = 0.0  # smoothed share of failures; the health cut
@@ -178,7 +213,7 @@
         return (not self.cold or self.credit >= 1) and self.limiter.admits(now, share)
 
 
-class Slots:
+class SlotTable:
     """Who owns which slot: a pure function of the listed ids, so balancers that know the same list agree."""
 
     def __init__(self) -> None:
@@ -191,24 +226,24 @@
         """Give each server its places among the hashed ids, in order of id."""
         places, total = [], sum(s.weight for s in servers)
         for server in servers:
-            n = max(1, round(POINTS * server.weight * len(servers) / total))
-            places += [(mix(server.hash + i), server.id, server) for i in range(n)]
+            n = max(1, round(POINTS_PER_SERVER * server.weight * len(servers) / total))
+            places += [(splitmix64(server.hash + i), server.id, server) for i in range(n)]
         places.sort(key=lambda p: p[:2])
         self.points, self.at, self.known = [p[0] for p in places], [p[2] for p in places], {}
 
     def owners(self, slot: int) -> list[tuple[Server, float]]:
         """The slot's owners in order, each with the slot's place (0 to 1) in the order it takes them."""
         if slot not in self.known:
-            at, n = bisect(self.points, mix(slot)), len(self.points)
-            found = dict.fromkeys(self.at[i % n] for i in range(at, at + min(n, 8 * OWNERS)))
-            self.known[slot] = [(s, mix(s.hash ^ slot) / MASK) for s in list(found)[:OWNERS]]
+            at, n = bisect(self.points, splitmix64(slot)), len(self.points)
+            found = dict.fromkeys(self.at[i % n] for i in range(at, at + min(n, 8 * MAX_OWNERS)))
+            self.known[slot] = [(s, splitmix64(s.hash ^ slot) / MASK) for s in list(found)[:MAX_OWNERS]]
         return self.known[slot]
 
     def parts(self, slot: int) -> int:
         """Into how many owners the slot is split, by its load: a hot key cannot split below its slot."""
         heat = self.heat[slot] = self.heat.get(slot, 0.0) + 1
         self.total += 1
-        return 1 + int(heat / max(SPLIT * self.mean, SAMPLES_LEAST))
+        return 1 + int(heat / max(SPLIT * self.mean, MIN_WINDOW_SAMPLES))
 
     def fade(self, servers: int) -> None:  # a split slot merges again as its load falls
         self.heat, self.total = {slot: h * 0.9 for slot, h in self.heat.items() if h > 0.5}, self.total * 0.9
@@ -218,11 +253,11 @@
 class Attempt:
     def __init__(self, server: Server, sent: float) -> None:
         self.server, self.sent, self.fetch = server, sent, False
-        self.outcome: api.Outcome | None = None
+        self.outcome: Outcome | None = None
 
 
-class Life:  # a request from its arrival until its last attempt has ended
-    def __init__(self, request: api.Request, kind: api.RequestClass, now: float) -> None:
+class RequestState:  # a request from its arrival until its last attempt has ended
+    def __init__(self, request: RequestReceived, kind: RequestClass, now: float) -> None:
         self.request, self.kind, self.deadline = request, kind, now + request.patience
         self.attempts: list[Attempt] = []
         self.done = self.over_share = False
@@ -231,10 +266,10 @@
         """What may have run, the earliest first; outstanding ones may run."""
         return [a for a in self.attempts if a.outcome not in NEVER_RAN]
 
-    def rights(self, server: Server | None, now: float, settings: api.Settings) -> bool:
+    def rights(self, server: Server | None, now: float, settings: Settings) -> bool:
         """THE place that derives from what may have run if a send to this server (or, with none, a refusal)
         is allowed. Wrong here means an effect twice."""
-        kind, ran, all_drop = self.kind, self.ran(), self.kind.scope is api.Scope.ALL
+        kind, ran, all_drop = self.kind, self.ran(), self.kind.scope is DeduplicationScope.ALL
         if server is None:
             return kind.repeat is SAFE or not ran or (kind.repeat is not UNSAFE and all_drop)
         out = any(a.outcome is None for a in self.attempts) and not settings.may_duplicate
@@ -248,98 +283,103 @@
 
 
 class Balancer:  # one proxy's decisions; handle(event, now) returns the actions to carry out, in order
-    def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
-        self.settings, self.random, self.now = settings, mix(seed), now
+    def __init__(self, settings: Settings, seed: int, now: float) -> None:
+        self.settings, self.random, self.now = settings, splitmix64(seed), now
         self.aim = min(c.aim for c in settings.classes)
         self.floor = min(1.0, 2 / settings.balancers)  # all balancers' together: a core's worth of sends
-        self.members, self.ring = dict[api.ServerId, Server](), list[Server]()  # listed; holding slots
+        self.members, self.ring = dict[ServerId, Server](), list[Server]()  # listed; holding slots
         self.origin: Server | None = None
-        self.slots, self.version, self.asks = Slots(), -1, 0  # asks: failed calls for the list in a row
-        self.live, self.fetching = dict[int, Life](), dict[int, list[Life]]()  # waiters for a key's one fetch
-        self.timers = dict[int, Life | None]()  # by token: the life that waits, or None: ask for the list
+        self.slots, self.version, self.asks = SlotTable(), -1, 0  # asks: failed calls for the list in a row
+        self.live, self.fetching = (
+            dict[int, RequestState](),
+            dict[int, list[RequestState]](),
+        )  # waiters for a key's one fetch
+        self.timers = dict[
+            int, RequestState | None
+        ]()  # by token: the life that waits, or None: ask for the list
         self.token, self.reviewed, self.review_at = 0, now, now
         self.warm_rate = 0.0  # own sends to a mean warm server, per millisecond and unit of weight
         self.retries, self.out, self.failed, self.strain = 1.0, 0, 0.0, 0.0  # servers out; shares of all
         # Smoothed: a hit's time, what a fetch adds, the share of fetches among sends for unknown keys.
-        self.hit, self.excess, self.missing = 0.0, 0.0, 1 / SAMPLES
+        self.hit, self.excess, self.missing = 0.0, 0.0, 1 / WINDOW_SAMPLES
         # `through` mode: keys answered lately (two generations), and the limit on sends for any other key.
         self.known, self.known_at = (set[int](), set[int]()), now
-        self.fetches = Limiter(now, self.aim, 1.0, False)
+        self.fetches = ConcurrencyLimiter(now, self.aim, 1.0, False)
         fields = settings.report_fields  # where reports have what a server holds, and ends in a second
         self.reads = [fields.index(n) for n in ("rif", "rate")] if {"rif", "rate"} <= set(fields) else []
-        self.tenants, self.acts = [0.0] * len(settings.tenant_quotas), list[api.Action]()
+        self.tenants, self.acts = [0.0] * len(settings.tenant_quotas), list[Action]()
 
-    def start(self, now: float) -> list[api.Action]:
+    def start(self, now: float) -> list[Action]:
         """The first actions. The list can take few calls, and all balancers may start at once."""
         if self.settings.ask:
             self.later(self.settings.ask_within / 8, None)
         return self.acts
 
-    def handle(self, event: api.Event, now: float) -> list[api.Action]:
+    def handle(self, event: Event, now: float) -> list[Action]:
         self.acts, self.now = [], max(now, self.now)
         now = self.now
         if now >= self.review_at:
             self.review(now)
-        if isinstance(event, api.Request):
+        if isinstance(event, RequestReceived):
             self.request(event, now)
-        elif isinstance(event, api.Ended):
+        elif isinstance(event, AttemptEnded):
             self.ended(event, now)
-        elif isinstance(event, api.Timer):
+        elif isinstance(event, TimerFired):
             self.timer(event.token, now)
-        elif isinstance(event, api.Fleet):
+        elif isinstance(event, EndpointUpdate):
             self.fleet(event, now)
-        elif isinstance(event, api.Left) and event.id in self.live:
+        elif isinstance(event, ClientDisconnected) and event.id in self.live:
             self.finished(self.live[event.id])
-        elif isinstance(event, api.Recalled):
+        elif isinstance(event, LimitRestored):
             server = self.members.get(event.server)
             if server and not server.cold and not server.limiter.latency and not server.limiter.fresh:
                 server.limiter.recall(event, now)
                 server.moved = server.share = min(max(event.moved, 0.25), 1.0)
                 server.failed = event.failed
-        elif isinstance(event, api.RecalledSlots):
-            self.slots.heat = {slot: heat for slot, heat in event.heat.items() if 0 <= slot < SLOTS}
+        elif isinstance(event, SlotLoadRestored):
+            self.slots.heat = {slot: heat for slot, heat in event.heat.items() if 0 <= slot < SLOT_COUNT}
             self.slots.total = sum(self.slots.heat.values())
         return self.acts
 
     def draw(self) -> float:
         """A random number from 0 to 1 of this balancer's own."""
-        self.random = mix(self.random)
+        self.random = splitmix64(self.random)
         return self.random / MASK
 
-    def later(self, delay: float, life: Life | None) -> None:
+    def later(self, delay: float, life: RequestState | None) -> None:
         self.token = (self.token + 1) & 0xFFFFFFFF
         self.timers[self.token] = life
         delay *= 0.5 + self.draw() if life is None else 1  # no two balancers ask for the list at once
-        self.acts.append(api.Schedule(max(delay, 0.0), self.token))
+        self.acts.append(SetTimer(max(delay, 0.0), self.token))
 
     def timer(self, token: int, now: float) -> None:
         known, life = token in self.timers, self.timers.pop(token, None)
         if known and not life:
-            self.acts.append(api.Follow())
+            self.acts.append(WatchEndpoints())
         elif life and not life.done and all(a.outcome for a in life.attempts):
             self.finish(life)  # held until its deadline
 
-    def fleet(self, event: api.Fleet, now: float) -> None:
-        if event.form is api.ListForm.FAILED:
+    def fleet(self, event: EndpointUpdate, now: float) -> None:
+        if event.form is EndpointUpdateKind.FAILED:
             self.asks += 1
             self.later(2 ** min(self.asks, 3) * self.settings.ask_again, None)
             return
-        if event.form is api.ListForm.DELTA and event.version < self.version:
+        if event.form is EndpointUpdateKind.DELTA and event.version < self.version:
             return  # stale: a newer list is known
         self.asks, self.version, changed, entries = 0, event.version, False, event.entries
-        if event.form is not api.ListForm.DELTA:  # who is missing from a whole list is gone
+        if event.form is not EndpointUpdateKind.DELTA:  # who is missing from a whole list is gone
             named = {e.server for e in entries}
-            entries = entries + [api.Entry(i, api.State.GONE) for i in self.members if i not in named]
+            entries = entries + [Endpoint(i, EndpointState.GONE) for i in self.members if i not in named]
         for entry in entries:
             changed = self.listed(entry, now) or changed
         if changed:
             self.ring = [s for s in self.members.values() if s is not self.origin and s.ready]
             self.slots.deal(self.ring)
 
-    def listed(self, entry: api.Entry, now: float) -> bool:
+    def listed(self, entry: Endpoint, now: float) -> bool:
         """Take in one entry; true if owners change."""
-        server, ready = self.members.get(entry.server), entry.state is api.State.READY
-        if entry.state is api.State.GONE:
+        server, ready = self.members.get(entry.server), entry.state is EndpointState.READY
+        if entry.state is EndpointState.GONE:
             if server:
                 server.ready = False  # attempts in flight still hold it
             self.origin = None if server is self.origin else self.origin
@@ -349,7 +389,7 @@
             origin = entry.kind == self.settings.origin_kind
             cold = not origin and entry.launched > 0 and now - entry.launched < self.settings.cold_for
             aim = self.aim * (5 / 6 if self.settings.aside else 1)  # a miss takes two hops within one
-            server = Server(entry, Limiter(now, aim, self.floor, cold), now, cold)
+            server = Server(entry, ConcurrencyLimiter(now, aim, self.floor, cold), now, cold)
             if origin:
                 server.limiter.gap = self.aim
             if cold and self.floor < MANY:  # one send in many seconds: from zero on all would wait at first
@@ -388,23 +428,23 @@
             self.known, self.known_at = (set(), self.known[0]), now
         self.tenants = [t * 0.5 ** (span / (8 * self.aim)) for t in self.tenants]
 
-    def request(self, event: api.Request, now: float) -> None:
+    def request(self, event: RequestReceived, now: float) -> None:
         if event.id in self.live or not 0 <= event.kind < len(self.settings.classes):
-            self.acts.append(api.Refuse(event.id))
+            self.acts.append(Reject(event.id))
             return
-        life = self.live[event.id] = Life(event, self.settings.classes[event.kind], now)
-        self.retries = min(self.retries + RETRY_SHARE, SAMPLES)
+        life = self.live[event.id] = RequestState(event, self.settings.classes[event.kind], now)
+        self.retries = min(self.retries + RETRY_SHARE, WINDOW_SAMPLES)
         if event.tenant < len(self.tenants):
             # Fairness: what a tenant asks beyond its quota is worth little; it is the first to be refused.
             self.tenants[event.tenant] += 1
             fair = self.settings.tenant_quotas[event.tenant] / self.settings.balancers / 1000 * self.aim
             # The count halves in 8 aims; a quarter more, as balancers' shares are uneven.
-            life.over_share = self.tenants[event.tenant] > 10 * fair / log(2) + SAMPLES_LEAST
+            life.over_share = self.tenants[event.tenant] > 10 * fair / log(2) + MIN_WINDOW_SAMPLES
         (self.fetch if self.settings.aside and event.write else self.place)(life, now)
 
-    def place(self, life: Life, now: float) -> None:
+    def place(self, life: RequestState, now: float) -> None:
         """Send to the slot's owner, over its limit to the next, else refuse."""
-        slot = mix(life.request.key or life.request.id) % SLOTS
+        slot = splitmix64(life.request.key or life.request.id) % SLOT_COUNT
         owners = self.slots.owners(slot)
         order = [s for s, place in owners if place <= s.share] or [s for s, _ in owners]
         parts = min(self.slots.parts(slot), len(order))
@@ -422,7 +462,10 @@
         if fetch and not self.fetches.admits(now, 1.0 if behind else 1 / self.missing):
             order = []  # the origin is behind: known keys go on, but a fetch would only join its queue
         # One refused for want of own sends says nothing of the next, so with many balancers all are asked.
-        tried, left = [a.server for a in life.attempts], parts + SPILL if self.floor >= MANY else OWNERS
+        tried, left = (
+            [a.server for a in life.attempts],
+            parts + EXTRA_OWNERS_ASKED if self.floor >= MANY else MAX_OWNERS,
+        )
         for server in [s for s in order if s not in tried]:
             if self.sent(life, server, now, 0.7 if life.over_share else 1.0):
                 life.attempts[-1].fetch = fetch
@@ -433,7 +476,7 @@
                 break
         self.finish(life)
 
-    def fetch(self, life: Life, now: float) -> None:
+    def fetch(self, life: RequestState, now: float) -> None:
         """In `aside` mode: to the origin. A key's concurrent misses wait for the one fetch that is out."""
         key = 0 if life.request.write else life.request.key
         if key in self.fetching:
@@ -444,19 +487,19 @@
         elif key:
             self.fetching[key] = []
 
-    def sent(self, life: Life, server: Server, now: float, share: float = 1.0) -> bool:
+    def sent(self, life: RequestState, server: Server, now: float, share: float = 1.0) -> bool:
         """Send an attempt, if the server's limits and the request's rights allow it."""
         if not server.admits(now, share) or not life.rights(server, now, self.settings):
             return False
-        ran = life.ran() if life.kind.repeat is api.Repeat.KEYED else []
+        ran = life.ran() if life.kind.repeat is RetrySafety.KEYED else []
         by = ran[0].sent + life.kind.window if ran else inf
         life.attempts.append(Attempt(server, now))
         server.limiter.sent(now)
         server.sends, server.credit = server.sends + 1, server.credit - 1
-        self.acts.append(api.Try(life.request.id, server.id, begin_by=by))
+        self.acts.append(StartAttempt(life.request.id, server.id, begin_by=by))
         return True
 
-    def ended(self, event: api.Ended, now: float) -> None:
+    def ended(self, event: AttemptEnded, now: float) -> None:
         life = self.live.get(event.id)
         if life is None or event.attempt >= len(life.attempts) or life.attempts[event.attempt].outcome:
             return
@@ -482,7 +525,7 @@
                 if not waiter.done and not (good and self.sent(waiter, waiter.attempts[-1].server, now)):
                     self.fetch(waiter, now)
 
-    def judge(self, life: Life, attempt: Attempt, event: api.Ended, now: float) -> None:
+    def judge(self, life: RequestState, attempt: Attempt, event: AttemptEnded, now: float) -> None:
         outcome, latency, server = event.outcome, event.latency, attempt.server
         fetched = event.note > 1 and not self.settings.aside
         if event.load and self.reads:
@@ -496,7 +539,7 @@
             if outcome is TIMEOUT:
                 return self.strained(server, 1)  # asked last, not closed: it is one sample
         if attempt.fetch and event.note:
-            self.missing = max(self.missing + (fetched - self.missing) * EMA_ALPHA, 1 / SAMPLES)
+            self.missing = max(self.missing + (fetched - self.missing) * EMA_ALPHA, 1 / WINDOW_SAMPLES)
         if attempt.fetch and fetched and outcome is OK:
             self.fetches.completed(latency, now)
         elif attempt.fetch and outcome is not OK and (fetched or slow_origin):
@@ -522,7 +565,7 @@
             server.out_until = server.out_for = 0.0
         # Fast errors look like low latency: they count here, not in the window. When all fail alike the fault
         # is behind the servers, and a cut would only take the fleet away.
-        bad = not fetched and outcome in (api.Outcome.ERROR, api.Outcome.CONNECT_FAILED, api.Outcome.RESET)
+        bad = not fetched and outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET)
         server.failed += (bad - server.failed) * HEALTH_EMA
         self.failed += (bad - self.failed) * HEALTH_EMA / 10
         failing = bad and server.failed > max(HEALTH_OUT, 2 * self.failed) and server is not self.origin
@@ -530,7 +573,7 @@
             self.out += 1
             server.out_for = min(max(2 * server.out_for, 2 * self.aim), 16 * self.aim)
             server.out_until, server.failed = now + server.out_for, HEALTH_OUT
-            self.acts.append(api.Note(f"{server.id.hex()} out for {server.out_for:.0f} ms: attempts fail"))
+            self.acts.append(LogMessage(f"{server.id.hex()} out for {server.out_for:.0f} ms: attempts fail"))
 
     def sparse(self, server: Server) -> bool:
         """Many balancers share it, and this one has met it too seldom for a limit of its own."""
@@ -540,14 +583,14 @@
         server.strain += (sign - server.strain) * EMA_ALPHA
         self.strain += (sign - self.strain) * EMA_ALPHA / 10
 
-    def finish(self, life: Life) -> None:
+    def finish(self, life: RequestState) -> None:
         """The final answer: a refusal where that promise holds, else a failure."""
         refuse = life.rights(None, self.now, self.settings)
         away, request = min(self.settings.max_retry_after, self.aim / 4), life.request.id
-        self.acts.append(api.Refuse(request, away) if refuse else api.Fail(request))
+        self.acts.append(Reject(request, away) if refuse else Fail(request))
         self.finished(life)
 
-    def finished(self, life: Life) -> None:
+    def finished(self, life: RequestState) -> None:
         life.done = True
         if all(a.outcome for a in life.attempts):
             self.live.pop(life.request.id, None)
--- /dev/null
+++ b/lupinladder/balancing/events.py
@@ -0,0 +1,169 @@
+"""The interface of the decision module: settings, events and actions.
+
+All times are milliseconds on one clock that the caller chooses and that never goes back (a time
+that does is read as the latest one seen). Server ids are opaque bytes that sort and compare; request
+ids are opaque integers, never used twice. One `Balancer` serves one proxy and shares nothing.
+
+A caller makes `Balancer(settings, seed, now)`, carries out `balancer.start(now)`, and then passes each
+event to `balancer.handle(event, now)` and carries out the actions returned, in order. Doing nothing for
+a request means holding it: the balancer has set a timer for it or an attempt is out.
+
+Misuse is harmless: events that name an unknown or finished request, an attempt that was never made or
+a stale timer are ignored, and a request that comes before the first list or with the id of one still
+open is refused.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from lupinladder.balancing.settings import ServerId
+
+
+class EndpointState(Enum):
+    GONE = 0
+    DRAINING = 1
+    READY = 2
+
+
+class EndpointUpdateKind(Enum):
+    DELTA = 0
+    FULL = 1
+    CACHED = 2
+    FAILED = 3
+
+
+class Outcome(Enum):
+    """How an attempt ended. FULL, CONNECT_FAILED, MOOT and MISS prove that it never ran."""
+
+    OK = "ok"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect failed"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    MOOT = "moot"
+    MISS = "miss"
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """One server of a list."""
+
+    server: ServerId
+    state: EndpointState = EndpointState.READY
+    weight: float = 1.0
+    launched: float = 0.0  # when it last started; 0: long ago
+    zone: int = 0
+    cell: int = 0
+    kind: int = 0
+
+
+# Events
+
+
+@dataclass(slots=True)
+class EndpointUpdate:
+    """What discovery knows. A full or cached list replaces the old one, a delta changes it."""
+
+    form: EndpointUpdateKind
+    version: int = 0
+    entries: list[Endpoint] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class RequestReceived:
+    id: int
+    kind: int  # index of its class
+    patience: float  # time until the client gives this try up
+    key: int = 0  # 0: none
+    tenant: int = 0
+    write: bool = False
+    again: bool = False  # a client's repeat, where clients say so
+    work: float = 0.0  # expected work, where known; 0: unknown
+    size: float = 0.0
+
+
+@dataclass(slots=True)
+class ResponseStarted:
+    """A streamed answer has begun."""
+
+    id: int
+    attempt: int
+    latency: float = 0.0
+
+
+@dataclass(slots=True)
+class AttemptEnded:
+    """An attempt has ended; exactly one for each Try."""
+
+    id: int
+    attempt: int
+    outcome: Outcome
+    latency: float
+    over: bool = False  # the request has its final answer
+    note: int = 0  # 1 hit, 2 miss, 3 miss while another fetch for the key is out
+    load: tuple[float, ...] = ()  # as in report_fields; may be empty
+
+
+@dataclass(slots=True)
+class ClientDisconnected:
+    """The client has gone; the request is finished."""
+
+    id: int
+
+
+@dataclass(slots=True)
+class TimerFired:
+    token: int
+
+
+@dataclass(slots=True)
+class HealthCheckResult:
+    server: ServerId
+    outcome: Outcome
+    latency: float
+    load: tuple[float, ...] = ()
+
+
+class RestoreMode(Enum):
+    """What a recalled limit may be used for; docs/recovery.md has the table."""
+
+    TRIAL = "trial"  # one send at a time, doubled by each good window
+    PART = "part"  # half of it, doubled likewise
+    ALL = "all"
+
+
+@dataclass(slots=True)
+class LimitRestored:
+    """What was known of a server before this balancer stopped. Passed over for one that is not listed, that
+    has lately started, or of which something is known already."""
+
+    server: ServerId
+    use: RestoreMode
+    min_latency: float = 0.0  # ms; 0: nothing is known but the server itself
+    max_qps: float = 0.0  # sends a millisecond
+    moved: float = 1.0  # share of its slots that load had left it
+    failed: float = 0.0  # smoothed share of its attempts that failed
+
+
+@dataclass(slots=True)
+class SlotLoadRestored:
+    """Own sends by slot, as they were; their numbers are those of this text of the module."""
+
+    heat: dict[int, float]
+
+
+Event = (
+    EndpointUpdate
+    | RequestReceived
+    | ResponseStarted
+    | AttemptEnded
+    | ClientDisconnected
+    | TimerFired
+    | HealthCheckResult
+    | LimitRestored
+    | SlotLoadRestored
+)
--- a/lupinladder/cli/app.py
+++ b/lupinladder/cli/app.py
@@ -8,8 +8,8 @@
 import click
 
 GROUPS = {
-    "demo": ("lupinladder.cli.lab", "demo"),
-    "lab": ("lupinladder.cli.lab", "lab"),
+    "demo": ("lupinladder.cli.emulator", "demo"),
+    "lab": ("lupinladder.cli.emulator", "lab"),
     "store": ("lupinladder.cli.store", "store"),
 }
 HELP = {
--- a/lupinladder/cli/lab.py
+++ b/lupinladder/cli/emulator.py
@@ -14,10 +14,10 @@
 from rich.progress import BarColumn, Progress, TextColumn, TimeRemainingColumn
 from rich.table import Table
 
-from lupinladder.cli.errors import BadInput
-from lupinladder.lab import comeback, report, run, scenario
-from lupinladder.lab.scenario import Scenario
-from lupinladder.operator.tomlfile import Bad
+from lupinladder.cli.errors import InputError
+from lupinladder.emulator import report, restart_recovery, run, scenario
+from lupinladder.emulator.scenario import Scenario
+from lupinladder.operator_config.toml_decoder import TomlError
 
 console = Console()
 if not console.is_terminal:  # into a file or a pipe: nothing folds its columns
@@ -29,7 +29,7 @@
     """A scenario with what the command line sets otherwise."""
     try:
         found = scenario.read(name)
-    except Bad as bad:
+    except TomlError as bad:
         raise _usage(str(bad)) from None
     if seed is not None:
         found.seed = seed
@@ -55,7 +55,7 @@
 
 def _usage(text: str) -> click.ClickException:
     """Bad input: one line, exit 2."""
-    return BadInput(text)
+    return InputError(text)
 
 
 class Shown:
@@ -123,7 +123,7 @@
     if report_path:
         report_path.write_text(json.dumps(tree, indent=1) + "\n")
     if plot:
-        from lupinladder.lab.plot import draw
+        from lupinladder.emulator.plot import draw
 
         draw(tree, plot)
 
@@ -232,7 +232,7 @@
     for place, one in enumerate(found):
         one.seed += place % repeat
         if rate is not None:
-            one.load = [scenario.Load(0, rate)]
+            one.load = [scenario.LoadPhase(0, rate)]
         tree = _play(one, quiet, logs / str(place + 1) if logs and len(found) > 1 else logs)
         suffix = f"-{place + 1}" if len(found) > 1 else ""
         _write(tree, _numbered(report_path, suffix), _numbered(plot, suffix))
@@ -299,8 +299,12 @@
 @lab.command("comeback")
 @click.option("--proxies", type=click.IntRange(2, 16), default=12, show_default=True)
 @click.option("--kill", type=click.FloatRange(0.01, 1), default=0.67, show_default=True, help="Share killed.")
-@click.option("--store", type=click.Choice(get_args(comeback.Stores)), default="kept", show_default=True)
-@click.option("--discovery", type=click.Choice(get_args(comeback.Lists)), default="up", show_default=True)
+@click.option(
+    "--store", type=click.Choice(get_args(restart_recovery.Stores)), default="kept", show_default=True
+)
+@click.option(
+    "--discovery", type=click.Choice(get_args(restart_recovery.Lists)), default="up", show_default=True
+)
 @click.option("--seeds", default="1", show_default=True, help="One seed, or the first and the last: 1-10.")
 @_REPORT
 @_PLOT
@@ -309,8 +313,8 @@
 def comeback_(
     proxies: int,
     kill: float,
-    store: comeback.Stores,
-    discovery: comeback.Lists,
+    store: restart_recovery.Stores,
+    discovery: restart_recovery.Lists,
     seeds: str,
     report_path: Path | None,
     plot: Path | None,
@@ -330,40 +334,40 @@
         raise _usage(f"--seeds {seeds}: expected a seed, or the first and the last, as in 1-10")
     rows = []
     for seed in range(int(first), int(last or first) + 1):
-        made = comeback.scenario(proxies, kill, store, discovery, seed)
+        made = restart_recovery.scenario(proxies, kill, store, discovery, seed)
         with Shown(made, quiet or not errors.is_terminal) as shown:
             try:
                 outcome = run.play(made, logs / str(seed) if logs else None, shown.look)
             except RuntimeError as bad:
                 raise click.ClickException(str(bad)) from None
-        rows.append(comeback.figures(outcome))
+        rows.append(restart_recovery.figures(outcome))
         full = rows[-1]["full_after_s"]
         after = "not within the run" if full is None else f"after {full:.1f} s"
         console.print(f"seed {seed}: full service {after}{'; void: ' + outcome.void if outcome.void else ''}")
     tree: dict[str, Any] = {
         "schema": report.SCHEMA,
         "about": made.about,
-        "summary": comeback.summary(rows),
+        "summary": restart_recovery.summary(rows),
         "runs": rows,
     }
     if report_path:
         report_path.write_text(json.dumps(tree, indent=1) + "\n")
     if plot:
-        from lupinladder.lab.plot import draw_comeback
+        from lupinladder.emulator.plot import draw_comeback
 
-        draw_comeback(tree, comeback.KILLED_S, plot)
-    console.print(comeback.show(tree))
-    sys.exit(comeback.exit_code(tree["summary"]))
+        draw_comeback(tree, restart_recovery.KILLED_S, plot)
+    console.print(restart_recovery.show(tree))
+    sys.exit(restart_recovery.exit_code(tree["summary"]))
 
 
 def _alone(part: str) -> click.Command:
     @click.option("--seconds", type=click.FloatRange(0.1, 86_400), default=60.0, show_default=True)
     @click.option("--scenario", "name", default="calm", show_default=True, help="Whose settings to take.")
     def serve(seconds: float, name: str) -> None:
-        from lupinladder.lab import alone
+        from lupinladder.emulator import standalone
 
         found = _read(name, None, None)
-        alone.serve(part, found, seconds, lambda line: click.echo(line))
+        standalone.run_standalone(part, found, seconds, lambda line: click.echo(line))
 
     about = {
         "node": "One cache node alone, for any RESP client to talk to.",
--- a/lupinladder/cli/errors.py
+++ b/lupinladder/cli/errors.py
@@ -5,7 +5,7 @@
 import click
 
 
-class BadInput(click.ClickException):
+class InputError(click.ClickException):
     """One line, exit 2."""
 
     exit_code = 2
--- a/lupinladder/cli/store.py
+++ b/lupinladder/cli/store.py
@@ -11,16 +11,16 @@
 import click
 import msgspec
 
-from lupinladder.cli.errors import BadInput
-from lupinladder.recovery.trust import Source, Thing, Use, age_text, trust
-from lupinladder.store import files, log, state
+from lupinladder.cli.errors import InputError
+from lupinladder.recovery.freshness import RecordType, Source, Usability, format_age, usable_as
+from lupinladder.store import file_store, record_log, records
 
 
-def _scan(path: Path) -> log.Scan:
+def _scan(path: Path) -> record_log.ScanResult:
     try:
-        return files.peek(path)
-    except files.StoreError as bad:
-        raise BadInput(str(bad)) from None
+        return file_store.peek(path)
+    except file_store.StoreError as bad:
+        raise InputError(str(bad)) from None
 
 
 @click.group()
@@ -33,11 +33,11 @@
     """
 
 
-def _tree(found: state.State, now: float) -> dict[str, Any]:
+def _tree(found: records.StoredState, now: float) -> dict[str, Any]:
     """What is kept, and what it would be used for by a proxy that starts now."""
 
-    def use(thing: Thing, at: float, since: float = 0.0) -> str:
-        return Use(trust(thing, Source.STORE, at, now, since)).name.lower()
+    def use(thing: RecordType, at: float, since: float = 0.0) -> str:
+        return Usability(usable_as(thing, Source.STORE, at, now, since)).name.lower()
 
     tree: dict[str, Any] = {"owner": msgspec.to_builtins(found.owner)}
     if found.listing:
@@ -46,8 +46,8 @@
             "index": one.index,
             "generation": one.generation,
             "servers": len(one.endpoints),
-            "age": age_text(now - one.at),
-            "use": use(Thing.MEMBER, one.at),
+            "age": format_age(now - one.at),
+            "use": use(RecordType.MEMBER, one.at),
         }
     tree["limits"] = [
         {
@@ -56,13 +56,13 @@
             "max_qps": one.max_qps,
             "samples": one.samples,
             "failed": one.failed,
-            "age": age_text(now - one.at),
-            "use": use(Thing.LIMIT, one.at, one.since),
+            "age": format_age(now - one.at),
+            "use": use(RecordType.LIMIT, one.at, one.since),
         }
         for one in found.limits.values()
     ]
     if found.slots:
-        tree["slots"] = {"hot": len(found.slots.heat), "use": use(Thing.SLOT, found.slots.at)}
+        tree["slots"] = {"hot": len(found.slots.heat), "use": use(RecordType.SLOT, found.slots.at)}
     return tree
 
 
@@ -77,9 +77,9 @@
         lupinladder store show n1.store --json
     """
     scan = _scan(path)
-    found = state.fold(scan)
+    found = records.fold(scan)
     if found is None:
-        raise BadInput(f"{path}: {scan.why or 'its owner cannot be read'}")
+        raise InputError(f"{path}: {scan.why or 'its owner cannot be read'}")
     tree = _tree(found, time.time() * 1000)
     if as_json:
         click.echo(json.dumps(tree))
@@ -111,7 +111,7 @@
     if scan.why:
         click.echo(f"{path}: at byte {scan.good} of {size}: {scan.why}; {len(scan.records)} records are good")
         raise SystemExit(1)
-    if state.fold(scan) is None:
+    if records.fold(scan) is None:
         click.echo(f"{path}: its first record does not say whose it is; a proxy starts without it")
         raise SystemExit(1)
     click.echo(f"{path}: {len(scan.records)} records, {size} bytes, all whole")
@@ -126,17 +126,17 @@
     Example:
         lupinladder store cut n1.store
     """
-    disk = files.Disk()
+    disk = file_store.FileSystem()
     try:
         lock = disk.lock(path.with_name(path.name + ".lock"))
     except BlockingIOError:
-        raise BadInput(f"{path}: a process uses this store; stop it first") from None
+        raise InputError(f"{path}: a process uses this store; stop it first") from None
     except OSError as bad:
-        raise BadInput(f"{path}: {bad.strerror}") from None
+        raise InputError(f"{path}: {bad.strerror}") from None
     try:
         scan = _scan(path)
         if not scan.records:
-            raise BadInput(f"{path}: {scan.why}; nothing in it can be used, remove it")
+            raise InputError(f"{path}: {scan.why}; nothing in it can be used, remove it")
         gone = path.stat().st_size - scan.good
         if gone:
             os.truncate(path, scan.good)
--- a/lupinladder/govern/clients.py
+++ b/lupinladder/connection_limits/idle_clients.py
@@ -18,8 +18,8 @@
 
 from bisect import bisect_right
 
-EDGES = (100.0, 200.0, 400.0, 800.0, 1600.0, 3200.0)  # ends of the spans of rest
-SPANS = len(EDGES)
+IDLE_SPAN_EDGES = (100.0, 200.0, 400.0, 800.0, 1600.0, 3200.0)  # ends of the spans of rest
+IDLE_SPAN_COUNT = len(IDLE_SPAN_EDGES)
 GROUPS = (1, 2, 4)  # commands asked so far, at least: once, two or three times, more
 SOON = 3  # spans looked ahead: a connection that returns later than that may as well come anew
 FIRST = 0.8  # the share taken to return within the first span, without evidence
@@ -33,22 +33,22 @@
 SMOOTH = 0.3
 
 
-def group(asked: int) -> int:
+def use_group(asked: int) -> int:
     """The group of a connection that has asked so many commands (at least one)."""
     return bisect_right(GROUPS, max(asked, 1)) - 1
 
 
-def span(rested: float) -> int:
+def idle_span(rested: float) -> int:
     """The span in which a rest is now; SPANS once it has outlived the last."""
-    return bisect_right(EDGES, rested)
+    return bisect_right(IDLE_SPAN_EDGES, rested)
 
 
-class Returns:
+class IdleReturnEstimator:
     """How likely resting connections are to ask again."""
 
     def __init__(self) -> None:
-        self._came = [[0.0] * SPANS for _ in GROUPS]
-        self._stayed = [[0.0] * SPANS for _ in GROUPS]
+        self._came = [[0.0] * IDLE_SPAN_COUNT for _ in GROUPS]
+        self._stayed = [[0.0] * IDLE_SPAN_COUNT for _ in GROUPS]
 
     def _add(self, counts: list[list[float]], kind: int, place: int) -> None:
         counts[kind][place] += 1
@@ -58,14 +58,14 @@
 
     def returned(self, asked: int, rested: float) -> None:
         """A rest ended with the next command. The spans it outlived were told by `outlived`."""
-        place = span(rested)
-        if place < SPANS:
-            self._add(self._came, group(asked), place)
+        place = idle_span(rested)
+        if place < IDLE_SPAN_COUNT:
+            self._add(self._came, use_group(asked), place)
 
     def outlived(self, asked: int, first: int, last: int) -> None:
         """A rest has outlived the spans from `first` up to, not including, `last`."""
-        for place in range(first, min(last, SPANS)):
-            self._add(self._stayed, group(asked), place)
+        for place in range(first, min(last, IDLE_SPAN_COUNT)):
+            self._add(self._stayed, use_group(asked), place)
 
     def chance(self, asked: int, rested: float) -> float:
         """That a connection which has rested so long asks again within this span and the next ones.
@@ -73,11 +73,11 @@
         Each span is taken to be like the one before until it has shown otherwise: where rests are long, few
         spans have evidence, and to wait for it would leave a flood of them in place for seconds. As spans
         double in length, that is a hazard which falls off as 1 / time."""
-        kind, place = group(asked), span(rested)
-        if place >= SPANS:
+        kind, place = use_group(asked), idle_span(rested)
+        if place >= IDLE_SPAN_COUNT:
             return 0.0
         stays, share = 1.0, FIRST
-        for n in range(min(place + SOON, SPANS)):
+        for n in range(min(place + SOON, IDLE_SPAN_COUNT)):
             came, stayed = self._came[kind][n], self._stayed[kind][n]
             share = (came + WEIGHT * share) / (came + stayed + WEIGHT)
             if n >= place:
@@ -85,7 +85,7 @@
         return 1 - stays
 
 
-class Room:
+class ConnectionCapacity:
     """How much of the clients' share should be free. `share` is the number of connections that clients may
     hold for requests; close to it they cannot tell us how many more would come."""
 
@@ -107,7 +107,9 @@
         return max(0, round(held + want) - self.share)
 
 
-def choose(resting: list[tuple[int, float]], returns: Returns, most: int) -> list[int]:
+def select_for_eviction(
+    resting: list[tuple[int, float]], returns: IdleReturnEstimator, most: int
+) -> list[int]:
     """Which of the resting connections, (commands asked, ms rested) each, to close, at most so many: their
     places, those least likely to return first. One that is likelier than WORTH to return is never there."""
     chances = [(returns.chance(asked, rested), -rested, n) for n, (asked, rested) in enumerate(resting)]
--- a/lupinladder/lab/node.py
+++ b/lupinladder/emulator/cache_node.py
@@ -11,18 +11,18 @@
 
 import numpy as np
 
-from lupinladder.lab.machine import Job, Machine
-from lupinladder.lab.scenario import Fleet
-from lupinladder.lab.world import Memory, World
+from lupinladder.emulator.processor_sharing_queue import Job, ProcessorSharingQueue
+from lupinladder.emulator.scenario import ClusterConfig
+from lupinladder.emulator.shared_data import CacheMemory, SharedData
 
-REPEATS_MS = 5000.0  # for which the repeat of a keyed write is dropped
+DEDUPLICATION_MEMORY_MS = 5000.0  # for which the repeat of a keyed write is dropped
 
 
 def bulk(data: bytes) -> bytes:
     return b"$%d\r\n%b\r\n" % (len(data), data)
 
 
-class Ask:
+class NodeRequest:
     """One command at a node, from its last byte to its answer. `answer` is called once, with the bytes and
     the word for them: hit, miss, pending, busy or failed; not at all once it was dropped."""
 
@@ -44,7 +44,7 @@
         self.job: Job | None = None
 
 
-class NodeCore:
+class CacheNode:
     """`wake` tells when `advance` has to be called next."""
 
     def __init__(
@@ -52,8 +52,8 @@
         now: float,
         name: str,
         zone: int,
-        fleet: Fleet,
-        world: World,
+        fleet: ClusterConfig,
+        world: SharedData,
         rng: np.random.Generator,
         cold: bool,
     ) -> None:
@@ -61,8 +61,8 @@
         self.cold, self.up = cold, True
         self._world, self._rng = world, rng
         share = world.keys.pooled * fleet.memory / fleet.nodes
-        self.memory = Memory(max(1, round(share)), fleet.evict == "fifo")
-        self.machine = Machine(
+        self.memory = CacheMemory(max(1, round(share)), fleet.evict == "fifo")
+        self.machine = ProcessorSharingQueue(
             now,
             fleet.cores,
             float(rng.uniform(*fleet.speed)),
@@ -78,7 +78,7 @@
         self._window: list[tuple[float, float, bool]] = []  # of answers lately: when, work, failed
         self._report, self._reported = b"", -1e18
 
-    def ask(self, now: float, ask: Ask) -> None:
+    def ask(self, now: float, ask: NodeRequest) -> None:
         """A whole command has come."""
         self.advance(now)
         job = Job(ask.work * (self.fleet.miss_work if ask.write else 1.0), ask)
@@ -104,7 +104,7 @@
         self.advance(now)
         self.machine.offer(now, Job(self.fleet.handshake_ms, None))
 
-    def probe(self, now: float, ask: Ask) -> None:
+    def probe(self, now: float, ask: NodeRequest) -> None:
         """A probe that is served like a request."""
         self.advance(now)
         ask.work = self.fleet.probe_ms
@@ -112,7 +112,7 @@
         if not self.machine.offer(now, job):
             ask.answer(b"-ERR busy\r\n", "busy")
 
-    def drop(self, now: float, ask: Ask) -> None:
+    def drop(self, now: float, ask: NodeRequest) -> None:
         """Its connection has gone."""
         self.advance(now)
         if ask.job:
@@ -122,13 +122,13 @@
         """Answer whatever is done by now."""
         for job in self.machine.advance(now):
             ask = job.owner
-            if isinstance(ask, Ask):
+            if isinstance(ask, NodeRequest):
                 self._finish(now, ask)
 
     def wake(self) -> float:
         return self.machine.next()
 
-    def _finish(self, now: float, ask: Ask) -> None:
+    def _finish(self, now: float, ask: NodeRequest) -> None:
         if ask.tag == "probe":
             return ask.answer(b"", "probe")
         failed = self._rng.random() < self.fleet.error_rate
@@ -174,7 +174,7 @@
         return self._report
 
 
-class Repeats:
+class DeduplicationTable:
     """Keyed writes seen lately: all servers of the group drop a repeat (PROTOCOL, BRIEF)."""
 
     def __init__(self) -> None:
@@ -182,7 +182,7 @@
 
     def fresh(self, token: bytes, now: float) -> bool:
         """Whether this is the first within the window."""
-        while self._seen and next(iter(self._seen.values())) < now - REPEATS_MS:
+        while self._seen and next(iter(self._seen.values())) < now - DEDUPLICATION_MEMORY_MS:
             self._seen.popitem(last=False)
         if token in self._seen:
             return False
--- a/lupinladder/lab/node_server.py
+++ b/lupinladder/emulator/cache_node_server.py
@@ -10,22 +10,22 @@
 import hiredis
 import numpy as np
 
-from lupinladder.lab.clock import Clock, Driver
-from lupinladder.lab.node import Ask, NodeCore, bulk
-from lupinladder.lab.referee import Attempt, Referee
-from lupinladder.lab.sockets import Door, Lane, Way, reset, transport_of
+from lupinladder.emulator.cache_node import CacheNode, NodeRequest, bulk
+from lupinladder.emulator.clock import Clock, Driver
+from lupinladder.emulator.rule_checker import ObservedAttempt, RuleChecker
+from lupinladder.emulator.sockets import DelayedChannel, FaultyListener, NetworkPath, reset, transport_of
 
 MAX_COMMAND = 2 << 20
 HUGE = b"*3\r\n$3000000000\r\n"
 
 
-class Works(Protocol):
+class WorkSettings(Protocol):
     """Draws the work of a command by its labels, in ms."""
 
     def __call__(self, labels: dict[bytes, bytes]) -> float: ...
 
 
-def labels_of(text: bytes) -> dict[bytes, bytes]:
+def parse_labels(text: bytes) -> dict[bytes, bytes]:
     """`c=read,d=480` as names and values; ValueError if it is anything else."""
     pairs = [pair.split(b"=", 1) for pair in text.split(b",")]
     if any(len(pair) != 2 for pair in pairs):
@@ -33,7 +33,7 @@
     return {name: value for name, value in pairs}
 
 
-class Garble:
+class ResponseCorruption:
     """Spoils some of the answers: LATER, "Bad cache nodes"."""
 
     def __init__(self, rng: np.random.Generator, kinds: Sequence[str], share: float) -> None:
@@ -57,29 +57,29 @@
         }[how], how
 
 
-class NodeServer:
+class CacheNodeServer:
     """Listeners, connections and what each is answered."""
 
     def __init__(
         self,
         clock: Clock,
-        core: NodeCore,
-        referee: Referee,
-        work: Works,
-        ways: Sequence[Way],
+        core: CacheNode,
+        referee: RuleChecker,
+        work: WorkSettings,
+        ways: Sequence[NetworkPath],
         sockets: Sequence[socket.socket | None] | None = None,
         rtt: Callable[[int], float] = lambda proxy: 0.0,
     ) -> None:
         self.clock, self.core, self.referee, self.work, self.ways = clock, core, referee, work, ways
         self.rtt = rtt
         self.driver = Driver(clock, core)
-        self.connections: set[NodeConn] = set()
-        self.garble: Garble | None = None
+        self.connections: set[CacheNodeProtocol] = set()
+        self.garble: ResponseCorruption | None = None
         self.silent = False
         self.on_fall: Callable[[], None] = lambda: None
         socks = sockets or [None] * len(ways)
         self.doors = [
-            Door(clock, (lambda p: lambda: NodeConn(self, p))(proxy), socks[proxy])
+            FaultyListener(clock, (lambda p: lambda: CacheNodeProtocol(self, p))(proxy), socks[proxy])
             for proxy in range(len(ways))
         ]
 
@@ -124,10 +124,10 @@
         self.on_fall()
 
 
-class NodeConn(asyncio.Protocol):
+class CacheNodeProtocol(asyncio.Protocol):
     """One connection from a proxy. Commands are begun as they come and answered in order."""
 
-    def __init__(self, server: NodeServer, proxy: int) -> None:
+    def __init__(self, server: CacheNodeServer, proxy: int) -> None:
         self._server, self._proxy = server, proxy
         self._clock = server.clock
         self.transport: asyncio.Transport | None = None
@@ -135,7 +135,10 @@
         self._raw = bytearray()  # of the command that is coming in
         self._first = 0.0  # when its first byte came
         self._row: list[_Place] = []  # of answers owed, in order
-        self._in, self._out = Lane(self._clock, server.ways[proxy]), Lane(self._clock, server.ways[proxy])
+        self._in, self._out = (
+            DelayedChannel(self._clock, server.ways[proxy]),
+            DelayedChannel(self._clock, server.ways[proxy]),
+        )
         self._ready = 0.0
         self._idle: asyncio.TimerHandle | None = None
 
@@ -216,7 +219,7 @@
             answer = b"+PONG\r\n" if name == b"PING" else bulk(self._server.core.report(now))
             if not probes:
                 return self._fill(place, b"+PONG\r\n" if name == b"PING" else b"-NOPERM no probes\r\n")
-            ask = Ask(
+            ask = NodeRequest(
                 self._proxy,
                 b"",
                 b"",
@@ -237,7 +240,7 @@
         try:
             if len(words) != (5 if write else 4):
                 raise ValueError("wrong number of words")
-            labels = labels_of(words[3])
+            labels = parse_labels(words[3])
             work = server.work(labels)
         except (ValueError, KeyError) as bad:
             server.referee.counts["syntax"] += 1
@@ -249,7 +252,7 @@
             place.word = word
             self._fill(place, data)
 
-        place.ask = Ask(self._proxy, words[1], words[2], labels, write, work, answer)
+        place.ask = NodeRequest(self._proxy, words[1], words[2], labels, write, work, answer)
         if server.referee.load(now, self._proxy, server.core.name, work):
             return server.fell()
         if not server.silent:
@@ -296,6 +299,6 @@
 
     def __init__(self) -> None:
         self.answer: bytes | None = None
-        self.ask: Ask | None = None
-        self.attempt: Attempt | None = None
+        self.ask: NodeRequest | None = None
+        self.attempt: ObservedAttempt | None = None
         self.ident, self.word = b"", ""
--- a/lupinladder/lab/fleet.py
+++ b/lupinladder/emulator/cluster.py
@@ -7,18 +7,18 @@
 
 import numpy as np
 
-from lupinladder.lab.clock import Clock
-from lupinladder.lab.discovery_server import DiscoveryServer
-from lupinladder.lab.draws import Keys, stream
-from lupinladder.lab.listing import Entry, ListCore
-from lupinladder.lab.node import NodeCore
-from lupinladder.lab.node_server import NodeServer
-from lupinladder.lab.origin import OriginCore
-from lupinladder.lab.origin_server import OriginServer
-from lupinladder.lab.referee import Referee
-from lupinladder.lab.scenario import Scenario
-from lupinladder.lab.sockets import Way
-from lupinladder.lab.world import World
+from lupinladder.emulator.cache_node import CacheNode
+from lupinladder.emulator.cache_node_server import CacheNodeServer
+from lupinladder.emulator.clock import Clock
+from lupinladder.emulator.discovery_server import DiscoveryServer
+from lupinladder.emulator.endpoint_list import EndpointList, ListedEndpoint
+from lupinladder.emulator.origin import OriginModel
+from lupinladder.emulator.origin_server import OriginServer
+from lupinladder.emulator.rule_checker import RuleChecker
+from lupinladder.emulator.scenario import Scenario
+from lupinladder.emulator.shared_data import SharedData
+from lupinladder.emulator.sockets import NetworkPath
+from lupinladder.emulator.workload import KeyDistribution, random_stream
 
 ORIGIN, ORIGIN_ZONE = "origin", 0
 
@@ -32,29 +32,29 @@
     return scenario.origin.headroom * rate * ((1 - writes) * (1 - scenario.clients.hits) + writes)
 
 
-class Fleet:
+class Cluster:
     def __init__(
-        self, clock: Clock, scenario: Scenario, keys: Keys, referee: Referee, zones: list[int]
+        self, clock: Clock, scenario: Scenario, keys: KeyDistribution, referee: RuleChecker, zones: list[int]
     ) -> None:
         """`zones` are those of the proxies."""
         self.clock, self.scenario, self.referee, self.zones = clock, scenario, referee, zones
-        self.rng = stream(scenario.seed, "fleet")
+        self.rng = random_stream(scenario.seed, "fleet")
         ttl = scenario.fleet.ttl_s
-        self.world = World(keys, lambda: float(self.rng.uniform(*ttl)) * 1000)
-        self.nodes: dict[str, NodeServer] = {}
-        self.ways: dict[tuple[int, int], Way] = {}  # by the zones of both ends
-        self.list = ListCore()
+        self.world = SharedData(keys, lambda: float(self.rng.uniform(*ttl)) * 1000)
+        self.nodes: dict[str, CacheNodeServer] = {}
+        self.ways: dict[tuple[int, int], NetworkPath] = {}  # by the zones of both ends
+        self.list = EndpointList()
         self.on_change: Callable[[str], None] = lambda what: None
         self._works = {
             one.name.encode(): (one.work_ms, float(np.sqrt(np.log1p(one.cv**2)))) for one in scenario.classes
         }
         self._number = 0
-        core = OriginCore(
+        core = OriginModel(
             clock.now(),
             scenario.origin,
             origin_capacity(scenario),
             self.world,
-            stream(scenario.seed, "origin"),
+            random_stream(scenario.seed, "origin"),
         )
         self.origin = OriginServer(
             clock, core, referee, self._ways_to(ORIGIN_ZONE), self._cold_miss, scenario.origin.fall_s * 1000
@@ -73,7 +73,9 @@
     def open(self) -> None:
         """Start the servers that run when the day begins; they are in the list from the first."""
         self.origin.open()
-        self.list.put(Entry(ORIGIN, self.scenario.fleet.zones[ORIGIN_ZONE], "origin", 0, "active", 0))
+        self.list.put(
+            ListedEndpoint(ORIGIN, self.scenario.fleet.zones[ORIGIN_ZONE], "origin", 0, "active", 0)
+        )
         for _ in range(self.scenario.fleet.nodes):
             node = self._make(self._next_zone(), cold=False)
             self.list.put(self.entry(node, "active"))
@@ -83,16 +85,16 @@
         self._number += 1
         return self._number % len(self.scenario.fleet.zones)
 
-    def way(self, one: int, other: int) -> Way:
+    def way(self, one: int, other: int) -> NetworkPath:
         """Between two zones; one object, so that a fault on it shows to all that use it."""
         ends = (min(one, other), max(one, other))
         if ends not in self.ways:
             net = self.scenario.net
             delay = net.same_ms if one == other else net.cross_ms
-            self.ways[ends] = Way(self.clock, self.rng, delay, net.jitter)
+            self.ways[ends] = NetworkPath(self.clock, self.rng, delay, net.jitter)
         return self.ways[ends]
 
-    def _ways_to(self, zone: int) -> list[Way]:
+    def _ways_to(self, zone: int) -> list[NetworkPath]:
         return [self.way(one, zone) for one in self.zones]
 
     def work(self, labels: dict[bytes, bytes]) -> float:
@@ -102,17 +104,17 @@
 
     def _make(
         self, zone: int, cold: bool, sockets: Sequence[socket.socket] | None = None, name: str = ""
-    ) -> NodeServer:
+    ) -> CacheNodeServer:
         now = self.clock.now()
         name = name or f"s-{int(self.rng.integers(1 << 32)):08x}"
-        core = NodeCore(now, name, zone, self.scenario.fleet, self.world, self.rng, cold)
+        core = CacheNode(now, name, zone, self.scenario.fleet, self.world, self.rng, cold)
         ways = self._ways_to(zone)
         net = self.scenario.net
 
         def rtt(proxy: int) -> float:
             return 2 * (net.same_ms if self.zones[proxy] == zone else net.cross_ms)
 
-        server = NodeServer(self.clock, core, self.referee, self.work, ways, sockets, rtt)
+        server = CacheNodeServer(self.clock, core, self.referee, self.work, ways, sockets, rtt)
         server.open()
         server.on_fall = lambda: self._fell(server)
         self.world.nodes[name] = core
@@ -121,10 +123,10 @@
             self.referee.cold(now, name, self.scenario.fleet.cold_s * 1000, core.machine.capacity)
         return server
 
-    def entry(self, node: NodeServer, status: str) -> Entry:
+    def entry(self, node: CacheNodeServer, status: str) -> ListedEndpoint:
         core = node.core
         zone = self.scenario.fleet.zones[core.zone]
-        return Entry(core.name, zone, "small-1", core.zone, status, int(core.started))
+        return ListedEndpoint(core.name, zone, "small-1", core.zone, status, int(core.started))
 
     def addresses(self, proxy: int) -> dict[str, str]:
         """Where each server is reached by one proxy."""
@@ -136,7 +138,7 @@
         now = self.clock.now()
         return any(self.referee.is_cold(now, name) for name in self.world.missers(ident)[:1])
 
-    def notice(self, entry: Entry, lag_s: float | None = None) -> None:
+    def notice(self, entry: ListedEndpoint, lag_s: float | None = None) -> None:
         """The list will show this, some time from now."""
         lag = lag_s if lag_s is not None else float(self.rng.uniform(*self.scenario.discovery.notice_s))
         self.list.notice(self.clock.now() + lag * 1000, entry)
@@ -144,18 +146,18 @@
 
     def start_node(
         self, zone: int, sockets: Sequence[socket.socket] | None = None, name: str = ""
-    ) -> NodeServer:
+    ) -> CacheNodeServer:
         """A new node, cold."""
         node = self._make(zone, True, sockets, name)
         self.notice(self.entry(node, "active"))
         self.on_change(f"{node.core.name} started")
         return node
 
-    def drain(self, node: NodeServer) -> None:
+    def drain(self, node: CacheNodeServer) -> None:
         """It finishes what it has, and the list will say so."""
         self.notice(self.entry(node, "leaving"))
 
-    def end(self, node: NodeServer, keep: bool = False) -> list[socket.socket]:
+    def end(self, node: CacheNodeServer, keep: bool = False) -> list[socket.socket]:
         """Its process ends. With `keep`, its listening sockets are for a successor."""
         kept: list[socket.socket] = node.leave() if keep else []
         if not keep:
@@ -165,12 +167,12 @@
         self.on_change(f"{node.core.name} ended")
         return kept
 
-    def _fell(self, node: NodeServer) -> None:
+    def _fell(self, node: CacheNodeServer) -> None:
         self._forget(node)
         self.notice(self.entry(node, "left"))
         self.on_change(f"{node.core.name} fell over")
 
-    def _forget(self, node: NodeServer) -> None:
+    def _forget(self, node: CacheNodeServer) -> None:
         if self.nodes.get(node.core.name) is node:
             del self.nodes[node.core.name]
         self.world.nodes.pop(node.core.name, None)
--- a/lupinladder/lab/discovery_server.py
+++ b/lupinladder/emulator/discovery_server.py
@@ -8,10 +8,10 @@
 
 import httptools
 
-from lupinladder.lab.clock import Clock, Driver
-from lupinladder.lab.listing import Entry, ListCore
-from lupinladder.lab.referee import Referee
-from lupinladder.lab.sockets import Door, reset, transport_of
+from lupinladder.emulator.clock import Clock, Driver
+from lupinladder.emulator.endpoint_list import EndpointList, ListedEndpoint
+from lupinladder.emulator.rule_checker import RuleChecker
+from lupinladder.emulator.sockets import FaultyListener, reset, transport_of
 
 
 class DiscoveryServer:
@@ -20,8 +20,8 @@
     def __init__(
         self,
         clock: Clock,
-        core: ListCore,
-        referee: Referee,
+        core: EndpointList,
+        referee: RuleChecker,
         proxies: int,
         addresses: Callable[[int], dict[str, str]],
         capacity: float,
@@ -32,7 +32,7 @@
         self.addresses, self._call_s = addresses, 1 / capacity
         self.empty_s, self.timeout_s = empty_s, timeout_s
         self.driver = Driver(clock, core, self._changed)
-        self.connections: set[DiscoveryConn] = set()
+        self.connections: set[DiscoveryProtocol] = set()
         self.down = False
         self.told_after = 6000.0  # ms after which what is in the list counts as told, written or not
         self._free = 0.0  # when the call before is done
@@ -40,8 +40,8 @@
         self.count = proxies
         self.doors = [self._door(proxy) for proxy in range(proxies)]
 
-    def _door(self, proxy: int) -> Door:
-        return Door(self.clock, lambda: DiscoveryConn(self, proxy))
+    def _door(self, proxy: int) -> FaultyListener:
+        return FaultyListener(self.clock, lambda: DiscoveryProtocol(self, proxy))
 
     def open(self) -> None:
         self._seen = self.core.index
@@ -71,7 +71,7 @@
         for conn in list(self.connections):
             conn.changed()
 
-    def _counts_as_told(self, entry: Entry) -> None:
+    def _counts_as_told(self, entry: ListedEndpoint) -> None:
         known = self.core.entries.get(entry.name)
         if known is None or known.status != "active":
             for proxy in range(self.count):
@@ -100,7 +100,7 @@
         self.clock.loop.call_later(hold_s, close)
 
 
-class DiscoveryConn(asyncio.Protocol):
+class DiscoveryProtocol(asyncio.Protocol):
     def __init__(self, server: DiscoveryServer, proxy: int) -> None:
         self._server, self._proxy = server, proxy
         self.transport: asyncio.Transport | None = None
@@ -161,7 +161,7 @@
         self._answer(200, core.text(True, entries, self._server.addresses(self._proxy)) + b"\n")
         self._told(True, entries)
 
-    def _told(self, whole: bool, entries: list[Entry]) -> None:
+    def _told(self, whole: bool, entries: list[ListedEndpoint]) -> None:
         if whole:
             self._server.referee.told_whole(
                 self._server.clock.now(), self._proxy, {entry.name for entry in entries}
@@ -180,7 +180,7 @@
         if self._index is not None:
             self._write(*self._server.core.since(self._index))
 
-    def _write(self, whole: bool, entries: list[Entry]) -> None:
+    def _write(self, whole: bool, entries: list[ListedEndpoint]) -> None:
         core = self._server.core
         self._index = core.index
         self._line(core.text(whole, entries, self._server.addresses(self._proxy)))
--- a/lupinladder/lab/listing.py
+++ b/lupinladder/emulator/endpoint_list.py
@@ -13,7 +13,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Entry:
+class ListedEndpoint:
     """One server as the list shows it. `address` is filled in per proxy."""
 
     name: str
@@ -26,16 +26,16 @@
     address: str = ""
 
 
-class ListCore:
+class EndpointList:
     def __init__(self) -> None:
         self.index = 1
-        self.entries: dict[str, Entry] = {}
-        self._changes: list[tuple[int, Entry]] = []
-        self._later: list[tuple[float, int, Entry]] = []
+        self.entries: dict[str, ListedEndpoint] = {}
+        self._changes: list[tuple[int, ListedEndpoint]] = []
+        self._later: list[tuple[float, int, ListedEndpoint]] = []
         self._order = 0
         self.lag_ms = 0.0  # added to what is noticed from now on: a fault
 
-    def put(self, entry: Entry) -> None:
+    def put(self, entry: ListedEndpoint) -> None:
         """Change the list at once."""
         self.index += 1
         if entry.status == "left":
@@ -45,7 +45,7 @@
         self._changes.append((self.index, entry))
         del self._changes[:-HISTORY]
 
-    def notice(self, when: float, entry: Entry) -> None:
+    def notice(self, when: float, entry: ListedEndpoint) -> None:
         """Change it once that is noticed."""
         self._order += 1
         heapq.heappush(self._later, (when + self.lag_ms, self._order, entry))
@@ -66,14 +66,14 @@
     def wake(self) -> float:
         return self._later[0][0] if self._later else float("inf")
 
-    def since(self, index: int) -> tuple[bool, list[Entry]]:
+    def since(self, index: int) -> tuple[bool, list[ListedEndpoint]]:
         """Whether it is the whole list, and the entries that changed after this version."""
         if index > self.index or index < self.index - len(self._changes) or index <= 0:
             return True, list(self.entries.values())
         latest = {entry.name: entry for version, entry in self._changes if version > index}
         return False, list(latest.values())
 
-    def text(self, whole: bool, entries: list[Entry], addresses: dict[str, str]) -> bytes:
+    def text(self, whole: bool, entries: list[ListedEndpoint], addresses: dict[str, str]) -> bytes:
         """One object as discovery writes it; addresses are those of one proxy."""
         shown = [replace(entry, address=addresses.get(entry.name, "127.0.0.1:1")) for entry in entries]
         tree = {"index": self.index, "snapshot": whole, "endpoints": [asdict(entry) for entry in shown]}
--- a/lupinladder/lab/faults.py
+++ b/lupinladder/emulator/faults.py
@@ -8,13 +8,13 @@
 
 import msgspec
 
-from lupinladder.lab.clients import Front
-from lupinladder.lab.draws import stream
-from lupinladder.lab.fleet import Fleet
-from lupinladder.lab.node_server import Garble, NodeServer
-from lupinladder.lab.proxies import Managed, Proxies
-from lupinladder.lab.scenario import GARBLES, Fault
-from lupinladder.store import log, state
+from lupinladder.emulator.cache_node_server import CacheNodeServer, ResponseCorruption
+from lupinladder.emulator.cluster import Cluster
+from lupinladder.emulator.load_generator import ProxySelector
+from lupinladder.emulator.proxies import Managed, Proxies
+from lupinladder.emulator.scenario import CORRUPTIONS, FaultConfig
+from lupinladder.emulator.workload import random_stream
+from lupinladder.store import record_log, records
 
 FRONT_NOTICE_S = 1.5  # until the front notices that a proxy has died
 OLD_MS = 3_600_000.0  # by how much a store is older than its words where `how` is "old"
@@ -24,25 +24,25 @@
 
 def aged(data: bytes, by: float) -> bytes:
     """A store whose every word was said so much earlier (ms)."""
-    found = state.fold(log.scan(data))
+    found = records.fold(record_log.scan(data))
     if found is None:
         return data
-    parts = [log.begin(1, msgspec.to_builtins(found.owner))]
+    parts = [record_log.begin(1, msgspec.to_builtins(found.owner))]
     for number, one in enumerate(found.all(), 2):
-        parts.append(state.encode(number, msgspec.structs.replace(one, at=one.at - by)))  # type: ignore[attr-defined]
-    return b"".join([*parts, log.end(len(parts) + 1)])
+        parts.append(records.encode(number, msgspec.structs.replace(one, at=one.at - by)))  # type: ignore[attr-defined]
+    return b"".join([*parts, record_log.end(len(parts) + 1)])
 
 
-class Faults:
-    def __init__(self, fleet: Fleet, proxies: Proxies, front: Front, start: float) -> None:
+class FaultInjector:
+    def __init__(self, fleet: Cluster, proxies: Proxies, front: ProxySelector, start: float) -> None:
         self._fleet, self._proxies, self._front, self._start = fleet, proxies, front, start
         self._clock = fleet.clock
-        self._rng = stream(fleet.scenario.seed, "faults")
+        self._rng = random_stream(fleet.scenario.seed, "faults")
         self._tasks: set[asyncio.Task[None]] = set()
         self.marks: list[tuple[float, str]] = []  # when, what: for people and plots
         self.errors: list[str] = []
         fleet.on_change = self.mark
-        self._kinds: dict[str, Callable[[Fault], Awaitable[None]]] = {
+        self._kinds: dict[str, Callable[[FaultConfig], Awaitable[None]]] = {
             "deploy": self._deploy,
             "shrink": self._shrink,
             "grow": self._grow,
@@ -69,17 +69,17 @@
     def mark(self, what: str) -> None:
         self.marks.append(((self._clock.now() - self._start) / 1000, what))
 
-    def plan(self, faults: list[Fault]) -> None:
+    def plan(self, faults: list[FaultConfig]) -> None:
         for fault in faults:
             self._clock.at(self._start + fault.at * 1000, lambda fault=fault: self._begin(fault))  # type: ignore[misc]
 
-    def _begin(self, fault: Fault) -> None:
+    def _begin(self, fault: FaultConfig) -> None:
         self.mark(f"[{fault.kind}]")
         task = self._clock.loop.create_task(self._play(fault))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _play(self, fault: Fault) -> None:
+    async def _play(self, fault: FaultConfig) -> None:
         try:
             await self._kinds[fault.kind](fault)
         except Exception as bad:  # the run goes on and is void
@@ -92,17 +92,17 @@
         for task in list(self._tasks):
             task.cancel()
 
-    def _some(self, part: float) -> list[NodeServer]:
+    def _some(self, part: float) -> list[CacheNodeServer]:
         nodes = sorted(self._fleet.nodes.values(), key=lambda node: node.core.name)
         count = max(1, round(part * len(nodes)))
         return [nodes[n] for n in self._rng.permutation(len(nodes))[:count]]
 
-    async def _only_marked(self, fault: Fault) -> None:
+    async def _only_marked(self, fault: FaultConfig) -> None:
         """Hot keys are part of the arrivals, which are drawn ahead."""
         await asyncio.sleep(fault.for_s)
         self.mark("hot key over")
 
-    async def _deploy(self, fault: Fault) -> None:
+    async def _deploy(self, fault: FaultConfig) -> None:
         """Replaces a part of the nodes, a batch at a time, each by a cold one under a new id, which starts as
         the drain begins or, at the same address, when the old one has ended."""
         nodes = self._some(fault.part)
@@ -113,7 +113,7 @@
             for place, batch in enumerate(batches):
                 group.create_task(self._replace(batch, fault, place * pause))
 
-    async def _replace(self, batch: list[NodeServer], fault: Fault, after: float) -> None:
+    async def _replace(self, batch: list[CacheNodeServer], fault: FaultConfig, after: float) -> None:
         await asyncio.sleep(after)
         for node in batch:
             self._fleet.drain(node)
@@ -126,7 +126,7 @@
                 if fault.reuse:
                     self._fleet.start_node(node.core.zone, sockets)
 
-    async def _shrink(self, fault: Fault) -> None:
+    async def _shrink(self, fault: FaultConfig) -> None:
         """A part of the nodes leaves for good, spread over the time."""
         nodes = self._some(min(fault.part, 1 - 1 / len(self._fleet.nodes)))
         for node in nodes:
@@ -138,31 +138,31 @@
             await asyncio.sleep(fault.for_s / len(nodes))
         await asyncio.sleep(fault.drain_s)
 
-    async def _grow(self, fault: Fault) -> None:
+    async def _grow(self, fault: FaultConfig) -> None:
         """Cold nodes join, as many as a part of the fleet, in one step."""
         count = max(1, round(fault.part * self._fleet.scenario.fleet.nodes))
         for n in range(count):
             self._fleet.start_node(n % len(self._fleet.scenario.fleet.zones))
 
-    async def _late_list(self, fault: Fault) -> None:
+    async def _late_list(self, fault: FaultConfig) -> None:
         self._fleet.list.lag_ms += fault.size * 1000
         await asyncio.sleep(fault.for_s)
         self._fleet.list.lag_ms -= fault.size * 1000
         self.mark("list in time again")
 
-    async def _list_down(self, fault: Fault) -> None:
+    async def _list_down(self, fault: FaultConfig) -> None:
         self._fleet.discovery.go_down()
         await asyncio.sleep(fault.for_s)
         self._fleet.discovery.down = False
         self.mark("list back")
 
-    async def _list_move(self, fault: Fault) -> None:
+    async def _list_move(self, fault: FaultConfig) -> None:
         """Discovery moves; the proxies' files name the new address and they get SIGHUP."""
         self._fleet.discovery.move(1.5)
         for one in self._proxies.all:
             self._proxies.hup(one)
 
-    async def _silent(self, fault: Fault) -> None:
+    async def _silent(self, fault: FaultConfig) -> None:
         """A machine is cut off, and comes back under its old id, cold."""
         for node in self._some(fault.part):
             node.fall_silent()
@@ -173,19 +173,19 @@
             self._clock.at(self._clock.now() + fault.for_s * 1000, lambda node=node: self._back(node))  # type: ignore[misc]
         await asyncio.sleep(fault.for_s)
 
-    def _back(self, node: NodeServer) -> None:
+    def _back(self, node: CacheNodeServer) -> None:
         node.crash()
         self._fleet.nodes.pop(node.core.name, None)
         self._fleet.start_node(node.core.zone, None, node.core.name)
 
-    async def _reset(self, fault: Fault) -> None:
+    async def _reset(self, fault: FaultConfig) -> None:
         """All connections of some nodes are reset; the processes run on."""
         for node in self._some(fault.part):
             node.reset_all()
 
-    async def _garble(self, fault: Fault) -> None:
-        kinds = [fault.how] if fault.how else list(GARBLES)
-        garble = Garble(self._rng, kinds, fault.part)
+    async def _garble(self, fault: FaultConfig) -> None:
+        kinds = [fault.how] if fault.how else list(CORRUPTIONS)
+        garble = ResponseCorruption(self._rng, kinds, fault.part)
         nodes = list(self._fleet.nodes.values())
         for node in nodes:
             node.garble = garble
@@ -196,24 +196,24 @@
         self._fleet.origin.interim = False
         self.mark("answers clean again")
 
-    async def _slow_origin(self, fault: Fault) -> None:
+    async def _slow_origin(self, fault: FaultConfig) -> None:
         self._fleet.origin.core.machine.slow *= fault.size
         await asyncio.sleep(fault.for_s)
         self._fleet.origin.core.machine.slow /= fault.size
         self.mark("origin as before")
 
-    def _slowed(self, node: NodeServer, factor: float) -> None:
+    def _slowed(self, node: CacheNodeServer, factor: float) -> None:
         node.driver.poke()  # what was done until now was done at the old speed
         node.core.machine.slow *= factor
         node.driver.poke()
 
-    async def _pauses(self, fault: Fault) -> None:
+    async def _pauses(self, fault: FaultConfig) -> None:
         """A part of the nodes stands still for `size` seconds at a time, each at times of its own."""
         end = self._clock.now() + fault.for_s * 1000
         await asyncio.gather(*(self._pause(node, fault.size, end) for node in self._some(fault.part)))
         self.mark("no more pauses")
 
-    async def _pause(self, node: NodeServer, still: float, end: float) -> None:
+    async def _pause(self, node: CacheNodeServer, still: float, end: float) -> None:
         while True:
             await asyncio.sleep(float(self._rng.uniform(2, 8)) * still)
             if self._clock.now() + still * 1000 > end or not node.core.up:
@@ -222,7 +222,7 @@
             await asyncio.sleep(still)
             self._slowed(node, 1 / STILL)
 
-    async def _neighbour(self, fault: Fault) -> None:
+    async def _neighbour(self, fault: FaultConfig) -> None:
         """Another program takes `size` of some machines, on and off."""
         nodes, end = self._some(fault.part), self._clock.now() + fault.for_s * 1000
         rest = max(1 - fault.size, 0.05)
@@ -233,7 +233,7 @@
                 await asyncio.sleep(float(self._rng.uniform(0.5, 1.5)))
         self.mark("neighbours gone")
 
-    async def _zone_delay(self, fault: Fault) -> None:
+    async def _zone_delay(self, fault: FaultConfig) -> None:
         zone = self._fleet.scenario.fleet.zones.index(fault.zone)
         ways = [way for ends, way in self._fleet.ways.items() if zone in ends and ends[0] != ends[1]]
         for way in ways:
@@ -243,7 +243,7 @@
             way.added -= fault.size * 1000
         self.mark("ways as before")
 
-    async def _kill(self, fault: Fault) -> None:
+    async def _kill(self, fault: FaultConfig) -> None:
         """SIGKILL; the proxy is started again after a while, and the front notices late."""
         one = self._proxies.all[fault.proxy]
         self._proxies.kill(one)
@@ -253,7 +253,7 @@
         self._front.alive[fault.proxy] = True
         self.mark(f"proxy {fault.proxy} started")
 
-    async def _kill_many(self, fault: Fault) -> None:
+    async def _kill_many(self, fault: FaultConfig) -> None:
         """SIGKILL to a part of the proxies in one instant, all started again together after a while. `how`
         says what becomes of their stores meanwhile."""
         count = max(1, round(fault.part * len(self._proxies.all)))
@@ -275,7 +275,7 @@
         await asyncio.gather(*starts)
         self.mark(f"{count} proxies started")
 
-    async def _freeze(self, fault: Fault) -> None:
+    async def _freeze(self, fault: FaultConfig) -> None:
         """SIGSTOP to a part of the proxies, SIGCONT after a while: they go on with what they last knew."""
         count = max(1, round(fault.part * len(self._proxies.all)))
         struck = [self._proxies.all[n] for n in self._rng.permutation(len(self._proxies.all))[:count]]
@@ -314,7 +314,7 @@
         if process is None or process.returncode is not None:
             self._front.alive[proxy] = False
 
-    async def _term(self, fault: Fault) -> None:
+    async def _term(self, fault: FaultConfig) -> None:
         """A planned restart: SIGTERM, new connections for 0.3 s more, then a start under the same name."""
         one = self._proxies.all[fault.proxy]
         self._clock.at(self._clock.now() + 300, lambda: self._stop_front(fault.proxy))
@@ -327,15 +327,15 @@
     def _stop_front(self, proxy: int) -> None:
         self._front.alive[proxy] = False
 
-    async def _rolling_restart(self, fault: Fault) -> None:
+    async def _rolling_restart(self, fault: FaultConfig) -> None:
         for proxy in range(len(self._proxies.all)):
             fault.proxy = proxy
             await self._term(fault)
 
-    async def _hup(self, fault: Fault) -> None:
+    async def _hup(self, fault: FaultConfig) -> None:
         self._proxies.hup(self._proxies.all[fault.proxy])
 
-    async def _connections(self, fault: Fault) -> None:
+    async def _connections(self, fault: FaultConfig) -> None:
         """Connections that say nothing, `size` of them, spread over the proxies."""
         writers = []
         for n in range(round(fault.size)):
--- a/lupinladder/lab/clients.py
+++ b/lupinladder/emulator/load_generator.py
@@ -17,11 +17,11 @@
 import hiredis
 import numpy as np
 
-from lupinladder.lab.clock import Clock
-from lupinladder.lab.draws import Arrival
-from lupinladder.lab.referee import GRACE, SLACK, Referee
-from lupinladder.lab.scenario import Class, Clients
-from lupinladder.lab.sockets import transport_of
+from lupinladder.emulator.clock import Clock
+from lupinladder.emulator.rule_checker import GRACE, SLACK, RuleChecker
+from lupinladder.emulator.scenario import ClientsConfig, RequestClassConfig
+from lupinladder.emulator.sockets import transport_of
+from lupinladder.emulator.workload import Arrival
 
 PORTS = (12_000, 32_000)  # of what listens; the system gives connections ports above
 LEAST = 5.0  # ms that a client must have left to ask at all
@@ -41,7 +41,7 @@
     told: float = 0.0  # time to return that came with a refusal
 
 
-class Front:
+class ProxySelector:
     """Spreads clients over the proxies of their zone that it believes alive."""
 
     def __init__(self, zones: list[int]) -> None:
@@ -55,19 +55,19 @@
         return able[self._turn % len(able)]
 
 
-class Pool:
+class ClientPool:
     """Connections to one proxy. A request that finds none free and none to open waits in line."""
 
     def __init__(
-        self, clock: Clock, referee: Referee, proxy: int, address: tuple[str, int], most: int
+        self, clock: Clock, referee: RuleChecker, proxy: int, address: tuple[str, int], most: int
     ) -> None:
         self.clock, self.referee, self.proxy, self.address, self.most = clock, referee, proxy, address, most
-        self.idle: list[ClientConn] = []
+        self.idle: list[ClientProtocol] = []
         self.count = self.opened = 0
-        self.line: deque[Try] = deque()
+        self.line: deque[ClientTry] = deque()
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def take(self, one: Try) -> None:
+    def take(self, one: ClientTry) -> None:
         while self.idle:
             conn = self.idle.pop()
             if conn.transport and not conn.transport.is_closing():
@@ -79,14 +79,14 @@
         else:
             self.line.append(one)
 
-    def _open(self, one: Try) -> None:
+    def _open(self, one: ClientTry) -> None:
         task = self.clock.loop.create_task(self._dial(one))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _dial(self, one: Try) -> None:
+    async def _dial(self, one: ClientTry) -> None:
         try:
-            _, conn = await self.clock.loop.create_connection(lambda: ClientConn(self), *self.address)
+            _, conn = await self.clock.loop.create_connection(lambda: ClientProtocol(self), *self.address)
         except OSError:
             self.count -= 1
             one.end("failed", b"", 0.0)
@@ -97,7 +97,7 @@
         else:
             conn.ask(one)
 
-    def free(self, conn: ClientConn) -> None:
+    def free(self, conn: ClientProtocol) -> None:
         """The connection can be used again."""
         while self.line:
             one = self.line.popleft()
@@ -106,7 +106,7 @@
                 return
         self.idle.append(conn)
 
-    def lost(self, conn: ClientConn) -> None:
+    def lost(self, conn: ClientProtocol) -> None:
         self.count -= 1
         if conn in self.idle:
             self.idle.remove(conn)
@@ -117,13 +117,13 @@
                 self._open(one)
 
 
-class ClientConn(asyncio.Protocol):
-    def __init__(self, pool: Pool) -> None:
+class ClientProtocol(asyncio.Protocol):
+    def __init__(self, pool: ClientPool) -> None:
         self._pool = pool
         self.transport: asyncio.Transport | None = None
         self._reader = hiredis.Reader()
         self._raw = bytearray()
-        self._one: Try | None = None
+        self._one: ClientTry | None = None
         self._last = b""
         self._used = 0  # commands answered on it
         self.held = False
@@ -131,7 +131,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport_of(transport)
 
-    def ask(self, one: Try) -> None:
+    def ask(self, one: ClientTry) -> None:
         assert self.transport
         self._one, one.conn = one, self
         self._last = one.ident
@@ -196,12 +196,12 @@
     return "failed", b"", 0.0
 
 
-def command(*words: bytes) -> bytes:
+def encode_command(*words: bytes) -> bytes:
     """A RESP command."""
     return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words)
 
 
-class Try:
+class ClientTry:
     """One try of a request: one id, one answer. Its time runs from here, whether or not a connection is free;
     the command names what is left of it when it is written."""
 
@@ -223,7 +223,7 @@
 
     def __init__(
         self,
-        pool: Pool,
+        pool: ClientPool,
         ident: bytes,
         kind: int,
         words: tuple[bytes, bytes, bytes],
@@ -234,7 +234,7 @@
         """`words` are the key, the labels but for `d`, and a write's value (empty for a read)."""
         self._pool, self.ident, self.kind, self._words = pool, ident, kind, words
         self.holds, self._done = holds, done
-        self.conn: ClientConn | None = None
+        self.conn: ClientProtocol | None = None
         self.over = self.again = self.sent = False
         self._raw = b""
         self._until = pool.clock.now() + wait
@@ -253,7 +253,7 @@
             key, labels, value = self._words
             wait = max(1, round(self._until - self._pool.clock.now()))
             words = [b"OBJ.SET" if value else b"OBJ.GET", key, self.ident, labels + b",d=%d" % wait]
-            self._raw = command(*words, value) if value else command(*words)
+            self._raw = encode_command(*words, value) if value else encode_command(*words)
         return self._raw
 
     def taken(self) -> None:
@@ -280,17 +280,17 @@
             self._done(word, told)
 
 
-class Crowd:
+class LoadGenerator:
     """All usual clients."""
 
     def __init__(
         self,
         clock: Clock,
-        referee: Referee,
-        pools: list[Pool],
-        front: Front,
-        classes: list[Class],
-        clients: Clients,
+        referee: RuleChecker,
+        pools: list[ClientPool],
+        front: ProxySelector,
+        classes: list[RequestClassConfig],
+        clients: ClientsConfig,
         rng: np.random.Generator,
         start: float,
     ) -> None:
@@ -317,7 +317,7 @@
         labels += b",t=" + arrival.tenant.encode() if arrival.tenant else b""
         value = b"field geometry " * 8 if kind.write else b""
         pool = self._pools[self._front.pick(arrival.zone)]
-        Try(pool, ident, arrival.kind, (arrival.key, labels, value), wait, arrival.holds, done)
+        ClientTry(pool, ident, arrival.kind, (arrival.key, labels, value), wait, arrival.holds, done)
 
     def backoff(self) -> float:
         return self._clients.backoff_ms * float(self._rng.uniform(0.5, 1.5))
@@ -328,7 +328,7 @@
 
     __slots__ = ("_arrival", "_crowd", "_intended", "_late", "_tries")
 
-    def __init__(self, crowd: Crowd, arrival: Arrival) -> None:
+    def __init__(self, crowd: LoadGenerator, arrival: Arrival) -> None:
         self._crowd, self._arrival, self._tries = crowd, arrival, 0
         self._intended = crowd._start + arrival.at * 1000
         self._late = crowd._clock.now() - self._intended
--- a/lupinladder/lab/hostile.py
+++ b/lupinladder/emulator/misbehaving_clients.py
@@ -8,17 +8,17 @@
 
 import numpy as np
 
-from lupinladder.lab.clients import command
-from lupinladder.lab.clock import Clock
-from lupinladder.lab.referee import Referee
-from lupinladder.lab.sockets import transport_of
+from lupinladder.emulator.clock import Clock
+from lupinladder.emulator.load_generator import encode_command
+from lupinladder.emulator.rule_checker import RuleChecker
+from lupinladder.emulator.sockets import transport_of
 
 OWED_MS, OWED_BIG_MS = 3000.0, 6000.0
 BIG = 60_000_000
 PIECE = b"." * (1 << 16)
 
 
-def opening(kind: str, rng: np.random.Generator, name: str, stolen: bytes, deadline: int) -> bytes:
+def opening_bytes(kind: str, rng: np.random.Generator, name: str, stolen: bytes, deadline: int) -> bytes:
     """What a client of this kind writes first. `name` is a class that exists."""
     labels = b"c=%b,d=%d" % (name.encode(), deadline)
     ident = b"%016x" % int(rng.integers(1, 1 << 62))
@@ -29,24 +29,24 @@
         "huge": b"*4\r\n$7\r\nOBJ.GET\r\n$4000000000\r\nxx",
         "big": b"*5\r\n$7\r\nOBJ.SET\r\n$2\r\n1f\r\n$16\r\n%b\r\n$%d\r\n%b\r\n$%d\r\n"
         % (ident, len(labels), labels, BIG),
-        "class": command(b"OBJ.GET", b"1f", ident, b"c=nonsuch,d=500"),
-        "deadline": command(b"OBJ.GET", b"1f", ident, b"c=%b,d=soon" % name.encode()),
-        "noid": command(b"OBJ.GET", b"1f", b"", labels),
-        "stolen": command(b"OBJ.GET", b"1f", stolen, b"c=%b,d=x1" % name.encode()),
+        "class": encode_command(b"OBJ.GET", b"1f", ident, b"c=nonsuch,d=500"),
+        "deadline": encode_command(b"OBJ.GET", b"1f", ident, b"c=%b,d=soon" % name.encode()),
+        "noid": encode_command(b"OBJ.GET", b"1f", b"", labels),
+        "stolen": encode_command(b"OBJ.GET", b"1f", stolen, b"c=%b,d=x1" % name.encode()),
         "half": b"*4\r\n$7\r\nOBJ.GET\r\n$2\r\n1f\r\n$16\r\n",
-        "many": command(b"OBJ.GET", b"1f", b"", labels) * 300,
-        "again": command(b"NONSENSE"),
+        "many": encode_command(b"OBJ.GET", b"1f", b"", labels) * 300,
+        "again": encode_command(b"NONSENSE"),
         "silent": b"",
     }[kind]
 
 
-class Hostile:
+class MisbehavingClients:
     """Sends them and counts who got what it is owed."""
 
     def __init__(
         self,
         clock: Clock,
-        referee: Referee,
+        referee: RuleChecker,
         rng: np.random.Generator,
         addresses: list[tuple[str, int]],
         name: str,
@@ -75,7 +75,7 @@
             return  # nobody there: nothing is owed
         self.open += 1
         self.owed[kind] += 1
-        conn.begin(opening(kind, self._rng, self._name, self._stolen(), self._deadline))
+        conn.begin(opening_bytes(kind, self._rng, self._name, self._stolen(), self._deadline))
         limit = OWED_BIG_MS if kind == "big" else OWED_MS
         try:
             await asyncio.wait_for(conn.paid.wait(), limit / 1000 + 0.05)
@@ -88,7 +88,7 @@
 
 
 class _Conn(asyncio.Protocol):
-    def __init__(self, hostile: Hostile, kind: str) -> None:
+    def __init__(self, hostile: MisbehavingClients, kind: str) -> None:
         self._kind, self.paid, self.served, self.got = kind, asyncio.Event(), False, b""
         self._transport: asyncio.Transport | None = None
         self._left = BIG if kind == "big" else 0
@@ -123,7 +123,7 @@
             self.paid.set()
         if self._again and self._transport:
             self._again -= 1
-            self._transport.write(command(b"NONSENSE"))
+            self._transport.write(encode_command(b"NONSENSE"))
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.paid.set()
--- a/lupinladder/lab/origin.py
+++ b/lupinladder/emulator/origin.py
@@ -9,30 +9,30 @@
 
 import numpy as np
 
-from lupinladder.lab.machine import Job, Machine
-from lupinladder.lab.node import Ask, Repeats
-from lupinladder.lab.scenario import Origin
-from lupinladder.lab.world import World
+from lupinladder.emulator.cache_node import DeduplicationTable, NodeRequest
+from lupinladder.emulator.processor_sharing_queue import Job, ProcessorSharingQueue
+from lupinladder.emulator.scenario import OriginConfig
+from lupinladder.emulator.shared_data import SharedData
 
 
-class OriginCore:
+class OriginModel:
     """Answers go to `ask.answer` as (body, word) with the words value, receipt, busy and failed."""
 
     def __init__(
-        self, now: float, origin: Origin, capacity: float, world: World, rng: np.random.Generator
+        self, now: float, origin: OriginConfig, capacity: float, world: SharedData, rng: np.random.Generator
     ) -> None:
         cores = max(capacity * origin.work_ms / 1000, 0.05)
         self.name, self.capacity = "origin", capacity
         slots = max(4, round(cores * 8))
-        self.machine = Machine(now, cores, 1.0, slots, max(8, int(capacity * origin.room_s)))
+        self.machine = ProcessorSharingQueue(now, cores, 1.0, slots, max(8, int(capacity * origin.room_s)))
         self._origin, self._world, self._rng = origin, world, rng
-        self._repeats = Repeats()
+        self._repeats = DeduplicationTable()
         self._sent: deque[tuple[float, float]] = deque()  # when, work: of everything that came
         self._load = 0.0
         self._since: float | None = None  # the demand has been over the multiple since
         self.down_until = 0.0
         self.stops = 0
-        self._fetches: dict[bytes, list[Ask]] = {}
+        self._fetches: dict[bytes, list[NodeRequest]] = {}
         self.served = 0
 
     def work(self) -> float:
@@ -40,7 +40,7 @@
         sigma = self._origin.sigma
         return float(self._origin.work_ms * self._rng.lognormal(-sigma * sigma / 2, sigma))
 
-    def ask(self, now: float, ask: Ask) -> None:
+    def ask(self, now: float, ask: NodeRequest) -> None:
         self.advance(now)
         ask.work = self.work()
         self._demand(now, ask.work)
@@ -69,7 +69,7 @@
             self._sent.clear()
             self._load = 0.0
 
-    def drop(self, now: float, ask: Ask) -> None:
+    def drop(self, now: float, ask: NodeRequest) -> None:
         """Nobody waits for it any more: it goes on with a write and with a fetch that others joined."""
         self.advance(now)
         waiting = self._fetches.get(ask.key, [])
@@ -84,7 +84,7 @@
 
     def advance(self, now: float) -> None:
         for job in self.machine.advance(now):
-            ask: Ask = job.owner
+            ask: NodeRequest = job.owner
             self.served += 1
             if ask.write:
                 token = ask.labels.get(b"k")
--- a/lupinladder/lab/origin_server.py
+++ b/lupinladder/emulator/origin_server.py
@@ -7,12 +7,12 @@
 
 import httptools
 
-from lupinladder.lab.clock import Clock, Driver
-from lupinladder.lab.node import Ask
-from lupinladder.lab.node_server import labels_of
-from lupinladder.lab.origin import OriginCore
-from lupinladder.lab.referee import Attempt, Referee
-from lupinladder.lab.sockets import Door, Lane, Way, reset, transport_of
+from lupinladder.emulator.cache_node import NodeRequest
+from lupinladder.emulator.cache_node_server import parse_labels
+from lupinladder.emulator.clock import Clock, Driver
+from lupinladder.emulator.origin import OriginModel
+from lupinladder.emulator.rule_checker import ObservedAttempt, RuleChecker
+from lupinladder.emulator.sockets import DelayedChannel, FaultyListener, NetworkPath, reset, transport_of
 
 REASON = {200: b"OK", 400: b"Bad Request", 500: b"Internal Server Error", 503: b"Service Unavailable"}
 CONNECTIONS = 900
@@ -22,27 +22,28 @@
     def __init__(
         self,
         clock: Clock,
-        core: OriginCore,
-        referee: Referee,
-        ways: Sequence[Way],
+        core: OriginModel,
+        referee: RuleChecker,
+        ways: Sequence[NetworkPath],
         cold_miss: Callable[[bytes], bool] = lambda ident: False,
         fall_ms: float = 3000.0,
     ) -> None:
         self.clock, self.core, self.referee, self.ways = clock, core, referee, ways
         self.cold_miss, self.fall_ms = cold_miss, fall_ms
         self.driver = Driver(clock, core)
-        self.connections: set[OriginConn] = set()
+        self.connections: set[OriginProtocol] = set()
         self.interim = 0.0  # share of answers with a 1xx in front
         self._stops = 0
         self.doors = [
-            Door(clock, (lambda p: lambda: OriginConn(self, p))(proxy)) for proxy in range(len(ways))
+            FaultyListener(clock, (lambda p: lambda: OriginProtocol(self, p))(proxy))
+            for proxy in range(len(ways))
         ]
 
     def open(self) -> None:
         for door in self.doors:
             door.open()
 
-    def ask(self, ask: Ask) -> None:
+    def ask(self, ask: NodeRequest) -> None:
         now = self.clock.now()
         self.core.ask(now, ask)
         self.referee.origin_load(now, ask.work, not ask.write and self.cold_miss(ask.ident), self.fall_ms)
@@ -55,13 +56,16 @@
         self.driver.poke()
 
 
-class OriginConn(asyncio.Protocol):
+class OriginProtocol(asyncio.Protocol):
     """One connection from a proxy; answers in order."""
 
     def __init__(self, server: OriginServer, proxy: int) -> None:
         self._server, self._proxy, self._clock = server, proxy, server.clock
         self.transport: asyncio.Transport | None = None
-        self._in, self._out = Lane(self._clock, server.ways[proxy]), Lane(self._clock, server.ways[proxy])
+        self._in, self._out = (
+            DelayedChannel(self._clock, server.ways[proxy]),
+            DelayedChannel(self._clock, server.ways[proxy]),
+        )
         self._row: list[_Place] = []
         self._raw, self._first = bytearray(), 0.0
         self._reset()
@@ -117,7 +121,7 @@
             return self._fill(place, 200, b"ok", {})
         ident = headers.get(b"x-txn", b"")
         try:
-            labels = labels_of(headers[b"x-labels"])
+            labels = parse_labels(headers[b"x-labels"])
             if method not in (b"GET", b"PUT") or not ident:
                 raise ValueError("method or id")
         except (KeyError, ValueError):
@@ -135,7 +139,7 @@
             else:
                 self._fill(place, 200, body, {})
 
-        place.ask = Ask(self._proxy, key, ident, labels, method == b"PUT", 0.0, answer)
+        place.ask = NodeRequest(self._proxy, key, ident, labels, method == b"PUT", 0.0, answer)
         self._in.after(lambda: self._begin(place))
 
     def _begin(self, place: _Place) -> None:
@@ -173,6 +177,6 @@
 
     def __init__(self) -> None:
         self.answer: bytes | None = None
-        self.ask: Ask | None = None
-        self.attempt: Attempt | None = None
+        self.ask: NodeRequest | None = None
+        self.attempt: ObservedAttempt | None = None
         self.body, self.word = b"", ""
--- a/lupinladder/lab/peers.py
+++ b/lupinladder/emulator/peers.py
@@ -6,8 +6,8 @@
 
 import numpy as np
 
-from lupinladder.lab.clock import Clock
-from lupinladder.lab.scenario import Net
+from lupinladder.emulator.clock import Clock
+from lupinladder.emulator.scenario import NetworkConfig
 
 LONGEST = 256
 
@@ -17,7 +17,7 @@
     from the address that stands for p in their lists."""
 
     def __init__(
-        self, clock: Clock, net: Net, rng: np.random.Generator, listens: list[tuple[str, int]]
+        self, clock: Clock, net: NetworkConfig, rng: np.random.Generator, listens: list[tuple[str, int]]
     ) -> None:
         self._clock, self._net, self._rng, self._listens = clock, net, rng, listens
         self._relays: dict[tuple[int, int], asyncio.DatagramTransport] = {}
--- a/lupinladder/lab/machine.py
+++ b/lupinladder/emulator/processor_sharing_queue.py
@@ -30,7 +30,7 @@
         return self.finish < other.finish
 
 
-class Machine:
+class ProcessorSharingQueue:
     """`cores` at `speed`, `slots` jobs in work, `room` waiting. A cold one begins at `cold_share` of its
     capacity and is warm after `cold_ms`, sooner if `warm_work` milliseconds of work are done before."""
 
--- a/lupinladder/lab/proxies.py
+++ b/lupinladder/emulator/proxies.py
@@ -14,10 +14,10 @@
 
 import psutil
 
-from lupinladder.lab.clients import free_port
-from lupinladder.lab.clock import Clock
-from lupinladder.lab.referee import Referee
-from lupinladder.lab.scenario import Scenario
+from lupinladder.emulator.clock import Clock
+from lupinladder.emulator.load_generator import free_port
+from lupinladder.emulator.rule_checker import RuleChecker
+from lupinladder.emulator.scenario import Scenario
 
 READY_S, LINGER_S = 15.0, 0.7
 
@@ -126,7 +126,7 @@
         self,
         clock: Clock,
         scenario: Scenario,
-        referee: Referee,
+        referee: RuleChecker,
         folder: Path,
         config: Callable[[Managed], dict[str, Any]],
         seed: Callable[[], int],
--- a/lupinladder/lab/report.py
+++ b/lupinladder/emulator/report.py
@@ -13,9 +13,9 @@
 from rich.table import Table
 from rich.text import Text
 
-from lupinladder.lab.clients import Result
-from lupinladder.lab.run import Outcome
-from lupinladder.lab.scenario import Class, Scenario
+from lupinladder.emulator.load_generator import Result
+from lupinladder.emulator.run import RunResult
+from lupinladder.emulator.scenario import RequestClassConfig, Scenario
 
 SCHEMA = 1
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
@@ -51,11 +51,11 @@
     return [one for one in results if one.kind == kind]
 
 
-def _word(one: Result, kind: Class) -> str:
+def _word(one: Result, kind: RequestClassConfig) -> str:
     return "late" if one.outcome == "served" and one.latency > kind.aim_ms else one.outcome
 
 
-def _share(results: Sequence[Result], classes: Sequence[Class]) -> float:
+def _share(results: Sequence[Result], classes: Sequence[RequestClassConfig]) -> float:
     """Worth answered within the aim over the worth asked for."""
     asked = sum(classes[one.kind].worth for one in results)
     good = sum(classes[one.kind].worth for one in results if _word(one, classes[one.kind]) == "served")
@@ -69,7 +69,7 @@
     return [(n * width, found[n]) for n in range(max(1, int(seconds // width)))]
 
 
-def _worst(results: Sequence[Result], classes: Sequence[Class], seconds: float) -> float:
+def _worst(results: Sequence[Result], classes: Sequence[RequestClassConfig], seconds: float) -> float:
     """The share of the worst span of 10 s, begun at any full second (the whole run if that is shorter)."""
     asked: dict[int, float] = defaultdict(float)
     good: dict[int, float] = defaultdict(float)
@@ -93,7 +93,7 @@
     return [(edges[at], at, end) for at, end in zip(places, ends, strict=True) if end > at]
 
 
-def figures(outcome: Outcome) -> dict[str, Any]:
+def figures(outcome: RunResult) -> dict[str, Any]:
     """The whole report as plain data; docs/lab.md describes it."""
     scenario, classes, results = outcome.scenario, outcome.scenario.classes, outcome.results
     by_class = {}
--- a/lupinladder/lab/comeback.py
+++ b/lupinladder/emulator/restart_recovery.py
@@ -13,10 +13,10 @@
 
 from rich.table import Table
 
-from lupinladder.lab import report
-from lupinladder.lab.clients import Result
-from lupinladder.lab.run import Outcome
-from lupinladder.lab.scenario import Fault, Load, Proxies, Scenario
+from lupinladder.emulator import report
+from lupinladder.emulator.load_generator import Result
+from lupinladder.emulator.run import RunResult
+from lupinladder.emulator.scenario import FaultConfig, LoadPhase, ProxiesConfig, Scenario
 
 Stores = Literal["none", "kept", "lost", "torn", "flipped", "swapped", "old"]
 Lists = Literal["up", "late", "down"]
@@ -32,15 +32,15 @@
 def scenario(proxies: int, kill: float, store: Stores, lists: Lists, seed: int) -> Scenario:
     """With the store a configuration names nothing but the origin, as after a stop of days; without one, the
     list as the run began: a proxy that knows nothing of the list has nobody to send to."""
-    faults = [Fault("kill-many", KILLED_S, AWAY_S, kill, how="" if store == "none" else store)]
+    faults = [FaultConfig("kill-many", KILLED_S, AWAY_S, kill, how="" if store == "none" else store)]
     if lists == "down":
-        faults.insert(0, Fault("list-down", KILLED_S - 0.5, 5.0))
+        faults.insert(0, FaultConfig("list-down", KILLED_S - 0.5, 5.0))
     elif lists == "late":  # and some of the nodes are replaced while most proxies are away, at used addresses
-        faults.insert(0, Fault("late-list", KILLED_S - 3, 8.0, size=1.5))
-        faults.insert(1, Fault("deploy", KILLED_S - 1, 5.0, 0.25, 0.09, 3.0, reuse=True))
-    made = Scenario(SECONDS, [Load(0, RATE * proxies)], seed=seed, faults=faults)
+        faults.insert(0, FaultConfig("late-list", KILLED_S - 3, 8.0, size=1.5))
+        faults.insert(1, FaultConfig("deploy", KILLED_S - 1, 5.0, 0.25, 0.09, 3.0, reuse=True))
+    made = Scenario(SECONDS, [LoadPhase(0, RATE * proxies)], seed=seed, faults=faults)
     made.about = f"{kill:.0%} of {proxies} proxies killed at once; store {store}, discovery {lists}"
-    made.proxies = Proxies(proxies, store=store != "none", known="first" if store == "none" else "none")
+    made.proxies = ProxiesConfig(proxies, store=store != "none", known="first" if store == "none" else "none")
     made.check()
     return made
 
@@ -80,7 +80,7 @@
     )
 
 
-def figures(outcome: Outcome) -> dict[str, Any]:
+def figures(outcome: RunResult) -> dict[str, Any]:
     """One run as plain data."""
     made, tree = outcome.scenario, report.figures(outcome)
     words = Counter[str]()
@@ -116,7 +116,7 @@
     }
 
 
-def _by_second(outcome: Outcome) -> list[float]:
+def _by_second(outcome: RunResult) -> list[float]:
     asked, good = _worth(outcome.results, outcome.scenario)
     steps = round(1 / STEP_S)
     return [
--- a/lupinladder/lab/referee.py
+++ b/lupinladder/emulator/rule_checker.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from lupinladder.lab.scenario import Class
+from lupinladder.emulator.scenario import RequestClassConfig
 
 SLACK = 50.0  # ms that every time limit is longer on sockets
 GRACE = 20.0  # past the client's deadline
@@ -25,7 +25,7 @@
 
 
 @dataclass(slots=True)
-class Broken:
+class RuleViolation:
     """One broken rule."""
 
     rule: str  # lost, effect, drain, cold
@@ -41,7 +41,7 @@
 
 
 @dataclass(slots=True)
-class Attempt:
+class ObservedAttempt:
     """A whole command as a server got it."""
 
     at: float  # of its first byte
@@ -51,7 +51,7 @@
 
 
 @dataclass(slots=True)
-class Query:
+class ObservedRequest:
     """A try of a client, from its last byte written."""
 
     ident: bytes
@@ -60,7 +60,7 @@
     proxy: int
     life: int  # of the proxy: counts its starts
     raw: bytes
-    attempts: list[Attempt] = field(default_factory=list)
+    attempts: list[ObservedAttempt] = field(default_factory=list)
     made: set[bytes] = field(default_factory=set)  # values that servers made for it
     taken: float = 0.0
     over: str = ""  # served, refused, failed, gone, excused
@@ -80,17 +80,19 @@
     fallen: bool = False
 
 
-class Referee:
+class RuleChecker:
     """`now` of each call never goes back. `broken` holds what was found, in order."""
 
-    def __init__(self, classes: list[Class], proxies: int, start: float, unanswered: str = "lost") -> None:
+    def __init__(
+        self, classes: list[RequestClassConfig], proxies: int, start: float, unanswered: str = "lost"
+    ) -> None:
         self.start = start  # of the counted part, ms
-        self.broken: list[Broken] = []
+        self.broken: list[RuleViolation] = []
         self.counts: Counter[str] = Counter()
         self.rates: dict[str, Counter[int]] = {}  # how often something happened, by tenths of a second
         self._classes, self._lost = classes, unanswered == "lost"
-        self._queries: OrderedDict[bytes, Query] = OrderedDict()
-        self._due: deque[Query] = deque()
+        self._queries: OrderedDict[bytes, ObservedRequest] = OrderedDict()
+        self._due: deque[ObservedRequest] = deque()
         self._told: list[dict[str, float]] = [
             {} for _ in range(proxies)
         ]  # server: told to stop sending since
@@ -107,7 +109,7 @@
         text = repr(shown)[1:] + (f" and {len(data) - SHOWN} bytes more" if len(data) > SHOWN else "")
         self.counts["broken_" + rule] += 1
         self.broken.append(
-            Broken(
+            RuleViolation(
                 rule, (now - self.start) / 1000, proxy, query.decode("latin-1"), what, text if data else ""
             )
         )
@@ -139,7 +141,7 @@
         """It was let go."""
         self._frozen[proxy].append((self._frozen[proxy].pop()[0], now))
 
-    def _stood(self, query: Query, now: float) -> bool:
+    def _stood(self, query: ObservedRequest, now: float) -> bool:
         return any(begin <= now and query.taken <= end for begin, end in self._frozen[query.proxy])
 
     def proxy_stopping(self, now: float, proxy: int) -> None:
@@ -166,7 +168,7 @@
 
     def taken(self, now: float, proxy: int, ident: bytes, kind: int, wait: float, raw: bytes) -> None:
         """A client has written the last byte of a command that gives `d` = wait ms."""
-        query = Query(ident, kind, now + wait, proxy, self._lives[proxy], raw, taken=now)
+        query = ObservedRequest(ident, kind, now + wait, proxy, self._lives[proxy], raw, taken=now)
         self._queries[ident] = query
         self._due.append(query)
         self.counts["taken"] += 1
@@ -238,7 +240,7 @@
         """Bytes came on a connection on which nothing was owed."""
         self._find("lost", now, proxy, last, "bytes that no query was owed", raw)
 
-    def _unanswered(self, now: float, query: Query) -> None:
+    def _unanswered(self, now: float, query: ObservedRequest) -> None:
         query.ended = now
         up = self._up[query.proxy] and self._lives[query.proxy] == query.life
         if not up or self._stood(query, now):
@@ -253,9 +255,11 @@
 
     # Servers' side
 
-    def sent(self, now: float, first: float, proxy: int, server: str, ident: bytes, raw: bytes) -> Attempt:
+    def sent(
+        self, now: float, first: float, proxy: int, server: str, ident: bytes, raw: bytes
+    ) -> ObservedAttempt:
         """A whole command has come to a cache node or the origin; `first` is when its first byte did."""
-        attempt = Attempt(first, server, raw)
+        attempt = ObservedAttempt(first, server, raw)
         self.counts["executions"] += 1
         told = self._told[proxy].get(server)
         if told is not None and first > told + DRAIN + SLACK:
@@ -271,7 +275,7 @@
         query.attempts.append(attempt)
         return attempt
 
-    def _effects(self, now: float, first: float, query: Query, attempt: Attempt) -> None:
+    def _effects(self, now: float, first: float, query: ObservedRequest, attempt: ObservedAttempt) -> None:
         kind = self._classes[query.kind]
         risky = [one for one in query.attempts if one.state != "never"]
         if query.over and query.over != "excused" and now > query.ended + SLACK:
@@ -287,7 +291,9 @@
             what = f"sent again {first - risky[0].at:.0f} ms after its first sending"
             self._find("effect", now, query.proxy, query.ident, what, attempt.raw)
 
-    def replied(self, now: float, ident: bytes, attempt: Attempt, word: str, value: bytes = b"") -> None:
+    def replied(
+        self, now: float, ident: bytes, attempt: ObservedAttempt, word: str, value: bytes = b""
+    ) -> None:
         """A server has written its answer: hit, value, receipt (these with the value), miss, pending, busy
         or failed."""
         if word in ("busy", "miss", "pending"):
@@ -300,7 +306,7 @@
         else:
             attempt.state = "may"
 
-    def broke(self, attempt: Attempt) -> None:
+    def broke(self, attempt: ObservedAttempt) -> None:
         """Its connection ended with nothing answered: it may have run."""
         if attempt.state == "out":
             attempt.state = "may"
--- a/lupinladder/lab/run.py
+++ b/lupinladder/emulator/run.py
@@ -16,17 +16,17 @@
 
 import uvloop
 
-from lupinladder.lab.clients import Crowd, Front, Pool, Result
-from lupinladder.lab.clock import Clock, Lateness
-from lupinladder.lab.draws import Keys, Plan, stream
-from lupinladder.lab.faults import Faults
-from lupinladder.lab.fleet import Fleet
-from lupinladder.lab.hostile import Hostile
-from lupinladder.lab.listing import Entry
-from lupinladder.lab.peers import Peers
-from lupinladder.lab.proxies import Managed, Proxies
-from lupinladder.lab.referee import Broken, Referee
-from lupinladder.lab.scenario import HOSTILES, Scenario
+from lupinladder.emulator.clock import Clock, Lateness
+from lupinladder.emulator.cluster import Cluster
+from lupinladder.emulator.endpoint_list import ListedEndpoint
+from lupinladder.emulator.faults import FaultInjector
+from lupinladder.emulator.load_generator import ClientPool, LoadGenerator, ProxySelector, Result
+from lupinladder.emulator.misbehaving_clients import MisbehavingClients
+from lupinladder.emulator.peers import Peers
+from lupinladder.emulator.proxies import Managed, Proxies
+from lupinladder.emulator.rule_checker import RuleChecker, RuleViolation
+from lupinladder.emulator.scenario import MISBEHAVIOURS, Scenario
+from lupinladder.emulator.workload import ArrivalPlan, KeyDistribution, random_stream
 
 LATE_MS, LATE_SHARE = 30.0, 0.01  # a run is void if the lab was later than this for more of the time
 LATE = "the lab itself ran over {:.0f} ms late for {:.1%} of the time"  # what is said of it
@@ -43,12 +43,12 @@
 
 
 @dataclass(slots=True)
-class Outcome:
+class RunResult:
     """All that a run left."""
 
     scenario: Scenario
     results: list[Result]
-    broken: list[Broken]
+    broken: list[RuleViolation]
     counts: Counter[str]
     seconds: list[Second]
     marks: list[tuple[float, str]]
@@ -74,9 +74,9 @@
     def __init__(self, scenario: Scenario, folder: Path, live: Live | None = None) -> None:
         self.scenario, self._folder, self._live = scenario, folder, live
         self.seconds: list[Second] = []
-        self._first: tuple[int, list[Entry]] = (0, [])  # the list as the run began
+        self._first: tuple[int, list[ListedEndpoint]] = (0, [])  # the list as the run began
 
-    async def play(self) -> Outcome:
+    async def play(self) -> RunResult:
         """Until the end, or until SIGTERM or Ctrl-C; whichever comes, no proxy is left behind."""
         task = asyncio.current_task()
         assert task
@@ -91,22 +91,25 @@
             for number in (signal.SIGTERM, signal.SIGINT):
                 loop.remove_signal_handler(number)
 
-    async def _play(self) -> Outcome:
+    async def _play(self) -> RunResult:
         scenario = self.scenario
         clock = self.clock = Clock()
-        keys = Keys(scenario.seed, scenario.clients)
-        plan = Plan(scenario, keys)
-        self.referee = Referee(
+        keys = KeyDistribution(scenario.seed, scenario.clients)
+        plan = ArrivalPlan(scenario, keys)
+        self.referee = RuleChecker(
             scenario.classes, scenario.proxies.count, clock.now(), scenario.clients.unanswered
         )
-        seeds = stream(scenario.seed, "proxies")
+        seeds = random_stream(scenario.seed, "proxies")
         self.proxies = Proxies(
             clock, scenario, self.referee, self._folder, self._config, lambda: int(seeds.integers(1 << 62))
         )
         zones = [one.zone for one in self.proxies.all]
-        self.fleet = Fleet(clock, scenario, keys, self.referee, zones)
+        self.fleet = Cluster(clock, scenario, keys, self.referee, zones)
         self.peers = Peers(
-            clock, scenario.net, stream(scenario.seed, "peers"), [one.peer_listen for one in self.proxies.all]
+            clock,
+            scenario.net,
+            random_stream(scenario.seed, "peers"),
+            [one.peer_listen for one in self.proxies.all],
         )
         await self.peers.open()
         self.fleet.open()
@@ -144,7 +147,7 @@
             "known": {**known, "index": index},
         }
 
-    async def _load(self, plan: Plan) -> Outcome:
+    async def _load(self, plan: ArrivalPlan) -> RunResult:
         scenario, clock = self.scenario, self.clock
         # A full walk of the collector stops the lab for 70 ms and more, which would be blamed on the proxies.
         gc.collect()
@@ -153,25 +156,27 @@
         start = self.start = clock.now() + scenario.lead_s * 1000 + 100
         self.referee.start = start
         self.lateness = Lateness(clock)
-        front = Front([one.zone for one in self.proxies.all])
+        front = ProxySelector([one.zone for one in self.proxies.all])
         most = max(1, scenario.clients.connections // len(self.proxies.all))
-        self.pools = [Pool(clock, self.referee, one.number, one.listen, most) for one in self.proxies.all]
-        self.crowd = Crowd(
+        self.pools = [
+            ClientPool(clock, self.referee, one.number, one.listen, most) for one in self.proxies.all
+        ]
+        self.crowd = LoadGenerator(
             clock,
             self.referee,
             self.pools,
             front,
             scenario.classes,
             scenario.clients,
-            stream(scenario.seed, "clients"),
+            random_stream(scenario.seed, "clients"),
             start,
         )
-        self.faults = Faults(self.fleet, self.proxies, front, start)
+        self.faults = FaultInjector(self.fleet, self.proxies, front, start)
         self.faults.plan(scenario.faults)
-        self.hostile = Hostile(
+        self.hostile = MisbehavingClients(
             clock,
             self.referee,
-            stream(scenario.seed, "hostile"),
+            random_stream(scenario.seed, "hostile"),
             [one.listen for one in self.proxies.all],
             scenario.classes[0].name,
             scenario.classes[0].deadline_ms,
@@ -220,8 +225,8 @@
 
     async def _harm(self) -> None:
         """Hostile clients, at their rates."""
-        rng = stream(self.scenario.seed, "harm")
-        groups = [(one, one.kinds or list(HOSTILES)) for one in self.scenario.hostile]
+        rng = random_stream(self.scenario.seed, "harm")
+        groups = [(one, one.kinds or list(MISBEHAVIOURS)) for one in self.scenario.hostile]
         count = 0
         while groups:
             at = (self.clock.now() - self.start) / 1000
@@ -232,14 +237,14 @@
                         self.hostile.send(kinds[count % len(kinds)])
             await asyncio.sleep(0.1)
 
-    def _outcome(self) -> Outcome:
+    def _outcome(self) -> RunResult:
         lags = self.lateness.lags
         begun = sorted(one.late for one in self.crowd.results)
         late = self.lateness.share(LATE_MS)
         void = "; ".join([*self.faults.errors, *self.clock.faults[:3]])
         if late > LATE_SHARE:
             void = LATE.format(LATE_MS, late)
-        return Outcome(
+        return RunResult(
             self.scenario,
             [one for one in self.crowd.results if one.at >= 0],
             self.referee.broken,
@@ -260,7 +265,7 @@
         )
 
 
-def play(scenario: Scenario, folder: Path | None = None, live: Live | None = None) -> Outcome:
+def play(scenario: Scenario, folder: Path | None = None, live: Live | None = None) -> RunResult:
     """Play a scenario to its end. RuntimeError if it could not be started."""
     if folder is None:
         with tempfile.TemporaryDirectory(prefix="lupinladder-lab-") as name:
--- a/lupinladder/lab/scenario.py
+++ b/lupinladder/emulator/scenario.py
@@ -12,18 +12,18 @@
 
 import msgspec
 
-from lupinladder.operator import tomlfile
-from lupinladder.operator.tomlfile import Bad, Wrong
+from lupinladder.operator_config import toml_decoder
+from lupinladder.operator_config.toml_decoder import ConstraintError, TomlError
 
 STORES = ("kept", "lost", "torn", "flipped", "swapped", "old")  # what becomes of the stores of killed proxies
-GARBLES = ("noise", "endless", "length", "huge", "copy", "trailing", "report", "interim")
-HOSTILES = (
+CORRUPTIONS = ("noise", "endless", "length", "huge", "copy", "trailing", "report", "interim")
+MISBEHAVIOURS = (
     "noise", "endless", "lengths", "huge", "big", "class", "deadline", "noid",
     "stolen", "half", "many", "again", "silent",
 )  # fmt: skip
 
 
-class Fleet(msgspec.Struct, forbid_unknown_fields=True):
+class ClusterConfig(msgspec.Struct, forbid_unknown_fields=True):
     """The cache nodes."""
 
     nodes: int = 12
@@ -54,7 +54,7 @@
     streams: int = 128
 
 
-class Origin(msgspec.Struct, forbid_unknown_fields=True):
+class OriginConfig(msgspec.Struct, forbid_unknown_fields=True):
     capacity: float = 0.0  # fetches a second; 0: headroom times what one pooled cache would leave
     headroom: float = 2.4
     work_ms: float = 45.0
@@ -66,7 +66,7 @@
     coalesce: bool = True
 
 
-class Discovery(msgspec.Struct, forbid_unknown_fields=True):
+class DiscoveryConfig(msgspec.Struct, forbid_unknown_fields=True):
     notice_s: tuple[float, float] = (0.6, 1.8)  # from a change to its place in the list
     silent_notice_s: float = 6.3  # the same for a machine that died without a word
     capacity: float = 5.0  # calls a second, one after another
@@ -74,7 +74,7 @@
     timeout_s: float = 2.0
 
 
-class Proxies(msgspec.Struct, forbid_unknown_fields=True):
+class ProxiesConfig(msgspec.Struct, forbid_unknown_fields=True):
     count: int = 3
     memory_mb: int = 192
     sockets: int = 1024
@@ -85,7 +85,7 @@
     )
 
 
-class Net(msgspec.Struct, forbid_unknown_fields=True):
+class NetworkConfig(msgspec.Struct, forbid_unknown_fields=True):
     same_ms: float = 0.0
     cross_ms: float = 8.0  # one way between zones
     jitter: float = 0.2
@@ -93,7 +93,7 @@
     peer_loss: float = 0.05
 
 
-class Class(msgspec.Struct, forbid_unknown_fields=True):
+class RequestClassConfig(msgspec.Struct, forbid_unknown_fields=True):
     name: str
     share: float
     work_ms: float
@@ -106,7 +106,7 @@
     cv: float = 1.0
 
 
-class Clients(msgspec.Struct, forbid_unknown_fields=True):
+class ClientsConfig(msgspec.Struct, forbid_unknown_fields=True):
     connections: int = 300  # at most, over all proxies
     hold: float = 0.0  # share of connections that are kept forever after one request
     retries: int = 1
@@ -123,7 +123,7 @@
     tenants: dict[str, float] = msgspec.field(default_factory=dict)  # their shares; none: no tenants
 
 
-class Load(msgspec.Struct, forbid_unknown_fields=True):
+class LoadPhase(msgspec.Struct, forbid_unknown_fields=True):
     """From `at` on, `rate` a second; with `to`, a ramp that ends where the next step begins."""
 
     at: float
@@ -131,7 +131,7 @@
     to: float | None = None
 
 
-class Fault(msgspec.Struct, forbid_unknown_fields=True):
+class FaultConfig(msgspec.Struct, forbid_unknown_fields=True):
     """One trouble. Which settings count depends on the kind: docs/lab.md."""
 
     kind: Literal[
@@ -153,7 +153,7 @@
     reuse: bool = False  # new nodes come at the address of one that has gone
 
 
-class Hostile(msgspec.Struct, forbid_unknown_fields=True):
+class MisbehavingClientsConfig(msgspec.Struct, forbid_unknown_fields=True):
     """Clients that do harm: `per_s` of them each second, all kinds in turn unless `kinds` names some."""
 
     at: float = 0.0
@@ -162,59 +162,63 @@
     kinds: list[str] = msgspec.field(default_factory=list)
 
 
-def _classes() -> list[Class]:
+def _classes() -> list[RequestClassConfig]:
     return [
-        Class("map-view", 0.46, 38, 300, 600, 5),
-        Class("parcel-history", 0.463, 48, 750, 3000, 1),
-        Class("claim-submit", 0.043, 70, 1200, 3000, 10, "unsafe", True),
-        Class("boundary-edit", 0.034, 150, 2500, 5000, 5, "keyed", True),
+        RequestClassConfig("map-view", 0.46, 38, 300, 600, 5),
+        RequestClassConfig("parcel-history", 0.463, 48, 750, 3000, 1),
+        RequestClassConfig("claim-submit", 0.043, 70, 1200, 3000, 10, "unsafe", True),
+        RequestClassConfig("boundary-edit", 0.034, 150, 2500, 5000, 5, "keyed", True),
     ]
 
 
 class Scenario(msgspec.Struct, forbid_unknown_fields=True):
     seconds: float
-    load: list[Load]
+    load: list[LoadPhase]
     schema: int = 1
     about: str = ""
     seed: int = 1
     lead_s: float = 2.0  # load before the counted part
-    fleet: Fleet = msgspec.field(default_factory=Fleet)
-    origin: Origin = msgspec.field(default_factory=Origin)
-    discovery: Discovery = msgspec.field(default_factory=Discovery)
-    proxies: Proxies = msgspec.field(default_factory=Proxies)
-    net: Net = msgspec.field(default_factory=Net)
-    clients: Clients = msgspec.field(default_factory=Clients)
-    classes: list[Class] = msgspec.field(default_factory=_classes)
-    faults: list[Fault] = msgspec.field(default_factory=list)
-    hostile: list[Hostile] = msgspec.field(default_factory=list)
+    fleet: ClusterConfig = msgspec.field(default_factory=ClusterConfig)
+    origin: OriginConfig = msgspec.field(default_factory=OriginConfig)
+    discovery: DiscoveryConfig = msgspec.field(default_factory=DiscoveryConfig)
+    proxies: ProxiesConfig = msgspec.field(default_factory=ProxiesConfig)
+    net: NetworkConfig = msgspec.field(default_factory=NetworkConfig)
+    clients: ClientsConfig = msgspec.field(default_factory=ClientsConfig)
+    classes: list[RequestClassConfig] = msgspec.field(default_factory=_classes)
+    faults: list[FaultConfig] = msgspec.field(default_factory=list)
+    hostile: list[MisbehavingClientsConfig] = msgspec.field(default_factory=list)
 
     def check(self) -> None:
         """Wrong for values that cannot hold, alone or together."""
         if self.schema != 1:
-            raise Wrong("schema", f"this program reads schema 1, not {self.schema}")
+            raise ConstraintError("schema", f"this program reads schema 1, not {self.schema}")
         self._check_bounds()
         if not self.classes:
-            raise Wrong("classes", "at least one class is needed")
+            raise ConstraintError("classes", "at least one class is needed")
         for n, one in enumerate(self.classes):
             if not 0 < one.aim_ms <= one.deadline_ms:
-                raise Wrong(f"classes[{n}].aim_ms", "expected above 0 and at most deadline_ms")
+                raise ConstraintError(f"classes[{n}].aim_ms", "expected above 0 and at most deadline_ms")
             if one.write and one.repeat == "safe":
-                raise Wrong(f"classes[{n}].repeat", "a write is keyed or unsafe, never safe to repeat")
+                raise ConstraintError(
+                    f"classes[{n}].repeat", "a write is keyed or unsafe, never safe to repeat"
+                )
             if one.name in [other.name for other in self.classes[:n]]:
-                raise Wrong(f"classes[{n}].name", f"{one.name!r} is there already")
+                raise ConstraintError(f"classes[{n}].name", f"{one.name!r} is there already")
         if abs(sum(one.share for one in self.classes) - 1) > 0.01:
-            raise Wrong("classes", "expected shares that add up to 1")
+            raise ConstraintError("classes", "expected shares that add up to 1")
         if not self.load or self.load[0].at != 0:
-            raise Wrong("load", "expected a first step at 0")
+            raise ConstraintError("load", "expected a first step at 0")
         for n, step in enumerate(self.load[1:], 1):
             if step.at <= self.load[n - 1].at:
-                raise Wrong(f"load[{n}].at", "expected later than the step before")
+                raise ConstraintError(f"load[{n}].at", "expected later than the step before")
         for n, fault in enumerate(self.faults):
             self._check_fault(f"faults[{n}]", fault)
         for n, bad in enumerate(self.hostile):
             for kind in bad.kinds:
-                if kind not in HOSTILES:
-                    raise Wrong(f"hostile[{n}].kinds", f"{kind!r} is none of {', '.join(HOSTILES)}")
+                if kind not in MISBEHAVIOURS:
+                    raise ConstraintError(
+                        f"hostile[{n}].kinds", f"{kind!r} is none of {', '.join(MISBEHAVIOURS)}"
+                    )
 
     def _check_bounds(self) -> None:
         bounds: list[tuple[str, float, float, float]] = [
@@ -236,26 +240,26 @@
         ]
         for path, value, low, high in bounds:
             if not low <= value <= high:
-                raise Wrong(path, f"{value:g} is out of range, expected {low:g} to {high:g}")
+                raise ConstraintError(path, f"{value:g} is out of range, expected {low:g} to {high:g}")
 
-    def _check_fault(self, path: str, fault: Fault) -> None:
+    def _check_fault(self, path: str, fault: FaultConfig) -> None:
         if not 0 <= fault.at <= self.seconds:
-            raise Wrong(f"{path}.at", f"{fault.at:g} is outside of the {self.seconds:g} s played")
+            raise ConstraintError(f"{path}.at", f"{fault.at:g} is outside of the {self.seconds:g} s played")
         if not 0 <= fault.proxy < self.proxies.count:
-            raise Wrong(f"{path}.proxy", f"there are proxies 0 to {self.proxies.count - 1}")
+            raise ConstraintError(f"{path}.proxy", f"there are proxies 0 to {self.proxies.count - 1}")
         if not 0 <= fault.node < self.fleet.nodes:
-            raise Wrong(f"{path}.node", f"there are nodes 0 to {self.fleet.nodes - 1}")
+            raise ConstraintError(f"{path}.node", f"there are nodes 0 to {self.fleet.nodes - 1}")
         if fault.kind == "zone-delay" and fault.zone not in self.fleet.zones:
-            raise Wrong(f"{path}.zone", f"expected one of {', '.join(self.fleet.zones)}")
+            raise ConstraintError(f"{path}.zone", f"expected one of {', '.join(self.fleet.zones)}")
         if fault.kind == "kill-many" and fault.how and fault.how not in STORES:
-            raise Wrong(f"{path}.how", f"{fault.how!r} is none of {', '.join(STORES)}")
-        if fault.kind == "garble" and fault.how and fault.how not in GARBLES:
-            raise Wrong(f"{path}.how", f"{fault.how!r} is none of {', '.join(GARBLES)}")
+            raise ConstraintError(f"{path}.how", f"{fault.how!r} is none of {', '.join(STORES)}")
+        if fault.kind == "garble" and fault.how and fault.how not in CORRUPTIONS:
+            raise ConstraintError(f"{path}.how", f"{fault.how!r} is none of {', '.join(CORRUPTIONS)}")
 
 
 def shipped() -> dict[str, Path]:
     """The scenarios that come with the program, by name."""
-    folder = Path(str(resources.files("lupinladder.lab") / "scenarios"))
+    folder = Path(str(resources.files("lupinladder.emulator") / "scenarios"))
     return {path.stem: path for path in sorted(folder.glob("*.toml"))}
 
 
@@ -265,5 +269,5 @@
     if not path.suffix and name in shipped():
         path = shipped()[name]
     elif not path.exists():
-        raise Bad(f"{name}: no such file, nor one of the scenarios that ship: {', '.join(shipped())}")
-    return tomlfile.load(path, Scenario)
+        raise TomlError(f"{name}: no such file, nor one of the scenarios that ship: {', '.join(shipped())}")
+    return toml_decoder.load(path, Scenario)
--- a/lupinladder/lab/world.py
+++ b/lupinladder/emulator/shared_data.py
@@ -9,13 +9,13 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from lupinladder.lab.draws import Keys
+from lupinladder.emulator.workload import KeyDistribution
 
 STORED_AT = 2  # nodes, of those that missed for a request, at which the origin's answer is stored
 MISSES = 20_000  # requests whose misses are remembered; a request is long over before so many more
 
 
-class Memory:
+class CacheMemory:
     """Objects by key with a bound on their number, the oldest (used or stored) out first, void when stale.
 
     cachetools has caches for LRU and for FIFO and one for times to live, but none for both at once.
@@ -49,19 +49,19 @@
         self._kept.pop(key, None)
 
 
-class Holder(Protocol):
+class CachedValue(Protocol):
     """What the world does at a node."""
 
     up: bool
-    memory: Memory
+    memory: CacheMemory
 
     def store(self, key: bytes, version: int, until: float) -> None: ...
 
 
-class World:
-    def __init__(self, keys: Keys, ttl: Callable[[], float]) -> None:
+class SharedData:
+    def __init__(self, keys: KeyDistribution, ttl: Callable[[], float]) -> None:
         self.keys, self.ttl = keys, ttl
-        self.nodes: dict[str, Holder] = {}
+        self.nodes: dict[str, CachedValue] = {}
         self.versions: dict[bytes, int] = {}
         self._missed: OrderedDict[bytes, list[str]] = OrderedDict()
         self._held: set[bytes] = set()  # keys whose first holder has been settled
--- a/lupinladder/lab/sockets.py
+++ b/lupinladder/emulator/sockets.py
@@ -10,7 +10,7 @@
 
 import numpy as np
 
-from lupinladder.lab.clock import Clock
+from lupinladder.emulator.clock import Clock
 
 HOST = "127.0.0.1"
 
@@ -30,7 +30,7 @@
     return f"{host}:{port}"
 
 
-class Way:
+class NetworkPath:
     """The way between a proxy and a server: delay in ms each way, with jitter, bytes never out of order."""
 
     def __init__(self, clock: Clock, rng: np.random.Generator, one_way: float, jitter: float) -> None:
@@ -42,10 +42,10 @@
         return base * float(1 + self._rng.uniform(-self._jitter, self._jitter)) if base else 0.0
 
 
-class Lane:
+class DelayedChannel:
     """One direction of one connection: calls come after the way's delay, in order."""
 
-    def __init__(self, clock: Clock, way: Way) -> None:
+    def __init__(self, clock: Clock, way: NetworkPath) -> None:
         self._clock, self._way, self._last = clock, way, 0.0
 
     def after(self, call: Callable[[], object], extra: float = 0.0) -> None:
@@ -65,7 +65,7 @@
         transport.abort()
 
 
-class Door:
+class FaultyListener:
     """A listener for one proxy. It can be shut (refused), hung (no connection comes up) and handed over.
 
     It accepts by itself: asyncio's servers own their socket and cannot stop accepting without closing it.
--- a/lupinladder/lab/alone.py
+++ b/lupinladder/emulator/standalone.py
@@ -7,14 +7,14 @@
 
 import uvloop
 
-from lupinladder.lab.clock import Clock
-from lupinladder.lab.draws import Keys
-from lupinladder.lab.fleet import Fleet
-from lupinladder.lab.referee import Referee
-from lupinladder.lab.scenario import Scenario
+from lupinladder.emulator.clock import Clock
+from lupinladder.emulator.cluster import Cluster
+from lupinladder.emulator.rule_checker import RuleChecker
+from lupinladder.emulator.scenario import Scenario
+from lupinladder.emulator.workload import KeyDistribution
 
 
-def serve(part: str, scenario: Scenario, seconds: float, say: Callable[[str], None]) -> None:
+def run_standalone(part: str, scenario: Scenario, seconds: float, say: Callable[[str], None]) -> None:
     """Serve `node`, `origin` or `discovery` on a free port for so long; the address is said first."""
     uvloop.run(_serve(part, scenario, seconds, say))
 
@@ -22,8 +22,8 @@
 async def _serve(part: str, scenario: Scenario, seconds: float, say: Callable[[str], None]) -> None:
     clock = Clock()
     scenario.fleet.nodes = 1 if part == "node" else scenario.fleet.nodes
-    referee = Referee(scenario.classes, 1, clock.now())
-    fleet = Fleet(clock, scenario, Keys(scenario.seed, scenario.clients), referee, [0])
+    referee = RuleChecker(scenario.classes, 1, clock.now())
+    fleet = Cluster(clock, scenario, KeyDistribution(scenario.seed, scenario.clients), referee, [0])
     fleet.open()
     addresses = fleet.addresses(0)
     node = next(iter(fleet.nodes))
--- a/lupinladder/lab/draws.py
+++ b/lupinladder/emulator/workload.py
@@ -10,21 +10,21 @@
 
 import numpy as np
 
-from lupinladder.lab.scenario import Clients, Scenario
+from lupinladder.emulator.scenario import ClientsConfig, Scenario
 
 LARGEST = 1 << 20  # bytes of a value
 
 
-def stream(seed: int, what: str) -> np.random.Generator:
+def random_stream(seed: int, what: str) -> np.random.Generator:
     """The generator of one concern, the same on every machine and in every process."""
     return np.random.default_rng(np.random.SeedSequence([seed, zlib.crc32(what.encode())]))
 
 
-class Keys:
+class KeyDistribution:
     """A Zipf population of keys (p of rank r ~ 1 / (r + offset)^s), drifting, with sizes of its own."""
 
-    def __init__(self, seed: int, clients: Clients) -> None:
-        rng = stream(seed, "keys")
+    def __init__(self, seed: int, clients: ClientsConfig) -> None:
+        rng = random_stream(seed, "keys")
         self._clients = clients
         self.names = [b"%016x" % n for n in rng.integers(1, 1 << 62, clients.keys)]
         weights = 1 / (np.arange(clients.keys) + 1 + clients.offset) ** clients.zipf
@@ -61,12 +61,12 @@
     tenant: str = ""  # where there are any
 
 
-class Plan:
+class ArrivalPlan:
     """The arrivals of a run, drawn ahead: what answers do changes none of them."""
 
-    def __init__(self, scenario: Scenario, keys: Keys) -> None:
+    def __init__(self, scenario: Scenario, keys: KeyDistribution) -> None:
         self.scenario, clients = scenario, scenario.clients
-        rng = stream(scenario.seed, "arrivals")
+        rng = random_stream(scenario.seed, "arrivals")
         times = self._times(rng)
         count = len(times)
         kinds = rng.choice(len(scenario.classes), count, p=self._shares())
@@ -76,7 +76,7 @@
         patience = rng.uniform(low, high, count)
         honours = rng.random(count) < clients.honour
         holds = rng.random(count) < clients.hold
-        who = stream(scenario.seed, "tenants")
+        who = random_stream(scenario.seed, "tenants")
         shares = np.array(list(clients.tenants.values()))
         tenants = who.choice(list(clients.tenants), count, p=shares / shares.sum()) if len(shares) else None
         self._heat(times, names, keys)
@@ -118,9 +118,9 @@
         keep = rng.random(count) * top < np.array([self.rate(t) for t in times])
         return np.asarray(times[keep])
 
-    def _heat(self, times: np.ndarray, names: list[bytes], keys: Keys) -> None:
+    def _heat(self, times: np.ndarray, names: list[bytes], keys: KeyDistribution) -> None:
         """Hot keys: a share of the traffic goes to one to a few keys for a while."""
-        rng = stream(self.scenario.seed, "hot")
+        rng = random_stream(self.scenario.seed, "hot")
         for fault in self.scenario.faults:
             if fault.kind != "hot-key":
                 continue
--- a/lupinladder/govern/leaving.py
+++ b/lupinladder/graceful_shutdown.py
@@ -9,24 +9,26 @@
 
 from __future__ import annotations
 
-from lupinladder import api
+from lupinladder.balancing.settings import Settings
 
-ACCEPT = 500.0  # after the signal new connections still come
+ACCEPT_PERIOD_MS = 500.0  # after the signal new connections still come
 # From the signal to the kill, at the least: the longest deadline, or this if that is less, and the slack
 # (PROTOCOL, "Figures"). What was taken later than the slack after the signal must be answered by then.
-LONGEST, SLACK = 3000.0, 700.0
-MARGIN = 200.0  # before it, by which all is answered: the last answers have to be made, written and read
+MAX_STOP_TIME_MS, STOP_SLACK_MS = 3000.0, 700.0
+ANSWER_MARGIN_MS = (
+    200.0  # before it, by which all is answered: the last answers have to be made, written and read
+)
 
 
-class Leaving:
+class ShutdownSchedule:
     """The plan of one stop, made at the signal."""
 
-    def __init__(self, settings: api.Settings, now: float) -> None:
+    def __init__(self, settings: Settings, now: float) -> None:
         classes, self._longest_away = settings.classes, settings.max_retry_after
         self._aims = [min(one.aim, one.deadline) for one in classes]
-        self.killed = now + min(max(one.deadline for one in classes), LONGEST) + SLACK
-        self.accepts = now + ACCEPT  # until then new connections are accepted
-        self.end = self.killed - MARGIN  # when all is answered
+        self.killed = now + min(max(one.deadline for one in classes), MAX_STOP_TIME_MS) + STOP_SLACK_MS
+        self.accepts = now + ACCEPT_PERIOD_MS  # until then new connections are accepted
+        self.end = self.killed - ANSWER_MARGIN_MS  # when all is answered
         # From when on connections are ended as soon as nothing is owed on them.
         alone = settings.balancers == 1
         self.closes = max(self.accepts, self.end - min(self._aims)) if alone else self.accepts
--- a/lupinladder/net/command.py
+++ b/lupinladder/net/client_command.py
@@ -7,18 +7,18 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
-from lupinladder import api
+from lupinladder.balancing.events import Outcome
 
-MAX_VALUE = 64 << 10  # of a value that a client may store
+MAX_STORED_VALUE_BYTES = 64 << 10  # of a value that a client may store
 # Of a value in an answer. Days of service bring good ones of 400 KB and spoilt ones declared as 3 GB.
-MAX_ANSWER = 1 << 20
+MAX_REPLY_VALUE_BYTES = 1 << 20
 _PLAIN = re.compile(rb"[0-9A-Za-z._~-]{1,128}")  # safe in a path and in a header
 _LABELS = re.compile(rb"[a-z0-9_]{1,32}=[!-+\--~]*(,[a-z0-9_]{1,32}=[!-+\--~]*)*")
 _HEX = re.compile(rb"[0-9a-f]{1,16}")
-REPORTED = re.compile(r"[0-9]{1,15}(\.[0-9]{1,20})?(e-?[0-9]{1,2})?")
-NOTES = {b"hit": 1, b"miss": 2, b"pending": 3}
+REPORT_NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,20})?(e-?[0-9]{1,2})?")
+CACHE_RESULTS = {b"hit": 1, b"miss": 2, b"pending": 3}
 # Load reports use the site's names, the settings those of the simulator's wire.
-REPORT_NAMES = {
+REPORT_FIELD_ALIASES = {
     "fail_rate": "eps",
     "lat_ms": "latency_ms",
     "rate": "qps",
@@ -28,12 +28,12 @@
 }
 
 
-class Malformed(Exception):
+class CommandError(Exception):
     """A command that no client should send; the text is for its sender."""
 
 
 @dataclass(slots=True)
-class Command:
+class ClientCommand:
     """A client's query as it came, and what the module is told of it."""
 
     words: list[bytes]
@@ -65,10 +65,10 @@
 
 
 @dataclass(slots=True)
-class Reply:
+class UpstreamReply:
     """What an attempt came to, in the module's terms."""
 
-    outcome: api.Outcome
+    outcome: Outcome
     value: bytes | None = None
     note: int = 0
     load: tuple[float, ...] = ()
@@ -81,38 +81,40 @@
     except ValueError:
         value = -1.0
     if not 0 <= value < 1e12:
-        raise Malformed(f"{name.decode()} is not a figure")
+        raise CommandError(f"{name.decode()} is not a figure")
     return value
 
 
-def command(words: Sequence[bytes], classes: Sequence[str], tenants: Sequence[str] = ()) -> Command:
+def parse_command(
+    words: Sequence[bytes], classes: Sequence[str], tenants: Sequence[str] = ()
+) -> ClientCommand:
     """Read a query. Malformed for anything that is not exactly one. Where the settings name tenants,
     each query is one tenant's (label `t`); elsewhere the label is passed on unread."""
     name = words[0].upper()
     write = name == b"OBJ.SET"
     if name not in (b"OBJ.GET", b"OBJ.SET"):
-        raise Malformed("unknown command")
+        raise CommandError("unknown command")
     if len(words) != (5 if write else 4):
-        raise Malformed("wrong number of arguments")
+        raise CommandError("wrong number of arguments")
     if not _PLAIN.fullmatch(words[1]) or not _PLAIN.fullmatch(words[2]):
-        raise Malformed("key or id is not plain")
+        raise CommandError("key or id is not plain")
     if len(words[3]) > 1024 or not _LABELS.fullmatch(words[3]):
-        raise Malformed("labels are not names and values")
+        raise CommandError("labels are not names and values")
     pairs = [pair.split(b"=", 1) for pair in words[3].split(b",")]
     labels = {name: value for name, value in pairs}
     if len(labels) != len(pairs):
-        raise Malformed("a label is given twice")
+        raise CommandError("a label is given twice")
     if labels.get(b"c", b"").decode() not in classes:
-        raise Malformed("class is unknown")
+        raise CommandError("class is unknown")
     tenant = labels.get(b"t", b"").decode()
     if tenants and tenant not in tenants:
-        raise Malformed("tenant is unknown")
+        raise CommandError("tenant is unknown")
     patience = _figure(labels, b"d")
     if patience <= 0:
-        raise Malformed("d is missing")
+        raise CommandError("d is missing")
     kind = classes.index(labels[b"c"].decode())
     again = labels.get(b"r") == b"1"
-    return Command(
+    return ClientCommand(
         list(words),
         labels,
         kind,
@@ -125,13 +127,13 @@
     )
 
 
-def report(text: bytes | None, fields: Sequence[str]) -> tuple[float, ...]:
+def parse_load_report(text: bytes | None, fields: Sequence[str]) -> tuple[float, ...]:
     """A load report in the order of the settings' fields; empty if any is missing or no figure: the answer
     that brings it is good all the same. float() alone would take nan, inf and figures below 0."""
     found: dict[str, float] = {}
     for pair in (text or b"").decode("latin-1").split(","):
         name, _, value = pair.strip().partition("=")
-        if REPORTED.fullmatch(value):
+        if REPORT_NUMBER.fullmatch(value):
             found[name] = float(value)
-    values = [found.get(field, found.get(REPORT_NAMES.get(field, field))) for field in fields]
+    values = [found.get(field, found.get(REPORT_FIELD_ALIASES.get(field, field))) for field in fields]
     return tuple(v for v in values if v is not None) if None not in values else ()
--- a/lupinladder/net/front.py
+++ b/lupinladder/net/client_listener.py
@@ -7,44 +7,54 @@
 from itertools import islice
 from math import inf
 
-from lupinladder import api
-from lupinladder.govern.clients import SPANS, Returns, Room, choose, span
-from lupinladder.govern.leaving import Leaving
+from lupinladder.balancing.events import RequestReceived
+from lupinladder.connection_limits.idle_clients import (
+    IDLE_SPAN_COUNT,
+    ConnectionCapacity,
+    IdleReturnEstimator,
+    idle_span,
+    select_for_eviction,
+)
+from lupinladder.graceful_shutdown import ShutdownSchedule
 from lupinladder.net import resp
-from lupinladder.net.command import MAX_VALUE, Command, Malformed, command
-from lupinladder.net.connection import READ, Address, Budget, Connection
-from lupinladder.net.engine import Engine, Query
-from lupinladder.net.log import counters, say
-from lupinladder.net.loop import Deadline, Loop
-
-DEPTH = 32  # commands of one client that wait for their answers; beyond, its bytes are left unread
-BACKLOG, ACCEPTS = 1024, 64
-KEEP = 3  # one part in so many of the descriptors is kept from clients, for the links
-RETRY = 100.0  # ms until a front that found no descriptor for a client looks again
+from lupinladder.net.client_command import MAX_STORED_VALUE_BYTES, ClientCommand, CommandError, parse_command
+from lupinladder.net.connection import READ, Address, Connection, DescriptorBudget
+from lupinladder.net.event_loop import EventLoop, Timer
+from lupinladder.net.log import counters, log_event
+from lupinladder.net.request_dispatcher import PendingRequest, RequestDispatcher
+
+MAX_PIPELINE_DEPTH = (
+    32  # commands of one client that wait for their answers; beyond, its bytes are left unread
+)
+LISTEN_BACKLOG, MAX_ACCEPTS_PER_EVENT = 1024, 64
+UPSTREAM_DESCRIPTOR_DIVISOR = 3  # one part in so many of the descriptors is kept from clients, for the links
+ACCEPT_RETRY_MS = 100.0  # ms until a front that found no descriptor for a client looks again
 # Ms until a client that has never asked, or has begun a command and not ended it, is closed: within 3 s of
 # connecting it must be. The next: after which an idle one may be closed, and is when descriptors run short.
-SILENT, HALF, IDLE = 2300.0, 2400.0, 2000.0
-LAG = 5.0  # ms of a turn from which on what it read late counts
-SWEEP = 100.0  # ms between looks for such clients
-SHARE = 3  # clients hold at most one part in so many of the descriptors for requests (LATER, "Score")
+FIRST_COMMAND_TIMEOUT_MS, COMMAND_TIMEOUT_MS, IDLE_TIMEOUT_MS = 2300.0, 2400.0, 2000.0
+MIN_LOOP_LATENCY_MS = 5.0  # ms of a turn from which on what it read late counts
+SWEEP_INTERVAL_MS = 100.0  # ms between looks for such clients
+CLIENT_DESCRIPTOR_DIVISOR = (
+    3  # clients hold at most one part in so many of the descriptors for requests (LATER, "Score")
+)
 
 
-class Slot:
+class PendingReply:
     """The place of one command's answer among its client's answers."""
 
-    def __init__(self, client: Client, ident: bytes = b"") -> None:
+    def __init__(self, client: ClientConnection, ident: bytes = b"") -> None:
         self._client, self.ident = client, ident
-        self.query: Query | None = None
+        self.query: PendingRequest | None = None
         self.answer: bytes | None = None
 
     def served(self, value: bytes) -> None:
-        self._set(resp.bulk(value))
+        self._set(resp.encode_bulk(value))
 
     def refused(self, wait: float) -> None:
-        self._set(resp.error(f"BUSY {wait:.0f}" if wait >= 1 else "BUSY"))
+        self._set(resp.encode_error(f"BUSY {wait:.0f}" if wait >= 1 else "BUSY"))
 
     def failed(self) -> None:
-        self._set(resp.error("ERR failed"))
+        self._set(resp.encode_error("ERR failed"))
 
     def _set(self, answer: bytes) -> None:
         self.answer = answer
@@ -53,10 +63,10 @@
         self._client.settle()
 
 
-class Client:
-    def __init__(self, front: Front, sock: socket.socket) -> None:
-        self._front, self._slots = front, deque[Slot]()
-        self._parser = resp.Parser(MAX_VALUE, 16)
+class ClientConnection:
+    def __init__(self, front: ClientListener, sock: socket.socket) -> None:
+        self._front, self._slots = front, deque[PendingReply]()
+        self._parser = resp.RespParser(MAX_STORED_VALUE_BYTES, 16)
         self._closing = self._reading = self._starved = self._half = False
         self.used = front.loop.now()
         self.asked = 0  # whole commands sent
@@ -82,7 +92,7 @@
     def opened(self) -> None:
         pass
 
-    def over(self, slot: Slot) -> None:
+    def over(self, slot: PendingReply) -> None:
         """The query of this slot has its answer, or nobody to hear it."""
         self._front.open_ids.discard(slot.ident)
 
@@ -93,9 +103,9 @@
             self._began = self._front.loop.now()
         self._reading, self._starved = True, False
         try:
-            while self.conn.open and not self._closing and len(self._slots) < DEPTH:
+            while self.conn.open and not self._closing and len(self._slots) < MAX_PIPELINE_DEPTH:
                 value = self._parser.next(self.conn.inbox)
-                if isinstance(value, resp.Pending):
+                if isinstance(value, resp.Incomplete):
                     break
                 self._command(value)
             else:
@@ -124,11 +134,11 @@
         self.asked, self.told = self.asked + 1, 0
         plain = [word for word in words if isinstance(word, bytes)]
         if plain[0].upper() == b"PING" and len(plain) <= 2:
-            self._slot().answer = resp.bulk(plain[1]) if len(plain) == 2 else b"+PONG\r\n"
+            self._slot().answer = resp.encode_bulk(plain[1]) if len(plain) == 2 else b"+PONG\r\n"
             return
         try:
-            content = command(plain, self._front.classes, self._front.tenants)
-        except Malformed as bad:
+            content = parse_command(plain, self._front.classes, self._front.tenants)
+        except CommandError as bad:
             counters["malformed"] += 1
             self._say(str(bad))
             return
@@ -146,22 +156,24 @@
         content.patience = allowed if leaving else content.patience
         # Its client counts from when it wrote, and the bytes may have lain unread for all of the turn before.
         lag = self._front.loop.lag
-        lag = lag if lag > LAG else 0.0
-        slot.query = self._front.engine.ask(content, lambda number: _request(number, content, lag), slot)
+        lag = lag if lag > MIN_LOOP_LATENCY_MS else 0.0
+        slot.query = self._front.engine.ask(
+            content, lambda number: _request_received(number, content, lag), slot
+        )
 
     def _tell(self, now: float) -> None:
         """How long this rest has lasted."""
-        reached = span(now - self.used)
+        reached = idle_span(now - self.used)
         if reached > self.told:
             self._front.returns.outlived(self.asked, self.told, reached)
             self.told = reached
 
-    def _slot(self, ident: bytes = b"") -> Slot:
-        self._slots.append(Slot(self, ident))
+    def _slot(self, ident: bytes = b"") -> PendingReply:
+        self._slots.append(PendingReply(self, ident))
         return self._slots[-1]
 
     def _say(self, text: str) -> None:
-        self._slot().answer = resp.error("ERR " + text)
+        self._slot().answer = resp.encode_error("ERR " + text)
 
     def flush(self) -> None:
         """Write the answers that are next in order, as far as there is room."""
@@ -182,7 +194,7 @@
             self._front.loop.soon(self.close_if_idle)
 
     def _more(self) -> None:
-        if self._starved and self.conn.open and len(self._slots) < DEPTH:
+        if self._starved and self.conn.open and len(self._slots) < MAX_PIPELINE_DEPTH:
             self.received()
             self.conn.resume()
 
@@ -220,12 +232,16 @@
         if self._slots or self._closing or len(self.conn.outbox):
             return
         if self.idle:
-            if self.asked and self.told < SPANS:
+            if self.asked and self.told < IDLE_SPAN_COUNT:
                 self._tell(now)
-            if now - self.used > (SILENT if not self.asked else IDLE if short else inf):
+            if now - self.used > (
+                FIRST_COMMAND_TIMEOUT_MS if not self.asked else IDLE_TIMEOUT_MS if short else inf
+            ):
                 counters["swept"] += 1
                 self.close_if_idle()
-        elif now - self._began > HALF or (self._front.leaving and now > self._front.leaving.end):
+        elif now - self._began > COMMAND_TIMEOUT_MS or (
+            self._front.leaving and now > self._front.leaving.end
+        ):
             counters["swept"] += 1
             self._closing = True
             self._say("Protocol error: command not ended in time")
@@ -241,8 +257,8 @@
         return False
 
 
-def _request(number: int, content: Command, lag: float) -> api.Request:
-    return api.Request(
+def _request_received(number: int, content: ClientCommand, lag: float) -> RequestReceived:
+    return RequestReceived(
         number,
         content.kind,
         max(content.patience - lag, 1.0),
@@ -255,34 +271,37 @@
     )
 
 
-class Front:
+class ClientListener:
     def __init__(
         self,
-        loop: Loop,
-        budget: Budget,
-        engine: Engine,
+        loop: EventLoop,
+        budget: DescriptorBudget,
+        engine: RequestDispatcher,
         address: Address,
         classes: list[str],
         tenants: list[str],
     ) -> None:
         self.loop, self.budget, self.engine = loop, budget, engine
         self.classes, self.tenants = classes, tenants
-        self.clients: dict[Client, None] = {}
+        self.clients: dict[ClientConnection, None] = {}
         # Between commands, the longest first: those that have asked, and those that have not yet.
-        self.resting: dict[Client, None] = {}
-        self.silent: dict[Client, None] = {}
-        self.returns, self.room = Returns(), Room(budget.limit // SHARE, loop.now())
+        self.resting: dict[ClientConnection, None] = {}
+        self.silent: dict[ClientConnection, None] = {}
+        self.returns, self.room = (
+            IdleReturnEstimator(),
+            ConnectionCapacity(budget.limit // CLIENT_DESCRIPTOR_DIVISOR, loop.now()),
+        )
         self.ending: list[Connection] = []
-        self.leaving: Leaving | None = None  # since the signal to stop
+        self.leaving: ShutdownSchedule | None = None  # since the signal to stop
         self.closing = False  # connections are ended as soon as they are between commands
         self._mask, self._stopped = 0, False
         self.open_ids = set[bytes]()  # of queries that wait for their answer
-        self._retry: Deadline | None = None
+        self._retry: Timer | None = None
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.setblocking(False)
         self._sock.bind(address)
-        self._sock.listen(BACKLOG)
+        self._sock.listen(LISTEN_BACKLOG)
         budget.used += 1
         self.listen()
         self._sweep()
@@ -292,7 +311,7 @@
         for client in list(self.clients):
             client.sweep(now, short)
         self._make_room(now)
-        self.loop.at(now + SWEEP, self._sweep)
+        self.loop.at(now + SWEEP_INTERVAL_MS, self._sweep)
 
     def _make_room(self, now: float) -> None:
         """Clients hold only so many connections for requests. Let go of those that hardly return, before
@@ -300,14 +319,16 @@
         short = self.room.short(len(self.clients) - len(self.silent), now)
         if short and not self.leaving:  # else nobody new comes
             resting = list(self.resting)
-            for n in choose([(one.asked, now - one.used) for one in resting], self.returns, short):
+            for n in select_for_eviction(
+                [(one.asked, now - one.used) for one in resting], self.returns, short
+            ):
                 counters["let_go"] += resting[n].close_if_idle()
 
-    def unrest(self, client: Client) -> None:
+    def unrest(self, client: ClientConnection) -> None:
         self.resting.pop(client, None)
         self.silent.pop(client, None)
 
-    def forget(self, client: Client) -> None:
+    def forget(self, client: ClientConnection) -> None:
         """It is no longer one of ours."""
         self.clients.pop(client, None)
         self.unrest(client)
@@ -330,11 +351,16 @@
         mask = 0
         if self._stopped:
             pass
-        elif self.budget.spare(self.budget.limit // KEEP) or self._owed or self.resting or self.silent:
+        elif (
+            self.budget.spare(self.budget.limit // UPSTREAM_DESCRIPTOR_DIVISOR)
+            or self._owed
+            or self.resting
+            or self.silent
+        ):
             mask = READ
         else:  # look again by ourselves: links that close tell nobody here, and no client may be left to end
             self.loop.cancel(self._retry)
-            self._retry = self.loop.at(self.loop.now() + RETRY, self.listen)
+            self._retry = self.loop.at(self.loop.now() + ACCEPT_RETRY_MS, self.listen)
         self.loop.watch(self._sock, self._mask, mask, self._ready)
         self._mask = mask
 
@@ -345,11 +371,11 @@
         return len(self.clients) < self.room.share and bool(self.budget.resting)
 
     def _ready(self, mask: int) -> None:
-        for count in range(ACCEPTS):
+        for count in range(MAX_ACCEPTS_PER_EVENT):
             # The first round alone knows that somebody waits, and is worth an idle link, or an idle client.
-            short = not self.budget.spare(self.budget.limit // KEEP)
+            short = not self.budget.spare(self.budget.limit // UPSTREAM_DESCRIPTOR_DIVISOR)
             if short and (count or not ((self._owed and self.budget.reclaim()) or self._evict())):
-                say("clients", "no descriptor left for a client; waiting for one to end")
+                log_event("clients", "no descriptor left for a client; waiting for one to end")
                 break
             if not self._accept():
                 break
@@ -364,11 +390,11 @@
         except BlockingIOError:
             return False
         except OSError as bad:
-            say("clients", f"accept: {bad}")
+            log_event("clients", f"accept: {bad}")
             return False
         counters["clients"] += 1
         self.room.came()
-        client = Client(self, sock)
+        client = ClientConnection(self, sock)
         self.clients[client] = None
         client.settle()
         return True
@@ -379,7 +405,9 @@
         now = self.loop.now()
         # The longest at rest of each kind, and a few more: one may have written a command just now.
         idle = [*islice(self.silent, 4), *islice(self.resting, 4)]
-        idle.sort(key=lambda c: (now - c.used < (IDLE if c.asked else IDLE / 8), c.used))
+        idle.sort(
+            key=lambda c: (now - c.used < (IDLE_TIMEOUT_MS if c.asked else IDLE_TIMEOUT_MS / 8), c.used)
+        )
         for client in idle:
             if client.close_if_idle():
                 client.conn.close()  # its descriptor is needed now; all it was owed has been written
@@ -396,13 +424,13 @@
         """Take in whoever the system has accepted so far, then close the listener: that resets the rest, with
         what they have asked. The links' part of the descriptors serves as well; without any, look again."""
         assert self.leaving
-        left = BACKLOG
+        left = LISTEN_BACKLOG
         while left and (free := self.budget.spare() or self.budget.reclaim()) and self._accept():
             left -= 1
         now = self.loop.now()
         if not free and now < self.leaving.end:
-            say("clients", "no descriptor left for a client; the listener stays open")
-            self.loop.at(now + RETRY, self._shut)
+            log_event("clients", "no descriptor left for a client; the listener stays open")
+            self.loop.at(now + ACCEPT_RETRY_MS, self._shut)
             return
         self._stopped = True
         self.listen()
--- a/lupinladder/net/config.py
+++ b/lupinladder/net/config.py
@@ -8,13 +8,18 @@
 from pathlib import Path
 from typing import Any
 
-from lupinladder import api, wire
-from lupinladder.net.command import MAX_VALUE
+from lupinladder.balancing.settings import Settings
+from lupinladder.balancing.settings_reader import parse_settings, read_value
+from lupinladder.net.client_command import MAX_STORED_VALUE_BYTES
 from lupinladder.net.connection import Address
-from lupinladder.net.host_group import Listing, address_of
+from lupinladder.net.discovery.endpoint_registry import EndpointParser, parse_address
 
-RESERVE = 24  # descriptors for the standard streams, the selector, the signal's pipe, files of the library
-OPEN_COST = 3 * MAX_VALUE  # bytes that one open query may hold: read, on its way out, and spare
+RESERVED_DESCRIPTORS = (
+    24  # descriptors for the standard streams, the selector, the signal's pipe, files of the library
+)
+BYTES_PER_OPEN_REQUEST = (
+    3 * MAX_STORED_VALUE_BYTES
+)  # bytes that one open query may hold: read, on its way out, and spare
 
 
 class ConfigError(Exception):
@@ -22,17 +27,17 @@
 
 
 @dataclass(slots=True)
-class Config:
+class ProxyConfig:
     name: str
     listen: Address
     discovery: Address
     seed: int
-    settings: api.Settings
+    settings: Settings
     classes: list[str]
     tenants: list[str]
     zones: list[str]
     kinds: list[str]
-    listing: Listing
+    listing: EndpointParser
     origin_kind: int
     idle_ms: float
     connect_ms: float
@@ -42,7 +47,7 @@
     known: Any
 
 
-def load(env: Mapping[str, str]) -> Config:
+def load(env: Mapping[str, str]) -> ProxyConfig:
     """Read the file that GW_CONFIG names."""
     path = env.get("GW_CONFIG")
     if not path:
@@ -55,33 +60,35 @@
         raise ConfigError(f"{path}: {bad}".replace("\n", " ")) from None
 
 
-def parse(text: str) -> Config:
+def parse(text: str) -> ProxyConfig:
     """ValueError for whatever is missing or wrong."""
     tree = json.loads(text)
-    told = wire.read(tree, "settings", dict)
-    settings = wire.settings(json.dumps(told))
-    zones = [str(zone) for zone in wire.read(told, "zones", list)]
-    kinds = [str(kind) for kind in wire.read(told, "kinds", list)]
-    listing, known = Listing(zones, kinds), wire.read(tree, "known", dict)
+    told = read_value(tree, "settings", dict)
+    settings = parse_settings(json.dumps(told))
+    zones = [str(zone) for zone in read_value(told, "zones", list)]
+    kinds = [str(kind) for kind in read_value(told, "kinds", list)]
+    listing, known = EndpointParser(zones, kinds), read_value(tree, "known", dict)
     listing.read(known)
-    memory = wire.read(tree, "limits.memory_mb", float) * (1 << 20)
-    return Config(
-        name=wire.read(tree, "name", str),
-        listen=address_of(wire.read(tree, "listen", str)),
-        discovery=address_of(wire.read(tree, "discovery", str)),
-        seed=int(wire.read(tree, "seed", str), 16),
+    memory = read_value(tree, "limits.memory_mb", float) * (1 << 20)
+    return ProxyConfig(
+        name=read_value(tree, "name", str),
+        listen=parse_address(read_value(tree, "listen", str)),
+        discovery=parse_address(read_value(tree, "discovery", str)),
+        seed=int(read_value(tree, "seed", str), 16),
         settings=settings,
-        classes=[wire.read(one, "name", str) for one in told["classes"]],
-        tenants=[wire.read(one, "name", str) for one in wire.read(told, "tenants", list, [])],
+        classes=[read_value(one, "name", str) for one in told["classes"]],
+        tenants=[read_value(one, "name", str) for one in read_value(told, "tenants", list, [])],
         zones=zones,
         kinds=kinds,
         listing=listing,
         origin_kind=settings.origin_kind,
-        idle_ms=wire.read(told, "ceilings.conn-idle-ms", float),
-        connect_ms=wire.read(told, "ceilings.connect-timeout-ms", float),
-        streams=wire.read(told, "ceilings.streams-per-conn", int, 1),
+        idle_ms=read_value(told, "ceilings.conn-idle-ms", float),
+        connect_ms=read_value(told, "ceilings.connect-timeout-ms", float),
+        streams=read_value(told, "ceilings.streams-per-conn", int, 1),
         # Half of the memory for values: the rest is for the interpreter, rings and what is kept of clients.
-        max_open=min(wire.read(told, "ceilings.max-open", int), max(int(memory / 2 / OPEN_COST), 1)),
-        sockets=wire.read(tree, "limits.sockets", int) - RESERVE,
+        max_open=min(
+            read_value(told, "ceilings.max-open", int), max(int(memory / 2 / BYTES_PER_OPEN_REQUEST), 1)
+        ),
+        sockets=read_value(tree, "limits.sockets", int) - RESERVED_DESCRIPTORS,
         known=known,
     )
--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -8,32 +8,38 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from lupinladder.net.event_loop import EventLoop, Timer
 from lupinladder.net.log import counters
-from lupinladder.net.loop import Deadline, Loop
-from lupinladder.net.ring import Ring
-
-BOUND = 160 << 10  # of the inbox: two of the largest commands; longer answers are taken off it in parts
-OUT_BOUND = (1 << 20) + 1024  # of the outbox: the largest answer and its framing, since it is put in whole
-ROUNDS = 4  # reads from one connection in a turn, so that none holds up the others
-LINGER = 1000.0  # how long a connection that we end is read from, ms
-DISCARD = 256 << 10  # bytes read from such a connection until it is closed all the same
+from lupinladder.net.ring_buffer import RingBuffer
+
+MAX_INBOX_BYTES = (
+    160 << 10
+)  # of the inbox: two of the largest commands; longer answers are taken off it in parts
+MAX_OUTBOX_BYTES = (
+    1 << 20
+) + 1024  # of the outbox: the largest answer and its framing, since it is put in whole
+MAX_READS_PER_EVENT = 4  # reads from one connection in a turn, so that none holds up the others
+LINGER_MS = 1000.0  # how long a connection that we end is read from, ms
+MAX_DISCARDED_BYTES = 256 << 10  # bytes read from such a connection until it is closed all the same
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 Address = tuple[str, int]
 _sink = bytearray(64 << 10)  # where bytes go that nobody wants; shared, as none is ever read
 
 
-class Resting(Protocol):
+class IdleConnection(Protocol):
     """A connection with nothing out on it."""
 
     def break_off(self) -> None: ...
 
 
-class Budget:
+class DescriptorBudget:
     """Descriptors left to open. Clients leave a part of them to the links."""
 
     def __init__(self, limit: int) -> None:
         self.limit, self.used = limit, 0
-        self.resting: dict[Resting, None] = {}  # connections to servers, of all links, the longest idle first
+        self.resting: dict[
+            IdleConnection, None
+        ] = {}  # connections to servers, of all links, the longest idle first
 
     def reclaim(self) -> bool:
         """Close the connection to a server that has been idle for longest: at most a handshake is lost."""
@@ -46,7 +52,7 @@
         return self.used + keep < self.limit
 
 
-class Owner(Protocol):
+class ConnectionHandler(Protocol):
     """What a connection calls. After `ended(False)` it is closed; after `ended(True)` it can be written."""
 
     def opened(self) -> None: ...
@@ -55,7 +61,7 @@
     def ended(self, by_peer: bool) -> None: ...
 
 
-class Nobody:
+class NullHandler:
     """Owns what is closed. With its owner still named, the two would hold one another until the collector
     came, and on a day of ever new connections that is most of the memory."""
 
@@ -72,29 +78,36 @@
         pass
 
 
-NOBODY = Nobody()
+NULL_HANDLER = NullHandler()
 
 
 class Connection:
     def __init__(
-        self, loop: Loop, budget: Budget, sock: socket.socket, owner: Owner, opening: bool = False
+        self,
+        loop: EventLoop,
+        budget: DescriptorBudget,
+        sock: socket.socket,
+        owner: ConnectionHandler,
+        opening: bool = False,
     ) -> None:
-        self.inbox, self.outbox = Ring(BOUND), Ring(OUT_BOUND)
+        self.inbox, self.outbox = RingBuffer(MAX_INBOX_BYTES), RingBuffer(MAX_OUTBOX_BYTES)
         self.queued = self.sent = 0  # bytes ever handed to the connection; taken from it by the system
         self.open, self.opening, self.eof = True, opening, False
         self._loop, self._budget, self._sock = loop, budget, sock
-        self._owner: Owner = owner
+        self._owner: ConnectionHandler = owner
         self._mask = 0
         self._finishing = self._shut = False
         self._discarded = 0
-        self._linger: Deadline | None = None
+        self._linger: Timer | None = None
         budget.used += 1
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._interest()
 
     @classmethod
-    def dial(cls, loop: Loop, budget: Budget, address: Address, owner: Owner) -> Connection:
+    def dial(
+        cls, loop: EventLoop, budget: DescriptorBudget, address: Address, owner: ConnectionHandler
+    ) -> Connection:
         """Begin to connect. Every failure comes through `ended`, never from here."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
@@ -148,7 +161,7 @@
         Closing with input unread would send a reset, which can destroy an answer still on its way."""
         if self.open and not self._finishing:
             self._finishing = True
-            self._linger = self._loop.at(self._loop.now() + LINGER, self.close)
+            self._linger = self._loop.at(self._loop.now() + LINGER_MS, self.close)
             self._end_sending()
 
     def close(self) -> None:
@@ -156,7 +169,7 @@
         if self.open:
             self.open = False
             self._loop.cancel(self._linger)
-            self._owner, self._linger = NOBODY, None
+            self._owner, self._linger = NULL_HANDLER, None
             self._loop.watch(self._sock, self._mask, 0, self._ready)
             self._mask = 0
             self._sock.close()
@@ -203,7 +216,7 @@
 
     def _read(self) -> None:
         got = lost = False
-        for _ in range(ROUNDS):
+        for _ in range(MAX_READS_PER_EVENT):
             space = memoryview(_sink) if self._finishing else self.inbox.space()
             if not len(space):
                 break
@@ -219,7 +232,9 @@
                 break
             if self._finishing:  # not ours any more: the peer repeats it elsewhere
                 self._discarded += count
-                if self._discarded > DISCARD:  # a peer that sends on at full speed would cost a core
+                if (
+                    self._discarded > MAX_DISCARDED_BYTES
+                ):  # a peer that sends on at full speed would cost a core
                     return self.close()
                 continue
             self.inbox.wrote(count)
