--- a/lupinladder/net/server_link.py
+++ b/lupinladder/net/connection_pool.py
@@ -7,21 +7,33 @@
 from functools import partial
 from typing import Protocol
 
-from lupinladder import api
+from lupinladder.balancing.events import Outcome
 from lupinladder.net import resp
-from lupinladder.net.command import MAX_ANSWER, NOTES, Command, Reply, report
-from lupinladder.net.connection import Address, Budget, Connection
-from lupinladder.net.engine import Attempt
-from lupinladder.net.log import counters, say
-from lupinladder.net.loop import Deadline, Loop
-from lupinladder.net.ring import Ring
-
-KEEP = 6  # one part in so many of the descriptors is kept from links, so that clients can always come
-IDLE_SHARE = 0.8  # of the time after which the other side closes an idle connection: by then we have
-ERRORS = (b"ERR", b"NOPERM", b"SYNTAX")  # with BUSY, all that cache nodes answer by; any other is spoilt
-
-
-class Reader(Protocol):
+from lupinladder.net.client_command import (
+    CACHE_RESULTS,
+    MAX_REPLY_VALUE_BYTES,
+    ClientCommand,
+    UpstreamReply,
+    parse_load_report,
+)
+from lupinladder.net.connection import Address, Connection, DescriptorBudget
+from lupinladder.net.event_loop import EventLoop, Timer
+from lupinladder.net.log import counters, log_event
+from lupinladder.net.request_dispatcher import Attempt
+from lupinladder.net.ring_buffer import RingBuffer
+
+CLIENT_DESCRIPTOR_DIVISOR = (
+    6  # one part in so many of the descriptors is kept from links, so that clients can always come
+)
+IDLE_TIMEOUT_FACTOR = 0.8  # of the time after which the other side closes an idle connection: by then we have
+KNOWN_ERRORS = (
+    b"ERR",
+    b"NOPERM",
+    b"SYNTAX",
+)  # with BUSY, all that cache nodes answer by; any other is spoilt
+
+
+class ReplyReader(Protocol):
     """Takes replies off a connection's bytes, in order."""
 
     closes: bool  # the other side ends the connection after the reply last taken
@@ -29,33 +41,33 @@
     @property
     def idle(self) -> bool: ...  # no byte has come since the reply last taken
 
-    def next(self, inbox: Ring) -> Reply | None: ...
+    def next(self, inbox: RingBuffer) -> UpstreamReply | None: ...
 
-    def end(self) -> Reply | None: ...  # the reply that an orderly end of the connection makes whole
+    def end(self) -> UpstreamReply | None: ...  # the reply that an orderly end of the connection makes whole
 
 
-class Dialect(Protocol):
-    def encode(self, command: Command, wait: float) -> bytes: ...
-    def reader(self) -> Reader: ...
+class UpstreamProtocol(Protocol):
+    def encode(self, command: ClientCommand, wait: float) -> bytes: ...
+    def reader(self) -> ReplyReader: ...
 
 
-class ProtocolError(Exception):
+class UpstreamProtocolError(Exception):
     """An answer that makes no sense; the connection cannot be used on."""
 
 
-class Wire:
+class UpstreamConnection:
     """One connection of a link, with the attempts on it in the order of their writing. It owns what is not
     written yet, and asks at the moment of writing whether it still may go."""
 
-    def __init__(self, link: Link) -> None:
+    def __init__(self, link: ConnectionPool) -> None:
         self._link = link
         self.unsent: deque[Attempt] = deque()  # until the connection is up and what is before them written
         self.waiting: deque[tuple[Attempt | None, int]] = deque()  # None: abandoned; bytes queued with it
         self.reader = link.dialect.reader()
-        self.idle_until: Deadline | None = None
+        self.idle_until: Timer | None = None
         self.conn = Connection.dial(link.loop, link.budget, link.address, self)
         counters["links_opened"] += 1
-        self._connecting: Deadline | None = link.loop.at(link.loop.now() + link.connect_ms, self._too_late)
+        self._connecting: Timer | None = link.loop.at(link.loop.now() + link.connect_ms, self._too_late)
 
     @property
     def load(self) -> int:
@@ -82,7 +94,7 @@
             self._link.rest(self)
         counters["never_begun"] += len(dropped)
         for attempt in dropped:  # last: what follows may come back here
-            attempt.end(api.Outcome.CONNECT_FAILED)
+            attempt.end(Outcome.CONNECT_FAILED)
 
     def opened(self) -> None:
         self._link.loop.cancel(self._connecting)
@@ -97,7 +109,7 @@
         while self.conn.open and self.waiting:
             try:
                 reply = self.reader.next(self.conn.inbox)
-            except (ProtocolError, resp.FramingError) as bad:
+            except (UpstreamProtocolError, resp.FramingError) as bad:
                 return self._spoilt(str(bad))
             if reply is None:
                 return
@@ -120,7 +132,7 @@
         return self.conn.open
 
     def _spoilt(self, why: str) -> None:
-        say("link", f"{self._link.address}: {why}")
+        log_event("link", f"{self._link.address}: {why}")
         counters["bad_answers"] += 1
         self.break_off()
 
@@ -149,36 +161,36 @@
         for attempt, mark in waiting:
             if attempt:
                 ran = sent >= mark
-                attempt.end(api.Outcome.RESET if ran else api.Outcome.CONNECT_FAILED)
+                attempt.end(Outcome.RESET if ran else Outcome.CONNECT_FAILED)
         for attempt in unsent:
-            attempt.end(api.Outcome.CONNECT_FAILED)
+            attempt.end(Outcome.CONNECT_FAILED)
 
 
-class Link:
+class ConnectionPool:
     """The pool. One attempt on a connection at a time, since answers come in order; the latest used
     is taken first, so that the others can grow old and close."""
 
     def __init__(
         self,
-        loop: Loop,
-        budget: Budget,
+        loop: EventLoop,
+        budget: DescriptorBudget,
         address: Address,
-        dialect: Dialect,
+        dialect: UpstreamProtocol,
         idle_ms: float,
         connect_ms: float,
         streams: int,
     ) -> None:
         self.loop, self.budget, self.address, self.dialect = loop, budget, address, dialect
         self.connect_ms, self._idle_ms, self._streams = connect_ms, idle_ms, streams
-        self._idle: list[Wire] = []
-        self._busy: dict[Wire, None] = {}
+        self._idle: list[UpstreamConnection] = []
+        self._busy: dict[UpstreamConnection, None] = {}
         self._retired = False
 
     def start(self, attempt: Attempt) -> None:
         wire = self._pick()
         if wire is None:
             counters["no_descriptor"] += 1
-            return attempt.end(api.Outcome.CONNECT_FAILED)
+            return attempt.end(Outcome.CONNECT_FAILED)
         wire.take(attempt)
 
     def may_begin(self, attempt: Attempt) -> bool:
@@ -186,7 +198,7 @@
         leave, and a repeat would still be dropped."""
         return not (self._retired or attempt.query.over or self.loop.now() >= attempt.begin_by)
 
-    def _pick(self) -> Wire | None:
+    def _pick(self) -> UpstreamConnection | None:
         while self._idle:
             wire = self._idle.pop()
             self.budget.resting.pop(wire, None)
@@ -202,8 +214,8 @@
         self._busy[wire] = None
         return wire
 
-    def _fresh(self) -> Wire | None:
-        spare = self.budget.spare(self.budget.limit // KEEP) or self.budget.reclaim()
+    def _fresh(self) -> UpstreamConnection | None:
+        spare = self.budget.spare(self.budget.limit // CLIENT_DESCRIPTOR_DIVISOR) or self.budget.reclaim()
         if spare and (fresh := self._open()):
             wire = fresh
         else:  # sockets run short: behind the shortest line, if any has room
@@ -212,11 +224,11 @@
         self._busy[wire] = None
         return wire
 
-    def _open(self) -> Wire | None:
+    def _open(self) -> UpstreamConnection | None:
         try:
-            return Wire(self)
+            return UpstreamConnection(self)
         except OSError as bad:  # the system has none left, whatever our count says
-            say("link", f"{self.address}: {bad}")
+            log_event("link", f"{self.address}: {bad}")
             return None
 
     def abandon(self, attempt: Attempt) -> None:
@@ -234,7 +246,7 @@
                 wire.break_off()
             return
 
-    def rest(self, wire: Wire) -> None:
+    def rest(self, wire: UpstreamConnection) -> None:
         """Nothing is out on it any more."""
         self._busy.pop(wire, None)
         if self._retired:
@@ -242,9 +254,9 @@
             return
         self._idle.append(wire)
         self.budget.resting[wire] = None
-        wire.idle_until = self.loop.at(self.loop.now() + self._idle_ms * IDLE_SHARE, wire.break_off)
+        wire.idle_until = self.loop.at(self.loop.now() + self._idle_ms * IDLE_TIMEOUT_FACTOR, wire.break_off)
 
-    def gone(self, wire: Wire) -> None:
+    def gone(self, wire: UpstreamConnection) -> None:
         self._busy.pop(wire, None)
         self.budget.resting.pop(wire, None)
         if wire in self._idle:
@@ -257,53 +269,53 @@
             wire.break_off()
 
 
-class NodeReader:
+class CacheNodeReplyReader:
     """Replies of a cache node."""
 
     closes = False
 
     def __init__(self, fields: Sequence[str]) -> None:
         self._fields = fields
-        self._parser = resp.Parser(MAX_ANSWER, 16)
+        self._parser = resp.RespParser(MAX_REPLY_VALUE_BYTES, 16)
 
     @property
     def idle(self) -> bool:
         return self._parser.idle
 
-    def next(self, inbox: Ring) -> Reply | None:
+    def next(self, inbox: RingBuffer) -> UpstreamReply | None:
         answer = self._parser.next(inbox)
-        return None if isinstance(answer, resp.Pending) else self._reply(answer)
+        return None if isinstance(answer, resp.Incomplete) else self._reply(answer)
 
-    def end(self) -> Reply | None:
+    def end(self) -> UpstreamReply | None:
         return None  # RESP tells every length
 
-    def _reply(self, answer: resp.Value) -> Reply:
-        if isinstance(answer, resp.Error):
+    def _reply(self, answer: resp.Value) -> UpstreamReply:
+        if isinstance(answer, resp.ErrorReply):
             word, _, rest = answer.partition(b" ")
-            load = report(rest.rsplit(b" ", 1)[-1], self._fields)
+            load = parse_load_report(rest.rsplit(b" ", 1)[-1], self._fields)
             if word == b"BUSY":
-                return Reply(api.Outcome.FULL, load=load)
-            if word not in ERRORS:
-                raise ProtocolError("an error of an unknown form")
+                return UpstreamReply(Outcome.FULL, load=load)
+            if word not in KNOWN_ERRORS:
+                raise UpstreamProtocolError("an error of an unknown form")
             if not answer.startswith(b"ERR failed"):
                 counters["node_errors"] += 1
-                say("link", "a cache node answered " + repr(bytes(answer)))
-            return Reply(api.Outcome.ERROR, load=load)
+                log_event("link", "a cache node answered " + repr(bytes(answer)))
+            return UpstreamReply(Outcome.ERROR, load=load)
         if not isinstance(answer, list) or len(answer) != 3:
-            raise ProtocolError("an answer of an unknown form")
+            raise UpstreamProtocolError("an answer of an unknown form")
         value, note, load_text = answer
         if not (value is None or type(value) is bytes):  # a simple string is bytes too, and no value
-            raise ProtocolError("a value of an unknown form")
-        told = NOTES.get(note, 0) if isinstance(note, bytes) else 0
-        load = report(load_text, self._fields) if isinstance(load_text, bytes) else ()
-        return Reply(api.Outcome.MISS if value is None else api.Outcome.OK, value, told, load)
+            raise UpstreamProtocolError("a value of an unknown form")
+        told = CACHE_RESULTS.get(note, 0) if isinstance(note, bytes) else 0
+        load = parse_load_report(load_text, self._fields) if isinstance(load_text, bytes) else ()
+        return UpstreamReply(Outcome.MISS if value is None else Outcome.OK, value, told, load)
 
 
-class NodeDialect:
+class CacheNodeProtocol:
     """RESP as cache nodes speak it."""
 
     def __init__(self, fields: Sequence[str]) -> None:
-        self.reader = partial(NodeReader, fields)
+        self.reader = partial(CacheNodeReplyReader, fields)
 
-    def encode(self, command: Command, wait: float) -> bytes:
-        return resp.array(command.relabelled(wait))
+    def encode(self, command: ClientCommand, wait: float) -> bytes:
+        return resp.encode_array(command.relabelled(wait))
--- a/lupinladder/net/host_group.py
+++ b/lupinladder/net/discovery/endpoint_registry.py
@@ -7,23 +7,28 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from lupinladder import api
+from lupinladder.balancing.events import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
+from lupinladder.balancing.settings import ServerId
+from lupinladder.balancing.settings_reader import read_value
 from lupinladder.net import http
-from lupinladder.net.connection import Address, Budget, Connection
-from lupinladder.net.log import counters, say
-from lupinladder.net.loop import Deadline, Loop
-from lupinladder.net.server_link import Link
-from lupinladder.wire import read
+from lupinladder.net.connection import Address, Connection, DescriptorBudget
+from lupinladder.net.connection_pool import ConnectionPool
+from lupinladder.net.event_loop import EventLoop, Timer
+from lupinladder.net.log import counters, log_event
 
 # Ms without a byte on a watch until it counts as dead; an empty line comes every 2 s. Whatever discovery has
 # to tell counts as told 6 s later, and asking again takes a wait and a call of up to 2 s.
-SILENCE = 3200.0
-MAX_LIST = 1 << 20  # bytes of one object
+WATCH_SILENCE_TIMEOUT_MS = 3200.0
+MAX_ENDPOINT_LIST_BYTES = 1 << 20  # bytes of one object
 _STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
-STATES = {"active": api.State.READY, "leaving": api.State.DRAINING, "left": api.State.GONE}
+ENDPOINT_STATES = {
+    "active": EndpointState.READY,
+    "leaving": EndpointState.DRAINING,
+    "left": EndpointState.GONE,
+}
 
 
-def address_of(text: str) -> Address:
+def parse_address(text: str) -> Address:
     """An IPv4 address with its port."""
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit() or not 0 < int(port) < 65536:
@@ -40,60 +45,60 @@
     return float(since)
 
 
-class Listing:
+class EndpointParser:
     """Reads discovery's form into the module's."""
 
     def __init__(self, zones: Sequence[str], kinds: Sequence[str]) -> None:
         self._zones, self._kinds = zones, kinds
 
-    def read(self, tree: Any) -> tuple[int, bool, list[api.Entry], dict[api.ServerId, Address]]:
+    def read(self, tree: Any) -> tuple[int, bool, list[Endpoint], dict[ServerId, Address]]:
         """Version, whether the list is whole, its entries, and where they are. ValueError if it is bad; an
         entry that is bad is left out, else one of them would hide every other server and every drain."""
-        found, where = list[api.Entry](), dict[api.ServerId, Address]()
-        for one in read(tree, "endpoints", list):
+        found, where = list[Endpoint](), dict[ServerId, Address]()
+        for one in read_value(tree, "endpoints", list):
             try:
                 entry, address = self._entry(one)
             except ValueError as bad:
                 counters["bad_entries"] += 1
-                say("discovery", f"entry {one!r} is left out: {bad}")
+                log_event("discovery", f"entry {one!r} is left out: {bad}")
                 continue
             found.append(entry)
             if address:
                 where[entry.server] = address
-        return read(tree, "index", int), read(tree, "snapshot", bool, False), found, where
+        return read_value(tree, "index", int), read_value(tree, "snapshot", bool, False), found, where
 
-    def _entry(self, one: Any) -> tuple[api.Entry, Address | None]:
+    def _entry(self, one: Any) -> tuple[Endpoint, Address | None]:
         """One entry, and where it is unless it has left. Of one that leaves or has left, name and status are
         enough: left out as bad, it would be sent to on. With the rest unreadable it counts as gone."""
-        name, status = read(one, "name", str).encode(), read(one, "status", str)
-        state = STATES.get(status)
-        if state is api.State.GONE:
-            return api.Entry(name, state), None
+        name, status = read_value(one, "name", str).encode(), read_value(one, "status", str)
+        state = ENDPOINT_STATES.get(status)
+        if state is EndpointState.GONE:
+            return Endpoint(name, state), None
         try:
             return self._whole(one, name, state)
         except ValueError:
-            if state is not api.State.DRAINING:
+            if state is not EndpointState.DRAINING:
                 raise
-            return api.Entry(name, api.State.GONE), None
+            return Endpoint(name, EndpointState.GONE), None
 
-    def _whole(self, one: Any, name: bytes, state: api.State | None) -> tuple[api.Entry, Address | None]:
-        zone, kind = read(one, "zone", str), read(one, "type", str)
+    def _whole(self, one: Any, name: bytes, state: EndpointState | None) -> tuple[Endpoint, Address | None]:
+        zone, kind = read_value(one, "zone", str), read_value(one, "type", str)
         if state is None or zone not in self._zones or kind not in self._kinds:
             raise ValueError("it is not of this deployment")
-        address = address_of(read(one, "address", str))
-        entry = api.Entry(
+        address = parse_address(read_value(one, "address", str))
+        entry = Endpoint(
             name,
             state,
-            read(one, "weight", float, 1.0),
+            read_value(one, "weight", float, 1.0),
             _since(one),
             self._zones.index(zone),
-            read(one, "group", int, 0),
+            read_value(one, "group", int, 0),
             self._kinds.index(kind),
         )
         return entry, address
 
 
-class Objects:
+class JsonObjectStream:
     """JSON objects off the lines of a watch: one a line, or indented over several."""
 
     def __init__(self) -> None:
@@ -116,7 +121,7 @@
         self._held += text + b"\n"
         bare = _STRING.sub(b"", text)
         self._depth += sum(bare.count(one) for one in b"{[") - sum(bare.count(one) for one in b"}]")
-        if self._depth > 0 and len(self._held) <= MAX_LIST:
+        if self._depth > 0 and len(self._held) <= MAX_ENDPOINT_LIST_BYTES:
             return []
         whole, self._held, self._depth = bytes(self._held), bytearray(), 0
         return [self._whole(whole)]
@@ -128,33 +133,35 @@
             raise ValueError("nested too deep") from None
 
 
-class HostGroup:
+class EndpointRegistry:
     def __init__(
         self,
-        loop: Loop,
-        budget: Budget,
+        loop: EventLoop,
+        budget: DescriptorBudget,
         discovery: Address,
-        listing: Listing,
-        make_link: Callable[[api.Entry, Address], Link],
-        tell: Callable[[api.Fleet], None],
+        listing: EndpointParser,
+        make_link: Callable[[Endpoint, Address], ConnectionPool],
+        tell: Callable[[EndpointUpdate], None],
     ) -> None:
         self._loop, self._budget, self._discovery, self._listing = loop, budget, discovery, listing
         self._make_link, self._tell = make_link, tell
-        self._links: dict[api.ServerId, tuple[Link, float]] = {}  # with the start they were made for
+        self._links: dict[ServerId, tuple[ConnectionPool, float]] = {}  # with the start they were made for
         self._index = 0
         self.heard = False  # a watch has spoken since its opening: the list is what discovery has
-        self._watch: Watch | None = None
-        self._former: Watch | None = None  # at the address before; it is listened to until the new one speaks
+        self._watch: EndpointWatch | None = None
+        self._former: EndpointWatch | None = (
+            None  # at the address before; it is listened to until the new one speaks
+        )
 
-    def cached(self, tree: Any) -> api.Fleet:
+    def cached(self, tree: Any) -> EndpointUpdate:
         """The list as the configuration knows it; it may be out of date."""
-        return self._take(tree, api.ListForm.CACHED)
+        return self._take(tree, EndpointUpdateKind.CACHED)
 
-    def route(self, server: api.ServerId) -> Link | None:
+    def route(self, server: ServerId) -> ConnectionPool | None:
         found = self._links.get(server)
         return found[0] if found else None
 
-    def address(self, server: api.ServerId) -> Address | None:
+    def address(self, server: ServerId) -> Address | None:
         """Where a server is that may be sent to."""
         found = self._links.get(server)
         return found[0].address if found else None
@@ -168,7 +175,7 @@
         """Open the watch, unless one is open: each call is work for discovery."""
         if self._watch is None:
             try:
-                self._watch = Watch(self._loop, self._budget, self._discovery, self._index, self)
+                self._watch = EndpointWatch(self._loop, self._budget, self._discovery, self._index, self)
             except OSError as bad:
                 self.lost(str(bad))
 
@@ -188,35 +195,37 @@
             self._former = None
             former.close()
 
-    def told(self, watch: Watch, tree: Any) -> None:
+    def told(self, watch: EndpointWatch, tree: Any) -> None:
         """An object of a watch: what changed, or the whole list. ValueError if it is bad."""
         self._tell(self._take(tree, None))
         self.heard = self.heard or watch is self._watch
         if watch is not self._former:
             self._drop_former()
 
-    def lost(self, why: str, watch: Watch | None = None) -> None:
+    def lost(self, why: str, watch: EndpointWatch | None = None) -> None:
         """The watch has ended or failed; the module decides when to ask again."""
         if watch and watch is self._former:
             self._former = None
             return
         self._watch, self.heard = None, False
         counters["watches_lost"] += 1
-        say("discovery", why)
-        self._tell(api.Fleet(api.ListForm.FAILED, self._index))
+        log_event("discovery", why)
+        self._tell(EndpointUpdate(EndpointUpdateKind.FAILED, self._index))
 
-    def _take(self, tree: Any, form: api.ListForm | None) -> api.Fleet:
+    def _take(self, tree: Any, form: EndpointUpdateKind | None) -> EndpointUpdate:
         index, whole, entries, where = self._listing.read(tree)
-        form = form or (api.ListForm.FULL if whole else api.ListForm.DELTA)
+        form = form or (EndpointUpdateKind.FULL if whole else EndpointUpdateKind.DELTA)
         counters["lists"] += 1
-        if form is api.ListForm.DELTA and index < self._index:
-            return api.Fleet(form, index, entries)  # of two watches one may lag; the module drops it as well
-        if form is not api.ListForm.DELTA:
+        if form is EndpointUpdateKind.DELTA and index < self._index:
+            return EndpointUpdate(
+                form, index, entries
+            )  # of two watches one may lag; the module drops it as well
+        if form is not EndpointUpdateKind.DELTA:
             for server in set(self._links) - set(where):
                 self._links.pop(server)[0].retire()
         for entry in entries:
             link, launched = self._links.get(entry.server, (None, 0.0))
-            stays = entry.state is api.State.READY
+            stays = entry.state is EndpointState.READY
             if link and (not stays or link.address != where[entry.server] or launched != entry.launched):
                 # Gone, leaving or started anew: what is out finishes, the idle connections are of no use.
                 link.retire()
@@ -226,28 +235,30 @@
                 link = self._make_link(entry, where[entry.server])
                 self._links[entry.server] = (link, entry.launched)
         self._index = index
-        return api.Fleet(form, index, entries)
+        return EndpointUpdate(form, index, entries)
 
 
-class Watch:
+class EndpointWatch:
     """One call for changes, open until its connection ends or falls silent."""
 
-    def __init__(self, loop: Loop, budget: Budget, address: Address, index: int, group: HostGroup) -> None:
+    def __init__(
+        self, loop: EventLoop, budget: DescriptorBudget, address: Address, index: int, group: EndpointRegistry
+    ) -> None:
         self._loop, self._group = loop, group
-        self._http = http.Reader(MAX_LIST)
-        self._silent: Deadline | None = None
+        self._http = http.ResponseReader(MAX_ENDPOINT_LIST_BYTES)
+        self._silent: Timer | None = None
         self._conn = Connection.dial(loop, budget, address, self)
         self._conn.prefer()
         path = f"/v1/endpoints?stream=1&index={index}"
-        self._conn.send(http.request("GET", path, f"{address[0]}:{address[1]}", {}, None))
-        self._objects, self._begun = Objects(), False
+        self._conn.send(http.encode_request("GET", path, f"{address[0]}:{address[1]}", {}, None))
+        self._objects, self._begun = JsonObjectStream(), False
         self._heard()
 
     def _heard(self) -> None:
         """A sign of life: the call begins, is answered, or a whole object or an empty line has come. Bytes
         that make nothing whole are none, or a watch that trickles would never count as silent."""
         self._loop.cancel(self._silent)
-        self._silent = self._loop.at(self._loop.now() + SILENCE, self._quiet)
+        self._silent = self._loop.at(self._loop.now() + WATCH_SILENCE_TIMEOUT_MS, self._quiet)
 
     def _quiet(self) -> None:
         """Nothing was heard for too long. If it was us who stood still, what was written meanwhile is unread:
@@ -278,7 +289,7 @@
         ended = ""
         try:
             while len(self._conn.inbox) and not ended:
-                whole = list[http.Answer]()
+                whole = list[http.HttpResponse]()
                 try:
                     whole = self._http.feed(self._conn.inbox.take(len(self._conn.inbox)))
                     ended = "the watch was ended" if whole else ""
--- a/lupinladder/net/loop.py
+++ b/lupinladder/net/event_loop.py
@@ -11,13 +11,15 @@
 from collections.abc import Callable
 from math import inf
 
-from lupinladder.net.log import counters, say
+from lupinladder.net.log import counters, log_event
 
-STILL = 50.0  # ms beyond what was asked for: the slack that the rules give each time limit (PROTOCOL)
-Deadline = tuple[float, int, Callable[[], object]]  # when, a number that breaks ties, what to do
+STALL_THRESHOLD_MS = (
+    50.0  # ms beyond what was asked for: the slack that the rules give each time limit (PROTOCOL)
+)
+Timer = tuple[float, int, Callable[[], object]]  # when, a number that breaks ties, what to do
 
 
-class Loop:
+class EventLoop:
     """Runs callbacks for ready sockets and for deadlines that have passed. Nothing here may block."""
 
     def __init__(self) -> None:
@@ -25,7 +27,7 @@
         # Monotonic milliseconds, anchored once to Unix time: discovery's start times need no conversion,
         # and a step of the system's clock moves nothing.
         self._anchor = (time.time() - time.monotonic()) * 1000
-        self._due: list[Deadline] = []
+        self._due: list[Timer] = []
         self._soon: deque[Callable[[], object]] = deque()
         self._number = 0
         self._running = True
@@ -35,14 +37,14 @@
     def now(self) -> float:
         return time.monotonic() * 1000 + self._anchor
 
-    def at(self, when: float, call: Callable[[], object]) -> Deadline:
+    def at(self, when: float, call: Callable[[], object]) -> Timer:
         """Call at this time; the result names the deadline for `cancel`."""
         self._number += 1
         deadline = (when, self._number, call)
         insort(self._due, deadline)
         return deadline
 
-    def cancel(self, deadline: Deadline | None) -> None:
+    def cancel(self, deadline: Timer | None) -> None:
         """Forget a deadline. One that has passed, or none, is no fault."""
         if deadline is None:
             return
@@ -78,7 +80,9 @@
         wait = 0.0 if self._soon else max(self._due[0][0] - asked, 0.0) if self._due else inf
         ready = self._selector.select(None if wait == inf else wait / 1000)
         began = self.now()
-        if began - asked - wait > STILL:  # we stood still: more is ready by now than what would have woken us
+        if (
+            began - asked - wait > STALL_THRESHOLD_MS
+        ):  # we stood still: more is ready by now than what would have woken us
             ready = self._selector.select(0)
         if self._first and len(ready) > 1:
             ready.sort(key=lambda one: one[0].fd not in self._first)
@@ -99,7 +103,7 @@
             call()
         except Exception:  # one connection's trouble must not end the others
             counters["errors"] += 1
-            say("error", traceback.format_exc().strip().replace("\n", " | "))
+            log_event("error", traceback.format_exc().strip().replace("\n", " | "))
 
     def run(self) -> None:
         while self._running:
--- a/lupinladder/net/http.py
+++ b/lupinladder/net/http.py
@@ -13,27 +13,27 @@
     """An answer that cannot be read."""
 
 
-class Answer:
+class HttpResponse:
     def __init__(self) -> None:
         self.status, self.headers, self.body = 0, dict[str, bytes](), bytearray()
 
 
-class Reader:
+class ResponseReader:
     """Feeds on bytes and hands out whole answers. `current` is the one that is coming in: who reads an
     answer without end takes its body away from there."""
 
     def __init__(self, max_body: int) -> None:
-        self.current = Answer()
+        self.current = HttpResponse()
         self.closes = False  # the server ends the connection after the answer last handed out
         self.idle = True  # between answers
-        self._max_body, self._whole, self._framed = max_body, list[Answer](), False
+        self._max_body, self._whole, self._framed = max_body, list[HttpResponse](), False
         self._lines = 0  # of headers, of the answer that is coming in
         self._unending = False  # the end of the connection alone tells how long the body is
         self._broken: str | None = None  # why nothing after can be read
         self._head = 0  # bytes fed since the headers before were whole
         self._parser = httptools.HttpResponseParser(self)
 
-    def feed(self, data: bytes) -> list[Answer]:
+    def feed(self, data: bytes) -> list[HttpResponse]:
         """The answers that these bytes completed. One that was whole before the first bad byte is handed out:
         the error comes with the next call."""
         try:
@@ -52,12 +52,12 @@
         self.idle = self.idle and self._broken is None
         return whole
 
-    def end(self) -> Answer | None:
+    def end(self) -> HttpResponse | None:
         """The answer that the connection's orderly end makes whole. After a reset do not ask."""
         return self.current if self._unending and self._broken is None else None
 
     def on_message_begin(self) -> None:
-        self.current, self._framed, self.idle, self._unending = Answer(), False, False, False
+        self.current, self._framed, self.idle, self._unending = HttpResponse(), False, False, False
         self._lines = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -86,14 +86,16 @@
 
     def on_message_complete(self) -> None:
         if self._interim:  # the answer proper is still to come
-            self.current = Answer()
+            self.current = HttpResponse()
             return
         self.closes = not self._parser.should_keep_alive()
         self._whole.append(self.current)
-        self.current, self.idle = Answer(), True
+        self.current, self.idle = HttpResponse(), True
 
 
-def request(method: str, path: str, host: str, headers: Mapping[str, bytes], body: bytes | None) -> bytes:
+def encode_request(
+    method: str, path: str, host: str, headers: Mapping[str, bytes], body: bytes | None
+) -> bytes:
     lines = [f"{method} {path} HTTP/1.1".encode("latin-1"), b"Host: " + host.encode("latin-1")]
     lines += [name.encode("latin-1") + b": " + value for name, value in headers.items()]
     if body is not None:
--- a/lupinladder/net/log.py
+++ b/lupinladder/net/log.py
@@ -7,19 +7,21 @@
 from collections import Counter
 from contextlib import suppress
 
-LINES = 5  # of one kind in one second; the rest are counted and the count is printed with the next
+MAX_LINES_PER_SECOND = (
+    5  # of one kind in one second; the rest are counted and the count is printed with the next
+)
 
 counters: Counter[str] = Counter()  # the one place for figures that an operator, or later an agent, reads
 _kinds: dict[str, tuple[int, int, int]] = {}  # by kind: the second, lines printed in it, lines held back
 
 
-def say(kind: str, text: str) -> None:
+def log_event(kind: str, text: str) -> None:
     """Print a line of this kind unless too many were printed lately."""
     second = int(time.monotonic())
     at, lines, held = _kinds.get(kind, (second, 0, 0))
     if at != second:
         at, lines = second, 0
-    if lines >= LINES:
+    if lines >= MAX_LINES_PER_SECOND:
         _kinds[kind] = (at, lines, held + 1)
         return
     more = f" ({held} such lines held back)" if held else ""
--- a/lupinladder/net/engine.py
+++ b/lupinladder/net/request_dispatcher.py
@@ -11,17 +11,36 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from lupinladder import Balancer, api
-from lupinladder.govern.leaving import Leaving
-from lupinladder.net.log import counters, say
-from lupinladder.net.loop import Deadline, Loop
-from lupinladder.rules import Server
-
-OVERDUE = 15.0  # ms past its deadline at which a query is failed if the module has not spoken
-OK, MOOT = api.Outcome.OK, api.Outcome.MOOT
-
-
-class Asker(Protocol):
+from lupinladder import Balancer
+from lupinladder.balancing.actions import (
+    Action,
+    CancelAttempt,
+    LogMessage,
+    Reject,
+    SetTimer,
+    StartAttempt,
+    WatchEndpoints,
+)
+from lupinladder.balancing.balancer import Server
+from lupinladder.balancing.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    EndpointUpdate,
+    Event,
+    Outcome,
+    RequestReceived,
+    TimerFired,
+)
+from lupinladder.balancing.settings import ServerId, Settings
+from lupinladder.graceful_shutdown import ShutdownSchedule
+from lupinladder.net.event_loop import EventLoop, Timer
+from lupinladder.net.log import counters, log_event
+
+DEADLINE_GRACE_MS = 15.0  # ms past its deadline at which a query is failed if the module has not spoken
+OK, MOOT = Outcome.OK, Outcome.MOOT
+
+
+class ResponseHandler(Protocol):
     """Who asked a query. Exactly one of these is called, once."""
 
     def served(self, value: bytes) -> None: ...
@@ -29,39 +48,45 @@
     def failed(self) -> None: ...
 
 
-class Link(Protocol):
+class AttemptExecutor(Protocol):
     """A way to a server. `start` ends with exactly one `attempt.end`, unless abandoned before."""
 
     def start(self, attempt: Attempt) -> None: ...
     def abandon(self, attempt: Attempt) -> None: ...
 
 
-class Query:
+class PendingRequest:
     """A request from its last byte until its last attempt has ended."""
 
-    def __init__(self, number: int, content: Any, deadline: float, asker: Asker) -> None:
+    def __init__(self, number: int, content: Any, deadline: float, asker: ResponseHandler) -> None:
         self.id, self.content, self.deadline = number, content, deadline
-        self.asker: Asker | None = asker  # until told
+        self.asker: ResponseHandler | None = asker  # until told
         self.attempts: list[Attempt] = []
         self.over = False
-        self.guard: Deadline | None = None
+        self.guard: Timer | None = None
 
 
 class Attempt:
     """One attempt."""
 
     def __init__(
-        self, engine: Engine, query: Query, link: Link | None, started: float, until: float, begin_by: float
+        self,
+        engine: RequestDispatcher,
+        query: PendingRequest,
+        link: AttemptExecutor | None,
+        started: float,
+        until: float,
+        begin_by: float,
     ) -> None:
         self.query, self.link, self.started, self.until = query, link, started, until
         self.begin_by = begin_by  # its first byte is written before this, or it is not sent
         self.number, self.done, self.begun = len(query.attempts), False, False  # begun: by the link
-        self.expiry: Deadline | None = None
+        self.expiry: Timer | None = None
         self._engine = engine
 
     def end(
         self,
-        outcome: api.Outcome,
+        outcome: Outcome,
         value: bytes | None = None,
         note: int = 0,
         load: tuple[float, ...] = (),
@@ -70,24 +95,24 @@
         self._engine.ended(self, outcome, value, note, load)
 
 
-class Engine:
+class RequestDispatcher:
     def __init__(
         self,
-        loop: Loop,
-        settings: api.Settings,
+        loop: EventLoop,
+        settings: Settings,
         seed: int,
-        route: Callable[[api.ServerId], Link | None],
+        route: Callable[[ServerId], AttemptExecutor | None],
         follow: Callable[[], None],
         max_open: int,
     ) -> None:
         self._loop, self._settings, self._route, self._follow = loop, settings, route, follow
         self._max_open = max_open
-        self._queries: dict[int, Query] = {}
-        self._events: deque[api.Event] = deque()
+        self._queries: dict[int, PendingRequest] = {}
+        self._events: deque[Event] = deque()
         self._running, self._number = False, 0
         self._balancer = Balancer(settings, seed, loop.now())
 
-    def start(self, cached: api.Fleet) -> None:
+    def start(self, cached: EndpointUpdate) -> None:
         """The module's first actions, and the list as it was last known."""
         for action in self._balancer.start(self._loop.now()):
             self._carry_out(action)
@@ -101,16 +126,16 @@
         """Its own sends by slot, fading."""
         return self._balancer.slots.heat
 
-    def leaving(self) -> Leaving:
+    def leaving(self) -> ShutdownSchedule:
         """How to stop, beginning now."""
-        return Leaving(self._settings, self._loop.now())
+        return ShutdownSchedule(self._settings, self._loop.now())
 
     @property
     def idle(self) -> bool:
         """No query waits for its answer."""
         return all(query.over for query in self._queries.values())
 
-    def feed(self, event: api.Event) -> None:
+    def feed(self, event: Event) -> None:
         """Tell the module. What its actions cause at once is told after them, never from within."""
         self._events.append(event)
         if self._running:
@@ -122,12 +147,12 @@
         finally:
             self._running = False
 
-    def _handle(self, event: api.Event) -> None:
+    def _handle(self, event: Event) -> None:
         try:
             actions = self._balancer.handle(event, self._loop.now())
         except Exception:  # the query of this event is failed below or by its guard; the rest goes on
             self._fault(f"module, at {type(event).__name__}")
-            if isinstance(event, api.Request) and event.id in self._queries:
+            if isinstance(event, RequestReceived) and event.id in self._queries:
                 self._finish(self._queries[event.id]).failed()
             return
         for action in actions:
@@ -138,36 +163,38 @@
 
     def _fault(self, where: str) -> None:
         counters["engine_faults"] += 1
-        say("fault", where + ": " + traceback.format_exc().strip().replace("\n", " | "))
+        log_event("fault", where + ": " + traceback.format_exc().strip().replace("\n", " | "))
 
-    def _carry_out(self, action: api.Action) -> None:
-        if isinstance(action, api.Schedule):
+    def _carry_out(self, action: Action) -> None:
+        if isinstance(action, SetTimer):
             token = action.token
-            self._loop.at(self._loop.now() + action.delay, lambda: self.feed(api.Timer(token)))
-        elif isinstance(action, api.Follow):
+            self._loop.at(self._loop.now() + action.delay, lambda: self.feed(TimerFired(token)))
+        elif isinstance(action, WatchEndpoints):
             counters["follows"] += 1
             self._follow()
-        elif isinstance(action, api.Note):
-            say("note", action.text)
+        elif isinstance(action, LogMessage):
+            log_event("note", action.text)
         else:
             query = self._queries.get(action.id)
             if query is None:
                 return  # finished with all its attempts: nothing can be owed or withdrawn
-            if isinstance(action, api.Try):
+            if isinstance(action, StartAttempt):
                 self._try(query, action)
-            elif isinstance(action, api.Withdraw):
+            elif isinstance(action, CancelAttempt):
                 if action.attempt < len(query.attempts):
-                    self._give_up(query.attempts[action.attempt], api.Outcome.CANCELLED)
+                    self._give_up(query.attempts[action.attempt], Outcome.CANCELLED)
             elif not query.over:
-                refused = isinstance(action, api.Refuse)
+                refused = isinstance(action, Reject)
                 counters["refused" if refused else "failed"] += 1
                 asker = self._finish(query)
-                if isinstance(action, api.Refuse):
+                if isinstance(action, Reject):
                     asker.refused(action.stay_away)
                 else:
                     asker.failed()
 
-    def ask(self, content: Any, request: Callable[[int], api.Request], asker: Asker) -> Query | None:
+    def ask(
+        self, content: Any, request: Callable[[int], RequestReceived], asker: ResponseHandler
+    ) -> PendingRequest | None:
         """Take a query; `request` words it for the module under the given id. None: turned away, as too many
         are open for the memory we have."""
         counters["queries"] += 1
@@ -178,27 +205,29 @@
         now = self._loop.now()
         self._number += 1
         event = request(self._number)
-        query = self._queries[self._number] = Query(self._number, content, now + event.patience, asker)
-        query.guard = self._loop.at(query.deadline + OVERDUE, lambda: self._overdue(query))
+        query = self._queries[self._number] = PendingRequest(
+            self._number, content, now + event.patience, asker
+        )
+        query.guard = self._loop.at(query.deadline + DEADLINE_GRACE_MS, lambda: self._overdue(query))
         self.feed(event)
         return query
 
-    def left(self, query: Query) -> None:
+    def left(self, query: PendingRequest) -> None:
         """The client has gone."""
         if not query.over:
             counters["left"] += 1
             self._finish(query)
-            self.feed(api.Left(query.id))
+            self.feed(ClientDisconnected(query.id))
 
-    def _overdue(self, query: Query) -> None:
+    def _overdue(self, query: PendingRequest) -> None:
         """Guards against a query stranded by a fault: its client gets an answer all the same."""
         if not query.over:
             counters["overdue"] += 1
-            say("overdue", f"query {query.id} had no answer at its deadline")
+            log_event("overdue", f"query {query.id} had no answer at its deadline")
             self._finish(query).failed()
-            self.feed(api.Left(query.id))
+            self.feed(ClientDisconnected(query.id))
 
-    def _finish(self, query: Query) -> Asker:
+    def _finish(self, query: PendingRequest) -> ResponseHandler:
         """From here on the query has its final answer, which the caller gives to the asker."""
         asker, query.asker, query.over = query.asker, None, True
         assert asker, "a query has one final answer"
@@ -207,14 +236,14 @@
         self._forget(query)
         return asker
 
-    def _forget(self, query: Query) -> None:
+    def _forget(self, query: PendingRequest) -> None:
         """Let go of a query with nothing more to come. Whatever points back at it is cut here, so that it is
         freed at once: the collector comes seldom, and meanwhile each query would hold some KiB."""
         if query.over and all(one.done for one in query.attempts):
             self._queries.pop(query.id, None)
             query.attempts.clear()
 
-    def _try(self, query: Query, action: api.Try) -> None:
+    def _try(self, query: PendingRequest, action: StartAttempt) -> None:
         now = self._loop.now()
         until = min(action.expire_at or query.deadline, query.deadline)
         attempt = Attempt(self, query, self._route(action.server), now, until, action.begin_by)
@@ -223,24 +252,24 @@
             return attempt.end(MOOT)
         counters["executions"] += 1
         if attempt.link is None:
-            return attempt.end(api.Outcome.CONNECT_FAILED)
-        attempt.expiry = self._loop.at(until, lambda: self._give_up(attempt, api.Outcome.TIMEOUT))
+            return attempt.end(Outcome.CONNECT_FAILED)
+        attempt.expiry = self._loop.at(until, lambda: self._give_up(attempt, Outcome.TIMEOUT))
         try:
             attempt.link.start(attempt)
         except Exception:  # it may be half written, so nothing may be promised
             self._fault("starting an attempt")
-            self._give_up(attempt, api.Outcome.RESET)
+            self._give_up(attempt, Outcome.RESET)
 
-    def _give_up(self, attempt: Attempt, outcome: api.Outcome) -> None:
+    def _give_up(self, attempt: Attempt, outcome: Outcome) -> None:
         if not attempt.done and attempt.link:
             attempt.link.abandon(attempt)
-            never_ran = outcome is api.Outcome.TIMEOUT and not attempt.begun
-            attempt.end(api.Outcome.CONNECT_FAILED if never_ran else outcome)
+            never_ran = outcome is Outcome.TIMEOUT and not attempt.begun
+            attempt.end(Outcome.CONNECT_FAILED if never_ran else outcome)
 
     def ended(
         self,
         attempt: Attempt,
-        outcome: api.Outcome,
+        outcome: Outcome,
         value: bytes | None,
         note: int,
         load: tuple[float, ...],
@@ -256,5 +285,5 @@
             counters["served"] += 1
             self._finish(query).served(value or b"")
         latency = self._loop.now() - attempt.started
-        self.feed(api.Ended(query.id, attempt.number, outcome, latency, query.over, note, load))
+        self.feed(AttemptEnded(query.id, attempt.number, outcome, latency, query.over, note, load))
         self._forget(query)
--- a/lupinladder/net/resp.py
+++ b/lupinladder/net/resp.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Sequence
 
-from lupinladder.net.ring import Ring
+from lupinladder.net.ring_buffer import RingBuffer
 
 MAX_LINE, MAX_DEPTH = 4096, 4
 INT_DIGITS = 20
@@ -14,23 +14,23 @@
     """Bytes after which nothing on the connection can be trusted."""
 
 
-class Line(bytes):
+class SimpleString(bytes):
     """A simple string."""
 
 
-class Error(bytes):
+class ErrorReply(bytes):
     """An error line."""
 
 
 Value = bytes | int | None | list["Value"]
 
 
-class Pending:
+class Incomplete:
     """The type of PENDING: no whole value yet."""
 
 
-PENDING = Pending()
-_OPEN = Pending()  # the head of a bulk string or an array: more follows
+INCOMPLETE = Incomplete()
+_OPEN = Incomplete()  # the head of a bulk string or an array: more follows
 
 
 def number(text: bytes) -> int:
@@ -41,7 +41,7 @@
     return int(text)
 
 
-class Parser:
+class RespParser:
     """Takes one value at a time off a ring and keeps its place between calls."""
 
     def __init__(self, max_bulk: int, max_items: int) -> None:
@@ -54,13 +54,13 @@
         """Between values."""
         return not self._arrays and not self._need
 
-    def next(self, ring: Ring) -> Value | Pending:
+    def next(self, ring: RingBuffer) -> Value | Incomplete:
         while True:
-            value: Value | Pending
+            value: Value | Incomplete
             if self._need:
                 self._bulk += ring.take(self._need - len(self._bulk))
                 if len(self._bulk) < self._need:
-                    return PENDING
+                    return INCOMPLETE
                 if self._bulk[-2:] != b"\r\n":
                     raise FramingError("bulk string is not ended by CR LF")
                 value = bytes(self._bulk[:-2])
@@ -71,9 +71,9 @@
                 except ValueError as bad:
                     raise FramingError(str(bad)) from None
                 if line is None:
-                    return PENDING
+                    return INCOMPLETE
                 value = self._begin(line)
-                if isinstance(value, Pending):
+                if isinstance(value, Incomplete):
                     continue
             while self._arrays:
                 items, length = self._arrays[-1]
@@ -85,12 +85,12 @@
             else:
                 return value
 
-    def _begin(self, line: bytes) -> Value | Pending:
+    def _begin(self, line: bytes) -> Value | Incomplete:
         kind, rest = line[:1], line[1:]
         if kind == b"+":
-            return Line(rest)
+            return SimpleString(rest)
         if kind == b"-":
-            return Error(rest)
+            return ErrorReply(rest)
         if kind == b":":
             return number(rest)
         if kind not in (b"$", b"*"):
@@ -111,14 +111,14 @@
         return _OPEN
 
 
-def bulk(data: bytes) -> bytes:
+def encode_bulk(data: bytes) -> bytes:
     return b"$%d\r\n%b\r\n" % (len(data), data)
 
 
-def array(words: Sequence[bytes]) -> bytes:
-    return b"*%d\r\n" % len(words) + b"".join(bulk(word) for word in words)
+def encode_array(words: Sequence[bytes]) -> bytes:
+    return b"*%d\r\n" % len(words) + b"".join(encode_bulk(word) for word in words)
 
 
-def error(text: str) -> bytes:
+def encode_error(text: str) -> bytes:
     """An error line; whatever would end the line early is replaced."""
     return b"-" + text.replace("\r", " ").replace("\n", " ").encode("utf-8", "replace") + b"\r\n"
--- a/lupinladder/net/ring.py
+++ b/lupinladder/net/ring_buffer.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-START = 2048
+INITIAL_CAPACITY = 2048
 
 
-class Ring:
+class RingBuffer:
     def __init__(self, bound: int) -> None:
         self.bound = bound
-        self._buf = bytearray(min(START, bound))
+        self._buf = bytearray(min(INITIAL_CAPACITY, bound))
         self._head = self._size = 0
 
     def __len__(self) -> int:
@@ -59,8 +59,8 @@
     def drop(self, count: int) -> None:
         self._size -= count
         self._head = (self._head + count) % len(self._buf) if self._size else 0
-        if not self._size and len(self._buf) > START:
-            self._buf = bytearray(START)
+        if not self._size and len(self._buf) > INITIAL_CAPACITY:
+            self._buf = bytearray(INITIAL_CAPACITY)
 
     def peek(self, count: int) -> bytes:
         """The oldest bytes, left in place."""
--- a/lupinladder/net/keeper.py
+++ b/lupinladder/net/state_persister.py
@@ -17,23 +17,23 @@
 
 import msgspec
 
-from lupinladder import api
-from lupinladder.net.config import Config, ConfigError
-from lupinladder.net.engine import Engine
-from lupinladder.net.host_group import HostGroup
-from lupinladder.net.log import counters, say
-from lupinladder.net.loop import Loop
-from lupinladder.operator.file import Store as StoreSettings
-from lupinladder.recovery import recall
-from lupinladder.recovery.recall import Beginning, Notes
-from lupinladder.recovery.trust import Use, age_text
-from lupinladder.store import files, state
-
-Words = list[msgspec.Struct]
-MINUTE = 60_000.0
-
-
-def site(conf: Config) -> str:
+from lupinladder.balancing.events import EndpointState
+from lupinladder.net.config import ConfigError, ProxyConfig
+from lupinladder.net.discovery.endpoint_registry import EndpointRegistry
+from lupinladder.net.event_loop import EventLoop
+from lupinladder.net.log import counters, log_event
+from lupinladder.net.request_dispatcher import RequestDispatcher
+from lupinladder.operator_config.settings import StoreSettings as StoreSettings
+from lupinladder.recovery import warm_start
+from lupinladder.recovery.freshness import Usability, format_age
+from lupinladder.recovery.warm_start import ChangeTracker, WarmStart
+from lupinladder.store import file_store, records
+
+RecordBatch = list[msgspec.Struct]
+MINUTE_MS = 60_000.0
+
+
+def deployment_digest(conf: ProxyConfig) -> str:
     """A digest of what limits rest on: classes, zones, kinds, and how many proxies share the servers."""
     settings = conf.settings
     parts = [conf.classes, conf.kinds, conf.zones, settings.balancers, settings.cold_for, settings.aside]
@@ -41,16 +41,16 @@
     return hashlib.blake2b(json.dumps(parts).encode(), digest_size=8).hexdigest()
 
 
-class Writer(threading.Thread):
+class StoreWriter(threading.Thread):
     """Owns the store once it is open: takes batches, one at a time."""
 
-    def __init__(self, store: files.Store, now: Callable[[], float]) -> None:
+    def __init__(self, store: file_store.Store, now: Callable[[], float]) -> None:
         super().__init__(name="store", daemon=True)
         self._store, self._now = store, now
-        self._batches: SimpleQueue[Words | None] = SimpleQueue()
+        self._batches: SimpleQueue[RecordBatch | None] = SimpleQueue()
         self.busy = False  # a batch is out; the next waits, and what has changed meanwhile comes with it
 
-    def hand(self, batch: Words) -> None:
+    def hand(self, batch: RecordBatch) -> None:
         self.busy = True
         self._batches.put(batch)
 
@@ -66,7 +66,7 @@
                 counters["store_bytes"] += self._store.flush(self._now())
             except Exception as bad:  # the proxy serves on without a store
                 counters["store_faults"] += 1
-                say("store", f"{type(bad).__name__}: {bad}")
+                log_event("store", f"{type(bad).__name__}: {bad}")
                 if batch is None:
                     return
             self.busy = False
@@ -77,39 +77,39 @@
         self.join(within)
 
 
-class Keeper:
+class StatePersister:
     """One proxy's store, from its start to its end."""
 
-    def __init__(self, conf: Config, settings: StoreSettings, now: float) -> None:
+    def __init__(self, conf: ProxyConfig, settings: StoreSettings, now: float) -> None:
         """ConfigError if it cannot be had. Times are the loop's: Unix time in ms."""
         self._conf, self._every = conf, settings.every_ms
         self._offset = time.time() * 1000 - now  # the clock that other processes read, by ours
         path = Path(settings.path.replace("{name}", conf.name))
-        limits = files.Limits(settings.bytes, settings.bytes_per_s, settings.sync)
-        owner = state.Owner(conf.name, site(conf))
+        limits = file_store.StoreLimits(settings.bytes, settings.bytes_per_s, settings.sync)
+        owner = records.StoreOwner(conf.name, deployment_digest(conf))
         try:
-            store = files.Store(path, owner, now, lambda text: say("store", text), limits)
-        except files.StoreError as bad:
+            store = file_store.Store(path, owner, now, lambda text: log_event("store", text), limits)
+        except file_store.StoreError as bad:
             raise ConfigError(str(bad)) from None
         origin = conf.kinds[conf.origin_kind] if 0 <= conf.origin_kind < len(conf.kinds) else ""
-        self.beginning: Beginning = recall.begin(conf.known, store.found, now, origin)
-        self._lately = sum(now - at < MINUTE for at in store.starts)
-        self._notes, self._listed = Notes(), -1
+        self.beginning: WarmStart = warm_start.plan_warm_start(conf.known, store.found, now, origin)
+        self._lately = sum(now - at < MINUTE_MS for at in store.starts)
+        self._notes, self._listed = ChangeTracker(), -1
         self._generation = self.beginning.generation
-        self._writer = Writer(store, lambda: time.time() * 1000 - self._offset)
+        self._writer = StoreWriter(store, lambda: time.time() * 1000 - self._offset)
 
     def report(self) -> str:
         """What this start begins with, in a line."""
         begun, uses = self.beginning, []
-        for use in (Use.ALL, Use.PART, Use.TRIAL):
+        for use in (Usability.ALL, Usability.PART, Usability.TRIAL):
             if begun.used.get(use):
                 uses.append(f"{begun.used[use]} of {use.name.lower()}")
-        age = "nothing stored" if begun.age is None else f"stored {age_text(begun.age)} ago"
+        age = "nothing stored" if begun.age is None else f"stored {format_age(begun.age)} ago"
         if self._lately:
             age += f"; start {self._lately + 1} within a minute"
         return f"list of the {begun.source.name.lower()}; {age}; limits: {', '.join(uses) or 'none'}"
 
-    def start(self, loop: Loop, engine: Engine, group: HostGroup) -> None:
+    def start(self, loop: EventLoop, engine: RequestDispatcher, group: EndpointRegistry) -> None:
         """From now on keep what changes."""
         self._loop, self._engine, self._group = loop, engine, group
         self._writer.start()
@@ -122,16 +122,16 @@
                 self._writer.hand(batch)
         self._loop.at(self._loop.now() + self._every, self._look)
 
-    def _changed(self, now: float) -> Words:
-        words: Words = []
+    def _changed(self, now: float) -> RecordBatch:
+        words: RecordBatch = []
         index = self._group.index
         if index != self._listed:
             if index < self._listed:
                 self._generation += 1  # discovery began anew: its numbers say nothing of the older ones
             self._listed = index
-            words.append(state.Listing(index, now, self._generation, list(self._endpoints())))
+            words.append(records.EndpointListRecord(index, now, self._generation, list(self._endpoints())))
         elif self._group.heard:
-            words.append(state.Heard(index, now))
+            words.append(records.EndpointListConfirmation(index, now))
         words += self._notes.limits(self._limits())
         words.append(self._notes.slots(self._engine.heat(), now))
         return words
@@ -140,7 +140,7 @@
         conf = self._conf
         for server in self._engine.servers():
             entry, address = server.entry, self._group.address(server.id)
-            if address and entry.state is api.State.READY:
+            if address and entry.state is EndpointState.READY:
                 yield {
                     "name": server.id.decode(),
                     "address": f"{address[0]}:{address[1]}",
@@ -152,12 +152,12 @@
                     "since_ms": entry.launched,
                 }
 
-    def _limits(self) -> Iterable[state.Limit]:
+    def _limits(self) -> Iterable[records.LimitRecord]:
         """Of each server on which a window has closed: what it then gave, and when that was."""
         for server in self._engine.servers():
             limiter = server.limiter
             if limiter.seen and not server.cold:
-                yield state.Limit(
+                yield records.LimitRecord(
                     server.id.decode(),
                     server.entry.launched,
                     limiter.start,
--- a/lupinladder/operator/file.py
+++ b/lupinladder/operator_config/settings.py
@@ -9,13 +9,13 @@
 
 import msgspec
 
-from lupinladder.operator import tomlfile
-from lupinladder.operator.tomlfile import Wrong
+from lupinladder.operator_config import toml_decoder
+from lupinladder.operator_config.toml_decoder import ConstraintError
 
 VARIABLE = "LUPINLADDER_OPERATOR"
 
 
-class Store(msgspec.Struct, forbid_unknown_fields=True):
+class StoreSettings(msgspec.Struct, forbid_unknown_fields=True):
     """What the proxy keeps over a restart."""
 
     path: str  # {name} stands for the proxy's name
@@ -25,14 +25,14 @@
     every_ms: float = 1000.0  # between looks at what has changed
 
 
-class File(msgspec.Struct, forbid_unknown_fields=True):
+class OperatorSettings(msgspec.Struct, forbid_unknown_fields=True):
     schema: int = 1
-    store: Store | None = None
+    store: StoreSettings | None = None
 
     def check(self) -> None:
         """Wrong for values that cannot hold."""
         if self.schema != 1:
-            raise Wrong("schema", f"this program reads schema 1, not {self.schema}")
+            raise ConstraintError("schema", f"this program reads schema 1, not {self.schema}")
         if self.store:
             bounds: list[tuple[str, float, float, float]] = [
                 ("bytes", self.store.bytes, 1 << 16, 1 << 30),
@@ -41,11 +41,15 @@
             ]
             for name, value, low, high in bounds:
                 if not low <= value <= high:
-                    raise Wrong(f"store.{name}", f"{value:g} is out of range, expected {low:g} to {high:g}")
+                    raise ConstraintError(
+                        f"store.{name}", f"{value:g} is out of range, expected {low:g} to {high:g}"
+                    )
             if not Path(self.store.path.replace("{name}", "n")).is_absolute():
-                raise Wrong("store.path", "expected a path from the root: a proxy may start in any folder")
+                raise ConstraintError(
+                    "store.path", "expected a path from the root: a proxy may start in any folder"
+                )
 
 
-def load(path: str) -> File:
+def load(path: str) -> OperatorSettings:
     """Read it. tomlfile.Bad, one line, for every fault."""
-    return tomlfile.load(Path(path), File)
+    return toml_decoder.load(Path(path), OperatorSettings)
--- a/lupinladder/operator/tomlfile.py
+++ b/lupinladder/operator_config/toml_decoder.py
@@ -22,11 +22,11 @@
 _UNKNOWN = re.compile(r"unknown field `([^`]+)`")
 
 
-class Bad(Exception):
+class TomlError(Exception):
     """A file that cannot be used. The text is one line: file, line, what is wrong."""
 
 
-class Wrong(ValueError):
+class ConstraintError(ValueError):
     """A value that has the right type and makes no sense; `path` names it, as in `faults[2].at`."""
 
     def __init__(self, path: str, what: str) -> None:
@@ -39,7 +39,7 @@
     return [int(n) if n else name for name, n in _STEP.findall(path if path.startswith(".") else "." + path)]
 
 
-class Places:
+class SourceLines:
     """Where each key of a TOML text stands."""
 
     def __init__(self, text: bytes) -> None:
@@ -109,7 +109,7 @@
     try:
         text = path.read_bytes()
     except OSError as bad:
-        raise Bad(f"{path}: {bad.strerror}") from None
+        raise TomlError(f"{path}: {bad.strerror}") from None
     return parse(text, str(path), kind)
 
 
@@ -118,10 +118,12 @@
     try:
         tree = tomllib.loads(text.decode())
     except UnicodeDecodeError as bad:
-        raise Bad(f"{name}: not UTF-8 at byte {bad.start}") from None
+        raise TomlError(f"{name}: not UTF-8 at byte {bad.start}") from None
     except tomllib.TOMLDecodeError as bad:
         where = re.search(r"at line (\d+)", str(bad))
-        raise Bad(f"{name}:{where[1] if where else len(text.splitlines()) or 1}: not TOML: {bad}") from None
+        raise TomlError(
+            f"{name}:{where[1] if where else len(text.splitlines()) or 1}: not TOML: {bad}"
+        ) from None
     try:
         made = msgspec.convert(tree, kind)
         check = getattr(made, "check", None)
@@ -132,10 +134,10 @@
         assert found
         path, what = steps(found["path"] or ""), found["what"]
         unknown = _UNKNOWN.search(what)
-        line = Places(text).line([*path, unknown[1]] if unknown else path)
-        raise Bad(f"{name}:{line}: {_dotted(path)}{what}") from None
-    except Wrong as bad:
-        raise Bad(f"{name}:{Places(text).line(steps(bad.path))}: {bad.path}: {bad}") from None
+        line = SourceLines(text).line([*path, unknown[1]] if unknown else path)
+        raise TomlError(f"{name}:{line}: {_dotted(path)}{what}") from None
+    except ConstraintError as bad:
+        raise TomlError(f"{name}:{SourceLines(text).line(steps(bad.path))}: {bad.path}: {bad}") from None
     return made
 
 
--- a/lupinladder/recovery/recall.py
+++ b/lupinladder/recovery/warm_start.py
@@ -10,23 +10,27 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from lupinladder import api
-from lupinladder.recovery.trust import Source, Thing, Use, newer, trust
-from lupinladder.store.state import Limit, Listing, Slots, State
+from lupinladder.balancing.events import Event, LimitRestored, RestoreMode, SlotLoadRestored
+from lupinladder.recovery.freshness import RecordType, Source, Usability, supersedes, usable_as
+from lupinladder.store.records import EndpointListRecord, LimitRecord, SlotLoadRecord, StoredState
 
-FAILING = 0.5  # share of failed attempts from which on a server is cut, as in the decision module
-USES = {Use.TRIAL: api.Recall.TRIAL, Use.PART: api.Recall.PART, Use.ALL: api.Recall.ALL}
+FAILURE_RATE_LIMIT = 0.5  # share of failed attempts from which on a server is cut, as in the decision module
+RESTORE_MODES = {
+    Usability.TRIAL: RestoreMode.TRIAL,
+    Usability.PART: RestoreMode.PART,
+    Usability.ALL: RestoreMode.ALL,
+}
 
 
 @dataclass(slots=True)
-class Beginning:
+class WarmStart:
     """How a proxy begins."""
 
     known: dict[str, Any]  # the list, in discovery's form
     generation: int
     source: Source
-    events: list[api.Event] = field(default_factory=list)  # for the module, after the list
-    used: dict[Use, int] = field(default_factory=dict)  # servers by what is believed of their limits
+    events: list[Event] = field(default_factory=list)  # for the module, after the list
+    used: dict[Usability, int] = field(default_factory=dict)  # servers by what is believed of their limits
     age: float | None = None  # of the store's newest word, ms
 
 
@@ -35,12 +39,14 @@
     return float(since) if isinstance(since, int | float) and not isinstance(since, bool) else 0.0
 
 
-def choose(config: dict[str, Any], stored: Listing | None, now: float) -> tuple[dict[str, Any], int, Source]:
+def choose_endpoint_list(
+    config: dict[str, Any], stored: EndpointListRecord | None, now: float
+) -> tuple[dict[str, Any], int, Source]:
     """The list to begin with. The stored one only if it is newer than the configuration's and its age still
     allows a trial; it then counts as whole."""
     index = config.get("index", 0)
-    use = trust(Thing.MEMBER, Source.STORE, stored.at, now) if stored else Use.NOTHING
-    if stored and use and newer(stored.index, 0, index if isinstance(index, int) else 0, 0):
+    use = usable_as(RecordType.MEMBER, Source.STORE, stored.at, now) if stored else Usability.NOTHING
+    if stored and use and supersedes(stored.index, 0, index if isinstance(index, int) else 0, 0):
         tree = {"index": stored.index, "snapshot": True, "endpoints": stored.endpoints}
         return tree, stored.generation, Source.STORE
     # A list with a lower index than a stored one that is too old to be used begins a generation, or it
@@ -49,15 +55,23 @@
     return config, (stored.generation if stored else 0) + began, Source.CONFIG
 
 
-def begin(config: dict[str, Any], state: State | None, now: float, origin_kind: str) -> Beginning:
+def plan_warm_start(
+    config: dict[str, Any], state: StoredState | None, now: float, origin_kind: str
+) -> WarmStart:
     """What to begin with. `config` is the list of the platform's file, `now` Unix time in ms."""
     if state is None:
-        return Beginning(config, 0, Source.CONFIG)
-    known, generation, source = choose(config, state.listing, now)
-    found = Beginning(known, generation, source)
-    ages = [now - one.at for one in state.all() if isinstance(one, Limit | Listing | Slots)]
+        return WarmStart(config, 0, Source.CONFIG)
+    known, generation, source = choose_endpoint_list(config, state.listing, now)
+    found = WarmStart(known, generation, source)
+    ages = [
+        now - one.at
+        for one in state.all()
+        if isinstance(one, LimitRecord | EndpointListRecord | SlotLoadRecord)
+    ]
     found.age = min(ages, default=None)
-    member = trust(Thing.MEMBER, source, state.listing.at, now) if state.listing else Use.NOTHING
+    member = (
+        usable_as(RecordType.MEMBER, source, state.listing.at, now) if state.listing else Usability.NOTHING
+    )
     for one in known.get("endpoints", ()):
         if not isinstance(one, dict) or not isinstance(name := one.get("name"), str):
             continue  # the listing's reader says so
@@ -66,35 +80,37 @@
         if source is Source.STORE and not origin:
             # A list that is only good for a trial says that of each server on it, whatever is known of its
             # limit. The origin is the only one of its kind, and where it is does not change.
-            use = min(use or Use.TRIAL, member) if member < Use.PART else use
+            use = min(use or Usability.TRIAL, member) if member < Usability.PART else use
         if use:
             found.used[use] = found.used.get(use, 0) + 1
-            event = api.Recalled(name.encode(), USES[use], failed=failed)
+            event = LimitRestored(name.encode(), RESTORE_MODES[use], failed=failed)
             if limit:
                 event.min_latency, event.max_qps = limit.min_latency, limit.max_qps / 1000
                 event.moved = limit.moved
             found.events.append(event)
     slots = state.slots
-    if slots and (use := trust(Thing.SLOT, Source.STORE, slots.at, now)):
-        share = {Use.ALL: 1.0, Use.PART: 0.5}.get(use, 0.0)
+    if slots and (use := usable_as(RecordType.SLOT, Source.STORE, slots.at, now)):
+        share = {Usability.ALL: 1.0, Usability.PART: 0.5}.get(use, 0.0)
         if share:
-            found.events.append(api.RecalledSlots({slot: heat * share for slot, heat in slots.heat.items()}))
+            found.events.append(SlotLoadRestored({slot: heat * share for slot, heat in slots.heat.items()}))
     return found
 
 
-def _believed(limit: Limit | None, since: float, now: float, origin: bool) -> tuple[Use, Limit | None, float]:
+def _believed(
+    limit: LimitRecord | None, since: float, now: float, origin: bool
+) -> tuple[Usability, LimitRecord | None, float]:
     """What may be done with what was known of a server that is listed with a start at `since`; its limit, if
     it is good for more than a trial; and the share of its attempts that failed, while that may hold."""
     if limit is None or limit.since != since:  # unknown, or another process under the same name
-        return Use.NOTHING, None, 0.0
-    use = trust(Thing.ORIGIN if origin else Thing.LIMIT, Source.STORE, limit.at, now, since)
-    health = trust(Thing.HEALTH, Source.STORE, limit.at, now, since)
-    if health and limit.failed > FAILING and not origin:
-        use = min(use, Use.TRIAL)  # it was failing: whatever it could do before, one send at a time
-    return use, limit if use > Use.TRIAL else None, limit.failed if health is Use.ALL else 0.0
+        return Usability.NOTHING, None, 0.0
+    use = usable_as(RecordType.ORIGIN if origin else RecordType.LIMIT, Source.STORE, limit.at, now, since)
+    health = usable_as(RecordType.HEALTH, Source.STORE, limit.at, now, since)
+    if health and limit.failed > FAILURE_RATE_LIMIT and not origin:
+        use = min(use, Usability.TRIAL)  # it was failing: whatever it could do before, one send at a time
+    return use, limit if use > Usability.TRIAL else None, limit.failed if health is Usability.ALL else 0.0
 
 
-class Notes:
+class ChangeTracker:
     """What has changed enough since it was last kept to be kept again, so that writing stays small."""
 
     CHANGED = 0.1  # share by which a limit differs before its age alone makes it worth writing
@@ -104,11 +120,11 @@
     HOT = 8  # slots kept: the hottest of them
 
     def __init__(self) -> None:
-        self._kept: dict[str, Limit] = {}
+        self._kept: dict[str, LimitRecord] = {}
 
-    def limits(self, seen: Iterable[Limit]) -> list[Limit]:
+    def limits(self, seen: Iterable[LimitRecord]) -> list[LimitRecord]:
         """Those of the limits that are worth writing now."""
-        fresh, named = list[Limit](), set[str]()
+        fresh, named = list[LimitRecord](), set[str]()
         for one in seen:
             named.add(one.server)
             old = self._kept.get(one.server)
@@ -119,10 +135,10 @@
             del self._kept[gone]
         return fresh
 
-    def _moved(self, old: Limit, new: Limit) -> bool:
+    def _moved(self, old: LimitRecord, new: LimitRecord) -> bool:
         pairs = ((old.min_latency, new.min_latency), (old.max_qps, new.max_qps), (old.moved, new.moved))
         return any(abs(b - a) > self.CHANGED * max(abs(a), 1e-9) for a, b in pairs)
 
-    def slots(self, heat: Mapping[int, float], now: float) -> Slots:
+    def slots(self, heat: Mapping[int, float], now: float) -> SlotLoadRecord:
         hottest = sorted(heat.items(), key=lambda one: -one[1])[: self.HOT]
-        return Slots(now, {slot: round(warm, 2) for slot, warm in hottest})
+        return SlotLoadRecord(now, {slot: round(warm, 2) for slot, warm in hottest})
--- a/lupinladder/drill.py
+++ b/lupinladder/simulator/adapter.py
@@ -5,15 +5,26 @@
 import sys
 from typing import BinaryIO
 
-from lupinladder import wire
-from lupinladder.rules import Balancer
+from lupinladder.balancing.balancer import Balancer
+from lupinladder.balancing.settings_reader import parse_settings
+from lupinladder.simulator.codec import (
+    HEADER,
+    CodecError,
+    Decoder,
+    InstanceKilled,
+    InstanceStarted,
+    PeerMessage,
+    encode_action,
+    encode_fault,
+    encode_reply,
+)
 
 
-class Host:
+class InstanceHost:
     """The instances of one process. They share nothing but the reader of the wire."""
 
     def __init__(self) -> None:
-        self._decoder = wire.Decoder()
+        self._decoder = Decoder()
         self._instances: dict[int, Balancer | None] = {}  # None: has sent its FAULT
 
     def batch(self, body: bytes, now: float) -> bytes:
@@ -22,17 +33,17 @@
         instances = self._instances
         for inst, message in self._decoder.decode(body):
             try:
-                if isinstance(message, wire.Up):
+                if isinstance(message, InstanceStarted):
                     instances[inst] = None
-                    settings = wire.settings(message.env)
+                    settings = parse_settings(message.env)
                     self._decoder.classes[inst] = len(settings.classes)
                     balancer = Balancer(settings, message.seed, now)
                     instances[inst] = balancer
                     actions = balancer.start(now)
-                elif isinstance(message, wire.Killed):
+                elif isinstance(message, InstanceKilled):
                     instances.pop(inst, None)
                     continue
-                elif isinstance(message, wire.Peer):
+                elif isinstance(message, PeerMessage):
                     continue
                 else:
                     target = instances.get(inst)
@@ -40,11 +51,11 @@
                         continue  # killed, or already declared broken
                     actions = target.handle(message, now)
                 for action in actions:
-                    records.append(wire.encode(inst, action))
+                    records.append(encode_action(inst, action))
             except Exception as bad:
                 instances[inst] = None
-                records.append(wire.fault(inst, f"{type(bad).__name__}: {bad}"))
-        return wire.reply(records)
+                records.append(encode_fault(inst, f"{type(bad).__name__}: {bad}"))
+        return encode_reply(records)
 
 
 def _read(source: BinaryIO, size: int) -> bytes:
@@ -60,21 +71,21 @@
 
 def serve(source: BinaryIO, sink: BinaryIO) -> int:
     """Answer batches until the input ends. Returns the exit code."""
-    host = Host()
+    host = InstanceHost()
     offset = 0
     while True:
-        head = _read(source, wire.HEADER.size)
+        head = _read(source, HEADER.size)
         if not head:
             return 0
-        if len(head) < wire.HEADER.size:
+        if len(head) < HEADER.size:
             return _bad(f"batch header at byte {offset} is cut short")
-        size, now = wire.HEADER.unpack(head)
+        size, now = HEADER.unpack(head)
         body = _read(source, size)
         if len(body) < size:
             return _bad(f"batch at byte {offset} is cut short: {len(body)} of {size} bytes")
         try:
             answer = host.batch(body, now)
-        except wire.WireError as bad:
+        except CodecError as bad:
             return _bad(f"batch at byte {offset}: {bad} of its body")
         sink.write(answer)
         sink.flush()
@@ -82,7 +93,7 @@
 
 
 def _bad(text: str) -> int:
-    print(f"lupinladder.drill: {text}", file=sys.stderr)
+    print(f"lupinladder.simulator.adapter: {text}", file=sys.stderr)
     return 2
 
 
--- a/lupinladder/store/files.py
+++ b/lupinladder/store/file_store.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from lupinladder.store import log, state
+from lupinladder.store import record_log, records
 
 SLACK = 1 << 16  # bytes of records beyond a snapshot before the file is written anew
 MOST_STARTS = 8  # starts remembered, to tell a crash loop
@@ -25,7 +25,7 @@
     """A store that cannot be used; the text is one line: what, where, what to do."""
 
 
-class Disk:
+class FileSystem:
     """The steps that a store takes on the file system, in order."""
 
     def lock(self, path: Path) -> int:
@@ -68,7 +68,7 @@
         os.close(file)
 
 
-class Limits(msgspec.Struct):
+class StoreLimits(msgspec.Struct):
     """How much may be kept and written."""
 
     bytes: int = 4 << 20  # of the file
@@ -76,10 +76,10 @@
     sync: bool = True  # each flush reaches the disk before the next
 
 
-def peek(path: Path, disk: Disk | None = None, most: int = 64 << 20) -> log.Scan:
+def peek(path: Path, disk: FileSystem | None = None, most: int = 64 << 20) -> record_log.ScanResult:
     """What a file holds, without a lock and without a change to it. StoreError if it cannot be read."""
     try:
-        return log.scan((disk or Disk()).read(path, most))
+        return record_log.scan((disk or FileSystem()).read(path, most))
     except FileNotFoundError:
         raise StoreError(f"{path}: no such store") from None
     except OSError as bad:
@@ -92,16 +92,16 @@
     def __init__(
         self,
         path: Path,
-        owner: state.Owner,
+        owner: records.StoreOwner,
         now: float,
         say: Callable[[str], None],
-        limits: Limits | None = None,
-        disk: Disk | None = None,
+        limits: StoreLimits | None = None,
+        disk: FileSystem | None = None,
     ) -> None:
         """StoreError if another process holds it. A store that is damaged, of another proxy or of a newer
         program is not used: the good part of a damaged one is, and what cannot be used is put aside."""
-        self._path, self._say, self._disk = path, say, disk or Disk()
-        self._limits = limits or Limits()
+        self._path, self._say, self._disk = path, say, disk or FileSystem()
+        self._limits = limits or StoreLimits()
         self._new, self._file = path.with_name(path.name + ".new"), -1
         self._pending: dict[tuple[int, str], msgspec.Struct] = {}
         self._size = self._base = 0
@@ -117,11 +117,11 @@
         self.starts = (
             self.found.owner.starts if self.found else []
         )  # when earlier processes that used it began
-        self.state = self.found or state.State(owner)
-        self.state.owner = state.Owner(owner.proxy, owner.site, [*self.starts, now][-MOST_STARTS:])
+        self.state = self.found or records.StoredState(owner)
+        self.state.owner = records.StoreOwner(owner.proxy, owner.site, [*self.starts, now][-MOST_STARTS:])
         self._rewrite()
 
-    def _load(self, owner: state.Owner) -> state.State | None:
+    def _load(self, owner: records.StoreOwner) -> records.StoredState | None:
         try:
             found = peek(self._path, self._disk, self._limits.bytes)
         except StoreError as bad:
@@ -132,7 +132,7 @@
             self._say(f"{self._path}: {found.why}; {len(found.records)} good records are used")
         if found.records:
             self._number = found.records[-1].number
-        kept = state.fold(found)
+        kept = records.fold(found)
         if kept is None:
             self._aside()
         elif (kept.owner.proxy, kept.owner.site) != (owner.proxy, owner.site):
@@ -149,12 +149,12 @@
 
     def put(self, one: msgspec.Struct) -> None:
         """Keep this, from the next flush on."""
-        if isinstance(one, state.Heard) and not (
+        if isinstance(one, records.EndpointListConfirmation) and not (
             self.state.listing and self.state.listing.index == one.index
         ):
             return  # of another list than the one that is kept: it says nothing of this one
         self.state.take(one)
-        self._pending[state.NUMBERS[type(one)], getattr(one, "server", "")] = one
+        self._pending[records.RECORD_NUMBERS[type(one)], getattr(one, "server", "")] = one
 
     def flush(self, now: float) -> int:
         """Write what was put, as far as the rate allows; returns the bytes written. What does not fit stays,
@@ -177,11 +177,11 @@
 
     def _end(self) -> bytes:
         self._number += 1
-        return log.end(self._number)
+        return record_log.end(self._number)
 
     def _encoded(self, one: msgspec.Struct) -> bytes:
         try:
-            data = state.encode(self._number + 1, one)
+            data = records.encode(self._number + 1, one)
         except ValueError as bad:
             self._trouble_is(str(bad))
             return b""
@@ -208,7 +208,7 @@
         """The whole state into a new file, which takes the place of the old one in one step."""
         self.state.prune()
         owner = msgspec.to_builtins(self.state.owner)
-        parts = [log.begin(self._number + 1, owner)]
+        parts = [record_log.begin(self._number + 1, owner)]
         self._number += 1
         parts += [self._encoded(one) for one in self.state.all()]
         parts.append(self._end())
--- a/lupinladder/store/log.py
+++ b/lupinladder/store/record_log.py
@@ -42,7 +42,7 @@
 
 
 @dataclass(slots=True)
-class Scan:
+class ScanResult:
     """What a file holds: its good records, how many bytes they take, and why reading stopped there ("": at
     the end of the file)."""
 
@@ -98,29 +98,29 @@
         at, number = end, this
 
 
-def scan(data: bytes) -> Scan:
+def scan(data: bytes) -> ScanResult:
     """Read a file as far as it is good."""
     if not data.startswith(MAGIC):
-        return Scan([], 0, "it is no store" if data else "it is empty")
-    found = Scan([], len(MAGIC), "")
+        return ScanResult([], 0, "it is no store" if data else "it is empty")
+    found = ScanResult([], len(MAGIC), "")
     for one in _records(data):
         if isinstance(one, str):
             found.why = one
             break
         if not found.records and one.kind != BEGIN:
-            return Scan([], 0, "its first record is not a beginning")
+            return ScanResult([], 0, "its first record is not a beginning")
         found.records.append(one)
         found.good += HEAD.size + LENGTH.unpack_from(data, found.good)[0]
     if not found.records:
-        return Scan([], 0, found.why or "it has no beginning")
+        return ScanResult([], 0, found.why or "it has no beginning")
     return _migrated(found)
 
 
-def _migrated(found: Scan) -> Scan:
+def _migrated(found: ScanResult) -> ScanResult:
     """The records in the words of this version."""
     version = found.records[0].body.get("version")
     if not isinstance(version, int) or isinstance(version, bool) or not 1 <= version <= VERSION:
-        return Scan([], 0, f"it is of version {version!r}; this program reads 1 to {VERSION}")
+        return ScanResult([], 0, f"it is of version {version!r}; this program reads 1 to {VERSION}")
     found.version = version
     for old in range(version, VERSION):
         for one in found.records:
--- a/lupinladder/store/state.py
+++ b/lupinladder/store/records.py
@@ -12,10 +12,10 @@
 
 import msgspec
 
-from lupinladder.store import log
+from lupinladder.store import record_log
 
 
-class Owner(msgspec.Struct, forbid_unknown_fields=True):
+class StoreOwner(msgspec.Struct, forbid_unknown_fields=True):
     """Whose store it is. Another's, or one of another deployment, is not used."""
 
     proxy: str
@@ -23,7 +23,7 @@
     starts: list[float] = []  # when the last few processes that used it began
 
 
-class Listing(msgspec.Struct):
+class EndpointListRecord(msgspec.Struct):
     """Discovery's list in its own form, and when it was heard."""
 
     index: int
@@ -32,14 +32,14 @@
     endpoints: list[dict[str, Any]]
 
 
-class Heard(msgspec.Struct):
+class EndpointListConfirmation(msgspec.Struct):
     """Discovery still had the list of this index: its age is what may be believed goes by."""
 
     index: int
     at: float
 
 
-class Limit(msgspec.Struct):
+class LimitRecord(msgspec.Struct):
     """Of one server what outlives a window of its limiter; the origin is a server like the others."""
 
     server: str
@@ -52,42 +52,47 @@
     failed: float = 0.0  # smoothed share of failed attempts
 
 
-class Slots(msgspec.Struct):
+class SlotLoadRecord(msgspec.Struct):
     """Own sends by slot, those over the mean: which slots were split or nearly."""
 
     at: float
     heat: dict[int, float]
 
 
-KINDS: dict[int, type[msgspec.Struct]] = {1: Listing, 2: Limit, 3: Slots, 4: Heard}
-NUMBERS = {kind: number for number, kind in KINDS.items()}
-MOST_LIMITS = 4096  # servers remembered; the longest unmeasured go first
+RECORD_TYPES: dict[int, type[msgspec.Struct]] = {
+    1: EndpointListRecord,
+    2: LimitRecord,
+    3: SlotLoadRecord,
+    4: EndpointListConfirmation,
+}
+RECORD_NUMBERS = {kind: number for number, kind in RECORD_TYPES.items()}
+MAX_LIMITS = 4096  # servers remembered; the longest unmeasured go first
 
 
-class State:
+class StoredState:
     """All that is kept, folded from the records of a file or from what the proxy tells."""
 
-    def __init__(self, owner: Owner) -> None:
+    def __init__(self, owner: StoreOwner) -> None:
         self.owner = owner
-        self.listing: Listing | None = None
-        self.slots: Slots | None = None
-        self.limits: dict[str, Limit] = {}
+        self.listing: EndpointListRecord | None = None
+        self.slots: SlotLoadRecord | None = None
+        self.limits: dict[str, LimitRecord] = {}
 
     def take(self, one: msgspec.Struct) -> None:
         """A newer word on one thing. A list with an older index or generation is none."""
-        if isinstance(one, Listing):
+        if isinstance(one, EndpointListRecord):
             old = self.listing
             if old is None or (one.generation, one.index) >= (old.generation, old.index):
                 self.listing = one
-        elif isinstance(one, Heard):
+        elif isinstance(one, EndpointListConfirmation):
             if self.listing and self.listing.index == one.index:
                 self.listing = msgspec.structs.replace(self.listing, at=max(self.listing.at, one.at))
-        elif isinstance(one, Limit):
+        elif isinstance(one, LimitRecord):
             self.limits.pop(one.server, None)
             self.limits[one.server] = one
-            while len(self.limits) > MOST_LIMITS:
+            while len(self.limits) > MAX_LIMITS:
                 self.limits.pop(next(iter(self.limits)))
-        elif isinstance(one, Slots):
+        elif isinstance(one, SlotLoadRecord):
             self.slots = one
 
     def all(self) -> Iterable[msgspec.Struct]:
@@ -106,10 +111,10 @@
 
 def encode(number: int, one: msgspec.Struct) -> bytes:
     """A record of it."""
-    return log.encode(number, NUMBERS[type(one)], msgspec.to_builtins(one, str_keys=False))
+    return record_log.encode(number, RECORD_NUMBERS[type(one)], msgspec.to_builtins(one, str_keys=False))
 
 
-def fold(found: log.Scan) -> State | None:
+def fold(found: record_log.ScanResult) -> StoredState | None:
     """The state that a file's good records make, as of the last flush that was finished; None if it has none.
     A record of an unknown kind, or one whose fields do not fit, is passed over: its checksum was right, so a
     newer program wrote it."""
@@ -118,16 +123,16 @@
     first = dict(found.records[0].body)
     first.pop("version", None)
     try:
-        state = State(msgspec.convert(first, Owner))
+        state = StoredState(msgspec.convert(first, StoreOwner))
     except msgspec.ValidationError:
         return None
     waiting = list[msgspec.Struct]()  # of a flush that has not ended yet
     for record in found.records[1:]:
-        if record.kind == log.END:
+        if record.kind == record_log.END:
             for one in waiting:
                 state.take(one)
             waiting.clear()
-        elif kind := KINDS.get(record.kind):
+        elif kind := RECORD_TYPES.get(record.kind):
             with suppress(msgspec.ValidationError):
                 waiting.append(msgspec.convert(record.body, kind, strict=False))
     return state
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -4,30 +4,52 @@
 
 from dataclasses import dataclass, field
 
-from lupinladder import Balancer, api
-
-NEVER_RAN = {api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.MOOT, api.Outcome.MISS}
+from lupinladder import Balancer
+from lupinladder.balancing.actions import (
+    Action,
+    Fail,
+    LogMessage,
+    Reject,
+    SetTimer,
+    StartAttempt,
+    WatchEndpoints,
+)
+from lupinladder.balancing.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    Endpoint,
+    EndpointState,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Event,
+    Outcome,
+    RequestReceived,
+    TimerFired,
+)
+from lupinladder.balancing.settings import DeduplicationScope, RequestClass, RetrySafety, Settings
+
+NEVER_RAN = {Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.MISS}
 
 
 def sid(n: int) -> bytes:
     return (n * 2654435761 % 2**32).to_bytes(4, "big") + n.to_bytes(2, "big")
 
 
-def entries(n: int, **more: object) -> list[api.Entry]:
-    return [api.Entry(sid(i), zone=i % 2, cell=i % 3, **more) for i in range(n)]  # type: ignore[arg-type]
+def entries(n: int, **more: object) -> list[Endpoint]:
+    return [Endpoint(sid(i), zone=i % 2, cell=i % 3, **more) for i in range(n)]  # type: ignore[arg-type]
 
 
-def classes() -> list[api.RequestClass]:
+def classes() -> list[RequestClass]:
     return [
-        api.RequestClass(500, 1500),
-        api.RequestClass(500, 1500, api.Repeat.KEYED, api.Scope.ALL, 60),
-        api.RequestClass(500, 1500, api.Repeat.KEYED, api.Scope.ZONE, 60),
-        api.RequestClass(500, 1500, api.Repeat.KEYED, api.Scope.CELL, 60),
-        api.RequestClass(500, 1500, api.Repeat.UNSAFE),
+        RequestClass(500, 1500),
+        RequestClass(500, 1500, RetrySafety.KEYED, DeduplicationScope.ALL, 60),
+        RequestClass(500, 1500, RetrySafety.KEYED, DeduplicationScope.ZONE, 60),
+        RequestClass(500, 1500, RetrySafety.KEYED, DeduplicationScope.CELL, 60),
+        RequestClass(500, 1500, RetrySafety.UNSAFE),
     ]
 
 
-def settings(**more: object) -> api.Settings:
+def settings(**more: object) -> Settings:
     base: dict[str, object] = {
         "classes": classes(),
         "balancers": 4,
@@ -39,46 +61,46 @@
         "overload_factor": 3.0,
         "fall_within": 3000.0,
     }
-    return api.Settings(**{**base, **more})  # type: ignore[arg-type]
+    return Settings(**{**base, **more})  # type: ignore[arg-type]
 
 
 @dataclass
 class Seen:
     """A request as the proxy sees it."""
 
-    request: api.Request
+    request: RequestReceived
     deadline: float
     tries: list[tuple[bytes, float]] = field(default_factory=list)
-    outcomes: list[api.Outcome | None] = field(default_factory=list)
+    outcomes: list[Outcome | None] = field(default_factory=list)
     answered: bool = False
 
 
 class Proxy:
     """Feeds events to a balancer and asserts the rules on each action."""
 
-    def __init__(self, balancer: Balancer, config: api.Settings, now: float = 0.0) -> None:
+    def __init__(self, balancer: Balancer, config: Settings, now: float = 0.0) -> None:
         self.balancer, self.config, self.now = balancer, config, now
         self.seen: dict[int, Seen] = {}
         self.timers: list[tuple[float, int]] = []
-        self.entry: dict[bytes, api.Entry] = {}
+        self.entry: dict[bytes, Endpoint] = {}
         self.sends: list[tuple[float, bytes]] = []
         self.notes: list[str] = []
         self.follows = 0
         self.carry_out(balancer.start(now))
 
-    def feed(self, event: api.Event) -> list[api.Action]:
-        if isinstance(event, api.Fleet) and event.form is not api.ListForm.FAILED:
-            if event.form is not api.ListForm.DELTA:
+    def feed(self, event: Event) -> list[Action]:
+        if isinstance(event, EndpointUpdate) and event.form is not EndpointUpdateKind.FAILED:
+            if event.form is not EndpointUpdateKind.DELTA:
                 named = {e.server for e in event.entries}
                 for known in self.entry.values():
-                    known.state = known.state if known.server in named else api.State.GONE
+                    known.state = known.state if known.server in named else EndpointState.GONE
             for e in event.entries:
-                self.entry[e.server] = api.Entry(e.server, e.state, 1.0, e.launched, e.zone, e.cell, e.kind)
-        if isinstance(event, api.Request) and event.id not in self.seen:
+                self.entry[e.server] = Endpoint(e.server, e.state, 1.0, e.launched, e.zone, e.cell, e.kind)
+        if isinstance(event, RequestReceived) and event.id not in self.seen:
             self.seen[event.id] = Seen(event, self.now + event.patience)
-        if isinstance(event, api.Left):
+        if isinstance(event, ClientDisconnected):
             self.seen[event.id].answered = True
-        if isinstance(event, api.Ended):
+        if isinstance(event, AttemptEnded):
             one = self.seen[event.id]
             one.outcomes[event.attempt] = event.outcome
             one.answered = one.answered or event.over
@@ -86,36 +108,36 @@
         self.carry_out(actions)
         return actions
 
-    def carry_out(self, actions: list[api.Action]) -> None:
+    def carry_out(self, actions: list[Action]) -> None:
         for action in actions:
-            if isinstance(action, api.Schedule):
+            if isinstance(action, SetTimer):
                 self.timers.append((self.now + action.delay, action.token))
-            elif isinstance(action, api.Follow):
+            elif isinstance(action, WatchEndpoints):
                 self.follows += 1
-            elif isinstance(action, api.Note):
+            elif isinstance(action, LogMessage):
                 self.notes.append(action.text)
-            elif isinstance(action, api.Try):
+            elif isinstance(action, StartAttempt):
                 self.check_try(self.seen[action.id], action.server)
-            elif isinstance(action, api.Refuse | api.Fail):
-                self.check_answer(self.seen[action.id], isinstance(action, api.Refuse))
+            elif isinstance(action, Reject | Fail):
+                self.check_answer(self.seen[action.id], isinstance(action, Reject))
 
     def check_try(self, one: Seen, server: bytes) -> None:
         kind = self.config.classes[one.request.kind]
         assert not one.answered, "a send after the final answer"
         assert self.now < one.deadline, "a send after the deadline"
         assert len(one.tries) < self.config.max_attempts, "more attempts than allowed"
-        assert self.entry[server].state is api.State.READY, "a send to a server that drains or is gone"
+        assert self.entry[server].state is EndpointState.READY, "a send to a server that drains or is gone"
         if not self.config.may_duplicate:
             assert None not in one.outcomes, "two attempts out at once"
         ran = [t for t, o in zip(one.tries, one.outcomes, strict=True) if o not in NEVER_RAN]
-        if ran and kind.repeat is api.Repeat.UNSAFE:
+        if ran and kind.repeat is RetrySafety.UNSAFE:
             raise AssertionError("an unsafe request sent again that may have run")
-        if ran and kind.repeat is api.Repeat.KEYED:
+        if ran and kind.repeat is RetrySafety.KEYED:
             assert self.now - ran[0][1] < kind.window, "sent again after the servers have forgotten"
             for earlier, _ in ran:
                 a, b = self.entry[earlier], self.entry[server]
-                assert kind.scope is not api.Scope.ZONE or a.zone == b.zone, "sent outside its zone"
-                assert kind.scope is not api.Scope.CELL or a.cell == b.cell, "sent outside its cell"
+                assert kind.scope is not DeduplicationScope.ZONE or a.zone == b.zone, "sent outside its zone"
+                assert kind.scope is not DeduplicationScope.CELL or a.cell == b.cell, "sent outside its cell"
         one.tries.append((server, self.now))
         one.outcomes.append(None)
         self.sends.append((self.now, server))
@@ -124,17 +146,17 @@
         kind = self.config.classes[one.request.kind]
         assert not one.answered, "answered twice"
         assert self.now <= one.deadline + 20, "answered too late"
-        if refusal and kind.repeat is not api.Repeat.SAFE and any(o not in NEVER_RAN for o in one.outcomes):
-            shared = kind.repeat is api.Repeat.KEYED and kind.scope is api.Scope.ALL
+        if refusal and kind.repeat is not RetrySafety.SAFE and any(o not in NEVER_RAN for o in one.outcomes):
+            shared = kind.repeat is RetrySafety.KEYED and kind.scope is DeduplicationScope.ALL
             assert shared, "a refusal promised what may not hold"
         one.answered = True
 
-    def end(self, request: int, attempt: int, outcome: api.Outcome, latency: float | None = None) -> None:
+    def end(self, request: int, attempt: int, outcome: Outcome, latency: float | None = None) -> None:
         """End an attempt, at the present time."""
         one = self.seen[request]
         took = self.now - one.tries[attempt][1] if latency is None else latency
-        over = one.answered or outcome is api.Outcome.OK
-        self.feed(api.Ended(request, attempt, outcome, took, over))
+        over = one.answered or outcome is Outcome.OK
+        self.feed(AttemptEnded(request, attempt, outcome, took, over))
 
     def advance(self, until: float) -> None:
         """Let time pass: timers come due and attempts run out at their request's deadline."""
@@ -150,9 +172,9 @@
             self.now = max(self.now, at)
             if what == 0:
                 self.timers.remove((at, which))
-                self.feed(api.Timer(which))
+                self.feed(TimerFired(which))
             else:
-                self.end(which, n, api.Outcome.TIMEOUT)
+                self.end(which, n, Outcome.TIMEOUT)
         self.now = max(self.now, until)
 
     def out(self) -> list[tuple[int, int]]:
--- a/tests/lab/test_machine.py
+++ b/tests/lab/test_machine.py
@@ -8,10 +8,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lupinladder.lab.machine import Job, Machine
+from lupinladder.emulator.processor_sharing_queue import Job, ProcessorSharingQueue
 
 
-def run_out(machine: Machine, now: float = 0.0) -> list[tuple[float, object]]:
+def run_out(machine: ProcessorSharingQueue, now: float = 0.0) -> list[tuple[float, object]]:
     """When each job is done."""
     done = []
     while machine.next() < inf:
@@ -22,26 +22,26 @@
 
 class Sharing(TestCase):
     def test_jobs_share_the_cores_evenly_and_short_ones_leave_first(self) -> None:
-        machine = Machine(0, 1, 1.0, 8, 0)
+        machine = ProcessorSharingQueue(0, 1, 1.0, 8, 0)
         for work in (10, 20, 30):
             machine.offer(0, Job(work, work))
         # 3 share until 10 is done at 30, 2 until 20 is done at 50, the last runs alone.
         self.assertEqual([(round(t, 6), w) for t, w in run_out(machine)], [(30, 10), (50, 20), (60, 30)])
 
     def test_beyond_the_slots_jobs_wait_and_beyond_the_room_they_are_turned_away(self) -> None:
-        machine = Machine(0, 2, 1.0, 2, 1)
+        machine = ProcessorSharingQueue(0, 2, 1.0, 2, 1)
         self.assertEqual([machine.offer(0, Job(10, n)) for n in range(4)], [True, True, True, False])
         self.assertEqual([round(t) for t, _ in run_out(machine)], [10, 10, 20])
 
     def test_a_cold_machine_does_the_integral_of_its_rising_capacity(self) -> None:
-        machine = Machine(0, 1, 1.0, 1, 0, cold_share=0.2, cold_ms=1000)
+        machine = ProcessorSharingQueue(0, 1, 1.0, 1, 0, cold_share=0.2, cold_ms=1000)
         machine.offer(0, Job(600, "x"))
         # The integral of 0.2 + 0.8 t over a second is 0.6; the rate is constant over steps of 100 ms.
         [(when, _)] = run_out(machine)
         self.assertAlmostEqual(when, 1000, delta=60)
 
     def test_dropped_jobs_give_their_place_away_running_ones_only_if_asked(self) -> None:
-        machine = Machine(0, 1, 1.0, 1, 2)
+        machine = ProcessorSharingQueue(0, 1, 1.0, 1, 2)
         jobs = [Job(10, n) for n in range(3)]
         for job in jobs:
             machine.offer(0, job)
@@ -61,7 +61,7 @@
         self, jobs: list[tuple[float, float]], cores: int, slots: int
     ) -> None:
         jobs = sorted(jobs)
-        machine, found = Machine(0, cores, 1.0, slots, 99), dict[object, float]()
+        machine, found = ProcessorSharingQueue(0, cores, 1.0, slots, 99), dict[object, float]()
         for n, (at, work) in enumerate(jobs):
             while machine.next() <= at:
                 now = machine.next()
--- a/tests/lab/test_referee.py
+++ b/tests/lab/test_referee.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from unittest import TestCase
 
-from lupinladder.lab.referee import Attempt, Referee
-from lupinladder.lab.scenario import Scenario
+from lupinladder.emulator.rule_checker import ObservedAttempt, RuleChecker
+from lupinladder.emulator.scenario import Scenario
 
 READ, CLAIM, EDIT = 0, 2, 3
 Play = Callable[["Case"], None]
@@ -16,17 +16,17 @@
     """Two proxies that are up, and short words for what is seen."""
 
     def __init__(self) -> None:
-        self.judge = Referee(Scenario(1, []).classes, 2, 0.0)
+        self.judge = RuleChecker(Scenario(1, []).classes, 2, 0.0)
         self.judge.proxy_up(0, 0)
         self.judge.proxy_up(0, 1)
 
     def ask(self, now: float, ident: str, kind: int = READ, wait: float = 500) -> None:
         self.judge.taken(now, 0, ident.encode(), kind, wait, b"command " + ident.encode())
 
-    def send(self, now: float, ident: str, server: str = "s1", first: float | None = None) -> Attempt:
+    def send(self, now: float, ident: str, server: str = "s1", first: float | None = None) -> ObservedAttempt:
         return self.judge.sent(now, now if first is None else first, 0, server, ident.encode(), b"raw")
 
-    def reply(self, now: float, ident: str, attempt: Attempt, word: str, value: bytes = b"v") -> None:
+    def reply(self, now: float, ident: str, attempt: ObservedAttempt, word: str, value: bytes = b"v") -> None:
         self.judge.replied(now, ident.encode(), attempt, word, value)
 
     def answer(self, now: float, ident: str, word: str = "served", value: bytes = b"v") -> None:
--- a/tests/lab/test_runs.py
+++ b/tests/lab/test_runs.py
@@ -14,15 +14,15 @@
 from click.testing import CliRunner
 
 from lupinladder.cli.app import app
-from lupinladder.lab import report, run, scenario
-from lupinladder.lab.run import LATE
-from lupinladder.lab.scenario import Fault, Hostile, Load, Scenario
+from lupinladder.emulator import report, run, scenario
+from lupinladder.emulator.run import LATE
+from lupinladder.emulator.scenario import FaultConfig, LoadPhase, MisbehavingClientsConfig, Scenario
 
 TRIES = 4  # of a run that is void: the machine, not the proxy, was late
 
 
-def short(seconds: float, rate: float, *faults: Fault, **more: Any) -> Scenario:
-    made = Scenario(seconds, [Load(0, rate)], lead_s=0.5, faults=list(faults))
+def short(seconds: float, rate: float, *faults: FaultConfig, **more: Any) -> Scenario:
+    made = Scenario(seconds, [LoadPhase(0, rate)], lead_s=0.5, faults=list(faults))
     for path, value in more.items():
         part, _, name = path.partition("__")
         setattr(getattr(made, part) if name else made, name or part, value)
@@ -30,7 +30,7 @@
     return made
 
 
-def outcome_of(made: Scenario) -> run.Outcome:
+def outcome_of(made: Scenario) -> run.RunResult:
     """The first run that says something. A machine that is late in all of them has judged nothing: that is
     no verdict on the proxy, so it skips. A fault of the lab's own is a failure."""
     for _ in range(TRIES):
@@ -57,42 +57,45 @@
     "a deploy at used addresses, a hot key": short(
         7,
         60,
-        Fault("deploy", 0, 5, 0.4, 0.2, 3.0, reuse=True),
-        Fault("hot-key", 1, 3, keys=2),
+        FaultConfig("deploy", 0, 5, 0.4, 0.2, 3.0, reuse=True),
+        FaultConfig("hot-key", 1, 3, keys=2),
     ),
     "shrink and grow": short(
         6,
         60,
-        Fault("shrink", 0, 2, 0.3, drain_s=3.5),
-        Fault("grow", 1, part=0.25),
-        Fault("term", 2, 0.1, proxy=2),
+        FaultConfig("shrink", 0, 2, 0.3, drain_s=3.5),
+        FaultConfig("grow", 1, part=0.25),
+        FaultConfig("term", 2, 0.1, proxy=2),
     ),
     "list late, down, moved": short(
         7,
         60,
-        Fault("late-list", 0, 2, size=1),
-        Fault("deploy", 0.2, 4, 0.2, 0.1, 3.5),
-        Fault("list-down", 2.5, 1),
-        Fault("list-move", 5),
+        FaultConfig("late-list", 0, 2, size=1),
+        FaultConfig("deploy", 0.2, 4, 0.2, 0.1, 3.5),
+        FaultConfig("list-down", 2.5, 1),
+        FaultConfig("list-move", 5),
     ),
     "silent, reset, garbled": short(
         6,
         60,
-        Fault("silent", 0.5, 2, 0.1),
-        Fault("reset", 1, part=0.5),
-        Fault("garble", 2, 3, 0.1),
+        FaultConfig("silent", 0.5, 2, 0.1),
+        FaultConfig("reset", 1, part=0.5),
+        FaultConfig("garble", 2, 3, 0.1),
         clients__unanswered="failed",
     ),
     "slow origin, far zone": short(
-        4, 60, Fault("slow-origin", 0.5, 2, size=3), Fault("zone-delay", 1, 2, size=0.03, zone="jelgava")
+        4,
+        60,
+        FaultConfig("slow-origin", 0.5, 2, size=3),
+        FaultConfig("zone-delay", 1, 2, size=0.03, zone="jelgava"),
     ),
     "pauses, a neighbour, no reports, tenants": short(
         6,
         60,
-        Fault("pauses", 0, 5, 0.4, size=0.3),
-        Fault("neighbour", 0.5, 4, 0.4, size=0.6),
-        Fault("list-down", 1, 4),
-        Fault("kill", 1.5, 1, proxy=1),
+        FaultConfig("pauses", 0, 5, 0.4, size=0.3),
+        FaultConfig("neighbour", 0.5, 4, 0.4, size=0.6),
+        FaultConfig("list-down", 1, 4),
+        FaultConfig("kill", 1.5, 1, proxy=1),
         fleet__reports=False,
         clients__tenants={"a": 0.7, "b": 0.3},
     ),
@@ -102,15 +105,15 @@
     "restarts": short(
         9,
         60,
-        Fault("kill", 0.5, 0.5, proxy=1),
-        Fault("hup", 2, proxy=0),
-        Fault("rolling-restart", 2.5, 0.1),
+        FaultConfig("kill", 0.5, 0.5, proxy=1),
+        FaultConfig("hup", 2, proxy=0),
+        FaultConfig("rolling-restart", 2.5, 0.1),
     ),
     "harmful clients": short(
         6,
         60,
-        Fault("connections", 0.5, 3, size=300),
-        hostile=[Hostile(per_s=15)],
+        FaultConfig("connections", 0.5, 3, size=300),
+        hostile=[MisbehavingClientsConfig(per_s=15)],
         clients__unanswered="failed",
         clients__hold=0.05,
     ),
@@ -147,11 +150,11 @@
         self.assertGreater(rules["lost"], 3)
 
     def test_work_sent_to_a_draining_node(self) -> None:
-        made = short(7, 60, Fault("deploy", 0, 1, 0.3, 0.3, 6.5), discovery__notice_s=(0.1, 0.3))
+        made = short(7, 60, FaultConfig("deploy", 0, 1, 0.3, 0.3, 6.5), discovery__notice_s=(0.1, 0.3))
         self.assertGreater(self.caught("stale", made)["drain"], 3)
 
     def test_a_cold_node_that_is_flooded(self) -> None:
-        made = short(6, 120, Fault("grow", 0, part=0.1), discovery__notice_s=(0.1, 0.3))
+        made = short(6, 120, FaultConfig("grow", 0, part=0.1), discovery__notice_s=(0.1, 0.3))
         self.assertGreater(self.caught("flood", made)["cold"], 0)
 
 
@@ -226,7 +229,7 @@
 class Reports(TestCase):
     def test_a_stalled_proxy_is_charged_for_what_would_have_come_meanwhile(self) -> None:
         """Latency counts from the intended time (no coordinated omission)."""
-        from lupinladder.lab.clients import Result
+        from lupinladder.emulator.load_generator import Result
 
         results = [Result(n / 100, 0, "served", max(5.0, 500 - n * 10), 1, 0) for n in range(100)]
         self.assertGreater(report._latency(results)["p90"], 400)
--- a/tests/lab/test_scenario.py
+++ b/tests/lab/test_scenario.py
@@ -8,10 +8,10 @@
 
 import numpy as np
 
-from lupinladder.lab import scenario
-from lupinladder.lab.draws import Keys, Plan
-from lupinladder.lab.scenario import Scenario
-from lupinladder.operator import tomlfile
+from lupinladder.emulator import scenario
+from lupinladder.emulator.scenario import Scenario
+from lupinladder.emulator.workload import ArrivalPlan, KeyDistribution
+from lupinladder.operator_config import toml_decoder
 
 GOOD = "seconds = 5\nload = [{ at = 0, rate = 10 }]\n"
 BAD = [  # text, line, a part of what is said
@@ -48,8 +48,8 @@
     def test_each_fault_is_one_line_with_its_place(self) -> None:
         for text, line, what in BAD:
             with self.subTest(what):
-                with self.assertRaises(tomlfile.Bad) as caught:
-                    tomlfile.parse(text.encode(), "x.toml", Scenario)
+                with self.assertRaises(toml_decoder.TomlError) as caught:
+                    toml_decoder.parse(text.encode(), "x.toml", Scenario)
                 said = str(caught.exception)
                 self.assertTrue(said.startswith(f"x.toml:{line}: "), said)
                 self.assertIn(what, said)
@@ -61,8 +61,8 @@
             '[[t]]\n# remark\n"w\\u0061" = 1\n'
             "[[t.in]]\nm = 1\n[[t.in]]\nm = 2\n"
         )
-        places = tomlfile.Places(text.encode())
-        cases: list[tuple[list[tomlfile.Step], int]] = [
+        places = toml_decoder.SourceLines(text.encode())
+        cases: list[tuple[list[toml_decoder.Step], int]] = [
             (["a", "b.c", "d", "e", 1], 3),
             (["t", 0, "x", "z", 0, "q"], 6),
             (["t", 0, "sub", "k"], 8),
@@ -75,7 +75,9 @@
                 self.assertEqual(places.line(path), line)
         self._every_key_has_a_place(tomllib.loads(text), [], places)
 
-    def _every_key_has_a_place(self, tree: Any, path: list[tomlfile.Step], places: tomlfile.Places) -> None:
+    def _every_key_has_a_place(
+        self, tree: Any, path: list[toml_decoder.Step], places: toml_decoder.SourceLines
+    ) -> None:
         self.assertIn(tuple(path), places._lines)
         pairs = tree.items() if isinstance(tree, dict) else enumerate(tree) if isinstance(tree, list) else ()
         for step, value in pairs:
@@ -83,18 +85,18 @@
 
     def test_the_scenarios_that_ship_can_be_read_and_cover_every_fault(self) -> None:
         played = {fault.kind for name in scenario.shipped() for fault in scenario.read(name).faults}
-        known = set(get_args(get_type_hints(scenario.Fault)["kind"]))
+        known = set(get_args(get_type_hints(scenario.FaultConfig)["kind"]))
         self.assertEqual(known - played, {"term"})  # which a rolling restart plays
 
 
 class Drawing(TestCase):
-    def plan(self, seed: int, **more: Any) -> tuple[Keys, Plan]:
+    def plan(self, seed: int, **more: Any) -> tuple[KeyDistribution, ArrivalPlan]:
         made = scenario.read("demo")
         made.seed = seed
         for name, value in more.items():
             setattr(made, name, value)
-        keys = Keys(seed, made.clients)
-        return keys, Plan(made, keys)
+        keys = KeyDistribution(seed, made.clients)
+        return keys, ArrivalPlan(made, keys)
 
     def test_the_same_seed_draws_the_same_and_another_another(self) -> None:
         first, again, other = (self.plan(seed)[1].arrivals for seed in (3, 3, 4))
--- a/tests/lab/test_stands.py
+++ b/tests/lab/test_stands.py
@@ -8,13 +8,13 @@
 
 import numpy as np
 
-from lupinladder.lab import scenario
-from lupinladder.lab.draws import Keys
-from lupinladder.lab.listing import Entry, ListCore
-from lupinladder.lab.machine import Job
-from lupinladder.lab.node import Ask, NodeCore, Repeats
-from lupinladder.lab.origin import OriginCore
-from lupinladder.lab.world import Memory, World
+from lupinladder.emulator import scenario
+from lupinladder.emulator.cache_node import CacheNode, DeduplicationTable, NodeRequest
+from lupinladder.emulator.endpoint_list import EndpointList, ListedEndpoint
+from lupinladder.emulator.origin import OriginModel
+from lupinladder.emulator.processor_sharing_queue import Job
+from lupinladder.emulator.shared_data import CacheMemory, SharedData
+from lupinladder.emulator.workload import KeyDistribution
 
 
 class Stage(TestCase):
@@ -22,26 +22,26 @@
         self.scenario = scenario.read("calm")
         self.scenario.fleet.error_rate = 0.0
         self.scenario.fleet.speed = (1.0, 1.0)
-        self.keys = Keys(1, self.scenario.clients)
-        self.world = World(self.keys, lambda: 10_000.0)
+        self.keys = KeyDistribution(1, self.scenario.clients)
+        self.world = SharedData(self.keys, lambda: 10_000.0)
         self.said: list[tuple[str, str, bytes]] = []  # id, word, bytes
 
-    def node(self, name: str = "s1", cold: bool = False, **more: Any) -> NodeCore:
+    def node(self, name: str = "s1", cold: bool = False, **more: Any) -> CacheNode:
         for setting, value in more.items():
             setattr(self.scenario.fleet, setting, value)
-        node = NodeCore(0, name, 0, self.scenario.fleet, self.world, np.random.default_rng(1), cold)
+        node = CacheNode(0, name, 0, self.scenario.fleet, self.world, np.random.default_rng(1), cold)
         self.world.nodes[name] = node
         return node
 
-    def origin(self, capacity: float = 20, **more: Any) -> OriginCore:
+    def origin(self, capacity: float = 20, **more: Any) -> OriginModel:
         for setting, value in more.items():
             setattr(self.scenario.origin, setting, value)
-        return OriginCore(0, self.scenario.origin, capacity, self.world, np.random.default_rng(1))
+        return OriginModel(0, self.scenario.origin, capacity, self.world, np.random.default_rng(1))
 
     def query(
         self, ident: str, key: bytes = b"k1", write: bool = False, work: float = 40, **labels: str
-    ) -> Ask:
-        return Ask(
+    ) -> NodeRequest:
+        return NodeRequest(
             0,
             key,
             ident.encode(),
@@ -51,7 +51,7 @@
             lambda data, word: self.said.append((ident, word, data)),
         )
 
-    def settle(self, core: NodeCore | OriginCore, now: float) -> float:
+    def settle(self, core: CacheNode | OriginModel, now: float) -> float:
         while core.wake() < inf:
             now = max(now, core.wake())
             core.advance(now)
@@ -130,7 +130,7 @@
 
     def test_memory_is_bounded_in_the_order_that_is_set_and_goes_stale(self) -> None:
         for fifo, left in [(False, "ac"), (True, "bc")]:
-            memory = Memory(2, fifo)
+            memory = CacheMemory(2, fifo)
             memory.put(b"a", 0, 100)
             memory.put(b"b", 0, 100)
             memory.get(b"a", 1)
@@ -139,7 +139,7 @@
             self.assertIsNone(memory.get(b"c", 50))
 
     def test_a_repeat_is_dropped_for_five_seconds(self) -> None:
-        repeats = Repeats()
+        repeats = DeduplicationTable()
         self.assertEqual([repeats.fresh(b"k", t) for t in (0, 4999, 5001)], [True, False, True])
 
 
@@ -175,11 +175,11 @@
 
 
 class Lists(TestCase):
-    def entry(self, name: str, status: str, since: int = 0) -> Entry:
-        return Entry(name, "riga", "small-1", 0, status, since)
+    def entry(self, name: str, status: str, since: int = 0) -> ListedEndpoint:
+        return ListedEndpoint(name, "riga", "small-1", 0, status, since)
 
     def test_changes_come_when_they_are_noticed_and_a_watch_hears_each_once(self) -> None:
-        core = ListCore()
+        core = EndpointList()
         core.put(self.entry("a", "active"))
         seen = core.index
         core.lag_ms = 500
@@ -190,13 +190,13 @@
         self.assertEqual(core.since(core.index), (False, []))
 
     def test_a_version_that_is_unknown_or_too_old_gets_the_whole_list(self) -> None:
-        core = ListCore()
+        core = EndpointList()
         core.put(self.entry("a", "active"))
         for index in (0, -3, core.index + 5):
             self.assertTrue(core.since(index)[0])
 
     def test_word_of_an_end_does_not_undo_a_return_under_the_same_id(self) -> None:
-        core = ListCore()
+        core = EndpointList()
         core.put(self.entry("a", "active"))
         core.notice(6000, self.entry("a", "left"))
         core.notice(5000, self.entry("a", "active", since=4000))
--- a/tests/net_scene.py
+++ b/tests/net_scene.py
@@ -7,14 +7,16 @@
 from typing import Any, ClassVar
 from unittest import TestCase, mock
 
-from lupinladder import api
-from lupinladder.net import engine as engine_module
-from lupinladder.net.connection import READ, Address, Budget, Connection
-from lupinladder.net.engine import Engine, Query
-from lupinladder.net.front import Front
-from lupinladder.net.loop import Loop
-from lupinladder.net.origin import OriginDialect
-from lupinladder.net.server_link import Link, NodeDialect
+from lupinladder.balancing.actions import Action, Fail, StartAttempt
+from lupinladder.balancing.events import AttemptEnded, Event, RequestReceived
+from lupinladder.balancing.settings import RequestClass, Settings
+from lupinladder.net import request_dispatcher as engine_module
+from lupinladder.net.client_listener import ClientListener
+from lupinladder.net.connection import READ, Address, Connection, DescriptorBudget
+from lupinladder.net.connection_pool import CacheNodeProtocol, ConnectionPool
+from lupinladder.net.event_loop import EventLoop
+from lupinladder.net.origin_protocol import OriginProtocol
+from lupinladder.net.request_dispatcher import PendingRequest, RequestDispatcher
 
 NODE, ORIGIN = b"s-node", b"s-origin"
 GET = b"*4\r\n$7\r\nOBJ.GET\r\n$2\r\n1f\r\n$1\r\n%b\r\n$12\r\nc=read,d=%d\r\n"
@@ -54,7 +56,7 @@
 class Door:
     """A listener on a port of its own, and whoever came."""
 
-    def __init__(self, loop: Loop) -> None:
+    def __init__(self, loop: EventLoop) -> None:
         self.peers = list[Peer]()
         self.sock = socket.create_server(("127.0.0.1", 0))
         self.address: Address = self.sock.getsockname()
@@ -63,7 +65,7 @@
 
     def _ready(self, mask: int) -> None:
         peer = Peer()
-        peer.conn = Connection(self._loop, Budget(99), self.sock.accept()[0], peer)
+        peer.conn = Connection(self._loop, DescriptorBudget(99), self.sock.accept()[0], peer)
         self.peers.append(peer)
 
     def close(self) -> None:
@@ -76,14 +78,14 @@
     """Stands in for the Balancer: keeps the events and does as told."""
 
     def __init__(self) -> None:
-        self.events = list[api.Event]()
-        self.react: Callable[[Any], list[api.Action]] = lambda event: []
+        self.events = list[Event]()
+        self.react: Callable[[Any], list[Action]] = lambda event: []
         self.depth = 0
 
-    def start(self, now: float) -> list[api.Action]:
+    def start(self, now: float) -> list[Action]:
         return []
 
-    def handle(self, event: api.Event, now: float) -> list[api.Action]:
+    def handle(self, event: Event, now: float) -> list[Action]:
         assert not self.depth, "entered again from within"
         self.depth += 1
         try:
@@ -94,17 +96,17 @@
 
     def ends(self) -> list[tuple[int, str, bool]]:
         """(attempt, outcome, over) of the attempts ended so far."""
-        return [(e.attempt, e.outcome.name, e.over) for e in self.events if isinstance(e, api.Ended)]
+        return [(e.attempt, e.outcome.name, e.over) for e in self.events if isinstance(e, AttemptEnded)]
 
 
-def once_to(server: bytes = NODE, then: api.Action | None = None) -> Callable[[Any], list[api.Action]]:
+def once_to(server: bytes = NODE, then: Action | None = None) -> Callable[[Any], list[Action]]:
     """Send a request to the server; fail it, or do `then`, when that has ended without an answer."""
 
-    def react(event: Any) -> list[api.Action]:
-        if isinstance(event, api.Request):
-            return [api.Try(event.id, server)]
-        if isinstance(event, api.Ended) and not event.over:
-            return [then or api.Fail(event.id)]
+    def react(event: Any) -> list[Action]:
+        if isinstance(event, RequestReceived):
+            return [StartAttempt(event.id, server)]
+        if isinstance(event, AttemptEnded) and not event.over:
+            return [then or Fail(event.id)]
         return []
 
     return react
@@ -115,7 +117,7 @@
 
     def __init__(self) -> None:
         self.told = list[object]()
-        self.query: Query | None = None
+        self.query: PendingRequest | None = None
 
     def served(self, value: bytes) -> None:
         self.told.append(value)
@@ -137,24 +139,28 @@
         quiet = mock.patch("builtins.print")
         quiet.start()
         self.addCleanup(quiet.stop)
-        self.loop, self.budget, self.script = Loop(), Budget(self.SOCKETS), Script()
+        self.loop, self.budget, self.script = EventLoop(), DescriptorBudget(self.SOCKETS), Script()
         self.node, self.origin = Door(self.loop), Door(self.loop)
         self.addCleanup(self.node.close)
         self.addCleanup(self.origin.close)
         self.links = {
-            NODE: self.link(self.node.address, NodeDialect([])),
-            ORIGIN: self.link(self.origin.address, OriginDialect(self.origin.address, [])),
+            NODE: self.link(self.node.address, CacheNodeProtocol([])),
+            ORIGIN: self.link(self.origin.address, OriginProtocol(self.origin.address, [])),
         }
-        settings = api.Settings([api.RequestClass(500, 1500)], max_attempts=2, max_retry_after=400.0)
+        settings = Settings([RequestClass(500, 1500)], max_attempts=2, max_retry_after=400.0)
         with mock.patch.object(engine_module, "Balancer", lambda *_: self.script):
-            self.engine = Engine(self.loop, settings, 1, self.links.get, lambda: None, self.MAX_OPEN)
-        self.front = Front(self.loop, self.budget, self.engine, ("127.0.0.1", 0), ["read"], self.TENANTS)
+            self.engine = RequestDispatcher(
+                self.loop, settings, 1, self.links.get, lambda: None, self.MAX_OPEN
+            )
+        self.front = ClientListener(
+            self.loop, self.budget, self.engine, ("127.0.0.1", 0), ["read"], self.TENANTS
+        )
         self.address: Address = self.front._sock.getsockname()
         self.addCleanup(self.front._sock.close)
         self.script.react = once_to()
 
-    def link(self, address: Address, dialect: Any) -> Link:
-        return Link(self.loop, self.budget, address, dialect, self.IDLE_MS, 120.0, self.STREAMS)
+    def link(self, address: Address, dialect: Any) -> ConnectionPool:
+        return ConnectionPool(self.loop, self.budget, address, dialect, self.IDLE_MS, 120.0, self.STREAMS)
 
     def until(self, done: Callable[[], object], what: str = "") -> None:
         """Turn the loop until it is so; a test fails after 5 s."""
@@ -167,17 +173,17 @@
 
     def client(self, data: bytes = b"") -> Peer:
         peer = Peer()
-        peer.conn = Connection.dial(self.loop, Budget(99), self.address, peer)
+        peer.conn = Connection.dial(self.loop, DescriptorBudget(99), self.address, peer)
         peer.conn.send(data)
         return peer
 
     def ask(self, wait: float = 900) -> Asked:
         """A query straight to the engine."""
-        from lupinladder.net.command import command
+        from lupinladder.net.client_command import parse_command
 
         asked = Asked()
-        content = command([b"OBJ.GET", b"1f", b"a", b"c=read,d=%d" % wait], ["read"])
-        asked.query = self.engine.ask(content, lambda n: api.Request(n, 0, wait), asked)
+        content = parse_command([b"OBJ.GET", b"1f", b"a", b"c=read,d=%d" % wait], ["read"])
+        asked.query = self.engine.ask(content, lambda n: RequestReceived(n, 0, wait), asked)
         return asked
 
     def at_node(self, number: int = 0, door: Door | None = None) -> Peer:
--- a/tests/recovery/test_comeback.py
+++ b/tests/recovery/test_comeback.py
@@ -15,22 +15,22 @@
 from click.testing import CliRunner
 
 from lupinladder.cli.app import app
-from lupinladder.lab import comeback
-from lupinladder.lab.clients import Result, free_port
-from lupinladder.lab.scenario import Fault, Load, Proxies, Scenario
-from lupinladder.store import files, state
+from lupinladder.emulator import restart_recovery
+from lupinladder.emulator.load_generator import Result, free_port
+from lupinladder.emulator.scenario import FaultConfig, LoadPhase, ProxiesConfig, Scenario
+from lupinladder.store import file_store, records
 from tests.lab.test_runs import outcome_of
 
 KILLED, AWAY, DOWN = 3.0, 0.8, 6.0
 
 
-def scenario(how: str, *more: Fault, down: bool = True) -> Scenario:
+def scenario(how: str, *more: FaultConfig, down: bool = True) -> Scenario:
     """Two thirds of twelve proxies killed; with `down`, while discovery is away, to the end of the run."""
-    faults = [Fault("kill-many", KILLED, AWAY, 0.67, how=how), *more]
+    faults = [FaultConfig("kill-many", KILLED, AWAY, 0.67, how=how), *more]
     if down:
-        faults.insert(0, Fault("list-down", KILLED - 0.3, DOWN))
-    made = Scenario(7.0, [Load(0, 100)], lead_s=1.0, faults=faults)
-    made.proxies = Proxies(12, store=True, known="none")
+        faults.insert(0, FaultConfig("list-down", KILLED - 0.3, DOWN))
+    made = Scenario(7.0, [LoadPhase(0, 100)], lead_s=1.0, faults=faults)
+    made.proxies = ProxiesConfig(12, store=True, known="none")
     made.check()
     return made
 
@@ -56,7 +56,7 @@
                 self.assertTrue(low < shares[how] <= high, (how, shares))
 
     def test_killed_again_on_the_way_back_with_the_list_there_and_stores_that_are_spoilt(self) -> None:
-        again = Fault("kill-many", KILLED + AWAY + 0.7, AWAY, 0.67, how="flipped")
+        again = FaultConfig("kill-many", KILLED + AWAY + 0.7, AWAY, 0.67, how="flipped")
         made = scenario("swapped", again, down=False)
         made.seconds = 8.5  # back at 5.3 s; each asks for the list within 1.9 s of its start
         found = outcome_of(made)
@@ -69,10 +69,10 @@
 class Frozen(TestCase):
     def test_proxies_that_stood_still_while_nodes_drained_send_them_nothing_when_they_go_on(self) -> None:
         """Eight of twelve stand still for 3.5 s; what discovery wrote meanwhile is older than the grace."""
-        made = Scenario(6.0, [Load(0, 100)], lead_s=2.5)
-        made.faults = [Fault("deploy", 0.2, 1.0, 0.4, 0.4, 6.5), Fault("freeze", 1.0, 3.5, 0.67)]
+        made = Scenario(6.0, [LoadPhase(0, 100)], lead_s=2.5)
+        made.faults = [FaultConfig("deploy", 0.2, 1.0, 0.4, 0.4, 6.5), FaultConfig("freeze", 1.0, 3.5, 0.67)]
         made.discovery.notice_s = (1.2, 1.6)
-        made.proxies = Proxies(12)
+        made.proxies = ProxiesConfig(12)
         made.check()
         found = outcome_of(made)
         # A query that came as they were let go may find the backlog before it: that is no stale decision.
@@ -150,7 +150,7 @@
         first.terminate()
         self.said(first, "stop: all answered")
         self.assertEqual(first.wait(), 0)
-        found = state.fold(files.peek(store))
+        found = records.fold(file_store.peek(store))
         assert found
         self.assertEqual((found.owner.proxy, len(found.owner.starts)), ("n1", 1))
 
@@ -163,9 +163,9 @@
     def test_show_check_and_cut(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "n1.store"
-            store = files.Store(path, state.Owner("n1", "site"), 0.0, print)
-            store.put(state.Listing(4, 0.0, 0, [{"name": "s-1"}]))
-            store.put(state.Limit("s-1", 0.0, 0.0, 16, 50.0, 3.0))
+            store = file_store.Store(path, records.StoreOwner("n1", "site"), 0.0, print)
+            store.put(records.EndpointListRecord(4, 0.0, 0, [{"name": "s-1"}]))
+            store.put(records.LimitRecord("s-1", 0.0, 0.0, 16, 50.0, 3.0))
             store.flush(0.0)
             code, text = self.invoke("store", "cut", str(path))
             self.assertEqual((code, "a process uses this store" in text), (2, True))
@@ -197,7 +197,7 @@
 
 class Measures(TestCase):
     def test_full_service_is_the_first_moment_from_which_two_seconds_are_as_before(self) -> None:
-        made = comeback.scenario(4, 0.5, "kept", "up", 1)
+        made = restart_recovery.scenario(4, 0.5, "kept", "up", 1)
 
         def results(bad: tuple[float, float]) -> list[Result]:
             times = [n / 50 for n in range(round(made.seconds * 50))]
@@ -205,13 +205,15 @@
                 Result(at, 0, "failed" if bad[0] <= at < bad[1] else "served", 50.0, 1, 0) for at in times
             ]
 
-        killed = comeback.KILLED_S
-        self.assertAlmostEqual(comeback.full_after(results((killed, killed + 3)), made) or 0, 3.0, delta=0.06)
-        self.assertEqual(comeback.full_after(results((0, 0)), made), 0.0)
-        self.assertIsNone(comeback.full_after(results((killed, made.seconds)), made))
+        killed = restart_recovery.KILLED_S
+        self.assertAlmostEqual(
+            restart_recovery.full_after(results((killed, killed + 3)), made) or 0, 3.0, delta=0.06
+        )
+        self.assertEqual(restart_recovery.full_after(results((0, 0)), made), 0.0)
+        self.assertIsNone(restart_recovery.full_after(results((killed, made.seconds)), made))
 
     def test_the_highest_second_is_looked_for_at_every_tenth(self) -> None:
         rate = Counter({15: 4, 24: 5, 40: 1})
-        self.assertEqual(comeback.highest(rate, 0, 5), 9)
-        self.assertEqual(comeback.highest(rate, 3, 5), 1)
-        self.assertEqual(comeback.highest(rate, 9, 9.5), 0)
+        self.assertEqual(restart_recovery.highest(rate, 0, 5), 9)
+        self.assertEqual(restart_recovery.highest(rate, 3, 5), 1)
+        self.assertEqual(restart_recovery.highest(rate, 9, 9.5), 0)
--- a/tests/recovery/test_store.py
+++ b/tests/recovery/test_store.py
@@ -12,18 +12,25 @@
 
 from msgspec import Struct
 
-from lupinladder.store import files, log, state
-from lupinladder.store.files import Disk, Limits, Store, StoreError
-from lupinladder.store.state import Heard, Limit, Listing, Owner, Slots, State
+from lupinladder.store import file_store, record_log, records
+from lupinladder.store.file_store import FileSystem, Store, StoreError, StoreLimits
+from lupinladder.store.records import (
+    EndpointListConfirmation,
+    EndpointListRecord,
+    LimitRecord,
+    SlotLoadRecord,
+    StoredState,
+    StoreOwner,
+)
 
-OWNER = Owner("n1", "site")
+OWNER = StoreOwner("n1", "site")
 
 
 class Died(BaseException):
     """The process ended here."""
 
 
-class Faulty(Disk):
+class Faulty(FileSystem):
     """A disk that takes so many steps and then ends the process, is full, or is read-only; a write may get
     only a part of its bytes through."""
 
@@ -66,9 +73,9 @@
         super().sync_folder(path)
 
 
-def limit(n: int, version: int) -> Limit:
+def limit(n: int, version: int) -> LimitRecord:
     """All its figures say the version, so that a mixture shows."""
-    return Limit(f"s-{n}", 1.0, float(version), version, float(version), float(version))
+    return LimitRecord(f"s-{n}", 1.0, float(version), version, float(version), float(version))
 
 
 def points(servers: int) -> list[dict[str, Any]]:
@@ -77,13 +84,13 @@
 
 def words(version: int, servers: int = 6) -> list[Struct]:
     return [
-        Listing(version, float(version), 0, points(servers)),
-        Slots(float(version), {n: float(version) for n in range(4)}),
+        EndpointListRecord(version, float(version), 0, points(servers)),
+        SlotLoadRecord(float(version), {n: float(version) for n in range(4)}),
         *(limit(n, version) for n in range(servers)),
     ]
 
 
-def versions(found: State | None) -> list[float]:
+def versions(found: StoredState | None) -> list[float]:
     """Of each thing that is kept, in the order in which it is written."""
     assert found
     listed = [found.listing.at] if found.listing else []
@@ -98,16 +105,16 @@
         self.path = Path(folder.name) / "n1.store"
         self.said: list[str] = []
 
-    def open(self, disk: Disk | None = None, owner: Owner = OWNER, **limits: float) -> Store:
-        return Store(self.path, owner, 0.0, self.said.append, Limits(**limits), disk)  # type: ignore[arg-type]
+    def open(self, disk: FileSystem | None = None, owner: StoreOwner = OWNER, **limits: float) -> Store:
+        return Store(self.path, owner, 0.0, self.said.append, StoreLimits(**limits), disk)  # type: ignore[arg-type]
 
     def fill(self, store: Store, version: int, now: float) -> None:
         for one in words(version):
             store.put(one)
         store.flush(now)
 
-    def read(self) -> State | None:
-        return state.fold(files.peek(self.path))
+    def read(self) -> StoredState | None:
+        return records.fold(file_store.peek(self.path))
 
 
 class Kept(Scene):
@@ -115,8 +122,8 @@
         store = self.open()
         for version in range(1, 40):
             self.fill(store, version, version * 1000.0)
-        store.put(Heard(39, 50_000.0))
-        store.put(Heard(38, 60_000.0))  # of another list: says nothing of this one
+        store.put(EndpointListConfirmation(39, 50_000.0))
+        store.put(EndpointListConfirmation(38, 60_000.0))  # of another list: says nothing of this one
         store.close(41_000.0)
         again = self.open()
         assert again.found
@@ -126,10 +133,14 @@
         again.close(0)
 
     def test_an_older_list_never_replaces_a_newer_one_and_limits_go_with_their_server(self) -> None:
-        kept = State(OWNER)
-        for one in [*words(5, 6), Listing(4, 9.0, 0, []), Listing(3, 10.0, 1, points(2))]:
+        kept = StoredState(OWNER)
+        for one in [
+            *words(5, 6),
+            EndpointListRecord(4, 9.0, 0, []),
+            EndpointListRecord(3, 10.0, 1, points(2)),
+        ]:
             kept.take(one)
-            if isinstance(one, Listing) and one.index == 4:
+            if isinstance(one, EndpointListRecord) and one.index == 4:
                 self.assertEqual(kept.listing and kept.listing.index, 5)
         self.assertEqual(kept.listing and kept.listing.index, 3)  # of a later generation
         kept.prune()
@@ -168,7 +179,7 @@
         store = self.open()
         self.fill(store, 1, 0.0)
         store.close(0)
-        for owner in (Owner("n2", "site"), Owner("n1", "other")):
+        for owner in (StoreOwner("n2", "site"), StoreOwner("n1", "other")):
             one = self.open(owner=owner)
             self.assertIsNone(one.found)
             one.close(0)
@@ -182,13 +193,13 @@
 
     def test_a_newer_version_is_refused_and_an_older_one_is_read_in_the_words_of_this(self) -> None:
         begin = {"proxy": "n1", "site": "site", "starts": []}
-        with mock.patch.object(log, "VERSION", 9):
-            self.path.write_bytes(log.begin(1, begin))
-        self.assertIn("of version 9", files.peek(self.path).why)
-        self.path.write_bytes(log.begin(1, begin) + state.encode(2, limit(1, 7)) + log.end(3))
-        newer = mock.patch.object(log, "VERSION", 2)
+        with mock.patch.object(record_log, "VERSION", 9):
+            self.path.write_bytes(record_log.begin(1, begin))
+        self.assertIn("of version 9", file_store.peek(self.path).why)
+        self.path.write_bytes(record_log.begin(1, begin) + records.encode(2, limit(1, 7)) + record_log.end(3))
+        newer = mock.patch.object(record_log, "VERSION", 2)
         moved = mock.patch.dict(
-            log.MIGRATIONS, {1: lambda kind, body: {**body, "moved": 0.5} if kind else body}
+            record_log.MIGRATIONS, {1: lambda kind, body: {**body, "moved": 0.5} if kind else body}
         )
         with newer, moved:
             found = self.read()
@@ -246,7 +257,7 @@
             self.fill(store, version, version * 1000.0)
         good = self.path.read_bytes()
         store.close(4000.0)
-        whole = log.scan(good)
+        whole = record_log.scan(good)
         self.assertFalse(whole.why)
         draw, shorter = random.Random(7), 0
         for _ in range(10_000):
@@ -265,24 +276,26 @@
                 at, size = draw.randrange(len(data)), draw.randrange(1, 400)
                 data[at:at] = good[at : at + size] if draw.random() < 0.5 else b""
                 del data[at : at + size]
-            found = log.scan(bytes(data))
-            state.fold(found)
+            found = record_log.scan(bytes(data))
+            records.fold(found)
             # What is read is a beginning of what was written, record for record.
             self.assertEqual(found.records, whole.records[: len(found.records)])
             shorter += len(found.records) < len(whole.records)
         self.assertGreater(shorter, 5_000)
 
     def test_a_record_that_was_good_and_makes_no_sense_is_passed_over(self) -> None:
-        data = log.begin(1, {"proxy": "n1", "site": "site", "starts": [], "later": 1})
+        data = record_log.begin(1, {"proxy": "n1", "site": "site", "starts": [], "later": 1})
         data += (
-            log.encode(2, 99, {"x": 1})
-            + log.encode(3, 2, {"server": 5})
-            + state.encode(4, limit(1, 3))
-            + log.end(5)
+            record_log.encode(2, 99, {"x": 1})
+            + record_log.encode(3, 2, {"server": 5})
+            + records.encode(4, limit(1, 3))
+            + record_log.end(5)
         )
-        found = state.fold(log.scan(data))
+        found = records.fold(record_log.scan(data))
         self.assertIsNone(found)  # its owner has a field that we do not know: it is of a newer program
-        data = data.replace(log.begin(1, {"proxy": "n1", "site": "site", "starts": [], "later": 1}), b"")
-        found = state.fold(log.scan(log.begin(1, {"proxy": "n1", "site": "site"}) + data))
+        data = data.replace(
+            record_log.begin(1, {"proxy": "n1", "site": "site", "starts": [], "later": 1}), b""
+        )
+        found = records.fold(record_log.scan(record_log.begin(1, {"proxy": "n1", "site": "site"}) + data))
         assert found
         self.assertEqual(list(found.limits), ["s-1"])
--- a/tests/recovery/test_trust.py
+++ b/tests/recovery/test_trust.py
@@ -5,11 +5,20 @@
 import itertools
 from unittest import TestCase
 
-from lupinladder import Balancer, api
-from lupinladder.recovery import recall
-from lupinladder.recovery.recall import Notes
-from lupinladder.recovery.trust import Source, Thing, Use, newer, trust
-from lupinladder.store.state import Limit, Listing, Owner, Slots, State
+from lupinladder import Balancer
+from lupinladder.balancing.events import (
+    Endpoint,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Event,
+    LimitRestored,
+    RestoreMode,
+    SlotLoadRestored,
+)
+from lupinladder.recovery import warm_start
+from lupinladder.recovery.freshness import RecordType, Source, Usability, supersedes, usable_as
+from lupinladder.recovery.warm_start import ChangeTracker
+from lupinladder.store.records import EndpointListRecord, LimitRecord, SlotLoadRecord, StoredState, StoreOwner
 from tests import fleet
 from tests.fleet import Proxy, entries
 
@@ -17,65 +26,71 @@
 S, MIN, HOUR = 1e3, 6e4, 3.6e6
 AGES = (S, 10 * S, 10 * MIN, 10 * HOUR)
 TABLE = {  # docs/recovery.md states the same
-    Thing.MEMBER: (Use.ALL, Use.PART, Use.PART, Use.TRIAL),
-    Thing.LIMIT: (Use.ALL, Use.ALL, Use.PART, Use.TRIAL),
-    Thing.HEALTH: (Use.ALL, Use.TRIAL, Use.TRIAL, Use.NOTHING),
-    Thing.SLOT: (Use.ALL, Use.PART, Use.NOTHING, Use.NOTHING),
-    Thing.ORIGIN: (Use.ALL, Use.ALL, Use.PART, Use.TRIAL),
+    RecordType.MEMBER: (Usability.ALL, Usability.PART, Usability.PART, Usability.TRIAL),
+    RecordType.LIMIT: (Usability.ALL, Usability.ALL, Usability.PART, Usability.TRIAL),
+    RecordType.HEALTH: (Usability.ALL, Usability.TRIAL, Usability.TRIAL, Usability.NOTHING),
+    RecordType.SLOT: (Usability.ALL, Usability.PART, Usability.NOTHING, Usability.NOTHING),
+    RecordType.ORIGIN: (Usability.ALL, Usability.ALL, Usability.PART, Usability.TRIAL),
 }
 
 
 class Trust(TestCase):
     def test_the_stated_table(self) -> None:
         for thing, uses in TABLE.items():
-            found = tuple(trust(thing, Source.STORE, NOW - age, NOW) for age in AGES)
+            found = tuple(usable_as(thing, Source.STORE, NOW - age, NOW) for age in AGES)
             self.assertEqual(found, uses, thing)
 
     def test_it_never_grows_with_age_and_a_peer_is_good_for_a_trial_at_most(self) -> None:
         ages = [0, 1, *(10**n for n in range(1, 12))]
-        for thing, source in itertools.product(Thing, Source):
-            uses = [trust(thing, source, NOW - age, NOW) for age in ages]
+        for thing, source in itertools.product(RecordType, Source):
+            uses = [usable_as(thing, source, NOW - age, NOW) for age in ages]
             self.assertEqual(uses, sorted(uses, reverse=True))
-            self.assertEqual(uses[-1], Use.NOTHING)
+            self.assertEqual(uses[-1], Usability.NOTHING)
             if source is Source.PEER:
-                self.assertLessEqual(max(uses), Use.TRIAL)
+                self.assertLessEqual(max(uses), Usability.TRIAL)
 
     def test_a_word_of_another_process_is_void_and_one_from_the_future_has_no_age(self) -> None:
-        for thing in (Thing.LIMIT, Thing.HEALTH):
-            self.assertEqual(trust(thing, Source.STORE, NOW - S, NOW, NOW - S + 1), Use.NOTHING)
-            self.assertEqual(trust(thing, Source.STORE, NOW - S, NOW, NOW - S), Use.ALL)
-        for thing in Thing:  # a clock that jumped back while the proxy was down
-            self.assertEqual(trust(thing, Source.STORE, NOW + HOUR, NOW), Use.TRIAL)
+        for thing in (RecordType.LIMIT, RecordType.HEALTH):
+            self.assertEqual(usable_as(thing, Source.STORE, NOW - S, NOW, NOW - S + 1), Usability.NOTHING)
+            self.assertEqual(usable_as(thing, Source.STORE, NOW - S, NOW, NOW - S), Usability.ALL)
+        for thing in RecordType:  # a clock that jumped back while the proxy was down
+            self.assertEqual(usable_as(thing, Source.STORE, NOW + HOUR, NOW), Usability.TRIAL)
 
     def test_an_older_index_never_overrules_a_newer_one_unless_discovery_began_anew(self) -> None:
         for index, generation, ours, theirs in [(5, 0, True, False), (4, 1, True, True), (6, 0, True, True)]:
-            self.assertEqual(newer(index, generation, 5, 0), ours if index >= 5 or generation else theirs)
-        self.assertFalse(newer(4, 0, 5, 0))
+            self.assertEqual(
+                supersedes(index, generation, 5, 0), ours if index >= 5 or generation else theirs
+            )
+        self.assertFalse(supersedes(4, 0, 5, 0))
 
 
 def point(name: str, since: float = 1.0, kind: str = "small-1") -> dict[str, object]:
     return {"name": name, "type": kind, "since_ms": since, "status": "active"}
 
 
-def stored(age: float, index: int = 9, names: str = "abc", since: float = 1.0, failed: float = 0.0) -> State:
-    state = State(Owner("n", "s"))
-    state.take(Listing(index, NOW - age, 3, [point(name) for name in names] + [point("o", 0.0, "origin")]))
-    state.take(Slots(NOW - age, {7: 4.0}))
+def stored(
+    age: float, index: int = 9, names: str = "abc", since: float = 1.0, failed: float = 0.0
+) -> StoredState:
+    state = StoredState(StoreOwner("n", "s"))
+    state.take(
+        EndpointListRecord(index, NOW - age, 3, [point(name) for name in names] + [point("o", 0.0, "origin")])
+    )
+    state.take(SlotLoadRecord(NOW - age, {7: 4.0}))
     for name in names:
-        state.take(Limit(name, since, NOW - age, 99, 50.0, 20.0, 0.5, failed))
-    state.take(Limit("o", 0.0, NOW - age, 99, 40.0, 10.0))
+        state.take(LimitRecord(name, since, NOW - age, 99, 50.0, 20.0, 0.5, failed))
+    state.take(LimitRecord("o", 0.0, NOW - age, 99, 40.0, 10.0))
     return state
 
 
-def uses(begun: recall.Beginning) -> dict[str, str]:
-    return {e.server.decode(): e.use.value for e in begun.events if isinstance(e, api.Recalled)}
+def uses(begun: warm_start.WarmStart) -> dict[str, str]:
+    return {e.server.decode(): e.use.value for e in begun.events if isinstance(e, LimitRestored)}
 
 
 class Recall(TestCase):
     CONFIG = {"index": 5, "snapshot": True, "endpoints": [point("a"), point("d"), point("o", 0.0, "origin")]}  # noqa: RUF012
 
-    def begin(self, state: State | None) -> recall.Beginning:
-        return recall.begin(dict(self.CONFIG), state, NOW, "origin")
+    def begin(self, state: StoredState | None) -> warm_start.WarmStart:
+        return warm_start.plan_warm_start(dict(self.CONFIG), state, NOW, "origin")
 
     def test_the_newer_list_is_begun_with_and_an_old_one_is_good_for_trials(self) -> None:
         self.assertEqual(self.begin(None).source, Source.CONFIG)
@@ -98,14 +113,14 @@
 
     def test_slots_are_hot_for_seconds(self) -> None:
         for age, heat in [(S, {7: 4.0}), (10 * S, {7: 2.0}), (10 * MIN, None)]:
-            found = [e.heat for e in self.begin(stored(age)).events if isinstance(e, api.RecalledSlots)]
+            found = [e.heat for e in self.begin(stored(age)).events if isinstance(e, SlotLoadRestored)]
             self.assertEqual(found, [heat] if heat else [])
 
     def test_what_has_not_changed_is_not_written_again_until_its_age_would_mislead(self) -> None:
-        notes = Notes()
+        notes = ChangeTracker()
 
-        def one(at: float, latency: float = 50.0, since: float = 1.0) -> Limit:
-            return Limit("a", since, at, 9, latency, 20.0)
+        def one(at: float, latency: float = 50.0, since: float = 1.0) -> LimitRecord:
+            return LimitRecord("a", since, at, 9, latency, 20.0)
 
         for seen, written in [
             (one(0), 1), (one(100), 0), (one(200, 54), 0), (one(300, 60), 1), (one(400, 60, 2.0), 1),
@@ -117,10 +132,10 @@
 
 
 class Module(TestCase):
-    def proxy(self, *events: api.Event) -> Proxy:
+    def proxy(self, *events: Event) -> Proxy:
         conf = fleet.settings(balancers=1)
         proxy = Proxy(Balancer(conf, 1, 0.0), conf)
-        proxy.feed(api.Fleet(api.ListForm.CACHED, 1, entries(4)))
+        proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, entries(4)))
         for event in events:
             proxy.feed(event)
         return proxy
@@ -130,27 +145,27 @@
         whole = self.proxy().balancer.members[server].limiter
         self.assertEqual(whole.max_concurrency, float("inf"))
         limits = {}
-        for use in api.Recall:
-            limiter = self.proxy(api.Recalled(server, use, 50.0, 0.1)).balancer.members[server].limiter
+        for use in RestoreMode:
+            limiter = self.proxy(LimitRestored(server, use, 50.0, 0.1)).balancer.members[server].limiter
             limits[use], fresh = limiter.max_concurrency, limiter.fresh
-            self.assertEqual(fresh, use is not api.Recall.ALL)
-        self.assertEqual(limits[api.Recall.TRIAL], 1.0)
-        self.assertEqual(limits[api.Recall.PART] * 2, limits[api.Recall.ALL])
-        self.assertGreater(limits[api.Recall.ALL], 0.1 * 50 * 2)  # Little's law, and room up to the aim
+            self.assertEqual(fresh, use is not RestoreMode.ALL)
+        self.assertEqual(limits[RestoreMode.TRIAL], 1.0)
+        self.assertEqual(limits[RestoreMode.PART] * 2, limits[RestoreMode.ALL])
+        self.assertGreater(limits[RestoreMode.ALL], 0.1 * 50 * 2)  # Little's law, and room up to the aim
 
     def test_what_is_known_by_now_what_is_cold_and_what_is_not_listed_is_passed_over(self) -> None:
         server = entries(4)[0].server
-        cold = api.Fleet(api.ListForm.DELTA, 2, [api.Entry(server, launched=1.0)])
+        cold = EndpointUpdate(EndpointUpdateKind.DELTA, 2, [Endpoint(server, launched=1.0)])
         proxy = self.proxy(
-            cold, api.Recalled(server, api.Recall.ALL, 50.0, 0.1), api.Recalled(b"none", api.Recall.ALL)
+            cold, LimitRestored(server, RestoreMode.ALL, 50.0, 0.1), LimitRestored(b"none", RestoreMode.ALL)
         )
         self.assertEqual(proxy.balancer.members[server].limiter.max_concurrency, 1.0)
         proxy = self.proxy(
-            api.Recalled(server, api.Recall.TRIAL), api.Recalled(server, api.Recall.ALL, 50.0, 0.1)
+            LimitRestored(server, RestoreMode.TRIAL), LimitRestored(server, RestoreMode.ALL, 50.0, 0.1)
         )
         self.assertEqual(proxy.balancer.members[server].limiter.max_concurrency, 1.0)
 
     def test_recalled_slots_are_split_from_the_first_request_on(self) -> None:
-        proxy = self.proxy(api.RecalledSlots({5: 40.0, -1: 9.0, 1 << 40: 9.0}))
+        proxy = self.proxy(SlotLoadRestored({5: 40.0, -1: 9.0, 1 << 40: 9.0}))
         self.assertEqual(proxy.balancer.slots.heat, {5: 40.0})
         self.assertGreater(proxy.balancer.slots.parts(5), 1)
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from lupinladder import wire
+from lupinladder.simulator.codec import HEADER
 from tests.test_wire import DEFINE, NODE, SETTINGS
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -105,4 +105,4 @@
 
 def test_end_of_input_between_frames() -> None:
     assert drill(b"").returncode == 0
-    assert wire.HEADER.size == 12
+    assert HEADER.size == 12
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,7 +4,16 @@
 
 import sys
 
-from lupinladder import Balancer, api
+from lupinladder import Balancer
+from lupinladder.balancing.events import (
+    AttemptEnded,
+    Endpoint,
+    EndpointState,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Outcome,
+    RequestReceived,
+)
 from tests import fleet
 from tests.fleet import Proxy, entries, sid
 
@@ -12,14 +21,14 @@
 def proxy_of(n: int = 12, **config: object) -> Proxy:
     conf = fleet.settings(**config)
     proxy = Proxy(Balancer(conf, 1, 0.0), conf)
-    proxy.feed(api.Fleet(api.ListForm.CACHED, 1, entries(n)))
+    proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, entries(n)))
     return proxy
 
 
 def ask(proxy: Proxy, key: int, **more: object) -> int:
     """One safe request. Returns its id."""
     n = len(proxy.seen) + 1
-    proxy.feed(api.Request(n, 0, 1500, key, **more))  # type: ignore[arg-type]
+    proxy.feed(RequestReceived(n, 0, 1500, key, **more))  # type: ignore[arg-type]
     return n
 
 
@@ -33,7 +42,7 @@
     if not proxy.seen[n].tries:
         return None
     proxy.now += latency
-    proxy.feed(api.Ended(n, 0, api.Outcome.OK, latency, True, note))
+    proxy.feed(AttemptEnded(n, 0, Outcome.OK, latency, True, note))
     return server_of(proxy, n)
 
 
@@ -57,10 +66,10 @@
         for attempt in range(4):
             if len(proxy.seen[n].tries) <= attempt:
                 break
-            outcome = api.Outcome.ERROR if server_of(proxy, n, attempt) == bad else api.Outcome.OK
+            outcome = Outcome.ERROR if server_of(proxy, n, attempt) == bad else Outcome.OK
             proxy.now += 3
             proxy.end(n, attempt, outcome)
-            if outcome is api.Outcome.OK:
+            if outcome is Outcome.OK:
                 break
     assert proxy.notes and bad is not None and bad.hex() in proxy.notes[0]
     assert serve(proxy, 7) not in (bad, None)  # its keys go to the next owner
@@ -68,7 +77,7 @@
     n = ask(proxy, 7)
     assert server_of(proxy, n) == bad  # one trial
     assert server_of(proxy, ask(proxy, 7)) != bad  # and one alone
-    proxy.end(n, 0, api.Outcome.OK)
+    proxy.end(n, 0, Outcome.OK)
     assert serve(proxy, 7) == bad
 
 
@@ -86,9 +95,9 @@
             proxy.now += 3
             came += server_of(proxy, n) == owner
             if server_of(proxy, n) == owner and came % every == 0:
-                proxy.end(n, 0, api.Outcome.FULL)
+                proxy.end(n, 0, Outcome.FULL)
                 assert server_of(proxy, n, 1) != owner  # and it has not run: the next owner takes it
-            proxy.end(n, len(proxy.seen[n].tries) - 1, api.Outcome.OK, 50)
+            proxy.end(n, len(proxy.seen[n].tries) - 1, Outcome.OK, 50)
 
     limit = limiter.max_concurrency
     turn_away(every=2)
@@ -104,7 +113,7 @@
         n = ask(proxy, key)
         while None in proxy.seen[n].outcomes:
             proxy.now += 3
-            proxy.end(n, len(proxy.seen[n].tries) - 1, api.Outcome.ERROR)
+            proxy.end(n, len(proxy.seen[n].tries) - 1, Outcome.ERROR)
     assert sum(s.out_until > proxy.now for s in proxy.balancer.members.values()) <= 4
     assert serve(proxy, 1) is not None
 
@@ -119,7 +128,7 @@
         if proxy.seen[n].tries and server_of(proxy, n) == hung:
             out += 1
         elif proxy.seen[n].tries:
-            proxy.end(n, 0, api.Outcome.OK, 50)
+            proxy.end(n, 0, Outcome.OK, 50)
     assert out < 40  # the rest went to the next owner
     proxy.advance(proxy.now + 1500)  # all run out of time
     before = len(proxy.sends)
@@ -136,12 +145,12 @@
         n = ask(proxy, key)
         if proxy.seen[n].tries:
             proxy.now += 20
-            proxy.feed(api.Ended(n, 0, api.Outcome.OK, 900.0, True, 2))
+            proxy.feed(AttemptEnded(n, 0, Outcome.OK, 900.0, True, 2))
     for key in range(2000, 2010):
         n = ask(proxy, key)
         if proxy.seen[n].tries:
             proxy.now += 900
-            proxy.feed(api.Ended(n, 0, api.Outcome.ERROR, 900.0, False, 2))
+            proxy.feed(AttemptEnded(n, 0, Outcome.ERROR, 900.0, False, 2))
     assert len(proxy.seen[n].tries) <= 1  # a failed fetch is not repeated elsewhere
     refused = sum(not proxy.seen[ask(proxy, key)].tries for key in range(3000, 3040))
     assert refused > 30  # one more fetch would only join the queue
@@ -152,22 +161,22 @@
 def test_aside_concurrent_misses_wait_for_one_fetch() -> None:
     conf = fleet.settings(aside=True, origin_kind=1, max_attempts=3)
     proxy = Proxy(Balancer(conf, 1, 0.0), conf)
-    listed = [*entries(6), api.Entry(sid(90), kind=1)]
-    proxy.feed(api.Fleet(api.ListForm.CACHED, 1, listed))
+    listed = [*entries(6), Endpoint(sid(90), kind=1)]
+    proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, listed))
     requests = [ask(proxy, 5) for _ in range(3)]
     cache = server_of(proxy, requests[0])
     assert cache != sid(90)
     for n in requests:
-        proxy.end(n, 0, api.Outcome.MISS)
+        proxy.end(n, 0, Outcome.MISS)
     assert [server for _, server in proxy.sends].count(sid(90)) == 1
-    proxy.end(requests[0], 1, api.Outcome.OK, 80)
+    proxy.end(requests[0], 1, Outcome.OK, 80)
     assert server_of(proxy, requests[1], 1) == cache and server_of(proxy, requests[2], 1) == cache
 
 
 def test_aside_writes_go_to_the_origin_and_no_slot_is_the_origins() -> None:
     conf = fleet.settings(aside=True, origin_kind=1, max_attempts=3)
     proxy = Proxy(Balancer(conf, 1, 0.0), conf)
-    proxy.feed(api.Fleet(api.ListForm.CACHED, 1, [*entries(6), api.Entry(sid(90), kind=1)]))
+    proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, [*entries(6), Endpoint(sid(90), kind=1)]))
     assert server_of(proxy, ask(proxy, 5, write=True)) == sid(90)
     assert all(server_of(proxy, ask(proxy, key)) != sid(90) for key in range(1, 60))
 
@@ -187,14 +196,14 @@
     proxy = proxy_of(0)
     assert not proxy.seen[ask(proxy, 1)].tries and proxy.seen[1].answered
     draining = proxy_of(0)
-    draining.feed(api.Fleet(api.ListForm.FULL, 2, entries(3, state=api.State.DRAINING)))
+    draining.feed(EndpointUpdate(EndpointUpdateKind.FULL, 2, entries(3, state=EndpointState.DRAINING)))
     assert not draining.seen[ask(draining, 1)].tries and draining.seen[1].answered
 
 
 def test_a_stale_delta_does_not_bring_back_what_has_gone() -> None:
     proxy = proxy_of(3)
-    proxy.feed(api.Fleet(api.ListForm.DELTA, 5, [api.Entry(sid(0), api.State.GONE)]))
-    proxy.balancer.handle(api.Fleet(api.ListForm.DELTA, 4, [api.Entry(sid(0))]), proxy.now)
+    proxy.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 5, [Endpoint(sid(0), EndpointState.GONE)]))
+    proxy.balancer.handle(EndpointUpdate(EndpointUpdateKind.DELTA, 4, [Endpoint(sid(0))]), proxy.now)
     for key in range(1, 60):
         assert serve(proxy, key) != sid(0)
 
@@ -207,7 +216,7 @@
         [(at, _token)] = proxy.timers
         waits.append(at - proxy.now)
         proxy.advance(at)
-        proxy.feed(api.Fleet(api.ListForm.FAILED))
+        proxy.feed(EndpointUpdate(EndpointUpdateKind.FAILED))
     assert proxy.follows == 4 and 0 < waits[0] < 2500
     assert waits[3] > waits[1] and max(waits) < 10000
 
@@ -220,7 +229,7 @@
             proxy = Proxy(Balancer(conf, seed, 0.0), conf)
             proxy.timers.clear()
             for _ in range(failures):
-                proxy.feed(api.Fleet(api.ListForm.FAILED))
+                proxy.feed(EndpointUpdate(EndpointUpdateKind.FAILED))
                 [(at, _token)] = proxy.timers
                 found.append(at - proxy.now)
                 proxy.advance(at)
@@ -237,7 +246,7 @@
 def test_a_tenant_over_its_quota_is_refused_first() -> None:
     conf = fleet.settings(tenant_quotas=[40.0, 40.0], over_share_worth=0.2)
     proxy = Proxy(Balancer(conf, 1, 0.0), conf)
-    proxy.feed(api.Fleet(api.ListForm.CACHED, 1, entries(12)))
+    proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, entries(12)))
     warm(proxy)
     hot = serve(proxy, 7)
     limit = proxy.balancer.members[hot or b""].limiter
@@ -260,7 +269,7 @@
         late = bool(proxy.seen[n].tries) and server_of(proxy, n) == slow
         proxy.now += 30
         if proxy.seen[n].tries:
-            proxy.feed(api.Ended(n, 0, api.Outcome.OK, 900.0 if late else 50.0, True, 1))
+            proxy.feed(AttemptEnded(n, 0, Outcome.OK, 900.0 if late else 50.0, True, 1))
     assert 0.25 <= server.moved < 1  # bounded: it keeps a quarter of its slots
     others = [s.moved for s in proxy.balancer.members.values() if s is not server]
     assert min(others) == 1.0
@@ -312,7 +321,7 @@
     proxy.now += latency + 1  # nothing has come back for longer than its mean latency
     assert limiter.admits(proxy.now), "its limit has room"
     assert serve(proxy, 7) not in (owner, None)
-    proxy.end(out[0], 0, api.Outcome.OK)
+    proxy.end(out[0], 0, Outcome.OK)
     assert serve(proxy, 7) == owner
 
 
--- a/tests/test_govern.py
+++ b/tests/test_govern.py
@@ -8,28 +8,36 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lupinladder import api
-from lupinladder.govern.clients import EDGES, SPANS, WORTH, Returns, Room, choose, span
-from lupinladder.govern.leaving import Leaving
+from lupinladder.balancing.settings import RequestClass, Settings
+from lupinladder.connection_limits.idle_clients import (
+    IDLE_SPAN_COUNT,
+    IDLE_SPAN_EDGES,
+    WORTH,
+    ConnectionCapacity,
+    IdleReturnEstimator,
+    idle_span,
+    select_for_eviction,
+)
+from lupinladder.graceful_shutdown import ShutdownSchedule
 
 RESTS = st.lists(st.tuples(st.integers(1, 9), st.floats(0, 5000)), max_size=60)
 
 
-def taught(asked: int, rests: int, share_back: float, after: float) -> Returns:
+def taught(asked: int, rests: int, share_back: float, after: float) -> IdleReturnEstimator:
     """After so many rests, of which a share ended by a command after a while and the others never."""
-    returns = Returns()
+    returns = IdleReturnEstimator()
     for n in range(rests):
         if n < rests * share_back:
-            returns.outlived(asked, 0, span(after))
+            returns.outlived(asked, 0, idle_span(after))
             returns.returned(asked, after)
         else:
-            returns.outlived(asked, 0, SPANS)
+            returns.outlived(asked, 0, IDLE_SPAN_COUNT)
     return returns
 
 
 class Chances(TestCase):
     def test_without_evidence_a_client_is_taken_to_return(self) -> None:
-        self.assertGreater(Returns().chance(1, 50), 0.9)
+        self.assertGreater(IdleReturnEstimator().chance(1, 50), 0.9)
 
     def test_once_askers_are_told_from_those_that_come_back(self) -> None:
         returns = taught(1, 100, 0.05, 60)
@@ -47,7 +55,7 @@
         returns = taught(1, 100, 0.8, 300)
         before = returns.chance(1, 250)
         for _ in range(500):
-            returns.outlived(1, 0, span(250))  # closed by us at 250 ms: no word of the span it was in
+            returns.outlived(1, 0, idle_span(250))  # closed by us at 250 ms: no word of the span it was in
         self.assertAlmostEqual(returns.chance(1, 250), before, delta=0.01)
 
     def test_it_follows_a_change_of_habits(self) -> None:
@@ -60,9 +68,9 @@
     def test_it_is_a_chance_whatever_was_seen(
         self, rests: list[tuple[int, float]], asked: int, rested: float
     ) -> None:
-        returns = Returns()
+        returns = IdleReturnEstimator()
         for n, (count, after) in enumerate(rests):
-            returns.outlived(count, 0, span(after))
+            returns.outlived(count, 0, idle_span(after))
             if n % 2:
                 returns.returned(count, after)
         self.assertTrue(0 <= returns.chance(asked, rested) <= 1)
@@ -70,7 +78,7 @@
 
 class Choices(TestCase):
     def test_room_is_kept_for_newcomers_and_nobody_is_closed_without_need(self) -> None:
-        room = Room(80, 0)
+        room = ConnectionCapacity(80, 0)
         self.assertEqual(room.short(40, 100), 0)
         self.assertEqual(room.short(80, 200), 20)  # at the bound we can't know who waits: a quarter
         for now in range(300, 2300, 100):
@@ -84,7 +92,7 @@
         self, resting: list[tuple[int, float]], most: int, rests: int
     ) -> None:
         returns = taught(1, rests, 0.1, 60)
-        chosen = choose(resting, returns, most)
+        chosen = select_for_eviction(resting, returns, most)
         self.assertLessEqual(len(chosen), max(most, 0))
         self.assertEqual(len(set(chosen)), len(chosen))
         for n in chosen:
@@ -96,15 +104,17 @@
 
     def test_the_longest_rest_goes_first_among_equals(self) -> None:
         returns = taught(1, 200, 0.0, 0)
-        last = EDGES[-1]
-        self.assertEqual(choose([(1, last + 5), (1, last + 90), (1, last + 50)], returns, 2), [1, 2])
+        last = IDLE_SPAN_EDGES[-1]
+        self.assertEqual(
+            select_for_eviction([(1, last + 5), (1, last + 90), (1, last + 50)], returns, 2), [1, 2]
+        )
 
 
 class Stops(TestCase):
-    CLASSES: ClassVar[list[api.RequestClass]] = [api.RequestClass(300, 600), api.RequestClass(2500, 5000)]
+    CLASSES: ClassVar[list[RequestClass]] = [RequestClass(300, 600), RequestClass(2500, 5000)]
 
     def test_the_only_proxy_takes_what_can_still_be_answered_before_the_kill(self) -> None:
-        plan = Leaving(api.Settings(self.CLASSES, max_retry_after=450), 1000.0)
+        plan = ShutdownSchedule(Settings(self.CLASSES, max_retry_after=450), 1000.0)
         self.assertEqual((plan.accepts, plan.killed, plan.end, plan.closes), (1500, 4700, 4500, 4200))
         for now, kind, patience, allowed in (
             (1000, 0, 600, 600),
@@ -119,10 +129,10 @@
         self.assertEqual((plan.back(4200), plan.back(4300), plan.back(5000)), (450, 400, 0))
 
     def test_one_of_several_lets_its_clients_go_and_answers_before_the_kill_what_still_comes(self) -> None:
-        plan = Leaving(api.Settings(self.CLASSES, balancers=3), 1000.0)
+        plan = ShutdownSchedule(Settings(self.CLASSES, balancers=3), 1000.0)
         self.assertEqual((plan.closes, plan.end), (1500, 4500))
         for now, kind, patience, allowed in ((1499, 1, 5000, 3001), (1701, 0, 600, 600), (2001, 1, 5000, 0)):
             self.assertEqual(plan.patience(kind, patience, now), allowed, (now, kind, patience))
 
     def test_deadlines_shorter_than_the_bound_are_killed_sooner(self) -> None:
-        self.assertEqual(Leaving(api.Settings([api.RequestClass(500, 1500)]), 0.0).killed, 2200)
+        self.assertEqual(ShutdownSchedule(Settings([RequestClass(500, 1500)]), 0.0).killed, 2200)
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -4,20 +4,22 @@
 
 from math import inf, isclose, sqrt
 
-from lupinladder.rules import (
-    ALPHA_LEAST,
+from lupinladder.balancing.balancer import (
     EMA_ALPHA,
+    MIN_ALPHA,
+    MIN_WINDOW_SAMPLES,
     RETEST_LATENCIES,
-    SAMPLES,
-    SAMPLES_LEAST,
     WINDOW_AIMS,
-    Limiter,
+    WINDOW_SAMPLES,
+    ConcurrencyLimiter,
 )
 
 AIM = 500.0
 
 
-def fill(limiter: Limiter, start: float, step: float, latency: float, n: int = SAMPLES) -> float:
+def fill(
+    limiter: ConcurrencyLimiter, start: float, step: float, latency: float, n: int = WINDOW_SAMPLES
+) -> float:
     """n completed sends, one each `step` ms. Returns the time of the last."""
     now = start
     for _ in range(n):
@@ -29,14 +31,14 @@
 
 
 def test_no_limit_before_a_first_window() -> None:
-    limiter = Limiter(0, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
     assert limiter.max_concurrency == inf
-    fill(limiter, 0, 10, 100, SAMPLES - 1)
+    fill(limiter, 0, 10, 100, WINDOW_SAMPLES - 1)
     assert limiter.max_concurrency == inf and limiter.admits(200)
 
 
 def test_first_window_sets_min_latency_and_the_formula_the_limit() -> None:
-    limiter = Limiter(0, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
     fill(limiter, 0, 10, 100)
     # 16 sends in 160 ms: 0.1 a millisecond. alpha = 500 / 100 - 2 = 3. Room is (2 + 3) * 100 - 100 = 400.
     assert limiter.min_latency == 100 and limiter.latency == 100 and isclose(limiter.max_qps, 0.1)
@@ -48,7 +50,7 @@
     for latency, more in ((50, 1.0), (600, 0.0)):  # 600: beyond the room of what was first seen
         limits = []
         for gap in (inf, AIM):
-            limiter = Limiter(0, AIM, 0.01, False)
+            limiter = ConcurrencyLimiter(0, AIM, 0.01, False)
             limiter.gap = gap
             now = fill(limiter, 0, 500, 50)  # two a second, as a balancer among 200 fetches
             fill(limiter, now, 500, latency)
@@ -57,18 +59,18 @@
 
 
 def test_a_window_closes_early_on_enough_samples_or_at_its_timeout_with_a_few() -> None:
-    limiter = Limiter(0, AIM, 0.5, False)
-    fill(limiter, 0, WINDOW_AIMS * AIM / SAMPLES_LEAST, 100, SAMPLES_LEAST)
-    assert limiter.count == 0 and isclose(limiter.max_qps, SAMPLES_LEAST / (WINDOW_AIMS * AIM))
-    sparse = Limiter(0, AIM, 0.5, False)
-    fill(sparse, 0, WINDOW_AIMS * AIM, 100, SAMPLES_LEAST - 1)
-    assert sparse.count == SAMPLES_LEAST - 1 and sparse.max_concurrency == inf  # too few: it stays open
+    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
+    fill(limiter, 0, WINDOW_AIMS * AIM / MIN_WINDOW_SAMPLES, 100, MIN_WINDOW_SAMPLES)
+    assert limiter.count == 0 and isclose(limiter.max_qps, MIN_WINDOW_SAMPLES / (WINDOW_AIMS * AIM))
+    sparse = ConcurrencyLimiter(0, AIM, 0.5, False)
+    fill(sparse, 0, WINDOW_AIMS * AIM, 100, MIN_WINDOW_SAMPLES - 1)
+    assert sparse.count == MIN_WINDOW_SAMPLES - 1 and sparse.max_concurrency == inf  # too few: it stays open
     fill(sparse, 3 * WINDOW_AIMS * AIM, WINDOW_AIMS * AIM, 100, 1)
     assert isclose(sparse.max_qps, 4 / (4 * WINDOW_AIMS * AIM))  # over the true span
 
 
 def test_max_qps_jumps_up_and_decays_by_a_tenth_of_ema_alpha() -> None:
-    limiter = Limiter(0, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
     now = fill(limiter, 0, 10, 100)
     now = fill(limiter, now, 5, 100)
     assert isclose(limiter.max_qps, 0.2)
@@ -77,7 +79,7 @@
 
 
 def test_min_latency_rises_by_ema_and_not_past_the_bound() -> None:
-    limiter = Limiter(0, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
     now = fill(limiter, 0, 10, 100)
     now = fill(limiter, now, 10, 200)
     assert isclose(limiter.min_latency, 110)
@@ -86,11 +88,11 @@
     for _ in range(200):
         limiter.retest_at = inf
         now = fill(limiter, now, 10, 2000)
-    assert isclose(limiter.min_latency, AIM / (2 + ALPHA_LEAST))
+    assert isclose(limiter.min_latency, AIM / (2 + MIN_ALPHA))
 
 
 def test_latency_beyond_the_room_leaves_the_floor_kept_as_a_mean() -> None:
-    limiter = Limiter(0, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
     now = fill(limiter, 0, 10, 100)
     limiter.retest_at = inf
     now = fill(limiter, now, 10, 900)
@@ -107,7 +109,7 @@
 
 
 def test_a_limit_below_one_recovers_on_one_sample() -> None:
-    limiter = Limiter(0, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
     now = fill(limiter, 0, 10, 100)
     limiter.retest_at = inf
     now = fill(limiter, now, 10, 900)
@@ -116,7 +118,7 @@
 
 
 def test_an_attempt_lost_with_nothing_completed_since_drains_the_server() -> None:
-    limiter = Limiter(0, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
     now = fill(limiter, 0, 10, 100)
     limiter.lost(now - 50, now + 450)
     assert limiter.max_concurrency > 1  # a later send has completed: the request was heavy, not the server
@@ -126,7 +128,7 @@
 
 
 def test_retest_cuts_drains_and_measures() -> None:
-    limiter = Limiter(0, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
     now = fill(limiter, 0, 10, 100)
     assert limiter.retest_at == now + RETEST_LATENCIES * 100
     limiter.inflight = 10
@@ -138,13 +140,13 @@
     kept = limiter.min_latency
     limiter.completed(400, now + 310)
     assert limiter.count == 0  # sent before the drain: it had queued
-    fill(limiter, now + 300 + 80, 10, 80, 2 * SAMPLES_LEAST)
+    fill(limiter, now + 300 + 80, 10, 80, 2 * MIN_WINDOW_SAMPLES)
     assert not limiter.measuring
     assert isclose(limiter.min_latency, kept + (80 - kept) * 8 / 12)  # eight samples against four
 
 
 def test_a_retest_with_few_in_flight_keeps_a_quarter_of_the_limit() -> None:
-    limiter = Limiter(0, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
     fill(limiter, 0, 10, 100)
     limiter.inflight = 2
     fill(limiter, limiter.retest_at, 1, 100)
@@ -156,7 +158,7 @@
 def test_retests_leave_a_sparse_server_its_limit_most_of_the_time() -> None:
     # A retest holds a few sends a second to one at a time until eight are measured. Every 100 latencies that
     # was a quarter of the time, and most refusals of a fleet with room to spare.
-    limiter, now, cut = Limiter(0, AIM, 0.5, False), 0.0, 0
+    limiter, now, cut = ConcurrencyLimiter(0, AIM, 0.5, False), 0.0, 0
     for _ in range(1000):
         now += 200
         cut += limiter.measuring
@@ -169,7 +171,7 @@
 
 def test_a_limit_is_rounded_to_the_nearest_number_of_sends() -> None:
     # Rounded down, a limit of 1.9 let one send through at a time; and at least one always goes.
-    limiter = Limiter(0, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
     for limit, allowed in ((0.5, 1), (1.0, 1), (1.4, 1), (1.9, 2), (2.4, 2), (2.5, 3), (8.0, 8)):
         limiter.max_concurrency, limiter.inflight = limit, 0
         while limiter.admits(0):
@@ -178,7 +180,7 @@
 
 
 def test_a_started_server_starts_small_and_grows_window_by_window() -> None:
-    limiter = Limiter(0, AIM, 0.5, True)
+    limiter = ConcurrencyLimiter(0, AIM, 0.5, True)
     limits, now = [limiter.max_concurrency], 0.0
     for _ in range(4):
         limiter.retest_at = inf
@@ -188,19 +190,19 @@
 
 
 def test_a_clock_that_stands_still_divides_by_no_zero() -> None:
-    limiter = Limiter(5, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(5, AIM, 0.5, False)
     fill(limiter, 5, 0, 0.0)
-    assert limiter.max_qps == SAMPLES
+    assert limiter.max_qps == WINDOW_SAMPLES
     fill(limiter, 5, 0, 0.0)
 
 
 def test_a_server_that_is_far_away_is_not_held_to_less_than_it_carries_unloaded() -> None:
-    limiter, now = Limiter(0.0, 66.0, 0.5, False), 0.0
+    limiter, now = ConcurrencyLimiter(0.0, 66.0, 0.5, False), 0.0
     for n in range(400):  # 8 in flight; 28 of the 40 ms are the way there and back
         now += 5
         limiter.completed(40 if n % 2 else 42, now)
     assert limiter.max_concurrency >= 8
-    near, now = Limiter(0.0, 66.0, 0.5, False), 0.0
+    near, now = ConcurrencyLimiter(0.0, 66.0, 0.5, False), 0.0
     for n in range(400):  # 1 ms away: that it takes 40 is its queue, and the bound stays
         now += 5
         near.completed(40 if n % 20 else 1, now)
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -9,29 +9,29 @@
 from typing import Any
 from unittest import mock
 
-from lupinladder import api
+from lupinladder.balancing.events import Endpoint, EndpointState, Outcome
 from lupinladder.net import config, http, resp
-from lupinladder.net.command import Malformed, command, report
-from lupinladder.net.host_group import Listing, Objects
-from lupinladder.net.loop import Loop
-from lupinladder.net.origin import OriginDialect
-from lupinladder.net.ring import START, Ring
-from lupinladder.net.server_link import NodeReader, ProtocolError
+from lupinladder.net.client_command import CommandError, parse_command, parse_load_report
+from lupinladder.net.connection_pool import CacheNodeReplyReader, UpstreamProtocolError
+from lupinladder.net.discovery.endpoint_registry import EndpointParser, JsonObjectStream
+from lupinladder.net.event_loop import EventLoop
+from lupinladder.net.origin_protocol import OriginProtocol
+from lupinladder.net.ring_buffer import INITIAL_CAPACITY, RingBuffer
 from tests.test_wire import SETTINGS
 
 CLASSES = ["read", "put"]
-MISS, OK, FULL, ERROR = api.Outcome.MISS, api.Outcome.OK, api.Outcome.FULL, api.Outcome.ERROR
+MISS, OK, FULL, ERROR = Outcome.MISS, Outcome.OK, Outcome.FULL, Outcome.ERROR
 
 
-def ring_of(data: bytes) -> Ring:
-    ring = Ring(1 << 20)
+def ring_of(data: bytes) -> RingBuffer:
+    ring = RingBuffer(1 << 20)
     ring.put(data)
     return ring
 
 
 class Rings(unittest.TestCase):
     def test_bytes_come_out_as_they_went_in_round_the_end_and_through_growth(self) -> None:
-        ring, put, took = Ring(5 * START), b"", b""
+        ring, put, took = RingBuffer(5 * INITIAL_CAPACITY), b"", b""
         for n in range(400):
             data = bytes([n % 251]) * (n * 37 % 300)
             if len(data) <= ring.room:
@@ -42,13 +42,13 @@
         self.assertEqual(took, put)
 
     def test_the_bound_holds_and_an_empty_ring_is_small_again(self) -> None:
-        ring = Ring(3 * START)
-        ring.put(b"x" * 3 * START)
+        ring = RingBuffer(3 * INITIAL_CAPACITY)
+        ring.put(b"x" * 3 * INITIAL_CAPACITY)
         self.assertEqual((ring.room, len(ring.space())), (0, 0))
         with self.assertRaises(BufferError):
             ring.put(b"y")
-        ring.drop(3 * START)
-        self.assertLessEqual(len(ring.space()), START)
+        ring.drop(3 * INITIAL_CAPACITY)
+        self.assertLessEqual(len(ring.space()), INITIAL_CAPACITY)
 
     def test_lines(self) -> None:
         for data, line in [(b"ab\r\ncd", b"ab"), (b"\r\n", b""), (b"ab", None), (b"ab\r", None)]:
@@ -75,11 +75,11 @@
     def test_values_whole_and_byte_by_byte(self) -> None:
         for data, value in self.WHOLE:
             with self.subTest(data=data):
-                self.assertEqual(resp.Parser(64, 8).next(ring_of(data)), value)
-                parser, ring = resp.Parser(64, 8), Ring(64)
+                self.assertEqual(resp.RespParser(64, 8).next(ring_of(data)), value)
+                parser, ring = resp.RespParser(64, 8), RingBuffer(64)
                 for byte in data[:-1]:
                     ring.put(bytes([byte]))
-                    self.assertIs(parser.next(ring), resp.PENDING)
+                    self.assertIs(parser.next(ring), resp.INCOMPLETE)
                 ring.put(data[-1:])
                 self.assertEqual(parser.next(ring), value)
                 self.assertTrue(parser.idle)
@@ -99,27 +99,27 @@
             b"+x\n",
         ):
             with self.subTest(data=data), self.assertRaises(resp.FramingError):
-                resp.Parser(64, 8).next(ring_of(data))
+                resp.RespParser(64, 8).next(ring_of(data))
 
     def test_an_error_line_cannot_be_broken_out_of(self) -> None:
-        self.assertEqual(resp.error("ERR a\r\n+OK"), b"-ERR a  +OK\r\n")
+        self.assertEqual(resp.encode_error("ERR a\r\n+OK"), b"-ERR a  +OK\r\n")
 
 
 class Commands(unittest.TestCase):
     GET = (b"OBJ.GET", b"7f3a9c21e0b4d655", b"9b1f03aa", b"c=read,d=480")
 
     def test_a_read_and_a_write(self) -> None:
-        read = command(self.GET, CLASSES)
+        read = parse_command(self.GET, CLASSES)
         self.assertEqual(
             (read.kind, read.patience, read.write, read.key), (0, 480.0, False, 0x7F3A9C21E0B4D655)
         )
-        write = command([b"OBJ.SET", b"1f", b"x", b"c=put,d=90,k=5c,r=1,size=12.5", b"V"], CLASSES)
+        write = parse_command([b"OBJ.SET", b"1f", b"x", b"c=put,d=90,k=5c,r=1,size=12.5", b"V"], CLASSES)
         self.assertEqual((write.kind, write.write, write.again, write.size), (1, True, True, 12.5))
         # Only d changes on the way to a cache node or the origin, in its place.
         labels = b"c=put,d=41,k=5c,r=1,size=12.5"
         self.assertEqual(write.relabelled(41.4)[3], labels)
         self.assertEqual(read.relabelled(0.2), [*self.GET[:3], b"c=read,d=1"])
-        sent = OriginDialect(("127.0.0.1", 80), []).encode(write, 41.4)
+        sent = OriginProtocol(("127.0.0.1", 80), []).encode(write, 41.4)
         for part in (
             b"PUT /1f HTTP/1.1\r\n",
             b"\r\nX-Txn: x\r\n",
@@ -130,14 +130,14 @@
 
     def test_the_tenant_and_the_expected_work_by_their_labels(self) -> None:
         words = [*self.GET[:3], b"c=read,t=b,d=480,h=96500"]
-        read = command(words, CLASSES, ["a", "b"])
+        read = parse_command(words, CLASSES, ["a", "b"])
         self.assertEqual((read.tenant, read.work), (1, 96.5))  # told in microseconds
         self.assertEqual(
-            command(words, CLASSES).tenant, 0
+            parse_command(words, CLASSES).tenant, 0
         )  # where the settings name none it is passed on unread
         for labels in (b"c=read,d=480", b"c=read,t=c,d=480", b"c=read,t=,d=480", b"c=read,t=b,d=480,h=x"):
-            with self.subTest(labels=labels), self.assertRaises(Malformed):
-                command([*self.GET[:3], labels], CLASSES, ["a", "b"])
+            with self.subTest(labels=labels), self.assertRaises(CommandError):
+                parse_command([*self.GET[:3], labels], CLASSES, ["a", "b"])
 
     def test_malformed(self) -> None:
         key, ident = self.GET[1:3]
@@ -158,8 +158,8 @@
             [b"OBJ.GET", key, ident, b"c=read,d=1\r\nX-Y: 1"],
             [b"OBJ.GET", key, ident, b"c=read,d=" + b"9" * 2000],
         ):
-            with self.subTest(words=words), self.assertRaises(Malformed):
-                command(words, CLASSES)
+            with self.subTest(words=words), self.assertRaises(CommandError):
+                parse_command(words, CLASSES)
 
     def test_load_reports_in_the_order_of_the_settings(self) -> None:
         fields = ["fail_rate", "rif"]
@@ -177,7 +177,7 @@
             (None, ()),
         ):
             with self.subTest(text=text):
-                self.assertEqual(report(text, fields), load)
+                self.assertEqual(parse_load_report(text, fields), load)
 
 
 class Replies(unittest.TestCase):
@@ -193,7 +193,7 @@
             (b"*3\r\n$1\r\nV\r\n+x\r\n*1\r\n:1\r\n", OK, b"V", 0, ()),  # the value is good all the same
         ):
             with self.subTest(data=data):
-                reply = NodeReader(["rif"]).next(ring_of(data))
+                reply = CacheNodeReplyReader(["rif"]).next(ring_of(data))
                 assert reply is not None
                 self.assertEqual(
                     (reply.outcome, reply.value, reply.note, reply.load), (outcome, value, note, load)
@@ -203,8 +203,8 @@
             *(b"+OK\r\n", b"*0\r\n", b"*1\r\n:1\r\n", value, b"-BUSYx\r\n", b"-\xf0\x9f\r\n"),
             *(b"*3\r\n+V\r\n" + rest, b"*3\r\n:1\r\n" + rest, b"*2\r\n" + value + rest[:5]),
         ):
-            with self.subTest(data=data), self.assertRaises(ProtocolError):
-                NodeReader([]).next(ring_of(data))
+            with self.subTest(data=data), self.assertRaises(UpstreamProtocolError):
+                CacheNodeReplyReader([]).next(ring_of(data))
 
     def test_what_the_origin_answers(self) -> None:
         head = b"HTTP/1.1 %s\r\nContent-Length: 1\r\n%s\r\nV"
@@ -221,7 +221,7 @@
             (head % (b"200 OK", b"X-Pressure: inflight=nan\r\n"), OK, b"V", ()),
         ):
             with self.subTest(data=data):
-                reader = OriginDialect(("127.0.0.1", 80), ["rif"]).reader()
+                reader = OriginProtocol(("127.0.0.1", 80), ["rif"]).reader()
                 self.assertIsNone(reader.next(ring_of(data[:-1])))  # not whole yet
                 reply = reader.next(ring_of(data[-1:]))
                 assert reply is not None
@@ -238,8 +238,8 @@
             b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
         ):
             with self.subTest(data=data), self.assertRaises(http.HttpError):
-                http.Reader(8).feed(data)
-        reader = http.Reader(8)
+                http.ResponseReader(8).feed(data)
+        reader = http.ResponseReader(8)
         self.assertEqual(
             len(reader.feed(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")), 1
         )
@@ -254,7 +254,7 @@
             (b"HTTP/1.1 200 OK\r\nX: VALUE", False),
         ):
             with self.subTest(head=head):
-                reader = http.Reader(8)
+                reader = http.ResponseReader(8)
                 self.assertEqual(
                     (reader.feed(head + b"VA"), reader.feed(b"LUE"), reader.idle), ([], [], False)
                 )
@@ -270,7 +270,7 @@
             (whole + b"noise\r\n", 1, False),
         ):
             with self.subTest(data=data):
-                reader = http.Reader(8)
+                reader = http.ResponseReader(8)
                 self.assertEqual((len(reader.feed(data)), reader.idle), (answers, idle))
         with self.assertRaises(http.HttpError):
             reader.feed(whole)  # nothing after the noise can be trusted
@@ -293,14 +293,14 @@
 
 
 class Lists(unittest.TestCase):
-    READER = Listing(["a", "b"], ["m2", "origin"])
+    READER = EndpointParser(["a", "b"], ["m2", "origin"])
 
     def test_entries(self) -> None:
         version, whole, entries, where = self.READER.read(listing())
         self.assertEqual((version, whole, where), (4, True, {b"s-1": ("127.0.0.1", 6379)}))
-        self.assertEqual(entries, [api.Entry(b"s-1", api.State.READY, 1.0, 1796120872235.0, 1, 3, 1)])
+        self.assertEqual(entries, [Endpoint(b"s-1", EndpointState.READY, 1.0, 1796120872235.0, 1, 3, 1)])
         gone = self.READER.read(listing(status="left", address="", since_ms=0))
-        self.assertEqual((gone[2][0].state, gone[2][0].launched, gone[3]), (api.State.GONE, 0.0, {}))
+        self.assertEqual((gone[2][0].state, gone[2][0].launched, gone[3]), (EndpointState.GONE, 0.0, {}))
 
     def test_bad_lists(self) -> None:
         trees: list[object] = [[], {}, {"index": "4", "endpoints": []}, {"index": 4, "endpoints": {}}]
@@ -315,7 +315,7 @@
                     found = self.READER.read(
                         {"index": 4, "endpoints": [{"name": "s-1", **more, "status": status}]}
                     )
-                    self.assertEqual((found[2], found[3]), ([api.Entry(b"s-1", api.State.GONE)], {}))
+                    self.assertEqual((found[2], found[3]), ([Endpoint(b"s-1", EndpointState.GONE)], {}))
 
     def test_objects_off_lines_whole_or_indented(self) -> None:
         tree = listing(name='a{"[\\')
@@ -328,7 +328,7 @@
             ("{\n" * 9, []),
         ):
             with self.subTest(text=text):
-                objects = Objects()
+                objects = JsonObjectStream()
                 self.assertEqual(
                     [one for line in text.encode().split(b"\n") for one in objects.line(line)], found
                 )
@@ -341,7 +341,7 @@
             '{\n"a": "' + "x" * (1 << 20),
         ):
             with self.subTest(text=text[:9]), self.assertRaises(ValueError):
-                objects = Objects()
+                objects = JsonObjectStream()
                 for line in text.encode().split(b"\n"):
                     objects.line(line)
 
@@ -417,7 +417,7 @@
 
 class Deadlines(unittest.TestCase):
     def test_they_come_in_order_can_be_cancelled_and_do_not_starve_a_turn(self) -> None:
-        loop, ran = Loop(), list[str]()
+        loop, ran = EventLoop(), list[str]()
         now = loop.now()
         loop.at(now - 1, lambda: ran.append("second"))
         loop.at(now - 2, lambda: ran.append("first"))
