--- a/benchmarks/model_fleet.py
+++ b/benchmarks/model_fleet.py
@@ -52,17 +52,17 @@
         self.nodes = {sid(n): Node(n, 1 if n else 4) for n in range(nodes + 1)}
         read = RequestClass(AIM, 600.0)
         base = Settings(
-            [read], balancers, ask=True, ask_within=10_000.0, aside=True, origin_kind=1, max_attempts=6,
-            may_duplicate=True, may_cancel=True, max_retry_after=2000.0, stop_within=1500.0, cold_share=0.22,
-            cold_for=20_000.0, overload_factor=3.0, fall_within=1000.0, report_fields=["rif", "rate"],
+            [read], balancers, poll_endpoints=True, poll_interval=10_000.0, cache_aside=True, origin_kind=1, max_attempts=6,
+            may_duplicate=True, may_cancel=True, max_retry_after=2000.0, drain_grace_period=1500.0, initial_capacity=0.22,
+            warmup_time=20_000.0, overload_factor=3.0, overload_duration=1000.0, report_fields=["rif", "rate"],
         )  # fmt: skip
         self.weights = [1 / (n + 5) for n in range(keys)]
         self.balancers = list[Balancer]()
         self.asked, self.in_time, self.refused = Counter[int](), Counter[int](), Counter[int]()
         self.open: dict[tuple[int, int], tuple[float, list[bytes]]] = {}
-        listed = [Endpoint(i, kind=int(i == ORIGIN)) for i in self.nodes]
+        listed = [Endpoint(i, server_kind=int(i == ORIGIN)) for i in self.nodes]
         for n in range(balancers):
-            one = Balancer(replace(base, me=n, **more), seed + n, 0.0)
+            one = Balancer(replace(base, balancer_index=n, **more), seed + n, 0.0)
             self.balancers.append(one)
             self.act(n, one.start(0.0))
             self.feed(n, EndpointUpdate(EndpointUpdateKind.CACHED, 1, list(listed)))
@@ -81,12 +81,12 @@
     def act(self, n: int, actions: list[Action]) -> None:
         for one in list(actions):
             if isinstance(one, StartAttempt):
-                self.attempt(n, one.id, self.nodes[one.server])
+                self.attempt(n, one.request_id, self.nodes[one.server])
             elif isinstance(one, SetTimer):
                 self.at(self.now + one.delay, lambda t=one.token: self.feed(n, TimerFired(t)))  # type: ignore[misc]
             elif isinstance(one, Reject | Fail):
-                self.refused[self.second] += (n, one.id) in self.open
-                self.open.pop((n, one.id), None)
+                self.refused[self.second] += (n, one.request_id) in self.open
+                self.open.pop((n, one.request_id), None)
 
     def ask(self, n: int) -> None:
         self.number += 1
@@ -135,7 +135,7 @@
         node = Node(len(self.nodes))
         self.nodes[node.id] = node
         for n in range(len(self.balancers)):
-            entry = Endpoint(node.id, launched=self.now)
+            entry = Endpoint(node.id, started_at=self.now)
             self.feed(n, EndpointUpdate(EndpointUpdateKind.DELTA, len(self.nodes), [entry]))
         return node
 
--- a/lupinladder/__main__.py
+++ b/lupinladder/__main__.py
@@ -45,22 +45,24 @@
             conf.discovery,
             conf.listing,
             self._link,
-            lambda event: self.engine.feed(event),
+            lambda event: self.engine.notify(event),
         )
         self.engine = RequestDispatcher(
-            self.loop, conf.settings, conf.seed, self._group.route, self._group.follow, conf.max_open
+            self.loop, conf.settings, conf.seed, self._group.pool_for, self._group.open_watch, conf.max_open
         )
         if self._keeper:
             begun = self._keeper.beginning
-            self.engine.start(self._group.cached(begun.known))
+            self.engine.start(self._group.load_cached(begun.known))
             for event in begun.events:
-                self.engine.feed(event)
+                self.engine.notify(event)
             log_event("store", self._keeper.report())
             self._keeper.start(self.loop, self.engine, self._group)
         else:
-            self.engine.start(self._group.cached(conf.known))
-        if not conf.settings.ask:  # pushed: what waits for us counts as told from our first moment on
-            self._group.follow()
+            self.engine.start(self._group.load_cached(conf.known))
+        if (
+            not conf.settings.poll_endpoints
+        ):  # pushed: what waits for us counts as told from our first moment on
+            self._group.open_watch()
         self.front = ClientListener(
             self.loop, self._budget, self.engine, conf.listen, conf.classes, conf.tenants
         )
@@ -68,7 +70,7 @@
 
     def _link(self, entry: Endpoint, address: Address) -> ConnectionPool:
         conf, dialect = self._conf, self._nodes
-        if entry.kind == conf.origin_kind:
+        if entry.server_kind == conf.origin_kind:
             dialect = OriginProtocol(address, conf.settings.report_fields)
         return ConnectionPool(
             self.loop, self._budget, address, dialect, conf.idle_ms, conf.connect_ms, max(conf.streams, 1)
@@ -76,7 +78,7 @@
 
     def _figures(self) -> None:
         log_event("figures", summary())
-        self.loop.at(self.loop.now() + SUMMARY_MS, self._figures)
+        self.loop.call_at(self.loop.now() + SUMMARY_MS, self._figures)
 
     def reload(self) -> None:
         """Read the configuration file again and follow the list where it says. What else changed in it holds
@@ -87,23 +89,23 @@
             log_event("reload", f"the old configuration stays: {bad}")
             return
         log_event("reload", "discovery is at {}:{}".format(*fresh.discovery))
-        self._group.move(fresh.discovery)
+        self._group.move_watch(fresh.discovery)
 
     def stop(self) -> None:
         if self._stopping:
             return
         self._stopping = True
         log_event("stop", "told to stop; answering what was taken")
-        self.front.stop()
+        self.front.shut_down()
         self._leave()
 
     def _leave(self) -> None:
-        if self.engine.idle and self.front.done:
+        if self.engine.is_idle and self.front.is_finished:
             if self._keeper:
                 self._keeper.finish()
             self.loop.stop()
         else:
-            self.loop.at(self.loop.now() + LEAVING_MS, self._leave)
+            self.loop.call_at(self.loop.now() + LEAVING_MS, self._leave)
 
 
 class Signals:
--- a/lupinladder/balancing/actions.py
+++ b/lupinladder/balancing/actions.py
@@ -12,17 +12,17 @@
 class StartAttempt:
     """Start an attempt. A request's attempts are numbered from 0 in the order of their Try."""
 
-    id: int
+    request_id: int
     server: ServerId
     expire_at: float = 0.0  # clock time to give the attempt up; 0: when the client does
-    begin_by: float = inf  # clock time from which on it may not begin: a repeat would be dropped no more
+    start_by: float = inf  # clock time from which on it may not begin: a repeat would be dropped no more
 
 
 @dataclass(slots=True)
 class CancelAttempt:
     """Stop waiting for an attempt."""
 
-    id: int
+    request_id: int
     attempt: int
 
 
@@ -30,15 +30,15 @@
 class Reject:
     """Final answer: not served, and a retry does no harm."""
 
-    id: int
-    stay_away: float = 0.0
+    request_id: int
+    retry_after: float = 0.0
 
 
 @dataclass(slots=True)
 class Fail:
     """Final answer: not served, with no promise about effects."""
 
-    id: int
+    request_id: int
 
 
 @dataclass(slots=True)
--- a/lupinladder/balancing/balancer.py
+++ b/lupinladder/balancing/balancer.py
@@ -58,9 +58,9 @@
 BOLD = 0.8  # of what pushes a cold server over, that it is offered at its slowest warm-up
 RETRY_SHARE = 0.1  # further attempts after failures, as a share of requests
 MASK = (1 << 64) - 1
-OK, MISS, FULL, TIMEOUT = Outcome.OK, Outcome.MISS, Outcome.FULL, Outcome.TIMEOUT
-NEVER_RAN = (FULL, MISS, Outcome.CONNECT_FAILED, Outcome.MOOT)
-SAFE, UNSAFE = RetrySafety.SAFE, RetrySafety.UNSAFE
+OK, MISS, FULL, TIMEOUT = Outcome.OK, Outcome.MISS, Outcome.REJECTED, Outcome.TIMEOUT
+NEVER_RAN = (FULL, MISS, Outcome.CONNECT_FAILED, Outcome.NOT_STARTED)
+SAFE, UNSAFE = RetrySafety.IDEMPOTENT, RetrySafety.NON_IDEMPOTENT
 
 
 def splitmix64(x: int) -> int:
@@ -147,12 +147,12 @@
     def recall(self, known: LimitRestored, now: float) -> None:
         """Begin from what was known: all of it, or less, and from there doubled by each window."""
         limit = 1.0
-        if known.min_latency > 0 and known.use is not RestoreMode.TRIAL:
+        if known.min_latency > 0 and known.mode is not RestoreMode.PROBE:
             self.min_latency = self.latency = known.min_latency
             self.max_qps, self.retest_at = known.max_qps, now + RETEST_LATENCIES * known.min_latency
             limit = self.allowed(known.min_latency)
-        self.fresh = known.use is not RestoreMode.ALL
-        self.max_concurrency = limit / 2 if known.use is RestoreMode.PART else limit
+        self.fresh = known.mode is not RestoreMode.FULL
+        self.max_concurrency = limit / 2 if known.mode is RestoreMode.PARTIAL else limit
 
     def close(self, now: float) -> None:
         """End the window and set the next limit."""
@@ -258,7 +258,7 @@
 
 class RequestState:  # a request from its arrival until its last attempt has ended
     def __init__(self, request: RequestReceived, kind: RequestClass, now: float) -> None:
-        self.request, self.kind, self.deadline = request, kind, now + request.patience
+        self.request, self.kind, self.deadline = request, kind, now + request.timeout
         self.attempts: list[Attempt] = []
         self.done = self.over_share = False
 
@@ -269,24 +269,24 @@
     def rights(self, server: Server | None, now: float, settings: Settings) -> bool:
         """THE place that derives from what may have run if a send to this server (or, with none, a refusal)
         is allowed. Wrong here means an effect twice."""
-        kind, ran, all_drop = self.kind, self.ran(), self.kind.scope is DeduplicationScope.ALL
+        kind, ran, all_drop = self.kind, self.ran(), self.kind.deduplication_scope is DeduplicationScope.ALL
         if server is None:
-            return kind.repeat is SAFE or not ran or (kind.repeat is not UNSAFE and all_drop)
+            return kind.retry_safety is SAFE or not ran or (kind.retry_safety is not UNSAFE and all_drop)
         out = any(a.outcome is None for a in self.attempts) and not settings.may_duplicate
         if out or self.done or now >= self.deadline or len(self.attempts) >= settings.max_attempts:
             return False
-        if kind.repeat is SAFE or not ran:
+        if kind.retry_safety is SAFE or not ran:
             return True
-        at = kind.scope.value  # "zone" or "cell"
+        at = kind.deduplication_scope.value  # "zone" or "cell"
         same = all_drop or all(getattr(a.server.entry, at) == getattr(server.entry, at) for a in ran)
-        return kind.repeat is not UNSAFE and now - ran[0].sent < kind.window and same
+        return kind.retry_safety is not UNSAFE and now - ran[0].sent < kind.deduplication_window and same
 
 
 class Balancer:  # one proxy's decisions; handle(event, now) returns the actions to carry out, in order
     def __init__(self, settings: Settings, seed: int, now: float) -> None:
         self.settings, self.random, self.now = settings, splitmix64(seed), now
-        self.aim = min(c.aim for c in settings.classes)
-        self.floor = min(1.0, 2 / settings.balancers)  # all balancers' together: a core's worth of sends
+        self.aim = min(c.latency_objective for c in settings.classes)
+        self.floor = min(1.0, 2 / settings.balancer_count)  # all balancers' together: a core's worth of sends
         self.members, self.ring = dict[ServerId, Server](), list[Server]()  # listed; holding slots
         self.origin: Server | None = None
         self.slots, self.version, self.asks = SlotTable(), -1, 0  # asks: failed calls for the list in a row
@@ -311,8 +311,8 @@
 
     def start(self, now: float) -> list[Action]:
         """The first actions. The list can take few calls, and all balancers may start at once."""
-        if self.settings.ask:
-            self.later(self.settings.ask_within / 8, None)
+        if self.settings.poll_endpoints:
+            self.later(self.settings.poll_interval / 8, None)
         return self.acts
 
     def handle(self, event: Event, now: float) -> list[Action]:
@@ -328,16 +328,16 @@
             self.timer(event.token, now)
         elif isinstance(event, EndpointUpdate):
             self.fleet(event, now)
-        elif isinstance(event, ClientDisconnected) and event.id in self.live:
-            self.finished(self.live[event.id])
+        elif isinstance(event, ClientDisconnected) and event.request_id in self.live:
+            self.finished(self.live[event.request_id])
         elif isinstance(event, LimitRestored):
             server = self.members.get(event.server)
             if server and not server.cold and not server.limiter.latency and not server.limiter.fresh:
                 server.limiter.recall(event, now)
-                server.moved = server.share = min(max(event.moved, 0.25), 1.0)
-                server.failed = event.failed
+                server.moved = server.share = min(max(event.slot_share, 0.25), 1.0)
+                server.failed = event.failure_rate
         elif isinstance(event, SlotLoadRestored):
-            self.slots.heat = {slot: heat for slot, heat in event.heat.items() if 0 <= slot < SLOT_COUNT}
+            self.slots.heat = {slot: heat for slot, heat in event.slot_load.items() if 0 <= slot < SLOT_COUNT}
             self.slots.total = sum(self.slots.heat.values())
         return self.acts
 
@@ -360,14 +360,14 @@
             self.finish(life)  # held until its deadline
 
     def fleet(self, event: EndpointUpdate, now: float) -> None:
-        if event.form is EndpointUpdateKind.FAILED:
+        if event.kind is EndpointUpdateKind.FAILED:
             self.asks += 1
-            self.later(2 ** min(self.asks, 3) * self.settings.ask_again, None)
+            self.later(2 ** min(self.asks, 3) * self.settings.poll_backoff, None)
             return
-        if event.form is EndpointUpdateKind.DELTA and event.version < self.version:
+        if event.kind is EndpointUpdateKind.DELTA and event.version < self.version:
             return  # stale: a newer list is known
-        self.asks, self.version, changed, entries = 0, event.version, False, event.entries
-        if event.form is not EndpointUpdateKind.DELTA:  # who is missing from a whole list is gone
+        self.asks, self.version, changed, entries = 0, event.version, False, event.endpoints
+        if event.kind is not EndpointUpdateKind.DELTA:  # who is missing from a whole list is gone
             named = {e.server for e in entries}
             entries = entries + [Endpoint(i, EndpointState.GONE) for i in self.members if i not in named]
         for entry in entries:
@@ -384,11 +384,11 @@
                 server.ready = False  # attempts in flight still hold it
             self.origin = None if server is self.origin else self.origin
             return self.members.pop(entry.server, None) is not None
-        changed = server is None or server.entry.launched != entry.launched
+        changed = server is None or server.entry.started_at != entry.started_at
         if server is None or changed:  # new, or started again under its id
-            origin = entry.kind == self.settings.origin_kind
-            cold = not origin and entry.launched > 0 and now - entry.launched < self.settings.cold_for
-            aim = self.aim * (5 / 6 if self.settings.aside else 1)  # a miss takes two hops within one
+            origin = entry.server_kind == self.settings.origin_kind
+            cold = not origin and entry.started_at > 0 and now - entry.started_at < self.settings.warmup_time
+            aim = self.aim * (5 / 6 if self.settings.cache_aside else 1)  # a miss takes two hops within one
             server = Server(entry, ConcurrencyLimiter(now, aim, self.floor, cold), now, cold)
             if origin:
                 server.limiter.gap = self.aim
@@ -417,8 +417,10 @@
                 server.moved = min(server.moved + 1 / 64, 1.0)
             server.sends = 0
             # A started server may carry what the settings' slowest warm-up leaves it.
-            warmth = s.cold_share + (1 - s.cold_share) * (now - server.entry.launched) / max(s.cold_for, 1.0)
-            warmth = min(max(warmth, s.cold_share), 1.0) if server.cold else 1.0
+            warmth = s.initial_capacity + (1 - s.initial_capacity) * (now - server.entry.started_at) / max(
+                s.warmup_time, 1.0
+            )
+            warmth = min(max(warmth, s.initial_capacity), 1.0) if server.cold else 1.0
             # Most warm up sooner, by work. Held to the slowest, the rest of the fleet drowns in a deploy.
             bold = max(s.overload_factor * BOLD, 1.0)
             server.cold, server.share = warmth < 1, min(warmth * bold, 1.0) * server.moved
@@ -429,34 +431,36 @@
         self.tenants = [t * 0.5 ** (span / (8 * self.aim)) for t in self.tenants]
 
     def request(self, event: RequestReceived, now: float) -> None:
-        if event.id in self.live or not 0 <= event.kind < len(self.settings.classes):
-            self.acts.append(Reject(event.id))
+        if event.request_id in self.live or not 0 <= event.request_class < len(self.settings.classes):
+            self.acts.append(Reject(event.request_id))
             return
-        life = self.live[event.id] = RequestState(event, self.settings.classes[event.kind], now)
+        life = self.live[event.request_id] = RequestState(
+            event, self.settings.classes[event.request_class], now
+        )
         self.retries = min(self.retries + RETRY_SHARE, WINDOW_SAMPLES)
         if event.tenant < len(self.tenants):
             # Fairness: what a tenant asks beyond its quota is worth little; it is the first to be refused.
             self.tenants[event.tenant] += 1
-            fair = self.settings.tenant_quotas[event.tenant] / self.settings.balancers / 1000 * self.aim
+            fair = self.settings.tenant_quotas[event.tenant] / self.settings.balancer_count / 1000 * self.aim
             # The count halves in 8 aims; a quarter more, as balancers' shares are uneven.
             life.over_share = self.tenants[event.tenant] > 10 * fair / log(2) + MIN_WINDOW_SAMPLES
-        (self.fetch if self.settings.aside and event.write else self.place)(life, now)
+        (self.fetch if self.settings.cache_aside and event.is_write else self.place)(life, now)
 
     def place(self, life: RequestState, now: float) -> None:
         """Send to the slot's owner, over its limit to the next, else refuse."""
-        slot = splitmix64(life.request.key or life.request.id) % SLOT_COUNT
+        slot = splitmix64(life.request.key or life.request.request_id) % SLOT_COUNT
         owners = self.slots.owners(slot)
         order = [s for s, place in owners if place <= s.share] or [s for s, _ in owners]
         parts = min(self.slots.parts(slot), len(order))
         if parts > 1:
-            width = -(-parts // self.settings.balancers)
-            turn = (self.settings.me + int(self.slots.heat[slot]) % width) % parts
+            width = -(-parts // self.settings.balancer_count)
+            turn = (self.settings.balancer_index + int(self.slots.heat[slot]) % width) % parts
             order = order[turn:parts] + order[:turn] + order[parts:]
         # With many balancers an owner is overrun without any one's limit telling: go by what it holds of all.
         # A limit tells only of what has completed: while an owner stands still the next one is asked first.
         order.sort(key=lambda s: s.busy_until > now or s.limiter.silent(now))
         known = any(life.request.key in generation for generation in self.known)
-        fetch = not (self.settings.aside or life.request.write or known)
+        fetch = not (self.settings.cache_aside or life.request.is_write or known)
         origin = self.fetches  # counted by the fetches expected, unless it shows any strain
         behind = now - origin.lost_at < MEMORY_AIMS * self.aim or origin.latency > 1.25 * origin.min_latency
         if fetch and not self.fetches.admits(now, 1.0 if behind else 1 / self.missing):
@@ -478,7 +482,7 @@
 
     def fetch(self, life: RequestState, now: float) -> None:
         """In `aside` mode: to the origin. A key's concurrent misses wait for the one fetch that is out."""
-        key = 0 if life.request.write else life.request.key
+        key = 0 if life.request.is_write else life.request.key
         if key in self.fetching:
             self.fetching[key].append(life)
             self.later(life.deadline - now, life)  # a timer for what is held
@@ -491,16 +495,16 @@
         """Send an attempt, if the server's limits and the request's rights allow it."""
         if not server.admits(now, share) or not life.rights(server, now, self.settings):
             return False
-        ran = life.ran() if life.kind.repeat is RetrySafety.KEYED else []
-        by = ran[0].sent + life.kind.window if ran else inf
+        ran = life.ran() if life.kind.retry_safety is RetrySafety.IDEMPOTENCY_KEY else []
+        by = ran[0].sent + life.kind.deduplication_window if ran else inf
         life.attempts.append(Attempt(server, now))
         server.limiter.sent(now)
         server.sends, server.credit = server.sends + 1, server.credit - 1
-        self.acts.append(StartAttempt(life.request.id, server.id, begin_by=by))
+        self.acts.append(StartAttempt(life.request.request_id, server.id, start_by=by))
         return True
 
     def ended(self, event: AttemptEnded, now: float) -> None:
-        life = self.live.get(event.id)
+        life = self.live.get(event.request_id)
         if life is None or event.attempt >= len(life.attempts) or life.attempts[event.attempt].outcome:
             return
         attempt = life.attempts[event.attempt]
@@ -508,18 +512,18 @@
         server.limiter.inflight -= 1
         self.fetches.inflight -= attempt.fetch
         self.judge(life, attempt, event, now)
-        if event.over or life.done:
+        if event.request_finished or life.done:
             self.finished(life)
-        elif event.outcome is MISS and self.settings.aside and server is not self.origin:
+        elif event.outcome is MISS and self.settings.cache_aside and server is not self.origin:
             self.fetch(life, now)
         elif event.outcome is FULL and server is not self.origin and not server.jammed():
             self.place(life, now)  # it never ran and cost no work: not one of the few repeats
-        elif event.outcome is TIMEOUT or event.note > 1 or server is self.origin or self.retries < 1:
+        elif event.outcome is TIMEOUT or event.cache_result > 1 or server is self.origin or self.retries < 1:
             self.finish(life)
         else:
             self.retries -= 1
             self.place(life, now)
-        if server is self.origin and not life.request.write:  # back to the server that missed, or fetch
+        if server is self.origin and not life.request.is_write:  # back to the server that missed, or fetch
             for waiter in self.fetching.pop(life.request.key, ()):
                 good = event.outcome is OK and len(waiter.attempts) + 1 < self.settings.max_attempts
                 if not waiter.done and not (good and self.sent(waiter, waiter.attempts[-1].server, now)):
@@ -527,7 +531,7 @@
 
     def judge(self, life: RequestState, attempt: Attempt, event: AttemptEnded, now: float) -> None:
         outcome, latency, server = event.outcome, event.latency, attempt.server
-        fetched = event.note > 1 and not self.settings.aside
+        fetched = event.cache_result > 1 and not self.settings.cache_aside
         if event.load and self.reads:
             held, rate = (event.load[n] for n in self.reads)
             server.reported(held, rate / 1000, now, self.aim)
@@ -538,7 +542,7 @@
             server.busy_until = now + server.limiter.spacing * (0.5 + self.draw())  # not all return at once
             if outcome is TIMEOUT:
                 return self.strained(server, 1)  # asked last, not closed: it is one sample
-        if attempt.fetch and event.note:
+        if attempt.fetch and event.cache_result:
             self.missing = max(self.missing + (fetched - self.missing) * EMA_ALPHA, 1 / WINDOW_SAMPLES)
         if attempt.fetch and fetched and outcome is OK:
             self.fetches.completed(latency, now)
@@ -559,7 +563,7 @@
             self.known[0].add(life.request.key)
             if fetched:  # a slow origin inflates every fetch: what all take longer is not this server's load
                 latency = max(latency - self.excess, min(latency, self.hit))
-            elif event.note:
+            elif event.cache_result:
                 self.hit += (latency - self.hit) * (EMA_ALPHA if self.hit else 1.0)
             server.limiter.completed(latency, now)
             server.out_until = server.out_for = 0.0
@@ -586,11 +590,11 @@
     def finish(self, life: RequestState) -> None:
         """The final answer: a refusal where that promise holds, else a failure."""
         refuse = life.rights(None, self.now, self.settings)
-        away, request = min(self.settings.max_retry_after, self.aim / 4), life.request.id
+        away, request = min(self.settings.max_retry_after, self.aim / 4), life.request.request_id
         self.acts.append(Reject(request, away) if refuse else Fail(request))
         self.finished(life)
 
     def finished(self, life: RequestState) -> None:
         life.done = True
         if all(a.outcome for a in life.attempts):
-            self.live.pop(life.request.id, None)
+            self.live.pop(life.request.request_id, None)
--- a/lupinladder/balancing/events.py
+++ b/lupinladder/balancing/events.py
@@ -39,12 +39,12 @@
 
     OK = "ok"
     ERROR = "error"
-    FULL = "full"
+    REJECTED = "full"
     TIMEOUT = "timeout"
     CONNECT_FAILED = "connect failed"
     RESET = "reset"
     CANCELLED = "cancelled"
-    MOOT = "moot"
+    NOT_STARTED = "moot"
     MISS = "miss"
 
 
@@ -55,10 +55,10 @@
     server: ServerId
     state: EndpointState = EndpointState.READY
     weight: float = 1.0
-    launched: float = 0.0  # when it last started; 0: long ago
+    started_at: float = 0.0  # when it last started; 0: long ago
     zone: int = 0
     cell: int = 0
-    kind: int = 0
+    server_kind: int = 0
 
 
 # Events
@@ -68,21 +68,21 @@
 class EndpointUpdate:
     """What discovery knows. A full or cached list replaces the old one, a delta changes it."""
 
-    form: EndpointUpdateKind
+    kind: EndpointUpdateKind
     version: int = 0
-    entries: list[Endpoint] = field(default_factory=list)
+    endpoints: list[Endpoint] = field(default_factory=list)
 
 
 @dataclass(slots=True)
 class RequestReceived:
-    id: int
-    kind: int  # index of its class
-    patience: float  # time until the client gives this try up
+    request_id: int
+    request_class: int  # index of its class
+    timeout: float  # time until the client gives this try up
     key: int = 0  # 0: none
     tenant: int = 0
-    write: bool = False
-    again: bool = False  # a client's repeat, where clients say so
-    work: float = 0.0  # expected work, where known; 0: unknown
+    is_write: bool = False
+    is_retry: bool = False  # a client's repeat, where clients say so
+    expected_work: float = 0.0  # expected work, where known; 0: unknown
     size: float = 0.0
 
 
@@ -90,7 +90,7 @@
 class ResponseStarted:
     """A streamed answer has begun."""
 
-    id: int
+    request_id: int
     attempt: int
     latency: float = 0.0
 
@@ -99,12 +99,12 @@
 class AttemptEnded:
     """An attempt has ended; exactly one for each Try."""
 
-    id: int
+    request_id: int
     attempt: int
     outcome: Outcome
     latency: float
-    over: bool = False  # the request has its final answer
-    note: int = 0  # 1 hit, 2 miss, 3 miss while another fetch for the key is out
+    request_finished: bool = False  # the request has its final answer
+    cache_result: int = 0  # 1 hit, 2 miss, 3 miss while another fetch for the key is out
     load: tuple[float, ...] = ()  # as in report_fields; may be empty
 
 
@@ -112,7 +112,7 @@
 class ClientDisconnected:
     """The client has gone; the request is finished."""
 
-    id: int
+    request_id: int
 
 
 @dataclass(slots=True)
@@ -131,9 +131,9 @@
 class RestoreMode(Enum):
     """What a recalled limit may be used for; docs/recovery.md has the table."""
 
-    TRIAL = "trial"  # one send at a time, doubled by each good window
-    PART = "part"  # half of it, doubled likewise
-    ALL = "all"
+    PROBE = "trial"  # one send at a time, doubled by each good window
+    PARTIAL = "part"  # half of it, doubled likewise
+    FULL = "all"
 
 
 @dataclass(slots=True)
@@ -142,18 +142,18 @@
     has lately started, or of which something is known already."""
 
     server: ServerId
-    use: RestoreMode
+    mode: RestoreMode
     min_latency: float = 0.0  # ms; 0: nothing is known but the server itself
     max_qps: float = 0.0  # sends a millisecond
-    moved: float = 1.0  # share of its slots that load had left it
-    failed: float = 0.0  # smoothed share of its attempts that failed
+    slot_share: float = 1.0  # share of its slots that load had left it
+    failure_rate: float = 0.0  # smoothed share of its attempts that failed
 
 
 @dataclass(slots=True)
 class SlotLoadRestored:
     """Own sends by slot, as they were; their numbers are those of this text of the module."""
 
-    heat: dict[int, float]
+    slot_load: dict[int, float]
 
 
 Event = (
--- a/lupinladder/graceful_shutdown.py
+++ b/lupinladder/graceful_shutdown.py
@@ -25,19 +25,21 @@
 
     def __init__(self, settings: Settings, now: float) -> None:
         classes, self._longest_away = settings.classes, settings.max_retry_after
-        self._aims = [min(one.aim, one.deadline) for one in classes]
-        self.killed = now + min(max(one.deadline for one in classes), MAX_STOP_TIME_MS) + STOP_SLACK_MS
-        self.accepts = now + ACCEPT_PERIOD_MS  # until then new connections are accepted
-        self.end = self.killed - ANSWER_MARGIN_MS  # when all is answered
+        self._aims = [min(one.latency_objective, one.deadline) for one in classes]
+        self.killed_at = now + min(max(one.deadline for one in classes), MAX_STOP_TIME_MS) + STOP_SLACK_MS
+        self.accept_until = now + ACCEPT_PERIOD_MS  # until then new connections are accepted
+        self.answer_by = self.killed_at - ANSWER_MARGIN_MS  # when all is answered
         # From when on connections are ended as soon as nothing is owed on them.
-        alone = settings.balancers == 1
-        self.closes = max(self.accepts, self.end - min(self._aims)) if alone else self.accepts
+        alone = settings.balancer_count == 1
+        self.close_idle_from = (
+            max(self.accept_until, self.answer_by - min(self._aims)) if alone else self.accept_until
+        )
 
-    def patience(self, kind: int, patience: float, now: float) -> float:
+    def remaining_time(self, kind: int, patience: float, now: float) -> float:
         """How long a query of this class that comes now may take; 0: it is not taken any more."""
-        left = self.end - now
+        left = self.answer_by - now
         return min(patience, left) if left >= min(self._aims[kind], patience) else 0.0
 
-    def back(self, now: float) -> float:
+    def retry_after(self, now: float) -> float:
         """In how many ms somebody will be back, at the earliest, as far as clients may be told."""
-        return min(max(self.killed - now, 0.0), self._longest_away)
+        return min(max(self.killed_at - now, 0.0), self._longest_away)
--- a/lupinladder/net/client_command.py
+++ b/lupinladder/net/client_command.py
@@ -38,12 +38,12 @@
 
     words: list[bytes]
     labels: dict[bytes, bytes]
-    kind: int
+    request_class: int
     tenant: int
-    patience: float
-    write: bool
-    again: bool
-    work: float
+    timeout: float
+    is_write: bool
+    is_retry: bool
+    expected_work: float
     size: float
 
     @property
@@ -59,7 +59,7 @@
         labels = {**self.labels, b"d": b"%d" % max(1, round(wait))}
         return b",".join(name + b"=" + value for name, value in labels.items())
 
-    def relabelled(self, wait: float) -> list[bytes]:
+    def with_deadline(self, wait: float) -> list[bytes]:
         """The words for a cache node: unchanged, but for the labels."""
         return [*self.words[:3], self.labels_with_deadline(wait), *self.words[4:]]
 
@@ -70,7 +70,7 @@
 
     outcome: Outcome
     value: bytes | None = None
-    note: int = 0
+    cache_result: int = 0
     load: tuple[float, ...] = ()
 
 
--- a/lupinladder/net/client_listener.py
+++ b/lupinladder/net/client_listener.py
@@ -43,24 +43,24 @@
     """The place of one command's answer among its client's answers."""
 
     def __init__(self, client: ClientConnection, ident: bytes = b"") -> None:
-        self._client, self.ident = client, ident
-        self.query: PendingRequest | None = None
-        self.answer: bytes | None = None
+        self._client, self.request_id = client, ident
+        self.request: PendingRequest | None = None
+        self.encoded: bytes | None = None
 
-    def served(self, value: bytes) -> None:
+    def on_served(self, value: bytes) -> None:
         self._set(resp.encode_bulk(value))
 
-    def refused(self, wait: float) -> None:
+    def on_rejected(self, wait: float) -> None:
         self._set(resp.encode_error(f"BUSY {wait:.0f}" if wait >= 1 else "BUSY"))
 
-    def failed(self) -> None:
+    def on_failed(self) -> None:
         self._set(resp.encode_error("ERR failed"))
 
     def _set(self, answer: bytes) -> None:
-        self.answer = answer
-        self._client.over(self)
+        self.encoded = answer
+        self._client.release_id(self)
         self._client.flush()
-        self._client.settle()
+        self._client.update_idle_state()
 
 
 class ClientConnection:
@@ -68,42 +68,44 @@
         self._front, self._slots = front, deque[PendingReply]()
         self._parser = resp.RespParser(MAX_STORED_VALUE_BYTES, 16)
         self._closing = self._reading = self._starved = self._half = False
-        self.used = front.loop.now()
-        self.asked = 0  # whole commands sent
-        self.told = 0  # spans that the rest which lasts now has outlived, as far as told
-        self._began = self.used  # when the command that is coming in began
+        self.last_used = front.loop.now()
+        self.command_count = 0  # whole commands sent
+        self.reported_idle_spans = 0  # spans that the rest which lasts now has outlived, as far as told
+        self._began = self.last_used  # when the command that is coming in began
         self.conn = Connection(front.loop, front.budget, sock, self)
 
     @property
     def idle(self) -> bool:
         """Between commands: nothing owed, all answers taken by the system, and nothing begun."""
-        return not (self.owed or len(self.conn.inbox)) and self._parser.idle
+        return not (self.has_pending_output or len(self.conn.inbox)) and self._parser.idle
 
     @property
-    def owed(self) -> bool:
+    def has_pending_output(self) -> bool:
         return bool(self._slots) or len(self.conn.outbox) > 0
 
-    def settle(self) -> None:
+    def update_idle_state(self) -> None:
         """Take the place among the resting, the latest last, or none."""
-        self._front.unrest(self)
-        if self.conn.open and self.idle and self in self._front.clients:
-            (self._front.resting if self.asked else self._front.silent)[self] = None
+        self._front.remove_from_idle(self)
+        if self.conn.is_open and self.idle and self in self._front.clients:
+            (self._front.idle_clients if self.command_count else self._front.clients_without_command)[
+                self
+            ] = None
 
-    def opened(self) -> None:
+    def on_connected(self) -> None:
         pass
 
-    def over(self, slot: PendingReply) -> None:
+    def release_id(self, slot: PendingReply) -> None:
         """The query of this slot has its answer, or nobody to hear it."""
-        self._front.open_ids.discard(slot.ident)
+        self._front.open_ids.discard(slot.request_id)
 
-    def received(self) -> None:
+    def on_data(self) -> None:
         if self._reading:
             return  # an answer given at once has come back here through flush
-        if self.asked and not self._half:
+        if self.command_count and not self._half:
             self._began = self._front.loop.now()
         self._reading, self._starved = True, False
         try:
-            while self.conn.open and not self._closing and len(self._slots) < MAX_PIPELINE_DEPTH:
+            while self.conn.is_open and not self._closing and len(self._slots) < MAX_PIPELINE_DEPTH:
                 value = self._parser.next(self.conn.inbox)
                 if isinstance(value, resp.Incomplete):
                     break
@@ -118,7 +120,7 @@
             self._reading = False
         self._half = not self._parser.idle or len(self.conn.inbox) > 0
         self.flush()
-        self.settle()
+        self.update_idle_state()
 
     def _command(self, value: resp.Value) -> None:
         words = value if isinstance(value, list) else None
@@ -127,14 +129,14 @@
         if not words:
             return
         now = self._front.loop.now()
-        if self.asked and not self._slots:
+        if self.command_count and not self._slots:
             self._tell(now)
-            self._front.returns.returned(self.asked, now - self.used)
-        self.used = self._began = now
-        self.asked, self.told = self.asked + 1, 0
+            self._front.idle_returns.returned(self.command_count, now - self.last_used)
+        self.last_used = self._began = now
+        self.command_count, self.reported_idle_spans = self.command_count + 1, 0
         plain = [word for word in words if isinstance(word, bytes)]
         if plain[0].upper() == b"PING" and len(plain) <= 2:
-            self._slot().answer = resp.encode_bulk(plain[1]) if len(plain) == 2 else b"+PONG\r\n"
+            self._slot().encoded = resp.encode_bulk(plain[1]) if len(plain) == 2 else b"+PONG\r\n"
             return
         try:
             content = parse_command(plain, self._front.classes, self._front.tenants)
@@ -149,98 +151,98 @@
             return
         self._front.open_ids.add(ident)
         slot = self._slot(ident)
-        leaving = self._front.leaving
-        if leaving and not (allowed := leaving.patience(content.kind, content.patience, now)):
+        leaving = self._front.shutdown
+        if leaving and not (allowed := leaving.remaining_time(content.request_class, content.timeout, now)):
             counters["too_late_to_take"] += 1
-            return slot.refused(leaving.back(now))
-        content.patience = allowed if leaving else content.patience
+            return slot.on_rejected(leaving.retry_after(now))
+        content.timeout = allowed if leaving else content.timeout
         # Its client counts from when it wrote, and the bytes may have lain unread for all of the turn before.
-        lag = self._front.loop.lag
+        lag = self._front.loop.loop_latency
         lag = lag if lag > MIN_LOOP_LATENCY_MS else 0.0
-        slot.query = self._front.engine.ask(
+        slot.request = self._front.dispatcher.dispatch(
             content, lambda number: _request_received(number, content, lag), slot
         )
 
     def _tell(self, now: float) -> None:
         """How long this rest has lasted."""
-        reached = idle_span(now - self.used)
-        if reached > self.told:
-            self._front.returns.outlived(self.asked, self.told, reached)
-            self.told = reached
+        reached = idle_span(now - self.last_used)
+        if reached > self.reported_idle_spans:
+            self._front.idle_returns.outlived(self.command_count, self.reported_idle_spans, reached)
+            self.reported_idle_spans = reached
 
     def _slot(self, ident: bytes = b"") -> PendingReply:
         self._slots.append(PendingReply(self, ident))
         return self._slots[-1]
 
     def _say(self, text: str) -> None:
-        self._slot().answer = resp.encode_error("ERR " + text)
+        self._slot().encoded = resp.encode_error("ERR " + text)
 
     def flush(self) -> None:
         """Write the answers that are next in order, as far as there is room."""
-        while self.conn.open and self._slots:
-            answer = self._slots[0].answer
-            if answer is None or self.conn.outbox.room < len(answer):
+        while self.conn.is_open and self._slots:
+            answer = self._slots[0].encoded
+            if answer is None or self.conn.outbox.available_space < len(answer):
                 break
             self._slots.popleft()
-            self.used, self.told = self._front.loop.now(), 0
+            self.last_used, self.reported_idle_spans = self._front.loop.now(), 0
             self.conn.send(answer)
-        if not self.conn.open:
+        if not self.conn.is_open:
             return
         if self._starved:  # not from here: answers given at once would nest without end
-            self._front.loop.soon(self._more)
+            self._front.loop.call_soon(self._more)
         elif not self._slots and (self._closing or self.conn.eof):
             self._end()
-        elif not self._slots and self._front.closing:
-            self._front.loop.soon(self.close_if_idle)
+        elif not self._slots and self._front.closes_idle_clients:
+            self._front.loop.call_soon(self.close_if_idle)
 
     def _more(self) -> None:
-        if self._starved and self.conn.open and len(self._slots) < MAX_PIPELINE_DEPTH:
-            self.received()
-            self.conn.resume()
+        if self._starved and self.conn.is_open and len(self._slots) < MAX_PIPELINE_DEPTH:
+            self.on_data()
+            self.conn.resume_reading()
 
-    def drained(self) -> None:
+    def on_written(self) -> None:
         self.flush()
-        self.settle()
+        self.update_idle_state()
 
-    def ended(self, by_peer: bool) -> None:
+    def on_closed(self, by_peer: bool) -> None:
         """A client that closes has gone, and TCP does not tell a close from an end of sending. What waits, or
         is still unread, is dropped; what is worded already, as a bad client's error, is written. Answers
         behind one that is dropped would be taken for it, so the close has to do for them."""
         counters["ends" if by_peer else "clients_broken"] += 1
         self._closing, self._starved = True, False
         slots, self._slots = self._slots, deque()
-        while by_peer and slots and slots[0].answer is not None:
+        while by_peer and slots and slots[0].encoded is not None:
             self._slots.append(slots.popleft())
         for slot in slots:
-            self.over(slot)
-            if slot.query:
-                self._front.engine.left(slot.query)
+            self.release_id(slot)
+            if slot.request:
+                self._front.dispatcher.client_disconnected(slot.request)
         if by_peer:
             return self.flush()
         self._front.forget(self)
-        self._front.listen()
+        self._front.update_listening()
 
     def _end(self) -> None:
         if self in self._front.clients:
             self._front.forget(self)
-            self._front.ends(self.conn)
-        self.conn.finish()
-        self._front.listen()
+            self._front.await_closing(self.conn)
+        self.conn.close_gracefully()
+        self._front.update_listening()
 
-    def sweep(self, now: float, short: bool) -> None:
+    def close_if_overdue(self, now: float, short: bool) -> None:
         """Close a client that holds a descriptor for nothing; a usual one writes its command in a moment."""
         if self._slots or self._closing or len(self.conn.outbox):
             return
         if self.idle:
-            if self.asked and self.told < IDLE_SPAN_COUNT:
+            if self.command_count and self.reported_idle_spans < IDLE_SPAN_COUNT:
                 self._tell(now)
-            if now - self.used > (
-                FIRST_COMMAND_TIMEOUT_MS if not self.asked else IDLE_TIMEOUT_MS if short else inf
+            if now - self.last_used > (
+                FIRST_COMMAND_TIMEOUT_MS if not self.command_count else IDLE_TIMEOUT_MS if short else inf
             ):
                 counters["swept"] += 1
                 self.close_if_idle()
         elif now - self._began > COMMAND_TIMEOUT_MS or (
-            self._front.leaving and now > self._front.leaving.end
+            self._front.shutdown and now > self._front.shutdown.answer_by
         ):
             counters["swept"] += 1
             self._closing = True
@@ -250,8 +252,8 @@
     def close_if_idle(self) -> bool:
         """End a connection between commands; one that was written before counts as taken, so look first."""
         if self.idle:
-            self.conn.poll()
-        if self.idle and self.conn.open:
+            self.conn.read_available()
+        if self.idle and self.conn.is_open:
             self._end()
             return True
         return False
@@ -260,13 +262,13 @@
 def _request_received(number: int, content: ClientCommand, lag: float) -> RequestReceived:
     return RequestReceived(
         number,
-        content.kind,
-        max(content.patience - lag, 1.0),
+        content.request_class,
+        max(content.timeout - lag, 1.0),
         content.key,
         content.tenant,
-        content.write,
-        content.again,
-        content.work,
+        content.is_write,
+        content.is_retry,
+        content.expected_work,
         content.size,
     )
 
@@ -281,19 +283,19 @@
         classes: list[str],
         tenants: list[str],
     ) -> None:
-        self.loop, self.budget, self.engine = loop, budget, engine
+        self.loop, self.budget, self.dispatcher = loop, budget, engine
         self.classes, self.tenants = classes, tenants
         self.clients: dict[ClientConnection, None] = {}
         # Between commands, the longest first: those that have asked, and those that have not yet.
-        self.resting: dict[ClientConnection, None] = {}
-        self.silent: dict[ClientConnection, None] = {}
-        self.returns, self.room = (
+        self.idle_clients: dict[ClientConnection, None] = {}
+        self.clients_without_command: dict[ClientConnection, None] = {}
+        self.idle_returns, self.capacity = (
             IdleReturnEstimator(),
             ConnectionCapacity(budget.limit // CLIENT_DESCRIPTOR_DIVISOR, loop.now()),
         )
-        self.ending: list[Connection] = []
-        self.leaving: ShutdownSchedule | None = None  # since the signal to stop
-        self.closing = False  # connections are ended as soon as they are between commands
+        self.closing_connections: list[Connection] = []
+        self.shutdown: ShutdownSchedule | None = None  # since the signal to stop
+        self.closes_idle_clients = False  # connections are ended as soon as they are between commands
         self._mask, self._stopped = 0, False
         self.open_ids = set[bytes]()  # of queries that wait for their answer
         self._retry: Timer | None = None
@@ -303,64 +305,64 @@
         self._sock.bind(address)
         self._sock.listen(LISTEN_BACKLOG)
         budget.used += 1
-        self.listen()
+        self.update_listening()
         self._sweep()
 
     def _sweep(self) -> None:
-        now, short = self.loop.now(), not (self.leaving or self.budget.spare(self.budget.limit // 2))
+        now, short = self.loop.now(), not (self.shutdown or self.budget.has_capacity(self.budget.limit // 2))
         for client in list(self.clients):
-            client.sweep(now, short)
+            client.close_if_overdue(now, short)
         self._make_room(now)
-        self.loop.at(now + SWEEP_INTERVAL_MS, self._sweep)
+        self.loop.call_at(now + SWEEP_INTERVAL_MS, self._sweep)
 
     def _make_room(self, now: float) -> None:
         """Clients hold only so many connections for requests. Let go of those that hardly return, before
         the ones that never do leave no room for whoever would ask next."""
-        short = self.room.short(len(self.clients) - len(self.silent), now)
-        if short and not self.leaving:  # else nobody new comes
-            resting = list(self.resting)
+        short = self.capacity.short(len(self.clients) - len(self.clients_without_command), now)
+        if short and not self.shutdown:  # else nobody new comes
+            resting = list(self.idle_clients)
             for n in select_for_eviction(
-                [(one.asked, now - one.used) for one in resting], self.returns, short
+                [(one.command_count, now - one.last_used) for one in resting], self.idle_returns, short
             ):
                 counters["let_go"] += resting[n].close_if_idle()
 
-    def unrest(self, client: ClientConnection) -> None:
-        self.resting.pop(client, None)
-        self.silent.pop(client, None)
+    def remove_from_idle(self, client: ClientConnection) -> None:
+        self.idle_clients.pop(client, None)
+        self.clients_without_command.pop(client, None)
 
     def forget(self, client: ClientConnection) -> None:
         """It is no longer one of ours."""
         self.clients.pop(client, None)
-        self.unrest(client)
+        self.remove_from_idle(client)
 
     @property
-    def done(self) -> bool:
+    def is_finished(self) -> bool:
         """After `stop`: every client has been ended, and all that was written has been taken. One that has
         begun a command may end it any moment, and it counts as taken then."""
-        self.ending = [conn for conn in self.ending if conn.open]
-        return self._stopped and not self.clients and not self.ending
+        self.closing_connections = [conn for conn in self.closing_connections if conn.is_open]
+        return self._stopped and not self.clients and not self.closing_connections
 
-    def ends(self, conn: Connection) -> None:
+    def await_closing(self, conn: Connection) -> None:
         """Keep a connection until its last bytes are taken. Those that are closed since go: this list lives
         as long as the program, and a list of all connections there ever were would grow without end."""
-        self.ending = [one for one in self.ending if one.open]
-        self.ending.append(conn)
+        self.closing_connections = [one for one in self.closing_connections if one.is_open]
+        self.closing_connections.append(conn)
 
-    def listen(self) -> None:
+    def update_listening(self) -> None:
         """Accept while there are descriptors for clients, or idle ones to take one from."""
         mask = 0
         if self._stopped:
             pass
         elif (
-            self.budget.spare(self.budget.limit // UPSTREAM_DESCRIPTOR_DIVISOR)
+            self.budget.has_capacity(self.budget.limit // UPSTREAM_DESCRIPTOR_DIVISOR)
             or self._owed
-            or self.resting
-            or self.silent
+            or self.idle_clients
+            or self.clients_without_command
         ):
             mask = READ
         else:  # look again by ourselves: links that close tell nobody here, and no client may be left to end
             self.loop.cancel(self._retry)
-            self._retry = self.loop.at(self.loop.now() + ACCEPT_RETRY_MS, self.listen)
+            self._retry = self.loop.call_at(self.loop.now() + ACCEPT_RETRY_MS, self.update_listening)
         self.loop.watch(self._sock, self._mask, mask, self._ready)
         self._mask = mask
 
@@ -368,18 +370,18 @@
     def _owed(self) -> bool:
         """Whether clients hold less than their share while links rest. Beyond it they displace only each
         other, or a flood of them would leave the links no descriptor."""
-        return len(self.clients) < self.room.share and bool(self.budget.resting)
+        return len(self.clients) < self.capacity.share and bool(self.budget.idle_connections)
 
     def _ready(self, mask: int) -> None:
         for count in range(MAX_ACCEPTS_PER_EVENT):
             # The first round alone knows that somebody waits, and is worth an idle link, or an idle client.
-            short = not self.budget.spare(self.budget.limit // UPSTREAM_DESCRIPTOR_DIVISOR)
-            if short and (count or not ((self._owed and self.budget.reclaim()) or self._evict())):
+            short = not self.budget.has_capacity(self.budget.limit // UPSTREAM_DESCRIPTOR_DIVISOR)
+            if short and (count or not ((self._owed and self.budget.close_longest_idle()) or self._evict())):
                 log_event("clients", "no descriptor left for a client; waiting for one to end")
                 break
             if not self._accept():
                 break
-        self.listen()
+        self.update_listening()
 
     def _accept(self) -> bool:
         """Take in one whom the system has accepted; False when there is none, or no descriptor."""
@@ -393,10 +395,10 @@
             log_event("clients", f"accept: {bad}")
             return False
         counters["clients"] += 1
-        self.room.came()
+        self.capacity.came()
         client = ClientConnection(self, sock)
         self.clients[client] = None
-        client.settle()
+        client.update_idle_state()
         return True
 
     def _evict(self) -> bool:
@@ -404,9 +406,12 @@
         for a while goes before one that has asked and may ask again any moment."""
         now = self.loop.now()
         # The longest at rest of each kind, and a few more: one may have written a command just now.
-        idle = [*islice(self.silent, 4), *islice(self.resting, 4)]
+        idle = [*islice(self.clients_without_command, 4), *islice(self.idle_clients, 4)]
         idle.sort(
-            key=lambda c: (now - c.used < (IDLE_TIMEOUT_MS if c.asked else IDLE_TIMEOUT_MS / 8), c.used)
+            key=lambda c: (
+                now - c.last_used < (IDLE_TIMEOUT_MS if c.command_count else IDLE_TIMEOUT_MS / 8),
+                c.last_used,
+            )
         )
         for client in idle:
             if client.close_if_idle():
@@ -414,32 +419,36 @@
                 return True
         return False
 
-    def stop(self) -> None:
+    def shut_down(self) -> None:
         """Accept a little longer, answer what was taken, close connections between commands."""
-        self.leaving = self.engine.leaving()
-        self.loop.at(self.leaving.accepts, self._shut)
-        self.loop.at(self.leaving.closes, self._close)
+        self.shutdown = self.dispatcher.shutdown_schedule()
+        self.loop.call_at(self.shutdown.accept_until, self._shut)
+        self.loop.call_at(self.shutdown.close_idle_from, self._close)
 
     def _shut(self) -> None:
         """Take in whoever the system has accepted so far, then close the listener: that resets the rest, with
         what they have asked. The links' part of the descriptors serves as well; without any, look again."""
-        assert self.leaving
+        assert self.shutdown
         left = LISTEN_BACKLOG
-        while left and (free := self.budget.spare() or self.budget.reclaim()) and self._accept():
+        while (
+            left
+            and (free := self.budget.has_capacity() or self.budget.close_longest_idle())
+            and self._accept()
+        ):
             left -= 1
         now = self.loop.now()
-        if not free and now < self.leaving.end:
+        if not free and now < self.shutdown.answer_by:
             log_event("clients", "no descriptor left for a client; the listener stays open")
-            self.loop.at(now + ACCEPT_RETRY_MS, self._shut)
+            self.loop.call_at(now + ACCEPT_RETRY_MS, self._shut)
             return
         self._stopped = True
-        self.listen()
+        self.update_listening()
         self._sock.close()
         self.budget.used -= 1
-        if self.closing:  # those who came since
+        if self.closes_idle_clients:  # those who came since
             self._close()
 
     def _close(self) -> None:
-        self.closing = True
+        self.closes_idle_clients = True
         for client in list(self.clients):
             client.close_if_idle()
--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -29,7 +29,7 @@
 class IdleConnection(Protocol):
     """A connection with nothing out on it."""
 
-    def break_off(self) -> None: ...
+    def abort(self) -> None: ...
 
 
 class DescriptorBudget:
@@ -37,44 +37,44 @@
 
     def __init__(self, limit: int) -> None:
         self.limit, self.used = limit, 0
-        self.resting: dict[
+        self.idle_connections: dict[
             IdleConnection, None
         ] = {}  # connections to servers, of all links, the longest idle first
 
-    def reclaim(self) -> bool:
+    def close_longest_idle(self) -> bool:
         """Close the connection to a server that has been idle for longest: at most a handshake is lost."""
-        for one in self.resting:
-            one.break_off()
+        for one in self.idle_connections:
+            one.abort()
             return True
         return False
 
-    def spare(self, keep: int = 0) -> bool:
+    def has_capacity(self, keep: int = 0) -> bool:
         return self.used + keep < self.limit
 
 
 class ConnectionHandler(Protocol):
     """What a connection calls. After `ended(False)` it is closed; after `ended(True)` it can be written."""
 
-    def opened(self) -> None: ...
-    def received(self) -> None: ...
-    def drained(self) -> None: ...
-    def ended(self, by_peer: bool) -> None: ...
+    def on_connected(self) -> None: ...
+    def on_data(self) -> None: ...
+    def on_written(self) -> None: ...
+    def on_closed(self, by_peer: bool) -> None: ...
 
 
 class NullHandler:
     """Owns what is closed. With its owner still named, the two would hold one another until the collector
     came, and on a day of ever new connections that is most of the memory."""
 
-    def opened(self) -> None:
+    def on_connected(self) -> None:
         pass
 
-    def received(self) -> None:
+    def on_data(self) -> None:
         pass
 
-    def drained(self) -> None:
+    def on_written(self) -> None:
         pass
 
-    def ended(self, by_peer: bool) -> None:
+    def on_closed(self, by_peer: bool) -> None:
         pass
 
 
@@ -91,8 +91,10 @@
         opening: bool = False,
     ) -> None:
         self.inbox, self.outbox = RingBuffer(MAX_INBOX_BYTES), RingBuffer(MAX_OUTBOX_BYTES)
-        self.queued = self.sent = 0  # bytes ever handed to the connection; taken from it by the system
-        self.open, self.opening, self.eof = True, opening, False
+        self.bytes_queued = self.bytes_sent = (
+            0  # bytes ever handed to the connection; taken from it by the system
+        )
+        self.is_open, self.connecting, self.eof = True, opening, False
         self._loop, self._budget, self._sock = loop, budget, sock
         self._owner: ConnectionHandler = owner
         self._mask = 0
@@ -105,7 +107,7 @@
         self._interest()
 
     @classmethod
-    def dial(
+    def connect(
         cls, loop: EventLoop, budget: DescriptorBudget, address: Address, owner: ConnectionHandler
     ) -> Connection:
         """Begin to connect. Every failure comes through `ended`, never from here."""
@@ -117,36 +119,36 @@
             code = errno.EINVAL
         self = cls(loop, budget, sock, owner, opening=True)
         if code not in (0, errno.EINPROGRESS):
-            loop.soon(lambda: self._broken())
+            loop.call_soon(lambda: self._broken())
         return self
 
     def send(self, data: bytes) -> None:
         """Queue and try to write at once. Check `outbox.room` first."""
-        self.outbox.put(data)
-        self.queued += len(data)
-        if not self.opening and len(self.outbox) == len(data):
+        self.outbox.append(data)
+        self.bytes_queued += len(data)
+        if not self.connecting and len(self.outbox) == len(data):
             self._flush()
         self._interest()
 
-    def prefer(self) -> None:
+    def prioritize(self) -> None:
         """Have it looked after first in each turn; see `Loop.prefer`."""
         if self._mask:
-            self._loop.prefer(self._sock)
+            self._loop.prioritize(self._sock)
 
-    def resume(self) -> None:
+    def resume_reading(self) -> None:
         """Call after taking bytes out of a full inbox outside of `received`."""
         self._interest()
 
-    def poll(self) -> None:
+    def read_available(self) -> None:
         """Take in what has come already, as before a close: what the peer has written it counts as taken."""
-        if self.open and not (self.opening or self.eof or self._finishing):
+        if self.is_open and not (self.connecting or self.eof or self._finishing):
             self._read()
             self._interest()
 
     @property
-    def quiet(self) -> bool:
+    def is_reusable(self) -> bool:
         """Open, with nothing unread and no end of the peer's bytes, not even in the system."""
-        if not self.open or self.eof or len(self.inbox):
+        if not self.is_open or self.eof or len(self.inbox):
             return False
         try:
             self._sock.recv(1, socket.MSG_PEEK)
@@ -156,18 +158,18 @@
             pass
         return False
 
-    def finish(self) -> None:
+    def close_gracefully(self) -> None:
         """Write what is queued, end our sending, read on until the peer ends or a while has passed.
         Closing with input unread would send a reset, which can destroy an answer still on its way."""
-        if self.open and not self._finishing:
+        if self.is_open and not self._finishing:
             self._finishing = True
-            self._linger = self._loop.at(self._loop.now() + LINGER_MS, self.close)
+            self._linger = self._loop.call_at(self._loop.now() + LINGER_MS, self.close)
             self._end_sending()
 
     def close(self) -> None:
         """Close at once, without a callback."""
-        if self.open:
-            self.open = False
+        if self.is_open:
+            self.is_open = False
             self._loop.cancel(self._linger)
             self._owner, self._linger = NULL_HANDLER, None
             self._loop.watch(self._sock, self._mask, 0, self._ready)
@@ -176,31 +178,31 @@
             self._budget.used -= 1
 
     def _broken(self) -> None:
-        if self.open:
+        if self.is_open:
             owner = self._owner
             self.close()
-            owner.ended(False)
+            owner.on_closed(False)
 
     def _interest(self) -> None:
-        if not self.open:
+        if not self.is_open:
             return
-        read = not self.opening and not self.eof and (self.inbox.room or self._finishing)
-        mask = (READ if read else 0) | (WRITE if self.opening or len(self.outbox) else 0)
+        read = not self.connecting and not self.eof and (self.inbox.available_space or self._finishing)
+        mask = (READ if read else 0) | (WRITE if self.connecting or len(self.outbox) else 0)
         self._loop.watch(self._sock, self._mask, mask, self._ready)
         self._mask = mask
 
     def _ready(self, mask: int) -> None:
         try:
-            if self.opening:
+            if self.connecting:
                 if self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
                     return self._broken()
-                self.opening = False
-                self._guard(self._owner.opened)
-            if mask & WRITE and self.open and len(self.outbox):
+                self.connecting = False
+                self._guard(self._owner.on_connected)
+            if mask & WRITE and self.is_open and len(self.outbox):
                 self._flush()
-                if self.open:
-                    self._guard(self._owner.drained)
-            if mask & READ and self.open:
+                if self.is_open:
+                    self._guard(self._owner.on_written)
+            if mask & READ and self.is_open:
                 self._read()
         finally:
             self._interest()
@@ -217,7 +219,7 @@
     def _read(self) -> None:
         got = lost = False
         for _ in range(MAX_READS_PER_EVENT):
-            space = memoryview(_sink) if self._finishing else self.inbox.space()
+            space = memoryview(_sink) if self._finishing else self.inbox.writable_view()
             if not len(space):
                 break
             try:
@@ -237,36 +239,36 @@
                 ):  # a peer that sends on at full speed would cost a core
                     return self.close()
                 continue
-            self.inbox.wrote(count)
+            self.inbox.commit(count)
             got = True
             if count < len(space):
                 break
         if got:
-            self._guard(self._owner.received)
+            self._guard(self._owner.on_data)
         if lost:
             self._broken()
-        elif self.eof and self.open:
+        elif self.eof and self.is_open:
             if self._finishing:
                 self._end_sending()
             else:
-                self._guard(lambda: self._owner.ended(True))
+                self._guard(lambda: self._owner.on_closed(True))
 
     def _flush(self) -> None:
         try:
             while len(self.outbox):
-                count = self._sock.send(self.outbox.filled())
-                self.sent += count
-                self.outbox.drop(count)
+                count = self._sock.send(self.outbox.readable_view())
+                self.bytes_sent += count
+                self.outbox.discard(count)
         except (BlockingIOError, InterruptedError):
             pass
         except OSError:
-            self._loop.soon(self._broken)  # never from within the owner's own call
+            self._loop.call_soon(self._broken)  # never from within the owner's own call
             return
         if self._finishing:
             self._end_sending()
 
     def _end_sending(self) -> None:
-        if len(self.outbox) or not self.open:
+        if len(self.outbox) or not self.is_open:
             return
         if self.eof:
             self.close()
--- a/lupinladder/net/connection_pool.py
+++ b/lupinladder/net/connection_pool.py
@@ -62,101 +62,103 @@
     def __init__(self, link: ConnectionPool) -> None:
         self._link = link
         self.unsent: deque[Attempt] = deque()  # until the connection is up and what is before them written
-        self.waiting: deque[tuple[Attempt | None, int]] = deque()  # None: abandoned; bytes queued with it
-        self.reader = link.dialect.reader()
-        self.idle_until: Timer | None = None
-        self.conn = Connection.dial(link.loop, link.budget, link.address, self)
+        self.in_flight: deque[tuple[Attempt | None, int]] = deque()  # None: abandoned; bytes queued with it
+        self.reader = link.protocol.reader()
+        self.idle_timer: Timer | None = None
+        self.connection = Connection.connect(link.loop, link.budget, link.address, self)
         counters["links_opened"] += 1
-        self._connecting: Timer | None = link.loop.at(link.loop.now() + link.connect_ms, self._too_late)
+        self._connecting: Timer | None = link.loop.call_at(
+            link.loop.now() + link.connect_timeout_ms, self._too_late
+        )
 
     @property
-    def load(self) -> int:
-        return len(self.unsent) + len(self.waiting)
+    def attempt_count(self) -> int:
+        return len(self.unsent) + len(self.in_flight)
 
-    def take(self, attempt: Attempt) -> None:
+    def assign(self, attempt: Attempt) -> None:
         self.unsent.append(attempt)
         self._write()
 
     def _write(self) -> None:
         """Write what may still go, one after another, as the system takes it."""
         dropped = list[Attempt]()
-        while self.unsent and not self.conn.opening and not len(self.conn.outbox):
+        while self.unsent and not self.connection.connecting and not len(self.connection.outbox):
             attempt = self.unsent.popleft()
-            if self._link.may_begin(attempt):
-                attempt.begun = True
-                wait = attempt.until - self._link.loop.now()
-                data = self._link.dialect.encode(attempt.query.content, wait)
-                self.waiting.append((attempt, self.conn.queued + len(data)))
-                self.conn.send(data)
+            if self._link.may_start(attempt):
+                attempt.write_started = True
+                wait = attempt.deadline - self._link.loop.now()
+                data = self._link.protocol.encode(attempt.request.command, wait)
+                self.in_flight.append((attempt, self.connection.bytes_queued + len(data)))
+                self.connection.send(data)
             else:
                 dropped.append(attempt)
-        if not (self.load or self.conn.opening):
-            self._link.rest(self)
+        if not (self.attempt_count or self.connection.connecting):
+            self._link.mark_idle(self)
         counters["never_begun"] += len(dropped)
         for attempt in dropped:  # last: what follows may come back here
             attempt.end(Outcome.CONNECT_FAILED)
 
-    def opened(self) -> None:
+    def on_connected(self) -> None:
         self._link.loop.cancel(self._connecting)
         self._connecting = None
         self._write()
 
     def _too_late(self) -> None:
-        if self.conn.opening:
-            self.break_off()
+        if self.connection.connecting:
+            self.abort()
 
-    def received(self) -> None:
-        while self.conn.open and self.waiting:
+    def on_data(self) -> None:
+        while self.connection.is_open and self.in_flight:
             try:
-                reply = self.reader.next(self.conn.inbox)
+                reply = self.reader.next(self.connection.inbox)
             except (UpstreamProtocolError, resp.FramingError) as bad:
                 return self._spoilt(str(bad))
             if reply is None:
                 return
-            attempt, _ = self.waiting.popleft()
+            attempt, _ = self.in_flight.popleft()
             if self.reader.closes:
-                self.break_off()
-            elif not self.load and self._clean():
-                self._link.rest(self)
+                self.abort()
+            elif not self.attempt_count and self._clean():
+                self._link.mark_idle(self)
             if attempt:
-                attempt.end(reply.outcome, reply.value, reply.note, reply.load)
-        if self.conn.open and not self.waiting:
+                attempt.end(reply.outcome, reply.value, reply.cache_result, reply.load)
+        if self.connection.is_open and not self.in_flight:
             self._clean()
 
     def _clean(self) -> bool:
         """Whether nothing came behind the last answer that was asked for. What did, a second copy or noise,
         would be taken for the answer to whatever is written next. What is not all taken yet was answered
         too soon."""
-        if len(self.conn.inbox) or not self.reader.idle or len(self.conn.outbox):
+        if len(self.connection.inbox) or not self.reader.idle or len(self.connection.outbox):
             self._spoilt("bytes that nothing asked for")
-        return self.conn.open
+        return self.connection.is_open
 
     def _spoilt(self, why: str) -> None:
         log_event("link", f"{self._link.address}: {why}")
         counters["bad_answers"] += 1
-        self.break_off()
+        self.abort()
 
-    def drained(self) -> None:
+    def on_written(self) -> None:
         if self.unsent:
             self._write()
 
-    def ended(self, by_peer: bool) -> None:
+    def on_closed(self, by_peer: bool) -> None:
         attempt, reply = None, None
-        if by_peer and self.waiting and (reply := self.reader.end()):
-            attempt, _ = self.waiting.popleft()
-        self.break_off()
+        if by_peer and self.in_flight and (reply := self.reader.end()):
+            attempt, _ = self.in_flight.popleft()
+        self.abort()
         if attempt and reply:
-            attempt.end(reply.outcome, reply.value, reply.note, reply.load)
+            attempt.end(reply.outcome, reply.value, reply.cache_result, reply.load)
 
-    def break_off(self) -> None:
+    def abort(self) -> None:
         """Close; what is out on it has run only if its last byte was written."""
-        sent = self.conn.sent
-        self.conn.close()
-        for deadline in (self._connecting, self.idle_until):
+        sent = self.connection.bytes_sent
+        self.connection.close()
+        for deadline in (self._connecting, self.idle_timer):
             self._link.loop.cancel(deadline)
-        self._connecting = self.idle_until = None
-        self._link.gone(self)
-        waiting, self.waiting = self.waiting, deque()
+        self._connecting = self.idle_timer = None
+        self._link.remove(self)
+        waiting, self.in_flight = self.in_flight, deque()
         unsent, self.unsent = self.unsent, deque()
         for attempt, mark in waiting:
             if attempt:
@@ -180,8 +182,8 @@
         connect_ms: float,
         streams: int,
     ) -> None:
-        self.loop, self.budget, self.address, self.dialect = loop, budget, address, dialect
-        self.connect_ms, self._idle_ms, self._streams = connect_ms, idle_ms, streams
+        self.loop, self.budget, self.address, self.protocol = loop, budget, address, dialect
+        self.connect_timeout_ms, self._idle_ms, self._streams = connect_ms, idle_ms, streams
         self._idle: list[UpstreamConnection] = []
         self._busy: dict[UpstreamConnection, None] = {}
         self._retired = False
@@ -191,36 +193,39 @@
         if wire is None:
             counters["no_descriptor"] += 1
             return attempt.end(Outcome.CONNECT_FAILED)
-        wire.take(attempt)
+        wire.assign(attempt)
 
-    def may_begin(self, attempt: Attempt) -> bool:
+    def may_start(self, attempt: Attempt) -> bool:
         """Whether its first byte may be written now: its client has not left, the server has not begun to
         leave, and a repeat would still be dropped."""
-        return not (self._retired or attempt.query.over or self.loop.now() >= attempt.begin_by)
+        return not (self._retired or attempt.request.finished or self.loop.now() >= attempt.start_by)
 
     def _pick(self) -> UpstreamConnection | None:
         while self._idle:
             wire = self._idle.pop()
-            self.budget.resting.pop(wire, None)
-            self.loop.cancel(wire.idle_until)
-            wire.idle_until = None
-            if wire.conn.quiet:
+            self.budget.idle_connections.pop(wire, None)
+            self.loop.cancel(wire.idle_timer)
+            wire.idle_timer = None
+            if wire.connection.is_reusable:
                 break
             # The server has ended it, or sent more than was asked for, since we last looked.
             counters["stale_links"] += 1
-            wire.break_off()
+            wire.abort()
         else:
             return self._fresh()
         self._busy[wire] = None
         return wire
 
     def _fresh(self) -> UpstreamConnection | None:
-        spare = self.budget.spare(self.budget.limit // CLIENT_DESCRIPTOR_DIVISOR) or self.budget.reclaim()
+        spare = (
+            self.budget.has_capacity(self.budget.limit // CLIENT_DESCRIPTOR_DIVISOR)
+            or self.budget.close_longest_idle()
+        )
         if spare and (fresh := self._open()):
             wire = fresh
         else:  # sockets run short: behind the shortest line, if any has room
-            able = [w for w in self._busy if w.load < self._streams]
-            return min(able, key=lambda w: w.load, default=None)
+            able = [w for w in self._busy if w.attempt_count < self._streams]
+            return min(able, key=lambda w: w.attempt_count, default=None)
         self._busy[wire] = None
         return wire
 
@@ -234,31 +239,31 @@
     def abandon(self, attempt: Attempt) -> None:
         """Stop waiting: closing tells the other side, unless others wait on the same connection."""
         for wire in self._busy:
-            for place, (one, mark) in enumerate(wire.waiting):
+            for place, (one, mark) in enumerate(wire.in_flight):
                 if one is attempt:
-                    wire.waiting[place] = (None, mark)
+                    wire.in_flight[place] = (None, mark)
                     break
             else:
                 if attempt not in wire.unsent:
                     continue
                 wire.unsent.remove(attempt)
-            if not wire.unsent and all(other is None for other, _ in wire.waiting):
-                wire.break_off()
+            if not wire.unsent and all(other is None for other, _ in wire.in_flight):
+                wire.abort()
             return
 
-    def rest(self, wire: UpstreamConnection) -> None:
+    def mark_idle(self, wire: UpstreamConnection) -> None:
         """Nothing is out on it any more."""
         self._busy.pop(wire, None)
         if self._retired:
-            wire.break_off()
+            wire.abort()
             return
         self._idle.append(wire)
-        self.budget.resting[wire] = None
-        wire.idle_until = self.loop.at(self.loop.now() + self._idle_ms * IDLE_TIMEOUT_FACTOR, wire.break_off)
+        self.budget.idle_connections[wire] = None
+        wire.idle_timer = self.loop.call_at(self.loop.now() + self._idle_ms * IDLE_TIMEOUT_FACTOR, wire.abort)
 
-    def gone(self, wire: UpstreamConnection) -> None:
+    def remove(self, wire: UpstreamConnection) -> None:
         self._busy.pop(wire, None)
-        self.budget.resting.pop(wire, None)
+        self.budget.idle_connections.pop(wire, None)
         if wire in self._idle:
             self._idle.remove(wire)
 
@@ -266,7 +271,7 @@
         """The server leaves: what is out may finish, nothing is kept for later."""
         self._retired = True
         for wire in list(self._idle):
-            wire.break_off()
+            wire.abort()
 
 
 class CacheNodeReplyReader:
@@ -294,7 +299,7 @@
             word, _, rest = answer.partition(b" ")
             load = parse_load_report(rest.rsplit(b" ", 1)[-1], self._fields)
             if word == b"BUSY":
-                return UpstreamReply(Outcome.FULL, load=load)
+                return UpstreamReply(Outcome.REJECTED, load=load)
             if word not in KNOWN_ERRORS:
                 raise UpstreamProtocolError("an error of an unknown form")
             if not answer.startswith(b"ERR failed"):
@@ -318,4 +323,4 @@
         self.reader = partial(CacheNodeReplyReader, fields)
 
     def encode(self, command: ClientCommand, wait: float) -> bytes:
-        return resp.encode_array(command.relabelled(wait))
+        return resp.encode_array(command.with_deadline(wait))
--- a/lupinladder/net/discovery/endpoint_registry.py
+++ b/lupinladder/net/discovery/endpoint_registry.py
@@ -147,21 +147,21 @@
         self._make_link, self._tell = make_link, tell
         self._links: dict[ServerId, tuple[ConnectionPool, float]] = {}  # with the start they were made for
         self._index = 0
-        self.heard = False  # a watch has spoken since its opening: the list is what discovery has
+        self.is_current = False  # a watch has spoken since its opening: the list is what discovery has
         self._watch: EndpointWatch | None = None
         self._former: EndpointWatch | None = (
             None  # at the address before; it is listened to until the new one speaks
         )
 
-    def cached(self, tree: Any) -> EndpointUpdate:
+    def load_cached(self, tree: Any) -> EndpointUpdate:
         """The list as the configuration knows it; it may be out of date."""
         return self._take(tree, EndpointUpdateKind.CACHED)
 
-    def route(self, server: ServerId) -> ConnectionPool | None:
+    def pool_for(self, server: ServerId) -> ConnectionPool | None:
         found = self._links.get(server)
         return found[0] if found else None
 
-    def address(self, server: ServerId) -> Address | None:
+    def address_of(self, server: ServerId) -> Address | None:
         """Where a server is that may be sent to."""
         found = self._links.get(server)
         return found[0].address if found else None
@@ -171,15 +171,15 @@
         """The version of the list that is held."""
         return self._index
 
-    def follow(self) -> None:
+    def open_watch(self) -> None:
         """Open the watch, unless one is open: each call is work for discovery."""
         if self._watch is None:
             try:
                 self._watch = EndpointWatch(self._loop, self._budget, self._discovery, self._index, self)
             except OSError as bad:
-                self.lost(str(bad))
+                self.on_watch_failed(str(bad))
 
-    def move(self, discovery: Address) -> None:
+    def move_watch(self, discovery: Address) -> None:
         """Follow the list at another address, from the version that is known. The old watch stays until the
         new one has spoken: what is still written to it counts as told. Links and queries are not touched."""
         if discovery == self._discovery:
@@ -187,27 +187,27 @@
         self._discovery = discovery
         self._drop_former()
         self._former, self._watch = self._watch, None
-        self.follow()
+        self.open_watch()
 
     def _drop_former(self) -> None:
         if former := self._former:
-            former.poll()  # what is written on it counts as told; its last words may end it
+            former.read_available()  # what is written on it counts as told; its last words may end it
             self._former = None
             former.close()
 
-    def told(self, watch: EndpointWatch, tree: Any) -> None:
+    def on_update(self, watch: EndpointWatch, tree: Any) -> None:
         """An object of a watch: what changed, or the whole list. ValueError if it is bad."""
         self._tell(self._take(tree, None))
-        self.heard = self.heard or watch is self._watch
+        self.is_current = self.is_current or watch is self._watch
         if watch is not self._former:
             self._drop_former()
 
-    def lost(self, why: str, watch: EndpointWatch | None = None) -> None:
+    def on_watch_failed(self, why: str, watch: EndpointWatch | None = None) -> None:
         """The watch has ended or failed; the module decides when to ask again."""
         if watch and watch is self._former:
             self._former = None
             return
-        self._watch, self.heard = None, False
+        self._watch, self.is_current = None, False
         counters["watches_lost"] += 1
         log_event("discovery", why)
         self._tell(EndpointUpdate(EndpointUpdateKind.FAILED, self._index))
@@ -226,14 +226,14 @@
         for entry in entries:
             link, launched = self._links.get(entry.server, (None, 0.0))
             stays = entry.state is EndpointState.READY
-            if link and (not stays or link.address != where[entry.server] or launched != entry.launched):
+            if link and (not stays or link.address != where[entry.server] or launched != entry.started_at):
                 # Gone, leaving or started anew: what is out finishes, the idle connections are of no use.
                 link.retire()
                 link = None
                 del self._links[entry.server]
             if not link and stays:
                 link = self._make_link(entry, where[entry.server])
-                self._links[entry.server] = (link, entry.launched)
+                self._links[entry.server] = (link, entry.started_at)
         self._index = index
         return EndpointUpdate(form, index, entries)
 
@@ -247,8 +247,8 @@
         self._loop, self._group = loop, group
         self._http = http.ResponseReader(MAX_ENDPOINT_LIST_BYTES)
         self._silent: Timer | None = None
-        self._conn = Connection.dial(loop, budget, address, self)
-        self._conn.prefer()
+        self._conn = Connection.connect(loop, budget, address, self)
+        self._conn.prioritize()
         path = f"/v1/endpoints?stream=1&index={index}"
         self._conn.send(http.encode_request("GET", path, f"{address[0]}:{address[1]}", {}, None))
         self._objects, self._begun = JsonObjectStream(), False
@@ -258,18 +258,18 @@
         """A sign of life: the call begins, is answered, or a whole object or an empty line has come. Bytes
         that make nothing whole are none, or a watch that trickles would never count as silent."""
         self._loop.cancel(self._silent)
-        self._silent = self._loop.at(self._loop.now() + WATCH_SILENCE_TIMEOUT_MS, self._quiet)
+        self._silent = self._loop.call_at(self._loop.now() + WATCH_SILENCE_TIMEOUT_MS, self._quiet)
 
     def _quiet(self) -> None:
         """Nothing was heard for too long. If it was us who stood still, what was written meanwhile is unread:
         to close on it would lose changes that count as told."""
         self._silent = None
-        self._conn.poll()
-        if self._silent is None and self._conn.open:
+        self._conn.read_available()
+        if self._silent is None and self._conn.is_open:
             self._end("the watch is silent")
 
-    def poll(self) -> None:
-        self._conn.poll()
+    def read_available(self) -> None:
+        self._conn.read_available()
 
     def close(self) -> None:
         self._loop.cancel(self._silent)
@@ -277,21 +277,21 @@
 
     def _end(self, why: str) -> None:
         self.close()
-        self._group.lost(why, self)
+        self._group.on_watch_failed(why, self)
 
-    def opened(self) -> None:
+    def on_connected(self) -> None:
         pass
 
-    def drained(self) -> None:
+    def on_written(self) -> None:
         pass
 
-    def received(self) -> None:
+    def on_data(self) -> None:
         ended = ""
         try:
             while len(self._conn.inbox) and not ended:
                 whole = list[http.HttpResponse]()
                 try:
-                    whole = self._http.feed(self._conn.inbox.take(len(self._conn.inbox)))
+                    whole = self._http.feed(self._conn.inbox.read(len(self._conn.inbox)))
                     ended = "the watch was ended" if whole else ""
                 except http.HttpError as bad:  # lines that came before the bad bytes have been told
                     ended = f"bad answer: {bad}"
@@ -312,12 +312,12 @@
         body[:] = rest
         for line in lines:
             found = self._objects.line(line)
-            if not self._conn.open:
+            if not self._conn.is_open:
                 return  # what was told has closed this watch
             if found or self._objects.idle:
                 self._heard()
             for tree in found:
-                self._group.told(self, tree)
+                self._group.on_update(self, tree)
 
-    def ended(self, by_peer: bool) -> None:
+    def on_closed(self, by_peer: bool) -> None:
         self._end("the watch was closed" if by_peer else "the connection broke or never came up")
--- a/lupinladder/net/event_loop.py
+++ b/lupinladder/net/event_loop.py
@@ -32,12 +32,14 @@
         self._number = 0
         self._running = True
         self._first = set[int]()  # descriptors that are looked after before the others in a turn
-        self.lag = 0.0  # ms that the turn before this one took: bytes read now may have come so much earlier
+        self.loop_latency = (
+            0.0  # ms that the turn before this one took: bytes read now may have come so much earlier
+        )
 
     def now(self) -> float:
         return time.monotonic() * 1000 + self._anchor
 
-    def at(self, when: float, call: Callable[[], object]) -> Timer:
+    def call_at(self, when: float, call: Callable[[], object]) -> Timer:
         """Call at this time; the result names the deadline for `cancel`."""
         self._number += 1
         deadline = (when, self._number, call)
@@ -52,7 +54,7 @@
         if place < len(self._due) and self._due[place][1] == deadline[1]:
             del self._due[place]
 
-    def soon(self, call: Callable[[], object]) -> None:
+    def call_soon(self, call: Callable[[], object]) -> None:
         """Call after the callbacks now running, so that none is entered from within another."""
         self._soon.append(call)
 
@@ -68,13 +70,13 @@
             self._selector.unregister(sock)
             self._first.discard(sock.fileno())
 
-    def prefer(self, sock: socket.socket) -> None:
+    def prioritize(self, sock: socket.socket) -> None:
         """Look after this one, which is watched, before the others that are ready in the same turn: what it
         brings decides what may be done with theirs. Without that a process that stood still would send on,
         by the list it had, whatever has come meanwhile, with the new list unread beside it."""
         self._first.add(sock.fileno())
 
-    def turn(self) -> None:
+    def run_once(self) -> None:
         """Wait for the next thing to do and do all that is due."""
         asked = self.now()
         wait = 0.0 if self._soon else max(self._due[0][0] - asked, 0.0) if self._due else inf
@@ -96,7 +98,7 @@
             self._run(self._due.pop(0)[2])
         for _ in range(len(self._soon)):
             self._run(self._soon.popleft())
-        self.lag = self.now() - began
+        self.loop_latency = self.now() - began
 
     def _run(self, call: Callable[[], object]) -> None:
         try:
@@ -107,7 +109,7 @@
 
     def run(self) -> None:
         while self._running:
-            self.turn()
+            self.run_once()
 
     def stop(self) -> None:
         self._running = False
--- a/lupinladder/net/http.py
+++ b/lupinladder/net/http.py
@@ -52,7 +52,7 @@
         self.idle = self.idle and self._broken is None
         return whole
 
-    def end(self) -> HttpResponse | None:
+    def finish(self) -> HttpResponse | None:
         """The answer that the connection's orderly end makes whole. After a reset do not ask."""
         return self.current if self._unending and self._broken is None else None
 
--- a/lupinladder/net/origin_protocol.py
+++ b/lupinladder/net/origin_protocol.py
@@ -33,7 +33,7 @@
     def next(self, inbox: RingBuffer) -> UpstreamReply | None:
         try:
             while len(inbox) and not self._whole:
-                self._whole += self._http.feed(inbox.take(len(inbox)))
+                self._whole += self._http.feed(inbox.read(len(inbox)))
         except http.HttpError as bad:
             raise UpstreamProtocolError(str(bad)) from None
         if not self._whole:
@@ -43,7 +43,7 @@
         return self._reply(answer)
 
     def end(self) -> UpstreamReply | None:
-        answer = self._http.end()
+        answer = self._http.finish()
         return self._reply(answer) if answer else None
 
     def _reply(self, answer: http.HttpResponse) -> UpstreamReply:
@@ -52,7 +52,7 @@
             return UpstreamReply(Outcome.OK, bytes(answer.body), load=load)
         # Only this header proves that it never ran; any other failure may have.
         if answer.status in (503, 504) and answer.headers.get("x-turned-away") == b"1":
-            return UpstreamReply(Outcome.FULL, load=load)
+            return UpstreamReply(Outcome.REJECTED, load=load)
         if answer.status != 500:
             counters["origin_errors"] += 1
             log_event("origin", f"answered {answer.status}")
@@ -67,6 +67,6 @@
     def encode(self, command: ClientCommand, wait: float) -> bytes:
         headers = {"X-Txn": command.words[2], "X-Labels": command.labels_with_deadline(wait)}
         path = "/" + command.words[1].decode("latin-1")
-        if command.write:
+        if command.is_write:
             return http.encode_request("PUT", path, self._host, headers, command.words[4])
         return http.encode_request("GET", path, self._host, headers, None)
--- a/lupinladder/net/request_dispatcher.py
+++ b/lupinladder/net/request_dispatcher.py
@@ -37,15 +37,15 @@
 from lupinladder.net.log import counters, log_event
 
 DEADLINE_GRACE_MS = 15.0  # ms past its deadline at which a query is failed if the module has not spoken
-OK, MOOT = Outcome.OK, Outcome.MOOT
+OK, MOOT = Outcome.OK, Outcome.NOT_STARTED
 
 
 class ResponseHandler(Protocol):
     """Who asked a query. Exactly one of these is called, once."""
 
-    def served(self, value: bytes) -> None: ...
-    def refused(self, wait: float) -> None: ...
-    def failed(self) -> None: ...
+    def on_served(self, value: bytes) -> None: ...
+    def on_rejected(self, wait: float) -> None: ...
+    def on_failed(self) -> None: ...
 
 
 class AttemptExecutor(Protocol):
@@ -59,11 +59,11 @@
     """A request from its last byte until its last attempt has ended."""
 
     def __init__(self, number: int, content: Any, deadline: float, asker: ResponseHandler) -> None:
-        self.id, self.content, self.deadline = number, content, deadline
-        self.asker: ResponseHandler | None = asker  # until told
+        self.request_id, self.command, self.deadline = number, content, deadline
+        self.handler: ResponseHandler | None = asker  # until told
         self.attempts: list[Attempt] = []
-        self.over = False
-        self.guard: Timer | None = None
+        self.finished = False
+        self.guard_timer: Timer | None = None
 
 
 class Attempt:
@@ -78,10 +78,14 @@
         until: float,
         begin_by: float,
     ) -> None:
-        self.query, self.link, self.started, self.until = query, link, started, until
-        self.begin_by = begin_by  # its first byte is written before this, or it is not sent
-        self.number, self.done, self.begun = len(query.attempts), False, False  # begun: by the link
-        self.expiry: Timer | None = None
+        self.request, self.executor, self.started_at, self.deadline = query, link, started, until
+        self.start_by = begin_by  # its first byte is written before this, or it is not sent
+        self.number, self.finished, self.write_started = (
+            len(query.attempts),
+            False,
+            False,
+        )  # begun: by the link
+        self.expiry_timer: Timer | None = None
         self._engine = engine
 
     def end(
@@ -92,7 +96,7 @@
         load: tuple[float, ...] = (),
     ) -> None:
         """Report how it went. Whatever is said after the first time is passed over."""
-        self._engine.ended(self, outcome, value, note, load)
+        self._engine.attempt_ended(self, outcome, value, note, load)
 
 
 class RequestDispatcher:
@@ -116,26 +120,26 @@
         """The module's first actions, and the list as it was last known."""
         for action in self._balancer.start(self._loop.now()):
             self._carry_out(action)
-        self.feed(cached)
+        self.notify(cached)
 
     def servers(self) -> list[Server]:
         """What the module knows of each listed server, to read and never to change."""
         return list(self._balancer.members.values())
 
-    def heat(self) -> dict[int, float]:
+    def slot_load(self) -> dict[int, float]:
         """Its own sends by slot, fading."""
         return self._balancer.slots.heat
 
-    def leaving(self) -> ShutdownSchedule:
+    def shutdown_schedule(self) -> ShutdownSchedule:
         """How to stop, beginning now."""
         return ShutdownSchedule(self._settings, self._loop.now())
 
     @property
-    def idle(self) -> bool:
+    def is_idle(self) -> bool:
         """No query waits for its answer."""
-        return all(query.over for query in self._queries.values())
+        return all(query.finished for query in self._queries.values())
 
-    def feed(self, event: Event) -> None:
+    def notify(self, event: Event) -> None:
         """Tell the module. What its actions cause at once is told after them, never from within."""
         self._events.append(event)
         if self._running:
@@ -152,8 +156,8 @@
             actions = self._balancer.handle(event, self._loop.now())
         except Exception:  # the query of this event is failed below or by its guard; the rest goes on
             self._fault(f"module, at {type(event).__name__}")
-            if isinstance(event, RequestReceived) and event.id in self._queries:
-                self._finish(self._queries[event.id]).failed()
+            if isinstance(event, RequestReceived) and event.request_id in self._queries:
+                self._finish(self._queries[event.request_id]).on_failed()
             return
         for action in actions:
             try:
@@ -168,14 +172,14 @@
     def _carry_out(self, action: Action) -> None:
         if isinstance(action, SetTimer):
             token = action.token
-            self._loop.at(self._loop.now() + action.delay, lambda: self.feed(TimerFired(token)))
+            self._loop.call_at(self._loop.now() + action.delay, lambda: self.notify(TimerFired(token)))
         elif isinstance(action, WatchEndpoints):
             counters["follows"] += 1
             self._follow()
         elif isinstance(action, LogMessage):
             log_event("note", action.text)
         else:
-            query = self._queries.get(action.id)
+            query = self._queries.get(action.request_id)
             if query is None:
                 return  # finished with all its attempts: nothing can be owed or withdrawn
             if isinstance(action, StartAttempt):
@@ -183,16 +187,16 @@
             elif isinstance(action, CancelAttempt):
                 if action.attempt < len(query.attempts):
                     self._give_up(query.attempts[action.attempt], Outcome.CANCELLED)
-            elif not query.over:
+            elif not query.finished:
                 refused = isinstance(action, Reject)
                 counters["refused" if refused else "failed"] += 1
                 asker = self._finish(query)
                 if isinstance(action, Reject):
-                    asker.refused(action.stay_away)
+                    asker.on_rejected(action.retry_after)
                 else:
-                    asker.failed()
+                    asker.on_failed()
 
-    def ask(
+    def dispatch(
         self, content: Any, request: Callable[[int], RequestReceived], asker: ResponseHandler
     ) -> PendingRequest | None:
         """Take a query; `request` words it for the module under the given id. None: turned away, as too many
@@ -200,73 +204,75 @@
         counters["queries"] += 1
         if len(self._queries) >= self._max_open:
             counters["turned_away"] += 1
-            asker.refused(self._settings.max_retry_after)
+            asker.on_rejected(self._settings.max_retry_after)
             return None
         now = self._loop.now()
         self._number += 1
         event = request(self._number)
         query = self._queries[self._number] = PendingRequest(
-            self._number, content, now + event.patience, asker
+            self._number, content, now + event.timeout, asker
         )
-        query.guard = self._loop.at(query.deadline + DEADLINE_GRACE_MS, lambda: self._overdue(query))
-        self.feed(event)
+        query.guard_timer = self._loop.call_at(
+            query.deadline + DEADLINE_GRACE_MS, lambda: self._overdue(query)
+        )
+        self.notify(event)
         return query
 
-    def left(self, query: PendingRequest) -> None:
+    def client_disconnected(self, query: PendingRequest) -> None:
         """The client has gone."""
-        if not query.over:
+        if not query.finished:
             counters["left"] += 1
             self._finish(query)
-            self.feed(ClientDisconnected(query.id))
+            self.notify(ClientDisconnected(query.request_id))
 
     def _overdue(self, query: PendingRequest) -> None:
         """Guards against a query stranded by a fault: its client gets an answer all the same."""
-        if not query.over:
+        if not query.finished:
             counters["overdue"] += 1
-            log_event("overdue", f"query {query.id} had no answer at its deadline")
-            self._finish(query).failed()
-            self.feed(ClientDisconnected(query.id))
+            log_event("overdue", f"query {query.request_id} had no answer at its deadline")
+            self._finish(query).on_failed()
+            self.notify(ClientDisconnected(query.request_id))
 
     def _finish(self, query: PendingRequest) -> ResponseHandler:
         """From here on the query has its final answer, which the caller gives to the asker."""
-        asker, query.asker, query.over = query.asker, None, True
+        asker, query.handler, query.finished = query.handler, None, True
         assert asker, "a query has one final answer"
-        self._loop.cancel(query.guard)
-        query.guard = None
+        self._loop.cancel(query.guard_timer)
+        query.guard_timer = None
         self._forget(query)
         return asker
 
     def _forget(self, query: PendingRequest) -> None:
         """Let go of a query with nothing more to come. Whatever points back at it is cut here, so that it is
         freed at once: the collector comes seldom, and meanwhile each query would hold some KiB."""
-        if query.over and all(one.done for one in query.attempts):
-            self._queries.pop(query.id, None)
+        if query.finished and all(one.finished for one in query.attempts):
+            self._queries.pop(query.request_id, None)
             query.attempts.clear()
 
     def _try(self, query: PendingRequest, action: StartAttempt) -> None:
         now = self._loop.now()
         until = min(action.expire_at or query.deadline, query.deadline)
-        attempt = Attempt(self, query, self._route(action.server), now, until, action.begin_by)
+        attempt = Attempt(self, query, self._route(action.server), now, until, action.start_by)
         query.attempts.append(attempt)
-        if query.over or attempt.number >= self._settings.max_attempts or now >= query.deadline:
+        if query.finished or attempt.number >= self._settings.max_attempts or now >= query.deadline:
             return attempt.end(MOOT)
         counters["executions"] += 1
-        if attempt.link is None:
+        if attempt.executor is None:
             return attempt.end(Outcome.CONNECT_FAILED)
-        attempt.expiry = self._loop.at(until, lambda: self._give_up(attempt, Outcome.TIMEOUT))
+        attempt.expiry_timer = self._loop.call_at(until, lambda: self._give_up(attempt, Outcome.TIMEOUT))
         try:
-            attempt.link.start(attempt)
+            attempt.executor.start(attempt)
         except Exception:  # it may be half written, so nothing may be promised
             self._fault("starting an attempt")
             self._give_up(attempt, Outcome.RESET)
 
     def _give_up(self, attempt: Attempt, outcome: Outcome) -> None:
-        if not attempt.done and attempt.link:
-            attempt.link.abandon(attempt)
-            never_ran = outcome is Outcome.TIMEOUT and not attempt.begun
+        if not attempt.finished and attempt.executor:
+            attempt.executor.abandon(attempt)
+            never_ran = outcome is Outcome.TIMEOUT and not attempt.write_started
             attempt.end(Outcome.CONNECT_FAILED if never_ran else outcome)
 
-    def ended(
+    def attempt_ended(
         self,
         attempt: Attempt,
         outcome: Outcome,
@@ -274,16 +280,18 @@
         note: int,
         load: tuple[float, ...],
     ) -> None:
-        if attempt.done:
+        if attempt.finished:
             return
-        attempt.done = True
-        self._loop.cancel(attempt.expiry)
-        attempt.expiry = None
-        query = attempt.query
+        attempt.finished = True
+        self._loop.cancel(attempt.expiry_timer)
+        attempt.expiry_timer = None
+        query = attempt.request
         counters["ended_" + outcome.name.lower()] += 1
-        if outcome is OK and not query.over:
+        if outcome is OK and not query.finished:
             counters["served"] += 1
-            self._finish(query).served(value or b"")
-        latency = self._loop.now() - attempt.started
-        self.feed(AttemptEnded(query.id, attempt.number, outcome, latency, query.over, note, load))
+            self._finish(query).on_served(value or b"")
+        latency = self._loop.now() - attempt.started_at
+        self.notify(
+            AttemptEnded(query.request_id, attempt.number, outcome, latency, query.finished, note, load)
+        )
         self._forget(query)
--- a/lupinladder/net/resp.py
+++ b/lupinladder/net/resp.py
@@ -58,7 +58,7 @@
         while True:
             value: Value | Incomplete
             if self._need:
-                self._bulk += ring.take(self._need - len(self._bulk))
+                self._bulk += ring.read(self._need - len(self._bulk))
                 if len(self._bulk) < self._need:
                     return INCOMPLETE
                 if self._bulk[-2:] != b"\r\n":
@@ -67,7 +67,7 @@
                 self._bulk, self._need = bytearray(), 0
             else:
                 try:
-                    line = ring.line(MAX_LINE)
+                    line = ring.read_line(MAX_LINE)
                 except ValueError as bad:
                     raise FramingError(str(bad)) from None
                 if line is None:
--- a/lupinladder/net/ring_buffer.py
+++ b/lupinladder/net/ring_buffer.py
@@ -15,7 +15,7 @@
         return self._size
 
     @property
-    def room(self) -> int:
+    def available_space(self) -> int:
         return self.bound - self._size
 
     def _grow(self, least: int) -> None:
@@ -26,7 +26,7 @@
         fresh[: self._size] = self.peek(self._size)
         self._buf, self._head = fresh, 0  # views of the old one stay valid
 
-    def space(self) -> memoryview:
+    def writable_view(self) -> memoryview:
         """Free bytes in one piece, to be read into; empty only at the bound. Then call `wrote`."""
         if self._size == len(self._buf) < self.bound:
             self._grow(self._size + 1)
@@ -36,27 +36,27 @@
             return memoryview(b"")
         return memoryview(self._buf)[tail : self._head if tail < self._head else cap]
 
-    def wrote(self, count: int) -> None:
+    def commit(self, count: int) -> None:
         self._size += count
 
-    def put(self, data: bytes) -> None:
-        if len(data) > self.room:
+    def append(self, data: bytes) -> None:
+        if len(data) > self.available_space:
             raise BufferError("ring is full")
         if self._size + len(data) > len(self._buf):
             self._grow(self._size + len(data))
         at = 0
         while at < len(data):
-            space = self.space()
+            space = self.writable_view()
             part = data[at : at + len(space)]
             space[: len(part)] = part
-            self.wrote(len(part))
+            self.commit(len(part))
             at += len(part)
 
-    def filled(self) -> memoryview:
+    def readable_view(self) -> memoryview:
         """Held bytes in one piece, from the oldest on; not always all. Then call `drop`."""
         return memoryview(self._buf)[self._head : min(self._head + self._size, len(self._buf))]
 
-    def drop(self, count: int) -> None:
+    def discard(self, count: int) -> None:
         self._size -= count
         self._head = (self._head + count) % len(self._buf) if self._size else 0
         if not self._size and len(self._buf) > INITIAL_CAPACITY:
@@ -68,12 +68,12 @@
         end = self._head + min(count, self._size)
         return bytes(self._buf[self._head : min(end, cap)] + self._buf[: max(end - cap, 0)])
 
-    def take(self, count: int) -> bytes:
+    def read(self, count: int) -> bytes:
         data = self.peek(count)
-        self.drop(len(data))
+        self.discard(len(data))
         return data
 
-    def line(self, limit: int) -> bytes | None:
+    def read_line(self, limit: int) -> bytes | None:
         """Take a line and strip its CR LF; None while it is not whole. ValueError past the limit."""
         head = self.peek(limit + 2)
         end = head.find(b"\n")
@@ -83,5 +83,5 @@
             return None
         if head[end - 1 : end] != b"\r":
             raise ValueError("line does not end in CR LF")
-        self.drop(end + 1)
+        self.discard(end + 1)
         return head[: end - 1]
--- a/lupinladder/net/state_persister.py
+++ b/lupinladder/net/state_persister.py
@@ -36,8 +36,15 @@
 def deployment_digest(conf: ProxyConfig) -> str:
     """A digest of what limits rest on: classes, zones, kinds, and how many proxies share the servers."""
     settings = conf.settings
-    parts = [conf.classes, conf.kinds, conf.zones, settings.balancers, settings.cold_for, settings.aside]
-    parts.append([(one.aim, one.deadline) for one in settings.classes])
+    parts = [
+        conf.classes,
+        conf.kinds,
+        conf.zones,
+        settings.balancer_count,
+        settings.warmup_time,
+        settings.cache_aside,
+    ]
+    parts.append([(one.latency_objective, one.deadline) for one in settings.classes])
     return hashlib.blake2b(json.dumps(parts).encode(), digest_size=8).hexdigest()
 
 
@@ -120,7 +127,7 @@
             batch = self._changed(self._loop.now())
             if batch:
                 self._writer.hand(batch)
-        self._loop.at(self._loop.now() + self._every, self._look)
+        self._loop.call_at(self._loop.now() + self._every, self._look)
 
     def _changed(self, now: float) -> RecordBatch:
         words: RecordBatch = []
@@ -130,26 +137,26 @@
                 self._generation += 1  # discovery began anew: its numbers say nothing of the older ones
             self._listed = index
             words.append(records.EndpointListRecord(index, now, self._generation, list(self._endpoints())))
-        elif self._group.heard:
+        elif self._group.is_current:
             words.append(records.EndpointListConfirmation(index, now))
         words += self._notes.limits(self._limits())
-        words.append(self._notes.slots(self._engine.heat(), now))
+        words.append(self._notes.slots(self._engine.slot_load(), now))
         return words
 
     def _endpoints(self) -> Iterable[dict[str, Any]]:
         conf = self._conf
         for server in self._engine.servers():
-            entry, address = server.entry, self._group.address(server.id)
+            entry, address = server.entry, self._group.address_of(server.id)
             if address and entry.state is EndpointState.READY:
                 yield {
                     "name": server.id.decode(),
                     "address": f"{address[0]}:{address[1]}",
                     "zone": conf.zones[entry.zone],
-                    "type": conf.kinds[entry.kind],
+                    "type": conf.kinds[entry.server_kind],
                     "group": entry.cell,
                     "status": "active",
                     "weight": entry.weight,
-                    "since_ms": entry.launched,
+                    "since_ms": entry.started_at,
                 }
 
     def _limits(self) -> Iterable[records.LimitRecord]:
@@ -159,7 +166,7 @@
             if limiter.seen and not server.cold:
                 yield records.LimitRecord(
                     server.id.decode(),
-                    server.entry.launched,
+                    server.entry.started_at,
                     limiter.start,
                     limiter.seen,
                     round(limiter.min_latency, 3),
--- a/lupinladder/recovery/warm_start.py
+++ b/lupinladder/recovery/warm_start.py
@@ -16,9 +16,9 @@
 
 FAILURE_RATE_LIMIT = 0.5  # share of failed attempts from which on a server is cut, as in the decision module
 RESTORE_MODES = {
-    Usability.TRIAL: RestoreMode.TRIAL,
-    Usability.PART: RestoreMode.PART,
-    Usability.ALL: RestoreMode.ALL,
+    Usability.TRIAL: RestoreMode.PROBE,
+    Usability.PART: RestoreMode.PARTIAL,
+    Usability.ALL: RestoreMode.FULL,
 }
 
 
@@ -83,10 +83,10 @@
             use = min(use or Usability.TRIAL, member) if member < Usability.PART else use
         if use:
             found.used[use] = found.used.get(use, 0) + 1
-            event = LimitRestored(name.encode(), RESTORE_MODES[use], failed=failed)
+            event = LimitRestored(name.encode(), RESTORE_MODES[use], failure_rate=failed)
             if limit:
                 event.min_latency, event.max_qps = limit.min_latency, limit.max_qps / 1000
-                event.moved = limit.moved
+                event.slot_share = limit.moved
             found.events.append(event)
     slots = state.slots
     if slots and (use := usable_as(RecordType.SLOT, Source.STORE, slots.at, now)):
--- a/lupinladder/simulator/codec.py
+++ b/lupinladder/simulator/codec.py
@@ -56,12 +56,12 @@
 OUTCOMES = {
     200: Outcome.OK,
     500: Outcome.ERROR,
-    503: Outcome.FULL,
+    503: Outcome.REJECTED,
     504: Outcome.TIMEOUT,
     502: Outcome.CONNECT_FAILED,
     598: Outcome.RESET,
     499: Outcome.CANCELLED,
-    410: Outcome.MOOT,
+    410: Outcome.NOT_STARTED,
     404: Outcome.MISS,
 }
 FORMS = {form.value: form for form in EndpointUpdateKind}
@@ -221,15 +221,15 @@
 def encode_action(inst: int, action: Action) -> bytes:
     """One action as a record."""
     if isinstance(action, StartAttempt):
-        return _TRY.pack(71, inst, action.id, action.expire_at, action.server)
+        return _TRY.pack(71, inst, action.request_id, action.expire_at, action.server)
     if isinstance(action, Reject):
-        return _REFUSE.pack(68, inst, action.id, action.stay_away)
+        return _REFUSE.pack(68, inst, action.request_id, action.retry_after)
     if isinstance(action, Fail):
-        return _FAIL.pack(69, inst, action.id)
+        return _FAIL.pack(69, inst, action.request_id)
     if isinstance(action, SetTimer):
         return _SCHEDULE.pack(73, inst, action.delay, action.token)
     if isinstance(action, CancelAttempt):
-        return _WITHDRAW.pack(65, inst, action.id, action.attempt)
+        return _WITHDRAW.pack(65, inst, action.request_id, action.attempt)
     if isinstance(action, WatchEndpoints):
         return _FOLLOW.pack(66, inst, 1)
     return _text(67, inst, action.text)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -28,7 +28,7 @@
 )
 from lupinladder.balancing.settings import DeduplicationScope, RequestClass, RetrySafety, Settings
 
-NEVER_RAN = {Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.MISS}
+NEVER_RAN = {Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_STARTED, Outcome.MISS}
 
 
 def sid(n: int) -> bytes:
@@ -42,10 +42,10 @@
 def classes() -> list[RequestClass]:
     return [
         RequestClass(500, 1500),
-        RequestClass(500, 1500, RetrySafety.KEYED, DeduplicationScope.ALL, 60),
-        RequestClass(500, 1500, RetrySafety.KEYED, DeduplicationScope.ZONE, 60),
-        RequestClass(500, 1500, RetrySafety.KEYED, DeduplicationScope.CELL, 60),
-        RequestClass(500, 1500, RetrySafety.UNSAFE),
+        RequestClass(500, 1500, RetrySafety.IDEMPOTENCY_KEY, DeduplicationScope.ALL, 60),
+        RequestClass(500, 1500, RetrySafety.IDEMPOTENCY_KEY, DeduplicationScope.ZONE, 60),
+        RequestClass(500, 1500, RetrySafety.IDEMPOTENCY_KEY, DeduplicationScope.CELL, 60),
+        RequestClass(500, 1500, RetrySafety.NON_IDEMPOTENT),
     ]
 
 
@@ -89,21 +89,23 @@
         self.carry_out(balancer.start(now))
 
     def feed(self, event: Event) -> list[Action]:
-        if isinstance(event, EndpointUpdate) and event.form is not EndpointUpdateKind.FAILED:
-            if event.form is not EndpointUpdateKind.DELTA:
-                named = {e.server for e in event.entries}
+        if isinstance(event, EndpointUpdate) and event.kind is not EndpointUpdateKind.FAILED:
+            if event.kind is not EndpointUpdateKind.DELTA:
+                named = {e.server for e in event.endpoints}
                 for known in self.entry.values():
                     known.state = known.state if known.server in named else EndpointState.GONE
-            for e in event.entries:
-                self.entry[e.server] = Endpoint(e.server, e.state, 1.0, e.launched, e.zone, e.cell, e.kind)
-        if isinstance(event, RequestReceived) and event.id not in self.seen:
-            self.seen[event.id] = Seen(event, self.now + event.patience)
+            for e in event.endpoints:
+                self.entry[e.server] = Endpoint(
+                    e.server, e.state, 1.0, e.started_at, e.zone, e.cell, e.server_kind
+                )
+        if isinstance(event, RequestReceived) and event.request_id not in self.seen:
+            self.seen[event.request_id] = Seen(event, self.now + event.timeout)
         if isinstance(event, ClientDisconnected):
-            self.seen[event.id].answered = True
+            self.seen[event.request_id].answered = True
         if isinstance(event, AttemptEnded):
-            one = self.seen[event.id]
+            one = self.seen[event.request_id]
             one.outcomes[event.attempt] = event.outcome
-            one.answered = one.answered or event.over
+            one.answered = one.answered or event.request_finished
         actions = self.balancer.handle(event, self.now)
         self.carry_out(actions)
         return actions
@@ -117,12 +119,12 @@
             elif isinstance(action, LogMessage):
                 self.notes.append(action.text)
             elif isinstance(action, StartAttempt):
-                self.check_try(self.seen[action.id], action.server)
+                self.check_try(self.seen[action.request_id], action.server)
             elif isinstance(action, Reject | Fail):
-                self.check_answer(self.seen[action.id], isinstance(action, Reject))
+                self.check_answer(self.seen[action.request_id], isinstance(action, Reject))
 
     def check_try(self, one: Seen, server: bytes) -> None:
-        kind = self.config.classes[one.request.kind]
+        kind = self.config.classes[one.request.request_class]
         assert not one.answered, "a send after the final answer"
         assert self.now < one.deadline, "a send after the deadline"
         assert len(one.tries) < self.config.max_attempts, "more attempts than allowed"
@@ -130,24 +132,37 @@
         if not self.config.may_duplicate:
             assert None not in one.outcomes, "two attempts out at once"
         ran = [t for t, o in zip(one.tries, one.outcomes, strict=True) if o not in NEVER_RAN]
-        if ran and kind.repeat is RetrySafety.UNSAFE:
+        if ran and kind.retry_safety is RetrySafety.NON_IDEMPOTENT:
             raise AssertionError("an unsafe request sent again that may have run")
-        if ran and kind.repeat is RetrySafety.KEYED:
-            assert self.now - ran[0][1] < kind.window, "sent again after the servers have forgotten"
+        if ran and kind.retry_safety is RetrySafety.IDEMPOTENCY_KEY:
+            assert self.now - ran[0][1] < kind.deduplication_window, (
+                "sent again after the servers have forgotten"
+            )
             for earlier, _ in ran:
                 a, b = self.entry[earlier], self.entry[server]
-                assert kind.scope is not DeduplicationScope.ZONE or a.zone == b.zone, "sent outside its zone"
-                assert kind.scope is not DeduplicationScope.CELL or a.cell == b.cell, "sent outside its cell"
+                assert kind.deduplication_scope is not DeduplicationScope.ZONE or a.zone == b.zone, (
+                    "sent outside its zone"
+                )
+                assert kind.deduplication_scope is not DeduplicationScope.CELL or a.cell == b.cell, (
+                    "sent outside its cell"
+                )
         one.tries.append((server, self.now))
         one.outcomes.append(None)
         self.sends.append((self.now, server))
 
     def check_answer(self, one: Seen, refusal: bool) -> None:
-        kind = self.config.classes[one.request.kind]
+        kind = self.config.classes[one.request.request_class]
         assert not one.answered, "answered twice"
         assert self.now <= one.deadline + 20, "answered too late"
-        if refusal and kind.repeat is not RetrySafety.SAFE and any(o not in NEVER_RAN for o in one.outcomes):
-            shared = kind.repeat is RetrySafety.KEYED and kind.scope is DeduplicationScope.ALL
+        if (
+            refusal
+            and kind.retry_safety is not RetrySafety.IDEMPOTENT
+            and any(o not in NEVER_RAN for o in one.outcomes)
+        ):
+            shared = (
+                kind.retry_safety is RetrySafety.IDEMPOTENCY_KEY
+                and kind.deduplication_scope is DeduplicationScope.ALL
+            )
             assert shared, "a refusal promised what may not hold"
         one.answered = True
 
@@ -165,7 +180,7 @@
             for one in self.seen.values():
                 for n, outcome in enumerate(one.outcomes):
                     if outcome is None and one.deadline <= until:
-                        due.append((one.deadline, 1, one.request.id, n))
+                        due.append((one.deadline, 1, one.request.request_id, n))
             if not due:
                 break
             at, what, which, n = min(due)
--- a/tests/lab/faulty_proxy.py
+++ b/tests/lab/faulty_proxy.py
@@ -20,8 +20,8 @@
         content = attempt.query.content
         if content.write and content.kind == 2:
             wire = connection_pool.UpstreamConnection(self)
-            wire.waiting.append((None, 1 << 40))
-            wire.conn.send(self.dialect.encode(content, 1000.0))
+            wire.in_flight.append((None, 1 << 40))
+            wire.connection.send(self.protocol.encode(content, 1000.0))
 
     connection_pool.ConnectionPool.start = twice  # type: ignore[method-assign]
 
@@ -45,19 +45,21 @@
 
 def flood() -> None:
     """Sends all reads to the server that started last."""
-    take, route = endpoint_registry.EndpointRegistry._take, endpoint_registry.EndpointRegistry.route
+    take, route = endpoint_registry.EndpointRegistry._take, endpoint_registry.EndpointRegistry.pool_for
     youngest: list[tuple[float, bytes]] = []
 
     def note(self: endpoint_registry.EndpointRegistry, tree: Any, form: Any) -> EndpointUpdate:
         fleet = take(self, tree, form)
-        youngest.extend((e.launched, e.server) for e in fleet.entries if e.launched > 0 and e.kind == 0)
+        youngest.extend(
+            (e.started_at, e.server) for e in fleet.endpoints if e.started_at > 0 and e.server_kind == 0
+        )
         return fleet
 
     def to_it(self: endpoint_registry.EndpointRegistry, server: bytes) -> Any:
         return route(self, max(youngest)[1] if youngest and server != b"origin" else server)
 
     endpoint_registry.EndpointRegistry._take = note  # type: ignore[method-assign]
-    endpoint_registry.EndpointRegistry.route = to_it  # type: ignore[method-assign]
+    endpoint_registry.EndpointRegistry.pool_for = to_it  # type: ignore[method-assign]
 
 
 if __name__ == "__main__":
--- a/tests/net_scene.py
+++ b/tests/net_scene.py
@@ -35,16 +35,16 @@
         self.got, self.ends = b"", list[bool]()
         self.conn: Connection
 
-    def opened(self) -> None:
+    def on_connected(self) -> None:
         pass
 
-    def drained(self) -> None:
+    def on_written(self) -> None:
         pass
 
-    def received(self) -> None:
-        self.got += self.conn.inbox.take(len(self.conn.inbox))
+    def on_data(self) -> None:
+        self.got += self.conn.inbox.read(len(self.conn.inbox))
 
-    def ended(self, by_peer: bool) -> None:
+    def on_closed(self, by_peer: bool) -> None:
         self.ends.append(by_peer)
 
     def reset(self) -> None:
@@ -96,7 +96,11 @@
 
     def ends(self) -> list[tuple[int, str, bool]]:
         """(attempt, outcome, over) of the attempts ended so far."""
-        return [(e.attempt, e.outcome.name, e.over) for e in self.events if isinstance(e, AttemptEnded)]
+        return [
+            (e.attempt, e.outcome.name, e.request_finished)
+            for e in self.events
+            if isinstance(e, AttemptEnded)
+        ]
 
 
 def once_to(server: bytes = NODE, then: Action | None = None) -> Callable[[Any], list[Action]]:
@@ -104,9 +108,9 @@
 
     def react(event: Any) -> list[Action]:
         if isinstance(event, RequestReceived):
-            return [StartAttempt(event.id, server)]
-        if isinstance(event, AttemptEnded) and not event.over:
-            return [then or Fail(event.id)]
+            return [StartAttempt(event.request_id, server)]
+        if isinstance(event, AttemptEnded) and not event.request_finished:
+            return [then or Fail(event.request_id)]
         return []
 
     return react
@@ -119,13 +123,13 @@
         self.told = list[object]()
         self.query: PendingRequest | None = None
 
-    def served(self, value: bytes) -> None:
+    def on_served(self, value: bytes) -> None:
         self.told.append(value)
 
-    def refused(self, wait: float) -> None:
+    def on_rejected(self, wait: float) -> None:
         self.told.append(wait)
 
-    def failed(self) -> None:
+    def on_failed(self) -> None:
         self.told.append("failed")
 
 
@@ -165,15 +169,15 @@
     def until(self, done: Callable[[], object], what: str = "") -> None:
         """Turn the loop until it is so; a test fails after 5 s."""
         late = list[bool]()
-        limit = self.loop.at(self.loop.now() + 5000, lambda: late.append(True))
+        limit = self.loop.call_at(self.loop.now() + 5000, lambda: late.append(True))
         while not done():
-            self.loop.turn()
+            self.loop.run_once()
             self.assertFalse(late, f"never came: {what}")
         self.loop.cancel(limit)
 
     def client(self, data: bytes = b"") -> Peer:
         peer = Peer()
-        peer.conn = Connection.dial(self.loop, DescriptorBudget(99), self.address, peer)
+        peer.conn = Connection.connect(self.loop, DescriptorBudget(99), self.address, peer)
         peer.conn.send(data)
         return peer
 
@@ -183,7 +187,7 @@
 
         asked = Asked()
         content = parse_command([b"OBJ.GET", b"1f", b"a", b"c=read,d=%d" % wait], ["read"])
-        asked.query = self.engine.ask(content, lambda n: RequestReceived(n, 0, wait), asked)
+        asked.query = self.engine.dispatch(content, lambda n: RequestReceived(n, 0, wait), asked)
         return asked
 
     def at_node(self, number: int = 0, door: Door | None = None) -> Peer:
--- a/tests/recovery/test_trust.py
+++ b/tests/recovery/test_trust.py
@@ -83,7 +83,7 @@
 
 
 def uses(begun: warm_start.WarmStart) -> dict[str, str]:
-    return {e.server.decode(): e.use.value for e in begun.events if isinstance(e, LimitRestored)}
+    return {e.server.decode(): e.mode.value for e in begun.events if isinstance(e, LimitRestored)}
 
 
 class Recall(TestCase):
@@ -113,7 +113,7 @@
 
     def test_slots_are_hot_for_seconds(self) -> None:
         for age, heat in [(S, {7: 4.0}), (10 * S, {7: 2.0}), (10 * MIN, None)]:
-            found = [e.heat for e in self.begin(stored(age)).events if isinstance(e, SlotLoadRestored)]
+            found = [e.slot_load for e in self.begin(stored(age)).events if isinstance(e, SlotLoadRestored)]
             self.assertEqual(found, [heat] if heat else [])
 
     def test_what_has_not_changed_is_not_written_again_until_its_age_would_mislead(self) -> None:
@@ -148,20 +148,20 @@
         for use in RestoreMode:
             limiter = self.proxy(LimitRestored(server, use, 50.0, 0.1)).balancer.members[server].limiter
             limits[use], fresh = limiter.max_concurrency, limiter.fresh
-            self.assertEqual(fresh, use is not RestoreMode.ALL)
-        self.assertEqual(limits[RestoreMode.TRIAL], 1.0)
-        self.assertEqual(limits[RestoreMode.PART] * 2, limits[RestoreMode.ALL])
-        self.assertGreater(limits[RestoreMode.ALL], 0.1 * 50 * 2)  # Little's law, and room up to the aim
+            self.assertEqual(fresh, use is not RestoreMode.FULL)
+        self.assertEqual(limits[RestoreMode.PROBE], 1.0)
+        self.assertEqual(limits[RestoreMode.PARTIAL] * 2, limits[RestoreMode.FULL])
+        self.assertGreater(limits[RestoreMode.FULL], 0.1 * 50 * 2)  # Little's law, and room up to the aim
 
     def test_what_is_known_by_now_what_is_cold_and_what_is_not_listed_is_passed_over(self) -> None:
         server = entries(4)[0].server
-        cold = EndpointUpdate(EndpointUpdateKind.DELTA, 2, [Endpoint(server, launched=1.0)])
+        cold = EndpointUpdate(EndpointUpdateKind.DELTA, 2, [Endpoint(server, started_at=1.0)])
         proxy = self.proxy(
-            cold, LimitRestored(server, RestoreMode.ALL, 50.0, 0.1), LimitRestored(b"none", RestoreMode.ALL)
+            cold, LimitRestored(server, RestoreMode.FULL, 50.0, 0.1), LimitRestored(b"none", RestoreMode.FULL)
         )
         self.assertEqual(proxy.balancer.members[server].limiter.max_concurrency, 1.0)
         proxy = self.proxy(
-            LimitRestored(server, RestoreMode.TRIAL), LimitRestored(server, RestoreMode.ALL, 50.0, 0.1)
+            LimitRestored(server, RestoreMode.PROBE), LimitRestored(server, RestoreMode.FULL, 50.0, 0.1)
         )
         self.assertEqual(proxy.balancer.members[server].limiter.max_concurrency, 1.0)
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -95,7 +95,7 @@
             proxy.now += 3
             came += server_of(proxy, n) == owner
             if server_of(proxy, n) == owner and came % every == 0:
-                proxy.end(n, 0, Outcome.FULL)
+                proxy.end(n, 0, Outcome.REJECTED)
                 assert server_of(proxy, n, 1) != owner  # and it has not run: the next owner takes it
             proxy.end(n, len(proxy.seen[n].tries) - 1, Outcome.OK, 50)
 
@@ -161,7 +161,7 @@
 def test_aside_concurrent_misses_wait_for_one_fetch() -> None:
     conf = fleet.settings(aside=True, origin_kind=1, max_attempts=3)
     proxy = Proxy(Balancer(conf, 1, 0.0), conf)
-    listed = [*entries(6), Endpoint(sid(90), kind=1)]
+    listed = [*entries(6), Endpoint(sid(90), server_kind=1)]
     proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, listed))
     requests = [ask(proxy, 5) for _ in range(3)]
     cache = server_of(proxy, requests[0])
@@ -176,7 +176,7 @@
 def test_aside_writes_go_to_the_origin_and_no_slot_is_the_origins() -> None:
     conf = fleet.settings(aside=True, origin_kind=1, max_attempts=3)
     proxy = Proxy(Balancer(conf, 1, 0.0), conf)
-    proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, [*entries(6), Endpoint(sid(90), kind=1)]))
+    proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, [*entries(6), Endpoint(sid(90), server_kind=1)]))
     assert server_of(proxy, ask(proxy, 5, write=True)) == sid(90)
     assert all(server_of(proxy, ask(proxy, key)) != sid(90) for key in range(1, 60))
 
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -20,12 +20,12 @@
 from tests.test_wire import SETTINGS
 
 CLASSES = ["read", "put"]
-MISS, OK, FULL, ERROR = Outcome.MISS, Outcome.OK, Outcome.FULL, Outcome.ERROR
+MISS, OK, FULL, ERROR = Outcome.MISS, Outcome.OK, Outcome.REJECTED, Outcome.ERROR
 
 
 def ring_of(data: bytes) -> RingBuffer:
     ring = RingBuffer(1 << 20)
-    ring.put(data)
+    ring.append(data)
     return ring
 
 
@@ -34,29 +34,29 @@
         ring, put, took = RingBuffer(5 * INITIAL_CAPACITY), b"", b""
         for n in range(400):
             data = bytes([n % 251]) * (n * 37 % 300)
-            if len(data) <= ring.room:
-                ring.put(data)
+            if len(data) <= ring.available_space:
+                ring.append(data)
                 put += data
-            took += ring.take(n * 31 % 290)
-        took += ring.take(len(ring))
+            took += ring.read(n * 31 % 290)
+        took += ring.read(len(ring))
         self.assertEqual(took, put)
 
     def test_the_bound_holds_and_an_empty_ring_is_small_again(self) -> None:
         ring = RingBuffer(3 * INITIAL_CAPACITY)
-        ring.put(b"x" * 3 * INITIAL_CAPACITY)
-        self.assertEqual((ring.room, len(ring.space())), (0, 0))
+        ring.append(b"x" * 3 * INITIAL_CAPACITY)
+        self.assertEqual((ring.available_space, len(ring.writable_view())), (0, 0))
         with self.assertRaises(BufferError):
-            ring.put(b"y")
-        ring.drop(3 * INITIAL_CAPACITY)
-        self.assertLessEqual(len(ring.space()), INITIAL_CAPACITY)
+            ring.append(b"y")
+        ring.discard(3 * INITIAL_CAPACITY)
+        self.assertLessEqual(len(ring.writable_view()), INITIAL_CAPACITY)
 
     def test_lines(self) -> None:
         for data, line in [(b"ab\r\ncd", b"ab"), (b"\r\n", b""), (b"ab", None), (b"ab\r", None)]:
             with self.subTest(data=data):
-                self.assertEqual(ring_of(data).line(8), line)
+                self.assertEqual(ring_of(data).read_line(8), line)
         for data in (b"ab\n", b"123456789012\r\n"):
             with self.subTest(data=data), self.assertRaises(ValueError):
-                ring_of(data).line(8)
+                ring_of(data).read_line(8)
 
 
 class Resp(unittest.TestCase):
@@ -78,9 +78,9 @@
                 self.assertEqual(resp.RespParser(64, 8).next(ring_of(data)), value)
                 parser, ring = resp.RespParser(64, 8), RingBuffer(64)
                 for byte in data[:-1]:
-                    ring.put(bytes([byte]))
+                    ring.append(bytes([byte]))
                     self.assertIs(parser.next(ring), resp.INCOMPLETE)
-                ring.put(data[-1:])
+                ring.append(data[-1:])
                 self.assertEqual(parser.next(ring), value)
                 self.assertTrue(parser.idle)
 
@@ -111,14 +111,16 @@
     def test_a_read_and_a_write(self) -> None:
         read = parse_command(self.GET, CLASSES)
         self.assertEqual(
-            (read.kind, read.patience, read.write, read.key), (0, 480.0, False, 0x7F3A9C21E0B4D655)
+            (read.request_class, read.timeout, read.is_write, read.key), (0, 480.0, False, 0x7F3A9C21E0B4D655)
         )
         write = parse_command([b"OBJ.SET", b"1f", b"x", b"c=put,d=90,k=5c,r=1,size=12.5", b"V"], CLASSES)
-        self.assertEqual((write.kind, write.write, write.again, write.size), (1, True, True, 12.5))
+        self.assertEqual(
+            (write.request_class, write.is_write, write.is_retry, write.size), (1, True, True, 12.5)
+        )
         # Only d changes on the way to a cache node or the origin, in its place.
         labels = b"c=put,d=41,k=5c,r=1,size=12.5"
-        self.assertEqual(write.relabelled(41.4)[3], labels)
-        self.assertEqual(read.relabelled(0.2), [*self.GET[:3], b"c=read,d=1"])
+        self.assertEqual(write.with_deadline(41.4)[3], labels)
+        self.assertEqual(read.with_deadline(0.2), [*self.GET[:3], b"c=read,d=1"])
         sent = OriginProtocol(("127.0.0.1", 80), []).encode(write, 41.4)
         for part in (
             b"PUT /1f HTTP/1.1\r\n",
@@ -131,7 +133,7 @@
     def test_the_tenant_and_the_expected_work_by_their_labels(self) -> None:
         words = [*self.GET[:3], b"c=read,t=b,d=480,h=96500"]
         read = parse_command(words, CLASSES, ["a", "b"])
-        self.assertEqual((read.tenant, read.work), (1, 96.5))  # told in microseconds
+        self.assertEqual((read.tenant, read.expected_work), (1, 96.5))  # told in microseconds
         self.assertEqual(
             parse_command(words, CLASSES).tenant, 0
         )  # where the settings name none it is passed on unread
@@ -196,7 +198,7 @@
                 reply = CacheNodeReplyReader(["rif"]).next(ring_of(data))
                 assert reply is not None
                 self.assertEqual(
-                    (reply.outcome, reply.value, reply.note, reply.load), (outcome, value, note, load)
+                    (reply.outcome, reply.value, reply.cache_result, reply.load), (outcome, value, note, load)
                 )
         value, rest = b"$1\r\nV\r\n", b"$-1\r\n$-1\r\n"
         for data in (
@@ -258,7 +260,7 @@
                 self.assertEqual(
                     (reader.feed(head + b"VA"), reader.feed(b"LUE"), reader.idle), ([], [], False)
                 )
-                answer = reader.end()
+                answer = reader.finish()
                 self.assertEqual(bytes(answer.body) if answer else None, b"VALUE" if whole else None)
 
     def test_http_hands_out_what_was_whole_before_the_noise(self) -> None:
@@ -300,7 +302,7 @@
         self.assertEqual((version, whole, where), (4, True, {b"s-1": ("127.0.0.1", 6379)}))
         self.assertEqual(entries, [Endpoint(b"s-1", EndpointState.READY, 1.0, 1796120872235.0, 1, 3, 1)])
         gone = self.READER.read(listing(status="left", address="", since_ms=0))
-        self.assertEqual((gone[2][0].state, gone[2][0].launched, gone[3]), (EndpointState.GONE, 0.0, {}))
+        self.assertEqual((gone[2][0].state, gone[2][0].started_at, gone[3]), (EndpointState.GONE, 0.0, {}))
 
     def test_bad_lists(self) -> None:
         trees: list[object] = [[], {}, {"index": "4", "endpoints": []}, {"index": 4, "endpoints": {}}]
@@ -419,15 +421,15 @@
     def test_they_come_in_order_can_be_cancelled_and_do_not_starve_a_turn(self) -> None:
         loop, ran = EventLoop(), list[str]()
         now = loop.now()
-        loop.at(now - 1, lambda: ran.append("second"))
-        loop.at(now - 2, lambda: ran.append("first"))
-        dropped = loop.at(now - 3, lambda: ran.append("never"))
-        loop.at(now - 0.5, lambda: loop.cancel(late))
-        late = loop.at(now - 0.4, lambda: ran.append("cancelled in the same turn"))
-        loop.at(now - 0.3, lambda: loop.at(now - 9, lambda: ran.append("next turn")) and None)
+        loop.call_at(now - 1, lambda: ran.append("second"))
+        loop.call_at(now - 2, lambda: ran.append("first"))
+        dropped = loop.call_at(now - 3, lambda: ran.append("never"))
+        loop.call_at(now - 0.5, lambda: loop.cancel(late))
+        late = loop.call_at(now - 0.4, lambda: ran.append("cancelled in the same turn"))
+        loop.call_at(now - 0.3, lambda: loop.call_at(now - 9, lambda: ran.append("next turn")) and None)
         loop.cancel(dropped)
         loop.cancel(dropped)
-        loop.turn()
+        loop.run_once()
         self.assertEqual(ran, ["first", "second"])
-        loop.turn()
+        loop.run_once()
         self.assertEqual(ran, ["first", "second", "next turn"])
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -113,7 +113,7 @@
         node.conn.send(SERVED)
         self.until(lambda: client.ends, "the end")
         self.assertEqual((client.got, client.ends), (b"", [True]))
-        self.assertTrue(self.engine.idle)
+        self.assertTrue(self.engine.is_idle)
         self.assertFalse(self.front.open_ids or self.front.clients)
 
     def test_what_a_client_that_ended_its_bytes_was_told_already_is_written(self) -> None:
@@ -122,7 +122,7 @@
         self.until(lambda: len(self.script.events) == 2, "both commands")
         with mock.patch.object(Connection, "_flush"):  # the system takes nothing
             self.script.react = lambda event: [Reject(1)]
-            self.engine.feed(TimerFired(1))
+            self.engine.notify(TimerFired(1))
             client.conn._sock.shutdown(socket.SHUT_WR)
             self.until(lambda: self.left() == {2}, "its leaving")
         self.until(lambda: client.ends, "the end")  # the answer behind what was dropped would be taken for it
@@ -138,10 +138,10 @@
         self.until(lambda: client.ends, "the end")
         asked = [e for e in self.script.events if isinstance(e, RequestReceived)]
         self.assertEqual((len(asked), len(self.left())), (MAX_PIPELINE_DEPTH, MAX_PIPELINE_DEPTH))
-        self.assertTrue(self.engine.idle)
+        self.assertTrue(self.engine.is_idle)
 
     def left(self) -> set[int]:
-        return {event.id for event in self.script.events if isinstance(event, ClientDisconnected)}
+        return {event.request_id for event in self.script.events if isinstance(event, ClientDisconnected)}
 
     def test_a_command_written_before_a_stop_closes_its_connection_is_still_answered(self) -> None:
         client = self.client(PING)
@@ -151,22 +151,22 @@
         self.at_node().conn.send(SERVED)
         self.until(lambda: client.ends, "the end")
         self.assertEqual((client.got, client.ends), (b"+PONG\r\n$1\r\nV\r\n", [True]))
-        self.assertTrue(self.engine.idle)
+        self.assertTrue(self.engine.is_idle)
         client.conn.close()
-        self.until(lambda: self.front.done, "nothing owed")
+        self.until(lambda: self.front.is_finished, "nothing owed")
 
     def test_the_only_proxy_serves_on_after_its_signal_and_says_at_last_when_somebody_is_back(self) -> None:
         client = self.client(PING)
         self.answers(client, b"+PONG\r\n")
-        self.front.stop()
+        self.front.shut_down()
         self.front._shut()  # nobody new comes; who is here stays
         client.conn.send(get())
         node = self.at_node()
         node.conn.send(SERVED)
         self.answers(client, b"+PONG\r\n$1\r\nV\r\n")
-        self.assertFalse(self.front.done)
+        self.assertFalse(self.front.is_finished)
         # Deadline 1500 ms, aim 500: by 2 s all is answered, at 2.2 s it may be killed.
-        self.front.leaving = ShutdownSchedule(
+        self.front.shutdown = ShutdownSchedule(
             Settings([RequestClass(500, 1500)], max_retry_after=400), self.loop.now() - 1700
         )
         client.conn.send(get(b"b"))
@@ -176,11 +176,11 @@
         self.front._close()
         self.until(lambda: client.ends, "the end")
         client.conn.close()
-        self.until(lambda: self.front.done, "nothing owed")
+        self.until(lambda: self.front.is_finished, "nothing owed")
 
     def stop(self) -> None:
         """All at once what comes in half a second."""
-        self.front.stop()
+        self.front.shut_down()
         self.front._shut()
         self.front._close()
 
@@ -189,10 +189,10 @@
         for one in came:
             self.addCleanup(one.close)
             one.sendall(PING)
-        self.front.stop()
+        self.front.shut_down()
         limit, self.budget.limit = self.budget.limit, self.budget.used + MAX_ACCEPTS_PER_EVENT + 3
         self.front._shut()
-        self.assertFalse(self.front.done)
+        self.assertFalse(self.front.is_finished)
         self.assertEqual(len(self.front.clients), MAX_ACCEPTS_PER_EVENT + 3)
         self.budget.limit = limit
         self.until(lambda: self.front._stopped, "the end of the listener")
@@ -204,16 +204,16 @@
         halves = [self.client(get(ident)[:30]) for ident in (b"a", b"b")]
         self.until(lambda: all(one._half for one in self.front.clients) and len(self.front.clients) == 2)
         self.stop()
-        self.assertFalse(self.front.done)
+        self.assertFalse(self.front.is_finished)
         halves[0].conn.send(get()[30:])
         self.at_node().conn.send(SERVED)
         self.until(lambda: halves[0].ends, "its answer")
         halves[0].conn.close()
-        assert self.front.leaving
-        self.front.leaving.end = self.loop.now()
+        assert self.front.shutdown
+        self.front.shutdown.answer_by = self.loop.now()
         self.until(lambda: halves[1].ends, "its error")
         halves[1].conn.close()
-        self.until(lambda: self.front.done, "nothing owed")
+        self.until(lambda: self.front.is_finished, "nothing owed")
         told = [b"$1\r\nV\r\n", b"-ERR Protocol error: command not ended in time\r\n"]
         self.assertEqual([one.got for one in halves], told)
 
@@ -223,7 +223,7 @@
         with mock.patch.object(Connection, "_flush"):  # the system takes nothing
             node.conn._sock.sendall(SERVED)
             self.until(lambda: self.script.ends(), "the answer")
-            self.assertFalse(self.front.resting or self.front._evict())
+            self.assertFalse(self.front.idle_clients or self.front._evict())
             self.stop()
         self.answers(client, b"$1\r\nV\r\n")
         self.until(lambda: client.ends, "the end")
@@ -235,12 +235,12 @@
         client = self.client(get())
         self.until(lambda: self.script.events, "a request")
         self.stop()
-        plan = ShutdownSchedule(Settings([RequestClass(500, 1500)], balancers=3), self.loop.now() - 1700)
-        self.front.leaving = plan
+        plan = ShutdownSchedule(Settings([RequestClass(500, 1500)], balancer_count=3), self.loop.now() - 1700)
+        self.front.shutdown = plan
         client.conn.send(get(b"b"))
         self.until(lambda: any(len(one._slots) == 2 for one in self.front.clients), "the second command")
         self.script.react = lambda event: [Reject(1)]
-        self.engine.feed(TimerFired(1))
+        self.engine.notify(TimerFired(1))
         self.until(lambda: client.ends, "the end")
         self.assertEqual(client.got, b"-BUSY\r\n-BUSY\r\n")
         self.assertEqual(len([e for e in self.script.events if isinstance(e, RequestReceived)]), 1)
@@ -255,10 +255,10 @@
         client.conn._sock.sendall(b"".join(get(b"%c" % one) for one in ascii_letters.encode()[:40]))
         self.until(lambda: len(self.script.events) == 32, "as many as may wait")
         for query in list(self.engine._queries.values()):
-            assert query.asker
-            query.asker.served(b"x" * 65536)
+            assert query.handler
+            query.handler.on_served(b"x" * 65536)
         held = [c.conn for c in self.front.clients]
-        self.until(lambda: held[0].sent > 0, "some bytes")
+        self.until(lambda: held[0].bytes_sent > 0, "some bytes")
         self.assertLessEqual(len(held[0].outbox), held[0].outbox.bound)
         client.conn._sock.setblocking(False)
         client.conn._interest()
@@ -300,8 +300,8 @@
     def test_clients_that_ask_once_and_stay_make_room_and_those_that_return_are_kept(self) -> None:
         """Incident r0d6542: such connections filled the clients' share, and nobody could open the next."""
         for _ in range(60):  # what was seen of other clients: the second command comes soon, or never
-            self.front.returns.outlived(1, 0, 6)
-            self.front.returns.returned(2, 30)
+            self.front.idle_returns.outlived(1, 0, 6)
+            self.front.idle_returns.returned(2, 30)
         share = self.SOCKETS // 3
         keen = self.client(PING)
         self.answers(keen, b"+PONG\r\n")
@@ -323,10 +323,10 @@
             client.conn.send(get(ident))
             count = len(self.script.events)
             while len(self.script.events) == count:
-                self.loop.lag = lag
-                self.loop.turn()
+                self.loop.loop_latency = lag
+                self.loop.run_once()
             [request] = [e for e in self.script.events[count:] if isinstance(e, RequestReceived)]
-            self.assertEqual(request.patience, patience)
+            self.assertEqual(request.timeout, patience)
 
     def test_a_client_that_sends_on_after_its_error_is_cut_off(self) -> None:
         client = self.client()
@@ -334,9 +334,9 @@
         [mine] = self.front.clients
 
         def flood() -> bool:
-            if client.conn.open and client.conn.outbox.room >= 9000:
+            if client.conn.is_open and client.conn.outbox.available_space >= 9000:
                 client.conn.send(b"x" * 9000)
-            return not mine.conn.open
+            return not mine.conn.is_open
 
         with mock.patch.object(connection, "LINGER_MS", 60_000.0):
             client.conn.send(b"*1\r\n$60000000\r\n")
@@ -372,10 +372,10 @@
     def test_broken_before_the_last_byte_was_written(self) -> None:
         asked = self.ask()
         wire = next(iter(self.links[NODE]._busy))
-        wire.conn._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        wire.connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         large = mock.patch("tests.net_scene.NodeDialect.encode", return_value=b"x" * 150_000)
         with large, mock.patch("tests.net_scene.Peer.received"):  # the node does not read
-            self.until(lambda: self.node.peers and wire.conn.sent, "some bytes")
+            self.until(lambda: self.node.peers and wire.connection.bytes_sent, "some bytes")
             self.node.peers[0].reset()
             self.assertEqual(self.outcome(asked), "CONNECT_FAILED")
 
@@ -383,7 +383,7 @@
         asked = self.ask()
         node = self.at_node()
         node.conn.send(SERVED[:-3])  # only whole answers count
-        node.conn.finish()
+        node.conn.close_gracefully()
         self.assertEqual(self.outcome(asked), "RESET")
 
     def test_turned_away(self) -> None:
@@ -400,7 +400,7 @@
         self.script.react = once_to(ORIGIN)
         head = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
         cases: list[tuple[Callable[[Peer], None], str]] = [
-            (lambda peer: peer.conn.finish(), "OK"),
+            (lambda peer: peer.conn.close_gracefully(), "OK"),
             (lambda peer: peer.reset(), "RESET"),
             (lambda peer: peer.conn.send(b"x" * (1 << 20)), "RESET"),  # longer than any answer: it never ends
         ]
@@ -438,7 +438,7 @@
         node = self.at_node()
         sent_at = self.loop.now()  # the request was taken before this
         passed = list[bool]()
-        self.loop.at(sent_at + delay, lambda: passed.append(True))
+        self.loop.call_at(sent_at + delay, lambda: passed.append(True))
         self.until(lambda: passed, "the first attempt's time")
         answered_at = self.loop.now()
         node.conn.send(MISSED)
@@ -482,7 +482,7 @@
         real, held = Connection._ready, list[Any]()
 
         def ready(conn: Connection, mask: int) -> None:
-            if conn.opening and isinstance(conn._owner, UpstreamConnection):
+            if conn.connecting and isinstance(conn._owner, UpstreamConnection):
                 held.append(conn)
                 conn._loop.watch(conn._sock, conn._mask, 0, conn._ready)
                 conn._mask = 0
@@ -508,7 +508,7 @@
                 client = self.client(get())
                 self.until(lambda: held, "a connection")  # noqa: B023
                 client.reset() if way == "reset" else client.conn.close()
-                self.until(lambda: self.engine.idle, "its leaving")
+                self.until(lambda: self.engine.is_idle, "its leaving")
                 come_up()
                 wire = held[0]
                 self.until(lambda: not wire.opening, "the connection")  # noqa: B023
@@ -535,7 +535,7 @@
 
     def test_no_repeat_begins_when_its_window_is_over(self) -> None:
         self.script.react = lambda e: (
-            [StartAttempt(e.id, NODE, begin_by=self.loop.now() + 30)]
+            [StartAttempt(e.request_id, NODE, start_by=self.loop.now() + 30)]
             if isinstance(e, RequestReceived)
             else [Fail(1)]
         )
@@ -543,7 +543,7 @@
         asked = self.ask()
         self.until(lambda: held, "a connection")
         passed = list[bool]()
-        self.loop.at(self.loop.now() + 31, lambda: passed.append(True))
+        self.loop.call_at(self.loop.now() + 31, lambda: passed.append(True))
         self.until(lambda: passed, "the end of the window")
         come_up()
         self.until(lambda: asked.told, "an end")
@@ -559,7 +559,7 @@
                 asked_at = self.loop.now()
                 self.until(lambda: held, "a connection")  # noqa: B023
                 passed = list[bool]()
-                self.loop.at(asked_at + 60, lambda: passed.append(True))  # noqa: B023
+                self.loop.call_at(asked_at + 60, lambda: passed.append(True))  # noqa: B023
                 self.until(lambda: passed, "the wait")  # noqa: B023
                 left = 900 - (self.loop.now() - asked_at)
                 come_up()
@@ -623,10 +623,10 @@
 
                 def at_once(value: bytes, peer: Peer = peer, more: bytes = more) -> None:
                     if not more:
-                        peer.conn.finish()
+                        peer.conn.close_gracefully()
                     second.append(self.ask())  # noqa: B023
 
-                with mock.patch.object(first, "served", at_once):
+                with mock.patch.object(first, "on_served", at_once):
                     peer.got = b""
                     peer.conn.send(good + more)
                     self.until(lambda: second, "an answer")  # noqa: B023
@@ -688,18 +688,20 @@
         asked = self.ask()
         self.at_node(0, self.origin).conn.send(OK_HTTP)
         self.until(lambda: asked.told, "the origin's answer")
-        self.assertEqual((asked.told, set(self.budget.resting)), ([b"V"], set(self.links[ORIGIN]._idle)))
+        self.assertEqual(
+            (asked.told, set(self.budget.idle_connections)), ([b"V"], set(self.links[ORIGIN]._idle))
+        )
 
     def test_clients_beyond_their_share_take_no_connection_to_a_server(self) -> None:
         asked = self.ask()
         self.at_node().conn.send(SERVED)
         self.until(lambda: asked.told, "the answer")
-        self.budget.limit, self.front.room.share = 4, 1  # one is kept from clients, the listener has one
+        self.budget.limit, self.front.capacity.share = 4, 1  # one is kept from clients, the listener has one
         first = self.client(PING)
         self.answers(first, b"+PONG\r\n")
         self.answers(self.client(PING), b"+PONG\r\n")
         self.until(lambda: first.ends, "the first client to end")
-        self.assertEqual((len(self.budget.resting), self.node.peers[0].ends), (1, []))
+        self.assertEqual((len(self.budget.idle_connections), self.node.peers[0].ends), (1, []))
 
     def test_accepting_goes_on_when_a_descriptor_is_free_again_whoever_had_it(self) -> None:
         self.budget.used += 1  # a link's, and no client is there whose end would tell
@@ -730,7 +732,7 @@
             [mine], [query] = list(self.front.clients), list(self.engine._queries.values())
             [attempt], [wire] = query.attempts, list(self.links[NODE]._busy)
             refs += map(weakref.ref, (mine, mine.conn, query, attempt))
-            refs += map(weakref.ref, (wire, wire.conn) if case == "broken by the node" else ())
+            refs += map(weakref.ref, (wire, wire.connection) if case == "broken by the node" else ())
             if case == "left by the client":
                 client.reset()
                 self.until(lambda: not self.front.clients, "its leaving")
@@ -738,11 +740,11 @@
             else:
                 node.reset() if case == "broken by the node" else node.conn.send(SERVED)
                 self.until(lambda: client.got, "an answer")  # noqa: B023
-                client.conn.finish()
-                self.until(lambda: not client.conn.open, "our end")  # noqa: B023
+                client.conn.close_gracefully()
+                self.until(lambda: not client.conn.is_open, "our end")  # noqa: B023
             del mine, query, attempt, wire
-        self.front.ends(Connection(self.loop, self.budget, socket.socket(), Peer()))
-        self.assertEqual(len(self.front.ending), 1)
+        self.front.await_closing(Connection(self.loop, self.budget, socket.socket(), Peer()))
+        self.assertEqual(len(self.front.closing_connections), 1)
         self.script.events.clear()
         self.assertEqual([ref() for ref in refs if ref()], [])
 
@@ -753,7 +755,7 @@
     def test_past_the_attempt_limit_or_after_the_end_an_execution_is_moot(self) -> None:
         def react(event: Any) -> list[Action]:
             if isinstance(event, RequestReceived):
-                return [StartAttempt(event.id, NODE)] * 3
+                return [StartAttempt(event.request_id, NODE)] * 3
             return [StartAttempt(event.id, NODE)] if event.attempt == 0 else []
 
         self.script.react = react
@@ -768,7 +770,7 @@
 
     def test_expiry_is_cut_to_the_clients_deadline_and_the_past_expires_at_once(self) -> None:
         self.script.react = lambda e: (
-            [StartAttempt(e.id, NODE, e.id * 1e15)] if isinstance(e, RequestReceived) else []
+            [StartAttempt(e.request_id, NODE, e.request_id * 1e15)] if isinstance(e, RequestReceived) else []
         )
         started = self.loop.now()
         self.ask(50)
@@ -777,7 +779,7 @@
         self.assertLess(self.loop.now() - started, 4000)
         started = self.loop.now()
         self.script.react = lambda e: (
-            [StartAttempt(e.id, NODE, 1.0)] if isinstance(e, RequestReceived) else []
+            [StartAttempt(e.request_id, NODE, 1.0)] if isinstance(e, RequestReceived) else []
         )
         self.ask()
         self.until(lambda: len(self.script.ends()) == 2, "an end at once")
@@ -786,20 +788,24 @@
     def test_withdraw_ends_one_execution_and_the_last_answer_is_the_only_one(self) -> None:
         def react(event: Any) -> list[Action]:
             if isinstance(event, RequestReceived):
-                return [StartAttempt(event.id, NODE), CancelAttempt(event.id, 0), CancelAttempt(event.id, 9)]
+                return [
+                    StartAttempt(event.request_id, NODE),
+                    CancelAttempt(event.request_id, 0),
+                    CancelAttempt(event.request_id, 9),
+                ]
             return [Reject(event.id), Fail(event.id), Reject(77)]
 
         self.script.react = react
         asked = self.ask()
         self.assertEqual((asked.told, self.script.ends()), ([0.0], [(0, "CANCELLED", False)]))
-        self.assertTrue(self.engine.idle)
+        self.assertTrue(self.engine.is_idle)
 
     def test_a_fault_in_the_module_strands_no_query(self) -> None:
         self.script.react = lambda event: [][1]
         self.assertEqual(self.ask().told, ["failed"])
 
         def forgets(event: Any) -> list[Action]:
-            return [StartAttempt(event.id, NODE)] if isinstance(event, RequestReceived) else [][1]
+            return [StartAttempt(event.request_id, NODE)] if isinstance(event, RequestReceived) else [][1]
 
         self.script.react = forgets
         asked = self.ask(60)
@@ -824,7 +830,7 @@
     def follow(self, *lines: bytes, status: bytes = b"200 OK") -> Any:
         """Follow, and send these lines as chunks. Returns discovery's end of the watch."""
         before = len(self.door.peers)
-        self.group.follow()
+        self.group.open_watch()
         self.until(lambda: len(self.door.peers) > before and self.door.peers[-1].got, "a call")
         peer = self.door.peers[-1]
         peer.conn.send(b"HTTP/1.1 " + status + b"\r\nTransfer-Encoding: chunked\r\n\r\n")
@@ -832,34 +838,34 @@
         return peer
 
     def test_one_watch_resumed_by_index_and_an_event_for_each_line(self) -> None:
-        self.group.cached(listing())
-        link = self.group.route(b"s-1")
+        self.group.load_cached(listing())
+        link = self.group.pool_for(b"s-1")
         moved = {"index": 9, "snapshot": False, "endpoints": [{**ENTRY, "address": "127.0.0.1:6380"}]}
         left = {"index": 11, "snapshot": False, "endpoints": [{**ENTRY, "status": "left"}]}
         peer = self.follow(b"", json.dumps(moved).encode())
         self.assertIn(b"GET /v1/endpoints?stream=1&index=4 HTTP/1.1\r\n", peer.got)
         self.until(lambda: self.told, "a change")
-        self.assertEqual((self.told[0].form, self.told[0].version), (EndpointUpdateKind.DELTA, 9))
-        self.assertIsNot(self.group.route(b"s-1"), link)
-        self.group.follow()  # while it is open: no second call
+        self.assertEqual((self.told[0].kind, self.told[0].version), (EndpointUpdateKind.DELTA, 9))
+        self.assertIsNot(self.group.pool_for(b"s-1"), link)
+        self.group.open_watch()  # while it is open: no second call
         text = json.dumps(left).encode() + b"\n"
         peer.conn.send(b"%x\r\n%b\r\n0\r\n\r\n" % (len(text), text))
         self.until(lambda: len(self.told) == 3, "a change and the end")
-        self.assertIsNone(self.group.route(b"s-1"))
-        self.assertEqual([one.form.name for one in self.told], ["DELTA", "DELTA", "FAILED"])
+        self.assertIsNone(self.group.pool_for(b"s-1"))
+        self.assertEqual([one.kind.name for one in self.told], ["DELTA", "DELTA", "FAILED"])
         self.assertEqual(len(self.door.peers), 1)
         self.assertIn(b"index=11", self.follow(json.dumps(listing()).encode()).got)
         self.until(lambda: len(self.told) == 4, "a whole list")
-        self.assertIs(self.told[3].form, EndpointUpdateKind.FULL)
+        self.assertIs(self.told[3].kind, EndpointUpdateKind.FULL)
 
     def test_at_a_new_address_the_watch_is_resumed_and_the_old_one_heard_until_it_speaks(self) -> None:
-        self.group.cached(listing())
-        link = self.group.route(b"s-1")
+        self.group.load_cached(listing())
+        link = self.group.pool_for(b"s-1")
         old, (first, moved) = self.follow(), (self.door, Door(self.loop))
         self.addCleanup(moved.close)
         self.door = moved
-        self.group.move(first.address)  # where it is already: no call
-        self.group.move(moved.address)
+        self.group.move_watch(first.address)  # where it is already: no call
+        self.group.move_watch(moved.address)
         self.until(lambda: moved.peers and moved.peers[0].got, "a call at the new address")
         self.assertIn(b"index=4 ", moved.peers[0].got)
         for peer, index in ((old, 9), (moved.peers[0], 8), (moved.peers[0], 10)):
@@ -871,10 +877,10 @@
             told = len(self.told)
             self.until(lambda: len(self.told) > told, "a change")  # noqa: B023
             # What a watch tells late, after a newer change, brings no link back.
-            self.assertEqual(self.group.route(b"s-1") is None, index != 10)
+            self.assertEqual(self.group.pool_for(b"s-1") is None, index != 10)
         self.until(lambda: old.ends, "the old watch to end")
-        self.assertEqual([one.form.name for one in self.told], ["DELTA"] * 3)  # and no failed call
-        self.assertIsNot(self.group.route(b"s-1"), link)
+        self.assertEqual([one.kind.name for one in self.told], ["DELTA"] * 3)  # and no failed call
+        self.assertIsNot(self.group.pool_for(b"s-1"), link)
         self.assertEqual((len(first.peers), len(moved.peers)), (1, 1))
 
     def test_an_indented_list_is_one_object_whatever_the_reads(self) -> None:
@@ -884,7 +890,7 @@
         self.until(lambda: self.group._watch and not self.group._watch._objects.idle, "the first lines")
         peer.conn.send(b"".join(b"%x\r\n%b\n\r\n" % (len(line) + 1, line) for line in lines[7:]))
         self.until(lambda: self.told, "the list")
-        self.assertEqual([(one.form.name, one.version) for one in self.told], [("DELTA", 9)])
+        self.assertEqual([(one.kind.name, one.version) for one in self.told], [("DELTA", 9)])
 
     def test_a_watch_that_trickles_and_makes_nothing_whole_is_silent(self) -> None:
         head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -898,7 +904,7 @@
                 mock.patch.object(endpoint_registry, "WATCH_SILENCE_TIMEOUT_MS", 80.0),
             ):
                 calls, done = len(self.door.peers), list[bool]()
-                self.group.follow()
+                self.group.open_watch()
                 self.until(lambda: len(self.door.peers) > calls and self.door.peers[-1].got)  # noqa: B023
                 peer = self.door.peers[-1]
                 peer.conn.send(start)
@@ -906,48 +912,48 @@
                 def trickle(peer: Peer = peer, more: bytes = more, done: list[bool] = done) -> None:
                     if not done and not peer.ends:
                         peer.conn.send(more)
-                        self.loop.at(self.loop.now() + 5, trickle)
+                        self.loop.call_at(self.loop.now() + 5, trickle)
 
                 trickle()
                 self.until(lambda: self.told, "silence")
                 done.append(True)
-                self.assertEqual([one.form.name for one in self.told], ["FAILED"])
+                self.assertEqual([one.kind.name for one in self.told], ["FAILED"])
                 self.told.clear()
 
     def test_what_is_unread_on_the_old_watch_is_told_when_the_new_one_speaks(self) -> None:
-        self.group.cached(listing())
+        self.group.load_cached(listing())
         old = self.follow(b"")
         watch = self.group._watch
         self.until(lambda: watch and watch._begun, "the watch")
         moved = Door(self.loop)
         self.addCleanup(moved.close)
-        self.group.move(moved.address)
+        self.group.move_watch(moved.address)
         text = json.dumps(
             {"index": 9, "snapshot": False, "endpoints": [{"name": "s-1", "status": "leaving"}]}
         )
         old.conn._sock.sendall(b"%x\r\n%b\n\r\n" % (len(text) + 1, text.encode()))
         assert self.group._watch
-        self.group.told(self.group._watch, {"index": 8, "snapshot": False, "endpoints": []})
-        self.assertEqual([(one.form.name, one.version) for one in self.told], [("DELTA", 8), ("DELTA", 9)])
-        self.assertIsNone(self.group.route(b"s-1"))
+        self.group.on_update(self.group._watch, {"index": 8, "snapshot": False, "endpoints": []})
+        self.assertEqual([(one.kind.name, one.version) for one in self.told], [("DELTA", 8), ("DELTA", 9)])
+        self.assertIsNone(self.group.pool_for(b"s-1"))
         self.until(lambda: old.ends, "the end of the old watch")
-        self.assertTrue(self.group.heard)
+        self.assertTrue(self.group.is_current)
 
     def test_a_process_that_stood_still_reads_what_was_written_before_it_gives_the_watch_up(self) -> None:
-        self.group.cached(listing())
+        self.group.load_cached(listing())
         peer = self.follow(b"")
-        self.until(lambda: self.group._watch and not self.group._watch._conn.opening, "the watch")
+        self.until(lambda: self.group._watch and not self.group._watch._conn.connecting, "the watch")
         left = {"index": 9, "snapshot": False, "endpoints": [{**ENTRY, "status": "leaving"}]}
         text = json.dumps(left).encode() + b"\n"
         watch = self.group._watch
         assert watch
-        watch._conn.poll()
+        watch._conn.read_available()
         peer.conn.send(b"%x\r\n%b\r\n" % (len(text), text))
         watch._quiet()  # its time was over while the line lay unread
-        self.assertEqual([one.form.name for one in self.told], ["DELTA"])
-        self.assertIsNone(self.group.route(b"s-1"))
+        self.assertEqual([one.kind.name for one in self.told], ["DELTA"])
+        self.assertIsNone(self.group.pool_for(b"s-1"))
         watch._quiet()  # and now nothing does
-        self.assertEqual([one.form.name for one in self.told], ["DELTA", "FAILED"])
+        self.assertEqual([one.kind.name for one in self.told], ["DELTA", "FAILED"])
 
     def test_after_standing_still_all_that_is_ready_is_looked_for_and_the_list_goes_first(self) -> None:
         order, clock, loop = list[str](), [1000.0], EventLoop()
@@ -957,7 +963,7 @@
             self.addCleanup(far.close)
             loop.watch(near, 0, READ, lambda _, name=name: order.append(name))  # type: ignore[misc]
             far.send(b"x")
-        loop.prefer(ends["list"][0])
+        loop.prioritize(ends["list"][0])
         real: Any = loop._selector.select
 
         def woken(timeout: float | None) -> Any:
@@ -966,13 +972,13 @@
             clock[0] += 3000  # stopped as the first of them came, and let go
             return real(0)[:1]
 
-        loop.at(5000, lambda: None)
+        loop.call_at(5000, lambda: None)
         with (
             mock.patch.object(loop, "now", lambda: clock[0]),
             mock.patch.object(loop._selector, "select", woken),
         ):
             clock[0] = 4990
-            loop.turn()
+            loop.run_once()
         self.assertEqual(order, ["list", "query"])
 
     def test_what_goes_wrong_is_a_failed_call(self) -> None:
@@ -980,8 +986,8 @@
             with self.subTest(lines=lines, status=status):
                 self.follow(*lines, status=status)
                 self.until(lambda: self.told, "a failure")
-                self.assertIs(self.told.pop().form, EndpointUpdateKind.FAILED)
-        self.group.follow()
+                self.assertIs(self.told.pop().kind, EndpointUpdateKind.FAILED)
+        self.group.open_watch()
         self.until(lambda: len(self.door.peers) == 4, "a call")
         self.door.peers[-1].reset()
         self.until(lambda: self.told, "a broken watch")
@@ -989,7 +995,7 @@
             self.follow()
             self.until(lambda: len(self.told) == 2, "silence")
         self.door.close()
-        self.group.follow()
+        self.group.open_watch()
         self.until(lambda: len(self.told) == 3, "a refused call")
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -35,8 +35,8 @@
     draw = random.Random(seed)
     conf = fleet.settings(**config)
     proxy = Proxy(Balancer(conf, seed, 0.0), conf)
-    kinds = {0: 0, 1: 1} if conf.aside else {}
-    listed = [Endpoint(sid(i), zone=i % 2, cell=i % 3, kind=kinds.get(i, 0)) for i in range(8)]
+    kinds = {0: 0, 1: 1} if conf.cache_aside else {}
+    listed = [Endpoint(sid(i), zone=i % 2, cell=i % 3, server_kind=kinds.get(i, 0)) for i in range(8)]
     proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, listed))
     for n in range(400):
         proxy.advance(proxy.now + draw.choice([0, 1, 5, 40]))
@@ -54,8 +54,8 @@
         else:
             i = draw.randrange(9)
             changed = Endpoint(
-                sid(i), draw.choice(list(EndpointState)), zone=i % 2, cell=i % 3, kind=kinds.get(i, 0),
-                launched=draw.choice([0.0, proxy.now]),
+                sid(i), draw.choice(list(EndpointState)), zone=i % 2, cell=i % 3, server_kind=kinds.get(i, 0),
+                started_at=draw.choice([0.0, proxy.now]),
             )  # fmt: skip
             proxy.feed(EndpointUpdate(EndpointUpdateKind.DELTA, n + 2, [changed]))
     proxy.advance(proxy.now + 5000)
@@ -109,9 +109,9 @@
     def free(self: RequestState, server: Server | None, now: float, conf: Settings) -> bool:
         right, life = self.kind, copy.copy(self)
         if text == "forgotten":
-            life.kind = dataclasses.replace(right, window=float("inf"))
+            life.kind = dataclasses.replace(right, deduplication_window=float("inf"))
         else:
-            life.kind = dataclasses.replace(right, repeat=RetrySafety.SAFE)
+            life.kind = dataclasses.replace(right, retry_safety=RetrySafety.IDEMPOTENT)
         return kept(life, server, now, conf)
 
     monkeypatch.setattr(RequestState, "rights", free)
@@ -147,7 +147,7 @@
             proxy.end(which, len(proxy.seen[which].tries) - 1, Outcome.OK, service)
             ended.remove((at, proxy, which))
         if now == 4000:
-            new = [Endpoint(i, launched=3500.0) for i in joined]
+            new = [Endpoint(i, started_at=3500.0) for i in joined]
             for proxy in proxies:
                 proxy.now = now
                 proxy.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, new))
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -60,13 +60,13 @@
             with self.subTest(balancers=balancers, asked=asked):
                 conf = settings(balancers=balancers, aside=True, origin_kind=1)
                 proxy = Proxy(Balancer(conf, 1, 0.0), conf)
-                proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, [Endpoint(b"origin", kind=1)]))
+                proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, [Endpoint(b"origin", server_kind=1)]))
                 lost, back, number = 0, 0.0, 0
                 cut, over = 20_000, 26_000  # nothing comes back in between
                 while not back:
                     proxy.advance(proxy.now + asked)
                     number += 1
-                    proxy.feed(RequestReceived(number, 0, 700.0, key=number, write=True))
+                    proxy.feed(RequestReceived(number, 0, 700.0, key=number, is_write=True))
                     if proxy.seen[number].tries and not cut - 100 < proxy.now < over:
                         proxy.now += 100
                         proxy.end(number, 0, Outcome.OK)
@@ -107,15 +107,15 @@
     def test_a_fetch_that_had_hardly_any_time_left_closes_no_origin(self) -> None:
         for left, closed in ((50.0, False), (1400.0, True)):
             proxy = alone(balancers=200, aside=True, origin_kind=1)
-            origin = Endpoint(b"origin", kind=1)
+            origin = Endpoint(b"origin", server_kind=1)
             proxy.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, [origin]))
             proxy.feed(RequestReceived(1, 0, 1500.0, key=1))
             proxy.now += 1500 - left
-            proxy.feed(AttemptEnded(1, 0, Outcome.MISS, 1500 - left, note=2))
+            proxy.feed(AttemptEnded(1, 0, Outcome.MISS, 1500 - left, cache_result=2))
             proxy.now += left
             proxy.feed(AttemptEnded(1, 1, Outcome.TIMEOUT, left))
             proxy.now += 10
-            proxy.feed(RequestReceived(2, 0, 1500.0, key=2, write=True))
+            proxy.feed(RequestReceived(2, 0, 1500.0, key=2, is_write=True))
             self.assertEqual([to for to, _ in proxy.seen[2].tries], [] if closed else [b"origin"], left)
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -82,7 +82,7 @@
 def test_a_list_number_is_resolved_in_order_of_events() -> None:
     again = "00 0000 00000000"
     events = decode(DEFINE + FLEET + again + FLEET)
-    assert [len(e.entries) for _, e in events if isinstance(e, EndpointUpdate)] == [2, 0]
+    assert [len(e.endpoints) for _, e in events if isinstance(e, EndpointUpdate)] == [2, 0]
 
 
 def test_example_actions() -> None:
@@ -192,9 +192,11 @@
 
 def test_settings() -> None:
     read = parse_settings(json.dumps(SETTINGS))
-    assert read.ask and not read.aside and read.balancers == 2 and read.me == 1
-    assert read.classes == [RequestClass(500.0, 1000.0, RetrySafety.SAFE, DeduplicationScope.ALL)]
-    assert read.tenant_quotas == [56.0] and read.cold_for == 24000.0 and read.max_attempts == 6
+    assert (
+        read.poll_endpoints and not read.cache_aside and read.balancer_count == 2 and read.balancer_index == 1
+    )
+    assert read.classes == [RequestClass(500.0, 1000.0, RetrySafety.IDEMPOTENT, DeduplicationScope.ALL)]
+    assert read.tenant_quotas == [56.0] and read.warmup_time == 24000.0 and read.max_attempts == 6
 
 
 @pytest.mark.parametrize(
