--- a/lupinladder/balancing/balancer.py
+++ b/lupinladder/balancing/balancer.py
@@ -1,4 +1,4 @@
-"""Every decision of the balancer. Its settings, events and actions are in lupinladder/balancing/; read these first.
+"""Every decision of the balancer. Read lupinladder/balancing/ events, actions and settings first.
 
 The ordinary path: a key hashes to a slot, a slot has an owner, the owner has a limit (brpc's formula). Within
 it the request goes to the owner, over it to the next owner, else it is refused. Departures: docs/design.md.
--- a/tests/test_scale.py
+++ b/tests/balancing/test_many_balancers.py
@@ -15,7 +15,7 @@
     Outcome,
     RequestReceived,
 )
-from tests.fleet import Proxy, entries, settings
+from tests.support.balancer_harness import Proxy, entries, settings
 
 
 def alone(**more: object) -> Proxy:
--- a/tests/test_slots.py
+++ b/tests/balancing/test_slot_table.py
@@ -6,7 +6,7 @@
 
 from lupinladder.balancing.balancer import SLOT_COUNT, ConcurrencyLimiter, Server, SlotTable
 from lupinladder.balancing.events import Endpoint
-from tests.fleet import sid
+from tests.support.balancer_harness import sid
 
 
 def servers(ids: list[int]) -> list[Server]:
--- /dev/null
+++ b/tests/net/test_client_command.py
@@ -0,0 +1,87 @@
+"""Commands of clients."""
+
+from __future__ import annotations
+
+import unittest
+
+from lupinladder.net.client_command import CommandError, parse_command, parse_load_report
+from lupinladder.net.origin_protocol import OriginProtocol
+
+CLASSES = ["read", "put"]
+
+
+class Commands(unittest.TestCase):
+    GET = (b"OBJ.GET", b"7f3a9c21e0b4d655", b"9b1f03aa", b"c=read,d=480")
+
+    def test_a_read_and_a_write(self) -> None:
+        read = parse_command(self.GET, CLASSES)
+        self.assertEqual(
+            (read.request_class, read.timeout, read.is_write, read.key), (0, 480.0, False, 0x7F3A9C21E0B4D655)
+        )
+        write = parse_command([b"OBJ.SET", b"1f", b"x", b"c=put,d=90,k=5c,r=1,size=12.5", b"V"], CLASSES)
+        self.assertEqual(
+            (write.request_class, write.is_write, write.is_retry, write.size), (1, True, True, 12.5)
+        )
+        # Only d changes on the way to a cache node or the origin, in its place.
+        labels = b"c=put,d=41,k=5c,r=1,size=12.5"
+        self.assertEqual(write.with_deadline(41.4)[3], labels)
+        self.assertEqual(read.with_deadline(0.2), [*self.GET[:3], b"c=read,d=1"])
+        sent = OriginProtocol(("127.0.0.1", 80), []).encode(write, 41.4)
+        for part in (
+            b"PUT /1f HTTP/1.1\r\n",
+            b"\r\nX-Txn: x\r\n",
+            b"X-Labels: " + labels + b"\r\n",
+            b"\r\n\r\nV",
+        ):
+            self.assertIn(part, sent)
+
+    def test_the_tenant_and_the_expected_work_by_their_labels(self) -> None:
+        words = [*self.GET[:3], b"c=read,t=b,d=480,h=96500"]
+        read = parse_command(words, CLASSES, ["a", "b"])
+        self.assertEqual((read.tenant, read.expected_work), (1, 96.5))  # told in microseconds
+        self.assertEqual(
+            parse_command(words, CLASSES).tenant, 0
+        )  # where the settings name none it is passed on unread
+        for labels in (b"c=read,d=480", b"c=read,t=c,d=480", b"c=read,t=,d=480", b"c=read,t=b,d=480,h=x"):
+            with self.subTest(labels=labels), self.assertRaises(CommandError):
+                parse_command([*self.GET[:3], labels], CLASSES, ["a", "b"])
+
+    def test_malformed(self) -> None:
+        key, ident = self.GET[1:3]
+        for words in (
+            [b"OBJ.DEL", key, ident, b"c=read,d=1"],
+            [b"OBJ.GET", key, ident],
+            [b"OBJ.GET", key, ident, b"c=read,d=1", b"V"],
+            [b"OBJ.SET", key, ident, b"c=put,d=1"],
+            [b"OBJ.GET", b"a b", ident, b"c=read,d=1"],
+            [b"OBJ.GET", b"../x", ident, b"c=read,d=1"],
+            [b"OBJ.GET", key, b"", b"c=read,d=1"],
+            [b"OBJ.GET", key, ident, b"c=read"],
+            [b"OBJ.GET", key, ident, b"c=none,d=1"],
+            [b"OBJ.GET", key, ident, b"c=read,d=0"],
+            [b"OBJ.GET", key, ident, b"c=read,d=nan"],
+            [b"OBJ.GET", key, ident, b"c=read,d=-5"],
+            [b"OBJ.GET", key, ident, b"c=read,d=1,d=2"],
+            [b"OBJ.GET", key, ident, b"c=read,d=1\r\nX-Y: 1"],
+            [b"OBJ.GET", key, ident, b"c=read,d=" + b"9" * 2000],
+        ):
+            with self.subTest(words=words), self.assertRaises(CommandError):
+                parse_command(words, CLASSES)
+
+    def test_load_reports_in_the_order_of_the_settings(self) -> None:
+        fields = ["fail_rate", "rif"]
+        for text, load in (
+            (b"inflight=7,queue=2,eps=0.5", (0.5, 7.0)),
+            (b"rif=7,fail_rate=0.5", (0.5, 7.0)),
+            (b"inflight=7", ()),
+            (b"inflight=x,eps=1", ()),
+            (b"inflight=1e2,eps=1.5e-05", (1.5e-05, 100.0)),
+            (b"inflight=nan,eps=1", ()),
+            (b"inflight=inf,eps=1", ()),
+            (b"inflight=-1,eps=1", ()),
+            (b"inflight=1e999,eps=1", ()),
+            (b"\xff\x00=,,=", ()),
+            (None, ()),
+        ):
+            with self.subTest(text=text):
+                self.assertEqual(parse_load_report(text, fields), load)
--- /dev/null
+++ b/tests/net/test_endpoint_parser.py
@@ -0,0 +1,81 @@
+"""Endpoint lists as discovery writes them."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from unittest import mock
+
+from lupinladder.balancing.events import Endpoint, EndpointState
+from lupinladder.net.discovery.endpoint_registry import JsonObjectStream
+from tests.support.endpoint_lists import ENTRY, PARSER, listing
+
+
+class Lists(unittest.TestCase):
+    def test_entries(self) -> None:
+        version, whole, entries, where = PARSER.read(listing())
+        self.assertEqual((version, whole, where), (4, True, {b"s-1": ("127.0.0.1", 6379)}))
+        self.assertEqual(entries, [Endpoint(b"s-1", EndpointState.READY, 1.0, 1796120872235.0, 1, 3, 1)])
+        gone = PARSER.read(listing(status="left", address="", since_ms=0))
+        self.assertEqual((gone[2][0].state, gone[2][0].started_at, gone[3]), (EndpointState.GONE, 0.0, {}))
+
+    def test_bad_lists(self) -> None:
+        trees: list[object] = [[], {}, {"index": "4", "endpoints": []}, {"index": 4, "endpoints": {}}]
+        for tree in trees:
+            with self.subTest(tree=tree), self.assertRaises(ValueError):
+                PARSER.read(tree)
+
+    def test_one_that_leaves_needs_a_name_and_its_status(self) -> None:
+        for more in ({}, {"zone": "c"}, {"type": 5}, {"address": "x"}, {"since_ms": "x"}):
+            for status in ("leaving", "left"):
+                with self.subTest(more=more, status=status):
+                    found = PARSER.read(
+                        {"index": 4, "endpoints": [{"name": "s-1", **more, "status": status}]}
+                    )
+                    self.assertEqual((found[2], found[3]), ([Endpoint(b"s-1", EndpointState.GONE)], {}))
+
+    def test_objects_off_lines_whole_or_indented(self) -> None:
+        tree = listing(name='a{"[\\')
+        flat, indented = json.dumps(tree), json.dumps(tree, indent=2)
+        for text, found in (
+            (flat, [tree]),
+            (indented, [tree]),
+            (f"\n{indented}\n  \n{flat}\n{indented}\n", [tree] * 3),
+            (indented[:-1], []),
+            ("{\n" * 9, []),
+        ):
+            with self.subTest(text=text):
+                objects = JsonObjectStream()
+                self.assertEqual(
+                    [one for line in text.encode().split(b"\n") for one in objects.line(line)], found
+                )
+        for text in (
+            "{]",
+            "}",
+            "x",
+            '{"a": 1\n,,}',
+            "[" * 100_000 + "]" * 100_000,
+            '{\n"a": "' + "x" * (1 << 20),
+        ):
+            with self.subTest(text=text[:9]), self.assertRaises(ValueError):
+                objects = JsonObjectStream()
+                for line in text.encode().split(b"\n"):
+                    objects.line(line)
+
+    def test_a_bad_entry_hides_no_other(self) -> None:
+        more: list[dict[str, object]] = [
+            {"status": "asleep"},
+            {"zone": "c"},
+            {"type": "m3"},
+            {"name": 5},
+            {"address": "127.0.0.1"},
+            {"address": "127.0.0.1:0"},
+            {"since_ms": "x"},
+            {"since_ms": -1},
+            {"since_ms": True},
+        ]
+        entries = [*({**ENTRY, **one} for one in more), "s-2", None, ENTRY]
+        with mock.patch("builtins.print"):
+            found = PARSER.read({"index": 4, "endpoints": entries})
+        self.assertEqual([entry.server for entry in found[2]], [b"s-1"])
+        self.assertEqual(list(found[3]), [b"s-1"])
--- /dev/null
+++ b/tests/net/test_resp.py
@@ -0,0 +1,63 @@
+"""RESP framing."""
+
+from __future__ import annotations
+
+import unittest
+
+from lupinladder.balancing.events import Outcome
+from lupinladder.net import resp
+from lupinladder.net.ring_buffer import RingBuffer
+
+MISS, OK, FULL, ERROR = Outcome.MISS, Outcome.OK, Outcome.REJECTED, Outcome.ERROR
+
+
+def ring_of(data: bytes) -> RingBuffer:
+    ring = RingBuffer(1 << 20)
+    ring.append(data)
+    return ring
+
+
+class Resp(unittest.TestCase):
+    WHOLE: tuple[tuple[bytes, resp.Value], ...] = (
+        (b"+OK\r\n", b"OK"),
+        (b"-ERR x\r\n", b"ERR x"),
+        (b":-12\r\n", -12),
+        (b"$3\r\na\r\n\r\n", b"a\r\n"),
+        (b"$0\r\n\r\n", b""),
+        (b"$-1\r\n", None),
+        (b"*-1\r\n", None),
+        (b"*0\r\n", []),
+        (b"*3\r\n$1\r\na\r\n*1\r\n:1\r\n$-1\r\n", [b"a", [1], None]),
+    )
+
+    def test_values_whole_and_byte_by_byte(self) -> None:
+        for data, value in self.WHOLE:
+            with self.subTest(data=data):
+                self.assertEqual(resp.RespParser(64, 8).next(ring_of(data)), value)
+                parser, ring = resp.RespParser(64, 8), RingBuffer(64)
+                for byte in data[:-1]:
+                    ring.append(bytes([byte]))
+                    self.assertIs(parser.next(ring), resp.INCOMPLETE)
+                ring.append(data[-1:])
+                self.assertEqual(parser.next(ring), value)
+                self.assertTrue(parser.idle)
+
+    def test_broken_framing(self) -> None:
+        for data in (
+            b"PING\r\n",
+            b"*x\r\n",
+            b"*-2\r\n",
+            b"*9\r\n",
+            b"$65\r\n",
+            b"$+3\r\n",
+            b"$1_0\r\n",
+            b"$2\r\nabc\r\n",
+            b"*1\r\n" * 5,
+            b"+" + b"x" * 5000,
+            b"+x\n",
+        ):
+            with self.subTest(data=data), self.assertRaises(resp.FramingError):
+                resp.RespParser(64, 8).next(ring_of(data))
+
+    def test_an_error_line_cannot_be_broken_out_of(self) -> None:
+        self.assertEqual(resp.encode_error("ERR a\r\n+OK"), b"-ERR a  +OK\r\n")
--- a/tests/recovery/test_comeback.py
+++ b/tests/recovery/test_restart_recovery.py
@@ -19,7 +19,7 @@
 from lupinladder.emulator.load_generator import Result, free_port
 from lupinladder.emulator.scenario import FaultConfig, LoadPhase, ProxiesConfig, Scenario
 from lupinladder.store import file_store, records
-from tests.lab.test_runs import outcome_of
+from tests.emulator.test_runs import outcome_of
 
 KILLED, AWAY, DOWN = 3.0, 0.8, 6.0
 
