Give log lines one form and counters a typed place; name what a node tells of its cache

Cause: counters were bare strings, log lines free text, a cache's answer a bare number. Change: log_event(event, key=value ...) with the same limit of five lines a second of one event; Metrics has an attribute for each counter; CacheResult stands for the number. A number over 3 on the simulator's wire still counts as a miss. Tests that name a log line or a counter follow.

--- a/benchmarks/model_fleet.py
+++ b/benchmarks/model_fleet.py
@@ -13,6 +13,7 @@
 from lupinladder.balancing.actions import Action, Fail, Reject, SetTimer, StartAttempt
 from lupinladder.balancing.events import (
     AttemptEnded,
+    CacheResult,
     Endpoint,
     EndpointUpdate,
     EndpointUpdateKind,
@@ -187,5 +188,8 @@
             fleet.in_time[int(self.asked // 1000)] += fleet.now - self.asked <= AIM
         over = (self.balancer, self.request) not in fleet.open
         took = fleet.now - self.sent
-        note = 1 if outcome is Outcome.OK and self.node.id != ORIGIN else 0
-        fleet.feed(self.balancer, AttemptEnded(self.request, self.number, outcome, took, over, note, load))
+        hit = outcome is Outcome.OK and self.node.id != ORIGIN
+        cache_result = CacheResult.HIT if hit else CacheResult.NONE
+        fleet.feed(
+            self.balancer, AttemptEnded(self.request, self.number, outcome, took, over, cache_result, load)
+        )
--- a/lupinladder/__main__.py
+++ b/lupinladder/__main__.py
@@ -12,11 +12,12 @@
 from lupinladder.balancing.events import Endpoint
 from lupinladder.net import config
 from lupinladder.net.client_listener import ClientListener
-from lupinladder.net.connection import READ, Address, DescriptorBudget
+from lupinladder.net.connection import READ, Address, DescriptorBudget, format_address
 from lupinladder.net.connection_pool import CacheNodeProtocol, ConnectionPool, UpstreamProtocol
 from lupinladder.net.discovery.endpoint_registry import EndpointRegistry
 from lupinladder.net.event_loop import EventLoop
-from lupinladder.net.log import log_event, summary
+from lupinladder.net.log import log_event
+from lupinladder.net.metrics import metrics
 from lupinladder.net.origin_protocol import OriginProtocol
 from lupinladder.net.request_dispatcher import RequestDispatcher
 
@@ -55,7 +56,7 @@
             self.engine.start(self._group.load_cached(begun.known))
             for event in begun.events:
                 self.engine.notify(event)
-            log_event("store", self._keeper.report())
+            log_event("warm_start", summary=self._keeper.report())
             self._keeper.start(self.loop, self.engine, self._group)
         else:
             self.engine.start(self._group.load_cached(conf.known))
@@ -77,7 +78,7 @@
         )
 
     def _figures(self) -> None:
-        log_event("figures", summary())
+        log_event("metrics", **metrics.summary())
         self.loop.call_at(self.loop.now() + SUMMARY_MS, self._figures)
 
     def reload(self) -> None:
@@ -86,16 +87,16 @@
         try:
             fresh = config.load(os.environ)
         except config.ConfigError as bad:
-            log_event("reload", f"the old configuration stays: {bad}")
+            log_event("reload_rejected", error=bad)
             return
-        log_event("reload", "discovery is at {}:{}".format(*fresh.discovery))
+        log_event("reloaded", discovery=format_address(fresh.discovery))
         self._group.move_watch(fresh.discovery)
 
     def stop(self) -> None:
         if self._stopping:
             return
         self._stopping = True
-        log_event("stop", "told to stop; answering what was taken")
+        log_event("shutdown_started")
         self.front.shut_down()
         self._leave()
 
@@ -167,7 +168,7 @@
     # objects more than were freed, not with 20 million.
     gc.set_threshold(1_000, 5, 5)
     proxy.loop.run()
-    log_event("stop", "all answered; " + summary())
+    log_event("shutdown_finished", **metrics.summary())
     return 0
 
 
--- a/lupinladder/balancing/events.py
+++ b/lupinladder/balancing/events.py
@@ -16,7 +16,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import Enum
+from enum import Enum, IntEnum
 
 from lupinladder.balancing.settings import ServerId
 
@@ -61,6 +61,15 @@
     server_kind: int = 0
 
 
+class CacheResult(IntEnum):
+    """What a cache node tells of the key it was asked for."""
+
+    NONE = 0  # nothing was told
+    HIT = 1
+    MISS = 2  # the node fetched it from the origin
+    MISS_PENDING = 3  # a miss while another fetch for the key was out
+
+
 # Events
 
 
@@ -104,7 +113,7 @@
     outcome: Outcome
     latency: float
     request_finished: bool = False  # the request has its final answer
-    cache_result: int = 0  # 1 hit, 2 miss, 3 miss while another fetch for the key is out
+    cache_result: CacheResult = CacheResult.NONE
     load: tuple[float, ...] = ()  # as in report_fields; may be empty
 
 
--- a/lupinladder/net/client_command.py
+++ b/lupinladder/net/client_command.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
-from lupinladder.balancing.events import Outcome
+from lupinladder.balancing.events import CacheResult, Outcome
 
 MAX_STORED_VALUE_BYTES = 64 << 10  # of a value that a client may store
 # Of a value in an answer. Days of service bring good ones of 400 KB and spoilt ones declared as 3 GB.
@@ -16,7 +16,11 @@
 _LABELS = re.compile(rb"[a-z0-9_]{1,32}=[!-+\--~]*(,[a-z0-9_]{1,32}=[!-+\--~]*)*")
 _HEX = re.compile(rb"[0-9a-f]{1,16}")
 REPORT_NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,20})?(e-?[0-9]{1,2})?")
-CACHE_RESULTS = {b"hit": 1, b"miss": 2, b"pending": 3}
+CACHE_RESULTS = {
+    b"hit": CacheResult.HIT,
+    b"miss": CacheResult.MISS,
+    b"pending": CacheResult.MISS_PENDING,
+}
 # Load reports use the site's names, the settings those of the simulator's wire.
 REPORT_FIELD_ALIASES = {
     "fail_rate": "eps",
@@ -70,7 +74,7 @@
 
     outcome: Outcome
     value: bytes | None = None
-    cache_result: int = 0
+    cache_result: CacheResult = CacheResult.NONE
     load: tuple[float, ...] = ()
 
 
--- a/lupinladder/net/client_listener.py
+++ b/lupinladder/net/client_listener.py
@@ -20,7 +20,8 @@
 from lupinladder.net.client_command import MAX_STORED_VALUE_BYTES, ClientCommand, CommandError, parse_command
 from lupinladder.net.connection import READ, Address, Connection, DescriptorBudget
 from lupinladder.net.event_loop import EventLoop, Timer
-from lupinladder.net.log import counters, log_event
+from lupinladder.net.log import log_event
+from lupinladder.net.metrics import metrics
 from lupinladder.net.request_dispatcher import PendingRequest, RequestDispatcher
 
 MAX_PIPELINE_DEPTH = (
@@ -113,7 +114,7 @@
             else:
                 self._starved = not self._closing
         except resp.FramingError as bad:
-            counters["bad_framing"] += 1
+            metrics.client_framing_errors += 1
             self._say(f"Protocol error: {bad}")
             self._closing = True
         finally:
@@ -141,19 +142,19 @@
         try:
             content = parse_command(plain, self._front.classes, self._front.tenants)
         except CommandError as bad:
-            counters["malformed"] += 1
+            metrics.invalid_commands += 1
             self._say(str(bad))
             return
         ident = content.words[2]
         if ident in self._front.open_ids:  # two attempts under one id could be taken for each other's
-            counters["malformed"] += 1
+            metrics.invalid_commands += 1
             self._say("id is that of another open query")
             return
         self._front.open_ids.add(ident)
         slot = self._slot(ident)
         leaving = self._front.shutdown
         if leaving and not (allowed := leaving.remaining_time(content.request_class, content.timeout, now)):
-            counters["too_late_to_take"] += 1
+            metrics.requests_rejected_at_shutdown += 1
             return slot.on_rejected(leaving.retry_after(now))
         content.timeout = allowed if leaving else content.timeout
         # Its client counts from when it wrote, and the bytes may have lain unread for all of the turn before.
@@ -208,7 +209,8 @@
         """A client that closes has gone, and TCP does not tell a close from an end of sending. What waits, or
         is still unread, is dropped; what is worded already, as a bad client's error, is written. Answers
         behind one that is dropped would be taken for it, so the close has to do for them."""
-        counters["ends" if by_peer else "clients_broken"] += 1
+        metrics.client_connections_ended += by_peer
+        metrics.client_connections_aborted += not by_peer
         self._closing, self._starved = True, False
         slots, self._slots = self._slots, deque()
         while by_peer and slots and slots[0].encoded is not None:
@@ -239,12 +241,12 @@
             if now - self.last_used > (
                 FIRST_COMMAND_TIMEOUT_MS if not self.command_count else IDLE_TIMEOUT_MS if short else inf
             ):
-                counters["swept"] += 1
+                metrics.client_connections_timed_out += 1
                 self.close_if_idle()
         elif now - self._began > COMMAND_TIMEOUT_MS or (
             self._front.shutdown and now > self._front.shutdown.answer_by
         ):
-            counters["swept"] += 1
+            metrics.client_connections_timed_out += 1
             self._closing = True
             self._say("Protocol error: command not ended in time")
             self.flush()
@@ -324,7 +326,7 @@
             for n in select_for_eviction(
                 [(one.command_count, now - one.last_used) for one in resting], self.idle_returns, short
             ):
-                counters["let_go"] += resting[n].close_if_idle()
+                metrics.client_connections_evicted += resting[n].close_if_idle()
 
     def remove_from_idle(self, client: ClientConnection) -> None:
         self.idle_clients.pop(client, None)
@@ -377,7 +379,7 @@
             # The first round alone knows that somebody waits, and is worth an idle link, or an idle client.
             short = not self.budget.has_capacity(self.budget.limit // UPSTREAM_DESCRIPTOR_DIVISOR)
             if short and (count or not ((self._owed and self.budget.close_longest_idle()) or self._evict())):
-                log_event("clients", "no descriptor left for a client; waiting for one to end")
+                log_event("accept_paused", reason="no descriptor left for a client")
                 break
             if not self._accept():
                 break
@@ -392,9 +394,9 @@
         except BlockingIOError:
             return False
         except OSError as bad:
-            log_event("clients", f"accept: {bad}")
+            log_event("accept_failed", error=bad)
             return False
-        counters["clients"] += 1
+        metrics.client_connections_accepted += 1
         self.capacity.came()
         client = ClientConnection(self, sock)
         self.clients[client] = None
@@ -438,7 +440,7 @@
             left -= 1
         now = self.loop.now()
         if not free and now < self.shutdown.answer_by:
-            log_event("clients", "no descriptor left for a client; the listener stays open")
+            log_event("listener_close_postponed", reason="no descriptor left for a client")
             self.loop.call_at(now + ACCEPT_RETRY_MS, self._shut)
             return
         self._stopped = True
--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from lupinladder.net.event_loop import EventLoop, Timer
-from lupinladder.net.log import counters
+from lupinladder.net.metrics import metrics
 from lupinladder.net.ring_buffer import RingBuffer
 
 MAX_INBOX_BYTES = (
@@ -26,6 +26,11 @@
 _sink = bytearray(64 << 10)  # where bytes go that nobody wants; shared, as none is ever read
 
 
+def format_address(address: Address) -> str:
+    """`host:port`."""
+    return f"{address[0]}:{address[1]}"
+
+
 class IdleConnection(Protocol):
     """A connection with nothing out on it."""
 
@@ -212,7 +217,7 @@
         try:
             call()
         except Exception:
-            counters["faulty_connections"] += 1
+            metrics.connection_handler_errors += 1
             self._broken()
             raise
 
--- a/lupinladder/net/connection_pool.py
+++ b/lupinladder/net/connection_pool.py
@@ -7,7 +7,7 @@
 from functools import partial
 from typing import Protocol
 
-from lupinladder.balancing.events import Outcome
+from lupinladder.balancing.events import CacheResult, Outcome
 from lupinladder.net import resp
 from lupinladder.net.client_command import (
     CACHE_RESULTS,
@@ -16,9 +16,10 @@
     UpstreamReply,
     parse_load_report,
 )
-from lupinladder.net.connection import Address, Connection, DescriptorBudget
+from lupinladder.net.connection import Address, Connection, DescriptorBudget, format_address
 from lupinladder.net.event_loop import EventLoop, Timer
-from lupinladder.net.log import counters, log_event
+from lupinladder.net.log import log_event
+from lupinladder.net.metrics import metrics
 from lupinladder.net.request_dispatcher import Attempt
 from lupinladder.net.ring_buffer import RingBuffer
 
@@ -66,7 +67,7 @@
         self.reader = link.protocol.reader()
         self.idle_timer: Timer | None = None
         self.connection = Connection.connect(link.loop, link.budget, link.address, self)
-        counters["links_opened"] += 1
+        metrics.upstream_connections_opened += 1
         self._connecting: Timer | None = link.loop.call_at(
             link.loop.now() + link.connect_timeout_ms, self._too_late
         )
@@ -94,7 +95,7 @@
                 dropped.append(attempt)
         if not (self.attempt_count or self.connection.connecting):
             self._link.mark_idle(self)
-        counters["never_begun"] += len(dropped)
+        metrics.attempts_never_started += len(dropped)
         for attempt in dropped:  # last: what follows may come back here
             attempt.end(Outcome.CONNECT_FAILED)
 
@@ -134,8 +135,8 @@
         return self.connection.is_open
 
     def _spoilt(self, why: str) -> None:
-        log_event("link", f"{self._link.address}: {why}")
-        counters["bad_answers"] += 1
+        log_event("upstream_reply_invalid", address=format_address(self._link.address), error=why)
+        metrics.upstream_replies_invalid += 1
         self.abort()
 
     def on_written(self) -> None:
@@ -191,7 +192,7 @@
     def start(self, attempt: Attempt) -> None:
         wire = self._pick()
         if wire is None:
-            counters["no_descriptor"] += 1
+            metrics.attempts_without_descriptor += 1
             return attempt.end(Outcome.CONNECT_FAILED)
         wire.assign(attempt)
 
@@ -209,7 +210,7 @@
             if wire.connection.is_reusable:
                 break
             # The server has ended it, or sent more than was asked for, since we last looked.
-            counters["stale_links"] += 1
+            metrics.upstream_connections_stale += 1
             wire.abort()
         else:
             return self._fresh()
@@ -233,7 +234,7 @@
         try:
             return UpstreamConnection(self)
         except OSError as bad:  # the system has none left, whatever our count says
-            log_event("link", f"{self.address}: {bad}")
+            log_event("upstream_connect_failed", address=format_address(self.address), error=bad)
             return None
 
     def abandon(self, attempt: Attempt) -> None:
@@ -303,15 +304,15 @@
             if word not in KNOWN_ERRORS:
                 raise UpstreamProtocolError("an error of an unknown form")
             if not answer.startswith(b"ERR failed"):
-                counters["node_errors"] += 1
-                log_event("link", "a cache node answered " + repr(bytes(answer)))
+                metrics.cache_node_errors += 1
+                log_event("cache_node_error", reply=repr(bytes(answer)))
             return UpstreamReply(Outcome.ERROR, load=load)
         if not isinstance(answer, list) or len(answer) != 3:
             raise UpstreamProtocolError("an answer of an unknown form")
         value, note, load_text = answer
         if not (value is None or type(value) is bytes):  # a simple string is bytes too, and no value
             raise UpstreamProtocolError("a value of an unknown form")
-        told = CACHE_RESULTS.get(note, 0) if isinstance(note, bytes) else 0
+        told = CACHE_RESULTS.get(note, CacheResult.NONE) if isinstance(note, bytes) else CacheResult.NONE
         load = parse_load_report(load_text, self._fields) if isinstance(load_text, bytes) else ()
         return UpstreamReply(Outcome.MISS if value is None else Outcome.OK, value, told, load)
 
--- a/lupinladder/net/discovery/endpoint_registry.py
+++ b/lupinladder/net/discovery/endpoint_registry.py
@@ -14,7 +14,8 @@
 from lupinladder.net.connection import Address, Connection, DescriptorBudget
 from lupinladder.net.connection_pool import ConnectionPool
 from lupinladder.net.event_loop import EventLoop, Timer
-from lupinladder.net.log import counters, log_event
+from lupinladder.net.log import log_event
+from lupinladder.net.metrics import metrics
 
 # Ms without a byte on a watch until it counts as dead; an empty line comes every 2 s. Whatever discovery has
 # to tell counts as told 6 s later, and asking again takes a wait and a call of up to 2 s.
@@ -59,8 +60,8 @@
             try:
                 entry, address = self._entry(one)
             except ValueError as bad:
-                counters["bad_entries"] += 1
-                log_event("discovery", f"entry {one!r} is left out: {bad}")
+                metrics.endpoints_ignored += 1
+                log_event("endpoint_ignored", error=bad, entry=one)
                 continue
             found.append(entry)
             if address:
@@ -208,14 +209,14 @@
             self._former = None
             return
         self._watch, self.is_current = None, False
-        counters["watches_lost"] += 1
-        log_event("discovery", why)
+        metrics.endpoint_watches_lost += 1
+        log_event("endpoint_watch_lost", reason=why)
         self._tell(EndpointUpdate(EndpointUpdateKind.FAILED, self._index))
 
     def _take(self, tree: Any, form: EndpointUpdateKind | None) -> EndpointUpdate:
         index, whole, entries, where = self._listing.read(tree)
         form = form or (EndpointUpdateKind.FULL if whole else EndpointUpdateKind.DELTA)
-        counters["lists"] += 1
+        metrics.endpoint_updates += 1
         if form is EndpointUpdateKind.DELTA and index < self._index:
             return EndpointUpdate(
                 form, index, entries
--- a/lupinladder/net/event_loop.py
+++ b/lupinladder/net/event_loop.py
@@ -11,7 +11,8 @@
 from collections.abc import Callable
 from math import inf
 
-from lupinladder.net.log import counters, log_event
+from lupinladder.net.log import log_event
+from lupinladder.net.metrics import metrics
 
 STALL_THRESHOLD_MS = (
     50.0  # ms beyond what was asked for: the slack that the rules give each time limit (PROTOCOL)
@@ -104,8 +105,8 @@
         try:
             call()
         except Exception:  # one connection's trouble must not end the others
-            counters["errors"] += 1
-            log_event("error", traceback.format_exc().strip().replace("\n", " | "))
+            metrics.callback_errors += 1
+            log_event("callback_failed", traceback=traceback.format_exc().strip().replace("\n", " | "))
 
     def run(self) -> None:
         while self._running:
--- a/lupinladder/net/log.py
+++ b/lupinladder/net/log.py
@@ -1,35 +1,50 @@
-"""Log lines to standard error, at most so many a second of each kind, and the proxy's counters."""
+"""The operator's log: a line an event on standard error, `lupinladder: event key=value ...`, rate-limited."""
 
 from __future__ import annotations
 
+import json
+import re
 import sys
 import time
-from collections import Counter
 from contextlib import suppress
+from dataclasses import dataclass
 
-MAX_LINES_PER_SECOND = (
-    5  # of one kind in one second; the rest are counted and the count is printed with the next
-)
+MAX_LINES_PER_SECOND = 5  # of one event; the rest are counted and the count is printed with the next
+_PLAIN_VALUE = re.compile(r"[!#-<>-~]+")  # ASCII without spaces, quotes and equals signs
 
-counters: Counter[str] = Counter()  # the one place for figures that an operator, or later an agent, reads
-_kinds: dict[str, tuple[int, int, int]] = {}  # by kind: the second, lines printed in it, lines held back
 
+@dataclass(slots=True)
+class _Rate:
+    """Lines of one event in the second that is running, and those held back since the last one printed."""
 
-def log_event(kind: str, text: str) -> None:
-    """Print a line of this kind unless too many were printed lately."""
+    second: int
+    printed: int = 0
+    suppressed: int = 0
+
+
+_rates: dict[str, _Rate] = {}
+
+
+def log_event(event: str, /, **facts: object) -> None:
+    """Print one line of this event, unless too many were printed in this second."""
     second = int(time.monotonic())
-    at, lines, held = _kinds.get(kind, (second, 0, 0))
-    if at != second:
-        at, lines = second, 0
-    if lines >= MAX_LINES_PER_SECOND:
-        _kinds[kind] = (at, lines, held + 1)
+    rate = _rates.setdefault(event, _Rate(second))
+    if rate.second != second:
+        rate.second = second
+        rate.printed = 0
+    if rate.printed >= MAX_LINES_PER_SECOND:
+        rate.suppressed += 1
         return
-    more = f" ({held} such lines held back)" if held else ""
-    _kinds[kind] = (at, lines + 1, 0)
+    if rate.suppressed:
+        facts["suppressed"] = rate.suppressed
+    rate.printed += 1
+    rate.suppressed = 0
+    line = " ".join([event, *(f"{name}={_format_value(value)}" for name, value in facts.items())])
     with suppress(OSError):  # whoever read the log may be gone; the proxy serves on
-        print(f"lupinladder: {kind}: {text}{more}", file=sys.stderr, flush=True)
+        print(f"lupinladder: {line}", file=sys.stderr, flush=True)
 
 
-def summary() -> str:
-    """All counters in one line."""
-    return " ".join(f"{name}={counters[name]}" for name in sorted(counters))
+def _format_value(value: object) -> str:
+    """A value as one word, in quotes where it would not be one."""
+    text = str(value)
+    return text if _PLAIN_VALUE.fullmatch(text) else json.dumps(text)
--- /dev/null
+++ b/lupinladder/net/metrics.py
@@ -0,0 +1,56 @@
+"""The proxy's counters: one attribute each, added to where the thing happens, printed by `summary`."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field, fields
+
+from lupinladder.balancing.events import Outcome
+
+
+@dataclass(slots=True)
+class Metrics:
+    """Counts since the start of the process; docs/operations.md says what each tells an operator."""
+
+    attempts_never_started: int = 0
+    attempts_started: int = 0
+    attempts_without_descriptor: int = 0
+    cache_node_errors: int = 0
+    callback_errors: int = 0
+    client_connections_aborted: int = 0
+    client_connections_accepted: int = 0
+    client_connections_ended: int = 0
+    client_connections_evicted: int = 0
+    client_connections_timed_out: int = 0
+    client_framing_errors: int = 0
+    connection_handler_errors: int = 0
+    dispatcher_errors: int = 0
+    endpoint_updates: int = 0
+    endpoint_watches_lost: int = 0
+    endpoint_watches_requested: int = 0
+    endpoints_ignored: int = 0
+    invalid_commands: int = 0
+    origin_errors: int = 0
+    requests_abandoned: int = 0
+    requests_failed: int = 0
+    requests_overdue: int = 0
+    requests_received: int = 0
+    requests_rejected: int = 0
+    requests_rejected_at_shutdown: int = 0
+    requests_rejected_for_memory: int = 0
+    requests_served: int = 0
+    store_bytes_written: int = 0
+    store_errors: int = 0
+    upstream_connections_opened: int = 0
+    upstream_connections_stale: int = 0
+    upstream_replies_invalid: int = 0
+    attempts_ended: Counter[Outcome] = field(default_factory=Counter)
+
+    def summary(self) -> dict[str, int]:
+        """All counters that are not zero, by name; those of ended attempts by outcome."""
+        named = {one.name: getattr(self, one.name) for one in fields(self) if one.name != "attempts_ended"}
+        by_outcome = {f"attempts_ended_{kind.name.lower()}": n for kind, n in self.attempts_ended.items()}
+        return {name: count for name, count in sorted((named | by_outcome).items()) if count}
+
+
+metrics = Metrics()  # the one place for figures that an operator, or later an agent, reads
--- a/lupinladder/net/origin_protocol.py
+++ b/lupinladder/net/origin_protocol.py
@@ -16,7 +16,8 @@
 )
 from lupinladder.net.connection import Address
 from lupinladder.net.connection_pool import UpstreamProtocolError
-from lupinladder.net.log import counters, log_event
+from lupinladder.net.log import log_event
+from lupinladder.net.metrics import metrics
 from lupinladder.net.ring_buffer import RingBuffer
 
 
@@ -54,8 +55,8 @@
         if answer.status in (503, 504) and answer.headers.get("x-turned-away") == b"1":
             return UpstreamReply(Outcome.REJECTED, load=load)
         if answer.status != 500:
-            counters["origin_errors"] += 1
-            log_event("origin", f"answered {answer.status}")
+            metrics.origin_errors += 1
+            log_event("origin_error", status=answer.status)
         return UpstreamReply(Outcome.ERROR, load=load)
 
 
--- a/lupinladder/net/request_dispatcher.py
+++ b/lupinladder/net/request_dispatcher.py
@@ -24,6 +24,7 @@
 from lupinladder.balancing.balancer import Server
 from lupinladder.balancing.events import (
     AttemptEnded,
+    CacheResult,
     ClientDisconnected,
     EndpointUpdate,
     Event,
@@ -34,7 +35,8 @@
 from lupinladder.balancing.settings import ServerId, Settings
 from lupinladder.graceful_shutdown import ShutdownSchedule
 from lupinladder.net.event_loop import EventLoop, Timer
-from lupinladder.net.log import counters, log_event
+from lupinladder.net.log import log_event
+from lupinladder.net.metrics import metrics
 
 DEADLINE_GRACE_MS = 15.0  # ms past its deadline at which a query is failed if the module has not spoken
 OK, MOOT = Outcome.OK, Outcome.NOT_STARTED
@@ -92,11 +94,11 @@
         self,
         outcome: Outcome,
         value: bytes | None = None,
-        note: int = 0,
+        cache_result: CacheResult = CacheResult.NONE,
         load: tuple[float, ...] = (),
     ) -> None:
         """Report how it went. Whatever is said after the first time is passed over."""
-        self._engine.attempt_ended(self, outcome, value, note, load)
+        self._engine.attempt_ended(self, outcome, value, cache_result, load)
 
 
 class RequestDispatcher:
@@ -166,18 +168,20 @@
                 self._fault(f"at {type(action).__name__}")
 
     def _fault(self, where: str) -> None:
-        counters["engine_faults"] += 1
-        log_event("fault", where + ": " + traceback.format_exc().strip().replace("\n", " | "))
+        metrics.dispatcher_errors += 1
+        log_event(
+            "internal_error", where=where, traceback=traceback.format_exc().strip().replace("\n", " | ")
+        )
 
     def _carry_out(self, action: Action) -> None:
         if isinstance(action, SetTimer):
             token = action.token
             self._loop.call_at(self._loop.now() + action.delay, lambda: self.notify(TimerFired(token)))
         elif isinstance(action, WatchEndpoints):
-            counters["follows"] += 1
+            metrics.endpoint_watches_requested += 1
             self._follow()
         elif isinstance(action, LogMessage):
-            log_event("note", action.text)
+            log_event("balancer", message=action.text)
         else:
             query = self._queries.get(action.request_id)
             if query is None:
@@ -189,7 +193,8 @@
                     self._give_up(query.attempts[action.attempt], Outcome.CANCELLED)
             elif not query.finished:
                 refused = isinstance(action, Reject)
-                counters["refused" if refused else "failed"] += 1
+                metrics.requests_rejected += refused
+                metrics.requests_failed += not refused
                 asker = self._finish(query)
                 if isinstance(action, Reject):
                     asker.on_rejected(action.retry_after)
@@ -201,9 +206,9 @@
     ) -> PendingRequest | None:
         """Take a query; `request` words it for the module under the given id. None: turned away, as too many
         are open for the memory we have."""
-        counters["queries"] += 1
+        metrics.requests_received += 1
         if len(self._queries) >= self._max_open:
-            counters["turned_away"] += 1
+            metrics.requests_rejected_for_memory += 1
             asker.on_rejected(self._settings.max_retry_after)
             return None
         now = self._loop.now()
@@ -221,15 +226,15 @@
     def client_disconnected(self, query: PendingRequest) -> None:
         """The client has gone."""
         if not query.finished:
-            counters["left"] += 1
+            metrics.requests_abandoned += 1
             self._finish(query)
             self.notify(ClientDisconnected(query.request_id))
 
     def _overdue(self, query: PendingRequest) -> None:
         """Guards against a query stranded by a fault: its client gets an answer all the same."""
         if not query.finished:
-            counters["overdue"] += 1
-            log_event("overdue", f"query {query.request_id} had no answer at its deadline")
+            metrics.requests_overdue += 1
+            log_event("request_overdue", request=query.request_id)
             self._finish(query).on_failed()
             self.notify(ClientDisconnected(query.request_id))
 
@@ -256,7 +261,7 @@
         query.attempts.append(attempt)
         if query.finished or attempt.number >= self._settings.max_attempts or now >= query.deadline:
             return attempt.end(MOOT)
-        counters["executions"] += 1
+        metrics.attempts_started += 1
         if attempt.executor is None:
             return attempt.end(Outcome.CONNECT_FAILED)
         attempt.expiry_timer = self._loop.call_at(until, lambda: self._give_up(attempt, Outcome.TIMEOUT))
@@ -277,7 +282,7 @@
         attempt: Attempt,
         outcome: Outcome,
         value: bytes | None,
-        note: int,
+        cache_result: CacheResult,
         load: tuple[float, ...],
     ) -> None:
         if attempt.finished:
@@ -286,12 +291,14 @@
         self._loop.cancel(attempt.expiry_timer)
         attempt.expiry_timer = None
         query = attempt.request
-        counters["ended_" + outcome.name.lower()] += 1
+        metrics.attempts_ended[outcome] += 1
         if outcome is OK and not query.finished:
-            counters["served"] += 1
+            metrics.requests_served += 1
             self._finish(query).on_served(value or b"")
         latency = self._loop.now() - attempt.started_at
         self.notify(
-            AttemptEnded(query.request_id, attempt.number, outcome, latency, query.finished, note, load)
+            AttemptEnded(
+                query.request_id, attempt.number, outcome, latency, query.finished, cache_result, load
+            )
         )
         self._forget(query)
--- a/lupinladder/net/state_persister.py
+++ b/lupinladder/net/state_persister.py
@@ -21,7 +21,8 @@
 from lupinladder.net.config import ConfigError, ProxyConfig
 from lupinladder.net.discovery.endpoint_registry import EndpointRegistry
 from lupinladder.net.event_loop import EventLoop
-from lupinladder.net.log import counters, log_event
+from lupinladder.net.log import log_event
+from lupinladder.net.metrics import metrics
 from lupinladder.net.request_dispatcher import RequestDispatcher
 from lupinladder.operator_config.settings import StoreSettings as StoreSettings
 from lupinladder.recovery import warm_start
@@ -70,10 +71,10 @@
                     return
                 for one in batch:
                     self._store.put(one)
-                counters["store_bytes"] += self._store.flush(self._now())
+                metrics.store_bytes_written += self._store.flush(self._now())
             except Exception as bad:  # the proxy serves on without a store
-                counters["store_faults"] += 1
-                log_event("store", f"{type(bad).__name__}: {bad}")
+                metrics.store_errors += 1
+                log_event("store_failed", error=f"{type(bad).__name__}: {bad}")
                 if batch is None:
                     return
             self.busy = False
@@ -95,7 +96,9 @@
         limits = file_store.StoreLimits(settings.bytes, settings.bytes_per_s, settings.sync)
         owner = records.StoreOwner(conf.name, deployment_digest(conf))
         try:
-            store = file_store.Store(path, owner, now, lambda text: log_event("store", text), limits)
+            store = file_store.Store(
+                path, owner, now, lambda text: log_event("store_recovered", detail=text), limits
+            )
         except file_store.StoreError as bad:
             raise ConfigError(str(bad)) from None
         origin = conf.kinds[conf.origin_kind] if 0 <= conf.origin_kind < len(conf.kinds) else ""
--- a/lupinladder/simulator/codec.py
+++ b/lupinladder/simulator/codec.py
@@ -16,6 +16,7 @@
 )
 from lupinladder.balancing.events import (
     AttemptEnded,
+    CacheResult,
     ClientDisconnected,
     Endpoint,
     EndpointState,
@@ -64,6 +65,7 @@
     410: Outcome.NOT_STARTED,
     404: Outcome.MISS,
 }
+CACHE_RESULTS = {result.value: result for result in CacheResult}
 FORMS = {form.value: form for form in EndpointUpdateKind}
 STATES = {state.value: state for state in EndpointState}
 LISTS = 16  # list numbers run from 0 to 15
@@ -182,7 +184,9 @@
             raise ValueError(f"outcome {code} is unknown")
         at += _ENDED.size
         load = _FLOATS[n].unpack_from(body, at) if n else ()
-        return inst, AttemptEnded(ticket, attempt, OUTCOMES[code], latency, over != 0, note, load), at + 4 * n
+        cache_result = CACHE_RESULTS.get(note, CacheResult.MISS_PENDING)
+        ended = AttemptEnded(ticket, attempt, OUTCOMES[code], latency, over != 0, cache_result, load)
+        return inst, ended, at + 4 * n
 
     def _started(self, body: bytes, at: int) -> tuple[int, Message, int]:
         inst, ticket, latency, _, attempt = _STARTED.unpack_from(body, at)
--- a/tests/balancing/test_balancer_failures.py
+++ b/tests/balancing/test_balancer_failures.py
@@ -7,6 +7,7 @@
 from lupinladder import Balancer
 from lupinladder.balancing.events import (
     AttemptEnded,
+    CacheResult,
     Endpoint,
     EndpointState,
     EndpointUpdate,
@@ -36,13 +37,15 @@
     return proxy.seen[request].tries[attempt][0]
 
 
-def serve(proxy: Proxy, key: int, latency: float = 50, note: int = 1) -> bytes | None:
+def serve(
+    proxy: Proxy, key: int, latency: float = 50, cache_result: CacheResult = CacheResult.HIT
+) -> bytes | None:
     """A request that is answered. Returns its first server, or None where it was refused."""
     n = ask(proxy, key)
     if not proxy.seen[n].tries:
         return None
     proxy.now += latency
-    proxy.feed(AttemptEnded(n, 0, Outcome.OK, latency, True, note))
+    proxy.feed(AttemptEnded(n, 0, Outcome.OK, latency, True, cache_result))
     return server_of(proxy, n)
 
 
@@ -52,7 +55,7 @@
 
 
 def test_a_key_stays_with_its_server_and_balancers_agree() -> None:
-    one, other = proxy_of(), proxy_of(me=2)
+    one, other = proxy_of(), proxy_of(balancer_index=2)
     for key in range(1, 50):
         assert serve(one, key) == serve(one, key) == serve(other, key)
 
@@ -119,7 +122,7 @@
 
 
 def test_a_hung_server_gets_no_more_than_its_limit_and_a_pause() -> None:
-    proxy = proxy_of(balancers=20)
+    proxy = proxy_of(balancer_count=20)
     warm(proxy, 400)
     hung = serve(proxy, 7)
     out = 0
@@ -145,12 +148,12 @@
         n = ask(proxy, key)
         if proxy.seen[n].tries:
             proxy.now += 20
-            proxy.feed(AttemptEnded(n, 0, Outcome.OK, 900.0, True, 2))
+            proxy.feed(AttemptEnded(n, 0, Outcome.OK, 900.0, True, CacheResult.MISS))
     for key in range(2000, 2010):
         n = ask(proxy, key)
         if proxy.seen[n].tries:
             proxy.now += 900
-            proxy.feed(AttemptEnded(n, 0, Outcome.ERROR, 900.0, False, 2))
+            proxy.feed(AttemptEnded(n, 0, Outcome.ERROR, 900.0, False, CacheResult.MISS))
     assert len(proxy.seen[n].tries) <= 1  # a failed fetch is not repeated elsewhere
     refused = sum(not proxy.seen[ask(proxy, key)].tries for key in range(3000, 3040))
     assert refused > 30  # one more fetch would only join the queue
@@ -159,7 +162,7 @@
 
 
 def test_aside_concurrent_misses_wait_for_one_fetch() -> None:
-    conf = balancer_harness.settings(aside=True, origin_kind=1, max_attempts=3)
+    conf = balancer_harness.settings(cache_aside=True, origin_kind=1, max_attempts=3)
     proxy = Proxy(Balancer(conf, 1, 0.0), conf)
     listed = [*entries(6), Endpoint(sid(90), server_kind=1)]
     proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, listed))
@@ -174,10 +177,10 @@
 
 
 def test_aside_writes_go_to_the_origin_and_no_slot_is_the_origins() -> None:
-    conf = balancer_harness.settings(aside=True, origin_kind=1, max_attempts=3)
+    conf = balancer_harness.settings(cache_aside=True, origin_kind=1, max_attempts=3)
     proxy = Proxy(Balancer(conf, 1, 0.0), conf)
     proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, [*entries(6), Endpoint(sid(90), server_kind=1)]))
-    assert server_of(proxy, ask(proxy, 5, write=True)) == sid(90)
+    assert server_of(proxy, ask(proxy, 5, is_write=True)) == sid(90)
     assert all(server_of(proxy, ask(proxy, key)) != sid(90) for key in range(1, 60))
 
 
@@ -189,7 +192,7 @@
         [server] = proxy.balancer.members.values()
         return server.limiter.max_concurrency
 
-    assert limit(aside=True, origin_kind=1) < limit()
+    assert limit(cache_aside=True, origin_kind=1) < limit()
 
 
 def test_an_empty_fleet_and_one_that_only_drains_refuse_at_once() -> None:
@@ -209,7 +212,7 @@
 
 
 def test_the_list_is_asked_again_with_a_growing_wait_after_failures() -> None:
-    conf = balancer_harness.settings(ask=True, ask_within=10000.0)
+    conf = balancer_harness.settings(poll_endpoints=True, poll_interval=10000.0)
     proxy = Proxy(Balancer(conf, 1, 0.0), conf)
     waits = []
     for _ in range(4):
@@ -237,14 +240,14 @@
 
     # A watch is known to be silent after 3.2 s, and a call may take 2 s: within 6 s all of it.
     for within in (500.0, 10000.0, 60000.0, 0.0):
-        assert min(waits(1, ask=True, ask_within=within)) > 0, within
-        assert max(waits(1, ask=True, ask_within=within)) <= 800, within
+        assert min(waits(1, poll_endpoints=True, poll_interval=within)) > 0, within
+        assert max(waits(1, poll_endpoints=True, poll_interval=within)) <= 800, within
     # Pushed: what waits there counts as told whether or not a watch is open.
-    assert max(waits(6, ask=False, stop_within=400.0, ask_within=10000.0)) <= 200
+    assert max(waits(6, poll_endpoints=False, drain_grace_period=400.0, poll_interval=10000.0)) <= 200
 
 
 def test_a_tenant_over_its_quota_is_refused_first() -> None:
-    conf = balancer_harness.settings(tenant_quotas=[40.0, 40.0], over_share_worth=0.2)
+    conf = balancer_harness.settings(tenant_quotas=[40.0, 40.0], over_quota_weight=0.2)
     proxy = Proxy(Balancer(conf, 1, 0.0), conf)
     proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, entries(12)))
     warm(proxy)
@@ -269,7 +272,7 @@
         late = bool(proxy.seen[n].tries) and server_of(proxy, n) == slow
         proxy.now += 30
         if proxy.seen[n].tries:
-            proxy.feed(AttemptEnded(n, 0, Outcome.OK, 900.0 if late else 50.0, True, 1))
+            proxy.feed(AttemptEnded(n, 0, Outcome.OK, 900.0 if late else 50.0, True, CacheResult.HIT))
     assert 0.25 <= server.moved < 1  # bounded: it keeps a quarter of its slots
     others = [s.moved for s in proxy.balancer.members.values() if s is not server]
     assert min(others) == 1.0
@@ -302,7 +305,7 @@
 
 def test_equal_events_give_equal_actions() -> None:
     def run() -> list[tuple[float, bytes]]:
-        proxy = proxy_of(ask=True, ask_within=10000.0)
+        proxy = proxy_of(poll_endpoints=True, poll_interval=10000.0)
         warm(proxy)
         proxy.advance(proxy.now + 5000)
         return proxy.sends
@@ -311,7 +314,7 @@
 
 
 def test_an_owner_that_stands_still_is_passed_over_until_it_answers() -> None:
-    proxy = proxy_of(balancers=1)
+    proxy = proxy_of(balancer_count=1)
     warm(proxy, 1000)  # windows have closed: the mean latency is known
     owner = serve(proxy, 7)
     assert owner is not None
@@ -326,7 +329,7 @@
 
 
 def test_one_long_request_is_no_sign_that_a_server_stands_still() -> None:
-    proxy = proxy_of(balancers=1)
+    proxy = proxy_of(balancer_count=1)
     warm(proxy, 1000)
     owner = serve(proxy, 7)
     first = ask(proxy, 7)
--- a/tests/balancing/test_balancer_rules.py
+++ b/tests/balancing/test_balancer_rules.py
@@ -68,8 +68,8 @@
 MODES: list[dict[str, object]] = [
     {},
     {"may_duplicate": True},
-    {"aside": True, "origin_kind": 1, "max_attempts": 3},
-    {"ask": True, "ask_within": 10000.0},
+    {"cache_aside": True, "origin_kind": 1, "max_attempts": 3},
+    {"poll_endpoints": True, "poll_interval": 10000.0},
 ]
 
 
--- a/tests/balancing/test_many_balancers.py
+++ b/tests/balancing/test_many_balancers.py
@@ -9,6 +9,7 @@
 from lupinladder.balancing.balancer import SLOT_COUNT, ConcurrencyLimiter, Server, splitmix64
 from lupinladder.balancing.events import (
     AttemptEnded,
+    CacheResult,
     Endpoint,
     EndpointUpdate,
     EndpointUpdateKind,
@@ -30,7 +31,7 @@
     """Ask for key 1, answer it after 20 ms with this report, and say which server was sent to."""
     proxy.feed(RequestReceived(number, 0, 1500.0, key=1))
     proxy.now += 20
-    proxy.feed(AttemptEnded(number, 0, Outcome.OK, 20.0, True, 1, load))
+    proxy.feed(AttemptEnded(number, 0, Outcome.OK, 20.0, True, CacheResult.HIT, load))
     return proxy.seen[number].tries[0][0]
 
 
@@ -57,8 +58,8 @@
     def test_the_origin_is_tried_again_by_what_it_carried_however_many_and_uneven_the_balancers(self) -> None:
         # How many ms apart a balancer fetches differs from one to the next.
         for balancers, asked in ((1, 40), (3, 200), (200, 200), (200, 1000), (200, 4000)):
-            with self.subTest(balancers=balancers, asked=asked):
-                conf = settings(balancers=balancers, aside=True, origin_kind=1)
+            with self.subTest(balancer_count=balancers, asked=asked):
+                conf = settings(balancer_count=balancers, cache_aside=True, origin_kind=1)
                 proxy = Proxy(Balancer(conf, 1, 0.0), conf)
                 proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, [Endpoint(b"origin", server_kind=1)]))
                 lost, back, number = 0, 0.0, 0
@@ -95,7 +96,7 @@
 class Spill(TestCase):
     def test_three_owners_are_asked_before_a_refusal_and_all_of_them_with_many_balancers(self) -> None:
         for balancers, closed, sent in ((200, 3, 1), (4, 3, 0), (4, 2, 1)):
-            proxy = alone(balancers=balancers)
+            proxy = alone(balancer_count=balancers)
             owners = [server for server, _ in proxy.balancer.slots.owners(splitmix64(1) % SLOT_COUNT)]
             for server in owners[:closed]:  # a retest's drain, or the pace of a limit below one
                 server.limiter.next_send = proxy.now + 1000
@@ -106,12 +107,12 @@
 class Fetches(TestCase):
     def test_a_fetch_that_had_hardly_any_time_left_closes_no_origin(self) -> None:
         for left, closed in ((50.0, False), (1400.0, True)):
-            proxy = alone(balancers=200, aside=True, origin_kind=1)
+            proxy = alone(balancer_count=200, cache_aside=True, origin_kind=1)
             origin = Endpoint(b"origin", server_kind=1)
             proxy.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, [origin]))
             proxy.feed(RequestReceived(1, 0, 1500.0, key=1))
             proxy.now += 1500 - left
-            proxy.feed(AttemptEnded(1, 0, Outcome.MISS, 1500 - left, cache_result=2))
+            proxy.feed(AttemptEnded(1, 0, Outcome.MISS, 1500 - left, cache_result=CacheResult.MISS))
             proxy.now += left
             proxy.feed(AttemptEnded(1, 1, Outcome.TIMEOUT, left))
             proxy.now += 10
@@ -143,16 +144,16 @@
         }
         for name, (outcome, latency, load) in ends.items():
             with self.subTest(name):
-                proxy = alone(balancers=200)
+                proxy = alone(balancer_count=200)
                 proxy.feed(RequestReceived(1, 0, 1500.0, key=1))
                 first = proxy.seen[1].tries[0][0]
                 proxy.now += latency
-                proxy.feed(AttemptEnded(1, 0, outcome, latency, True, 1, load))
+                proxy.feed(AttemptEnded(1, 0, outcome, latency, True, CacheResult.HIT, load))
                 proxy.now += 15_000  # a server is met once in some ten seconds: half of 40 s, at the least
                 self.assertNotEqual(send(proxy, 2), first)
                 proxy.now += 50_000
                 self.assertEqual(send(proxy, 3), first)
-        proxy = alone(balancers=200)
+        proxy = alone(balancer_count=200)
         first = send(proxy, 1, (20.0, 1.0))
         self.assertEqual(send(proxy, 2), first)
 
--- a/tests/emulator/faulty_proxy.py
+++ b/tests/emulator/faulty_proxy.py
@@ -1,4 +1,4 @@
-"""The real proxy with one fault planted, for the referee to find: `python -m tests.emulator.faulty_proxy KIND`."""
+"""The real proxy with one fault planted, for the checker: `python -m tests.emulator.faulty_proxy KIND`."""
 
 from __future__ import annotations
 
--- a/tests/net/test_client_connection.py
+++ b/tests/net/test_client_connection.py
@@ -60,7 +60,7 @@
         self.answers(client, b"$400000\r\n%b\r\n" % value)
 
     def test_a_refusal_says_when_to_come_back(self) -> None:
-        self.script.react = lambda event: [Reject(event.id, 75.0)]
+        self.script.react = lambda event: [Reject(event.request_id, 75.0)]
         self.answers(self.client(get()), b"-BUSY 75\r\n")
 
     def test_pipelined_commands_are_answered_in_order_and_bad_ones_do_no_harm(self) -> None:
--- a/tests/net/test_request_dispatcher.py
+++ b/tests/net/test_request_dispatcher.py
@@ -53,16 +53,16 @@
         def react(event: Any) -> list[Action]:
             if isinstance(event, RequestReceived):
                 return [StartAttempt(event.request_id, NODE)] * 3
-            return [StartAttempt(event.id, NODE)] if event.attempt == 0 else []
+            return [StartAttempt(event.request_id, NODE)] if event.attempt == 0 else []
 
         self.script.react = react
         asked = self.ask()
-        self.assertEqual(self.script.ends(), [(2, "MOOT", False)])
+        self.assertEqual(self.script.ends(), [(2, "NOT_STARTED", False)])
         self.at_node(0).conn.send(SERVED)
         self.at_node(1).conn.send(SERVED)
         self.until(lambda: len(self.script.ends()) == 4, "all ends")
         self.assertEqual(asked.told, [b"V"])
-        self.assertIn((3, "MOOT", True), self.script.ends())
+        self.assertIn((3, "NOT_STARTED", True), self.script.ends())
         self.assertIn((1, "OK", True), self.script.ends())
 
     def test_expiry_is_cut_to_the_clients_deadline_and_the_past_expires_at_once(self) -> None:
@@ -90,7 +90,7 @@
                     CancelAttempt(event.request_id, 0),
                     CancelAttempt(event.request_id, 9),
                 ]
-            return [Reject(event.id), Fail(event.id), Reject(77)]
+            return [Reject(event.request_id), Fail(event.request_id), Reject(77)]
 
         self.script.react = react
         asked = self.ask()
--- a/tests/net/test_upstream_connection.py
+++ b/tests/net/test_upstream_connection.py
@@ -31,8 +31,10 @@
         asked = self.ask()
         wire = next(iter(self.links[NODE]._busy))
         wire.connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        large = mock.patch("tests.support.network_scene.NodeDialect.encode", return_value=b"x" * 150_000)
-        with large, mock.patch("tests.support.network_scene.Peer.received"):  # the node does not read
+        large = mock.patch(
+            "tests.support.network_scene.CacheNodeProtocol.encode", return_value=b"x" * 150_000
+        )
+        with large, mock.patch("tests.support.network_scene.Peer.on_data"):  # the node does not read
             self.until(lambda: self.node.peers and wire.connection.bytes_sent, "some bytes")
             self.node.peers[0].reset()
             self.assertEqual(self.outcome(asked), "CONNECT_FAILED")
@@ -47,7 +49,7 @@
     def test_turned_away(self) -> None:
         asked = self.ask()
         self.at_node().conn.send(b"-BUSY\r\n")
-        self.assertEqual(self.outcome(asked), "FULL")
+        self.assertEqual(self.outcome(asked), "REJECTED")
 
     def test_an_answer_that_makes_no_sense(self) -> None:
         asked = self.ask()
@@ -169,7 +171,7 @@
                 self.until(lambda: self.engine.is_idle, "its leaving")
                 come_up()
                 wire = held[0]
-                self.until(lambda: not wire.opening, "the connection")  # noqa: B023
+                self.until(lambda: not wire.connecting, "the connection")  # noqa: B023
                 self.ask()  # goes on the same connection, and is the first thing on it
                 node = self.at_node(before)
                 self.assertEqual(node.got.count(b"OBJ.GET"), 1)
@@ -234,7 +236,7 @@
         held, come_up = self.late()
         first = self.ask()
         self.until(lambda: held, "a connection")
-        with mock.patch.object(self.budget, "spare", lambda keep=0: False):
+        with mock.patch.object(self.budget, "has_capacity", lambda keep=0: False):
             second, third = self.ask(60), self.ask()
         self.until(lambda: second.told, "its end")
         come_up()
--- a/tests/recovery/test_restart_recovery.py
+++ b/tests/recovery/test_restart_recovery.py
@@ -132,7 +132,7 @@
         store = self.folder / "n1.store"
         good = f'[store]\npath = "{self.folder}/{{name}}.store"\n'
         first = self.start(good)
-        self.said(first, "store: list of the config; nothing stored")
+        self.said(first, 'warm_start summary="list of the config; nothing stored')
         for operators, part in [
             (good, f"{store}: another process uses this store; give each proxy a file"),
             ("[store]\npath = 'here'\n", "operator.toml:2: store.path: expected a path from the root"),
@@ -148,7 +148,7 @@
             line = self.said(other, part)
             self.assertEqual((other.wait(), line.count("\n")), (2, 1), operators)
         first.terminate()
-        self.said(first, "stop: all answered")
+        self.said(first, "shutdown_finished")
         self.assertEqual(first.wait(), 0)
         found = records.fold(file_store.peek(store))
         assert found
--- a/tests/recovery/test_warm_start.py
+++ b/tests/recovery/test_warm_start.py
@@ -96,7 +96,7 @@
 
 class Module(TestCase):
     def proxy(self, *events: Event) -> Proxy:
-        conf = balancer_harness.settings(balancers=1)
+        conf = balancer_harness.settings(balancer_count=1)
         proxy = Proxy(Balancer(conf, 1, 0.0), conf)
         proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, entries(4)))
         for event in events:
--- a/tests/simulator/test_codec.py
+++ b/tests/simulator/test_codec.py
@@ -21,6 +21,7 @@
 )
 from lupinladder.balancing.events import (
     AttemptEnded,
+    CacheResult,
     ClientDisconnected,
     Endpoint,
     EndpointState,
@@ -155,7 +156,7 @@
 ) -> None:
     raw = struct.pack("<BHQ6sIBdHBB", 5, inst, ticket, NODE, 2, over, latency, code, attempt, len(load))
     raw += struct.pack(f"<{len(load)}f", *load)
-    expected = AttemptEnded(ticket, attempt, OUTCOMES[code], latency, over, 2, tuple(load))
+    expected = AttemptEnded(ticket, attempt, OUTCOMES[code], latency, over, CacheResult.MISS, tuple(load))
     assert list(Decoder().decode(raw)) == [(inst, expected)]
 
 
--- a/tests/support/balancer_harness.py
+++ b/tests/support/balancer_harness.py
@@ -52,14 +52,14 @@
 def settings(**more: object) -> Settings:
     base: dict[str, object] = {
         "classes": classes(),
-        "balancers": 4,
+        "balancer_count": 4,
         "max_attempts": 4,
         "max_retry_after": 400.0,
-        "stop_within": 250.0,
-        "cold_share": 0.12,
-        "cold_for": 20000.0,
+        "drain_grace_period": 250.0,
+        "initial_capacity": 0.12,
+        "warmup_time": 20000.0,
         "overload_factor": 3.0,
-        "fall_within": 3000.0,
+        "overload_duration": 3000.0,
     }
     return Settings(**{**base, **more})  # type: ignore[arg-type]
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -17,7 +17,7 @@
 from tests.support.endpoint_lists import configuration, listing
 from tests.support.network_scene import SERVED, Door, Scene, get
 
-ROOT = Path(__file__).resolve().parent.parent.parent
+ROOT = Path(__file__).resolve().parent.parent
 
 
 PING = b"*1\r\n$4\r\nPING\r\n"
@@ -34,7 +34,7 @@
     def test_a_log_that_nobody_reads_any_more_does_no_harm(self) -> None:
         broken = mock.patch("builtins.print", side_effect=BrokenPipeError)
         with broken:
-            log_event("test", "x")
+            log_event("test", detail="x")
 
     def test_a_bad_configuration_is_one_plain_line(self) -> None:
         with self.start({"GW_CONFIG": "/nowhere"}) as process:
@@ -65,7 +65,7 @@
                 node = self.at_node()
                 path.write_text("{")
                 process.send_signal(signal.SIGHUP)
-                self.assertIn(b"the old configuration stays", process.stderr.readline())
+                self.assertIn(b"reload_rejected error=", process.stderr.readline())
                 write(doors[1])
                 for _ in range(50):
                     process.send_signal(signal.SIGHUP)
