Split the client side into modules of one job, their text unchanged

The listener, the connection, what an upstream reply says, the estimator of returns, the capacity and the choice of whom to evict stood in three files. Each has its module now, and each module its test file; tests and text moved as they were. client_command still offers the names of upstream_reply, and client_listener that of PendingReply, to those who import them.

--- a/lupinladder/connection_limits/idle_clients.py
+++ b/lupinladder/connection_limits/idle_return_estimator.py
@@ -2,15 +2,12 @@
 
 Clients hold at most a part of the descriptors for requests and keep their connections. Some ask again in a
 moment, some never do; those that never do fill the clients' part until nobody can open the next, long before
-our own bound is reached. Closing too eagerly costs a handshake for each that would have asked. So two things
-are estimated here, both from what is seen:
-
-- `Returns`: how likely a connection that has rested so long, after so many commands, asks again soon. The
-  product-limit estimate (Kaplan and Meier 1958) over spans of rest: of the rests that reached a span, the
-  share that ended in it by a command. Rests cut short by a close count in the spans that they outlived and in
-  no other, so that what is closed does not teach that nobody returns.
-- `Room`: how many descriptors newcomers will want within the next second.
-
+our own bound is reached. Closing too eagerly costs a handshake for each that would have asked. So this is
+estimated from what is seen: how likely a connection that has rested so long, after so many commands,
+asks again soon. The
+product-limit estimate (Kaplan and Meier 1958) over spans of rest: of the rests that reached a span, the
+share that ended in it by a command. Rests cut short by a close count in the spans that they outlived and in
+no other, so that what is closed does not teach that nobody returns.
 All times in milliseconds; nothing is kept per connection.
 """
 
@@ -25,12 +22,6 @@
 FIRST = 0.8  # the share taken to return within the first span, without evidence
 WEIGHT = 3.0  # rests that such an assumption counts as
 MEMORY = 256.0  # rests that a span remembers; then all it knows is halved
-WORTH = 0.35  # the chance to return below which a connection is worth less than the room it takes
-AHEAD, EASE = (
-    300.0,
-    0.25,
-)  # room for so many ms of newcomers (a look comes every 100), and at least this part of the clients' share
-SMOOTH = 0.3
 
 
 def use_group(asked: int) -> int:
@@ -83,34 +74,3 @@
             if n >= place:
                 stays *= 1 - share
         return 1 - stays
-
-
-class ConnectionCapacity:
-    """How much of the clients' share should be free. `share` is the number of connections that clients may
-    hold for requests; close to it they cannot tell us how many more would come."""
-
-    def __init__(self, share: int, now: float) -> None:
-        self.share = max(share, 4)
-        self._came, self._since, self._rate = 0, now, 0.0  # newcomers a ms
-
-    def came(self) -> None:
-        """A connection was accepted."""
-        self._came += 1
-
-    def short(self, held: int, now: float) -> int:
-        """How many of `held` connections should go, at most, by now. Also closes a span of counting."""
-        past = now - self._since
-        if past > 0:
-            self._rate += (self._came / past - self._rate) * SMOOTH
-            self._came, self._since = 0, now
-        want = min(max(self._rate * AHEAD, self.share * EASE), self.share / 2)
-        return max(0, round(held + want) - self.share)
-
-
-def select_for_eviction(
-    resting: list[tuple[int, float]], returns: IdleReturnEstimator, most: int
-) -> list[int]:
-    """Which of the resting connections, (commands asked, ms rested) each, to close, at most so many: their
-    places, those least likely to return first. One that is likelier than WORTH to return is never there."""
-    chances = [(returns.chance(asked, rested), -rested, n) for n, (asked, rested) in enumerate(resting)]
-    return [n for chance, _, n in sorted(chances)[: max(most, 0)] if chance < WORTH]
--- a/lupinladder/net/client_command.py
+++ b/lupinladder/net/client_command.py
@@ -7,29 +7,28 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
-from lupinladder.balancing.events import CacheResult, Outcome
+from lupinladder.net.upstream_reply import (
+    CACHE_RESULTS,
+    MAX_REPLY_VALUE_BYTES,
+    UpstreamReply,
+    parse_load_report,
+)
+
+__all__ = [  # what was defined here before and is imported from here still, beside this module's own
+    "CACHE_RESULTS",
+    "MAX_REPLY_VALUE_BYTES",
+    "MAX_STORED_VALUE_BYTES",
+    "ClientCommand",
+    "CommandError",
+    "UpstreamReply",
+    "parse_command",
+    "parse_load_report",
+]
 
 MAX_STORED_VALUE_BYTES = 64 << 10  # of a value that a client may store
-# Of a value in an answer. Days of service bring good ones of 400 KB and spoilt ones declared as 3 GB.
-MAX_REPLY_VALUE_BYTES = 1 << 20
 _PLAIN = re.compile(rb"[0-9A-Za-z._~-]{1,128}")  # safe in a path and in a header
 _LABELS = re.compile(rb"[a-z0-9_]{1,32}=[!-+\--~]*(,[a-z0-9_]{1,32}=[!-+\--~]*)*")
 _HEX = re.compile(rb"[0-9a-f]{1,16}")
-REPORT_NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,20})?(e-?[0-9]{1,2})?")
-CACHE_RESULTS = {
-    b"hit": CacheResult.HIT,
-    b"miss": CacheResult.MISS,
-    b"pending": CacheResult.MISS_PENDING,
-}
-# Load reports use the site's names, the settings those of the simulator's wire.
-REPORT_FIELD_ALIASES = {
-    "fail_rate": "eps",
-    "lat_ms": "latency_ms",
-    "rate": "qps",
-    "rif": "inflight",
-    "q": "queue",
-    "busy": "util",
-}
 
 
 class CommandError(Exception):
@@ -68,16 +67,6 @@
         return [*self.words[:3], self.labels_with_deadline(wait), *self.words[4:]]
 
 
-@dataclass(slots=True)
-class UpstreamReply:
-    """What an attempt came to, in the module's terms."""
-
-    outcome: Outcome
-    value: bytes | None = None
-    cache_result: CacheResult = CacheResult.NONE
-    load: tuple[float, ...] = ()
-
-
 def _figure(labels: dict[bytes, bytes], name: bytes) -> float:
     text = labels.get(name, b"0")
     try:
@@ -129,15 +118,3 @@
         _figure(labels, b"h") / 1000,  # told in microseconds
         _figure(labels, b"size"),
     )
-
-
-def parse_load_report(text: bytes | None, fields: Sequence[str]) -> tuple[float, ...]:
-    """A load report in the order of the settings' fields; empty if any is missing or no figure: the answer
-    that brings it is good all the same. float() alone would take nan, inf and figures below 0."""
-    found: dict[str, float] = {}
-    for pair in (text or b"").decode("latin-1").split(","):
-        name, _, value = pair.strip().partition("=")
-        if REPORT_NUMBER.fullmatch(value):
-            found[name] = float(value)
-    values = [found.get(field, found.get(REPORT_FIELD_ALIASES.get(field, field))) for field in fields]
-    return tuple(v for v in values if v is not None) if None not in values else ()
