Split the RESP parser into steps and give framing errors a type

One method read bulk strings, lines and nested arrays with a while-else. Each step is a method now, an array that is being read is a small record, and faults of framing are an enumeration with the wording that clients get, as before.

--- a/lupinladder/net/client_connection.py
+++ b/lupinladder/net/client_connection.py
@@ -113,7 +113,7 @@
     def _command(self, value: resp.Value) -> None:
         words = value if isinstance(value, list) else None
         if words is None or not all(type(word) is bytes for word in words):
-            raise resp.FramingError("a command is an array of bulk strings")
+            raise resp.FramingError(resp.FramingFault.NOT_A_COMMAND)
         if not words:
             return
         now = self._front.loop.now()
--- a/lupinladder/net/resp.py
+++ b/lupinladder/net/resp.py
@@ -1,124 +1,180 @@
-"""RESP2: an incremental parser over a ring, and encoders. No sockets."""
+"""RESP2: an incremental parser over a ring buffer, and encoders. It does no I/O."""
 
 from __future__ import annotations
 
 from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
 
+from lupinladder.errors import LupinladderError
 from lupinladder.net.ring_buffer import RingBuffer
 
-MAX_LINE, MAX_DEPTH = 4096, 4
-INT_DIGITS = 20
+MAX_LINE_BYTES = 4096  # of a header, a simple string or an error, without its CR LF
+MAX_NESTED_ARRAYS = 4
+MAX_INTEGER_DIGITS = 20
+CRLF = b"\r\n"
 
 
-class FramingError(Exception):
-    """Bytes after which nothing on the connection can be trusted."""
+class FramingFault(StrEnum):
+    """What is wrong with the bytes, as it is told to a client."""
+
+    NOT_A_NUMBER = "not a number"
+    BULK_NOT_TERMINATED = "bulk string is not ended by CR LF"
+    UNKNOWN_TYPE = "unknown type byte"
+    NESTED_TOO_DEEP = "arrays nested too deep"
+    NOT_A_COMMAND = "a command is an array of bulk strings"
+
+
+class FramingError(LupinladderError):
+    """The bytes are not RESP, so nothing that follows on the connection can be trusted."""
+
+
+class LengthError(FramingError):
+    """A bulk string or an array is declared with a negative length, or one above the limit."""
+
+    def __init__(self, length: int) -> None:
+        super().__init__(f"length {length} is out of bounds")
+        self.length = length
 
 
 class SimpleString(bytes):
-    """A simple string."""
+    """The text of a simple string (`+OK`)."""
 
 
 class ErrorReply(bytes):
-    """An error line."""
+    """The text of an error (`-ERR ...`)."""
 
 
 Value = bytes | int | None | list["Value"]
 
 
 class Incomplete:
-    """The type of PENDING: no whole value yet."""
+    """The type of `INCOMPLETE`: no whole value has arrived yet."""
 
 
 INCOMPLETE = Incomplete()
-_OPEN = Incomplete()  # the head of a bulk string or an array: more follows
+_CONTENT_FOLLOWS = Incomplete()  # a header or an element was read, and the value around it goes on
 
 
-def number(text: bytes) -> int:
-    """A decimal as RESP writes it. int() alone would take spaces, underscores and plus signs."""
+@dataclass(slots=True)
+class _OpenArray:
+    """An array whose header has been read and whose last element has not."""
+
+    length: int
+    items: list[Value] = field(default_factory=list)
+
+
+def parse_integer(text: bytes) -> int:
+    """Read a decimal integer as RESP writes it; FramingError for anything else.
+
+    int() alone would also accept spaces, underscores and plus signs.
+    """
     digits = text[1:] if text[:1] == b"-" else text
-    if not digits.isdigit() or len(digits) > INT_DIGITS:
-        raise FramingError("not a number")
+    if not digits.isdigit() or len(digits) > MAX_INTEGER_DIGITS:
+        raise FramingError(FramingFault.NOT_A_NUMBER)
     return int(text)
 
 
 class RespParser:
-    """Takes one value at a time off a ring and keeps its place between calls."""
+    """Takes one value at a time off a ring buffer and keeps its position between calls."""
 
-    def __init__(self, max_bulk: int, max_items: int) -> None:
-        self._max_bulk, self._max_items = max_bulk, max_items
-        self._arrays: list[tuple[list[Value], int]] = []  # begun arrays, and how long they will be
-        self._bulk, self._need = bytearray(), 0  # a begun bulk string, and its length with CR LF
+    def __init__(self, max_bulk_bytes: int, max_array_length: int) -> None:
+        self._max_bulk_bytes = max_bulk_bytes
+        self._max_array_length = max_array_length
+        self._open_arrays: list[_OpenArray] = []
+        self._bulk = bytearray()  # what has arrived of the bulk string that is being read
+        self._bulk_bytes = 0  # the length of that bulk string with its CR LF; 0: none is being read
 
     @property
     def idle(self) -> bool:
-        """Between values."""
-        return not self._arrays and not self._need
+        """Whether the parser is between two values."""
+        return not self._open_arrays and not self._bulk_bytes
 
     def next(self, ring: RingBuffer) -> Value | Incomplete:
+        """Take the next whole value; INCOMPLETE until one has arrived. Raises FramingError."""
         while True:
-            value: Value | Incomplete
-            if self._need:
-                self._bulk += ring.read(self._need - len(self._bulk))
-                if len(self._bulk) < self._need:
-                    return INCOMPLETE
-                if self._bulk[-2:] != b"\r\n":
-                    raise FramingError("bulk string is not ended by CR LF")
-                value = bytes(self._bulk[:-2])
-                self._bulk, self._need = bytearray(), 0
-            else:
-                try:
-                    line = ring.read_line(MAX_LINE)
-                except ValueError as bad:
-                    raise FramingError(str(bad)) from None
-                if line is None:
-                    return INCOMPLETE
-                value = self._begin(line)
-                if isinstance(value, Incomplete):
-                    continue
-            while self._arrays:
-                items, length = self._arrays[-1]
-                items.append(value)
-                if len(items) < length:
-                    break
-                value = items
-                self._arrays.pop()
-            else:
+            value = self._read_bulk(ring) if self._bulk_bytes else self._read_line(ring)
+            if self._open_arrays and not isinstance(value, Incomplete):
+                value = self._append_to_array(value)
+            if value is not _CONTENT_FOLLOWS:
                 return value
 
-    def _begin(self, line: bytes) -> Value | Incomplete:
-        kind, rest = line[:1], line[1:]
-        if kind == b"+":
-            return SimpleString(rest)
-        if kind == b"-":
-            return ErrorReply(rest)
-        if kind == b":":
-            return number(rest)
-        if kind not in (b"$", b"*"):
-            raise FramingError("unknown type byte")
-        length = number(rest)
-        if length == -1:
+    def _read_bulk(self, ring: RingBuffer) -> bytes | Incomplete:
+        """Read on in a bulk string whose header has been read."""
+        self._bulk += ring.read(self._bulk_bytes - len(self._bulk))
+        if len(self._bulk) < self._bulk_bytes:
+            return INCOMPLETE
+        if self._bulk[-2:] != CRLF:
+            raise FramingError(FramingFault.BULK_NOT_TERMINATED)
+        value = bytes(self._bulk[:-2])
+        self._bulk = bytearray()
+        self._bulk_bytes = 0
+        return value
+
+    def _read_line(self, ring: RingBuffer) -> Value | Incomplete:
+        """Read a value of one line, or the header of a bulk string or an array."""
+        try:
+            line = ring.read_line(MAX_LINE_BYTES)
+        except ValueError as error:
+            raise FramingError(str(error)) from None
+        if line is None:
+            return INCOMPLETE
+        type_byte = line[:1]
+        text = line[1:]
+        if type_byte == b"$":
+            return self._begin_bulk(parse_integer(text))
+        if type_byte == b"*":
+            return self._begin_array(parse_integer(text))
+        if type_byte == b"+":
+            return SimpleString(text)
+        if type_byte == b"-":
+            return ErrorReply(text)
+        if type_byte == b":":
+            return parse_integer(text)
+        raise FramingError(FramingFault.UNKNOWN_TYPE)
+
+    def _begin_bulk(self, length: int) -> Value | Incomplete:
+        if length == -1:  # the null bulk string
+            return None
+        if not 0 <= length <= self._max_bulk_bytes:
+            raise LengthError(length)
+        self._bulk_bytes = length + len(CRLF)
+        return _CONTENT_FOLLOWS
+
+    def _begin_array(self, length: int) -> Value | Incomplete:
+        if length == -1:  # the null array
             return None
-        if length < 0 or length > (self._max_bulk if kind == b"$" else self._max_items):
-            raise FramingError(f"length {length} is out of bounds")
-        if kind == b"$":
-            self._need = length + 2
-            return _OPEN
+        if not 0 <= length <= self._max_array_length:
+            raise LengthError(length)
         if not length:
             return []
-        if len(self._arrays) >= MAX_DEPTH:
-            raise FramingError("arrays nested too deep")
-        self._arrays.append(([], length))
-        return _OPEN
+        if len(self._open_arrays) >= MAX_NESTED_ARRAYS:
+            raise FramingError(FramingFault.NESTED_TOO_DEEP)
+        self._open_arrays.append(_OpenArray(length))
+        return _CONTENT_FOLLOWS
+
+    def _append_to_array(self, value: Value) -> Value | Incomplete:
+        """Append to the innermost open array; return the outermost one once it is complete."""
+        while self._open_arrays:
+            array = self._open_arrays[-1]
+            array.items.append(value)
+            if len(array.items) < array.length:
+                return _CONTENT_FOLLOWS
+            value = array.items
+            self._open_arrays.pop()
+        return value
 
 
 def encode_bulk(data: bytes) -> bytes:
+    """A bulk string."""
     return b"$%d\r\n%b\r\n" % (len(data), data)
 
 
-def encode_array(words: Sequence[bytes]) -> bytes:
-    return b"*%d\r\n" % len(words) + b"".join(encode_bulk(word) for word in words)
+def encode_array(items: Sequence[bytes]) -> bytes:
+    """An array of bulk strings."""
+    return b"*%d\r\n" % len(items) + b"".join(encode_bulk(item) for item in items)
 
 
 def encode_error(text: str) -> bytes:
-    """An error line; whatever would end the line early is replaced."""
-    return b"-" + text.replace("\r", " ").replace("\n", " ").encode("utf-8", "replace") + b"\r\n"
+    """An error line; CR and LF in the text, which would end the line early, become spaces."""
+    return b"-" + text.replace("\r", " ").replace("\n", " ").encode("utf-8", "replace") + CRLF
--- a/tests/net/test_resp.py
+++ b/tests/net/test_resp.py
@@ -4,21 +4,18 @@
 
 import unittest
 
-from lupinladder.balancing.events import Outcome
 from lupinladder.net import resp
 from lupinladder.net.ring_buffer import RingBuffer
 
-MISS, OK, FULL, ERROR = Outcome.MISS, Outcome.OK, Outcome.REJECTED, Outcome.ERROR
 
-
-def ring_of(data: bytes) -> RingBuffer:
+def ring_with(data: bytes) -> RingBuffer:
     ring = RingBuffer(1 << 20)
     ring.append(data)
     return ring
 
 
-class Resp(unittest.TestCase):
-    WHOLE: tuple[tuple[bytes, resp.Value], ...] = (
+class RespParserValues(unittest.TestCase):
+    VALUES: tuple[tuple[bytes, resp.Value], ...] = (
         (b"+OK\r\n", b"OK"),
         (b"-ERR x\r\n", b"ERR x"),
         (b":-12\r\n", -12),
@@ -30,11 +27,12 @@
         (b"*3\r\n$1\r\na\r\n*1\r\n:1\r\n$-1\r\n", [b"a", [1], None]),
     )
 
-    def test_values_whole_and_byte_by_byte(self) -> None:
-        for data, value in self.WHOLE:
+    def test_values_are_read_whole_and_byte_by_byte(self) -> None:
+        for data, value in self.VALUES:
             with self.subTest(data=data):
-                self.assertEqual(resp.RespParser(64, 8).next(ring_of(data)), value)
-                parser, ring = resp.RespParser(64, 8), RingBuffer(64)
+                self.assertEqual(resp.RespParser(64, 8).next(ring_with(data)), value)
+                parser = resp.RespParser(64, 8)
+                ring = RingBuffer(64)
                 for byte in data[:-1]:
                     ring.append(bytes([byte]))
                     self.assertIs(parser.next(ring), resp.INCOMPLETE)
@@ -42,7 +40,9 @@
                 self.assertEqual(parser.next(ring), value)
                 self.assertTrue(parser.idle)
 
-    def test_broken_framing(self) -> None:
+
+class RespParserErrors(unittest.TestCase):
+    def test_broken_framing_raises_a_framing_error(self) -> None:
         for data in (
             b"PING\r\n",
             b"*x\r\n",
@@ -57,7 +57,9 @@
             b"+x\n",
         ):
             with self.subTest(data=data), self.assertRaises(resp.FramingError):
-                resp.RespParser(64, 8).next(ring_of(data))
+                resp.RespParser(64, 8).next(ring_with(data))
+
 
-    def test_an_error_line_cannot_be_broken_out_of(self) -> None:
+class RespEncoders(unittest.TestCase):
+    def test_an_error_text_cannot_end_its_line_early(self) -> None:
         self.assertEqual(resp.encode_error("ERR a\r\n+OK"), b"-ERR a  +OK\r\n")
