Read a client's command in named steps, with its faults as an enumeration

parse_command checked twelve things in one function with bare labels and numbers. The words, the labels and the numbers in them have a function each, labels and limits have names, and the texts that senders get are an enumeration, byte for byte as before.

--- a/lupinladder/net/client_command.py
+++ b/lupinladder/net/client_command.py
@@ -1,12 +1,14 @@
-"""The one place that translates: words on the sockets to and from the module's terms."""
+"""Commands of clients: which are valid, and their fields in the terms of the decision module."""
 
 from __future__ import annotations
 
 import re
 from collections.abc import Sequence
 from dataclasses import dataclass
+from enum import StrEnum
 from hashlib import blake2b
 
+from lupinladder.errors import LupinladderError
 from lupinladder.net.upstream_reply import (
     CACHE_RESULTS,
     MAX_REPLY_VALUE_BYTES,
@@ -14,107 +16,163 @@
     parse_load_report,
 )
 
-__all__ = [  # what was defined here before and is imported from here still, beside this module's own
+__all__ = [  # the names of `upstream_reply` were defined here once, and are still imported from here
     "CACHE_RESULTS",
     "MAX_REPLY_VALUE_BYTES",
     "MAX_STORED_VALUE_BYTES",
     "ClientCommand",
     "CommandError",
+    "CommandFault",
     "UpstreamReply",
     "parse_command",
     "parse_load_report",
 ]
 
 MAX_STORED_VALUE_BYTES = 64 << 10  # of a value that a client may store
-_PLAIN = re.compile(rb"[0-9A-Za-z._~-]{1,128}")  # safe in a path and in a header
+MAX_LABELS_BYTES = 1024
+MAX_LABEL_NUMBER = 1e12  # numbers in labels are below this
+KEY_DIGEST_BYTES = 8
+MICROSECONDS_PER_MS = 1000
+
+GET_COMMAND = b"OBJ.GET"
+SET_COMMAND = b"OBJ.SET"
+GET_WORD_COUNT = 4  # name, key, id, labels
+SET_WORD_COUNT = 5  # the same and the value
+
+CLASS_LABEL = b"c"
+TENANT_LABEL = b"t"
+DEADLINE_LABEL = b"d"  # how long the client waits, in ms
+RETRY_LABEL = b"r"
+WORK_LABEL = b"h"  # the expected work, in microseconds
+SIZE_LABEL = b"size"
+
+_KEY_OR_ID = re.compile(rb"[0-9A-Za-z._~-]{1,128}")  # safe in the path and the headers of an HTTP request
 _LABELS = re.compile(rb"[a-z0-9_]{1,32}=[!-+\--~]*(,[a-z0-9_]{1,32}=[!-+\--~]*)*")
-_HEX = re.compile(rb"[0-9a-f]{1,16}")
+_HEX_KEY = re.compile(rb"[0-9a-f]{1,16}")
+_LABEL_NUMBER = re.compile(rb"[0-9]+(\.[0-9]+)?")
 
 
-class CommandError(Exception):
-    """A command that no client should send; the text is for its sender."""
+class CommandFault(StrEnum):
+    """What is wrong with a command, as its sender is told."""
+
+    UNKNOWN_COMMAND = "unknown command"
+    ARGUMENT_COUNT = "wrong number of arguments"
+    KEY_OR_ID = "key or id is not plain"
+    LABELS = "labels are not names and values"
+    DUPLICATE_LABEL = "a label is given twice"
+    UNKNOWN_CLASS = "class is unknown"
+    UNKNOWN_TENANT = "tenant is unknown"
+    MISSING_DEADLINE = "d is missing"
+
+
+class CommandError(LupinladderError):
+    """A command that no client should send; its text is for the sender."""
+
+
+class LabelNumberError(CommandError):
+    """A label that has to be a number is none."""
+
+    def __init__(self, label: bytes) -> None:
+        super().__init__(f"{label.decode()} is not a figure")
+        self.label = label
 
 
 @dataclass(slots=True)
 class ClientCommand:
-    """A client's query as it came, and what the module is told of it."""
+    """A client's command as it came, and the fields that the decisions need."""
 
-    words: list[bytes]
+    words: list[bytes]  # name, key, id and labels; a write's value is the fifth
     labels: dict[bytes, bytes]
-    request_class: int
-    tenant: int
-    timeout: float
+    request_class: int  # index in the classes of the settings
+    tenant: int  # index in the tenants of the settings; 0 where there are none
+    timeout: float  # how long the client waits, in ms
     is_write: bool
     is_retry: bool
-    expected_work: float
+    expected_work: float  # in ms
     size: float
 
     @property
     def key(self) -> int:
-        """The key as the module's number, the same at every proxy."""
-        word = self.words[1]
-        if _HEX.fullmatch(word):
-            return int(word, 16)
-        return int.from_bytes(blake2b(word, digest_size=8).digest(), "big")
+        """The key as the decision module's number, the same at every proxy."""
+        key = self.words[1]
+        if _HEX_KEY.fullmatch(key):
+            return int(key, 16)
+        return int.from_bytes(blake2b(key, digest_size=KEY_DIGEST_BYTES).digest(), "big")
 
     def labels_with_deadline(self, wait: float) -> bytes:
-        """The labels for a server: unchanged and in order, but `d` gives how long we wait, in whole ms."""
-        labels = {**self.labels, b"d": b"%d" % max(1, round(wait))}
+        """The labels for a server, in their order; only `d` changes: how long we wait, in whole ms."""
+        labels = {**self.labels, DEADLINE_LABEL: b"%d" % max(1, round(wait))}
         return b",".join(name + b"=" + value for name, value in labels.items())
 
     def with_deadline(self, wait: float) -> list[bytes]:
-        """The words for a cache node: unchanged, but for the labels."""
+        """The command for a cache node: unchanged, except for the label `d` (`wait` in ms)."""
         return [*self.words[:3], self.labels_with_deadline(wait), *self.words[4:]]
 
 
-def _figure(labels: dict[bytes, bytes], name: bytes) -> float:
-    text = labels.get(name, b"0")
-    try:
-        value = float(text) if re.fullmatch(rb"[0-9]+(\.[0-9]+)?", text) else -1.0
-    except ValueError:
-        value = -1.0
-    if not 0 <= value < 1e12:
-        raise CommandError(f"{name.decode()} is not a figure")
-    return value
-
-
 def parse_command(
     words: Sequence[bytes], classes: Sequence[str], tenants: Sequence[str] = ()
 ) -> ClientCommand:
-    """Read a query. Malformed for anything that is not exactly one. Where the settings name tenants,
-    each query is one tenant's (label `t`); elsewhere the label is passed on unread."""
-    name = words[0].upper()
-    write = name == b"OBJ.SET"
-    if name not in (b"OBJ.GET", b"OBJ.SET"):
-        raise CommandError("unknown command")
-    if len(words) != (5 if write else 4):
-        raise CommandError("wrong number of arguments")
-    if not _PLAIN.fullmatch(words[1]) or not _PLAIN.fullmatch(words[2]):
-        raise CommandError("key or id is not plain")
-    if len(words[3]) > 1024 or not _LABELS.fullmatch(words[3]):
-        raise CommandError("labels are not names and values")
-    pairs = [pair.split(b"=", 1) for pair in words[3].split(b",")]
-    labels = {name: value for name, value in pairs}
-    if len(labels) != len(pairs):
-        raise CommandError("a label is given twice")
-    if labels.get(b"c", b"").decode() not in classes:
-        raise CommandError("class is unknown")
-    tenant = labels.get(b"t", b"").decode()
-    if tenants and tenant not in tenants:
-        raise CommandError("tenant is unknown")
-    patience = _figure(labels, b"d")
-    if patience <= 0:
-        raise CommandError("d is missing")
-    kind = classes.index(labels[b"c"].decode())
-    again = labels.get(b"r") == b"1"
+    """Read a GET or a SET; CommandError for anything else.
+
+    `classes` and `tenants` are names from the settings. Where the settings name tenants, each command has to
+    name one of them (label `t`); elsewhere that label is passed on unread.
+    """
+    is_write = _check_words(words)
+    labels = _parse_labels(words[3])
+    class_name = labels.get(CLASS_LABEL, b"").decode()
+    if class_name not in classes:
+        raise CommandError(CommandFault.UNKNOWN_CLASS)
+    tenant_name = labels.get(TENANT_LABEL, b"").decode()
+    if tenants and tenant_name not in tenants:
+        raise CommandError(CommandFault.UNKNOWN_TENANT)
+    timeout = _label_number(labels, DEADLINE_LABEL)
+    if timeout <= 0:
+        raise CommandError(CommandFault.MISSING_DEADLINE)
     return ClientCommand(
-        list(words),
-        labels,
-        kind,
-        tenants.index(tenant) if tenants else 0,
-        patience,
-        write,
-        again,
-        _figure(labels, b"h") / 1000,  # told in microseconds
-        _figure(labels, b"size"),
+        words=list(words),
+        labels=labels,
+        request_class=classes.index(class_name),
+        tenant=tenants.index(tenant_name) if tenants else 0,
+        timeout=timeout,
+        is_write=is_write,
+        is_retry=labels.get(RETRY_LABEL) == b"1",
+        expected_work=_label_number(labels, WORK_LABEL) / MICROSECONDS_PER_MS,
+        size=_label_number(labels, SIZE_LABEL),
     )
+
+
+def _check_words(words: Sequence[bytes]) -> bool:
+    """Check the name, the number of arguments, the key and the id; return whether it is a write."""
+    name = words[0].upper()
+    if name not in (GET_COMMAND, SET_COMMAND):
+        raise CommandError(CommandFault.UNKNOWN_COMMAND)
+    is_write = name == SET_COMMAND
+    if len(words) != (SET_WORD_COUNT if is_write else GET_WORD_COUNT):
+        raise CommandError(CommandFault.ARGUMENT_COUNT)
+    if not _KEY_OR_ID.fullmatch(words[1]) or not _KEY_OR_ID.fullmatch(words[2]):
+        raise CommandError(CommandFault.KEY_OR_ID)
+    return is_write
+
+
+def _parse_labels(text: bytes) -> dict[bytes, bytes]:
+    """Read `name=value,...`, each name at most once, in the order of the command."""
+    if len(text) > MAX_LABELS_BYTES or not _LABELS.fullmatch(text):
+        raise CommandError(CommandFault.LABELS)
+    labels: dict[bytes, bytes] = {}
+    for pair in text.split(b","):
+        name, _, value = pair.partition(b"=")
+        if name in labels:
+            raise CommandError(CommandFault.DUPLICATE_LABEL)
+        labels[name] = value
+    return labels
+
+
+def _label_number(labels: dict[bytes, bytes], name: bytes) -> float:
+    """The number in a label, 0 where the label is missing."""
+    text = labels.get(name, b"0")
+    if not _LABEL_NUMBER.fullmatch(text):  # float() alone would also accept nan, inf and signs
+        raise LabelNumberError(name)
+    value = float(text)
+    if value >= MAX_LABEL_NUMBER:
+        raise LabelNumberError(name)
+    return value
--- a/tests/net/test_client_command.py
+++ b/tests/net/test_client_command.py
@@ -10,11 +10,12 @@
 CLASSES = ["read", "put"]
 
 
-class Commands(unittest.TestCase):
-    GET = (b"OBJ.GET", b"7f3a9c21e0b4d655", b"9b1f03aa", b"c=read,d=480")
+GET = (b"OBJ.GET", b"7f3a9c21e0b4d655", b"9b1f03aa", b"c=read,d=480")
 
-    def test_a_read_and_a_write(self) -> None:
-        read = parse_command(self.GET, CLASSES)
+
+class ValidCommands(unittest.TestCase):
+    def test_a_read_and_a_write_are_read_and_passed_on_with_a_new_deadline_alone(self) -> None:
+        read = parse_command(GET, CLASSES)
         self.assertEqual(
             (read.request_class, read.timeout, read.is_write, read.key), (0, 480.0, False, 0x7F3A9C21E0B4D655)
         )
@@ -22,10 +23,10 @@
         self.assertEqual(
             (write.request_class, write.is_write, write.is_retry, write.size), (1, True, True, 12.5)
         )
-        # Only d changes on the way to a cache node or the origin, in its place.
+        # Only d changes on the way to a cache node or the origin, and it stays in its place.
         labels = b"c=put,d=41,k=5c,r=1,size=12.5"
         self.assertEqual(write.with_deadline(41.4)[3], labels)
-        self.assertEqual(read.with_deadline(0.2), [*self.GET[:3], b"c=read,d=1"])
+        self.assertEqual(read.with_deadline(0.2), [*GET[:3], b"c=read,d=1"])
         sent = OriginProtocol(("127.0.0.1", 80), []).encode(write, 41.4)
         for part in (
             b"PUT /1f HTTP/1.1\r\n",
@@ -35,35 +36,36 @@
         ):
             self.assertIn(part, sent)
 
-    def test_the_tenant_and_the_expected_work_by_their_labels(self) -> None:
-        words = [*self.GET[:3], b"c=read,t=b,d=480,h=96500"]
+    def test_the_tenant_and_the_expected_work_are_read_from_their_labels(self) -> None:
+        words = [*GET[:3], b"c=read,t=b,d=480,h=96500"]
         read = parse_command(words, CLASSES, ["a", "b"])
-        self.assertEqual((read.tenant, read.expected_work), (1, 96.5))  # told in microseconds
-        self.assertEqual(
-            parse_command(words, CLASSES).tenant, 0
-        )  # where the settings name none it is passed on unread
+        self.assertEqual((read.tenant, read.expected_work), (1, 96.5))  # the label is in microseconds
+        # Where the settings name no tenants the label is passed on unread.
+        self.assertEqual(parse_command(words, CLASSES).tenant, 0)
         for labels in (b"c=read,d=480", b"c=read,t=c,d=480", b"c=read,t=,d=480", b"c=read,t=b,d=480,h=x"):
             with self.subTest(labels=labels), self.assertRaises(CommandError):
-                parse_command([*self.GET[:3], labels], CLASSES, ["a", "b"])
+                parse_command([*GET[:3], labels], CLASSES, ["a", "b"])
+
 
-    def test_malformed(self) -> None:
-        key, ident = self.GET[1:3]
+class InvalidCommands(unittest.TestCase):
+    def test_a_command_that_is_not_exactly_a_get_or_a_set_raises_a_command_error(self) -> None:
+        key, request_id = GET[1:3]
         for words in (
-            [b"OBJ.DEL", key, ident, b"c=read,d=1"],
-            [b"OBJ.GET", key, ident],
-            [b"OBJ.GET", key, ident, b"c=read,d=1", b"V"],
-            [b"OBJ.SET", key, ident, b"c=put,d=1"],
-            [b"OBJ.GET", b"a b", ident, b"c=read,d=1"],
-            [b"OBJ.GET", b"../x", ident, b"c=read,d=1"],
+            [b"OBJ.DEL", key, request_id, b"c=read,d=1"],
+            [b"OBJ.GET", key, request_id],
+            [b"OBJ.GET", key, request_id, b"c=read,d=1", b"V"],
+            [b"OBJ.SET", key, request_id, b"c=put,d=1"],
+            [b"OBJ.GET", b"a b", request_id, b"c=read,d=1"],
+            [b"OBJ.GET", b"../x", request_id, b"c=read,d=1"],
             [b"OBJ.GET", key, b"", b"c=read,d=1"],
-            [b"OBJ.GET", key, ident, b"c=read"],
-            [b"OBJ.GET", key, ident, b"c=none,d=1"],
-            [b"OBJ.GET", key, ident, b"c=read,d=0"],
-            [b"OBJ.GET", key, ident, b"c=read,d=nan"],
-            [b"OBJ.GET", key, ident, b"c=read,d=-5"],
-            [b"OBJ.GET", key, ident, b"c=read,d=1,d=2"],
-            [b"OBJ.GET", key, ident, b"c=read,d=1\r\nX-Y: 1"],
-            [b"OBJ.GET", key, ident, b"c=read,d=" + b"9" * 2000],
+            [b"OBJ.GET", key, request_id, b"c=read"],
+            [b"OBJ.GET", key, request_id, b"c=none,d=1"],
+            [b"OBJ.GET", key, request_id, b"c=read,d=0"],
+            [b"OBJ.GET", key, request_id, b"c=read,d=nan"],
+            [b"OBJ.GET", key, request_id, b"c=read,d=-5"],
+            [b"OBJ.GET", key, request_id, b"c=read,d=1,d=2"],
+            [b"OBJ.GET", key, request_id, b"c=read,d=1\r\nX-Y: 1"],
+            [b"OBJ.GET", key, request_id, b"c=read,d=" + b"9" * 2000],
         ):
             with self.subTest(words=words), self.assertRaises(CommandError):
                 parse_command(words, CLASSES)
--- a/tests/net/test_upstream_reply.py
+++ b/tests/net/test_upstream_reply.py
@@ -8,7 +8,7 @@
 
 
 class LoadReports(unittest.TestCase):
-    def test_load_reports_in_the_order_of_the_settings(self) -> None:
+    def test_a_report_is_read_in_the_order_of_the_settings_or_not_at_all(self) -> None:
         fields = ["fail_rate", "rif"]
         for text, load in (
             (b"inflight=7,queue=2,eps=0.5", (0.5, 7.0)),
