--- a/lupinladder/connection_limits/__init__.py
+++ b/lupinladder/connection_limits/__init__.py
@@ -1,1 +1,1 @@
-"""Who gets what is scarce. Free of I/O: `net/` reports and asks. See docs/governor.md."""
+"""Which client connections are kept when descriptors are scarce; no I/O, no clock. See docs/governor.md."""
--- a/lupinladder/connection_limits/eviction.py
+++ b/lupinladder/connection_limits/eviction.py
@@ -1,16 +1,35 @@
-"""Which resting client connections to close."""
+"""Which idle client connections to close when clients hold too many."""
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+from typing import NamedTuple
+
 from lupinladder.connection_limits.idle_return_estimator import IdleReturnEstimator
 
-WORTH = 0.35  # the chance to return below which a connection is worth less than the room it takes
+# A connection that is less likely to return than this is worth less than the room that it takes.
+MIN_RETURN_PROBABILITY = 0.35
+
+
+class IdleClient(NamedTuple):
+    """What the choice depends on."""
+
+    command_count: int
+    idle_time: float  # ms
 
 
 def select_for_eviction(
-    resting: list[tuple[int, float]], returns: IdleReturnEstimator, most: int
+    clients: Sequence[IdleClient], estimator: IdleReturnEstimator, max_count: int
 ) -> list[int]:
-    """Which of the resting connections, (commands asked, ms rested) each, to close, at most so many: their
-    places, those least likely to return first. One that is likelier than WORTH to return is never there."""
-    chances = [(returns.chance(asked, rested), -rested, n) for n, (asked, rested) in enumerate(resting)]
-    return [n for chance, _, n in sorted(chances)[: max(most, 0)] if chance < WORTH]
+    """The indexes of the clients to close, at most so many, the least likely to return first.
+
+    Among equals the one that has been idle for longest comes first. A client with a probability of at least
+    MIN_RETURN_PROBABILITY is never selected.
+    """
+    ranking = []
+    for index, client in enumerate(clients):
+        probability = estimator.return_probability(client.command_count, client.idle_time)
+        if probability < MIN_RETURN_PROBABILITY:
+            ranking.append((probability, -client.idle_time, index))
+    ranking.sort()
+    return [index for _, _, index in ranking[: max(max_count, 0)]]
--- a/lupinladder/connection_limits/idle_return_estimator.py
+++ b/lupinladder/connection_limits/idle_return_estimator.py
@@ -1,76 +1,84 @@
-"""Which resting client connections are worth their descriptor.
-
-Clients hold at most a part of the descriptors for requests and keep their connections. Some ask again in a
-moment, some never do; those that never do fill the clients' part until nobody can open the next, long before
-our own bound is reached. Closing too eagerly costs a handshake for each that would have asked. So this is
-estimated from what is seen: how likely a connection that has rested so long, after so many commands,
-asks again soon. The
-product-limit estimate (Kaplan and Meier 1958) over spans of rest: of the rests that reached a span, the
-share that ended in it by a command. Rests cut short by a close count in the spans that they outlived and in
-no other, so that what is closed does not teach that nobody returns.
-All times in milliseconds; nothing is kept per connection.
+"""How likely an idle client connection is to send another command soon.
+
+Clients hold at most a part of the descriptors for requests and keep their connections. Some send their next
+command in a moment, some never do; the latter fill the clients' part until nobody can open another
+connection, long before the proxy's own limit is reached. Closing too eagerly costs a handshake for each
+client that would have returned. So the probability of a return is estimated from what has been seen: the
+product-limit estimate (Kaplan and Meier 1958) over spans of idle time. Of the idle periods that reached a
+span, it counts the share that ended in it by a command. Idle periods cut short by a close count in the
+spans that they outlived and in no other, so that closing a connection is not taken as evidence that nobody
+returns.
+
+All times are in milliseconds. Nothing is kept for single connections.
 """
 
 from __future__ import annotations
 
 from bisect import bisect_right
 
-IDLE_SPAN_EDGES = (100.0, 200.0, 400.0, 800.0, 1600.0, 3200.0)  # ends of the spans of rest
-IDLE_SPAN_COUNT = len(IDLE_SPAN_EDGES)
-GROUPS = (1, 2, 4)  # commands asked so far, at least: once, two or three times, more
-SOON = 3  # spans looked ahead: a connection that returns later than that may as well come anew
-FIRST = 0.8  # the share taken to return within the first span, without evidence
-WEIGHT = 3.0  # rests that such an assumption counts as
-MEMORY = 256.0  # rests that a span remembers; then all it knows is halved
+IDLE_SPAN_EDGES_MS = (100.0, 200.0, 400.0, 800.0, 1600.0, 3200.0)  # where each span of idle time ends
+IDLE_SPAN_COUNT = len(IDLE_SPAN_EDGES_MS)
+COMMAND_COUNT_GROUPS = (1, 2, 4)  # the least commands of each group: one, two or three, more
+LOOKAHEAD_SPANS = 3  # a client that returns later than within so many spans may as well reconnect
+INITIAL_RETURN_RATE = 0.8  # the share that is assumed to return within the first span, without evidence
+PRIOR_WEIGHT = 3.0  # how many idle periods such an assumption counts as
+MAX_REMEMBERED_IDLE_PERIODS = 256.0  # of one span and group; beyond it both of its counts are halved
 
 
-def use_group(asked: int) -> int:
-    """The group of a connection that has asked so many commands (at least one)."""
-    return bisect_right(GROUPS, max(asked, 1)) - 1
+def command_count_group(command_count: int) -> int:
+    """The group of a connection that has sent so many commands (at least one)."""
+    return bisect_right(COMMAND_COUNT_GROUPS, max(command_count, 1)) - 1
 
 
-def idle_span(rested: float) -> int:
-    """The span in which a rest is now; SPANS once it has outlived the last."""
-    return bisect_right(IDLE_SPAN_EDGES, rested)
+def idle_span(idle_time: float) -> int:
+    """The index of the span that an idle period has reached; IDLE_SPAN_COUNT beyond the last."""
+    return bisect_right(IDLE_SPAN_EDGES_MS, idle_time)
 
 
 class IdleReturnEstimator:
-    """How likely resting connections are to ask again."""
+    """Counts how idle periods went on, and estimates from it how likely clients are to return."""
 
     def __init__(self) -> None:
-        self._came = [[0.0] * IDLE_SPAN_COUNT for _ in GROUPS]
-        self._stayed = [[0.0] * IDLE_SPAN_COUNT for _ in GROUPS]
-
-    def _add(self, counts: list[list[float]], kind: int, place: int) -> None:
-        counts[kind][place] += 1
-        if self._came[kind][place] + self._stayed[kind][place] > MEMORY:
-            self._came[kind][place] /= 2
-            self._stayed[kind][place] /= 2
-
-    def returned(self, asked: int, rested: float) -> None:
-        """A rest ended with the next command. The spans it outlived were told by `outlived`."""
-        place = idle_span(rested)
-        if place < IDLE_SPAN_COUNT:
-            self._add(self._came, use_group(asked), place)
-
-    def outlived(self, asked: int, first: int, last: int) -> None:
-        """A rest has outlived the spans from `first` up to, not including, `last`."""
-        for place in range(first, min(last, IDLE_SPAN_COUNT)):
-            self._add(self._stayed, use_group(asked), place)
-
-    def chance(self, asked: int, rested: float) -> float:
-        """That a connection which has rested so long asks again within this span and the next ones.
-
-        Each span is taken to be like the one before until it has shown otherwise: where rests are long, few
-        spans have evidence, and to wait for it would leave a flood of them in place for seconds. As spans
-        double in length, that is a hazard which falls off as 1 / time."""
-        kind, place = use_group(asked), idle_span(rested)
-        if place >= IDLE_SPAN_COUNT:
+        # By group and span: idle periods that ended in the span by a command, and those that outlived it.
+        self._returned = [[0.0] * IDLE_SPAN_COUNT for _ in COMMAND_COUNT_GROUPS]
+        self._outlived = [[0.0] * IDLE_SPAN_COUNT for _ in COMMAND_COUNT_GROUPS]
+
+    def record_return(self, command_count: int, idle_time: float) -> None:
+        """Count an idle period that ended with a command; the spans before are told by `record_outlived`."""
+        span = idle_span(idle_time)
+        if span < IDLE_SPAN_COUNT:
+            self._add(self._returned, command_count_group(command_count), span)
+
+    def record_outlived(self, command_count: int, first_span: int, end_span: int) -> None:
+        """Count an idle period that has outlived the spans from the first up to, not including, the end."""
+        group = command_count_group(command_count)
+        for span in range(first_span, min(end_span, IDLE_SPAN_COUNT)):
+            self._add(self._outlived, group, span)
+
+    def _add(self, counts: list[list[float]], group: int, span: int) -> None:
+        counts[group][span] += 1
+        if self._returned[group][span] + self._outlived[group][span] > MAX_REMEMBERED_IDLE_PERIODS:
+            self._returned[group][span] /= 2
+            self._outlived[group][span] /= 2
+
+    def return_probability(self, command_count: int, idle_time: float) -> float:
+        """The probability that a connection, idle for so long, sends a command in this span or the next ones.
+
+        Each span is assumed to be like the one before until there is evidence about it: where idle periods
+        are long, few spans have any, and waiting for it would leave a flood of such connections in place
+        for seconds. As the spans double in length, the assumption is a hazard rate that falls off as 1 /
+        time.
+        """
+        group = command_count_group(command_count)
+        current_span = idle_span(idle_time)
+        if current_span >= IDLE_SPAN_COUNT:
             return 0.0
-        stays, share = 1.0, FIRST
-        for n in range(min(place + SOON, IDLE_SPAN_COUNT)):
-            came, stayed = self._came[kind][n], self._stayed[kind][n]
-            share = (came + WEIGHT * share) / (came + stayed + WEIGHT)
-            if n >= place:
-                stays *= 1 - share
-        return 1 - stays
+        stay_probability = 1.0
+        return_rate = INITIAL_RETURN_RATE
+        for span in range(min(current_span + LOOKAHEAD_SPANS, IDLE_SPAN_COUNT)):
+            returned = self._returned[group][span]
+            outlived = self._outlived[group][span]
+            return_rate = (returned + PRIOR_WEIGHT * return_rate) / (returned + outlived + PRIOR_WEIGHT)
+            if span >= current_span:
+                stay_probability *= 1 - return_rate
+        return 1 - stay_probability
--- a/lupinladder/net/client_connection.py
+++ b/lupinladder/net/client_connection.py
@@ -119,7 +119,7 @@
         now = self._front.loop.now()
         if self.command_count and not self._slots:
             self._tell(now)
-            self._front.idle_returns.returned(self.command_count, now - self.last_used)
+            self._front.idle_returns.record_return(self.command_count, now - self.last_used)
         self.last_used = self._began = now
         self.command_count, self.reported_idle_spans = self.command_count + 1, 0
         plain = [word for word in words if isinstance(word, bytes)]
@@ -155,7 +155,7 @@
         """How long this rest has lasted."""
         reached = idle_span(now - self.last_used)
         if reached > self.reported_idle_spans:
-            self._front.idle_returns.outlived(self.command_count, self.reported_idle_spans, reached)
+            self._front.idle_returns.record_outlived(self.command_count, self.reported_idle_spans, reached)
             self.reported_idle_spans = reached
 
     def _slot(self, ident: bytes = b"") -> PendingReply:
--- a/lupinladder/net/client_listener.py
+++ b/lupinladder/net/client_listener.py
@@ -6,7 +6,7 @@
 from itertools import islice
 
 from lupinladder.connection_limits.connection_capacity import ConnectionCapacity
-from lupinladder.connection_limits.eviction import select_for_eviction
+from lupinladder.connection_limits.eviction import IdleClient, select_for_eviction
 from lupinladder.connection_limits.idle_return_estimator import IdleReturnEstimator
 from lupinladder.graceful_shutdown import ShutdownSchedule
 from lupinladder.net.client_connection import IDLE_TIMEOUT_MS, ClientConnection, PendingReply
@@ -72,11 +72,13 @@
     def _make_room(self, now: float) -> None:
         """Clients hold only so many connections for requests. Let go of those that hardly return, before
         the ones that never do leave no room for whoever would ask next."""
-        short = self.capacity.short(len(self.clients) - len(self.clients_without_command), now)
+        short = self.capacity.excess(len(self.clients) - len(self.clients_without_command), now)
         if short and not self.shutdown:  # else nobody new comes
             resting = list(self.idle_clients)
             for n in select_for_eviction(
-                [(one.command_count, now - one.last_used) for one in resting], self.idle_returns, short
+                [IdleClient(one.command_count, now - one.last_used) for one in resting],
+                self.idle_returns,
+                short,
             ):
                 metrics.client_connections_evicted += resting[n].close_if_idle()
 
@@ -149,7 +151,7 @@
             log_event("accept_failed", error=bad)
             return False
         metrics.client_connections_accepted += 1
-        self.capacity.came()
+        self.capacity.record_accept()
         client = ClientConnection(self, sock)
         self.clients[client] = None
         client.update_idle_state()
--- a/tests/connection_limits/test_connection_capacity.py
+++ b/tests/connection_limits/test_connection_capacity.py
@@ -1,4 +1,4 @@
-"""How much room is kept for newcomers."""
+"""How much room is kept for new clients."""
 
 from __future__ import annotations
 
@@ -7,13 +7,14 @@
 from lupinladder.connection_limits.connection_capacity import ConnectionCapacity
 
 
-class Choices(TestCase):
-    def test_room_is_kept_for_newcomers_and_nobody_is_closed_without_need(self) -> None:
-        room = ConnectionCapacity(80, 0)
-        self.assertEqual(room.short(40, 100), 0)
-        self.assertEqual(room.short(80, 200), 20)  # at the bound we can't know who waits: a quarter
+class Excess(TestCase):
+    def test_room_is_kept_for_arrivals_and_no_connection_is_closed_without_need(self) -> None:
+        capacity = ConnectionCapacity(80, 0)
+        self.assertEqual(capacity.excess(40, 100), 0)
+        # At the limit nobody knows how many would like to connect, so a quarter is to be free.
+        self.assertEqual(capacity.excess(80, 200), 20)
         for now in range(300, 2300, 100):
             for _ in range(10):
-                room.came()
-            short = room.short(60, now)
-        self.assertEqual(short, 10)  # 100 a second come
+                capacity.record_accept()
+            excess = capacity.excess(60, now)
+        self.assertEqual(excess, 10)  # at 100 arrivals a second
--- a/tests/connection_limits/test_eviction.py
+++ b/tests/connection_limits/test_eviction.py
@@ -7,30 +7,37 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lupinladder.connection_limits.eviction import WORTH, select_for_eviction
-from lupinladder.connection_limits.idle_return_estimator import IDLE_SPAN_EDGES
-from tests.support.idle_periods import RESTS, taught
+from lupinladder.connection_limits.eviction import (
+    MIN_RETURN_PROBABILITY,
+    IdleClient,
+    select_for_eviction,
+)
+from lupinladder.connection_limits.idle_return_estimator import IDLE_SPAN_EDGES_MS
+from tests.support.idle_periods import IDLE_CLIENTS, estimator_after
 
 
-class Choices(TestCase):
-    @given(RESTS, st.integers(-3, 80), st.integers(0, 300))
-    def test_never_more_than_needed_and_never_one_that_is_likely_to_return(
-        self, resting: list[tuple[int, float]], most: int, rests: int
+class SelectForEviction(TestCase):
+    @given(IDLE_CLIENTS, st.integers(-3, 80), st.integers(0, 300))
+    def test_no_more_are_selected_than_needed_and_none_that_is_likely_to_return(
+        self, clients: list[IdleClient], max_count: int, idle_periods: int
     ) -> None:
-        returns = taught(1, rests, 0.1, 60)
-        chosen = select_for_eviction(resting, returns, most)
-        self.assertLessEqual(len(chosen), max(most, 0))
-        self.assertEqual(len(set(chosen)), len(chosen))
-        for n in chosen:
-            self.assertLess(returns.chance(*resting[n]), WORTH)
-        worst = max((returns.chance(*resting[n]) for n in chosen), default=0.0)
-        if len(chosen) == most:
-            others = [returns.chance(*one) for n, one in enumerate(resting) if n not in chosen]
-            self.assertTrue(all(other >= worst for other in others))
+        estimator = estimator_after(1, idle_periods, 0.1, 60)
+        selected = select_for_eviction(clients, estimator, max_count)
+        self.assertLessEqual(len(selected), max(max_count, 0))
+        self.assertEqual(len(set(selected)), len(selected))
+        for index in selected:
+            self.assertLess(estimator.return_probability(*clients[index]), MIN_RETURN_PROBABILITY)
+        highest = max((estimator.return_probability(*clients[index]) for index in selected), default=0.0)
+        if len(selected) == max_count:
+            others = [
+                estimator.return_probability(*client)
+                for index, client in enumerate(clients)
+                if index not in selected
+            ]
+            self.assertTrue(all(other >= highest for other in others))
 
-    def test_the_longest_rest_goes_first_among_equals(self) -> None:
-        returns = taught(1, 200, 0.0, 0)
-        last = IDLE_SPAN_EDGES[-1]
-        self.assertEqual(
-            select_for_eviction([(1, last + 5), (1, last + 90), (1, last + 50)], returns, 2), [1, 2]
-        )
+    def test_the_one_idle_for_longest_is_selected_first_among_equals(self) -> None:
+        estimator = estimator_after(1, 200, 0.0, 0)
+        last_edge = IDLE_SPAN_EDGES_MS[-1]
+        clients = [IdleClient(1, last_edge + more) for more in (5, 90, 50)]
+        self.assertEqual(select_for_eviction(clients, estimator, 2), [1, 2])
--- a/tests/connection_limits/test_idle_return_estimator.py
+++ b/tests/connection_limits/test_idle_return_estimator.py
@@ -7,47 +7,48 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lupinladder.connection_limits.eviction import WORTH
+from lupinladder.connection_limits.eviction import MIN_RETURN_PROBABILITY, IdleClient
 from lupinladder.connection_limits.idle_return_estimator import IdleReturnEstimator, idle_span
-from tests.support.idle_periods import RESTS, taught
+from tests.support.idle_periods import IDLE_CLIENTS, estimator_after
 
 
-class Chances(TestCase):
-    def test_without_evidence_a_client_is_taken_to_return(self) -> None:
-        self.assertGreater(IdleReturnEstimator().chance(1, 50), 0.9)
+class ReturnProbability(TestCase):
+    def test_without_evidence_a_client_is_expected_to_return(self) -> None:
+        self.assertGreater(IdleReturnEstimator().return_probability(1, 50), 0.9)
 
-    def test_once_askers_are_told_from_those_that_come_back(self) -> None:
-        returns = taught(1, 100, 0.05, 60)
-        for n in range(100):
-            returns.returned(5, 60 + n)
-        self.assertLess(returns.chance(1, 150), WORTH)
-        self.assertGreater(returns.chance(5, 50), 0.9)
+    def test_clients_with_one_command_are_distinguished_from_those_that_return(self) -> None:
+        estimator = estimator_after(1, 100, 0.05, 60)
+        for number in range(100):
+            estimator.record_return(5, 60 + number)
+        self.assertLess(estimator.return_probability(1, 150), MIN_RETURN_PROBABILITY)
+        self.assertGreater(estimator.return_probability(5, 50), 0.9)
 
     def test_the_estimate_is_the_share_that_returns_within_the_next_spans(self) -> None:
-        returns = taught(1, 240, 0.5, 150)
-        self.assertAlmostEqual(returns.chance(1, 0), 0.5, delta=0.06)
-        self.assertLess(returns.chance(1, 300), 0.2)
+        estimator = estimator_after(1, 240, 0.5, 150)
+        self.assertAlmostEqual(estimator.return_probability(1, 0), 0.5, delta=0.06)
+        self.assertLess(estimator.return_probability(1, 300), 0.2)
 
-    def test_what_is_closed_early_does_not_teach_that_nobody_returns(self) -> None:
-        returns = taught(1, 100, 0.8, 300)
-        before = returns.chance(1, 250)
+    def test_closing_connections_early_is_no_evidence_that_nobody_returns(self) -> None:
+        estimator = estimator_after(1, 100, 0.8, 300)
+        before = estimator.return_probability(1, 250)
         for _ in range(500):
-            returns.outlived(1, 0, idle_span(250))  # closed by us at 250 ms: no word of the span it was in
-        self.assertAlmostEqual(returns.chance(1, 250), before, delta=0.01)
+            # Closed by the proxy at 250 ms: nothing is known about the span that this was in.
+            estimator.record_outlived(1, 0, idle_span(250))
+        self.assertAlmostEqual(estimator.return_probability(1, 250), before, delta=0.01)
 
-    def test_it_follows_a_change_of_habits(self) -> None:
-        returns = taught(1, 1000, 0.0, 0)
+    def test_the_estimate_follows_a_change_of_behaviour(self) -> None:
+        estimator = estimator_after(1, 1000, 0.0, 0)
         for _ in range(600):
-            returns.returned(1, 50)
-        self.assertGreater(returns.chance(1, 10), 0.8)
+            estimator.record_return(1, 50)
+        self.assertGreater(estimator.return_probability(1, 10), 0.8)
 
-    @given(RESTS, st.integers(1, 9), st.floats(0, 1e5))
-    def test_it_is_a_chance_whatever_was_seen(
-        self, rests: list[tuple[int, float]], asked: int, rested: float
+    @given(IDLE_CLIENTS, st.integers(1, 9), st.floats(0, 1e5))
+    def test_the_estimate_is_a_probability_whatever_was_seen(
+        self, clients: list[IdleClient], command_count: int, idle_time: float
     ) -> None:
-        returns = IdleReturnEstimator()
-        for n, (count, after) in enumerate(rests):
-            returns.outlived(count, 0, idle_span(after))
-            if n % 2:
-                returns.returned(count, after)
-        self.assertTrue(0 <= returns.chance(asked, rested) <= 1)
+        estimator = IdleReturnEstimator()
+        for number, client in enumerate(clients):
+            estimator.record_outlived(client.command_count, 0, idle_span(client.idle_time))
+            if number % 2:
+                estimator.record_return(client.command_count, client.idle_time)
+        self.assertTrue(0 <= estimator.return_probability(command_count, idle_time) <= 1)
--- a/tests/net/test_client_listener.py
+++ b/tests/net/test_client_listener.py
@@ -142,8 +142,8 @@
     def test_clients_that_ask_once_and_stay_make_room_and_those_that_return_are_kept(self) -> None:
         """Incident r0d6542: such connections filled the clients' share, and nobody could open the next."""
         for _ in range(60):  # what was seen of other clients: the second command comes soon, or never
-            self.front.idle_returns.outlived(1, 0, 6)
-            self.front.idle_returns.returned(2, 30)
+            self.front.idle_returns.record_outlived(1, 0, 6)
+            self.front.idle_returns.record_return(2, 30)
         share = self.SOCKETS // 3
         keen = self.client(PING)
         self.answers(keen, b"+PONG\r\n")
--- a/tests/support/idle_periods.py
+++ b/tests/support/idle_periods.py
@@ -1,25 +1,28 @@
-"""Rests of clients for the tests of connection limits."""
+"""Idle periods of clients for the tests of connection limits."""
 
 from __future__ import annotations
 
 from hypothesis import strategies as st
 
+from lupinladder.connection_limits.eviction import IdleClient
 from lupinladder.connection_limits.idle_return_estimator import (
     IDLE_SPAN_COUNT,
     IdleReturnEstimator,
     idle_span,
 )
 
-RESTS = st.lists(st.tuples(st.integers(1, 9), st.floats(0, 5000)), max_size=60)
+IDLE_CLIENTS = st.lists(st.builds(IdleClient, st.integers(1, 9), st.floats(0, 5000)), max_size=60)
 
 
-def taught(asked: int, rests: int, share_back: float, after: float) -> IdleReturnEstimator:
-    """After so many rests, of which a share ended by a command after a while and the others never."""
-    returns = IdleReturnEstimator()
-    for n in range(rests):
-        if n < rests * share_back:
-            returns.outlived(asked, 0, idle_span(after))
-            returns.returned(asked, after)
+def estimator_after(
+    command_count: int, idle_periods: int, returning_share: float, returned_after: float
+) -> IdleReturnEstimator:
+    """An estimator that has seen idle periods of which a share ended with a command, the others never."""
+    estimator = IdleReturnEstimator()
+    for number in range(idle_periods):
+        if number < idle_periods * returning_share:
+            estimator.record_outlived(command_count, 0, idle_span(returned_after))
+            estimator.record_return(command_count, returned_after)
         else:
-            returns.outlived(asked, 0, IDLE_SPAN_COUNT)
-    return returns
+            estimator.record_outlived(command_count, 0, IDLE_SPAN_COUNT)
+    return estimator
