Give client connections short steps and move idle clients into a tracker

A connection read, dispatched, wrote and closed in long methods that reached into the listener's sets, and the listener chose itself whom to evict. Reading, idle periods, writing and closing are groups of short methods now; the ordered sets of idle clients, and closing those worth least, are IdleClientTracker; a reply that waits has a module of its own; the event for the decisions is made by ClientCommand. Words to clients and counters are the same.

Seen: tests/net and tests/test_proxy.py pass.

--- a/lupinladder/net/client_command.py
+++ b/lupinladder/net/client_command.py
@@ -8,6 +8,7 @@
 from enum import StrEnum
 from hashlib import blake2b
 
+from lupinladder.balancing.events import RequestReceived
 from lupinladder.errors import LupinladderError
 from lupinladder.net.upstream_reply import (
     CACHE_RESULTS,
@@ -91,6 +92,11 @@
     expected_work: float  # in ms
     size: float
 
+    @property
+    def request_id(self) -> bytes:
+        """The id that the client gave its request; unique among the open ones."""
+        return self.words[2]
+
     @property
     def key(self) -> int:
         """The key as the decision module's number, the same at every proxy."""
@@ -99,6 +105,20 @@
             return int(key, 16)
         return int.from_bytes(blake2b(key, digest_size=KEY_DIGEST_BYTES).digest(), "big")
 
+    def request_received(self, number: int, timeout: float) -> RequestReceived:
+        """The event for the decision module, under the proxy's own number of the request; `timeout` in ms."""
+        return RequestReceived(
+            number,
+            self.request_class,
+            timeout,
+            self.key,
+            self.tenant,
+            self.is_write,
+            self.is_retry,
+            self.expected_work,
+            self.size,
+        )
+
     def labels_with_deadline(self, wait: float) -> bytes:
         """The labels for a server, in their order; only `d` changes: how long we wait, in whole ms."""
         labels = {**self.labels, DEADLINE_LABEL: b"%d" % max(1, round(wait))}
--- a/lupinladder/net/client_connection.py
+++ b/lupinladder/net/client_connection.py
@@ -1,262 +1,288 @@
-"""A client's connection: its commands and the order of their answers."""
+"""One client's connection: it reads commands, dispatches them and writes replies in the commands' order."""
 
 from __future__ import annotations
 
 import socket
 from collections import deque
 from math import inf
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeGuard
 
-from lupinladder.balancing.events import RequestReceived
 from lupinladder.connection_limits.idle_return_estimator import IDLE_SPAN_COUNT, idle_span
 from lupinladder.net import resp
 from lupinladder.net.client_command import MAX_STORED_VALUE_BYTES, ClientCommand, CommandError, parse_command
 from lupinladder.net.connection import Connection
 from lupinladder.net.metrics import metrics
-from lupinladder.net.request_dispatcher import PendingRequest
+from lupinladder.net.pending_reply import PendingReply
 
 if TYPE_CHECKING:
     from lupinladder.net.client_listener import ClientListener
 
-MAX_PIPELINE_DEPTH = (
-    32  # commands of one client that wait for their answers; beyond, its bytes are left unread
-)
-# Ms until a client that has never asked, or has begun a command and not ended it, is closed: within 3 s of
-# connecting it must be. The next: after which an idle one may be closed, and is when descriptors run short.
-FIRST_COMMAND_TIMEOUT_MS, COMMAND_TIMEOUT_MS, IDLE_TIMEOUT_MS = 2300.0, 2400.0, 2000.0
-MIN_LOOP_LATENCY_MS = 5.0  # ms of a turn from which on what it read late counts
-
-
-class PendingReply:
-    """The place of one command's answer among its client's answers."""
-
-    def __init__(self, client: ClientConnection, ident: bytes = b"") -> None:
-        self._client, self.request_id = client, ident
-        self.request: PendingRequest | None = None
-        self.encoded: bytes | None = None
-
-    def on_served(self, value: bytes) -> None:
-        self._set(resp.encode_bulk(value))
-
-    def on_rejected(self, wait: float) -> None:
-        self._set(resp.encode_error(f"BUSY {wait:.0f}" if wait >= 1 else "BUSY"))
-
-    def on_failed(self) -> None:
-        self._set(resp.encode_error("ERR failed"))
-
-    def _set(self, answer: bytes) -> None:
-        self.encoded = answer
-        self._client.release_id(self)
-        self._client.flush()
-        self._client.update_idle_state()
+MAX_PIPELINE_DEPTH = 32  # commands of one client that await replies; beyond, its bytes are left unread
+MAX_COMMAND_WORDS = 16
+# A client that has sent no command, or only a part of one, has to be closed within 3 s of connecting.
+FIRST_COMMAND_TIMEOUT_MS = 2300.0
+COMMAND_TIMEOUT_MS = 2400.0
+IDLE_TIMEOUT_MS = 2000.0  # after which an idle client may be closed, and is when descriptors run short
+MIN_LOOP_LATENCY_MS = 5.0  # shorter rounds of the event loop are not taken off a request's time
+MIN_REQUEST_TIMEOUT_MS = 1.0
 
 
 class ClientConnection:
-    def __init__(self, front: ClientListener, sock: socket.socket) -> None:
-        self._front, self._slots = front, deque[PendingReply]()
-        self._parser = resp.RespParser(MAX_STORED_VALUE_BYTES, 16)
-        self._closing = self._reading = self._starved = self._half = False
-        self.last_used = front.loop.now()
-        self.command_count = 0  # whole commands sent
-        self.reported_idle_spans = 0  # spans that the rest which lasts now has outlived, as far as told
-        self._began = self.last_used  # when the command that is coming in began
-        self.conn = Connection(front.loop, front.budget, sock, self)
+    """Handles the events of one client's connection; the listener holds what all clients share."""
+
+    def __init__(self, listener: ClientListener, sock: socket.socket) -> None:
+        self._listener = listener
+        self._pending_replies = deque[PendingReply]()  # in the order of the commands
+        self._parser = resp.RespParser(MAX_STORED_VALUE_BYTES, MAX_COMMAND_WORDS)
+        self._closing = False  # no more commands are read; it closes after the pending replies
+        self._reading = False
+        self._reading_paused = False  # as MAX_PIPELINE_DEPTH was reached; commands may lie unread
+        self._command_incomplete = False
+        self.command_count = 0
+        self.last_used = listener.loop.now()  # when the last command was read or the last reply written
+        self._command_began_at = self.last_used  # of the command that is being received
+        self._reported_idle_spans = 0  # spans outlived by this idle period that the estimator knows of
+        self.conn = Connection(listener.loop, listener.budget, sock, self)
 
     @property
     def idle(self) -> bool:
-        """Between commands: nothing owed, all answers taken by the system, and nothing begun."""
-        return not (self.has_pending_output or len(self.conn.inbox)) and self._parser.idle
-
-    @property
-    def has_pending_output(self) -> bool:
-        return bool(self._slots) or len(self.conn.outbox) > 0
+        """Whether it is between commands: all replies are taken by the system, and no command has begun."""
+        if self._pending_replies or len(self.conn.outbox) or len(self.conn.inbox):
+            return False
+        return self._parser.idle
 
     def update_idle_state(self) -> None:
-        """Take the place among the resting, the latest last, or none."""
-        self._front.remove_from_idle(self)
-        if self.conn.is_open and self.idle and self in self._front.clients:
-            (self._front.idle_clients if self.command_count else self._front.clients_without_command)[
-                self
-            ] = None
+        """Enter the idle clients as the latest one, or leave them."""
+        idle_clients = self._listener.idle_clients
+        idle_clients.discard(self)
+        if self.conn.is_open and self.idle and self in self._listener.clients:
+            idle_clients.add(self)
 
-    def on_connected(self) -> None:
-        pass
+    # Reading
 
-    def release_id(self, slot: PendingReply) -> None:
-        """The query of this slot has its answer, or nobody to hear it."""
-        self._front.open_ids.discard(slot.request_id)
+    def on_connected(self) -> None:
+        """Do nothing: an accepted connection is connected from the start."""
 
     def on_data(self) -> None:
+        """Read the commands that have arrived."""
         if self._reading:
-            return  # an answer given at once has come back here through flush
-        if self.command_count and not self._half:
-            self._began = self._front.loop.now()
-        self._reading, self._starved = True, False
+            return  # a reply given at once has come back here through flush
+        if self.command_count and not self._command_incomplete:
+            self._command_began_at = self._listener.loop.now()
+        self._reading = True
+        self._reading_paused = False
         try:
-            while self.conn.is_open and not self._closing and len(self._slots) < MAX_PIPELINE_DEPTH:
-                value = self._parser.next(self.conn.inbox)
-                if isinstance(value, resp.Incomplete):
-                    break
-                self._command(value)
-            else:
-                self._starved = not self._closing
-        except resp.FramingError as bad:
+            self._read_commands()
+        except resp.FramingError as error:
             metrics.client_framing_errors += 1
-            self._say(f"Protocol error: {bad}")
+            self._append_error(f"Protocol error: {error}")
             self._closing = True
         finally:
             self._reading = False
-        self._half = not self._parser.idle or len(self.conn.inbox) > 0
+        self._command_incomplete = not self._parser.idle or len(self.conn.inbox) > 0
         self.flush()
         self.update_idle_state()
 
-    def _command(self, value: resp.Value) -> None:
-        words = value if isinstance(value, list) else None
-        if words is None or not all(type(word) is bytes for word in words):
+    def _read_commands(self) -> None:
+        while self.conn.is_open and not self._closing and len(self._pending_replies) < MAX_PIPELINE_DEPTH:
+            value = self._parser.next(self.conn.inbox)
+            if isinstance(value, resp.Incomplete):
+                return
+            self._handle_command(value)
+        self._reading_paused = not self._closing
+
+    def _resume_reading(self) -> None:
+        if self._reading_paused and self.conn.is_open and len(self._pending_replies) < MAX_PIPELINE_DEPTH:
+            self.on_data()
+            self.conn.resume_reading()
+
+    def _handle_command(self, value: resp.Value) -> None:
+        if not _is_command(value):
             raise resp.FramingError(resp.FramingFault.NOT_A_COMMAND)
-        if not words:
+        if not value:
             return
-        now = self._front.loop.now()
-        if self.command_count and not self._slots:
-            self._tell(now)
-            self._front.idle_returns.record_return(self.command_count, now - self.last_used)
-        self.last_used = self._began = now
-        self.command_count, self.reported_idle_spans = self.command_count + 1, 0
-        plain = [word for word in words if isinstance(word, bytes)]
-        if plain[0].upper() == b"PING" and len(plain) <= 2:
-            self._slot().encoded = resp.encode_bulk(plain[1]) if len(plain) == 2 else b"+PONG\r\n"
+        now = self._listener.loop.now()
+        self._record_command(now)
+        if value[0].upper() == b"PING" and len(value) <= 2:
+            self._append_reply().encoded = resp.encode_bulk(value[1]) if len(value) == 2 else b"+PONG\r\n"
             return
         try:
-            content = parse_command(plain, self._front.classes, self._front.tenants)
-        except CommandError as bad:
+            command = parse_command(value, self._listener.classes, self._listener.tenants)
+        except CommandError as error:
             metrics.invalid_commands += 1
-            self._say(str(bad))
+            self._append_error(str(error))
             return
-        ident = content.words[2]
-        if ident in self._front.open_ids:  # two attempts under one id could be taken for each other's
+        self._dispatch(command, now)
+
+    def _dispatch(self, command: ClientCommand, now: float) -> None:
+        request_id = command.request_id
+        if request_id in self._listener.open_ids:
+            # Attempts of two requests with one id could be taken for each other's.
             metrics.invalid_commands += 1
-            self._say("id is that of another open query")
+            self._append_error("id is that of another open query")
             return
-        self._front.open_ids.add(ident)
-        slot = self._slot(ident)
-        leaving = self._front.shutdown
-        if leaving and not (allowed := leaving.remaining_time(content.request_class, content.timeout, now)):
-            metrics.requests_rejected_at_shutdown += 1
-            return slot.on_rejected(leaving.retry_after(now))
-        content.timeout = allowed if leaving else content.timeout
-        # Its client counts from when it wrote, and the bytes may have lain unread for all of the turn before.
-        lag = self._front.loop.loop_latency
-        lag = lag if lag > MIN_LOOP_LATENCY_MS else 0.0
-        slot.request = self._front.dispatcher.dispatch(
-            content, lambda number: _request_received(number, content, lag), slot
+        self._listener.open_ids.add(request_id)
+        reply = self._append_reply(request_id)
+        shutdown = self._listener.shutdown
+        if shutdown:
+            command.timeout = shutdown.remaining_time(command.request_class, command.timeout, now)
+            if not command.timeout:
+                metrics.requests_rejected_at_shutdown += 1
+                reply.on_rejected(shutdown.retry_after(now))
+                return
+        # The client counts from when it wrote, and the bytes may have lain unread for the round before this.
+        latency = self._listener.loop.loop_latency
+        unread_time = latency if latency > MIN_LOOP_LATENCY_MS else 0.0
+        timeout = max(command.timeout - unread_time, MIN_REQUEST_TIMEOUT_MS)
+        reply.request = self._listener.dispatcher.dispatch(
+            command, lambda number: command.request_received(number, timeout), reply
         )
 
-    def _tell(self, now: float) -> None:
-        """How long this rest has lasted."""
-        reached = idle_span(now - self.last_used)
-        if reached > self.reported_idle_spans:
-            self._front.idle_returns.record_outlived(self.command_count, self.reported_idle_spans, reached)
-            self.reported_idle_spans = reached
-
-    def _slot(self, ident: bytes = b"") -> PendingReply:
-        self._slots.append(PendingReply(self, ident))
-        return self._slots[-1]
+    # Idle periods, as the estimator learns of them
+
+    def _record_command(self, now: float) -> None:
+        if self.command_count and not self._pending_replies:
+            self._report_idle_spans(now)
+            self._listener.return_estimator.record_return(self.command_count, now - self.last_used)
+        self.last_used = now
+        self._command_began_at = now
+        self.command_count += 1
+        self._reported_idle_spans = 0
+
+    def _report_idle_spans(self, now: float) -> None:
+        """Tell the estimator which spans this idle period has outlived since the last report."""
+        current_span = idle_span(now - self.last_used)
+        if current_span > self._reported_idle_spans:
+            self._listener.return_estimator.record_outlived(
+                self.command_count, self._reported_idle_spans, current_span
+            )
+            self._reported_idle_spans = current_span
+
+    # Writing
+
+    def _append_reply(self, request_id: bytes = b"") -> PendingReply:
+        reply = PendingReply(self, request_id)
+        self._pending_replies.append(reply)
+        return reply
+
+    def _append_error(self, text: str) -> None:
+        self._append_reply().encoded = resp.encode_error("ERR " + text)
+
+    def on_reply_ready(self, reply: PendingReply) -> None:
+        """Write the reply as soon as those before it are written."""
+        self._release_id(reply)
+        self.flush()
+        self.update_idle_state()
 
-    def _say(self, text: str) -> None:
-        self._slot().encoded = resp.encode_error("ERR " + text)
+    def _release_id(self, reply: PendingReply) -> None:
+        """Allow the id again: its request has a reply, or nobody waits for one."""
+        self._listener.open_ids.discard(reply.request_id)
 
     def flush(self) -> None:
-        """Write the answers that are next in order, as far as there is room."""
-        while self.conn.is_open and self._slots:
-            answer = self._slots[0].encoded
-            if answer is None or self.conn.outbox.available_space < len(answer):
-                break
-            self._slots.popleft()
-            self.last_used, self.reported_idle_spans = self._front.loop.now(), 0
-            self.conn.send(answer)
+        """Write the replies that are next in order, as far as the outbox has room, and go on from there."""
+        self._write_replies()
         if not self.conn.is_open:
             return
-        if self._starved:  # not from here: answers given at once would nest without end
-            self._front.loop.call_soon(self._more)
-        elif not self._slots and (self._closing or self.conn.eof):
-            self._end()
-        elif not self._slots and self._front.closes_idle_clients:
-            self._front.loop.call_soon(self.close_if_idle)
-
-    def _more(self) -> None:
-        if self._starved and self.conn.is_open and len(self._slots) < MAX_PIPELINE_DEPTH:
-            self.on_data()
-            self.conn.resume_reading()
+        if self._reading_paused:
+            # Not from here: commands that are answered at once would nest without end.
+            self._listener.loop.call_soon(self._resume_reading)
+        elif self._pending_replies:
+            return
+        elif self._closing or self.conn.eof:
+            self._close_gracefully()
+        elif self._listener.closes_idle_clients:
+            self._listener.loop.call_soon(self.close_if_idle)
+
+    def _write_replies(self) -> None:
+        while self.conn.is_open and self._pending_replies:
+            encoded = self._pending_replies[0].encoded
+            if encoded is None or self.conn.outbox.available_space < len(encoded):
+                return
+            self._pending_replies.popleft()
+            self.last_used = self._listener.loop.now()
+            self._reported_idle_spans = 0
+            self.conn.send(encoded)
 
     def on_written(self) -> None:
+        """Go on writing: the system has taken bytes from the outbox."""
         self.flush()
         self.update_idle_state()
 
+    # Closing
+
     def on_closed(self, by_peer: bool) -> None:
-        """A client that closes has gone, and TCP does not tell a close from an end of sending. What waits, or
-        is still unread, is dropped; what is worded already, as a bad client's error, is written. Answers
-        behind one that is dropped would be taken for it, so the close has to do for them."""
+        """Drop what the client does not wait for any more.
+
+        A client that ends its bytes has disconnected: TCP does not tell a close from an end of sending. Its
+        open requests and unread commands are dropped; replies that are encoded already, as the error to an
+        invalid command, are written. A reply behind one that is dropped would be taken for it, so only those
+        before the first dropped one are written.
+        """
         metrics.client_connections_ended += by_peer
         metrics.client_connections_aborted += not by_peer
-        self._closing, self._starved = True, False
-        slots, self._slots = self._slots, deque()
-        while by_peer and slots and slots[0].encoded is not None:
-            self._slots.append(slots.popleft())
-        for slot in slots:
-            self.release_id(slot)
-            if slot.request:
-                self._front.dispatcher.client_disconnected(slot.request)
+        self._closing = True
+        self._reading_paused = False
+        dropped = self._pending_replies
+        self._pending_replies = deque()
+        while by_peer and dropped and dropped[0].encoded is not None:
+            self._pending_replies.append(dropped.popleft())
+        for reply in dropped:
+            self._release_id(reply)
+            if reply.request:
+                self._listener.dispatcher.client_disconnected(reply.request)
         if by_peer:
-            return self.flush()
-        self._front.forget(self)
-        self._front.update_listening()
-
-    def _end(self) -> None:
-        if self in self._front.clients:
-            self._front.forget(self)
-            self._front.await_closing(self.conn)
+            self.flush()
+        else:
+            self._listener.forget(self)
+            self._listener.update_listening()
+
+    def _close_gracefully(self) -> None:
+        if self in self._listener.clients:
+            self._listener.forget(self)
+            self._listener.await_closing(self.conn)
         self.conn.close_gracefully()
-        self._front.update_listening()
+        self._listener.update_listening()
 
-    def close_if_overdue(self, now: float, short: bool) -> None:
-        """Close a client that holds a descriptor for nothing; a usual one writes its command in a moment."""
-        if self._slots or self._closing or len(self.conn.outbox):
+    def close_if_idle(self) -> bool:
+        """Close the connection if it is idle; return whether it was.
+
+        A command that was written before the close counts as accepted, so what has arrived is read first.
+        """
+        if self.idle:
+            self.conn.read_available()
+        if self.idle and self.conn.is_open:
+            self._close_gracefully()
+            return True
+        return False
+
+    def close_if_overdue(self, now: float, descriptors_short: bool) -> None:
+        """Close a client that holds a descriptor for nothing; a usual one writes a command in a moment."""
+        if self._pending_replies or self._closing or len(self.conn.outbox):
             return
         if self.idle:
-            if self.command_count and self.reported_idle_spans < IDLE_SPAN_COUNT:
-                self._tell(now)
-            if now - self.last_used > (
-                FIRST_COMMAND_TIMEOUT_MS if not self.command_count else IDLE_TIMEOUT_MS if short else inf
-            ):
+            if self.command_count and self._reported_idle_spans < IDLE_SPAN_COUNT:
+                self._report_idle_spans(now)
+            if now - self.last_used > self._idle_timeout(descriptors_short):
                 metrics.client_connections_timed_out += 1
                 self.close_if_idle()
-        elif now - self._began > COMMAND_TIMEOUT_MS or (
-            self._front.shutdown and now > self._front.shutdown.answer_by
-        ):
+        elif self._is_command_overdue(now):
             metrics.client_connections_timed_out += 1
             self._closing = True
-            self._say("Protocol error: command not ended in time")
+            self._append_error("Protocol error: command not ended in time")
             self.flush()
 
-    def close_if_idle(self) -> bool:
-        """End a connection between commands; one that was written before counts as taken, so look first."""
-        if self.idle:
-            self.conn.read_available()
-        if self.idle and self.conn.is_open:
-            self._end()
+    def _idle_timeout(self, descriptors_short: bool) -> float:
+        if not self.command_count:
+            return FIRST_COMMAND_TIMEOUT_MS
+        return IDLE_TIMEOUT_MS if descriptors_short else inf
+
+    def _is_command_overdue(self, now: float) -> bool:
+        if now - self._command_began_at > COMMAND_TIMEOUT_MS:
             return True
-        return False
+        shutdown = self._listener.shutdown
+        return shutdown is not None and now > shutdown.answer_by
 
 
-def _request_received(number: int, content: ClientCommand, lag: float) -> RequestReceived:
-    return RequestReceived(
-        number,
-        content.request_class,
-        max(content.timeout - lag, 1.0),
-        content.key,
-        content.tenant,
-        content.is_write,
-        content.is_retry,
-        content.expected_work,
-        content.size,
-    )
+def _is_command(value: resp.Value) -> TypeGuard[list[bytes]]:
+    """Whether the value is an array of bulk strings; simple strings and errors are subclasses of bytes."""
+    return isinstance(value, list) and all(type(word) is bytes for word in value)
--- a/lupinladder/net/client_listener.py
+++ b/lupinladder/net/client_listener.py
@@ -1,58 +1,60 @@
-"""The front: the listener, and which clients are kept."""
+"""The listening socket: it accepts clients, limits how many there are, and closes them at a shutdown."""
 
 from __future__ import annotations
 
 import socket
-from itertools import islice
 
 from lupinladder.connection_limits.connection_capacity import ConnectionCapacity
-from lupinladder.connection_limits.eviction import IdleClient, select_for_eviction
 from lupinladder.connection_limits.idle_return_estimator import IdleReturnEstimator
 from lupinladder.graceful_shutdown import ShutdownSchedule
-from lupinladder.net.client_connection import IDLE_TIMEOUT_MS, ClientConnection, PendingReply
+from lupinladder.net.client_connection import ClientConnection
 from lupinladder.net.connection import READ, Address, Connection, DescriptorBudget
 from lupinladder.net.event_loop import EventLoop, Timer
+from lupinladder.net.idle_client_tracker import IdleClientTracker
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
+from lupinladder.net.pending_reply import PendingReply
 from lupinladder.net.request_dispatcher import RequestDispatcher
 
 __all__ = ["MAX_ACCEPTS_PER_EVENT", "ClientListener", "PendingReply"]
 
-LISTEN_BACKLOG, MAX_ACCEPTS_PER_EVENT = 1024, 64
-UPSTREAM_DESCRIPTOR_DIVISOR = 3  # one part in so many of the descriptors is kept from clients, for the links
-ACCEPT_RETRY_MS = 100.0  # ms until a front that found no descriptor for a client looks again
-SWEEP_INTERVAL_MS = 100.0  # ms between looks for such clients
-CLIENT_DESCRIPTOR_DIVISOR = (
-    3  # clients hold at most one part in so many of the descriptors for requests (LATER, "Score")
-)
+LISTEN_BACKLOG = 1024
+MAX_ACCEPTS_PER_EVENT = 64
+UPSTREAM_DESCRIPTOR_DIVISOR = 3  # one part in so many of the descriptors is kept for upstream connections
+CLIENT_DESCRIPTOR_DIVISOR = 3  # clients hold at most one part in so many for requests (LATER, "Score")
+SHORTAGE_DIVISOR = 2  # descriptors run short when less than one part in so many is free
+ACCEPT_RETRY_MS = 100.0  # until a listener that found no descriptor for a client looks again
+SWEEP_INTERVAL_MS = 100.0  # between looks for clients to close
 
 
 class ClientListener:
+    """Accepts clients, and holds what their connections share."""
+
     def __init__(
         self,
         loop: EventLoop,
         budget: DescriptorBudget,
-        engine: RequestDispatcher,
+        dispatcher: RequestDispatcher,
         address: Address,
         classes: list[str],
         tenants: list[str],
     ) -> None:
-        self.loop, self.budget, self.dispatcher = loop, budget, engine
-        self.classes, self.tenants = classes, tenants
+        self.loop = loop
+        self.budget = budget
+        self.dispatcher = dispatcher
+        self.classes = classes
+        self.tenants = tenants
         self.clients: dict[ClientConnection, None] = {}
-        # Between commands, the longest first: those that have asked, and those that have not yet.
-        self.idle_clients: dict[ClientConnection, None] = {}
-        self.clients_without_command: dict[ClientConnection, None] = {}
-        self.idle_returns, self.capacity = (
-            IdleReturnEstimator(),
-            ConnectionCapacity(budget.limit // CLIENT_DESCRIPTOR_DIVISOR, loop.now()),
-        )
-        self.closing_connections: list[Connection] = []
-        self.shutdown: ShutdownSchedule | None = None  # since the signal to stop
-        self.closes_idle_clients = False  # connections are ended as soon as they are between commands
-        self._mask, self._stopped = 0, False
-        self.open_ids = set[bytes]()  # of queries that wait for their answer
-        self._retry: Timer | None = None
+        self.return_estimator = IdleReturnEstimator()
+        self.idle_clients = IdleClientTracker(self.return_estimator)
+        self.capacity = ConnectionCapacity(budget.limit // CLIENT_DESCRIPTOR_DIVISOR, loop.now())
+        self.closing_connections: list[Connection] = []  # of former clients, until their last bytes are taken
+        self.shutdown: ShutdownSchedule | None = None  # set by `shut_down`
+        self.closes_idle_clients = False  # at a shutdown: each connection is closed as soon as it is idle
+        self.open_ids = set[bytes]()  # of requests that await their replies
+        self._stopped = False  # the listening socket is closed
+        self._mask = 0
+        self._accept_retry: Timer | None = None
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.setblocking(False)
@@ -62,93 +64,100 @@
         self.update_listening()
         self._sweep()
 
+    def forget(self, client: ClientConnection) -> None:
+        """Remove a client whose connection closes."""
+        self.clients.pop(client, None)
+        self.idle_clients.discard(client)
+
+    def await_closing(self, connection: Connection) -> None:
+        """Keep a connection until its last bytes are taken.
+
+        Those that have closed since are dropped: a list of all connections there ever were would grow
+        without end.
+        """
+        self.closing_connections = [one for one in self.closing_connections if one.is_open]
+        self.closing_connections.append(connection)
+
+    # Closing clients that are worth less than their descriptors
+
     def _sweep(self) -> None:
-        now, short = self.loop.now(), not (self.shutdown or self.budget.has_capacity(self.budget.limit // 2))
+        now = self.loop.now()
+        has_capacity = self.budget.has_capacity(self.budget.limit // SHORTAGE_DIVISOR)
+        descriptors_short = not self.shutdown and not has_capacity
         for client in list(self.clients):
-            client.close_if_overdue(now, short)
-        self._make_room(now)
+            client.close_if_overdue(now, descriptors_short)
+        self._close_excess_clients(now)
         self.loop.call_at(now + SWEEP_INTERVAL_MS, self._sweep)
 
-    def _make_room(self, now: float) -> None:
-        """Clients hold only so many connections for requests. Let go of those that hardly return, before
-        the ones that never do leave no room for whoever would ask next."""
-        short = self.capacity.excess(len(self.clients) - len(self.clients_without_command), now)
-        if short and not self.shutdown:  # else nobody new comes
-            resting = list(self.idle_clients)
-            for n in select_for_eviction(
-                [IdleClient(one.command_count, now - one.last_used) for one in resting],
-                self.idle_returns,
-                short,
-            ):
-                metrics.client_connections_evicted += resting[n].close_if_idle()
-
-    def remove_from_idle(self, client: ClientConnection) -> None:
-        self.idle_clients.pop(client, None)
-        self.clients_without_command.pop(client, None)
-
-    def forget(self, client: ClientConnection) -> None:
-        """It is no longer one of ours."""
-        self.clients.pop(client, None)
-        self.remove_from_idle(client)
+    def _close_excess_clients(self, now: float) -> None:
+        """Keep room for new clients.
 
-    @property
-    def is_finished(self) -> bool:
-        """After `stop`: every client has been ended, and all that was written has been taken. One that has
-        begun a command may end it any moment, and it counts as taken then."""
-        self.closing_connections = [conn for conn in self.closing_connections if conn.is_open]
-        return self._stopped and not self.clients and not self.closing_connections
+        Clients hold only so many connections for requests. Those that are unlikely to send another command
+        are closed before they leave no room for clients that would send one.
+        """
+        held = len(self.clients) - self.idle_clients.silent_count
+        excess = self.capacity.excess(held, now)
+        if excess and not self.shutdown:  # at a shutdown no new clients come
+            self.idle_clients.close_unlikely_to_return(excess, now)
 
-    def await_closing(self, conn: Connection) -> None:
-        """Keep a connection until its last bytes are taken. Those that are closed since go: this list lives
-        as long as the program, and a list of all connections there ever were would grow without end."""
-        self.closing_connections = [one for one in self.closing_connections if one.is_open]
-        self.closing_connections.append(conn)
+    # Accepting
 
     def update_listening(self) -> None:
-        """Accept while there are descriptors for clients, or idle ones to take one from."""
+        """Accept while there are descriptors for clients, or idle connections to take one from."""
         mask = 0
         if self._stopped:
             pass
-        elif (
-            self.budget.has_capacity(self.budget.limit // UPSTREAM_DESCRIPTOR_DIVISOR)
-            or self._owed
-            or self.idle_clients
-            or self.clients_without_command
-        ):
+        elif self._has_client_descriptor or self._may_take_upstream_descriptor or len(self.idle_clients):
             mask = READ
-        else:  # look again by ourselves: links that close tell nobody here, and no client may be left to end
-            self.loop.cancel(self._retry)
-            self._retry = self.loop.call_at(self.loop.now() + ACCEPT_RETRY_MS, self.update_listening)
-        self.loop.watch(self._sock, self._mask, mask, self._ready)
+        else:
+            # Upstream connections close without telling the listener, and there may be no client left whose
+            # close would, so it has to look again by itself.
+            self.loop.cancel(self._accept_retry)
+            self._accept_retry = self.loop.call_at(self.loop.now() + ACCEPT_RETRY_MS, self.update_listening)
+        self.loop.watch(self._sock, self._mask, mask, self._on_readable)
         self._mask = mask
 
     @property
-    def _owed(self) -> bool:
-        """Whether clients hold less than their share while links rest. Beyond it they displace only each
-        other, or a flood of them would leave the links no descriptor."""
+    def _has_client_descriptor(self) -> bool:
+        """Whether a descriptor is free beside the part that is kept for upstream connections."""
+        return self.budget.has_capacity(self.budget.limit // UPSTREAM_DESCRIPTOR_DIVISOR)
+
+    @property
+    def _may_take_upstream_descriptor(self) -> bool:
+        """Whether clients hold less than their share while upstream connections are idle.
+
+        Beyond their share clients displace only each other: a flood of them would leave upstream connections
+        no descriptor.
+        """
         return len(self.clients) < self.capacity.share and bool(self.budget.idle_connections)
 
-    def _ready(self, mask: int) -> None:
-        for count in range(MAX_ACCEPTS_PER_EVENT):
-            # The first round alone knows that somebody waits, and is worth an idle link, or an idle client.
-            short = not self.budget.has_capacity(self.budget.limit // UPSTREAM_DESCRIPTOR_DIVISOR)
-            if short and (count or not ((self._owed and self.budget.close_longest_idle()) or self._evict())):
+    def _on_readable(self, _events: int) -> None:
+        for accepted in range(MAX_ACCEPTS_PER_EVENT):
+            # Only before the first accept is it certain that a client waits, which is worth closing another
+            # connection.
+            if not self._has_client_descriptor and (accepted or not self._release_descriptor()):
                 log_event("accept_paused", reason="no descriptor left for a client")
                 break
             if not self._accept():
                 break
         self.update_listening()
 
+    def _release_descriptor(self) -> bool:
+        """Close an idle connection, upstream or a client's; return whether there was one."""
+        if self._may_take_upstream_descriptor and self.budget.close_longest_idle():
+            return True
+        return self.idle_clients.evict_one(self.loop.now())
+
     def _accept(self) -> bool:
-        """Take in one whom the system has accepted; False when there is none, or no descriptor."""
+        """Accept one client; False if none waits, or the system has no descriptor."""
         try:
             sock, _ = self._sock.accept()
         except (InterruptedError, ConnectionAbortedError):
             return True
         except BlockingIOError:
             return False
-        except OSError as bad:
-            log_event("accept_failed", error=bad)
+        except OSError as error:
+            log_event("accept_failed", error=error)
             return False
         metrics.client_connections_accepted += 1
         self.capacity.record_accept()
@@ -157,54 +166,53 @@
         client.update_idle_state()
         return True
 
-    def _evict(self) -> bool:
-        """Close the client that has been idle for longest; it may connect again. One that has said nothing
-        for a while goes before one that has asked and may ask again any moment."""
-        now = self.loop.now()
-        # The longest at rest of each kind, and a few more: one may have written a command just now.
-        idle = [*islice(self.clients_without_command, 4), *islice(self.idle_clients, 4)]
-        idle.sort(
-            key=lambda c: (
-                now - c.last_used < (IDLE_TIMEOUT_MS if c.command_count else IDLE_TIMEOUT_MS / 8),
-                c.last_used,
-            )
-        )
-        for client in idle:
-            if client.close_if_idle():
-                client.conn.close()  # its descriptor is needed now; all it was owed has been written
-                return True
-        return False
+    # Shutting down
 
     def shut_down(self) -> None:
-        """Accept a little longer, answer what was taken, close connections between commands."""
+        """Accept a little longer, answer what was accepted, close connections that are idle."""
         self.shutdown = self.dispatcher.shutdown_schedule()
-        self.loop.call_at(self.shutdown.accept_until, self._shut)
-        self.loop.call_at(self.shutdown.close_idle_from, self._close)
+        self.loop.call_at(self.shutdown.accept_until, self._stop_listening)
+        self.loop.call_at(self.shutdown.close_idle_from, self._close_idle_clients)
+
+    @property
+    def is_finished(self) -> bool:
+        """After `shut_down`: whether every client is closed, and has taken all that was written.
+
+        A client that has begun a command may end it any moment, and it counts as accepted then.
+        """
+        self.closing_connections = [one for one in self.closing_connections if one.is_open]
+        return self._stopped and not self.clients and not self.closing_connections
 
-    def _shut(self) -> None:
-        """Take in whoever the system has accepted so far, then close the listener: that resets the rest, with
-        what they have asked. The links' part of the descriptors serves as well; without any, look again."""
+    def _stop_listening(self) -> None:
+        """Accept whoever has connected so far, then close the listening socket.
+
+        The close resets the connections that wait to be accepted, and loses the commands sent on them. So
+        without a descriptor for them it is tried again, until all has to be answered.
+        """
         assert self.shutdown
-        left = LISTEN_BACKLOG
-        while (
-            left
-            and (free := self.budget.has_capacity() or self.budget.close_longest_idle())
-            and self._accept()
-        ):
-            left -= 1
+        has_accepted_all = self._accept_backlog()
         now = self.loop.now()
-        if not free and now < self.shutdown.answer_by:
+        if not has_accepted_all and now < self.shutdown.answer_by:
             log_event("listener_close_postponed", reason="no descriptor left for a client")
-            self.loop.call_at(now + ACCEPT_RETRY_MS, self._shut)
+            self.loop.call_at(now + ACCEPT_RETRY_MS, self._stop_listening)
             return
         self._stopped = True
         self.update_listening()
         self._sock.close()
         self.budget.used -= 1
-        if self.closes_idle_clients:  # those who came since
-            self._close()
+        if self.closes_idle_clients:  # that was due before those who were accepted just now
+            self._close_idle_clients()
+
+    def _accept_backlog(self) -> bool:
+        """Accept all that wait; False if there is no descriptor, not even one kept for upstream."""
+        for _ in range(LISTEN_BACKLOG):
+            if not self.budget.has_capacity() and not self.budget.close_longest_idle():
+                return False
+            if not self._accept():
+                break
+        return True
 
-    def _close(self) -> None:
+    def _close_idle_clients(self) -> None:
         self.closes_idle_clients = True
         for client in list(self.clients):
             client.close_if_idle()
--- /dev/null
+++ b/lupinladder/net/idle_client_tracker.py
@@ -0,0 +1,69 @@
+"""The idle clients, in the order in which they became idle, and closing those that are worth least."""
+
+from __future__ import annotations
+
+from itertools import islice
+
+from lupinladder.connection_limits.eviction import IdleClient, select_for_eviction
+from lupinladder.connection_limits.idle_return_estimator import IdleReturnEstimator
+from lupinladder.net.client_connection import IDLE_TIMEOUT_MS, ClientConnection
+from lupinladder.net.metrics import metrics
+
+EVICTION_CANDIDATES = 4  # of each kind: a few, since one may have written a command just now
+SILENT_EVICTION_AGE_MS = IDLE_TIMEOUT_MS / 8  # a client without a command is evicted first from this age on
+
+
+class IdleClientTracker:
+    """Two ordered sets of idle clients, the longest idle first; the connections keep them up to date."""
+
+    def __init__(self, return_estimator: IdleReturnEstimator) -> None:
+        self._return_estimator = return_estimator
+        self._with_commands: dict[ClientConnection, None] = {}
+        self._silent: dict[ClientConnection, None] = {}  # those that have sent no command yet
+
+    def __len__(self) -> int:
+        return len(self._with_commands) + len(self._silent)
+
+    @property
+    def silent_count(self) -> int:
+        """How many of them have sent no command yet."""
+        return len(self._silent)
+
+    def add(self, client: ClientConnection) -> None:
+        """Add a client that has become idle just now."""
+        clients = self._with_commands if client.command_count else self._silent
+        clients[client] = None
+
+    def discard(self, client: ClientConnection) -> None:
+        """Remove a client that is not idle any more, if it is here."""
+        self._with_commands.pop(client, None)
+        self._silent.pop(client, None)
+
+    def close_unlikely_to_return(self, max_count: int, now: float) -> None:
+        """Close those that are unlikely to send another command soon, at most so many."""
+        clients = list(self._with_commands)
+        idle_times = [IdleClient(one.command_count, now - one.last_used) for one in clients]
+        for index in select_for_eviction(idle_times, self._return_estimator, max_count):
+            metrics.client_connections_evicted += clients[index].close_if_idle()
+
+    def evict_one(self, now: float) -> bool:
+        """Close the client that has been idle for longest; it may connect again. False if there is none.
+
+        One that has sent nothing for a while is closed before one that has sent commands and may send the
+        next any moment.
+        """
+        candidates = [
+            *islice(self._silent, EVICTION_CANDIDATES),
+            *islice(self._with_commands, EVICTION_CANDIDATES),
+        ]
+        candidates.sort(key=lambda client: (_was_used_recently(client, now), client.last_used))
+        for client in candidates:
+            if client.close_if_idle():
+                client.conn.close()  # its descriptor is needed now; all replies to it have been written
+                return True
+        return False
+
+
+def _was_used_recently(client: ClientConnection, now: float) -> bool:
+    max_age = IDLE_TIMEOUT_MS if client.command_count else SILENT_EVICTION_AGE_MS
+    return now - client.last_used < max_age
--- /dev/null
+++ b/lupinladder/net/pending_reply.py
@@ -0,0 +1,39 @@
+"""The reply to one command of a client."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lupinladder.net import resp
+from lupinladder.net.request_dispatcher import PendingRequest
+
+if TYPE_CHECKING:
+    from lupinladder.net.client_connection import ClientConnection
+
+MIN_RETRY_AFTER_MS = 1.0  # a client that may retry sooner is given no time
+
+
+class PendingReply:
+    """The reply to one command, from when the command was read until the reply is in the outbox."""
+
+    def __init__(self, client: ClientConnection, request_id: bytes = b"") -> None:
+        self._client = client
+        self.request_id = request_id  # the client's; empty for a command that is answered at once
+        self.request: PendingRequest | None = None
+        self.encoded: bytes | None = None  # set when the reply is known
+
+    def on_served(self, value: bytes) -> None:
+        """Reply with the value."""
+        self._set(resp.encode_bulk(value))
+
+    def on_rejected(self, wait: float) -> None:
+        """Reply that the client may retry after so many ms."""
+        self._set(resp.encode_error(f"BUSY {wait:.0f}" if wait >= MIN_RETRY_AFTER_MS else "BUSY"))
+
+    def on_failed(self) -> None:
+        """Reply that the request has failed."""
+        self._set(resp.encode_error("ERR failed"))
+
+    def _set(self, answer: bytes) -> None:
+        self.encoded = answer
+        self._client.on_reply_ready(self)
--- a/tests/net/test_client_listener.py
+++ b/tests/net/test_client_listener.py
@@ -34,7 +34,7 @@
         client = self.client(PING)
         self.answers(client, b"+PONG\r\n")
         self.front.shut_down()
-        self.front._shut()  # nobody new comes; who is here stays
+        self.front._stop_listening()  # nobody new comes; who is here stays
         client.conn.send(get())
         node = self.at_node()
         node.conn.send(SERVED)
@@ -48,7 +48,7 @@
         self.until(lambda: b"-BUSY " in client.got, "a refusal")
         self.assertIn(int(client.got.rsplit(b" ", 1)[1]), range(300, 401))
         self.assertEqual(len([e for e in self.script.events if isinstance(e, RequestReceived)]), 1)
-        self.front._close()
+        self.front._close_idle_clients()
         self.until(lambda: client.ends, "the end")
         client.conn.close()
         self.until(lambda: self.front.is_finished, "nothing owed")
@@ -56,8 +56,8 @@
     def stop(self) -> None:
         """All at once what comes in half a second."""
         self.front.shut_down()
-        self.front._shut()
-        self.front._close()
+        self.front._stop_listening()
+        self.front._close_idle_clients()
 
     def test_whoever_the_system_has_accepted_when_the_listener_closes_is_answered(self) -> None:
         came = [socket.create_connection(self.address) for _ in range(MAX_ACCEPTS_PER_EVENT + 5)]
@@ -66,18 +66,22 @@
             one.sendall(PING)
         self.front.shut_down()
         limit, self.budget.limit = self.budget.limit, self.budget.used + MAX_ACCEPTS_PER_EVENT + 3
-        self.front._shut()
+        self.front._stop_listening()
         self.assertFalse(self.front.is_finished)
         self.assertEqual(len(self.front.clients), MAX_ACCEPTS_PER_EVENT + 3)
         self.budget.limit = limit
         self.until(lambda: self.front._stopped, "the end of the listener")
-        self.front._close()
+        self.front._close_idle_clients()
         self.until(lambda: not self.front.clients, "the end of all")
         self.assertEqual([one.recv(99) for one in came], [b"+PONG\r\n"] * len(came))
 
     def test_a_client_in_the_middle_of_a_command_is_waited_for_and_answered_or_told(self) -> None:
         halves = [self.client(get(ident)[:30]) for ident in (b"a", b"b")]
-        self.until(lambda: all(one._half for one in self.front.clients) and len(self.front.clients) == 2)
+        self.until(
+            lambda: (
+                all(one._command_incomplete for one in self.front.clients) and len(self.front.clients) == 2
+            )
+        )
         self.stop()
         self.assertFalse(self.front.is_finished)
         halves[0].conn.send(get()[30:])
@@ -98,7 +102,7 @@
         with mock.patch.object(Connection, "_flush"):  # the system takes nothing
             node.conn._sock.sendall(SERVED)
             self.until(lambda: self.script.ends(), "the answer")
-            self.assertFalse(self.front.idle_clients or self.front._evict())
+            self.assertFalse(self.front.idle_clients or self.front.idle_clients.evict_one(self.loop.now()))
             self.stop()
         self.answers(client, b"$1\r\nV\r\n")
         self.until(lambda: client.ends, "the end")
@@ -113,7 +117,9 @@
         plan = ShutdownSchedule(Settings([RequestClass(500, 1500)], balancer_count=3), self.loop.now() - 1700)
         self.front.shutdown = plan
         client.conn.send(get(b"b"))
-        self.until(lambda: any(len(one._slots) == 2 for one in self.front.clients), "the second command")
+        self.until(
+            lambda: any(len(one._pending_replies) == 2 for one in self.front.clients), "the second command"
+        )
         self.script.react = lambda event: [Reject(1)]
         self.engine.notify(TimerFired(1))
         self.until(lambda: client.ends, "the end")
@@ -142,8 +148,8 @@
     def test_clients_that_ask_once_and_stay_make_room_and_those_that_return_are_kept(self) -> None:
         """Incident r0d6542: such connections filled the clients' share, and nobody could open the next."""
         for _ in range(60):  # what was seen of other clients: the second command comes soon, or never
-            self.front.idle_returns.record_outlived(1, 0, 6)
-            self.front.idle_returns.record_return(2, 30)
+            self.front.return_estimator.record_outlived(1, 0, 6)
+            self.front.return_estimator.record_return(2, 30)
         share = self.SOCKETS // 3
         keen = self.client(PING)
         self.answers(keen, b"+PONG\r\n")
