--- a/lupinladder/net/client_command.py
+++ b/lupinladder/net/client_command.py
@@ -37,8 +37,8 @@
 
 GET_COMMAND = b"OBJ.GET"
 SET_COMMAND = b"OBJ.SET"
-GET_WORD_COUNT = 4  # name, key, id, labels
-SET_WORD_COUNT = 5  # the same and the value
+GET_LENGTH = 4  # name, key, id, labels
+SET_LENGTH = 5  # the same and the value
 
 CLASS_LABEL = b"c"
 TENANT_LABEL = b"t"
@@ -130,15 +130,15 @@
 
 
 def parse_command(
-    words: Sequence[bytes], classes: Sequence[str], tenants: Sequence[str] = ()
+    arguments: Sequence[bytes], classes: Sequence[str], tenants: Sequence[str] = ()
 ) -> ClientCommand:
     """Read a GET or a SET; CommandError for anything else.
 
     `classes` and `tenants` are names from the settings. Where the settings name tenants, each command has to
     name one of them (label `t`); elsewhere that label is passed on unread.
     """
-    is_write = _check_words(words)
-    labels = _parse_labels(words[3])
+    is_write = _check_arguments(arguments)
+    labels = _parse_labels(arguments[3])
     class_name = labels.get(CLASS_LABEL, b"").decode()
     if class_name not in classes:
         raise CommandError(CommandFault.UNKNOWN_CLASS)
@@ -149,7 +149,7 @@
     if timeout <= 0:
         raise CommandError(CommandFault.MISSING_DEADLINE)
     return ClientCommand(
-        words=list(words),
+        words=list(arguments),
         labels=labels,
         request_class=classes.index(class_name),
         tenant=tenants.index(tenant_name) if tenants else 0,
@@ -161,15 +161,15 @@
     )
 
 
-def _check_words(words: Sequence[bytes]) -> bool:
+def _check_arguments(arguments: Sequence[bytes]) -> bool:
     """Check the name, the number of arguments, the key and the id; return whether it is a write."""
-    name = words[0].upper()
+    name = arguments[0].upper()
     if name not in (GET_COMMAND, SET_COMMAND):
         raise CommandError(CommandFault.UNKNOWN_COMMAND)
     is_write = name == SET_COMMAND
-    if len(words) != (SET_WORD_COUNT if is_write else GET_WORD_COUNT):
+    if len(arguments) != (SET_LENGTH if is_write else GET_LENGTH):
         raise CommandError(CommandFault.ARGUMENT_COUNT)
-    if not _KEY_OR_ID.fullmatch(words[1]) or not _KEY_OR_ID.fullmatch(words[2]):
+    if not _KEY_OR_ID.fullmatch(arguments[1]) or not _KEY_OR_ID.fullmatch(arguments[2]):
         raise CommandError(CommandFault.KEY_OR_ID)
     return is_write
 
--- a/lupinladder/net/client_connection.py
+++ b/lupinladder/net/client_connection.py
@@ -18,7 +18,7 @@
     from lupinladder.net.client_listener import ClientListener
 
 MAX_PIPELINE_DEPTH = 32  # commands of one client that await replies; beyond, its bytes are left unread
-MAX_COMMAND_WORDS = 16
+MAX_COMMAND_LENGTH = 16  # elements of its array
 # A client that has sent no command, or only a part of one, has to be closed within 3 s of connecting.
 FIRST_COMMAND_TIMEOUT_MS = 2300.0
 COMMAND_TIMEOUT_MS = 2400.0
@@ -33,7 +33,7 @@
     def __init__(self, listener: ClientListener, sock: socket.socket) -> None:
         self._listener = listener
         self._pending_replies = deque[PendingReply]()  # in the order of the commands
-        self._parser = resp.RespParser(MAX_STORED_VALUE_BYTES, MAX_COMMAND_WORDS)
+        self._parser = resp.RespParser(MAX_STORED_VALUE_BYTES, MAX_COMMAND_LENGTH)
         self._closing = False  # no more commands are read; it closes after the pending replies
         self._reading = False
         self._reading_paused = False  # as MAX_PIPELINE_DEPTH was reached; commands may lie unread
@@ -285,4 +285,4 @@
 
 def _is_command(value: resp.Value) -> TypeGuard[list[bytes]]:
     """Whether the value is an array of bulk strings; simple strings and errors are subclasses of bytes."""
-    return isinstance(value, list) and all(type(word) is bytes for word in value)
+    return isinstance(value, list) and all(type(item) is bytes for item in value)
--- a/lupinladder/net/resp.py
+++ b/lupinladder/net/resp.py
@@ -90,18 +90,18 @@
         """Whether the parser is between two values."""
         return not self._open_arrays and not self._bulk_bytes
 
-    def next(self, ring: RingBuffer) -> Value | Incomplete:
+    def next(self, buffer: RingBuffer) -> Value | Incomplete:
         """Take the next whole value; INCOMPLETE until one has arrived. Raises FramingError."""
         while True:
-            value = self._read_bulk(ring) if self._bulk_bytes else self._read_line(ring)
+            value = self._read_bulk(buffer) if self._bulk_bytes else self._read_line(buffer)
             if self._open_arrays and not isinstance(value, Incomplete):
                 value = self._append_to_array(value)
             if value is not _CONTENT_FOLLOWS:
                 return value
 
-    def _read_bulk(self, ring: RingBuffer) -> bytes | Incomplete:
+    def _read_bulk(self, buffer: RingBuffer) -> bytes | Incomplete:
         """Read on in a bulk string whose header has been read."""
-        self._bulk += ring.read(self._bulk_bytes - len(self._bulk))
+        self._bulk += buffer.read(self._bulk_bytes - len(self._bulk))
         if len(self._bulk) < self._bulk_bytes:
             return INCOMPLETE
         if self._bulk[-2:] != CRLF:
@@ -111,10 +111,10 @@
         self._bulk_bytes = 0
         return value
 
-    def _read_line(self, ring: RingBuffer) -> Value | Incomplete:
+    def _read_line(self, buffer: RingBuffer) -> Value | Incomplete:
         """Read a value of one line, or the header of a bulk string or an array."""
         try:
-            line = ring.read_line(MAX_LINE_BYTES)
+            line = buffer.read_line(MAX_LINE_BYTES)
         except ValueError as error:
             raise FramingError(str(error)) from None
         if line is None:
