Group the client tests by behaviour, with names that state the expectation

One class held all tests of clients on sockets. Each behaviour has a class in the file of the module that it tests; the eviction test stands with the tracker.

--- a/tests/net/test_client_connection.py
+++ b/tests/net/test_client_connection.py
@@ -1,4 +1,4 @@
-"""Clients on real sockets: commands and answers."""
+"""One client's connection on real sockets: commands and their replies."""
 
 from __future__ import annotations
 
@@ -8,29 +8,23 @@
 from unittest import mock
 
 from lupinladder.balancing.actions import Reject, StartAttempt
-from lupinladder.balancing.events import (
-    ClientDisconnected,
-    RequestReceived,
-    TimerFired,
-)
+from lupinladder.balancing.events import ClientDisconnected, RequestReceived, TimerFired
 from lupinladder.net import connection
 from lupinladder.net.client_connection import MAX_PIPELINE_DEPTH
 from lupinladder.net.connection import Connection
 from tests.support.network_scene import MISSED, ORIGIN, SERVED, Scene, get, once_to
 
 PING = b"*1\r\n$4\r\nPING\r\n"
+HTTP_OK = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nV"
 
 
-OK_HTTP = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nV"
-
-
-class Serving(Scene):
-    def test_a_hit_goes_through_with_nothing_changed_but_d(self) -> None:
+class Forwarding(Scene):
+    def test_a_hit_is_forwarded_with_nothing_changed_but_the_deadline(self) -> None:
         client = self.client(get())
         node = self.at_node()
-        head, wait = node.got.rsplit(b"d=", 1)
+        head, deadline = node.got.rsplit(b"d=", 1)
         self.assertEqual(head, get().rsplit(b"d=", 1)[0])
-        self.assertIn(int(wait), range(1, 901))
+        self.assertIn(int(deadline), range(1, 901))
         node.conn.send(SERVED)
         self.answers(client, b"$1\r\nV\r\n")
         self.assertEqual(self.script.ends(), [(0, "OK", True)])
@@ -42,7 +36,7 @@
         origin = self.at_node(0, self.origin)
         self.assertIn(b"GET /1f HTTP/1.1\r\n", origin.got)
         self.assertIn(b"X-Txn: a\r\nX-Labels: c=read,d=", origin.got)
-        origin.conn.send(OK_HTTP)
+        origin.conn.send(HTTP_OK)
         self.answers(client, b"$1\r\nV\r\n")
         self.assertEqual(self.script.ends(), [(0, "MISS", False), (1, "OK", True)])
 
@@ -57,46 +51,106 @@
         self.at_node(0, self.origin).conn.send(b"HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n" + value)
         self.answers(client, b"$400000\r\n%b\r\n" % value)
 
-    def test_a_refusal_says_when_to_come_back(self) -> None:
+    def test_a_rejection_says_when_to_retry(self) -> None:
         self.script.react = lambda event: [Reject(event.request_id, 75.0)]
         self.answers(self.client(get()), b"-BUSY 75\r\n")
 
-    def test_pipelined_commands_are_answered_in_order_and_bad_ones_do_no_harm(self) -> None:
-        bad = b"*1\r\n$7\r\nOBJ.GET\r\n"
-        client = self.client(get() + PING + bad + get(b"b"))
-        first, second = self.at_node(0), self.at_node(1)
+    def test_a_command_that_lay_unread_for_a_long_round_of_the_loop_has_that_much_less_time(self) -> None:
+        client = self.client(PING)
+        self.answers(client, b"+PONG\r\n")
+        for request_id, latency, timeout in ((b"a", 0.4, 900), (b"b", 300.0, 600), (b"c", 5000.0, 1)):
+            client.conn.send(get(request_id))
+            count = len(self.script.events)
+            while len(self.script.events) == count:
+                self.loop.loop_latency = latency
+                self.loop.run_once()
+            [request] = [e for e in self.script.events[count:] if isinstance(e, RequestReceived)]
+            self.assertEqual(request.timeout, timeout)
+
+
+class Pipelining(Scene):
+    def test_pipelined_commands_are_answered_in_order_and_invalid_ones_do_no_harm(self) -> None:
+        invalid = b"*1\r\n$7\r\nOBJ.GET\r\n"
+        client = self.client(get() + PING + invalid + get(b"b"))
+        first = self.at_node(0)
+        second = self.at_node(1)
         second.conn.send(SERVED)
         self.until(lambda: self.script.ends(), "the second answer")
-        self.assertEqual(client.got, b"")  # the first is still owed
+        self.assertEqual(client.got, b"")  # the first reply is still pending
         first.conn.send(SERVED)
         value = b"$1\r\nV\r\n"
         self.answers(client, value + b"+PONG\r\n-ERR wrong number of arguments\r\n" + value)
 
-    def test_more_commands_than_wait_at_once_and_more_than_a_stack_could_nest(self) -> None:
+    def test_more_commands_than_a_pipeline_holds_or_a_stack_could_nest_are_answered(self) -> None:
         client = self.client(PING * 9000)
         self.answers(client, b"+PONG\r\n" * 9000)
 
-    def test_broken_framing_is_told_after_what_is_owed_and_closes(self) -> None:
+    def test_a_slow_reader_is_not_read_from_and_loses_nothing(self) -> None:
+        value = b"$65536\r\n" + b"x" * 65536 + b"\r\n"
+        self.script.react = lambda event: []
+        client = self.client()
+        client.conn._loop.watch(client.conn._sock, client.conn._mask, 0, client.conn._ready)
+        client.conn._mask = 0  # it does not read
+        client.conn._sock.setblocking(True)
+        client.conn._sock.sendall(b"".join(get(b"%c" % one) for one in ascii_letters.encode()[:40]))
+        self.until(lambda: len(self.script.events) == MAX_PIPELINE_DEPTH, "a full pipeline")
+        for request in list(self.engine._queries.values()):
+            assert request.handler
+            request.handler.on_served(b"x" * 65536)
+        [accepted] = [one.conn for one in self.front.clients]
+        self.until(lambda: accepted.bytes_sent > 0, "some bytes")
+        self.assertLessEqual(len(accepted.outbox), accepted.outbox.bound)
+        client.conn._sock.setblocking(False)
+        client.conn._interest()
+        self.until(lambda: len(client.got) >= 32 * len(value), "all answers")
+        self.assertEqual(client.got, value * 32)
+
+
+class FramingErrors(Scene):
+    def test_a_framing_error_is_told_after_the_pending_replies_and_closes(self) -> None:
         client = self.client(get() + b"GET / HTTP/1.1\r\n\r\n")
         self.at_node().conn.send(SERVED)
         self.until(lambda: client.ends, "a close")
         self.assertEqual(client.got, b"$1\r\nV\r\n-ERR Protocol error: unknown type byte\r\n")
         self.assertEqual(client.ends, [True])  # an end, no reset
 
-    def test_a_client_that_ended_its_bytes_or_broke_has_left(self) -> None:
-        client, gone = self.client(get()), self.client(get(b"b"))
-        node, _ = self.at_node(), self.at_node(1)
+    def test_a_client_that_sends_on_after_its_error_is_cut_off(self) -> None:
+        client = self.client()
+        self.until(lambda: self.front.clients, "a client")
+        [accepted] = self.front.clients
+
+        def flood() -> bool:
+            if client.conn.is_open and client.conn.outbox.available_space >= 9000:
+                client.conn.send(b"x" * 9000)
+            return not accepted.conn.is_open
+
+        with mock.patch.object(connection, "LINGER_MS", 60_000.0):
+            client.conn.send(b"*1\r\n$60000000\r\n")
+            self.until(flood, "a close")
+        self.assertGreater(accepted.conn._discarded, 256 << 10)
+        self.assertLess(len(accepted.conn.inbox), 1 << 17)
+
+
+class Disconnects(Scene):
+    def disconnected(self) -> set[int]:
+        return {event.request_id for event in self.script.events if isinstance(event, ClientDisconnected)}
+
+    def test_a_client_that_ends_its_bytes_or_resets_is_disconnected(self) -> None:
+        client = self.client(get())
+        broken = self.client(get(b"b"))
+        node = self.at_node(0)
+        self.at_node(1)
         client.conn.send(get(b"c")[:9])
         client.conn._sock.shutdown(socket.SHUT_WR)
-        gone.reset()
-        self.until(lambda: self.left() == {1, 2}, "their leaving")
+        broken.reset()
+        self.until(lambda: self.disconnected() == {1, 2}, "their disconnects")
         node.conn.send(SERVED)
         self.until(lambda: client.ends, "the end")
         self.assertEqual((client.got, client.ends), (b"", [True]))
         self.assertTrue(self.engine.is_idle)
         self.assertFalse(self.front.open_ids or self.front.clients)
 
-    def test_what_a_client_that_ended_its_bytes_was_told_already_is_written(self) -> None:
+    def test_replies_that_are_encoded_already_are_written_after_the_client_ended_its_bytes(self) -> None:
         self.script.react = lambda event: []
         client = self.client(get() + PING + b"*1\r\n$3\r\nBAD\r\n" + get(b"b") + PING)
         self.until(lambda: len(self.script.events) == 2, "both commands")
@@ -104,91 +158,44 @@
             self.script.react = lambda event: [Reject(1)]
             self.engine.notify(TimerFired(1))
             client.conn._sock.shutdown(socket.SHUT_WR)
-            self.until(lambda: self.left() == {2}, "its leaving")
-        self.until(lambda: client.ends, "the end")  # the answer behind what was dropped would be taken for it
+            self.until(lambda: self.disconnected() == {2}, "its disconnect")
+        self.until(lambda: client.ends, "the end")  # a reply behind the dropped one would be taken for it
         self.assertEqual((client.got, client.ends), (b"-BUSY\r\n+PONG\r\n-ERR unknown command\r\n", [True]))
 
-    def test_commands_unread_behind_the_end_of_a_client_are_not_asked(self) -> None:
+    def test_commands_still_unread_when_the_client_ends_are_dropped(self) -> None:
         self.script.react = lambda event: []
         client = self.client(
             b"".join(get(bytes([one])) for one in ascii_letters.encode()[: MAX_PIPELINE_DEPTH + 8])
         )
-        self.until(lambda: len(self.script.events) == MAX_PIPELINE_DEPTH, "as many as may wait")
+        self.until(lambda: len(self.script.events) == MAX_PIPELINE_DEPTH, "a full pipeline")
         client.conn._sock.shutdown(socket.SHUT_WR)
         self.until(lambda: client.ends, "the end")
-        asked = [e for e in self.script.events if isinstance(e, RequestReceived)]
-        self.assertEqual((len(asked), len(self.left())), (MAX_PIPELINE_DEPTH, MAX_PIPELINE_DEPTH))
+        received = [e for e in self.script.events if isinstance(e, RequestReceived)]
+        self.assertEqual((len(received), len(self.disconnected())), (MAX_PIPELINE_DEPTH, MAX_PIPELINE_DEPTH))
         self.assertTrue(self.engine.is_idle)
 
-    def left(self) -> set[int]:
-        return {event.request_id for event in self.script.events if isinstance(event, ClientDisconnected)}
-
-    def test_a_slow_reader_is_not_read_from_and_loses_nothing(self) -> None:
-        value = b"$65536\r\n" + b"x" * 65536 + b"\r\n"
-        self.script.react = lambda event: []
-        client = self.client()
-        client.conn._loop.watch(client.conn._sock, client.conn._mask, 0, client.conn._ready)
-        client.conn._mask = 0  # it does not read
-        client.conn._sock.setblocking(True)
-        client.conn._sock.sendall(b"".join(get(b"%c" % one) for one in ascii_letters.encode()[:40]))
-        self.until(lambda: len(self.script.events) == 32, "as many as may wait")
-        for query in list(self.engine._queries.values()):
-            assert query.handler
-            query.handler.on_served(b"x" * 65536)
-        held = [c.conn for c in self.front.clients]
-        self.until(lambda: held[0].bytes_sent > 0, "some bytes")
-        self.assertLessEqual(len(held[0].outbox), held[0].outbox.bound)
-        client.conn._sock.setblocking(False)
-        client.conn._interest()
-        self.until(lambda: len(client.got) >= 32 * len(value), "all answers")
-        self.assertEqual(client.got, value * 32)
 
-    def test_the_id_of_an_open_query_is_refused_until_that_one_is_answered_or_left(self) -> None:
-        first, left = self.client(get()), self.client(get(b"b"))
-        node, _ = self.at_node(0), self.at_node(1)
+class RequestIds(Scene):
+    def test_the_id_of_an_open_request_is_an_error_until_that_one_is_answered_or_disconnected(self) -> None:
+        first = self.client(get())
+        disconnecting = self.client(get(b"b"))
+        node = self.at_node(0)
+        self.at_node(1)
         second = self.client(get() + get(b"b"))
         self.answers(second, b"-ERR id is that of another open query\r\n" * 2)
         self.assertEqual(len(self.script.events), 2)
         node.conn.send(SERVED)
         self.answers(first, b"$1\r\nV\r\n")
-        left.reset()
-        self.until(lambda: len(self.front.clients) == 2, "its leaving")
+        disconnecting.reset()
+        self.until(lambda: len(self.front.clients) == 2, "its disconnect")
         second.conn.send(get() + get(b"b"))
         self.until(lambda: sum(isinstance(e, RequestReceived) for e in self.script.events) == 4, "both")
 
-    def test_what_lay_unread_for_a_long_turn_has_that_much_less_time(self) -> None:
-        client = self.client(PING)
-        self.answers(client, b"+PONG\r\n")
-        for ident, lag, patience in ((b"a", 0.4, 900), (b"b", 300.0, 600), (b"c", 5000.0, 1)):
-            client.conn.send(get(ident))
-            count = len(self.script.events)
-            while len(self.script.events) == count:
-                self.loop.loop_latency = lag
-                self.loop.run_once()
-            [request] = [e for e in self.script.events[count:] if isinstance(e, RequestReceived)]
-            self.assertEqual(request.timeout, patience)
-
-    def test_a_client_that_sends_on_after_its_error_is_cut_off(self) -> None:
-        client = self.client()
-        self.until(lambda: self.front.clients, "a client")
-        [mine] = self.front.clients
-
-        def flood() -> bool:
-            if client.conn.is_open and client.conn.outbox.available_space >= 9000:
-                client.conn.send(b"x" * 9000)
-            return not mine.conn.is_open
-
-        with mock.patch.object(connection, "LINGER_MS", 60_000.0):
-            client.conn.send(b"*1\r\n$60000000\r\n")
-            self.until(flood, "a close")
-        self.assertGreater(mine.conn._discarded, 256 << 10)
-        self.assertLess(len(mine.conn.inbox), 1 << 17)
-
 
 class Tenants(Scene):
     TENANTS: ClassVar[list[str]] = ["a", "b"]
 
-    def test_each_query_counts_for_its_own_tenant_and_one_nobody_declared_is_an_error(self) -> None:
+    def test_each_request_counts_for_its_own_tenant_and_an_unknown_tenant_is_an_error(self) -> None:
         client = self.client(
             b"".join(
                 get(b"x").replace(b"$12\r\n", b"$16\r\n").replace(b"c=", b"t=%b,c=" % t) for t in (b"z", b"b")
--- /dev/null
+++ b/tests/net/test_idle_client_tracker.py
@@ -0,0 +1,28 @@
+"""Idle clients on real sockets: which are closed to make room."""
+
+from __future__ import annotations
+
+from tests.support.network_scene import SERVED, Scene, get
+
+PING = b"*1\r\n$4\r\nPING\r\n"
+
+
+class Eviction(Scene):
+    def test_clients_that_send_one_command_make_room_and_those_that_return_are_kept(self) -> None:
+        """Incident r0d6542: such connections filled the clients' share, and nobody could connect any more."""
+        for _ in range(60):  # of other clients: the second command comes soon, or never
+            self.front.return_estimator.record_outlived(1, 0, 6)
+            self.front.return_estimator.record_return(2, 30)
+        share = self.SOCKETS // 3
+        returning = self.client(PING)
+        self.answers(returning, b"+PONG\r\n")
+        returning.conn.send(PING)
+        self.answers(returning, b"+PONG\r\n" * 2)
+        waiting = self.client(get())
+        once_only = [self.client(PING) for _ in range(share - 2)]
+        for peer in once_only:
+            self.answers(peer, b"+PONG\r\n")
+        self.until(lambda: sum(bool(peer.ends) for peer in once_only) >= share // 4, "room")
+        self.assertEqual((returning.ends, waiting.ends), ([], []))
+        self.at_node().conn.send(SERVED)
+        self.answers(waiting, b"$1\r\nV\r\n")
