Test the order of evictions, and name how a PING is answered

The tracker's order (a silent client first, then the one idle for longest, none left) had no test of its own. PING stood as a condition on lengths in the middle of a longer method.

--- a/lupinladder/net/client_connection.py
+++ b/lupinladder/net/client_connection.py
@@ -103,8 +103,8 @@
             return
         now = self._listener.loop.now()
         self._record_command(now)
-        if value[0].upper() == b"PING" and len(value) <= 2:
-            self._append_reply().encoded = resp.encode_bulk(value[1]) if len(value) == 2 else b"+PONG\r\n"
+        if _is_ping(value):
+            self._append_reply().encoded = _ping_reply(value)
             return
         try:
             command = parse_command(value, self._listener.classes, self._listener.tenants)
@@ -286,3 +286,12 @@
 def _is_command(value: resp.Value) -> TypeGuard[list[bytes]]:
     """Whether the value is an array of bulk strings; simple strings and errors are subclasses of bytes."""
     return isinstance(value, list) and all(type(item) is bytes for item in value)
+
+
+def _is_ping(command: list[bytes]) -> bool:
+    return command[0].upper() == b"PING" and len(command) <= 2
+
+
+def _ping_reply(command: list[bytes]) -> bytes:
+    """PONG, or the message that was sent with the command."""
+    return resp.encode_bulk(command[1]) if len(command) == 2 else b"+PONG\r\n"
--- a/tests/net/test_idle_client_tracker.py
+++ b/tests/net/test_idle_client_tracker.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
+from lupinladder.net import idle_client_tracker
 from tests.support.network_scene import SERVED, Scene, get
 
 PING = b"*1\r\n$4\r\nPING\r\n"
@@ -26,3 +29,21 @@
         self.assertEqual((returning.ends, waiting.ends), ([], []))
         self.at_node().conn.send(SERVED)
         self.answers(waiting, b"$1\r\nV\r\n")
+
+    def test_a_silent_client_is_evicted_first_and_then_the_one_idle_for_longest(self) -> None:
+        first = self.client(PING)
+        self.answers(first, b"+PONG\r\n")
+        second = self.client(PING)
+        self.answers(second, b"+PONG\r\n")
+        silent = self.client()
+        self.until(lambda: len(self.front.clients) == 3, "all clients")
+        tracker = self.front.idle_clients
+        self.assertEqual((len(tracker), tracker.silent_count), (3, 1))
+        with mock.patch.object(idle_client_tracker, "SILENT_EVICTION_AGE_MS", 0.0):
+            self.assertTrue(tracker.evict_one(self.loop.now()))
+        self.until(lambda: silent.ends, "the eviction of the silent client")
+        self.assertTrue(tracker.evict_one(self.loop.now()))
+        self.until(lambda: first.ends, "the eviction of the longest idle client")
+        self.assertEqual(second.ends, [])
+        self.assertTrue(tracker.evict_one(self.loop.now()))
+        self.assertFalse(tracker.evict_one(self.loop.now()))
