--- /dev/null
+++ b/tests/connection_limits/test_connection_capacity.py
@@ -0,0 +1,20 @@
+"""How much room is kept for new clients."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from lupinladder.connection_limits.connection_capacity import ConnectionCapacity
+
+
+class Excess(TestCase):
+    def test_room_is_kept_for_arrivals_and_no_connection_is_closed_without_need(self) -> None:
+        capacity = ConnectionCapacity(80, 0)
+        self.assertEqual(capacity.excess(40, 100), 0)
+        # At the limit nobody knows how many would like to connect, so a quarter is to be free.
+        self.assertEqual(capacity.excess(80, 200), 20)
+        for now in range(300, 2300, 100):
+            for _ in range(10):
+                capacity.record_accept()
+            excess = capacity.excess(60, now)
+        self.assertEqual(excess, 10)  # at 100 arrivals a second
