Split upstream connections and discovery by module, their text unchanged

Cause: one file held the pool, its connections, their protocol and that of cache nodes; another the list of endpoints, its parser, the stream of JSON objects and the watch. Change: connection_pool, upstream_connection, upstream_protocol and cache_node_protocol; endpoint_registry, endpoint_watch, endpoint_parser and json_object_stream. Text moved as it was; only imports differ. Seen: tests/net and tests/test_proxy.py pass (89), ruff and mypy clean.

--- a/lupinladder/__main__.py
+++ b/lupinladder/__main__.py
@@ -11,15 +11,17 @@
 
 from lupinladder.balancing.events import Endpoint
 from lupinladder.net import config
+from lupinladder.net.cache_node_protocol import CacheNodeProtocol
 from lupinladder.net.client_listener import ClientListener
 from lupinladder.net.connection import READ, Address, DescriptorBudget, format_address
-from lupinladder.net.connection_pool import CacheNodeProtocol, ConnectionPool, UpstreamProtocol
+from lupinladder.net.connection_pool import ConnectionPool
 from lupinladder.net.discovery.endpoint_registry import EndpointRegistry
 from lupinladder.net.event_loop import EventLoop
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
 from lupinladder.net.origin_protocol import OriginProtocol
 from lupinladder.net.request_dispatcher import RequestDispatcher
+from lupinladder.net.upstream_protocol import UpstreamProtocol
 
 if TYPE_CHECKING:  # imported only where an operator's file asks for them
     from lupinladder.net.state_persister import StatePersister
--- a/lupinladder/net/config.py
+++ b/lupinladder/net/config.py
@@ -12,7 +12,7 @@
 from lupinladder.balancing.settings_reader import parse_settings, read_value
 from lupinladder.net.client_command import MAX_STORED_VALUE_BYTES
 from lupinladder.net.connection import Address
-from lupinladder.net.discovery.endpoint_registry import EndpointParser, parse_address
+from lupinladder.net.discovery.endpoint_parser import EndpointParser, parse_address
 
 RESERVED_DESCRIPTORS = (
     24  # descriptors for the standard streams, the selector, the signal's pipe, files of the library
--- a/lupinladder/net/discovery/__init__.py
+++ b/lupinladder/net/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Discovery: which servers there are, where, and what changes."""
--- a/lupinladder/net/origin_protocol.py
+++ b/lupinladder/net/origin_protocol.py
@@ -15,10 +15,10 @@
     parse_load_report,
 )
 from lupinladder.net.connection import Address
-from lupinladder.net.connection_pool import UpstreamProtocolError
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
 from lupinladder.net.ring_buffer import RingBuffer
+from lupinladder.net.upstream_protocol import UpstreamProtocolError
 
 
 class OriginReplyReader:
--- a/tests/emulator/faulty_proxy.py
+++ b/tests/emulator/faulty_proxy.py
@@ -7,8 +7,8 @@
 
 from lupinladder import __main__ as program
 from lupinladder.balancing.events import EndpointState, EndpointUpdate
-from lupinladder.net import client_listener, connection_pool
-from lupinladder.net.discovery import endpoint_registry
+from lupinladder.net import client_listener, connection_pool, upstream_connection
+from lupinladder.net.discovery import endpoint_parser, endpoint_registry
 
 
 def double() -> None:
@@ -19,7 +19,7 @@
         start(self, attempt)
         content = attempt.query.content
         if content.write and content.kind == 2:
-            wire = connection_pool.UpstreamConnection(self)
+            wire = upstream_connection.UpstreamConnection(self)
             wire.in_flight.append((None, 1 << 40))
             wire.connection.send(self.protocol.encode(content, 1000.0))
 
@@ -40,7 +40,7 @@
 
 def stale() -> None:
     """Takes a node that drains for one at work."""
-    endpoint_registry.ENDPOINT_STATES["leaving"] = EndpointState.READY
+    endpoint_parser.ENDPOINT_STATES["leaving"] = EndpointState.READY
 
 
 def flood() -> None:
--- a/tests/net/test_cache_node_protocol.py
+++ b/tests/net/test_cache_node_protocol.py
@@ -6,9 +6,10 @@
 
 from lupinladder.balancing.events import Outcome
 from lupinladder.net import http
-from lupinladder.net.connection_pool import CacheNodeReplyReader, UpstreamProtocolError
+from lupinladder.net.cache_node_protocol import CacheNodeReplyReader
 from lupinladder.net.origin_protocol import OriginProtocol
 from lupinladder.net.ring_buffer import RingBuffer
+from lupinladder.net.upstream_protocol import UpstreamProtocolError
 
 MISS, OK, FULL, ERROR = Outcome.MISS, Outcome.OK, Outcome.REJECTED, Outcome.ERROR
 
--- a/tests/net/test_endpoint_parser.py
+++ b/tests/net/test_endpoint_parser.py
@@ -7,7 +7,7 @@
 from unittest import mock
 
 from lupinladder.balancing.events import Endpoint, EndpointState
-from lupinladder.net.discovery.endpoint_registry import JsonObjectStream
+from lupinladder.net.discovery.json_object_stream import JsonObjectStream
 from tests.support.endpoint_lists import ENTRY, PARSER, listing
 
 
--- a/tests/net/test_endpoint_watch.py
+++ b/tests/net/test_endpoint_watch.py
@@ -11,9 +11,9 @@
     EndpointUpdate,
     EndpointUpdateKind,
 )
+from lupinladder.net.cache_node_protocol import CacheNodeProtocol
 from lupinladder.net.connection import READ
-from lupinladder.net.connection_pool import CacheNodeProtocol
-from lupinladder.net.discovery import endpoint_registry
+from lupinladder.net.discovery import endpoint_watch
 from lupinladder.net.discovery.endpoint_registry import EndpointRegistry
 from lupinladder.net.event_loop import EventLoop
 from tests.support.endpoint_lists import ENTRY, PARSER, listing
@@ -108,7 +108,7 @@
         ):
             with (
                 self.subTest(start=start),
-                mock.patch.object(endpoint_registry, "WATCH_SILENCE_TIMEOUT_MS", 80.0),
+                mock.patch.object(endpoint_watch, "WATCH_SILENCE_TIMEOUT_MS", 80.0),
             ):
                 calls, done = len(self.door.peers), list[bool]()
                 self.group.open_watch()
@@ -198,7 +198,7 @@
         self.until(lambda: len(self.door.peers) == 4, "a call")
         self.door.peers[-1].reset()
         self.until(lambda: self.told, "a broken watch")
-        with mock.patch.object(endpoint_registry, "WATCH_SILENCE_TIMEOUT_MS", 50.0):
+        with mock.patch.object(endpoint_watch, "WATCH_SILENCE_TIMEOUT_MS", 50.0):
             self.follow()
             self.until(lambda: len(self.told) == 2, "silence")
         self.door.close()
--- a/tests/net/test_upstream_connection.py
+++ b/tests/net/test_upstream_connection.py
@@ -12,8 +12,9 @@
     RequestReceived,
 )
 from lupinladder.net import resp
+from lupinladder.net.cache_node_protocol import CacheNodeProtocol
 from lupinladder.net.connection import Connection
-from lupinladder.net.connection_pool import CacheNodeProtocol, UpstreamConnection
+from lupinladder.net.upstream_connection import UpstreamConnection
 from tests.support.network_scene import MISSED, NODE, ORIGIN, SERVED, Asked, Door, Peer, Scene, get, once_to
 
 
--- a/tests/support/endpoint_lists.py
+++ b/tests/support/endpoint_lists.py
@@ -5,7 +5,7 @@
 import json
 from typing import Any
 
-from lupinladder.net.discovery.endpoint_registry import EndpointParser
+from lupinladder.net.discovery.endpoint_parser import EndpointParser
 from tests.simulator.test_codec import SETTINGS
 
 ENTRY = {
--- a/tests/support/network_scene.py
+++ b/tests/support/network_scene.py
@@ -11,9 +11,10 @@
 from lupinladder.balancing.events import AttemptEnded, Event, RequestReceived
 from lupinladder.balancing.settings import RequestClass, Settings
 from lupinladder.net import request_dispatcher as engine_module
+from lupinladder.net.cache_node_protocol import CacheNodeProtocol
 from lupinladder.net.client_listener import ClientListener
 from lupinladder.net.connection import READ, Address, Connection, DescriptorBudget
-from lupinladder.net.connection_pool import CacheNodeProtocol, ConnectionPool
+from lupinladder.net.connection_pool import ConnectionPool
 from lupinladder.net.event_loop import EventLoop
 from lupinladder.net.origin_protocol import OriginProtocol
 from lupinladder.net.request_dispatcher import PendingRequest, RequestDispatcher
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from unittest import mock
 
-from lupinladder.net.discovery import endpoint_registry
+from lupinladder.net.discovery.endpoint_parser import parse_address
 from lupinladder.net.log import log_event
 from tests.support.endpoint_lists import configuration, listing
 from tests.support.network_scene import SERVED, Door, Scene, get
@@ -60,7 +60,7 @@
                 assert process.stderr
                 process.stderr.readline()  # it listens
                 self.until(lambda: doors[0].peers, "the first watch")
-                self.address = endpoint_registry.parse_address(conf["listen"])
+                self.address = parse_address(conf["listen"])
                 client = self.client(get())
                 node = self.at_node()
                 path.write_text("{")
@@ -106,7 +106,7 @@
             text = json.dumps({**gone, "index": 9, "snapshot": False}).encode() + b"\n"
             head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
             watch.conn.send(head + b"%x\r\n%b\r\n" % (len(text), text))
-            self.address = endpoint_registry.parse_address(conf["listen"])
+            self.address = parse_address(conf["listen"])
             self.until(lambda: self.refused(), "nothing sent to the node that leaves")
 
     def refused(self) -> bool:
@@ -127,7 +127,7 @@
             with self.start({"GW_CONFIG": str(path)}) as process:
                 assert process.stderr
                 process.stderr.readline()  # it listens
-                self.address = endpoint_registry.parse_address(listen)
+                self.address = parse_address(listen)
                 client, idle = self.client(get()), self.client(PING)
                 self.answers(idle, b"+PONG\r\n")
                 node = self.at_node()
