--- a/tests/net/test_endpoint_parser.py
+++ b/tests/net/test_endpoint_parser.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import json
 import unittest
 from unittest import mock
 
 from lupinladder.balancing.events import Endpoint, EndpointState
-from lupinladder.net.discovery.json_object_stream import JsonObjectStream
 from tests.support.endpoint_lists import ENTRY, PARSER, listing
 
 
@@ -34,34 +32,6 @@
                     )
                     self.assertEqual((found[2], found[3]), ([Endpoint(b"s-1", EndpointState.GONE)], {}))
 
-    def test_objects_off_lines_whole_or_indented(self) -> None:
-        tree = listing(name='a{"[\\')
-        flat, indented = json.dumps(tree), json.dumps(tree, indent=2)
-        for text, found in (
-            (flat, [tree]),
-            (indented, [tree]),
-            (f"\n{indented}\n  \n{flat}\n{indented}\n", [tree] * 3),
-            (indented[:-1], []),
-            ("{\n" * 9, []),
-        ):
-            with self.subTest(text=text):
-                objects = JsonObjectStream()
-                self.assertEqual(
-                    [one for line in text.encode().split(b"\n") for one in objects.line(line)], found
-                )
-        for text in (
-            "{]",
-            "}",
-            "x",
-            '{"a": 1\n,,}',
-            "[" * 100_000 + "]" * 100_000,
-            '{\n"a": "' + "x" * (1 << 20),
-        ):
-            with self.subTest(text=text[:9]), self.assertRaises(ValueError):
-                objects = JsonObjectStream()
-                for line in text.encode().split(b"\n"):
-                    objects.line(line)
-
     def test_a_bad_entry_hides_no_other(self) -> None:
         more: list[dict[str, object]] = [
             {"status": "asleep"},
--- /dev/null
+++ b/tests/net/test_http.py
@@ -0,0 +1,56 @@
+"""HTTP responses, whole and broken."""
+
+from __future__ import annotations
+
+import unittest
+
+from lupinladder.net import http
+
+
+class Responses(unittest.TestCase):
+    def test_http_that_cannot_be_trusted(self) -> None:
+        for data in (
+            b"nonsense\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\n\r\n123456789",  # no length, and no end in sight
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n123456789",
+            b"HTTP/1.1 200 OK\r\n" + b"a: b\r\n" * 99 + b"\r\n",
+            b"HTTP/1.1 200 OK\r\na: " + b"x" * 40_000,
+            b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+        ):
+            with self.subTest(data=data), self.assertRaises(http.HttpError):
+                http.ResponseReader(8).feed(data)
+        reader = http.ResponseReader(8)
+        self.assertEqual(
+            len(reader.feed(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")), 1
+        )
+        self.assertTrue(reader.closes)
+
+    def test_http_without_a_length_is_whole_at_the_end_and_not_before(self) -> None:
+        for head, whole in (
+            (b"HTTP/1.1 200 OK\r\n\r\n", True),
+            (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n", True),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n", False),
+            (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\n", False),
+            (b"HTTP/1.1 200 OK\r\nX: VALUE", False),
+        ):
+            with self.subTest(head=head):
+                reader = http.ResponseReader(8)
+                self.assertEqual(
+                    (reader.feed(head + b"VA"), reader.feed(b"LUE"), reader.idle), ([], [], False)
+                )
+                answer = reader.finish()
+                self.assertEqual(bytes(answer.body) if answer else None, b"VALUE" if whole else None)
+
+    def test_http_hands_out_what_was_whole_before_the_noise(self) -> None:
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nV"
+        for data, answers, idle in (
+            (whole, 1, True),
+            (whole + whole, 2, True),
+            (whole + whole[:9], 1, False),
+            (whole + b"noise\r\n", 1, False),
+        ):
+            with self.subTest(data=data):
+                reader = http.ResponseReader(8)
+                self.assertEqual((len(reader.feed(data)), reader.idle), (answers, idle))
+        with self.assertRaises(http.HttpError):
+            reader.feed(whole)  # nothing after the noise can be trusted
--- /dev/null
+++ b/tests/net/test_json_object_stream.py
@@ -0,0 +1,39 @@
+"""JSON objects off the lines of a stream."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from lupinladder.net.discovery.json_object_stream import JsonObjectStream
+from tests.support.endpoint_lists import listing
+
+
+class Objects(unittest.TestCase):
+    def test_objects_off_lines_whole_or_indented(self) -> None:
+        tree = listing(name='a{"[\\')
+        flat, indented = json.dumps(tree), json.dumps(tree, indent=2)
+        for text, found in (
+            (flat, [tree]),
+            (indented, [tree]),
+            (f"\n{indented}\n  \n{flat}\n{indented}\n", [tree] * 3),
+            (indented[:-1], []),
+            ("{\n" * 9, []),
+        ):
+            with self.subTest(text=text):
+                objects = JsonObjectStream()
+                self.assertEqual(
+                    [one for line in text.encode().split(b"\n") for one in objects.line(line)], found
+                )
+        for text in (
+            "{]",
+            "}",
+            "x",
+            '{"a": 1\n,,}',
+            "[" * 100_000 + "]" * 100_000,
+            '{\n"a": "' + "x" * (1 << 20),
+        ):
+            with self.subTest(text=text[:9]), self.assertRaises(ValueError):
+                objects = JsonObjectStream()
+                for line in text.encode().split(b"\n"):
+                    objects.line(line)
