Rework upstream connections, their protocols and HTTP for readers

Cause: tuples and bare flags stood for states, one method did several things, and most had no description. Change: InFlightAttempt in place of a tuple; the pool takes an idle connection, opens one or shares one in a method each; a connection forgets its own abandoned attempt; replies are read by an error and a result method; UpstreamProtocolError and HttpError derive from LupinladderError and carry their reason; readers are made by create_reader; each public item is described. What is written to servers is byte for byte as before.

--- a/lupinladder/net/connection_pool.py
+++ b/lupinladder/net/connection_pool.py
@@ -1,4 +1,4 @@
-"""A pool of connections to one server."""
+"""A pool of connections to one server, which starts attempts on them."""
 
 from __future__ import annotations
 
@@ -11,113 +11,133 @@
 from lupinladder.net.upstream_connection import UpstreamConnection
 from lupinladder.net.upstream_protocol import UpstreamProtocol
 
-CLIENT_DESCRIPTOR_DIVISOR = (
-    6  # one part in so many of the descriptors is kept from links, so that clients can always come
-)
-IDLE_TIMEOUT_FACTOR = 0.8  # of the time after which the other side closes an idle connection: by then we have
+# One part in so many of the descriptors is kept from connections to servers, so that clients can always come.
+CLIENT_DESCRIPTOR_DIVISOR = 6
+# Connections close after this share of the time after which the server closes an idle one: it must not close
+# one that we are about to use.
+IDLE_TIMEOUT_FACTOR = 0.8
 
 
 class ConnectionPool:
-    """The pool. One attempt on a connection at a time, since answers come in order; the latest used
-    is taken first, so that the others can grow old and close."""
+    """The connections to one server.
+
+    A connection carries one attempt at a time, since replies come in order. The connection that was used last
+    is taken first, so that the others can grow old and close. Only where descriptors run short do attempts
+    share a connection.
+    """
 
     def __init__(
         self,
         loop: EventLoop,
         budget: DescriptorBudget,
         address: Address,
-        dialect: UpstreamProtocol,
-        idle_ms: float,
-        connect_ms: float,
-        streams: int,
+        protocol: UpstreamProtocol,
+        idle_timeout_ms: float,
+        connect_timeout_ms: float,
+        max_attempts_per_connection: int,
     ) -> None:
-        self.loop, self.budget, self.address, self.protocol = loop, budget, address, dialect
-        self.connect_timeout_ms, self._idle_ms, self._streams = connect_ms, idle_ms, streams
-        self._idle: list[UpstreamConnection] = []
-        self._busy: dict[UpstreamConnection, None] = {}
-        self._retired = False
+        """`idle_timeout_ms` is the time after which the server closes a connection that is idle."""
+        self.loop = loop
+        self.budget = budget
+        self.address = address
+        self.protocol = protocol
+        self.connect_timeout_ms = connect_timeout_ms
+        self._idle_timeout_ms = idle_timeout_ms * IDLE_TIMEOUT_FACTOR
+        self._max_attempts_per_connection = max_attempts_per_connection
+        self._idle: list[UpstreamConnection] = []  # the one used last at the end
+        self._busy: dict[UpstreamConnection, None] = {}  # in the order in which they became busy
+        self._is_retired = False
 
     def start(self, attempt: Attempt) -> None:
-        wire = self._pick()
-        if wire is None:
+        """Start an attempt; without a connection for it, it ends at once."""
+        connection = self._take_idle()
+        if connection is None:
+            connection = self._open_or_share()
+        if connection is None:
             metrics.attempts_without_descriptor += 1
-            return attempt.end(Outcome.CONNECT_FAILED)
-        wire.assign(attempt)
+            attempt.end(Outcome.CONNECT_FAILED)
+            return
+        connection.assign(attempt)
+
+    def abandon(self, attempt: Attempt) -> None:
+        """Stop waiting for an attempt. The caller ends it."""
+        for connection in self._busy:
+            if connection.abandon(attempt):
+                return
+
+    def retire(self) -> None:
+        """The server leaves: what is in flight may finish, no connection is kept."""
+        self._is_retired = True
+        for connection in list(self._idle):
+            connection.abort()
 
     def may_start(self, attempt: Attempt) -> bool:
-        """Whether its first byte may be written now: its client has not left, the server has not begun to
-        leave, and a repeat would still be dropped."""
-        return not (self._retired or attempt.request.finished or self.loop.now() >= attempt.start_by)
+        """Whether the first byte of an attempt may be written now.
+
+        It may not if its client has left, if the server has begun to leave, or if a repeat would no longer
+        be recognised by the server as one.
+        """
+        if self._is_retired or attempt.request.finished:
+            return False
+        return self.loop.now() < attempt.start_by
+
+    def mark_idle(self, connection: UpstreamConnection) -> None:
+        """Keep a connection that has no attempt any more, for the next one or until it is too old."""
+        self._busy.pop(connection, None)
+        if self._is_retired:
+            connection.abort()
+            return
+        self._idle.append(connection)
+        self.budget.idle_connections[connection] = None
+        close_at = self.loop.now() + self._idle_timeout_ms
+        connection.idle_timer = self.loop.call_at(close_at, connection.abort)
+
+    def remove(self, connection: UpstreamConnection) -> None:
+        """Forget a connection that is closed."""
+        self._busy.pop(connection, None)
+        self.budget.idle_connections.pop(connection, None)
+        if connection in self._idle:
+            self._idle.remove(connection)
 
-    def _pick(self) -> UpstreamConnection | None:
+    def _take_idle(self) -> UpstreamConnection | None:
+        """The idle connection that was used last and is still usable, now busy."""
         while self._idle:
-            wire = self._idle.pop()
-            self.budget.idle_connections.pop(wire, None)
-            self.loop.cancel(wire.idle_timer)
-            wire.idle_timer = None
-            if wire.connection.is_reusable:
-                break
+            connection = self._idle.pop()
+            self.budget.idle_connections.pop(connection, None)
+            self.loop.cancel(connection.idle_timer)
+            connection.idle_timer = None
+            if connection.connection.is_reusable:
+                self._busy[connection] = None
+                return connection
             # The server has ended it, or sent more than was asked for, since we last looked.
             metrics.upstream_connections_stale += 1
-            wire.abort()
-        else:
-            return self._fresh()
-        self._busy[wire] = None
-        return wire
-
-    def _fresh(self) -> UpstreamConnection | None:
-        spare = (
-            self.budget.has_capacity(self.budget.limit // CLIENT_DESCRIPTOR_DIVISOR)
-            or self.budget.close_longest_idle()
-        )
-        if spare and (fresh := self._open()):
-            wire = fresh
-        else:  # sockets run short: behind the shortest line, if any has room
-            able = [w for w in self._busy if w.attempt_count < self._streams]
-            return min(able, key=lambda w: w.attempt_count, default=None)
-        self._busy[wire] = None
-        return wire
+            connection.abort()
+        return None
+
+    def _open_or_share(self) -> UpstreamConnection | None:
+        """A new connection, now busy, or while descriptors run short the least loaded one with room."""
+        connection = self._open() if self._make_descriptor_available() else None
+        if connection is None:
+            return self._least_loaded_with_room()
+        self._busy[connection] = None
+        return connection
+
+    def _make_descriptor_available(self) -> bool:
+        """Whether a connection may be opened, if need be in the place of an idle one of any pool."""
+        kept_for_clients = self.budget.limit // CLIENT_DESCRIPTOR_DIVISOR
+        return self.budget.has_capacity(kept_for_clients) or self.budget.close_longest_idle()
 
     def _open(self) -> UpstreamConnection | None:
         try:
             return UpstreamConnection(self)
-        except OSError as bad:  # the system has none left, whatever our count says
-            log_event("upstream_connect_failed", address=format_address(self.address), error=bad)
+        except OSError as error:  # the system has no descriptor left, whatever our count says
+            log_event("upstream_connect_failed", address=format_address(self.address), error=error)
             return None
 
-    def abandon(self, attempt: Attempt) -> None:
-        """Stop waiting: closing tells the other side, unless others wait on the same connection."""
-        for wire in self._busy:
-            for place, (one, mark) in enumerate(wire.in_flight):
-                if one is attempt:
-                    wire.in_flight[place] = (None, mark)
-                    break
-            else:
-                if attempt not in wire.unsent:
-                    continue
-                wire.unsent.remove(attempt)
-            if not wire.unsent and all(other is None for other, _ in wire.in_flight):
-                wire.abort()
-            return
-
-    def mark_idle(self, wire: UpstreamConnection) -> None:
-        """Nothing is out on it any more."""
-        self._busy.pop(wire, None)
-        if self._retired:
-            wire.abort()
-            return
-        self._idle.append(wire)
-        self.budget.idle_connections[wire] = None
-        wire.idle_timer = self.loop.call_at(self.loop.now() + self._idle_ms * IDLE_TIMEOUT_FACTOR, wire.abort)
-
-    def remove(self, wire: UpstreamConnection) -> None:
-        self._busy.pop(wire, None)
-        self.budget.idle_connections.pop(wire, None)
-        if wire in self._idle:
-            self._idle.remove(wire)
-
-    def retire(self) -> None:
-        """The server leaves: what is out may finish, nothing is kept for later."""
-        self._retired = True
-        for wire in list(self._idle):
-            wire.abort()
+    def _least_loaded_with_room(self) -> UpstreamConnection | None:
+        candidates = [
+            connection
+            for connection in self._busy
+            if connection.attempt_count < self._max_attempts_per_connection
+        ]
+        return min(candidates, key=lambda connection: connection.attempt_count, default=None)
--- a/lupinladder/net/http.py
+++ b/lupinladder/net/http.py
@@ -1,101 +1,153 @@
-"""HTTP/1.1 as the origin and discovery speak it: requests out, answers in. No sockets."""
+"""HTTP/1.1 as the origin and discovery speak it: requests are encoded, responses parsed. No sockets."""
 
 from __future__ import annotations
 
 from collections.abc import Mapping
+from dataclasses import dataclass, field
+from http import HTTPStatus
 
 import httptools
 
-MAX_HEADERS, MAX_HEAD = 64, 32 << 10  # header lines of an answer; bytes fed until the last of them
+from lupinladder.errors import LupinladderError
 
+MAX_HEADERS = 64  # header lines of a response
+MAX_HEADER_BYTES = 32 << 10  # bytes that are fed until the last header line is whole
+STATUSES_WITHOUT_BODY = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
-class HttpError(Exception):
-    """An answer that cannot be read."""
 
+class HttpError(LupinladderError):
+    """A response that cannot be read. Nothing that follows it on its connection can be."""
 
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+@dataclass(slots=True)
 class HttpResponse:
-    def __init__(self) -> None:
-        self.status, self.headers, self.body = 0, dict[str, bytes](), bytearray()
+    """A response, perhaps one that is still coming in: its status is 0 until the headers are whole."""
+
+    status: int = 0
+    headers: dict[str, bytes] = field(default_factory=dict)  # by name in lower case
+    body: bytearray = field(default_factory=bytearray)
+
+    @property
+    def is_interim(self) -> bool:
+        """Whether it is an informational response, which the final one follows."""
+        return 100 <= self.status < 200
 
 
 class ResponseReader:
-    """Feeds on bytes and hands out whole answers. `current` is the one that is coming in: who reads an
-    answer without end takes its body away from there."""
+    """Parses the responses on one connection from bytes in pieces of any size.
+
+    `current` is the response that is coming in. Whoever reads a response without an end takes its body away
+    from there.
+    """
 
-    def __init__(self, max_body: int) -> None:
+    def __init__(self, max_body_bytes: int) -> None:
         self.current = HttpResponse()
-        self.closes = False  # the server ends the connection after the answer last handed out
-        self.idle = True  # between answers
-        self._max_body, self._whole, self._framed = max_body, list[HttpResponse](), False
-        self._lines = 0  # of headers, of the answer that is coming in
-        self._unending = False  # the end of the connection alone tells how long the body is
-        self._broken: str | None = None  # why nothing after can be read
-        self._head = 0  # bytes fed since the headers before were whole
+        self.closes_connection = False  # the server ends it after the response that was returned last
+        self.is_idle = True  # no byte of a next response has come
+        self._max_body_bytes = max_body_bytes
+        self._completed = list[HttpResponse]()
+        self._error_reason: str | None = None  # why nothing more can be read
+        self._header_count = 0
+        self._bytes_since_headers = 0  # bytes fed since the last headers were whole
+        self._has_length = False  # the headers tell where the body ends
+        self._ends_with_connection = False  # the end of the connection alone tells where the body ends
         self._parser = httptools.HttpResponseParser(self)
 
     def feed(self, data: bytes) -> list[HttpResponse]:
-        """The answers that these bytes completed. One that was whole before the first bad byte is handed out:
-        the error comes with the next call."""
-        try:
-            if self._broken is None:
-                self._parser.feed_data(data)
-            self._head += len(data)  # of a line that never ends the parser would keep every byte
-            if self._head > MAX_HEAD and not self.idle and not self.current.status:
-                self._broken = "the headers do not end"
-        except httptools.HttpParserCallbackError as bad:
-            self._broken = str(bad.__context__ or bad)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as bad:
-            self._broken = str(bad)
-        whole, self._whole = self._whole, []
-        if self._broken is not None and not whole:
-            raise HttpError(self._broken)
-        self.idle = self.idle and self._broken is None
-        return whole
+        """The responses that these bytes complete.
+
+        Raises HttpError for bytes that cannot be read. If a response was whole before the first bad byte, it
+        is returned and the error is raised by the next call.
+        """
+        self._parse(data)
+        completed = self._completed
+        self._completed = []
+        if self._error_reason is not None:
+            if not completed:
+                raise HttpError(self._error_reason)
+            self.is_idle = False
+        return completed
 
     def finish(self) -> HttpResponse | None:
-        """The answer that the connection's orderly end makes whole. After a reset do not ask."""
-        return self.current if self._unending and self._broken is None else None
+        """The response that the orderly end of the connection completes. Not to be called after a reset."""
+        if self._ends_with_connection and self._error_reason is None:
+            return self.current
+        return None
+
+    def _parse(self, data: bytes) -> None:
+        try:
+            if self._error_reason is None:
+                self._parser.feed_data(data)
+            # Of a header line that never ends the parser would keep every byte.
+            self._bytes_since_headers += len(data)
+            in_headers = not self.is_idle and not self.current.status
+            if in_headers and self._bytes_since_headers > MAX_HEADER_BYTES:
+                self._error_reason = "the headers do not end"
+        except httptools.HttpParserCallbackError as error:
+            self._error_reason = str(error.__context__ or error)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._error_reason = str(error)
+
+    # The parser calls the methods below from within `feed_data`.
 
     def on_message_begin(self) -> None:
-        self.current, self._framed, self.idle, self._unending = HttpResponse(), False, False, False
-        self._lines = 0
+        """The first byte of a response has come."""
+        self.current = HttpResponse()
+        self.is_idle = False
+        self._header_count = 0
+        self._has_length = False
+        self._ends_with_connection = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._lines += 1
-        if self._lines > MAX_HEADERS:
-            raise HttpError("too many headers")
+        """A header line is whole."""
+        self._header_count += 1
+        if self._header_count > MAX_HEADERS:
+            reason = "too many headers"
+            raise HttpError(reason)
         key = name.decode("latin-1").lower()
         self.current.headers[key] = value
-        chunked = key == "transfer-encoding" and b"chunked" in value.lower()
-        self._framed = self._framed or chunked or key == "content-length"
+        is_chunked = key == "transfer-encoding" and b"chunked" in value.lower()
+        if is_chunked or key == "content-length":
+            self._has_length = True
 
     def on_headers_complete(self) -> None:
-        self.current.status, self._head = self._parser.get_status_code(), 0
-        if self.current.status == 101:
-            raise HttpError("it switches protocols")
-        self._unending = not (self._framed or self.current.status in (204, 304) or self._interim)
-
-    @property
-    def _interim(self) -> bool:
-        return 100 <= self.current.status < 200
-
-    def on_body(self, body: bytes) -> None:
-        if len(self.current.body) + len(body) > self._max_body:
-            raise HttpError("body too long")
-        self.current.body += body
+        """All header lines are whole."""
+        response = self.current
+        response.status = self._parser.get_status_code()
+        self._bytes_since_headers = 0
+        if response.status == HTTPStatus.SWITCHING_PROTOCOLS:
+            reason = "it switches protocols"
+            raise HttpError(reason)
+        has_no_body = response.status in STATUSES_WITHOUT_BODY or response.is_interim
+        self._ends_with_connection = not (self._has_length or has_no_body)
+
+    def on_body(self, data: bytes) -> None:
+        """A piece of the body has come."""
+        body = self.current.body
+        if len(body) + len(data) > self._max_body_bytes:
+            reason = "body too long"
+            raise HttpError(reason)
+        body += data
 
     def on_message_complete(self) -> None:
-        if self._interim:  # the answer proper is still to come
-            self.current = HttpResponse()
+        """The response is whole. The final response is still to come after an informational one."""
+        response = self.current
+        self.current = HttpResponse()
+        if response.is_interim:
             return
-        self.closes = not self._parser.should_keep_alive()
-        self._whole.append(self.current)
-        self.current, self.idle = HttpResponse(), True
+        self.is_idle = True
+        self.closes_connection = not self._parser.should_keep_alive()
+        self._completed.append(response)
 
 
 def encode_request(
     method: str, path: str, host: str, headers: Mapping[str, bytes], body: bytes | None
 ) -> bytes:
+    """A request as it is written; `host` stands in the Host header."""
     lines = [f"{method} {path} HTTP/1.1".encode("latin-1"), b"Host: " + host.encode("latin-1")]
     lines += [name.encode("latin-1") + b": " + value for name, value in headers.items()]
     if body is not None:
--- a/lupinladder/net/origin_protocol.py
+++ b/lupinladder/net/origin_protocol.py
@@ -1,73 +1,95 @@
-"""The origin: how HTTP is spoken on the connections of a link to it."""
+"""HTTP as the origin speaks it: objects are read with GET and written with PUT."""
 
 from __future__ import annotations
 
 from collections import deque
 from collections.abc import Sequence
-from functools import partial
+from http import HTTPStatus
 
 from lupinladder.balancing.events import Outcome
-from lupinladder.net import http
 from lupinladder.net.client_command import (
     MAX_REPLY_VALUE_BYTES,
     ClientCommand,
     UpstreamReply,
     parse_load_report,
 )
-from lupinladder.net.connection import Address
+from lupinladder.net.connection import Address, format_address
+from lupinladder.net.http import HttpError, HttpResponse, ResponseReader, encode_request
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
 from lupinladder.net.ring_buffer import RingBuffer
 from lupinladder.net.upstream_protocol import UpstreamProtocolError
 
+LOAD_REPORT_HEADER = "x-pressure"
+REJECTED_HEADER = "x-turned-away"  # with the value 1: the request has not run
+REJECTING_STATUSES = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.GATEWAY_TIMEOUT)
+
 
 class OriginReplyReader:
-    def __init__(self, fields: Sequence[str]) -> None:
-        self.closes = False
-        self._fields, self._http = fields, http.ResponseReader(MAX_REPLY_VALUE_BYTES)
-        self._whole: deque[http.HttpResponse] = deque()
+    """Reads the replies of the origin."""
+
+    def __init__(self, report_fields: Sequence[str]) -> None:
+        self.closes_connection = False
+        self._report_fields = report_fields
+        self._response_reader = ResponseReader(MAX_REPLY_VALUE_BYTES)
+        self._responses: deque[HttpResponse] = deque()  # whole ones that were not taken yet
 
     @property
-    def idle(self) -> bool:
-        return self._http.idle and not self._whole
+    def is_idle(self) -> bool:
+        """Whether no byte has come since the reply that was taken last."""
+        return self._response_reader.is_idle and not self._responses
 
-    def next(self, inbox: RingBuffer) -> UpstreamReply | None:
+    def next_reply(self, inbox: RingBuffer) -> UpstreamReply | None:
+        """Take the next reply off the inbox; None while it is not whole.
+
+        Raises UpstreamProtocolError for bytes that are not HTTP.
+        """
         try:
-            while len(inbox) and not self._whole:
-                self._whole += self._http.feed(inbox.read(len(inbox)))
-        except http.HttpError as bad:
-            raise UpstreamProtocolError(str(bad)) from None
-        if not self._whole:
+            while len(inbox) and not self._responses:
+                self._responses += self._response_reader.feed(inbox.read(len(inbox)))
+        except HttpError as error:
+            raise UpstreamProtocolError(error.reason) from None
+        if not self._responses:
             return None
-        answer = self._whole.popleft()
-        self.closes = self._http.closes and not self._whole
-        return self._reply(answer)
-
-    def end(self) -> UpstreamReply | None:
-        answer = self._http.finish()
-        return self._reply(answer) if answer else None
-
-    def _reply(self, answer: http.HttpResponse) -> UpstreamReply:
-        load = parse_load_report(answer.headers.get("x-pressure"), self._fields)
-        if answer.status == 200:
-            return UpstreamReply(Outcome.OK, bytes(answer.body), load=load)
-        # Only this header proves that it never ran; any other failure may have.
-        if answer.status in (503, 504) and answer.headers.get("x-turned-away") == b"1":
+        response = self._responses.popleft()
+        self.closes_connection = self._response_reader.closes_connection and not self._responses
+        return self._read(response)
+
+    def reply_at_close(self) -> UpstreamReply | None:
+        """The reply whose length only the orderly end of the connection tells, if one has begun."""
+        response = self._response_reader.finish()
+        return None if response is None else self._read(response)
+
+    def _read(self, response: HttpResponse) -> UpstreamReply:
+        load = parse_load_report(response.headers.get(LOAD_REPORT_HEADER), self._report_fields)
+        if response.status == HTTPStatus.OK:
+            return UpstreamReply(Outcome.OK, bytes(response.body), load=load)
+        # Only this header proves that the request never ran; after any other failure it may have.
+        if response.status in REJECTING_STATUSES and response.headers.get(REJECTED_HEADER) == b"1":
             return UpstreamReply(Outcome.REJECTED, load=load)
-        if answer.status != 500:
+        if response.status != HTTPStatus.INTERNAL_SERVER_ERROR:
             metrics.origin_errors += 1
-            log_event("origin_error", status=answer.status)
+            log_event("origin_error", status=response.status)
         return UpstreamReply(Outcome.ERROR, load=load)
 
 
 class OriginProtocol:
-    def __init__(self, address: Address, fields: Sequence[str]) -> None:
-        self._host = f"{address[0]}:{address[1]}"
-        self.reader = partial(OriginReplyReader, fields)
+    """HTTP as the origin at one address speaks it."""
+
+    def __init__(self, address: Address, report_fields: Sequence[str]) -> None:
+        """`report_fields` are the names of the figures in a load report, as in the settings."""
+        self._host = format_address(address)
+        self._report_fields = report_fields
 
-    def encode(self, command: ClientCommand, wait: float) -> bytes:
-        headers = {"X-Txn": command.words[2], "X-Labels": command.labels_with_deadline(wait)}
-        path = "/" + command.words[1].decode("latin-1")
+    def encode(self, command: ClientCommand, timeout_ms: float) -> bytes:
+        """A GET or PUT of the command's key, with the time that the proxy waits in the labels."""
+        _, key, request_id, *_ = command.words
+        path = "/" + key.decode("latin-1")
+        headers = {"X-Txn": request_id, "X-Labels": command.labels_with_deadline(timeout_ms)}
         if command.is_write:
-            return http.encode_request("PUT", path, self._host, headers, command.words[4])
-        return http.encode_request("GET", path, self._host, headers, None)
+            return encode_request("PUT", path, self._host, headers, command.words[4])
+        return encode_request("GET", path, self._host, headers, None)
+
+    def create_reader(self) -> OriginReplyReader:
+        """The reader for the replies on a new connection."""
+        return OriginReplyReader(self._report_fields)
--- a/lupinladder/net/upstream_connection.py
+++ b/lupinladder/net/upstream_connection.py
@@ -1,131 +1,193 @@
-"""One connection to a server and the attempts on it."""
+"""One connection to a server and the attempts on it, from their assignment to their outcome."""
 
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from lupinladder.balancing.events import Outcome
-from lupinladder.net import resp
+from lupinladder.net.client_command import UpstreamReply
 from lupinladder.net.connection import Connection, format_address
 from lupinladder.net.event_loop import Timer
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
 from lupinladder.net.request_dispatcher import Attempt
+from lupinladder.net.resp import FramingError
 from lupinladder.net.upstream_protocol import UpstreamProtocolError
 
 if TYPE_CHECKING:  # the pool imports this module
     from lupinladder.net.connection_pool import ConnectionPool
 
 
+@dataclass(slots=True)
+class InFlightAttempt:
+    """An attempt that was handed to the connection and whose reply is still to come."""
+
+    attempt: Attempt | None  # None: abandoned; its reply is read all the same, as replies come in order
+    end_offset: int  # bytes queued on the connection up to the attempt's last one
+
+
 class UpstreamConnection:
-    """One connection of a link, with the attempts on it in the order of their writing. It owns what is not
-    written yet, and asks at the moment of writing whether it still may go."""
-
-    def __init__(self, link: ConnectionPool) -> None:
-        self._link = link
-        self.unsent: deque[Attempt] = deque()  # until the connection is up and what is before them written
-        self.in_flight: deque[tuple[Attempt | None, int]] = deque()  # None: abandoned; bytes queued with it
-        self.reader = link.protocol.reader()
+    """A connection of a pool, with the attempts on it in the order in which they are written.
+
+    It holds what is not written yet, and asks at the moment of writing whether that may still start.
+    """
+
+    def __init__(self, pool: ConnectionPool) -> None:
+        """Begin to connect. Raises OSError if the system has no socket left."""
+        self._pool = pool
+        self.unsent: deque[Attempt] = deque()  # until the connection is up and all before them is written
+        self.in_flight: deque[InFlightAttempt] = deque()
+        self.reader = pool.protocol.create_reader()
         self.idle_timer: Timer | None = None
-        self.connection = Connection.connect(link.loop, link.budget, link.address, self)
+        self.connection = Connection.connect(pool.loop, pool.budget, pool.address, self)
         metrics.upstream_connections_opened += 1
-        self._connecting: Timer | None = link.loop.call_at(
-            link.loop.now() + link.connect_timeout_ms, self._too_late
-        )
+        connect_by = pool.loop.now() + pool.connect_timeout_ms
+        self._connect_timer: Timer | None = pool.loop.call_at(connect_by, self._on_connect_timeout)
 
     @property
     def attempt_count(self) -> int:
+        """How many attempts are on the connection, written or not."""
         return len(self.unsent) + len(self.in_flight)
 
     def assign(self, attempt: Attempt) -> None:
+        """Write an attempt as soon as all that were assigned before it are written."""
         self.unsent.append(attempt)
         self._write()
 
-    def _write(self) -> None:
-        """Write what may still go, one after another, as the system takes it."""
-        dropped = list[Attempt]()
-        while self.unsent and not self.connection.connecting and not len(self.connection.outbox):
-            attempt = self.unsent.popleft()
-            if self._link.may_start(attempt):
-                attempt.write_started = True
-                wait = attempt.deadline - self._link.loop.now()
-                data = self._link.protocol.encode(attempt.request.command, wait)
-                self.in_flight.append((attempt, self.connection.bytes_queued + len(data)))
-                self.connection.send(data)
-            else:
-                dropped.append(attempt)
-        if not (self.attempt_count or self.connection.connecting):
-            self._link.mark_idle(self)
-        metrics.attempts_never_started += len(dropped)
-        for attempt in dropped:  # last: what follows may come back here
+    def abandon(self, attempt: Attempt) -> bool:
+        """Stop waiting for an attempt; False if it is not on this connection.
+
+        The connection is closed, which tells the server, unless other attempts wait on it.
+        """
+        if not self._forget(attempt):
+            return False
+        if not self.unsent and all(entry.attempt is None for entry in self.in_flight):
+            self.abort()
+        return True
+
+    def abort(self) -> None:
+        """Close the connection and end its attempts: one has run only if its last byte was written."""
+        bytes_sent = self.connection.bytes_sent
+        self.connection.close()
+        for timer in (self._connect_timer, self.idle_timer):
+            self._pool.loop.cancel(timer)
+        self._connect_timer = None
+        self.idle_timer = None
+        self._pool.remove(self)
+        in_flight = self.in_flight
+        self.in_flight = deque()
+        unsent = self.unsent
+        self.unsent = deque()
+        for entry in in_flight:
+            if entry.attempt is not None:
+                was_written = bytes_sent >= entry.end_offset
+                entry.attempt.end(Outcome.RESET if was_written else Outcome.CONNECT_FAILED)
+        for attempt in unsent:
             attempt.end(Outcome.CONNECT_FAILED)
 
+    # The connection calls the methods below; see `ConnectionHandler`.
+
     def on_connected(self) -> None:
-        self._link.loop.cancel(self._connecting)
-        self._connecting = None
+        """The connection is up."""
+        self._pool.loop.cancel(self._connect_timer)
+        self._connect_timer = None
         self._write()
 
-    def _too_late(self) -> None:
-        if self.connection.connecting:
-            self.abort()
-
     def on_data(self) -> None:
+        """Bytes have come: end the attempts whose replies are whole."""
         while self.connection.is_open and self.in_flight:
             try:
-                reply = self.reader.next(self.connection.inbox)
-            except (UpstreamProtocolError, resp.FramingError) as bad:
-                return self._spoilt(str(bad))
+                reply = self.reader.next_reply(self.connection.inbox)
+            except (UpstreamProtocolError, FramingError) as error:
+                self._abort_as_invalid(str(error))
+                return
             if reply is None:
                 return
-            attempt, _ = self.in_flight.popleft()
-            if self.reader.closes:
-                self.abort()
-            elif not self.attempt_count and self._clean():
-                self._link.mark_idle(self)
-            if attempt:
-                attempt.end(reply.outcome, reply.value, reply.cache_result, reply.load)
+            self._complete_oldest(reply)
         if self.connection.is_open and not self.in_flight:
-            self._clean()
-
-    def _clean(self) -> bool:
-        """Whether nothing came behind the last answer that was asked for. What did, a second copy or noise,
-        would be taken for the answer to whatever is written next. What is not all taken yet was answered
-        too soon."""
-        if len(self.connection.inbox) or not self.reader.idle or len(self.connection.outbox):
-            self._spoilt("bytes that nothing asked for")
-        return self.connection.is_open
-
-    def _spoilt(self, why: str) -> None:
-        log_event("upstream_reply_invalid", address=format_address(self._link.address), error=why)
-        metrics.upstream_replies_invalid += 1
-        self.abort()
+            self._check_for_excess_bytes()
 
     def on_written(self) -> None:
+        """The system has taken bytes that were queued."""
         if self.unsent:
             self._write()
 
     def on_closed(self, by_peer: bool) -> None:
-        attempt, reply = None, None
-        if by_peer and self.in_flight and (reply := self.reader.end()):
-            attempt, _ = self.in_flight.popleft()
+        """The connection broke, or the server ended it in order, which may complete a reply."""
+        reply: UpstreamReply | None = None
+        attempt: Attempt | None = None
+        if by_peer and self.in_flight:
+            reply = self.reader.reply_at_close()
+            if reply is not None:
+                attempt = self.in_flight.popleft().attempt
         self.abort()
-        if attempt and reply:
-            attempt.end(reply.outcome, reply.value, reply.cache_result, reply.load)
+        if attempt is not None and reply is not None:
+            _end_with_reply(attempt, reply)
 
-    def abort(self) -> None:
-        """Close; what is out on it has run only if its last byte was written."""
-        sent = self.connection.bytes_sent
-        self.connection.close()
-        for deadline in (self._connecting, self.idle_timer):
-            self._link.loop.cancel(deadline)
-        self._connecting = self.idle_timer = None
-        self._link.remove(self)
-        waiting, self.in_flight = self.in_flight, deque()
-        unsent, self.unsent = self.unsent, deque()
-        for attempt, mark in waiting:
-            if attempt:
-                ran = sent >= mark
-                attempt.end(Outcome.RESET if ran else Outcome.CONNECT_FAILED)
-        for attempt in unsent:
+    def _on_connect_timeout(self) -> None:
+        if self.connection.connecting:
+            self.abort()
+
+    def _write(self) -> None:
+        """Write the attempts that may still start, one after another, as the system takes the bytes."""
+        expired = list[Attempt]()
+        while self.unsent and not self.connection.connecting and not len(self.connection.outbox):
+            attempt = self.unsent.popleft()
+            if self._pool.may_start(attempt):
+                self._send(attempt)
+            else:
+                expired.append(attempt)
+        if not self.attempt_count and not self.connection.connecting:
+            self._pool.mark_idle(self)
+        metrics.attempts_never_started += len(expired)
+        for attempt in expired:  # last of all, as whoever is told may call this connection again
             attempt.end(Outcome.CONNECT_FAILED)
+
+    def _send(self, attempt: Attempt) -> None:
+        attempt.write_started = True
+        timeout_ms = attempt.deadline - self._pool.loop.now()
+        data = self._pool.protocol.encode(attempt.request.command, timeout_ms)
+        self.in_flight.append(InFlightAttempt(attempt, self.connection.bytes_queued + len(data)))
+        self.connection.send(data)
+
+    def _complete_oldest(self, reply: UpstreamReply) -> None:
+        """End the oldest attempt in flight. The connection is settled first, as the caller may use it."""
+        attempt = self.in_flight.popleft().attempt
+        if self.reader.closes_connection:
+            self.abort()
+        elif not self.attempt_count and self._check_for_excess_bytes():
+            self._pool.mark_idle(self)
+        if attempt is not None:
+            _end_with_reply(attempt, reply)
+
+    def _check_for_excess_bytes(self) -> bool:
+        """Whether the connection is usable; it is aborted if bytes came behind the last expected reply.
+
+        A second copy of the reply, or noise, would be taken for the reply to whatever is written next. If
+        the outbox still holds bytes, the reply came before its request was written.
+        """
+        if len(self.connection.inbox) or not self.reader.is_idle or len(self.connection.outbox):
+            self._abort_as_invalid("bytes that nothing asked for")
+        return self.connection.is_open
+
+    def _abort_as_invalid(self, reason: str) -> None:
+        log_event("upstream_reply_invalid", address=format_address(self._pool.address), error=reason)
+        metrics.upstream_replies_invalid += 1
+        self.abort()
+
+    def _forget(self, attempt: Attempt) -> bool:
+        """Drop an attempt that is not written, or mark it as abandoned; False if it is not here."""
+        for entry in self.in_flight:
+            if entry.attempt is attempt:
+                entry.attempt = None
+                return True
+        if attempt in self.unsent:
+            self.unsent.remove(attempt)
+            return True
+        return False
+
+
+def _end_with_reply(attempt: Attempt, reply: UpstreamReply) -> None:
+    attempt.end(reply.outcome, reply.value, reply.cache_result, reply.load)
--- a/lupinladder/net/upstream_protocol.py
+++ b/lupinladder/net/upstream_protocol.py
@@ -1,30 +1,47 @@
-"""How a protocol is spoken on the connections to a server."""
+"""The interface between the connections to a server and the protocol that the server speaks."""
 
 from __future__ import annotations
 
 from typing import Protocol
 
+from lupinladder.errors import LupinladderError
 from lupinladder.net.client_command import ClientCommand, UpstreamReply
 from lupinladder.net.ring_buffer import RingBuffer
 
 
+class UpstreamProtocolError(LupinladderError):
+    """A reply that does not follow the protocol. Its connection cannot be used any more."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
 class ReplyReader(Protocol):
-    """Takes replies off a connection's bytes, in order."""
+    """Takes the replies off the bytes of one connection, in order."""
 
-    closes: bool  # the other side ends the connection after the reply last taken
+    closes_connection: bool
+    """Whether the server ends the connection after the reply that was taken last."""
 
     @property
-    def idle(self) -> bool: ...  # no byte has come since the reply last taken
+    def is_idle(self) -> bool:
+        """Whether no byte has come since the reply that was taken last."""
+
+    def next_reply(self, inbox: RingBuffer) -> UpstreamReply | None:
+        """Take the next reply off the inbox; None while it is not whole.
 
-    def next(self, inbox: RingBuffer) -> UpstreamReply | None: ...
+        Raises UpstreamProtocolError or resp.FramingError for bytes that are no reply.
+        """
 
-    def end(self) -> UpstreamReply | None: ...  # the reply that an orderly end of the connection makes whole
+    def reply_at_close(self) -> UpstreamReply | None:
+        """The reply that an orderly end of the connection completes, if there is one."""
 
 
 class UpstreamProtocol(Protocol):
-    def encode(self, command: ClientCommand, wait: float) -> bytes: ...
-    def reader(self) -> ReplyReader: ...
+    """A protocol that servers speak: it encodes requests and makes a reader for each connection."""
 
+    def encode(self, command: ClientCommand, timeout_ms: float) -> bytes:
+        """The request as it is written; the server is told that the proxy waits for `timeout_ms`."""
 
-class UpstreamProtocolError(Exception):
-    """An answer that makes no sense; the connection cannot be used on."""
+    def create_reader(self) -> ReplyReader:
+        """The reader for the replies on a new connection."""
--- a/tests/emulator/faulty_proxy.py
+++ b/tests/emulator/faulty_proxy.py
@@ -20,7 +20,7 @@
         content = attempt.query.content
         if content.write and content.kind == 2:
             wire = upstream_connection.UpstreamConnection(self)
-            wire.in_flight.append((None, 1 << 40))
+            wire.in_flight.append(upstream_connection.InFlightAttempt(None, 1 << 40))
             wire.connection.send(self.protocol.encode(content, 1000.0))
 
     connection_pool.ConnectionPool.start = twice  # type: ignore[method-assign]
--- a/tests/net/test_cache_node_protocol.py
+++ b/tests/net/test_cache_node_protocol.py
@@ -29,7 +29,7 @@
             ),  # its value is good
         ):
             with self.subTest(data=data):
-                reply = CacheNodeReplyReader(["rif"]).next(ring_of(data))
+                reply = CacheNodeReplyReader(["rif"]).next_reply(ring_of(data))
                 assert reply is not None
                 self.assertEqual(
                     (reply.outcome, reply.value, reply.cache_result, reply.load), (outcome, value, note, load)
@@ -40,4 +40,4 @@
             *(b"*3\r\n+V\r\n" + rest, b"*3\r\n:1\r\n" + rest, b"*2\r\n" + value + rest[:5]),
         ):
             with self.subTest(data=data), self.assertRaises(UpstreamProtocolError):
-                CacheNodeReplyReader([]).next(ring_of(data))
+                CacheNodeReplyReader([]).next_reply(ring_of(data))
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -23,7 +23,7 @@
         self.assertEqual(
             len(reader.feed(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")), 1
         )
-        self.assertTrue(reader.closes)
+        self.assertTrue(reader.closes_connection)
 
     def test_http_without_a_length_is_whole_at_the_end_and_not_before(self) -> None:
         for head, whole in (
@@ -36,7 +36,7 @@
             with self.subTest(head=head):
                 reader = http.ResponseReader(8)
                 self.assertEqual(
-                    (reader.feed(head + b"VA"), reader.feed(b"LUE"), reader.idle), ([], [], False)
+                    (reader.feed(head + b"VA"), reader.feed(b"LUE"), reader.is_idle), ([], [], False)
                 )
                 answer = reader.finish()
                 self.assertEqual(bytes(answer.body) if answer else None, b"VALUE" if whole else None)
@@ -51,6 +51,6 @@
         ):
             with self.subTest(data=data):
                 reader = http.ResponseReader(8)
-                self.assertEqual((len(reader.feed(data)), reader.idle), (answers, idle))
+                self.assertEqual((len(reader.feed(data)), reader.is_idle), (answers, idle))
         with self.assertRaises(http.HttpError):
             reader.feed(whole)  # nothing after the noise can be trusted
--- a/tests/net/test_origin_protocol.py
+++ b/tests/net/test_origin_protocol.py
@@ -25,9 +25,9 @@
             (head % (b"200 OK", b"X-Pressure: inflight=nan\r\n"), Outcome.OK, b"V", ()),
         ):
             with self.subTest(data=data):
-                reader = OriginProtocol(("127.0.0.1", 80), ["rif"]).reader()
-                self.assertIsNone(reader.next(ring_of(data[:-1])))  # not whole yet
-                reply = reader.next(ring_of(data[-1:]))
+                reader = OriginProtocol(("127.0.0.1", 80), ["rif"]).create_reader()
+                self.assertIsNone(reader.next_reply(ring_of(data[:-1])))  # not whole yet
+                reply = reader.next_reply(ring_of(data[-1:]))
                 assert reply is not None
                 self.assertEqual((reply.outcome, reply.value, reply.load), (outcome, value, load))
-                self.assertFalse(reader.closes)
+                self.assertFalse(reader.closes_connection)
--- a/tests/net/test_upstream_connection.py
+++ b/tests/net/test_upstream_connection.py
@@ -14,6 +14,7 @@
 from lupinladder.net import resp
 from lupinladder.net.cache_node_protocol import CacheNodeProtocol
 from lupinladder.net.connection import Connection
+from lupinladder.net.origin_protocol import OriginReplyReader
 from lupinladder.net.upstream_connection import UpstreamConnection
 from tests.support.network_scene import MISSED, NODE, ORIGIN, SERVED, Asked, Door, Peer, Scene, get, once_to
 
@@ -24,6 +25,11 @@
         self.assertEqual(asked.told, ["failed"])
         return self.script.ends()[0][1]
 
+    def reader_of_the_origin(self) -> OriginReplyReader:
+        [connection] = self.links[ORIGIN]._busy
+        assert isinstance(connection.reader, OriginReplyReader)
+        return connection.reader
+
     def test_refused(self) -> None:
         self.node.close()
         self.assertEqual(self.outcome(self.ask()), "CONNECT_FAILED")
@@ -70,7 +76,7 @@
                 asked = self.ask()
                 origin = self.at_node(number, self.origin)
                 origin.conn.send(head + b"VAL")
-                self.until(lambda: next(iter(self.links[ORIGIN]._busy)).reader._http.current.body, "a part")  # type: ignore[attr-defined]
+                self.until(lambda: self.reader_of_the_origin()._response_reader.current.body, "a part")
                 self.assertFalse(asked.told)
                 end(origin)
                 self.until(lambda: asked.told, "an end")  # noqa: B023
