Rework discovery for readers: a typed endpoint list, one way of imports, errors with a base

Cause: the parser returned a tuple of four, the registry kept pairs, the watch knew the registry. AddressError and EndpointError derive from LupinladderError and from ValueError, which callers catch. The bound of an object's bytes is passed to the stream by the watch, whose bound it is.

--- a/lupinladder/net/discovery/__init__.py
+++ b/lupinladder/net/discovery/__init__.py
@@ -1,1 +1,1 @@
-"""Discovery: which servers there are, where, and what changes."""
+"""Discovery: the list of the deployment's servers, the watch on its changes, and who is told of them."""
--- a/lupinladder/net/discovery/endpoint_parser.py
+++ b/lupinladder/net/discovery/endpoint_parser.py
@@ -1,17 +1,21 @@
-"""Endpoint lists as discovery writes them."""
+"""Endpoint lists as discovery writes them, read into the balancer's terms."""
 
 from __future__ import annotations
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import Any
 
 from lupinladder.balancing.events import Endpoint, EndpointState
 from lupinladder.balancing.settings import ServerId
 from lupinladder.balancing.settings_reader import read_value
+from lupinladder.errors import LupinladderError
 from lupinladder.net.connection import Address
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
 
+MAX_PORT = 65535
+MAX_START_TIME_MS = 1e15  # Unix time; it refuses numbers that are no time of day
 ENDPOINT_STATES = {
     "active": EndpointState.READY,
     "leaving": EndpointState.DRAINING,
@@ -19,71 +23,124 @@
 }
 
 
+class AddressError(LupinladderError, ValueError):
+    """A text that is not an address with a port."""
+
+    def __init__(self, text: str) -> None:
+        super().__init__(f"{text!r} is not an address with a port")
+        self.text = text
+
+
+class EndpointError(LupinladderError, ValueError):
+    """An endpoint of a list that cannot be used."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+@dataclass(slots=True)
+class EndpointList:
+    """A list of endpoints as discovery tells it: all that there are, or those that have changed."""
+
+    version: int
+    is_snapshot: bool  # whether these are all endpoints
+    endpoints: list[Endpoint]
+    addresses: dict[ServerId, Address]  # of each endpoint that has not left
+
+
+@dataclass(slots=True)
+class _ListedEndpoint:
+    """An endpoint of a list, and its address unless it has left."""
+
+    endpoint: Endpoint
+    address: Address | None
+
+
 def parse_address(text: str) -> Address:
-    """An IPv4 address with its port."""
+    """An IPv4 address with its port, `host:port`. Raises AddressError."""
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"{text!r} is not an address with a port")
+    if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+        raise AddressError(text)
     return host, int(port)
 
 
-def _since(one: Any) -> float:
-    """When a server last started, as Unix time in ms. Not through the settings' reader: its bound on spans of
-    time refuses a time of day, and a line refused comes again with each new watch, for ever."""
-    since = one.get("since_ms", 0)
-    if isinstance(since, bool) or not isinstance(since, int | float) or not 0 <= since < 1e15:
-        raise ValueError(f"since_ms is {since!r}")
-    return float(since)
-
-
 class EndpointParser:
-    """Reads discovery's form into the module's."""
+    """Reads endpoint lists of one deployment, which names its zones and its types of servers."""
 
-    def __init__(self, zones: Sequence[str], kinds: Sequence[str]) -> None:
-        self._zones, self._kinds = zones, kinds
+    def __init__(self, zones: Sequence[str], server_types: Sequence[str]) -> None:
+        self._zones = zones
+        self._server_types = server_types
 
-    def read(self, tree: Any) -> tuple[int, bool, list[Endpoint], dict[ServerId, Address]]:
-        """Version, whether the list is whole, its entries, and where they are. ValueError if it is bad; an
-        entry that is bad is left out, else one of them would hide every other server and every drain."""
-        found, where = list[Endpoint](), dict[ServerId, Address]()
-        for one in read_value(tree, "endpoints", list):
+    def read(self, tree: object) -> EndpointList:
+        """The list that a JSON tree tells. Raises ValueError if it is none.
+
+        An endpoint that cannot be read is left out: otherwise it would hide every other one and every drain.
+        """
+        endpoints = list[Endpoint]()
+        addresses = dict[ServerId, Address]()
+        for item in read_value(tree, "endpoints", list):
             try:
-                entry, address = self._entry(one)
-            except ValueError as bad:
+                listed = self._read_endpoint(item)
+            except ValueError as error:
                 metrics.endpoints_ignored += 1
-                log_event("endpoint_ignored", error=bad, entry=one)
+                log_event("endpoint_ignored", error=error, entry=item)
                 continue
-            found.append(entry)
-            if address:
-                where[entry.server] = address
-        return read_value(tree, "index", int), read_value(tree, "snapshot", bool, False), found, where
-
-    def _entry(self, one: Any) -> tuple[Endpoint, Address | None]:
-        """One entry, and where it is unless it has left. Of one that leaves or has left, name and status are
-        enough: left out as bad, it would be sent to on. With the rest unreadable it counts as gone."""
-        name, status = read_value(one, "name", str).encode(), read_value(one, "status", str)
-        state = ENDPOINT_STATES.get(status)
+            endpoints.append(listed.endpoint)
+            if listed.address is not None:
+                addresses[listed.endpoint.server] = listed.address
+        version = read_value(tree, "index", int)
+        is_snapshot = read_value(tree, "snapshot", bool, False)
+        return EndpointList(version, is_snapshot, endpoints, addresses)
+
+    def _read_endpoint(self, item: Any) -> _ListedEndpoint:
+        """One endpoint of a list. Raises ValueError.
+
+        Name and status are enough of one that drains or has left: if it were left out as unreadable, requests
+        would still be sent to it. A draining one counts as gone if the rest cannot be read.
+        """
+        server = read_value(item, "name", str).encode()
+        state = ENDPOINT_STATES.get(read_value(item, "status", str))
+        gone = _ListedEndpoint(Endpoint(server, EndpointState.GONE), None)
         if state is EndpointState.GONE:
-            return Endpoint(name, state), None
+            return gone
         try:
-            return self._whole(one, name, state)
+            return self._read_present_endpoint(item, server, state)
         except ValueError:
-            if state is not EndpointState.DRAINING:
-                raise
-            return Endpoint(name, EndpointState.GONE), None
-
-    def _whole(self, one: Any, name: bytes, state: EndpointState | None) -> tuple[Endpoint, Address | None]:
-        zone, kind = read_value(one, "zone", str), read_value(one, "type", str)
-        if state is None or zone not in self._zones or kind not in self._kinds:
-            raise ValueError("it is not of this deployment")
-        address = parse_address(read_value(one, "address", str))
-        entry = Endpoint(
-            name,
+            if state is EndpointState.DRAINING:
+                return gone
+            raise
+
+    def _read_present_endpoint(
+        self, item: Any, server: ServerId, state: EndpointState | None
+    ) -> _ListedEndpoint:
+        zone = read_value(item, "zone", str)
+        server_type = read_value(item, "type", str)
+        if state is None or zone not in self._zones or server_type not in self._server_types:
+            reason = "it is not of this deployment"
+            raise EndpointError(reason)
+        address = parse_address(read_value(item, "address", str))
+        endpoint = Endpoint(
+            server,
             state,
-            read_value(one, "weight", float, 1.0),
-            _since(one),
-            self._zones.index(zone),
-            read_value(one, "group", int, 0),
-            self._kinds.index(kind),
+            weight=read_value(item, "weight", float, 1.0),
+            started_at=_read_start_time(item),
+            zone=self._zones.index(zone),
+            cell=read_value(item, "group", int, 0),
+            server_kind=self._server_types.index(server_type),
         )
-        return entry, address
+        return _ListedEndpoint(endpoint, address)
+
+
+def _read_start_time(item: Any) -> float:
+    """When a server last started, as Unix time in ms; 0 where nothing is told. Raises EndpointError.
+
+    It is not read by the settings' reader, whose bound on spans of time refuses a time of day: an endpoint
+    refused for that would be refused again on each new watch, for ever.
+    """
+    start_time = item.get("since_ms", 0)
+    is_number = isinstance(start_time, int | float) and not isinstance(start_time, bool)
+    if not is_number or not 0 <= start_time < MAX_START_TIME_MS:
+        reason = f"since_ms is {start_time!r}"
+        raise EndpointError(reason)
+    return float(start_time)
--- a/lupinladder/net/discovery/endpoint_watch.py
+++ b/lupinladder/net/discovery/endpoint_watch.py
@@ -1,102 +1,142 @@
-"""The watch on the list of endpoints."""
+"""The watch: one long HTTP request, on whose response discovery writes each change of the list."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from http import HTTPStatus
+from typing import Protocol
 
-from lupinladder.net import http
-from lupinladder.net.connection import Address, Connection, DescriptorBudget
-from lupinladder.net.discovery.json_object_stream import MAX_ENDPOINT_LIST_BYTES, JsonObjectStream
+from lupinladder.net.connection import Address, Connection, DescriptorBudget, format_address
+from lupinladder.net.discovery.json_object_stream import JsonObjectStream
 from lupinladder.net.event_loop import EventLoop, Timer
+from lupinladder.net.http import HttpError, HttpResponse, ResponseReader, encode_request
 
-if TYPE_CHECKING:  # the registry imports this module
-    from lupinladder.net.discovery.endpoint_registry import EndpointRegistry
-
-# Ms without a byte on a watch until it counts as dead; an empty line comes every 2 s. Whatever discovery has
-# to tell counts as told 6 s later, and asking again takes a wait and a call of up to 2 s.
+# Time without a sign of life until a watch counts as dead; an empty line comes every 2 s. Whatever discovery
+# has to tell counts as told 6 s later, and asking again takes a wait and a call of up to 2 s.
 WATCH_SILENCE_TIMEOUT_MS = 3200.0
+MAX_ENDPOINT_LIST_BYTES = 1 << 20  # of one JSON object
+
+
+class WatchListener(Protocol):
+    """Who is told what comes on a watch."""
+
+    def on_update(self, watch: EndpointWatch, tree: object) -> None:
+        """A JSON object has come. Raises ValueError if it is no endpoint list, which ends the watch."""
+
+    def on_watch_failed(self, reason: str, watch: EndpointWatch | None = None) -> None:
+        """The watch has ended, and is closed."""
 
 
 class EndpointWatch:
-    """One call for changes, open until its connection ends or falls silent."""
+    """One request for changes from a version on, open until its connection ends or falls silent."""
 
     def __init__(
-        self, loop: EventLoop, budget: DescriptorBudget, address: Address, index: int, group: EndpointRegistry
+        self,
+        loop: EventLoop,
+        budget: DescriptorBudget,
+        address: Address,
+        version: int,
+        listener: WatchListener,
     ) -> None:
-        self._loop, self._group = loop, group
-        self._http = http.ResponseReader(MAX_ENDPOINT_LIST_BYTES)
-        self._silent: Timer | None = None
-        self._conn = Connection.connect(loop, budget, address, self)
-        self._conn.prioritize()
-        path = f"/v1/endpoints?stream=1&index={index}"
-        self._conn.send(http.encode_request("GET", path, f"{address[0]}:{address[1]}", {}, None))
-        self._objects, self._begun = JsonObjectStream(), False
-        self._heard()
-
-    def _heard(self) -> None:
-        """A sign of life: the call begins, is answered, or a whole object or an empty line has come. Bytes
-        that make nothing whole are none, or a watch that trickles would never count as silent."""
-        self._loop.cancel(self._silent)
-        self._silent = self._loop.call_at(self._loop.now() + WATCH_SILENCE_TIMEOUT_MS, self._quiet)
-
-    def _quiet(self) -> None:
-        """Nothing was heard for too long. If it was us who stood still, what was written meanwhile is unread:
-        to close on it would lose changes that count as told."""
-        self._silent = None
-        self._conn.read_available()
-        if self._silent is None and self._conn.is_open:
-            self._end("the watch is silent")
+        """Begin to connect. Raises OSError if the system has no socket left."""
+        self._loop = loop
+        self._listener = listener
+        self._response_reader = ResponseReader(MAX_ENDPOINT_LIST_BYTES)
+        self._objects = JsonObjectStream(MAX_ENDPOINT_LIST_BYTES)
+        self._is_answered = False  # the headers of the response have come
+        self._silence_timer: Timer | None = None
+        self._connection = Connection.connect(loop, budget, address, self)
+        self._connection.prioritize()
+        path = f"/v1/endpoints?stream=1&index={version}"
+        self._connection.send(encode_request("GET", path, format_address(address), {}, None))
+        self._restart_silence_timer()
 
     def read_available(self) -> None:
-        self._conn.read_available()
+        """Take in what discovery has written already: it counts as told."""
+        self._connection.read_available()
 
     def close(self) -> None:
-        self._loop.cancel(self._silent)
-        self._conn.close()
+        """Close the watch; its listener is not told."""
+        self._loop.cancel(self._silence_timer)
+        self._connection.close()
 
-    def _end(self, why: str) -> None:
-        self.close()
-        self._group.on_watch_failed(why, self)
+    # The connection calls the methods below; see `ConnectionHandler`.
 
     def on_connected(self) -> None:
-        pass
+        """Nothing to do: the request is queued already."""
 
     def on_written(self) -> None:
-        pass
+        """Nothing to do: the request is all that is written."""
 
     def on_data(self) -> None:
-        ended = ""
+        """Bytes have come: tell what they complete, then end the watch if they end or spoil it."""
+        end_reason: str | None = None
         try:
-            while len(self._conn.inbox) and not ended:
-                whole = list[http.HttpResponse]()
-                try:
-                    whole = self._http.feed(self._conn.inbox.read(len(self._conn.inbox)))
-                    ended = "the watch was ended" if whole else ""
-                except http.HttpError as bad:  # lines that came before the bad bytes have been told
-                    ended = f"bad answer: {bad}"
-                answer = whole[0] if whole else self._http.current
-                if answer.status not in (0, 200):
-                    return self._end(f"answered {answer.status}")
-                if answer.status and not self._begun:
-                    self._begun = True
-                    self._heard()
-                self._lines(answer.body)
-        except ValueError as bad:
-            return self._end(f"bad answer: {bad}")
-        if ended:
-            self._end(ended)
-
-    def _lines(self, body: bytearray) -> None:
+            while len(self._connection.inbox) and end_reason is None:
+                end_reason = self._handle_bytes(self._connection.inbox.read(len(self._connection.inbox)))
+        except ValueError as error:
+            end_reason = f"bad answer: {error}"
+        if end_reason is not None:
+            self._end(end_reason)
+
+    def on_closed(self, by_peer: bool) -> None:
+        """The connection broke or could not be made, or discovery has ended it."""
+        self._end("the watch was closed" if by_peer else "the connection broke or never came up")
+
+    def _handle_bytes(self, data: bytes) -> str | None:
+        """Tell what these bytes complete; the reason if the watch has to end after them.
+
+        Raises ValueError for lines that are no endpoint lists.
+        """
+        end_reason: str | None = None
+        completed = list[HttpResponse]()
+        try:
+            completed = self._response_reader.feed(data)
+        except HttpError as error:  # the lines that came before the bad bytes are told all the same
+            end_reason = f"bad answer: {error}"
+        if completed:
+            end_reason = "the watch was ended"
+        response = completed[0] if completed else self._response_reader.current
+        if response.status not in (0, HTTPStatus.OK):
+            return f"answered {response.status}"
+        if response.status and not self._is_answered:
+            self._is_answered = True
+            self._restart_silence_timer()
+        self._handle_lines(response.body)
+        return end_reason
+
+    def _handle_lines(self, body: bytearray) -> None:
+        """Take the whole lines off the body and tell the objects on them."""
         *lines, rest = bytes(body).split(b"\n")
         body[:] = rest
         for line in lines:
-            found = self._objects.line(line)
-            if not self._conn.is_open:
-                return  # what was told has closed this watch
-            if found or self._objects.idle:
-                self._heard()
-            for tree in found:
-                self._group.on_update(self, tree)
+            trees = self._objects.feed_line(line)
+            if not self._connection.is_open:
+                return  # what was told before has closed this watch
+            if trees or self._objects.is_idle:
+                self._restart_silence_timer()
+            for tree in trees:
+                self._listener.on_update(self, tree)
+
+    def _restart_silence_timer(self) -> None:
+        """A sign of life: the request begins, is answered, or a whole object or an empty line has come.
+
+        Bytes that complete nothing are none, or a watch that trickles would never count as silent.
+        """
+        self._loop.cancel(self._silence_timer)
+        silent_at = self._loop.now() + WATCH_SILENCE_TIMEOUT_MS
+        self._silence_timer = self._loop.call_at(silent_at, self._on_silence)
+
+    def _on_silence(self) -> None:
+        """Nothing has come for too long.
+
+        If it was this process that stood still, what discovery wrote meanwhile is unread: it counts as told,
+        and closing the connection on it would lose it.
+        """
+        self._silence_timer = None
+        self._connection.read_available()
+        if self._silence_timer is None and self._connection.is_open:
+            self._end("the watch is silent")
 
-    def on_closed(self, by_peer: bool) -> None:
-        self._end("the watch was closed" if by_peer else "the connection broke or never came up")
+    def _end(self, reason: str) -> None:
+        self.close()
+        self._listener.on_watch_failed(reason, self)
--- a/tests/emulator/faulty_proxy.py
+++ b/tests/emulator/faulty_proxy.py
@@ -45,11 +45,11 @@
 
 def flood() -> None:
     """Sends all reads to the server that started last."""
-    take, route = endpoint_registry.EndpointRegistry._take, endpoint_registry.EndpointRegistry.pool_for
+    apply, route = endpoint_registry.EndpointRegistry._apply, endpoint_registry.EndpointRegistry.pool_for
     youngest: list[tuple[float, bytes]] = []
 
-    def note(self: endpoint_registry.EndpointRegistry, tree: Any, form: Any) -> EndpointUpdate:
-        fleet = take(self, tree, form)
+    def note(self: endpoint_registry.EndpointRegistry, endpoint_list: Any, kind: Any) -> EndpointUpdate:
+        fleet = apply(self, endpoint_list, kind)
         youngest.extend(
             (e.started_at, e.server) for e in fleet.endpoints if e.started_at > 0 and e.server_kind == 0
         )
@@ -58,7 +58,7 @@
     def to_it(self: endpoint_registry.EndpointRegistry, server: bytes) -> Any:
         return route(self, max(youngest)[1] if youngest and server != b"origin" else server)
 
-    endpoint_registry.EndpointRegistry._take = note  # type: ignore[method-assign]
+    endpoint_registry.EndpointRegistry._apply = note  # type: ignore[method-assign]
     endpoint_registry.EndpointRegistry.pool_for = to_it  # type: ignore[method-assign]
 
 
--- a/tests/net/test_endpoint_parser.py
+++ b/tests/net/test_endpoint_parser.py
@@ -11,11 +11,14 @@
 
 class Lists(unittest.TestCase):
     def test_entries(self) -> None:
-        version, whole, entries, where = PARSER.read(listing())
-        self.assertEqual((version, whole, where), (4, True, {b"s-1": ("127.0.0.1", 6379)}))
-        self.assertEqual(entries, [Endpoint(b"s-1", EndpointState.READY, 1.0, 1796120872235.0, 1, 3, 1)])
-        gone = PARSER.read(listing(status="left", address="", since_ms=0))
-        self.assertEqual((gone[2][0].state, gone[2][0].started_at, gone[3]), (EndpointState.GONE, 0.0, {}))
+        found = PARSER.read(listing())
+        self.assertEqual((found.version, found.is_snapshot), (4, True))
+        self.assertEqual(found.addresses, {b"s-1": ("127.0.0.1", 6379)})
+        ready = Endpoint(b"s-1", EndpointState.READY, 1.0, 1796120872235.0, 1, 3, 1)
+        self.assertEqual(found.endpoints, [ready])
+        found = PARSER.read(listing(status="left", address="", since_ms=0))
+        [gone] = found.endpoints
+        self.assertEqual((gone.state, gone.started_at, found.addresses), (EndpointState.GONE, 0.0, {}))
 
     def test_bad_lists(self) -> None:
         trees: list[object] = [[], {}, {"index": "4", "endpoints": []}, {"index": 4, "endpoints": {}}]
@@ -30,7 +33,8 @@
                     found = PARSER.read(
                         {"index": 4, "endpoints": [{"name": "s-1", **more, "status": status}]}
                     )
-                    self.assertEqual((found[2], found[3]), ([Endpoint(b"s-1", EndpointState.GONE)], {}))
+                    self.assertEqual(found.endpoints, [Endpoint(b"s-1", EndpointState.GONE)])
+                    self.assertEqual(found.addresses, {})
 
     def test_a_bad_entry_hides_no_other(self) -> None:
         more: list[dict[str, object]] = [
@@ -47,5 +51,5 @@
         entries = [*({**ENTRY, **one} for one in more), "s-2", None, ENTRY]
         with mock.patch("builtins.print"):
             found = PARSER.read({"index": 4, "endpoints": entries})
-        self.assertEqual([entry.server for entry in found[2]], [b"s-1"])
-        self.assertEqual(list(found[3]), [b"s-1"])
+        self.assertEqual([entry.server for entry in found.endpoints], [b"s-1"])
+        self.assertEqual(list(found.addresses), [b"s-1"])
--- a/tests/net/test_endpoint_watch.py
+++ b/tests/net/test_endpoint_watch.py
@@ -94,7 +94,7 @@
         left = {"index": 9, "snapshot": False, "endpoints": [{**ENTRY, "status": "leaving"}]}
         lines = json.dumps(left, indent=2).encode().split(b"\n")
         peer = self.follow(*lines[:7])
-        self.until(lambda: self.group._watch and not self.group._watch._objects.idle, "the first lines")
+        self.until(lambda: self.group._watch and not self.group._watch._objects.is_idle, "the first lines")
         peer.conn.send(b"".join(b"%x\r\n%b\n\r\n" % (len(line) + 1, line) for line in lines[7:]))
         self.until(lambda: self.told, "the list")
         self.assertEqual([(one.kind.name, one.version) for one in self.told], [("DELTA", 9)])
@@ -131,7 +131,7 @@
         self.group.load_cached(listing())
         old = self.follow(b"")
         watch = self.group._watch
-        self.until(lambda: watch and watch._begun, "the watch")
+        self.until(lambda: watch and watch._is_answered, "the watch")
         moved = Door(self.loop)
         self.addCleanup(moved.close)
         self.group.move_watch(moved.address)
@@ -149,17 +149,17 @@
     def test_a_process_that_stood_still_reads_what_was_written_before_it_gives_the_watch_up(self) -> None:
         self.group.load_cached(listing())
         peer = self.follow(b"")
-        self.until(lambda: self.group._watch and not self.group._watch._conn.connecting, "the watch")
+        self.until(lambda: self.group._watch and not self.group._watch._connection.connecting, "the watch")
         left = {"index": 9, "snapshot": False, "endpoints": [{**ENTRY, "status": "leaving"}]}
         text = json.dumps(left).encode() + b"\n"
         watch = self.group._watch
         assert watch
-        watch._conn.read_available()
+        watch._connection.read_available()
         peer.conn.send(b"%x\r\n%b\r\n" % (len(text), text))
-        watch._quiet()  # its time was over while the line lay unread
+        watch._on_silence()  # its time was over while the line lay unread
         self.assertEqual([one.kind.name for one in self.told], ["DELTA"])
         self.assertIsNone(self.group.pool_for(b"s-1"))
-        watch._quiet()  # and now nothing does
+        watch._on_silence()  # and now nothing does
         self.assertEqual([one.kind.name for one in self.told], ["DELTA", "FAILED"])
 
     def test_after_standing_still_all_that_is_ready_is_looked_for_and_the_list_goes_first(self) -> None:
--- a/tests/net/test_json_object_stream.py
+++ b/tests/net/test_json_object_stream.py
@@ -8,6 +8,8 @@
 from lupinladder.net.discovery.json_object_stream import JsonObjectStream
 from tests.support.endpoint_lists import listing
 
+MAX_BYTES = 1 << 20
+
 
 class Objects(unittest.TestCase):
     def test_objects_off_lines_whole_or_indented(self) -> None:
@@ -21,9 +23,9 @@
             ("{\n" * 9, []),
         ):
             with self.subTest(text=text):
-                objects = JsonObjectStream()
+                objects = JsonObjectStream(MAX_BYTES)
                 self.assertEqual(
-                    [one for line in text.encode().split(b"\n") for one in objects.line(line)], found
+                    [one for line in text.encode().split(b"\n") for one in objects.feed_line(line)], found
                 )
         for text in (
             "{]",
@@ -34,6 +36,6 @@
             '{\n"a": "' + "x" * (1 << 20),
         ):
             with self.subTest(text=text[:9]), self.assertRaises(ValueError):
-                objects = JsonObjectStream()
+                objects = JsonObjectStream(MAX_BYTES)
                 for line in text.encode().split(b"\n"):
-                    objects.line(line)
+                    objects.feed_line(line)
