--- a/tests/net/test_connection_pool.py
+++ b/tests/net/test_connection_pool.py
@@ -4,18 +4,16 @@
 
 from unittest import mock
 
-from tests.support.network_scene import NODE, ORIGIN, SERVED, Asked, Peer, Scene, once_to
+from tests.support.network_scene import NODE, ORIGIN, SERVED, Asked, Door, Peer, Scene, once_to
 
 PING = b"*1\r\n$4\r\nPING\r\n"
-
-
 OK_HTTP = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nV"
 
 
-class Pools(Scene):
+class ConnectionReuse(Scene):
     IDLE_MS = 2000.0
 
-    def test_the_latest_used_is_taken_first_and_the_idle_close_before_the_node_does(self) -> None:
+    def test_the_last_used_is_taken_first_and_idle_ones_close_before_the_server_does(self) -> None:
         for _ in range(2):
             self.ask()
         for n in (0, 1):
@@ -30,40 +28,50 @@
         self.assertEqual(len(self.node.peers), 2)
 
     def test_a_connection_with_anything_unread_or_an_end_is_not_used_again(self) -> None:
-        wrong = SERVED.replace(b"V", b"W")
-        answer, twice = OK_HTTP, OK_HTTP.replace(b"V", b"W")
-        for door, server, good, more in (
-            (self.node, NODE, SERVED, wrong),  # a second copy at once
-            (self.node, NODE, SERVED, wrong[:9]),  # part of one
+        other = SERVED.replace(b"V", b"W")
+        cases = (
+            (self.node, NODE, SERVED, other),  # a second copy at once
+            (self.node, NODE, SERVED, other[:9]),  # part of one
             (self.node, NODE, SERVED, b""),  # an end
-            (self.origin, ORIGIN, answer, twice),
-            (self.origin, ORIGIN, answer, b"noise\r\n"),
-        ):
-            with self.subTest(server=server, more=more):
+            (self.origin, ORIGIN, OK_HTTP, OK_HTTP.replace(b"V", b"W")),
+            (self.origin, ORIGIN, OK_HTTP, b"noise\r\n"),
+        )
+        for door, server, reply, excess in cases:
+            with self.subTest(server=server, excess=excess):
                 self.script.react = once_to(server)
-                first, before = self.ask(), len(door.peers)
-                self.until(lambda: any(p.got and not p.ends for p in door.peers), "a request")  # noqa: B023
-                [peer] = [one for one in door.peers if one.got and not one.ends]
-                second = list[Asked]()
-
-                def at_once(value: bytes, peer: Peer = peer, more: bytes = more) -> None:
-                    if not more:
-                        peer.conn.close_gracefully()
-                    second.append(self.ask())  # noqa: B023
-
-                with mock.patch.object(first, "on_served", at_once):
-                    peer.got = b""
-                    peer.conn.send(good + more)
-                    self.until(lambda: second, "an answer")  # noqa: B023
-                self.until(lambda: any(p.got for p in door.peers if p is not peer), "another")  # noqa: B023
-                [other] = [one for one in door.peers if one.got]
-                other.conn.send(good)
-                self.until(lambda: second[0].told, "the second answer")  # noqa: B023
-                self.assertEqual((second[0].told, peer.got), ([b"V"], b""))
-                self.assertGreater(len(door.peers), before)
-                other.got = b""
-
-    def test_noise_that_comes_late_costs_a_resting_connection_alone(self) -> None:
+                connections_before = len(door.peers)
+                first = self.ask()
+                peer = self.requested(door)
+                second = self.ask_when_served(first, peer, reply + excess, ends=not excess)
+                other_peer = self.requested(door, other_than=peer)
+                other_peer.conn.send(reply)
+                self.until(lambda: second.told, "the second reply")  # noqa: B023
+                self.assertEqual((second.told, peer.got), ([b"V"], b""))
+                self.assertGreater(len(door.peers), connections_before)
+                other_peer.got = b""
+
+    def requested(self, door: Door, other_than: Peer | None = None) -> Peer:
+        """The one connection at the door on which a request has come, which is not this other one."""
+        self.until(lambda: any(peer.got for peer in door.peers if peer is not other_than), "a request")
+        [peer] = [peer for peer in door.peers if peer.got]
+        return peer
+
+    def ask_when_served(self, first: Asked, peer: Peer, data: bytes, ends: bool) -> Asked:
+        """Send the reply to the first request, and ask again from within the call that passes it on."""
+        second = list[Asked]()
+
+        def on_served(value: bytes) -> None:
+            if ends:
+                peer.conn.close_gracefully()
+            second.append(self.ask())
+
+        with mock.patch.object(first, "on_served", on_served):
+            peer.got = b""
+            peer.conn.send(data)
+            self.until(lambda: second, "a reply")
+        return second[0]
+
+    def test_late_noise_costs_an_idle_connection_and_no_request(self) -> None:
         self.ask()
         node = self.at_node()
         node.conn.send(SERVED)
@@ -74,7 +82,7 @@
         self.until(lambda: asked.told, "an answer")
         self.assertEqual(asked.told, [b"V"])
 
-    def test_a_server_that_leaves_finishes_what_it_has_and_keeps_no_connection(self) -> None:
+    def test_a_retired_pool_finishes_what_is_in_flight_and_keeps_no_connection(self) -> None:
         asked = self.ask()
         node = self.at_node()
         self.links[NODE].retire()
@@ -83,10 +91,12 @@
         self.assertEqual(asked.told, [b"V"])
 
 
-class Short(Scene):
-    SOCKETS, STREAMS, MAX_OPEN = 2, 2, 3
+class DescriptorShortage(Scene):
+    SOCKETS = 2
+    STREAMS = 2
+    MAX_OPEN = 3
 
-    def test_without_descriptors_executions_share_a_connection_and_the_bound_is_clean(self) -> None:
+    def test_attempts_share_a_connection_up_to_the_bound(self) -> None:
         asked = [self.ask(), self.ask(60), self.ask()]
         self.until(lambda: asked[2].told, "the third to find no room")
         self.assertEqual(self.script.ends(), [(0, "CONNECT_FAILED", False)])
@@ -97,13 +107,13 @@
         self.until(lambda: asked[0].told, "the first answer")
         self.assertEqual((asked[0].told, asked[1].told), ([b"V"], ["failed"]))
 
-    def test_an_idle_connection_to_a_server_makes_room_for_a_client_or_another_server(self) -> None:
+    def test_an_idle_connection_gives_its_descriptor_to_a_client_or_another_server(self) -> None:
         asked = self.ask()
         self.at_node().conn.send(SERVED)
         self.until(lambda: asked.told, "the answer")
-        client = self.client(PING)  # the listener and the idle link hold all that there is
+        client = self.client(PING)  # the listener and the idle connection hold all that there is
         self.answers(client, b"+PONG\r\n")
-        self.until(lambda: self.node.peers[0].ends, "the idle link to end")
+        self.until(lambda: self.node.peers[0].ends, "the idle connection to end")
         client.conn.close()
         self.until(lambda: self.budget.used == 1, "the client to be gone")
         asked = self.ask()
@@ -117,7 +127,7 @@
             (asked.told, set(self.budget.idle_connections)), ([b"V"], set(self.links[ORIGIN]._idle))
         )
 
-    def test_clients_beyond_their_share_take_no_connection_to_a_server(self) -> None:
+    def test_clients_beyond_their_share_take_no_descriptor_from_connections_to_servers(self) -> None:
         asked = self.ask()
         self.at_node().conn.send(SERVED)
         self.until(lambda: asked.told, "the answer")
@@ -128,16 +138,16 @@
         self.until(lambda: first.ends, "the first client to end")
         self.assertEqual((len(self.budget.idle_connections), self.node.peers[0].ends), (1, []))
 
-    def test_accepting_goes_on_when_a_descriptor_is_free_again_whoever_had_it(self) -> None:
-        self.budget.used += 1  # a link's, and no client is there whose end would tell
+    def test_accepting_goes_on_when_any_descriptor_is_free_again(self) -> None:
+        self.budget.used += 1  # of a connection to a server: no client is there whose end would tell
         late = self.client(PING)
-        self.until(lambda: not self.front._mask, "a front that does not accept")
+        self.until(lambda: not self.front._mask, "a listener that does not accept")
         self.budget.used -= 1
         self.answers(late, b"+PONG\r\n")
         self.answers(self.client(PING), b"+PONG\r\n")  # at the bound, in the place of the idle one
         self.until(lambda: late.ends, "the idle one to end")
 
-    def test_more_open_queries_than_memory_allows_are_turned_away(self) -> None:
+    def test_more_open_requests_than_memory_allows_are_rejected(self) -> None:
         self.script.react = lambda event: []
         kept = [self.ask(), self.ask(), self.ask()]
         self.assertEqual(self.ask().told, [400.0])
--- a/tests/net/test_endpoint_parser.py
+++ b/tests/net/test_endpoint_parser.py
@@ -9,8 +9,8 @@
 from tests.support.endpoint_lists import ENTRY, PARSER, listing
 
 
-class Lists(unittest.TestCase):
-    def test_entries(self) -> None:
+class EndpointLists(unittest.TestCase):
+    def test_a_list_gives_its_version_endpoints_and_addresses(self) -> None:
         found = PARSER.read(listing())
         self.assertEqual((found.version, found.is_snapshot), (4, True))
         self.assertEqual(found.addresses, {b"s-1": ("127.0.0.1", 6379)})
@@ -20,13 +20,13 @@
         [gone] = found.endpoints
         self.assertEqual((gone.state, gone.started_at, found.addresses), (EndpointState.GONE, 0.0, {}))
 
-    def test_bad_lists(self) -> None:
+    def test_a_list_without_its_parts_is_an_error(self) -> None:
         trees: list[object] = [[], {}, {"index": "4", "endpoints": []}, {"index": 4, "endpoints": {}}]
         for tree in trees:
             with self.subTest(tree=tree), self.assertRaises(ValueError):
                 PARSER.read(tree)
 
-    def test_one_that_leaves_needs_a_name_and_its_status(self) -> None:
+    def test_a_leaving_endpoint_needs_only_its_name_and_status(self) -> None:
         for more in ({}, {"zone": "c"}, {"type": 5}, {"address": "x"}, {"since_ms": "x"}):
             for status in ("leaving", "left"):
                 with self.subTest(more=more, status=status):
@@ -36,7 +36,7 @@
                     self.assertEqual(found.endpoints, [Endpoint(b"s-1", EndpointState.GONE)])
                     self.assertEqual(found.addresses, {})
 
-    def test_a_bad_entry_hides_no_other(self) -> None:
+    def test_a_bad_endpoint_hides_no_other(self) -> None:
         more: list[dict[str, object]] = [
             {"status": "asleep"},
             {"zone": "c"},
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -8,7 +8,7 @@
 
 
 class Responses(unittest.TestCase):
-    def test_http_that_cannot_be_trusted(self) -> None:
+    def test_a_response_that_cannot_be_trusted_is_an_error(self) -> None:
         for data in (
             b"nonsense\r\n\r\n",
             b"HTTP/1.1 200 OK\r\n\r\n123456789",  # no length, and no end in sight
@@ -19,13 +19,14 @@
         ):
             with self.subTest(data=data), self.assertRaises(http.HttpError):
                 http.ResponseReader(8).feed(data)
+
+    def test_a_response_may_close_its_connection(self) -> None:
         reader = http.ResponseReader(8)
-        self.assertEqual(
-            len(reader.feed(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")), 1
-        )
+        closing = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+        self.assertEqual(len(reader.feed(closing)), 1)
         self.assertTrue(reader.closes_connection)
 
-    def test_http_without_a_length_is_whole_at_the_end_and_not_before(self) -> None:
+    def test_a_response_without_a_length_is_whole_at_the_end_and_not_before(self) -> None:
         for head, whole in (
             (b"HTTP/1.1 200 OK\r\n\r\n", True),
             (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n", True),
@@ -41,7 +42,7 @@
                 answer = reader.finish()
                 self.assertEqual(bytes(answer.body) if answer else None, b"VALUE" if whole else None)
 
-    def test_http_hands_out_what_was_whole_before_the_noise(self) -> None:
+    def test_what_was_whole_before_the_noise_is_returned(self) -> None:
         whole = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nV"
         for data, answers, idle in (
             (whole, 1, True),
--- a/tests/net/test_json_object_stream.py
+++ b/tests/net/test_json_object_stream.py
@@ -11,8 +11,8 @@
 MAX_BYTES = 1 << 20
 
 
-class Objects(unittest.TestCase):
-    def test_objects_off_lines_whole_or_indented(self) -> None:
+class JsonObjects(unittest.TestCase):
+    def test_objects_are_read_whole_or_indented(self) -> None:
         tree = listing(name='a{"[\\')
         flat, indented = json.dumps(tree), json.dumps(tree, indent=2)
         for text, found in (
@@ -27,6 +27,8 @@
                 self.assertEqual(
                     [one for line in text.encode().split(b"\n") for one in objects.feed_line(line)], found
                 )
+
+    def test_what_is_not_json_too_long_or_too_deep_is_an_error(self) -> None:
         for text in (
             "{]",
             "}",
--- a/tests/net/test_origin_protocol.py
+++ b/tests/net/test_origin_protocol.py
@@ -10,7 +10,7 @@
 
 
 class Replies(unittest.TestCase):
-    def test_what_the_origin_answers(self) -> None:
+    def test_a_response_gives_the_outcome_the_value_and_the_load(self) -> None:
         head = b"HTTP/1.1 %s\r\nContent-Length: 1\r\n%s\r\nV"
         for data, outcome, value, load in (
             (head % (b"200 OK", b"X-Pressure: inflight=2\r\n"), Outcome.OK, b"V", (2.0,)),
--- a/tests/net/test_upstream_connection.py
+++ b/tests/net/test_upstream_connection.py
@@ -1,16 +1,13 @@
-"""Attempts on a connection to a server: what may have run, what is told, what is never sent."""
+"""Attempts on a connection to a server: outcomes, the time that the server is told, what is never sent."""
 
 from __future__ import annotations
 
 import socket
 from collections.abc import Callable
-from typing import Any
 from unittest import mock
 
 from lupinladder.balancing.actions import Fail, StartAttempt
-from lupinladder.balancing.events import (
-    RequestReceived,
-)
+from lupinladder.balancing.events import RequestReceived
 from lupinladder.net import resp
 from lupinladder.net.cache_node_protocol import CacheNodeProtocol
 from lupinladder.net.connection import Connection
@@ -19,51 +16,60 @@
 from tests.support.network_scene import MISSED, NODE, ORIGIN, SERVED, Asked, Door, Peer, Scene, get, once_to
 
 
-class DidItRun(Scene):
+def wait_until(scene: Scene, time: float) -> None:
+    """Turn the loop until this time, in ms on its clock."""
+    passed = list[bool]()
+    scene.loop.call_at(time, lambda: passed.append(True))
+    scene.until(lambda: passed, "a time")
+
+
+class AttemptOutcomes(Scene):
+    """CONNECT_FAILED proves that an attempt never ran, RESET says that it may have."""
+
     def outcome(self, asked: Asked) -> str:
         self.until(lambda: asked.told, "an end")
         self.assertEqual(asked.told, ["failed"])
         return self.script.ends()[0][1]
 
-    def reader_of_the_origin(self) -> OriginReplyReader:
+    def origin_reader(self) -> OriginReplyReader:
         [connection] = self.links[ORIGIN]._busy
         assert isinstance(connection.reader, OriginReplyReader)
         return connection.reader
 
-    def test_refused(self) -> None:
+    def test_a_refused_connection_is_connect_failed(self) -> None:
         self.node.close()
         self.assertEqual(self.outcome(self.ask()), "CONNECT_FAILED")
 
-    def test_broken_before_the_last_byte_was_written(self) -> None:
+    def test_a_break_before_the_last_byte_was_written_is_connect_failed(self) -> None:
         asked = self.ask()
-        wire = next(iter(self.links[NODE]._busy))
-        wire.connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        [upstream] = self.links[NODE]._busy
+        upstream.connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         large = mock.patch(
             "tests.support.network_scene.CacheNodeProtocol.encode", return_value=b"x" * 150_000
         )
         with large, mock.patch("tests.support.network_scene.Peer.on_data"):  # the node does not read
-            self.until(lambda: self.node.peers and wire.connection.bytes_sent, "some bytes")
+            self.until(lambda: self.node.peers and upstream.connection.bytes_sent, "some bytes")
             self.node.peers[0].reset()
             self.assertEqual(self.outcome(asked), "CONNECT_FAILED")
 
-    def test_broken_after_it(self) -> None:
+    def test_a_break_after_the_last_byte_was_written_is_a_reset(self) -> None:
         asked = self.ask()
         node = self.at_node()
         node.conn.send(SERVED[:-3])  # only whole answers count
         node.conn.close_gracefully()
         self.assertEqual(self.outcome(asked), "RESET")
 
-    def test_turned_away(self) -> None:
+    def test_a_busy_reply_is_a_rejection(self) -> None:
         asked = self.ask()
         self.at_node().conn.send(b"-BUSY\r\n")
         self.assertEqual(self.outcome(asked), "REJECTED")
 
-    def test_an_answer_that_makes_no_sense(self) -> None:
+    def test_an_invalid_reply_is_a_reset(self) -> None:
         asked = self.ask()
         self.at_node().conn.send(b"?\r\n")
         self.assertEqual(self.outcome(asked), "RESET")
 
-    def test_an_answer_without_a_length_is_whole_at_an_orderly_end_and_at_no_other(self) -> None:
+    def test_a_response_without_a_length_is_whole_only_at_an_orderly_end(self) -> None:
         self.script.react = once_to(ORIGIN)
         head = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
         cases: list[tuple[Callable[[Peer], None], str]] = [
@@ -76,14 +82,14 @@
                 asked = self.ask()
                 origin = self.at_node(number, self.origin)
                 origin.conn.send(head + b"VAL")
-                self.until(lambda: self.reader_of_the_origin()._response_reader.current.body, "a part")
+                self.until(lambda: self.origin_reader()._response_reader.current.body, "a part")
                 self.assertFalse(asked.told)
                 end(origin)
                 self.until(lambda: asked.told, "an end")  # noqa: B023
                 self.assertEqual(self.script.ends()[-1][1], outcome)
                 self.assertEqual(asked.told, [b"VAL" if outcome == "OK" else "failed"])
 
-    def test_no_answer_by_the_deadline_closes_the_connection(self) -> None:
+    def test_no_reply_by_the_deadline_closes_the_connection(self) -> None:
         asked = self.ask(60)
         node = self.at_node()
         self.assertEqual(self.outcome(asked), "TIMEOUT")
@@ -104,9 +110,7 @@
         self.client(data)
         node = self.at_node()
         sent_at = self.loop.now()  # the request was taken before this
-        passed = list[bool]()
-        self.loop.call_at(sent_at + delay, lambda: passed.append(True))
-        self.until(lambda: passed, "the first attempt's time")
+        wait_until(self, sent_at + delay)
         answered_at = self.loop.now()
         node.conn.send(MISSED)
         return 900 - (answered_at - sent_at)
@@ -124,13 +128,13 @@
         origin = self.at_node(0, self.origin)
         self.assert_labels(origin.got.split(b"X-Labels: ")[1].split(b"\r\n")[0], left)
 
-    def test_the_origin_is_told_what_a_miss_has_left_of_a_read(self) -> None:
+    def test_the_origin_is_told_the_time_that_a_miss_leaves_a_read(self) -> None:
         self.check_origin_is_told(self.command(b"OBJ.GET"))
 
-    def test_the_origin_is_told_what_a_miss_has_left_of_a_write(self) -> None:
+    def test_the_origin_is_told_the_time_that_a_miss_leaves_a_write(self) -> None:
         self.check_origin_is_told(self.command(b"OBJ.SET", b"V"))
 
-    def test_a_second_cache_node_is_told_what_the_first_has_left(self) -> None:
+    def test_a_second_cache_node_is_told_the_time_that_the_first_leaves(self) -> None:
         second = Door(self.loop)
         self.addCleanup(second.close)
         self.links[b"s-second"] = self.link(second.address, CacheNodeProtocol([]))
@@ -139,46 +143,57 @@
         self.assert_labels(labels, left)
 
 
-class Unsent(Scene):
-    """What may change between the decision and the first byte: a connection that comes up late."""
+class DelayedConnections:
+    """Holds back each connection to a server that comes up, until `release`."""
 
-    STREAMS = 8
+    def __init__(self) -> None:
+        self.held = list[Connection]()
+        self._really_ready = Connection._ready
+        self._patch = mock.patch.object(Connection, "_ready", self._make_ready())
+        self._patch.start()
 
-    def late(self) -> Any:
-        """Hold back a connection that is opening until it is let through."""
-        real, held = Connection._ready, list[Any]()
+    def _make_ready(self) -> Callable[[Connection, int], None]:
+        def ready(connection: Connection, mask: int) -> None:
+            if connection.connecting and isinstance(connection._owner, UpstreamConnection):
+                self.held.append(connection)
+                connection._loop.watch(connection._sock, connection._mask, 0, connection._ready)
+                connection._mask = 0
+            else:
+                self._really_ready(connection, mask)
 
-        def ready(conn: Connection, mask: int) -> None:
-            if conn.connecting and isinstance(conn._owner, UpstreamConnection):
-                held.append(conn)
-                conn._loop.watch(conn._sock, conn._mask, 0, conn._ready)
-                conn._mask = 0
-                return
-            real(conn, mask)
+        return ready
 
-        patch = mock.patch.object(Connection, "_ready", ready)
-        patch.start()
-        self.addCleanup(patch.stop)
+    def release(self) -> None:
+        self.stop()
+        for connection in self.held:
+            connection._interest()
 
-        def come_up() -> None:
-            patch.stop()
-            for conn in held:
-                conn._interest()
+    def stop(self) -> None:
+        self._patch.stop()
+
+
+class UnsentAttempts(Scene):
+    """What may change between the decision and the first byte, while a connection comes up late."""
+
+    STREAMS = 8
 
-        return held, come_up
+    def delay_connections(self) -> DelayedConnections:
+        delayed = DelayedConnections()
+        self.addCleanup(delayed.stop)
+        return delayed
 
-    def test_a_request_whose_client_has_left_meanwhile_is_not_sent(self) -> None:
+    def test_an_attempt_whose_client_has_left_is_not_sent(self) -> None:
         for way in ("closed", "reset"):
             with self.subTest(way=way):
-                held, come_up = self.late()
+                delayed = self.delay_connections()
                 before = len(self.node.peers)
                 client = self.client(get())
-                self.until(lambda: held, "a connection")  # noqa: B023
+                self.until(lambda: delayed.held, "a connection")  # noqa: B023
                 client.reset() if way == "reset" else client.conn.close()
                 self.until(lambda: self.engine.is_idle, "its leaving")
-                come_up()
-                wire = held[0]
-                self.until(lambda: not wire.connecting, "the connection")  # noqa: B023
+                delayed.release()
+                [upstream] = delayed.held
+                self.until(lambda: not upstream.connecting, "the connection")  # noqa: B023
                 self.ask()  # goes on the same connection, and is the first thing on it
                 node = self.at_node(before)
                 self.assertEqual(node.got.count(b"OBJ.GET"), 1)
@@ -189,64 +204,60 @@
                 self.links[NODE] = self.link(self.node.address, CacheNodeProtocol([]))
         self.assertEqual([one[1] for one in self.script.ends()], ["CONNECT_FAILED", "OK"] * 2)
 
-    def test_none_goes_to_a_server_that_has_begun_to_leave_meanwhile(self) -> None:
-        held, come_up = self.late()
+    def test_no_attempt_is_sent_to_a_server_that_has_begun_to_leave(self) -> None:
+        delayed = self.delay_connections()
         asked = self.ask()
-        self.until(lambda: held, "a connection")
+        self.until(lambda: delayed.held, "a connection")
         self.links[NODE].retire()
-        come_up()
+        delayed.release()
         self.until(lambda: asked.told, "an end")
         self.assertEqual(self.script.ends(), [(0, "CONNECT_FAILED", False)])
         self.until(lambda: self.node.peers and self.node.peers[0].ends, "the end of the connection")
         self.assertEqual(self.node.peers[0].got, b"")
 
-    def test_no_repeat_begins_when_its_window_is_over(self) -> None:
+    def test_no_repeat_is_sent_after_its_deduplication_window(self) -> None:
         self.script.react = lambda e: (
             [StartAttempt(e.request_id, NODE, start_by=self.loop.now() + 30)]
             if isinstance(e, RequestReceived)
             else [Fail(1)]
         )
-        held, come_up = self.late()
+        delayed = self.delay_connections()
         asked = self.ask()
-        self.until(lambda: held, "a connection")
-        passed = list[bool]()
-        self.loop.call_at(self.loop.now() + 31, lambda: passed.append(True))
-        self.until(lambda: passed, "the end of the window")
-        come_up()
+        self.until(lambda: delayed.held, "a connection")
+        wait_until(self, self.loop.now() + 31)  # the end of the window
+        delayed.release()
         self.until(lambda: asked.told, "an end")
         self.assertEqual(self.script.ends(), [(0, "CONNECT_FAILED", False)])
         self.assertEqual(self.node.peers[0].got, b"")
 
-    def test_the_wait_for_a_late_connection_is_taken_off_the_time_told(self) -> None:
+    def test_the_wait_for_a_connection_is_taken_off_the_time_that_the_server_is_told(self) -> None:
         for server, door in ((NODE, self.node), (ORIGIN, self.origin)):
             with self.subTest(server=server):
-                held, come_up = self.late()
+                delayed = self.delay_connections()
                 self.script.react = once_to(server)
                 self.ask()
                 asked_at = self.loop.now()
-                self.until(lambda: held, "a connection")  # noqa: B023
-                passed = list[bool]()
-                self.loop.call_at(asked_at + 60, lambda: passed.append(True))  # noqa: B023
-                self.until(lambda: passed, "the wait")  # noqa: B023
+                self.until(lambda: delayed.held, "a connection")  # noqa: B023
+                wait_until(self, asked_at + 60)
                 left = 900 - (self.loop.now() - asked_at)
-                come_up()
+                delayed.release()
                 told = self.at_node(0, door).got.split(b"d=")[1].split(b"\r\n")[0]
                 self.assertLessEqual(int(told), left + 0.5)
 
-    def test_what_was_never_begun_by_its_deadline_never_ran(self) -> None:
-        self.late()
+    def test_an_attempt_that_is_unsent_at_its_deadline_never_ran(self) -> None:
+        self.delay_connections()
         asked = self.ask(60)
         self.until(lambda: asked.told, "an end")
         self.assertEqual(self.script.ends(), [(0, "CONNECT_FAILED", False)])
 
-    def test_one_behind_others_that_is_given_up_is_not_written(self) -> None:
-        held, come_up = self.late()
+    def test_an_abandoned_attempt_behind_others_is_not_sent(self) -> None:
+        delayed = self.delay_connections()
         first = self.ask()
-        self.until(lambda: held, "a connection")
+        self.until(lambda: delayed.held, "a connection")
         with mock.patch.object(self.budget, "has_capacity", lambda keep=0: False):
             second, third = self.ask(60), self.ask()
         self.until(lambda: second.told, "its end")
-        come_up()
+        delayed.release()
         node = self.at_node()
         self.until(lambda: node.got.count(b"OBJ.GET") == 2, "two of them")
         node.conn.send(SERVED * 2)
