--- a/tests/support/discovery_scene.py
+++ b/tests/support/discovery_scene.py
@@ -1,36 +1,70 @@
-"""A registry of endpoints with a watch on a discovery server that the test plays."""
+"""A registry of endpoints with its watch, on a discovery server that the test plays."""
 
 from __future__ import annotations
 
-from typing import Any
+import json
 
 from lupinladder.balancing.events import EndpointUpdate
 from lupinladder.net.cache_node_protocol import CacheNodeProtocol
 from lupinladder.net.discovery.endpoint_registry import EndpointRegistry
-from tests.support.endpoint_lists import PARSER
-from tests.support.network_scene import Door, Scene
+from lupinladder.net.discovery.endpoint_watch import EndpointWatch
+from tests.support.endpoint_lists import ENTRY, PARSER
+from tests.support.network_scene import Door, Peer, Scene
+
+STREAM_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunks(*lines: bytes) -> bytes:
+    """These lines as chunks of a response, one each."""
+    return b"".join(b"%x\r\n%b\n\r\n" % (len(line) + 1, line) for line in lines)
+
+
+def delta(version: int, **changes: object) -> bytes:
+    """A line that tells of a change: the one endpoint, with these fields changed."""
+    tree = {"index": version, "snapshot": False, "endpoints": [{**ENTRY, **changes}]}
+    return json.dumps(tree).encode()
 
 
 class DiscoveryScene(Scene):
+    """A registry, the updates of which it has notified, and discovery's listener."""
+
     def setUp(self) -> None:
         super().setUp()
-        self.door, self.told = Door(self.loop), list[EndpointUpdate]()
-        self.addCleanup(self.door.close)
-        self.group = EndpointRegistry(
+        self.discovery = Door(self.loop)
+        self.addCleanup(self.discovery.close)
+        self.updates = list[EndpointUpdate]()
+        self.registry = EndpointRegistry(
             self.loop,
             self.budget,
-            self.door.address,
+            self.discovery.address,
             PARSER,
-            lambda entry, address: self.link(address, CacheNodeProtocol([])),
-            self.told.append,
+            lambda endpoint, address: self.link(address, CacheNodeProtocol([])),
+            self.updates.append,
         )
 
-    def follow(self, *lines: bytes, status: bytes = b"200 OK") -> Any:
-        """Follow, and send these lines as chunks. Returns discovery's end of the watch."""
-        before = len(self.door.peers)
-        self.group.open_watch()
-        self.until(lambda: len(self.door.peers) > before and self.door.peers[-1].got, "a call")
-        peer = self.door.peers[-1]
-        peer.conn.send(b"HTTP/1.1 " + status + b"\r\nTransfer-Encoding: chunked\r\n\r\n")
-        peer.conn.send(b"".join(b"%x\r\n%b\n\r\n" % (len(line) + 1, line) for line in lines))
+    def open_watch(self) -> Peer:
+        """Open a watch. Returns discovery's end of it, once the request has come."""
+        opened_before = len(self.discovery.peers)
+        self.registry.open_watch()
+        return self.at_node(opened_before, self.discovery)
+
+    def follow(self, *lines: bytes, status: bytes = b"200 OK") -> Peer:
+        """Open a watch and answer it with these lines as chunks. Returns discovery's end of it."""
+        peer = self.open_watch()
+        peer.conn.send(STREAM_HEAD.replace(b"200 OK", status))
+        peer.conn.send(chunks(*lines))
         return peer
+
+    def watch(self) -> EndpointWatch:
+        """The watch that is open."""
+        watch = self.registry._watch
+        assert watch is not None
+        return watch
+
+    def update_kinds(self) -> list[str]:
+        """The kinds of the updates so far."""
+        return [update.kind.name for update in self.updates]
+
+    def update_versions(self) -> list[tuple[str, int]]:
+        """The kinds and versions of the updates so far."""
+        return [(update.kind.name, update.version) for update in self.updates]
