--- a/lupinladder/net/cache_node_protocol.py
+++ b/lupinladder/net/cache_node_protocol.py
@@ -78,14 +78,14 @@
         if not isinstance(result, list) or len(result) != 3:
             reason = "an answer of an unknown form"
             raise UpstreamProtocolError(reason)
-        value, cache_word, report = result
+        value, cache_status, report = result
         if not (value is None or type(value) is bytes):  # a simple string is bytes too, and no value
             reason = "a value of an unknown form"
             raise UpstreamProtocolError(reason)
         # What stands beside a good value may be corrupted: the value is good all the same.
         cache_result = CacheResult.NONE
-        if isinstance(cache_word, bytes):
-            cache_result = CACHE_RESULTS.get(cache_word, CacheResult.NONE)
+        if isinstance(cache_status, bytes):
+            cache_result = CACHE_RESULTS.get(cache_status, CacheResult.NONE)
         load = parse_load_report(report, self._report_fields) if isinstance(report, bytes) else ()
         outcome = Outcome.MISS if value is None else Outcome.OK
         return UpstreamReply(outcome, value, cache_result, load)
--- a/lupinladder/net/discovery/endpoint_parser.py
+++ b/lupinladder/net/discovery/endpoint_parser.py
@@ -101,14 +101,14 @@
         """
         server = read_value(item, "name", str).encode()
         state = ENDPOINT_STATES.get(read_value(item, "status", str))
-        gone = _ListedEndpoint(Endpoint(server, EndpointState.GONE), None)
+        departed = _ListedEndpoint(Endpoint(server, EndpointState.GONE), None)
         if state is EndpointState.GONE:
-            return gone
+            return departed
         try:
             return self._read_present_endpoint(item, server, state)
         except ValueError:
             if state is EndpointState.DRAINING:
-                return gone
+                return departed
             raise
 
     def _read_present_endpoint(
--- a/lupinladder/net/discovery/endpoint_registry.py
+++ b/lupinladder/net/discovery/endpoint_registry.py
@@ -103,8 +103,8 @@
     def on_update(self, watch: EndpointWatch, tree: object) -> None:
         """A watch has told what changed, or the whole list. Raises ValueError if it is no list."""
         endpoint_list = self._parser.read(tree)
-        kind = EndpointUpdateKind.FULL if endpoint_list.is_snapshot else EndpointUpdateKind.DELTA
-        self._notify(self._apply(endpoint_list, kind))
+        update_kind = EndpointUpdateKind.FULL if endpoint_list.is_snapshot else EndpointUpdateKind.DELTA
+        self._notify(self._apply(endpoint_list, update_kind))
         if watch is self._watch:
             self.is_current = True
         if watch is not self._previous_watch:
@@ -128,11 +128,11 @@
             self._previous_watch = None
             previous.close()
 
-    def _apply(self, endpoint_list: EndpointList, kind: EndpointUpdateKind) -> EndpointUpdate:
+    def _apply(self, endpoint_list: EndpointList, update_kind: EndpointUpdateKind) -> EndpointUpdate:
         """Bring the pools in line with a list. The update is what the balancer has to be told."""
         metrics.endpoint_updates += 1
-        update = EndpointUpdate(kind, endpoint_list.version, endpoint_list.endpoints)
-        if kind is EndpointUpdateKind.DELTA:
+        update = EndpointUpdate(update_kind, endpoint_list.version, endpoint_list.endpoints)
+        if update_kind is EndpointUpdateKind.DELTA:
             if endpoint_list.version < self._version:
                 return update  # of two watches one may lag behind; the balancer drops the update as well
         else:
--- a/tests/emulator/faulty_proxy.py
+++ b/tests/emulator/faulty_proxy.py
@@ -48,8 +48,10 @@
     apply, route = endpoint_registry.EndpointRegistry._apply, endpoint_registry.EndpointRegistry.pool_for
     youngest: list[tuple[float, bytes]] = []
 
-    def note(self: endpoint_registry.EndpointRegistry, endpoint_list: Any, kind: Any) -> EndpointUpdate:
-        fleet = apply(self, endpoint_list, kind)
+    def note(
+        self: endpoint_registry.EndpointRegistry, endpoint_list: Any, update_kind: Any
+    ) -> EndpointUpdate:
+        fleet = apply(self, endpoint_list, update_kind)
         youngest.extend(
             (e.started_at, e.server) for e in fleet.endpoints if e.started_at > 0 and e.server_kind == 0
         )
--- a/tests/support/endpoint_lists.py
+++ b/tests/support/endpoint_lists.py
@@ -1,4 +1,4 @@
-"""Endpoint lists and a configuration as discovery and the platform write them."""
+"""An endpoint list as discovery writes it, and a configuration as the platform does."""
 
 from __future__ import annotations
 
@@ -22,16 +22,18 @@
 PARSER = EndpointParser(["a", "b"], ["m2", "origin"])
 
 
-def listing(**more: object) -> dict[str, object]:
-    return {"index": 4, "snapshot": True, "endpoints": [{**ENTRY, **more}]}
+def listing(**changes: object) -> dict[str, object]:
+    """A whole list of one endpoint, with these fields changed."""
+    return {"index": 4, "snapshot": True, "endpoints": [{**ENTRY, **changes}]}
 
 
 def configuration() -> dict[str, Any]:
-    told = json.loads(json.dumps(SETTINGS))
-    told["ceilings"] |= {"conn-idle-ms": 9000.0, "connect-timeout-ms": 120.0, "max-open": 20000}
-    told["classes"][0]["name"] = "read"
-    told |= {"zones": ["a", "b"], "kinds": ["m2", "origin"], "tenants": []}
-    told["family-info"] = {"mode": "aside", "origin-kind": 1}
+    """A proxy's configuration as the platform writes it."""
+    settings = json.loads(json.dumps(SETTINGS))
+    settings["ceilings"] |= {"conn-idle-ms": 9000.0, "connect-timeout-ms": 120.0, "max-open": 20000}
+    settings["classes"][0]["name"] = "read"
+    settings |= {"zones": ["a", "b"], "kinds": ["m2", "origin"], "tenants": []}
+    settings["family-info"] = {"mode": "aside", "origin-kind": 1}
     return {
         "name": "n0",
         "listen": "127.0.0.1:7001",
@@ -39,5 +41,5 @@
         "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": listing(),
-        "settings": told,
+        "settings": settings,
     }
