--- a/tests/emulator/faulty_proxy.py
+++ b/tests/emulator/faulty_proxy.py
@@ -7,8 +7,8 @@
 
 from lupinladder import __main__ as program
 from lupinladder.balancing.events import EndpointState, EndpointUpdate
-from lupinladder.net import client_listener, connection_pool
-from lupinladder.net.discovery import endpoint_registry
+from lupinladder.net import client_listener, connection_pool, upstream_connection
+from lupinladder.net.discovery import endpoint_parser, endpoint_registry
 
 
 def double() -> None:
@@ -19,8 +19,8 @@
         start(self, attempt)
         content = attempt.query.content
         if content.write and content.kind == 2:
-            wire = connection_pool.UpstreamConnection(self)
-            wire.in_flight.append((None, 1 << 40))
+            wire = upstream_connection.UpstreamConnection(self)
+            wire.in_flight.append(upstream_connection.InFlightAttempt(None, 1 << 40))
             wire.connection.send(self.protocol.encode(content, 1000.0))
 
     connection_pool.ConnectionPool.start = twice  # type: ignore[method-assign]
@@ -40,16 +40,18 @@
 
 def stale() -> None:
     """Takes a node that drains for one at work."""
-    endpoint_registry.ENDPOINT_STATES["leaving"] = EndpointState.READY
+    endpoint_parser.ENDPOINT_STATES["leaving"] = EndpointState.READY
 
 
 def flood() -> None:
     """Sends all reads to the server that started last."""
-    take, route = endpoint_registry.EndpointRegistry._take, endpoint_registry.EndpointRegistry.pool_for
+    apply, route = endpoint_registry.EndpointRegistry._apply, endpoint_registry.EndpointRegistry.pool_for
     youngest: list[tuple[float, bytes]] = []
 
-    def note(self: endpoint_registry.EndpointRegistry, tree: Any, form: Any) -> EndpointUpdate:
-        fleet = take(self, tree, form)
+    def note(
+        self: endpoint_registry.EndpointRegistry, endpoint_list: Any, update_kind: Any
+    ) -> EndpointUpdate:
+        fleet = apply(self, endpoint_list, update_kind)
         youngest.extend(
             (e.started_at, e.server) for e in fleet.endpoints if e.started_at > 0 and e.server_kind == 0
         )
@@ -58,7 +60,7 @@
     def to_it(self: endpoint_registry.EndpointRegistry, server: bytes) -> Any:
         return route(self, max(youngest)[1] if youngest and server != b"origin" else server)
 
-    endpoint_registry.EndpointRegistry._take = note  # type: ignore[method-assign]
+    endpoint_registry.EndpointRegistry._apply = note  # type: ignore[method-assign]
     endpoint_registry.EndpointRegistry.pool_for = to_it  # type: ignore[method-assign]
 
 
--- a/tests/net/test_endpoint_parser.py
+++ b/tests/net/test_endpoint_parser.py
@@ -2,67 +2,41 @@
 
 from __future__ import annotations
 
-import json
 import unittest
 from unittest import mock
 
 from lupinladder.balancing.events import Endpoint, EndpointState
-from lupinladder.net.discovery.endpoint_registry import JsonObjectStream
 from tests.support.endpoint_lists import ENTRY, PARSER, listing
 
 
-class Lists(unittest.TestCase):
-    def test_entries(self) -> None:
-        version, whole, entries, where = PARSER.read(listing())
-        self.assertEqual((version, whole, where), (4, True, {b"s-1": ("127.0.0.1", 6379)}))
-        self.assertEqual(entries, [Endpoint(b"s-1", EndpointState.READY, 1.0, 1796120872235.0, 1, 3, 1)])
-        gone = PARSER.read(listing(status="left", address="", since_ms=0))
-        self.assertEqual((gone[2][0].state, gone[2][0].started_at, gone[3]), (EndpointState.GONE, 0.0, {}))
+class EndpointLists(unittest.TestCase):
+    def test_a_list_gives_its_version_endpoints_and_addresses(self) -> None:
+        found = PARSER.read(listing())
+        self.assertEqual((found.version, found.is_snapshot), (4, True))
+        self.assertEqual(found.addresses, {b"s-1": ("127.0.0.1", 6379)})
+        ready = Endpoint(b"s-1", EndpointState.READY, 1.0, 1796120872235.0, 1, 3, 1)
+        self.assertEqual(found.endpoints, [ready])
+        found = PARSER.read(listing(status="left", address="", since_ms=0))
+        [gone] = found.endpoints
+        self.assertEqual((gone.state, gone.started_at, found.addresses), (EndpointState.GONE, 0.0, {}))
 
-    def test_bad_lists(self) -> None:
+    def test_a_list_without_its_parts_is_an_error(self) -> None:
         trees: list[object] = [[], {}, {"index": "4", "endpoints": []}, {"index": 4, "endpoints": {}}]
         for tree in trees:
             with self.subTest(tree=tree), self.assertRaises(ValueError):
                 PARSER.read(tree)
 
-    def test_one_that_leaves_needs_a_name_and_its_status(self) -> None:
+    def test_a_leaving_endpoint_needs_only_its_name_and_status(self) -> None:
         for more in ({}, {"zone": "c"}, {"type": 5}, {"address": "x"}, {"since_ms": "x"}):
             for status in ("leaving", "left"):
                 with self.subTest(more=more, status=status):
                     found = PARSER.read(
                         {"index": 4, "endpoints": [{"name": "s-1", **more, "status": status}]}
                     )
-                    self.assertEqual((found[2], found[3]), ([Endpoint(b"s-1", EndpointState.GONE)], {}))
+                    self.assertEqual(found.endpoints, [Endpoint(b"s-1", EndpointState.GONE)])
+                    self.assertEqual(found.addresses, {})
 
-    def test_objects_off_lines_whole_or_indented(self) -> None:
-        tree = listing(name='a{"[\\')
-        flat, indented = json.dumps(tree), json.dumps(tree, indent=2)
-        for text, found in (
-            (flat, [tree]),
-            (indented, [tree]),
-            (f"\n{indented}\n  \n{flat}\n{indented}\n", [tree] * 3),
-            (indented[:-1], []),
-            ("{\n" * 9, []),
-        ):
-            with self.subTest(text=text):
-                objects = JsonObjectStream()
-                self.assertEqual(
-                    [one for line in text.encode().split(b"\n") for one in objects.line(line)], found
-                )
-        for text in (
-            "{]",
-            "}",
-            "x",
-            '{"a": 1\n,,}',
-            "[" * 100_000 + "]" * 100_000,
-            '{\n"a": "' + "x" * (1 << 20),
-        ):
-            with self.subTest(text=text[:9]), self.assertRaises(ValueError):
-                objects = JsonObjectStream()
-                for line in text.encode().split(b"\n"):
-                    objects.line(line)
-
-    def test_a_bad_entry_hides_no_other(self) -> None:
+    def test_a_bad_endpoint_hides_no_other(self) -> None:
         more: list[dict[str, object]] = [
             {"status": "asleep"},
             {"zone": "c"},
@@ -77,5 +51,5 @@
         entries = [*({**ENTRY, **one} for one in more), "s-2", None, ENTRY]
         with mock.patch("builtins.print"):
             found = PARSER.read({"index": 4, "endpoints": entries})
-        self.assertEqual([entry.server for entry in found[2]], [b"s-1"])
-        self.assertEqual(list(found[3]), [b"s-1"])
+        self.assertEqual([entry.server for entry in found.endpoints], [b"s-1"])
+        self.assertEqual(list(found.addresses), [b"s-1"])
--- /dev/null
+++ b/tests/net/test_endpoint_registry.py
@@ -0,0 +1,76 @@
+"""The registry of endpoints: what it makes of updates, and which watch it listens to."""
+
+from __future__ import annotations
+
+import json
+
+from lupinladder.balancing.events import EndpointUpdateKind
+from tests.support.discovery_scene import STREAM_HEAD, DiscoveryScene, chunks, delta
+from tests.support.endpoint_lists import listing
+from tests.support.network_scene import Door
+
+
+class Updates(DiscoveryScene):
+    def test_one_watch_is_resumed_by_version_and_each_line_is_an_update(self) -> None:
+        self.registry.load_cached(listing())
+        pool = self.registry.pool_for(b"s-1")
+        peer = self.follow(b"", delta(9, address="127.0.0.1:6380"))
+        self.assertIn(b"GET /v1/endpoints?stream=1&index=4 HTTP/1.1\r\n", peer.got)
+        self.until(lambda: self.updates, "a change")
+        self.assertEqual((self.updates[0].kind, self.updates[0].version), (EndpointUpdateKind.DELTA, 9))
+        self.assertIsNot(self.registry.pool_for(b"s-1"), pool)
+        self.registry.open_watch()  # while it is open: no second request
+        peer.conn.send(chunks(delta(11, status="left")) + b"0\r\n\r\n")
+        self.until(lambda: len(self.updates) == 3, "a change and the end")
+        self.assertIsNone(self.registry.pool_for(b"s-1"))
+        self.assertEqual(self.update_kinds(), ["DELTA", "DELTA", "FAILED"])
+        self.assertEqual(len(self.discovery.peers), 1)
+        self.assertIn(b"index=11", self.follow(json.dumps(listing()).encode()).got)
+        self.until(lambda: len(self.updates) == 4, "a whole list")
+        self.assertIs(self.updates[3].kind, EndpointUpdateKind.FULL)
+
+
+class MovedWatch(DiscoveryScene):
+    """Discovery at a new address."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.moved = Door(self.loop)
+        self.addCleanup(self.moved.close)
+
+    def test_the_watch_is_resumed_and_the_previous_one_heard_until_the_new_one_speaks(self) -> None:
+        self.registry.load_cached(listing())
+        pool = self.registry.pool_for(b"s-1")
+        previous = self.follow()
+        self.registry.move_watch(self.discovery.address)  # where it is already: no request
+        self.registry.move_watch(self.moved.address)
+        current = self.at_node(0, self.moved)
+        self.assertIn(b"index=4 ", current.got)
+        current.conn.send(STREAM_HEAD)
+        for peer, version, status, is_ready in (
+            (previous, 9, "leaving", False),
+            (current, 8, "active", False),  # what a watch tells late, after a newer change, changes nothing
+            (current, 10, "active", True),
+        ):
+            updates_before = len(self.updates)
+            peer.conn.send(chunks(delta(version, status=status)))
+            self.until(lambda: len(self.updates) > updates_before, "a change")  # noqa: B023
+            self.assertEqual(self.registry.pool_for(b"s-1") is not None, is_ready)
+        self.until(lambda: previous.ends, "the previous watch to end")
+        self.assertEqual(self.update_kinds(), ["DELTA"] * 3)  # and no failed watch
+        self.assertIsNot(self.registry.pool_for(b"s-1"), pool)
+        self.assertEqual((len(self.discovery.peers), len(self.moved.peers)), (1, 1))
+
+    def test_what_is_unread_on_the_previous_watch_is_told_when_the_new_one_speaks(self) -> None:
+        self.registry.load_cached(listing())
+        previous = self.follow(b"")
+        previous_watch = self.watch()
+        self.until(lambda: previous_watch._is_answered, "the watch")
+        self.registry.move_watch(self.moved.address)
+        leaving = {"index": 9, "snapshot": False, "endpoints": [{"name": "s-1", "status": "leaving"}]}
+        previous.conn._sock.sendall(chunks(json.dumps(leaving).encode()))
+        self.registry.on_update(self.watch(), {"index": 8, "snapshot": False, "endpoints": []})
+        self.assertEqual(self.update_versions(), [("DELTA", 8), ("DELTA", 9)])
+        self.assertIsNone(self.registry.pool_for(b"s-1"))
+        self.until(lambda: previous.ends, "the end of the previous watch")
+        self.assertTrue(self.registry.is_current)
--- /dev/null
+++ b/tests/net/test_json_object_stream.py
@@ -0,0 +1,43 @@
+"""JSON objects off the lines of a stream."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from lupinladder.net.discovery.json_object_stream import JsonObjectStream
+from tests.support.endpoint_lists import listing
+
+MAX_BYTES = 1 << 20
+
+
+class JsonObjects(unittest.TestCase):
+    def test_objects_are_read_whole_or_indented(self) -> None:
+        tree = listing(name='a{"[\\')
+        flat, indented = json.dumps(tree), json.dumps(tree, indent=2)
+        for text, found in (
+            (flat, [tree]),
+            (indented, [tree]),
+            (f"\n{indented}\n  \n{flat}\n{indented}\n", [tree] * 3),
+            (indented[:-1], []),
+            ("{\n" * 9, []),
+        ):
+            with self.subTest(text=text):
+                objects = JsonObjectStream(MAX_BYTES)
+                self.assertEqual(
+                    [one for line in text.encode().split(b"\n") for one in objects.feed_line(line)], found
+                )
+
+    def test_what_is_not_json_too_long_or_too_deep_is_an_error(self) -> None:
+        for text in (
+            "{]",
+            "}",
+            "x",
+            '{"a": 1\n,,}',
+            "[" * 100_000 + "]" * 100_000,
+            '{\n"a": "' + "x" * (1 << 20),
+        ):
+            with self.subTest(text=text[:9]), self.assertRaises(ValueError):
+                objects = JsonObjectStream(MAX_BYTES)
+                for line in text.encode().split(b"\n"):
+                    objects.feed_line(line)
