--- a/benchmarks/store_cost.py
+++ b/benchmarks/store_cost.py
@@ -9,7 +9,7 @@
 import time
 from pathlib import Path
 
-from lupinladder.recovery.warm_start import ChangeTracker
+from lupinladder.recovery.change_tracker import ChangeTracker
 from lupinladder.store import file_store, records
 
 SECONDS = 60
--- a/lupinladder/cli/store.py
+++ b/lupinladder/cli/store.py
@@ -14,6 +14,7 @@
 from lupinladder.cli.errors import InputError
 from lupinladder.recovery.freshness import RecordType, Source, Usability, format_age, usable_as
 from lupinladder.store import file_store, record_log, records
+from lupinladder.store.file_system import FileSystem
 
 
 def _scan(path: Path) -> record_log.ScanResult:
@@ -126,7 +127,7 @@
     Example:
         lupinladder store cut n1.store
     """
-    disk = file_store.FileSystem()
+    disk = FileSystem()
     try:
         lock = disk.lock(path.with_name(path.name + ".lock"))
     except BlockingIOError:
--- a/lupinladder/net/state_persister.py
+++ b/lupinladder/net/state_persister.py
@@ -26,8 +26,9 @@
 from lupinladder.net.request_dispatcher import RequestDispatcher
 from lupinladder.operator_config.settings import StoreSettings as StoreSettings
 from lupinladder.recovery import warm_start
+from lupinladder.recovery.change_tracker import ChangeTracker
 from lupinladder.recovery.freshness import Usability, format_age
-from lupinladder.recovery.warm_start import ChangeTracker, WarmStart
+from lupinladder.recovery.warm_start import WarmStart
 from lupinladder.store import file_store, records
 
 RecordBatch = list[msgspec.Struct]
--- a/lupinladder/recovery/warm_start.py
+++ b/lupinladder/recovery/warm_start.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -108,37 +108,3 @@
     if health and limit.failed > FAILURE_RATE_LIMIT and not origin:
         use = min(use, Usability.TRIAL)  # it was failing: whatever it could do before, one send at a time
     return use, limit if use > Usability.TRIAL else None, limit.failed if health is Usability.ALL else 0.0
-
-
-class ChangeTracker:
-    """What has changed enough since it was last kept to be kept again, so that writing stays small."""
-
-    CHANGED = 0.1  # share by which a limit differs before its age alone makes it worth writing
-    AGED = (
-        5_000.0  # ms after which a limit that still holds is written again, so that its age tells the truth
-    )
-    HOT = 8  # slots kept: the hottest of them
-
-    def __init__(self) -> None:
-        self._kept: dict[str, LimitRecord] = {}
-
-    def limits(self, seen: Iterable[LimitRecord]) -> list[LimitRecord]:
-        """Those of the limits that are worth writing now."""
-        fresh, named = list[LimitRecord](), set[str]()
-        for one in seen:
-            named.add(one.server)
-            old = self._kept.get(one.server)
-            if old is None or old.since != one.since or self._moved(old, one) or one.at - old.at > self.AGED:
-                self._kept[one.server] = one
-                fresh.append(one)
-        for gone in set(self._kept) - named:
-            del self._kept[gone]
-        return fresh
-
-    def _moved(self, old: LimitRecord, new: LimitRecord) -> bool:
-        pairs = ((old.min_latency, new.min_latency), (old.max_qps, new.max_qps), (old.moved, new.moved))
-        return any(abs(b - a) > self.CHANGED * max(abs(a), 1e-9) for a, b in pairs)
-
-    def slots(self, heat: Mapping[int, float], now: float) -> SlotLoadRecord:
-        hottest = sorted(heat.items(), key=lambda one: -one[1])[: self.HOT]
-        return SlotLoadRecord(now, {slot: round(warm, 2) for slot, warm in hottest})
--- a/lupinladder/store/file_store.py
+++ b/lupinladder/store/file_store.py
@@ -8,14 +8,13 @@
 from __future__ import annotations
 
 import contextlib
-import fcntl
-import os
 from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
 
 from lupinladder.store import record_log, records
+from lupinladder.store.file_system import FileSystem
 
 SLACK = 1 << 16  # bytes of records beyond a snapshot before the file is written anew
 MOST_STARTS = 8  # starts remembered, to tell a crash loop
@@ -25,49 +24,6 @@
     """A store that cannot be used; the text is one line: what, where, what to do."""
 
 
-class FileSystem:
-    """The steps that a store takes on the file system, in order."""
-
-    def lock(self, path: Path) -> int:
-        """A descriptor that holds the lock. BlockingIOError if another process has it."""
-        held = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-        try:
-            fcntl.flock(held, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
-            os.close(held)
-            raise
-        return held
-
-    def read(self, path: Path, most: int) -> bytes:
-        with path.open("rb") as file:
-            return file.read(most)
-
-    def create(self, path: Path) -> int:
-        return os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND | os.O_CLOEXEC, 0o600)
-
-    def write(self, file: int, data: bytes) -> None:
-        """All of it, or OSError with any part of it written."""
-        view = memoryview(data)
-        while view:
-            view = view[os.write(file, view) :]
-
-    def sync(self, file: int) -> None:
-        os.fsync(file)
-
-    def replace(self, old: Path, new: Path) -> None:
-        os.replace(old, new)
-
-    def sync_folder(self, path: Path) -> None:
-        folder = os.open(path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-        try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
-
-    def close(self, file: int) -> None:
-        os.close(file)
-
-
 class StoreLimits(msgspec.Struct):
     """How much may be kept and written."""
 
--- a/tests/recovery/test_warm_start.py
+++ b/tests/recovery/test_warm_start.py
@@ -15,8 +15,8 @@
     SlotLoadRestored,
 )
 from lupinladder.recovery import warm_start
+from lupinladder.recovery.change_tracker import ChangeTracker
 from lupinladder.recovery.freshness import Source
-from lupinladder.recovery.warm_start import ChangeTracker
 from lupinladder.store.records import EndpointListRecord, LimitRecord, SlotLoadRecord, StoredState, StoreOwner
 from tests.support import balancer_harness
 from tests.support.balancer_harness import Proxy, entries
--- a/tests/store/test_file_store.py
+++ b/tests/store/test_file_store.py
@@ -13,7 +13,8 @@
 from msgspec import Struct
 
 from lupinladder.store import file_store, record_log, records
-from lupinladder.store.file_store import FileSystem, Store, StoreError, StoreLimits
+from lupinladder.store.file_store import Store, StoreError, StoreLimits
+from lupinladder.store.file_system import FileSystem
 from lupinladder.store.records import (
     EndpointListConfirmation,
     EndpointListRecord,
