Read the operator's file in named steps, with errors that carry their facts

TomlError has the line, ConstraintError the path of the value; both derive from LupinladderError. Bounds of settings are a table, each table checks itself, and the parts of msgspec's error text have names.

--- a/lupinladder/operator_config/settings.py
+++ b/lupinladder/operator_config/settings.py
@@ -12,11 +12,16 @@
 from lupinladder.operator_config import toml_decoder
 from lupinladder.operator_config.toml_decoder import ConstraintError
 
-VARIABLE = "LUPINLADDER_OPERATOR"
+SCHEMA = 1  # the version of the file's form that this program reads
+STORE_BOUNDS: dict[str, tuple[float, float]] = {  # the lowest and the highest value of a setting
+    "bytes": (1 << 16, 1 << 30),
+    "bytes_per_s": (1000, 1e9),
+    "every_ms": (50, 60_000),
+}
 
 
 class StoreSettings(msgspec.Struct, forbid_unknown_fields=True):
-    """What the proxy keeps over a restart."""
+    """The table `[store]`: where the proxy stores what it keeps over a restart, and how much of it."""
 
     path: str  # {name} stands for the proxy's name
     bytes: int = 4 << 20  # of the file, at most
@@ -24,32 +29,33 @@
     sync: bool = True  # each flush reaches the disk before the next
     every_ms: float = 1000.0  # between looks at what has changed
 
+    def check(self) -> None:
+        """Raise ConstraintError for a value that cannot be used."""
+        for name, (lowest, highest) in STORE_BOUNDS.items():
+            value = getattr(self, name)
+            if not lowest <= value <= highest:
+                problem = f"{value:g} is out of range, expected {lowest:g} to {highest:g}"
+                raise ConstraintError(path=f"store.{name}", problem=problem)
+        if not Path(self.path.replace("{name}", "n")).is_absolute():
+            problem = "expected a path from the root: a proxy may start in any folder"
+            raise ConstraintError(path="store.path", problem=problem)
+
 
 class OperatorSettings(msgspec.Struct, forbid_unknown_fields=True):
-    schema: int = 1
+    """The whole file. What it has no table for stays off."""
+
+    schema: int = SCHEMA
     store: StoreSettings | None = None
 
     def check(self) -> None:
-        """Wrong for values that cannot hold."""
-        if self.schema != 1:
-            raise ConstraintError("schema", f"this program reads schema 1, not {self.schema}")
+        """Raise ConstraintError for a value that cannot be used."""
+        if self.schema != SCHEMA:
+            problem = f"this program reads schema {SCHEMA}, not {self.schema}"
+            raise ConstraintError(path="schema", problem=problem)
         if self.store:
-            bounds: list[tuple[str, float, float, float]] = [
-                ("bytes", self.store.bytes, 1 << 16, 1 << 30),
-                ("bytes_per_s", self.store.bytes_per_s, 1000, 1e9),
-                ("every_ms", self.store.every_ms, 50, 60_000),
-            ]
-            for name, value, low, high in bounds:
-                if not low <= value <= high:
-                    raise ConstraintError(
-                        f"store.{name}", f"{value:g} is out of range, expected {low:g} to {high:g}"
-                    )
-            if not Path(self.store.path.replace("{name}", "n")).is_absolute():
-                raise ConstraintError(
-                    "store.path", "expected a path from the root: a proxy may start in any folder"
-                )
+            self.store.check()
 
 
 def load(path: str) -> OperatorSettings:
-    """Read it. tomlfile.Bad, one line, for every fault."""
+    """Read the file. TomlError, whose text is one line, for every fault."""
     return toml_decoder.load(Path(path), OperatorSettings)
--- a/lupinladder/operator_config/source_lines.py
+++ b/lupinladder/operator_config/source_lines.py
@@ -1,4 +1,8 @@
-"""Where each key of a TOML text stands."""
+"""The line of each key in a TOML text.
+
+The lines come from the concrete syntax tree of tree-sitter's TOML grammar, which is exact for tables, arrays
+of tables, dotted keys and inline tables alike.
+"""
 
 from __future__ import annotations
 
@@ -8,75 +12,88 @@
 import tree_sitter_toml
 from tree_sitter import Language, Node, Parser
 
-Step = str | int
+Step = str | int  # of a path: a key, or a place in an array
+_Path = tuple[Step, ...]
 _STEP = re.compile(r"\.([^.\[\]]+)|\[(\d+)\]")
+_NO_VALUES = ("[", "]", ",", "comment")  # node types of an array's syntax
 
 
-def steps(path: str) -> list[Step]:
-    """The steps of `.faults[2].at`: names and places in lists."""
-    return [int(n) if n else name for name, n in _STEP.findall(path if path.startswith(".") else "." + path)]
+def parse_path(path: str) -> list[Step]:
+    """Return the steps of a path such as `faults[2].at`: keys, and places in arrays."""
+    dotted = path if path.startswith(".") else "." + path
+    return [int(place) if place else key for key, place in _STEP.findall(dotted)]
 
 
 class SourceLines:
-    """Where each key of a TOML text stands."""
+    """The line of each key and value of a TOML text; lines count from 1."""
 
     def __init__(self, text: bytes) -> None:
-        self._lines: dict[tuple[Step, ...], int] = {(): 1}
-        tables: dict[tuple[Step, ...], int] = {}  # how many elements an array of tables has so far
+        self._lines: dict[_Path, int] = {(): 1}
+        self._last_elements: dict[_Path, int] = {}  # the place of the newest element of each array of tables
         tree = Parser(Language(tree_sitter_toml.language())).parse(text)
         for node in tree.root_node.children:
             if node.type == "pair":
-                self._pair((), node)
+                self._add_pair((), node)
             elif node.type in ("table", "table_array_element"):
-                self._table(node, tables)
-
-    def _table(self, node: Node, tables: dict[tuple[Step, ...], int]) -> None:
-        at: tuple[Step, ...] = ()
-        names = self._keys(next(c for c in node.children if c.type.endswith("key")))
-        for place, name in enumerate(names):
-            at += (name,)
-            self._lines.setdefault(at, node.start_point[0] + 1)
-            last = place == len(names) - 1
-            if last and node.type == "table_array_element":
-                tables[at] = tables.get(at, -1) + 1
-                at += (tables[at],)
-            elif not last and at in tables:  # a table inside the newest element
-                at += (tables[at],)
-        self._lines[at] = node.start_point[0] + 1
+                self._add_table(node)
+
+    def line(self, path: list[Step]) -> int:
+        """Return the line of the value at this path, or of the nearest table around it."""
+        known = tuple(path)
+        while known not in self._lines:
+            known = known[:-1]
+        return self._lines[known]
+
+    def _add_table(self, node: Node) -> None:
+        """Add a table with its header, `[a.b]` or `[[a.b]]`."""
+        header = next(child for child in node.children if child.type.endswith("key"))
+        *parents, last = _keys(header)
+        path: _Path = ()
+        for key in parents:
+            path = (*path, key)
+            self._lines.setdefault(path, _line_of(node))
+            if path in self._last_elements:  # a table inside the newest element
+                path = (*path, self._last_elements[path])
+        path = (*path, last)
+        self._lines.setdefault(path, _line_of(node))
+        if node.type == "table_array_element":
+            self._last_elements[path] = self._last_elements.get(path, -1) + 1
+            path = (*path, self._last_elements[path])
+        self._lines[path] = _line_of(node)
         for child in node.children:
             if child.type == "pair":
-                self._pair(at, child)
-
-    def _keys(self, node: Node) -> list[str]:
-        """The parts of a key. A quoted one is read by tomllib, which knows its escapes."""
-        if node.type == "dotted_key":
-            return [
-                part for child in node.children if child.type.endswith("key") for part in self._keys(child)
-            ]
-        text = (node.text or b"").decode()
-        return list(tomllib.loads(f"{text} = 0")) if node.type == "quoted_key" else [text]
-
-    def _pair(self, at: tuple[Step, ...], node: Node) -> None:
-        key, value = node.children[0], node.children[-1]
-        for name in self._keys(key):
-            at += (name,)
-            self._lines.setdefault(at, key.start_point[0] + 1)
-        self._value(at, value)
-
-    def _value(self, at: tuple[Step, ...], node: Node) -> None:
-        self._lines.setdefault(at, node.start_point[0] + 1)
+                self._add_pair(path, child)
+
+    def _add_pair(self, path: _Path, node: Node) -> None:
+        """Add `key = value`, where the key may be dotted."""
+        key_node = node.children[0]
+        for key in _keys(key_node):
+            path = (*path, key)
+            self._lines.setdefault(path, _line_of(key_node))
+        self._add_value(path, node.children[-1])
+
+    def _add_value(self, path: _Path, node: Node) -> None:
+        self._lines.setdefault(path, _line_of(node))
         if node.type == "inline_table":
             for child in node.children:
                 if child.type == "pair":
-                    self._pair(at, child)
+                    self._add_pair(path, child)
         elif node.type == "array":
-            values = [c for c in node.children if c.type not in ("[", "]", ",", "comment")]
+            values = [child for child in node.children if child.type not in _NO_VALUES]
             for place, child in enumerate(values):
-                self._value((*at, place), child)
+                self._add_value((*path, place), child)
 
-    def line(self, path: list[Step]) -> int:
-        """Of the value at this path or of the nearest table around it."""
-        at = tuple(path)
-        while at not in self._lines:
-            at = at[:-1]
-        return self._lines[at]
+
+def _keys(node: Node) -> list[str]:
+    """The parts of a key. A quoted one is read by tomllib, which knows its escapes."""
+    if node.type == "dotted_key":
+        parts = [child for child in node.children if child.type.endswith("key")]
+        return [key for part in parts for key in _keys(part)]
+    text = (node.text or b"").decode()
+    if node.type == "quoted_key":
+        return list(tomllib.loads(f"{text} = 0"))
+    return [text]
+
+
+def _line_of(node: Node) -> int:
+    return node.start_point[0] + 1
--- a/lupinladder/operator_config/toml_decoder.py
+++ b/lupinladder/operator_config/toml_decoder.py
@@ -1,7 +1,7 @@
-"""TOML files read into typed structs, with the line of whatever is wrong.
+"""TOML files as typed structs, with the line of each fault.
 
-`tomllib` forgets where a value stood, so the place is looked up in the concrete syntax tree of
-tree-sitter's TOML grammar: exact for tables, arrays of tables, dotted keys and inline tables alike.
+`tomllib` parses and msgspec converts; neither knows where a value stood in the text, so the line of a fault
+is looked up by `source_lines`, and only then.
 """
 
 from __future__ import annotations
@@ -9,68 +9,101 @@
 import re
 import tomllib
 from pathlib import Path
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import msgspec
 
-from lupinladder.operator_config.source_lines import SourceLines, Step, steps
+from lupinladder.errors import LupinladderError
+from lupinladder.operator_config.source_lines import SourceLines, Step, parse_path
 
 __all__ = ["ConstraintError", "SourceLines", "Step", "TomlError", "load", "parse"]
 
 T = TypeVar("T")
-_AT = re.compile(r"^(?P<what>.*?)(?: - at `\$(?P<path>[^`]*)`)?$", re.S)
-_UNKNOWN = re.compile(r"unknown field `([^`]+)`")
+# The text of msgspec's error: "Expected `int`, got `str` - at `$.faults[2].at`".
+_VALIDATION_ERROR = re.compile(r"^(?P<problem>.*?)(?: - at `\$(?P<path>[^`]*)`)?$", re.S)
+_UNKNOWN_FIELD = re.compile(r"unknown field `([^`]+)`")
+_LINE_OF_SYNTAX_ERROR = re.compile(r"at line (\d+)")
 
 
-class TomlError(Exception):
-    """A file that cannot be used. The text is one line: file, line, what is wrong."""
+class TomlError(LupinladderError):
+    """A file that cannot be used. The text is one line: file, line, what is wrong.
 
+    `line` is None for a file that cannot be read at all.
+    """
 
-class ConstraintError(ValueError):
-    """A value that has the right type and makes no sense; `path` names it, as in `faults[2].at`."""
+    def __init__(self, message: str, line: int | None = None) -> None:
+        super().__init__(message)
+        self.line = line
 
-    def __init__(self, path: str, what: str) -> None:
-        super().__init__(what)
+    @classmethod
+    def at_line(cls, name: str, line: int, problem: str) -> TomlError:
+        """The error for a fault in this line of the file of this name."""
+        return cls(f"{name}:{line}: {problem}", line)
+
+
+class ConstraintError(LupinladderError, ValueError):
+    """A value of the right type that cannot be used; `path` names it, as in `faults[2].at`."""
+
+    def __init__(self, path: str, problem: str) -> None:
+        super().__init__(problem)
         self.path = path
 
 
-def load(path: Path, kind: type[T]) -> T:
-    """Read a file into a struct whose `check()`, if it has one, may raise Wrong. Bad for every fault."""
+def load(path: Path, struct_type: type[T]) -> T:
+    """Read a file into a struct. TomlError for every fault.
+
+    If the struct has a method `check`, it is called, and may raise ConstraintError.
+    """
     try:
         text = path.read_bytes()
-    except OSError as bad:
-        raise TomlError(f"{path}: {bad.strerror}") from None
-    return parse(text, str(path), kind)
+    except OSError as error:
+        message = f"{path}: {error.strerror}"
+        raise TomlError(message) from None
+    return parse(text, str(path), struct_type)
 
 
-def parse(text: bytes, name: str, kind: type[T]) -> T:
-    """The same from bytes."""
+def parse(text: bytes, name: str, struct_type: type[T]) -> T:
+    """Read the text of the file of this name into a struct, as `load` does."""
+    tree = _parse_toml(text, name)
     try:
-        tree = tomllib.loads(text.decode())
-    except UnicodeDecodeError as bad:
-        raise TomlError(f"{name}: not UTF-8 at byte {bad.start}") from None
-    except tomllib.TOMLDecodeError as bad:
-        where = re.search(r"at line (\d+)", str(bad))
-        raise TomlError(
-            f"{name}:{where[1] if where else len(text.splitlines()) or 1}: not TOML: {bad}"
-        ) from None
-    try:
-        made = msgspec.convert(tree, kind)
-        check = getattr(made, "check", None)
+        loaded = msgspec.convert(tree, struct_type)
+        check = getattr(loaded, "check", None)
         if check:
             check()
-    except msgspec.ValidationError as bad:
-        found = _AT.match(str(bad))
-        assert found
-        path, what = steps(found["path"] or ""), found["what"]
-        unknown = _UNKNOWN.search(what)
-        line = SourceLines(text).line([*path, unknown[1]] if unknown else path)
-        raise TomlError(f"{name}:{line}: {_dotted(path)}{what}") from None
-    except ConstraintError as bad:
-        raise TomlError(f"{name}:{SourceLines(text).line(steps(bad.path))}: {bad.path}: {bad}") from None
-    return made
-
-
-def _dotted(path: list[Step]) -> str:
-    text = "".join(f"[{step}]" if isinstance(step, int) else f".{step}" for step in path).lstrip(".")
-    return text + ": " if text else ""
+    except msgspec.ValidationError as error:
+        raise _locate_validation_error(text, name, str(error)) from None
+    except ConstraintError as error:
+        line = SourceLines(text).line(parse_path(error.path))
+        raise TomlError.at_line(name, line, f"{error.path}: {error}") from None
+    return loaded
+
+
+def _parse_toml(text: bytes, name: str) -> dict[str, Any]:
+    try:
+        return tomllib.loads(text.decode())
+    except UnicodeDecodeError as error:
+        message = f"{name}: not UTF-8 at byte {error.start}"
+        raise TomlError(message) from None
+    except tomllib.TOMLDecodeError as error:
+        located = _LINE_OF_SYNTAX_ERROR.search(str(error))
+        line = (
+            int(located[1]) if located else len(text.splitlines()) or 1
+        )  # an error without one is at the end
+        raise TomlError.at_line(name, line, f"not TOML: {error}") from None
+
+
+def _locate_validation_error(text: bytes, name: str, message: str) -> TomlError:
+    """The error for a message of msgspec, which names the path of the value."""
+    parts = _VALIDATION_ERROR.match(message)
+    assert parts  # the pattern matches every text
+    path = parse_path(parts["path"] or "")
+    problem = parts["problem"]
+    unknown_field = _UNKNOWN_FIELD.search(problem)
+    line = SourceLines(text).line([*path, unknown_field[1]] if unknown_field else path)
+    prefix = f"{_format_path(path)}: " if path else ""
+    return TomlError.at_line(name, line, f"{prefix}{problem}")
+
+
+def _format_path(path: list[Step]) -> str:
+    """The path as in `faults[2].at`."""
+    return "".join(f"[{step}]" if isinstance(step, int) else f".{step}" for step in path).lstrip(".")
