--- /dev/null
+++ b/tests/store/test_record_log.py
@@ -0,0 +1,70 @@
+"""The file format: versions, and files that are damaged in any way."""
+
+from __future__ import annotations
+
+import random
+from unittest import mock
+
+from lupinladder.store import file_store, record_log, records
+from tests.support.store_scene import StoreScene, limit_record
+
+
+class Versions(StoreScene):
+    def test_a_newer_version_is_not_read_and_an_older_one_is_migrated(self) -> None:
+        begin = {"proxy": "n1", "site": "site", "starts": []}
+        with mock.patch.object(record_log, "VERSION", 9):
+            self.path.write_bytes(record_log.begin(1, begin))
+        self.assertIn("of version 9", file_store.peek(self.path).damage)
+        self.path.write_bytes(
+            record_log.begin(1, begin) + records.encode(2, limit_record(1, 7)) + record_log.end(3)
+        )
+        newer = mock.patch.object(record_log, "VERSION", 2)
+        migration = mock.patch.dict(
+            record_log.MIGRATIONS,
+            {1: lambda record_type, body: {**body, "moved": 0.5} if record_type else body},
+        )
+        with newer, migration:
+            state = self.read()
+        assert state
+        self.assertEqual(state.limits["s-1"].slot_share, 0.5)
+
+
+def damaged(data: bytes, rng: random.Random) -> bytes:
+    """The data with flipped bits, a cut, or a piece that is overwritten, missing or duplicated."""
+    changed = bytearray(data)
+    damage = rng.randrange(4)
+    if damage == 0:
+        for _ in range(rng.choice((1, 1, 2, 9))):
+            changed[rng.randrange(len(changed))] ^= 1 << rng.randrange(8)
+    elif damage == 1:
+        del changed[rng.randrange(len(changed)) :]
+    else:
+        start = rng.randrange(len(changed))
+        size = rng.randrange(1, 400)
+        if damage == 2:  # a piece from elsewhere in the same file
+            source = rng.randrange(len(changed))
+            changed[start : start + size] = data[source : source + size]
+        else:  # a piece is missing, or there twice
+            changed[start:start] = data[start : start + size] if rng.random() < 0.5 else b""
+            del changed[start : start + size]
+    return bytes(changed)
+
+
+class Damage(StoreScene):
+    def test_of_a_damaged_file_only_the_valid_records_before_the_damage_are_read(self) -> None:
+        store = self.open()
+        for version in range(1, 4):
+            self.fill(store, version, version * 1000.0)
+        good = self.path.read_bytes()
+        store.close(4000.0)
+        whole = record_log.scan(good)
+        self.assertFalse(whole.damage)
+        rng = random.Random(7)
+        shortened = 0
+        for _ in range(10_000):
+            found = record_log.scan(damaged(good, rng))
+            records.fold(found)
+            # What is read is a beginning of what was written, record for record.
+            self.assertEqual(found.records, whole.records[: len(found.records)])
+            shortened += len(found.records) < len(whole.records)
+        self.assertGreater(shortened, 5_000)
--- /dev/null
+++ b/tests/support/store_scene.py
@@ -0,0 +1,126 @@
+"""A store in a folder of its own, records to fill it with, and a file system that fails."""
+
+from __future__ import annotations
+
+import os
+import tempfile
+from pathlib import Path
+from typing import Any
+from unittest import TestCase
+
+from lupinladder.store import file_store, records
+from lupinladder.store.file_store import Store, StoreLimits
+from lupinladder.store.file_system import FileSystem
+from lupinladder.store.records import (
+    EndpointListRecord,
+    LimitRecord,
+    SlotLoadRecord,
+    StoredRecord,
+    StoredState,
+    StoreOwner,
+)
+
+OWNER = StoreOwner("n1", "site")
+UNLIMITED = 1 << 30
+
+
+class ProcessEnded(BaseException):
+    """The process ends here, at a step on the file system."""
+
+
+class FaultyFileSystem(FileSystem):
+    """Takes `steps` steps; at each later one the process ends, or with `error_number` an OSError is raised.
+    Of a write that fails, `written_share` of the bytes reach the file."""
+
+    def __init__(self, steps: int = UNLIMITED, error_number: int = 0, written_share: float = 0.5) -> None:
+        self.steps = steps
+        self.error_number = error_number
+        self.written_share = written_share
+
+    def _step(self) -> None:
+        """Count a step, and fail if none is left."""
+        self.steps -= 1
+        if self.steps >= 0:
+            return
+        if self.error_number:
+            raise OSError(self.error_number, os.strerror(self.error_number))
+        raise ProcessEnded
+
+    def create(self, path: Path) -> int:
+        self._step()
+        return super().create(path)
+
+    def write(self, descriptor: int, data: bytes) -> None:
+        try:
+            self._step()
+        except (OSError, ProcessEnded):
+            super().write(descriptor, data[: int(len(data) * self.written_share)])
+            raise
+        super().write(descriptor, data)
+
+    def sync(self, descriptor: int) -> None:
+        self._step()
+        super().sync(descriptor)
+
+    def replace(self, source: Path, target: Path) -> None:
+        self._step()
+        super().replace(source, target)
+
+    def sync_folder(self, path: Path) -> None:
+        self._step()
+        super().sync_folder(path)
+
+
+def limit_record(n: int, version: int) -> LimitRecord:
+    """A limit all of whose figures are the version, so that a mix of versions shows."""
+    return LimitRecord(f"s-{n}", 1.0, float(version), version, float(version), float(version))
+
+
+def endpoints(servers: int) -> list[dict[str, Any]]:
+    return [{"name": f"s-{n}", "address": "127.0.0.1:1", "status": "active"} for n in range(servers)]
+
+
+def sample_records(version: int, servers: int = 6) -> list[StoredRecord]:
+    """A list, slots and limits, all of this version."""
+    return [
+        EndpointListRecord(version, float(version), 0, endpoints(servers)),
+        SlotLoadRecord(float(version), {n: float(version) for n in range(4)}),
+        *(limit_record(n, version) for n in range(servers)),
+    ]
+
+
+def versions(state: StoredState | None) -> list[float]:
+    """The versions of the list, of the slots and of each limit, in the order in which they are written."""
+    assert state
+    of_list = [state.endpoint_list.at] if state.endpoint_list else []
+    of_slots = list(set(state.slot_load.slot_load.values())) if state.slot_load else []
+    return [*of_list, *of_slots, *(limit.at for limit in state.limits.values())]
+
+
+class StoreScene(TestCase):
+    """A store's path in a folder of its own, and the events that were reported."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "n1.store"
+        self.events: list[tuple[str, dict[str, object]]] = []
+
+    def report(self, event: str, /, **facts: object) -> None:
+        self.events.append((event, facts))
+
+    def open(
+        self,
+        file_system: FileSystem | None = None,
+        owner: StoreOwner = OWNER,
+        limits: StoreLimits | None = None,
+    ) -> Store:
+        return Store(self.path, owner, 0.0, self.report, limits, file_system)
+
+    def fill(self, store: Store, version: int, now: float) -> None:
+        for record in sample_records(version):
+            store.put(record)
+        store.flush(now)
+
+    def read(self) -> StoredState | None:
+        return records.fold(file_store.peek(self.path))
