--- a/tests/net/test_state_persister.py
+++ b/tests/net/test_state_persister.py
@@ -3,15 +3,99 @@
 from __future__ import annotations
 
 import json
-from unittest import TestCase
+import tempfile
+from pathlib import Path
+from unittest import TestCase, mock
 
-from lupinladder.net import config
-from lupinladder.net.state_persister import deployment_digest
-from tests.support.endpoint_lists import configuration
+from lupinladder.net import config, state_persister
+from lupinladder.net.log import log_event
+from lupinladder.net.metrics import metrics
+from lupinladder.net.state_persister import StatePersister, StoreWriter, deployment_digest
+from lupinladder.operator_config.settings import StoreSettings
+from lupinladder.store import file_store, records
+from lupinladder.store.file_store import Store
+from lupinladder.store.records import EndpointListRecord, LimitRecord, SlotLoadRecord, StoreOwner
+from tests.support.endpoint_lists import ENTRY, configuration
+
+NOW = 1_800_000_000_000.0
+CLOSE_TIMEOUT_S = 5.0
+
+
+def load_configuration() -> config.ProxyConfig:
+    return config.parse(json.dumps(configuration()))
 
 
 class DeploymentDigest(TestCase):
     def test_it_is_the_one_that_earlier_versions_stored(self) -> None:
         """Another digest would make each proxy leave its own store unused after an upgrade."""
-        conf = config.parse(json.dumps(configuration()))
-        self.assertEqual(deployment_digest(conf), "6afa77546d9adfde")  # by version 69eb350
+        self.assertEqual(deployment_digest(load_configuration()), "6afa77546d9adfde")  # by version 69eb350
+
+
+class StoreScene(TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.path = self.folder / "n0.store"
+
+    def open(self, owner: StoreOwner, now: float) -> Store:
+        return Store(self.path, owner, now, log_event)
+
+
+class WarmStartReport(StoreScene):
+    def persister(self) -> StatePersister:
+        settings = StoreSettings(str(self.folder / "{name}.store"))
+        return StatePersister(load_configuration(), settings, NOW)
+
+    def test_without_a_store_it_begins_with_the_configured_list(self) -> None:
+        expected = (
+            "source=config stored_age=none recent_starts=0 limits_full=0 limits_partial=0 limits_probe=0"
+        )
+        self.assertEqual(self.persister().report(), expected)
+
+    def test_with_a_store_it_begins_with_the_stored_list_and_limits(self) -> None:
+        conf = load_configuration()
+        store = self.open(StoreOwner(conf.name, deployment_digest(conf)), NOW - 2_500.0)
+        started_at = float(ENTRY["since_ms"])  # type: ignore[arg-type]
+        store.put(EndpointListRecord(9, NOW - 1_500.0, 0, [ENTRY]))
+        store.put(LimitRecord("s-1", started_at, NOW - 1_500.0, 16, 5.0, 9.0))
+        store.close(NOW - 1_500.0)
+        with mock.patch.object(state_persister, "log_event") as logged:
+            report = self.persister().report()
+        logged.assert_not_called()  # nothing is wrong with the store
+        expected = (
+            "source=store stored_age=1.5 s recent_starts=1 limits_full=1 limits_partial=0 limits_probe=0"
+        )
+        self.assertEqual(report, expected)
+
+
+class Writing(StoreScene):
+    def test_records_are_written_and_the_store_is_closed(self) -> None:
+        writer = StoreWriter(self.open(StoreOwner("n0", "site"), NOW), lambda: NOW)
+        writer.start()
+        writer.write([SlotLoadRecord(NOW, {5: 1.0})])
+        writer.finish(CLOSE_TIMEOUT_S)
+        self.assertFalse(writer.is_alive())
+        state = records.fold(file_store.peek(self.path))
+        assert state
+        self.assertEqual(state.slot_load, SlotLoadRecord(NOW, {5: 1.0}))
+        self.open(StoreOwner("n0", "site"), NOW).close(NOW)  # the lock is released
+
+    def test_an_error_is_counted_and_logged_with_its_traceback_and_the_thread_goes_on(self) -> None:
+        store = self.open(StoreOwner("n0", "site"), NOW)
+        writer = StoreWriter(store, lambda: NOW)
+        errors = metrics.store_errors
+        with (
+            mock.patch.object(state_persister, "log_event") as logged,
+            mock.patch.object(store, "flush", side_effect=[ZeroDivisionError("x"), 0, 0]),
+        ):
+            writer.start()
+            writer.write([SlotLoadRecord(NOW, {5: 1.0})])
+            writer.write([SlotLoadRecord(NOW, {6: 1.0})])
+            writer.finish(CLOSE_TIMEOUT_S)
+        self.assertFalse(writer.is_alive())
+        self.assertEqual(metrics.store_errors, errors + 1)
+        [call] = logged.call_args_list
+        self.assertEqual((call.args, call.kwargs["error"]), (("store_failed",), "ZeroDivisionError: x"))
+        self.assertIn("Traceback", call.kwargs["traceback"])
+        self.assertFalse(writer.busy)
