Collect limits where they are stored, without the balancer's type, and set the clock first

The import of a type of the balancer's module bound the persister to where it stands. The offset of the thread's clock is taken before the store is opened, as it was: an fsync must not shift it.

--- a/lupinladder/net/state_persister.py
+++ b/lupinladder/net/state_persister.py
@@ -17,7 +17,6 @@
 from queue import SimpleQueue
 from typing import Any
 
-from lupinladder.balancing.balancer import Server
 from lupinladder.balancing.events import EndpointState
 from lupinladder.net.config import ConfigError, ProxyConfig
 from lupinladder.net.discovery.endpoint_registry import EndpointRegistry
@@ -126,6 +125,8 @@
 
     def __init__(self, conf: ProxyConfig, settings: StoreSettings, now: float) -> None:
         """Open the store and plan the start. ConfigError if the store cannot be used."""
+        # The thread cannot ask the loop for the time: it reads a clock of its own, set to the loop's.
+        clock_offset_ms = time.time() * 1000 - now
         self._conf = conf
         self._interval_ms = settings.every_ms
         store = _open_store(conf, settings, now)
@@ -135,8 +136,6 @@
         self._changes = ChangeTracker()
         self._list_index = NO_LIST_INDEX
         self._generation = self.beginning.generation
-        # The thread cannot ask the loop for the time: it reads a clock of its own, set to the loop's.
-        clock_offset_ms = time.time() * 1000 - now
         self._writer = StoreWriter(store, lambda: time.time() * 1000 - clock_offset_ms)
 
     def report(self) -> str:
@@ -209,10 +208,20 @@
                 }
 
     def _limits(self) -> Iterable[LimitRecord]:
-        """The limit of each server on which a window has closed."""
+        """The limit of each server on which a window has closed: what it gave, and when that was."""
         for server in self._dispatcher.servers():
-            if server.limiter.seen and not server.cold:
-                yield _limit_record(server)
+            limiter = server.limiter
+            if limiter.seen and not server.cold:
+                yield LimitRecord(
+                    server=server.id.decode(),
+                    server_started_at=server.entry.started_at,
+                    at=limiter.start,
+                    samples=limiter.seen,
+                    min_latency=round(limiter.min_latency, 3),
+                    max_qps=round(limiter.max_qps * 1000, 4),
+                    slot_share=server.moved,
+                    failure_rate=round(server.failed, 3),
+                )
 
 
 def _open_store(conf: ProxyConfig, settings: StoreSettings, now: float) -> file_store.Store:
@@ -224,18 +233,3 @@
         return file_store.Store(path, owner, now, log_event, limits)
     except file_store.StoreError as error:
         raise ConfigError(str(error)) from None
-
-
-def _limit_record(server: Server) -> LimitRecord:
-    """What the server's last closed window gave, and when that was."""
-    limiter = server.limiter
-    return LimitRecord(
-        server.id.decode(),
-        server.entry.started_at,
-        limiter.start,
-        limiter.seen,
-        round(limiter.min_latency, 3),
-        round(limiter.max_qps * 1000, 4),
-        server.moved,
-        round(server.failed, 3),
-    )
