--- a/lupinladder/recovery/warm_start.py
+++ b/lupinladder/recovery/warm_start.py
@@ -1,4 +1,4 @@
-"""What the balancer is told at the start, from the configuration's list and the stored state. Free of I/O.
+"""What the balancer receives at the start, from the configuration's list and the stored state. Free of I/O.
 
 Two questions are answered, both by `freshness`: which list to begin with, and how much of what was learned of
 each server still holds.
--- a/tests/recovery/test_warm_start.py
+++ b/tests/recovery/test_warm_start.py
@@ -1,4 +1,4 @@
-"""From a store to what the balancer is told at the start."""
+"""What the balancer receives at the start from a store, and what it makes of it."""
 
 from __future__ import annotations
 
