Name the parts of the tests' network scene after what they do, in every use

Peer, Door, Script, Asked and Scene are RecordingPeer, RecordingListener, ScriptedBalancer, RecordingHandler and NetworkScene. A whole-word replacement in the seven files that use them, then the formatter; no other change.

--- a/tests/net/test_client_connection.py
+++ b/tests/net/test_client_connection.py
@@ -18,7 +18,7 @@
 from lupinladder.net import client_listener, connection
 from lupinladder.net.client_listener import MAX_ACCEPTS_PER_EVENT, MAX_PIPELINE_DEPTH
 from lupinladder.net.connection import Connection
-from tests.support.network_scene import MISSED, ORIGIN, SERVED, Scene, get, once_to
+from tests.support.network_scene import MISSED, ORIGIN, SERVED, NetworkScene, get, once_to
 
 PING = b"*1\r\n$4\r\nPING\r\n"
 
@@ -26,7 +26,7 @@
 OK_HTTP = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nV"
 
 
-class Serving(Scene):
+class Serving(NetworkScene):
     def test_a_hit_goes_through_with_nothing_changed_but_d(self) -> None:
         client = self.client(get())
         node = self.at_node()
@@ -327,7 +327,7 @@
         self.assertLess(len(mine.conn.inbox), 1 << 17)
 
 
-class Tenants(Scene):
+class Tenants(NetworkScene):
     TENANTS: ClassVar[list[str]] = ["a", "b"]
 
     def test_each_query_counts_for_its_own_tenant_and_one_nobody_declared_is_an_error(self) -> None:
--- a/tests/net/test_connection_pool.py
+++ b/tests/net/test_connection_pool.py
@@ -4,7 +4,15 @@
 
 from unittest import mock
 
-from tests.support.network_scene import NODE, ORIGIN, SERVED, Asked, Peer, Scene, once_to
+from tests.support.network_scene import (
+    NODE,
+    ORIGIN,
+    SERVED,
+    NetworkScene,
+    RecordingHandler,
+    RecordingPeer,
+    once_to,
+)
 
 PING = b"*1\r\n$4\r\nPING\r\n"
 
@@ -12,7 +20,7 @@
 OK_HTTP = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nV"
 
 
-class Pools(Scene):
+class Pools(NetworkScene):
     IDLE_MS = 2000.0
 
     def test_the_latest_used_is_taken_first_and_the_idle_close_before_the_node_does(self) -> None:
@@ -44,9 +52,9 @@
                 first, before = self.ask(), len(door.peers)
                 self.until(lambda: any(p.got and not p.ends for p in door.peers), "a request")  # noqa: B023
                 [peer] = [one for one in door.peers if one.got and not one.ends]
-                second = list[Asked]()
+                second = list[RecordingHandler]()
 
-                def at_once(value: bytes, peer: Peer = peer, more: bytes = more) -> None:
+                def at_once(value: bytes, peer: RecordingPeer = peer, more: bytes = more) -> None:
                     if not more:
                         peer.conn.close_gracefully()
                     second.append(self.ask())  # noqa: B023
@@ -83,7 +91,7 @@
         self.assertEqual(asked.told, [b"V"])
 
 
-class Short(Scene):
+class Short(NetworkScene):
     SOCKETS, STREAMS, MAX_OPEN = 2, 2, 3
 
     def test_without_descriptors_executions_share_a_connection_and_the_bound_is_clean(self) -> None:
--- a/tests/net/test_endpoint_watch.py
+++ b/tests/net/test_endpoint_watch.py
@@ -17,13 +17,13 @@
 from lupinladder.net.discovery.endpoint_registry import EndpointRegistry
 from lupinladder.net.event_loop import EventLoop
 from tests.support.endpoint_lists import ENTRY, PARSER, listing
-from tests.support.network_scene import Door, Peer, Scene
+from tests.support.network_scene import NetworkScene, RecordingListener, RecordingPeer
 
 
-class Watching(Scene):
+class Watching(NetworkScene):
     def setUp(self) -> None:
         super().setUp()
-        self.door, self.told = Door(self.loop), list[EndpointUpdate]()
+        self.door, self.told = RecordingListener(self.loop), list[EndpointUpdate]()
         self.addCleanup(self.door.close)
         self.group = EndpointRegistry(
             self.loop,
@@ -68,7 +68,7 @@
     def test_at_a_new_address_the_watch_is_resumed_and_the_old_one_heard_until_it_speaks(self) -> None:
         self.group.load_cached(listing())
         link = self.group.pool_for(b"s-1")
-        old, (first, moved) = self.follow(), (self.door, Door(self.loop))
+        old, (first, moved) = self.follow(), (self.door, RecordingListener(self.loop))
         self.addCleanup(moved.close)
         self.door = moved
         self.group.move_watch(first.address)  # where it is already: no call
@@ -116,7 +116,7 @@
                 peer = self.door.peers[-1]
                 peer.conn.send(start)
 
-                def trickle(peer: Peer = peer, more: bytes = more, done: list[bool] = done) -> None:
+                def trickle(peer: RecordingPeer = peer, more: bytes = more, done: list[bool] = done) -> None:
                     if not done and not peer.ends:
                         peer.conn.send(more)
                         self.loop.call_at(self.loop.now() + 5, trickle)
@@ -132,7 +132,7 @@
         old = self.follow(b"")
         watch = self.group._watch
         self.until(lambda: watch and watch._begun, "the watch")
-        moved = Door(self.loop)
+        moved = RecordingListener(self.loop)
         self.addCleanup(moved.close)
         self.group.move_watch(moved.address)
         text = json.dumps(
--- a/tests/net/test_request_dispatcher.py
+++ b/tests/net/test_request_dispatcher.py
@@ -13,10 +13,10 @@
     RequestReceived,
 )
 from lupinladder.net.connection import Connection
-from tests.support.network_scene import NODE, SERVED, Peer, Scene, get
+from tests.support.network_scene import NODE, SERVED, NetworkScene, RecordingPeer, get
 
 
-class Growth(Scene):
+class Growth(NetworkScene):
     def test_what_is_over_is_freed_at_once_without_the_collector(self) -> None:
         refs = list[weakref.ref[Any]]()
         gc.disable()
@@ -40,13 +40,13 @@
                 client.conn.close_gracefully()
                 self.until(lambda: not client.conn.is_open, "our end")  # noqa: B023
             del mine, query, attempt, wire
-        self.front.await_closing(Connection(self.loop, self.budget, socket.socket(), Peer()))
+        self.front.await_closing(Connection(self.loop, self.budget, socket.socket(), RecordingPeer()))
         self.assertEqual(len(self.front.closing_connections), 1)
         self.script.events.clear()
         self.assertEqual([ref() for ref in refs if ref()], [])
 
 
-class Engines(Scene):
+class Engines(NetworkScene):
     """The simulator's semantics."""
 
     def test_past_the_attempt_limit_or_after_the_end_an_execution_is_moot(self) -> None:
--- a/tests/net/test_upstream_connection.py
+++ b/tests/net/test_upstream_connection.py
@@ -14,11 +14,22 @@
 from lupinladder.net import resp
 from lupinladder.net.connection import Connection
 from lupinladder.net.connection_pool import CacheNodeProtocol, UpstreamConnection
-from tests.support.network_scene import MISSED, NODE, ORIGIN, SERVED, Asked, Door, Peer, Scene, get, once_to
+from tests.support.network_scene import (
+    MISSED,
+    NODE,
+    ORIGIN,
+    SERVED,
+    NetworkScene,
+    RecordingHandler,
+    RecordingListener,
+    RecordingPeer,
+    get,
+    once_to,
+)
 
 
-class DidItRun(Scene):
-    def outcome(self, asked: Asked) -> str:
+class DidItRun(NetworkScene):
+    def outcome(self, asked: RecordingHandler) -> str:
         self.until(lambda: asked.told, "an end")
         self.assertEqual(asked.told, ["failed"])
         return self.script.ends()[0][1]
@@ -34,7 +45,7 @@
         large = mock.patch(
             "tests.support.network_scene.CacheNodeProtocol.encode", return_value=b"x" * 150_000
         )
-        with large, mock.patch("tests.support.network_scene.Peer.on_data"):  # the node does not read
+        with large, mock.patch("tests.support.network_scene.RecordingPeer.on_data"):  # the node does not read
             self.until(lambda: self.node.peers and wire.connection.bytes_sent, "some bytes")
             self.node.peers[0].reset()
             self.assertEqual(self.outcome(asked), "CONNECT_FAILED")
@@ -59,7 +70,7 @@
     def test_an_answer_without_a_length_is_whole_at_an_orderly_end_and_at_no_other(self) -> None:
         self.script.react = once_to(ORIGIN)
         head = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
-        cases: list[tuple[Callable[[Peer], None], str]] = [
+        cases: list[tuple[Callable[[RecordingPeer], None], str]] = [
             (lambda peer: peer.conn.close_gracefully(), "OK"),
             (lambda peer: peer.reset(), "RESET"),
             (lambda peer: peer.conn.send(b"x" * (1 << 20)), "RESET"),  # longer than any answer: it never ends
@@ -83,7 +94,7 @@
         self.until(lambda: node.ends, "the end of the connection")
 
 
-class RemainingTime(Scene):
+class RemainingTime(NetworkScene):
     """An attempt tells its server at most the time that is left to the client when it is written."""
 
     LABELS = b"c=read,k=5c,d=900,r=1,size=3"
@@ -124,7 +135,7 @@
         self.check_origin_is_told(self.command(b"OBJ.SET", b"V"))
 
     def test_a_second_cache_node_is_told_what_the_first_has_left(self) -> None:
-        second = Door(self.loop)
+        second = RecordingListener(self.loop)
         self.addCleanup(second.close)
         self.links[b"s-second"] = self.link(second.address, CacheNodeProtocol([]))
         left = self.miss_after(80, self.command(b"OBJ.GET"), b"s-second")
@@ -132,7 +143,7 @@
         self.assert_labels(labels, left)
 
 
-class Unsent(Scene):
+class Unsent(NetworkScene):
     """What may change between the decision and the first byte: a connection that comes up late."""
 
     STREAMS = 8
--- a/tests/support/network_scene.py
+++ b/tests/support/network_scene.py
@@ -28,7 +28,7 @@
     return GET % (ident, wait)
 
 
-class Peer:
+class RecordingPeer:
     """The other end of one connection."""
 
     def __init__(self) -> None:
@@ -53,18 +53,18 @@
         self.conn.close()
 
 
-class Door:
+class RecordingListener:
     """A listener on a port of its own, and whoever came."""
 
     def __init__(self, loop: EventLoop) -> None:
-        self.peers = list[Peer]()
+        self.peers = list[RecordingPeer]()
         self.sock = socket.create_server(("127.0.0.1", 0))
         self.address: Address = self.sock.getsockname()
         self._loop = loop
         loop.watch(self.sock, 0, READ, self._ready)
 
     def _ready(self, mask: int) -> None:
-        peer = Peer()
+        peer = RecordingPeer()
         peer.conn = Connection(self._loop, DescriptorBudget(99), self.sock.accept()[0], peer)
         self.peers.append(peer)
 
@@ -74,7 +74,7 @@
             self.sock.close()
 
 
-class Script:
+class ScriptedBalancer:
     """Stands in for the Balancer: keeps the events and does as told."""
 
     def __init__(self) -> None:
@@ -116,7 +116,7 @@
     return react
 
 
-class Asked:
+class RecordingHandler:
     """An asker that keeps what it was told."""
 
     def __init__(self) -> None:
@@ -133,7 +133,7 @@
         self.told.append("failed")
 
 
-class Scene(TestCase):
+class NetworkScene(TestCase):
     """A front, an engine with a scripted module, one cache node and the origin, all on one loop."""
 
     IDLE_MS, STREAMS, SOCKETS, MAX_OPEN = 10_000.0, 1, 100, 50
@@ -143,8 +143,8 @@
         quiet = mock.patch("builtins.print")
         quiet.start()
         self.addCleanup(quiet.stop)
-        self.loop, self.budget, self.script = EventLoop(), DescriptorBudget(self.SOCKETS), Script()
-        self.node, self.origin = Door(self.loop), Door(self.loop)
+        self.loop, self.budget, self.script = EventLoop(), DescriptorBudget(self.SOCKETS), ScriptedBalancer()
+        self.node, self.origin = RecordingListener(self.loop), RecordingListener(self.loop)
         self.addCleanup(self.node.close)
         self.addCleanup(self.origin.close)
         self.links = {
@@ -175,27 +175,27 @@
             self.assertFalse(late, f"never came: {what}")
         self.loop.cancel(limit)
 
-    def client(self, data: bytes = b"") -> Peer:
-        peer = Peer()
+    def client(self, data: bytes = b"") -> RecordingPeer:
+        peer = RecordingPeer()
         peer.conn = Connection.connect(self.loop, DescriptorBudget(99), self.address, peer)
         peer.conn.send(data)
         return peer
 
-    def ask(self, wait: float = 900) -> Asked:
+    def ask(self, wait: float = 900) -> RecordingHandler:
         """A query straight to the engine."""
         from lupinladder.net.client_command import parse_command
 
-        asked = Asked()
+        asked = RecordingHandler()
         content = parse_command([b"OBJ.GET", b"1f", b"a", b"c=read,d=%d" % wait], ["read"])
         asked.query = self.engine.dispatch(content, lambda n: RequestReceived(n, 0, wait), asked)
         return asked
 
-    def at_node(self, number: int = 0, door: Door | None = None) -> Peer:
+    def at_node(self, number: int = 0, door: RecordingListener | None = None) -> RecordingPeer:
         """The connection of this number at the node, once a request has come on it."""
         door = door or self.node
         self.until(lambda: len(door.peers) > number and door.peers[number].got, "a request")
         return door.peers[number]
 
-    def answers(self, peer: Peer, data: bytes) -> None:
+    def answers(self, peer: RecordingPeer, data: bytes) -> None:
         self.until(lambda: len(peer.got) >= len(data) or peer.ends, "an answer")
         self.assertEqual(peer.got, data)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -15,7 +15,7 @@
 from lupinladder.net.discovery import endpoint_registry
 from lupinladder.net.log import log_event
 from tests.support.endpoint_lists import configuration, listing
-from tests.support.network_scene import SERVED, Door, Scene, get
+from tests.support.network_scene import SERVED, NetworkScene, RecordingListener, get
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -23,7 +23,7 @@
 PING = b"*1\r\n$4\r\nPING\r\n"
 
 
-class Program(Scene):
+class Program(NetworkScene):
     """The program itself, as deploy/balancer.toml starts it."""
 
     def start(self, env: dict[str, str]) -> subprocess.Popen[bytes]:
@@ -42,7 +42,7 @@
         self.assertEqual((process.returncode, errors.count(b"\n")), (2, 1))
 
     def test_told_to_reload_it_follows_the_list_at_the_new_address_and_goes_on(self) -> None:
-        doors = [Door(self.loop) for _ in range(2)]
+        doors = [RecordingListener(self.loop) for _ in range(2)]
         conf = configuration()
         with socket.create_server(("127.0.0.1", 0)) as spare:
             conf["listen"] = f"127.0.0.1:{spare.getsockname()[1]}"
@@ -51,7 +51,7 @@
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "config.json"
 
-            def write(door: Door) -> None:
+            def write(door: RecordingListener) -> None:
                 conf["discovery"] = f"127.0.0.1:{door.address[1]}"
                 path.write_text(json.dumps(conf))
 
@@ -83,7 +83,7 @@
             door.close()
 
     def test_a_pushed_list_is_followed_from_the_first_moment_and_again_when_its_watch_is_lost(self) -> None:
-        door, conf = Door(self.loop), configuration()
+        door, conf = RecordingListener(self.loop), configuration()
         self.addCleanup(door.close)
         with socket.create_server(("127.0.0.1", 0)) as spare:
             conf["listen"] = f"127.0.0.1:{spare.getsockname()[1]}"
