--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from lupinladder.net.descriptor_budget import DescriptorBudget as DescriptorBudget
 from lupinladder.net.event_loop import EventLoop, Timer
 from lupinladder.net.metrics import metrics
 from lupinladder.net.ring_buffer import RingBuffer
@@ -31,32 +32,6 @@
     return f"{address[0]}:{address[1]}"
 
 
-class IdleConnection(Protocol):
-    """A connection with nothing out on it."""
-
-    def abort(self) -> None: ...
-
-
-class DescriptorBudget:
-    """Descriptors left to open. Clients leave a part of them to the links."""
-
-    def __init__(self, limit: int) -> None:
-        self.limit, self.used = limit, 0
-        self.idle_connections: dict[
-            IdleConnection, None
-        ] = {}  # connections to servers, of all links, the longest idle first
-
-    def close_longest_idle(self) -> bool:
-        """Close the connection to a server that has been idle for longest: at most a handshake is lost."""
-        for one in self.idle_connections:
-            one.abort()
-            return True
-        return False
-
-    def has_capacity(self, keep: int = 0) -> bool:
-        return self.used + keep < self.limit
-
-
 class ConnectionHandler(Protocol):
     """What a connection calls. After `ended(False)` it is closed; after `ended(True)` it can be written."""
 
--- a/lupinladder/net/request_dispatcher.py
+++ b/lupinladder/net/request_dispatcher.py
@@ -9,7 +9,7 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 from lupinladder import Balancer
 from lupinladder.balancing.actions import (
@@ -34,73 +34,17 @@
 )
 from lupinladder.balancing.settings import ServerId, Settings
 from lupinladder.graceful_shutdown import ShutdownSchedule
-from lupinladder.net.event_loop import EventLoop, Timer
+from lupinladder.net.event_loop import EventLoop
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
+from lupinladder.net.pending_request import Attempt as Attempt
+from lupinladder.net.pending_request import AttemptExecutor, ResponseHandler
+from lupinladder.net.pending_request import PendingRequest as PendingRequest
 
 DEADLINE_GRACE_MS = 15.0  # ms past its deadline at which a query is failed if the module has not spoken
 OK, MOOT = Outcome.OK, Outcome.NOT_STARTED
 
 
-class ResponseHandler(Protocol):
-    """Who asked a query. Exactly one of these is called, once."""
-
-    def on_served(self, value: bytes) -> None: ...
-    def on_rejected(self, wait: float) -> None: ...
-    def on_failed(self) -> None: ...
-
-
-class AttemptExecutor(Protocol):
-    """A way to a server. `start` ends with exactly one `attempt.end`, unless abandoned before."""
-
-    def start(self, attempt: Attempt) -> None: ...
-    def abandon(self, attempt: Attempt) -> None: ...
-
-
-class PendingRequest:
-    """A request from its last byte until its last attempt has ended."""
-
-    def __init__(self, number: int, content: Any, deadline: float, asker: ResponseHandler) -> None:
-        self.request_id, self.command, self.deadline = number, content, deadline
-        self.handler: ResponseHandler | None = asker  # until told
-        self.attempts: list[Attempt] = []
-        self.finished = False
-        self.guard_timer: Timer | None = None
-
-
-class Attempt:
-    """One attempt."""
-
-    def __init__(
-        self,
-        engine: RequestDispatcher,
-        query: PendingRequest,
-        link: AttemptExecutor | None,
-        started: float,
-        until: float,
-        begin_by: float,
-    ) -> None:
-        self.request, self.executor, self.started_at, self.deadline = query, link, started, until
-        self.start_by = begin_by  # its first byte is written before this, or it is not sent
-        self.number, self.finished, self.write_started = (
-            len(query.attempts),
-            False,
-            False,
-        )  # begun: by the link
-        self.expiry_timer: Timer | None = None
-        self._engine = engine
-
-    def end(
-        self,
-        outcome: Outcome,
-        value: bytes | None = None,
-        cache_result: CacheResult = CacheResult.NONE,
-        load: tuple[float, ...] = (),
-    ) -> None:
-        """Report how it went. Whatever is said after the first time is passed over."""
-        self._engine.attempt_ended(self, outcome, value, cache_result, load)
-
-
 class RequestDispatcher:
     def __init__(
         self,
--- a/tests/support/network_scene.py
+++ b/tests/support/network_scene.py
@@ -12,11 +12,13 @@
 from lupinladder.balancing.settings import RequestClass, Settings
 from lupinladder.net import request_dispatcher as engine_module
 from lupinladder.net.client_listener import ClientListener
-from lupinladder.net.connection import READ, Address, Connection, DescriptorBudget
+from lupinladder.net.connection import READ, Address, Connection
 from lupinladder.net.connection_pool import CacheNodeProtocol, ConnectionPool
+from lupinladder.net.descriptor_budget import DescriptorBudget
 from lupinladder.net.event_loop import EventLoop
 from lupinladder.net.origin_protocol import OriginProtocol
-from lupinladder.net.request_dispatcher import PendingRequest, RequestDispatcher
+from lupinladder.net.pending_request import PendingRequest
+from lupinladder.net.request_dispatcher import RequestDispatcher
 
 NODE, ORIGIN = b"s-node", b"s-origin"
 GET = b"*4\r\n$7\r\nOBJ.GET\r\n$2\r\n1f\r\n$1\r\n%b\r\n$12\r\nc=read,d=%d\r\n"
