Give the proxy's wiring, its signals and its configuration the field's names and short steps

Reading the operator's file moved from the entry to config.py, beside the platform's. ConfigError derives from LupinladderError.

--- a/lupinladder/net/config.py
+++ b/lupinladder/net/config.py
@@ -1,4 +1,4 @@
-"""The configuration that the platform hands a proxy."""
+"""The configuration that the platform hands a proxy, and the operator's own settings beside it."""
 
 from __future__ import annotations
 
@@ -6,89 +6,129 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from lupinladder.balancing.settings import Settings
 from lupinladder.balancing.settings_reader import parse_settings, read_value
+from lupinladder.errors import LupinladderError
 from lupinladder.net.client_command import MAX_STORED_VALUE_BYTES
 from lupinladder.net.connection import Address
 from lupinladder.net.discovery.endpoint_registry import EndpointParser, parse_address
 
-RESERVED_DESCRIPTORS = (
-    24  # descriptors for the standard streams, the selector, the signal's pipe, files of the library
-)
-BYTES_PER_OPEN_REQUEST = (
-    3 * MAX_STORED_VALUE_BYTES
-)  # bytes that one open query may hold: read, on its way out, and spare
+if TYPE_CHECKING:  # imported only where an operator's file asks for them
+    from lupinladder.operator_config.settings import OperatorSettings
 
+CONFIG_VARIABLE = "GW_CONFIG"
+OPERATOR_VARIABLE = "LUPINLADDER_OPERATOR"
 
-class ConfigError(Exception):
+# Descriptors for the standard streams, the selector, the signals' sockets and files of the library.
+RESERVED_DESCRIPTORS = 24
+# What one open request may hold of values: one read, one on its way out, and one spare.
+BYTES_PER_OPEN_REQUEST = 3 * MAX_STORED_VALUE_BYTES
+# The part of the memory that is for values: the rest is for the interpreter, the buffers and what is kept
+# of clients.
+MEMORY_SHARE_FOR_VALUES = 0.5
+BYTES_PER_MB = 1 << 20
+
+
+class ConfigError(LupinladderError):
     """A configuration that cannot be used; the text is one line."""
 
 
 @dataclass(slots=True)
 class ProxyConfig:
+    """The configuration of one proxy, checked."""
+
     name: str
-    listen: Address
-    discovery: Address
+    listen_address: Address
+    discovery_address: Address
     seed: int
-    settings: Settings
-    classes: list[str]
+    settings: Settings  # of the balancer
+    classes: list[str]  # names of the request classes, in the order of their index
     tenants: list[str]
     zones: list[str]
-    kinds: list[str]
-    listing: EndpointParser
+    kinds: list[str]  # names of the kinds of servers, in the order of their index
+    endpoint_parser: EndpointParser
     origin_kind: int
-    idle_ms: float
-    connect_ms: float
-    streams: int
-    max_open: int
-    sockets: int
-    known: Any
+    idle_timeout_ms: float  # after which a server closes an idle connection
+    connect_timeout_ms: float
+    streams_per_connection: int
+    max_open_requests: int
+    max_descriptors: int  # for connections: the reserved ones are taken off
+    known: dict[str, Any]  # the endpoint list as it was last known, in discovery's form
 
 
 def load(env: Mapping[str, str]) -> ProxyConfig:
-    """Read the file that GW_CONFIG names."""
-    path = env.get("GW_CONFIG")
+    """Read the file that GW_CONFIG names. ConfigError if it cannot be used."""
+    path = env.get(CONFIG_VARIABLE)
     if not path:
-        raise ConfigError("GW_CONFIG is not set")
+        message = f"{CONFIG_VARIABLE} is not set"
+        raise ConfigError(message)
     try:
         return parse(Path(path).read_text())
-    except OSError as bad:
-        raise ConfigError(f"{path}: {bad.strerror}") from None
-    except (ValueError, RecursionError) as bad:
-        raise ConfigError(f"{path}: {bad}".replace("\n", " ")) from None
+    except OSError as error:
+        message = f"{path}: {error.strerror}"
+        raise ConfigError(message) from None
+    except (ValueError, RecursionError) as error:
+        message = f"{path}: {error}".replace("\n", " ")
+        raise ConfigError(message) from None
 
 
 def parse(text: str) -> ProxyConfig:
-    """ValueError for whatever is missing or wrong."""
+    """Read a configuration from its JSON text. ValueError for whatever is missing or wrong."""
     tree = json.loads(text)
-    told = read_value(tree, "settings", dict)
-    settings = parse_settings(json.dumps(told))
-    zones = [str(zone) for zone in read_value(told, "zones", list)]
-    kinds = [str(kind) for kind in read_value(told, "kinds", list)]
-    listing, known = EndpointParser(zones, kinds), read_value(tree, "known", dict)
-    listing.read(known)
-    memory = read_value(tree, "limits.memory_mb", float) * (1 << 20)
+    settings_tree = read_value(tree, "settings", dict)
+    settings = parse_settings(json.dumps(settings_tree))
+    zones = [str(zone) for zone in read_value(settings_tree, "zones", list)]
+    kinds = [str(kind) for kind in read_value(settings_tree, "kinds", list)]
+    endpoint_parser = EndpointParser(zones, kinds)
+    known = read_value(tree, "known", dict)
+    endpoint_parser.read(known)  # a list that cannot be read is refused here, not at its first use
+    tenants = read_value(settings_tree, "tenants", list, [])
     return ProxyConfig(
         name=read_value(tree, "name", str),
-        listen=parse_address(read_value(tree, "listen", str)),
-        discovery=parse_address(read_value(tree, "discovery", str)),
+        listen_address=parse_address(read_value(tree, "listen", str)),
+        discovery_address=parse_address(read_value(tree, "discovery", str)),
         seed=int(read_value(tree, "seed", str), 16),
         settings=settings,
-        classes=[read_value(one, "name", str) for one in told["classes"]],
-        tenants=[read_value(one, "name", str) for one in read_value(told, "tenants", list, [])],
+        classes=[read_value(request_class, "name", str) for request_class in settings_tree["classes"]],
+        tenants=[read_value(tenant, "name", str) for tenant in tenants],
         zones=zones,
         kinds=kinds,
-        listing=listing,
+        endpoint_parser=endpoint_parser,
         origin_kind=settings.origin_kind,
-        idle_ms=read_value(told, "ceilings.conn-idle-ms", float),
-        connect_ms=read_value(told, "ceilings.connect-timeout-ms", float),
-        streams=read_value(told, "ceilings.streams-per-conn", int, 1),
-        # Half of the memory for values: the rest is for the interpreter, rings and what is kept of clients.
-        max_open=min(
-            read_value(told, "ceilings.max-open", int), max(int(memory / 2 / BYTES_PER_OPEN_REQUEST), 1)
-        ),
-        sockets=read_value(tree, "limits.sockets", int) - RESERVED_DESCRIPTORS,
+        idle_timeout_ms=read_value(settings_tree, "ceilings.conn-idle-ms", float),
+        connect_timeout_ms=read_value(settings_tree, "ceilings.connect-timeout-ms", float),
+        streams_per_connection=read_value(settings_tree, "ceilings.streams-per-conn", int, 1),
+        max_open_requests=_max_open_requests(tree, settings_tree),
+        max_descriptors=read_value(tree, "limits.sockets", int) - RESERVED_DESCRIPTORS,
         known=known,
     )
+
+
+def _max_open_requests(tree: Any, settings_tree: Any) -> int:
+    """How many requests may be open at once: what the settings allow, as far as memory holds their values."""
+    allowed = read_value(settings_tree, "ceilings.max-open", int)
+    memory_bytes = read_value(tree, "limits.memory_mb", float) * BYTES_PER_MB
+    fitting = int(memory_bytes * MEMORY_SHARE_FOR_VALUES / BYTES_PER_OPEN_REQUEST)
+    return int(min(allowed, max(fitting, 1)))
+
+
+def load_operator_settings(env: Mapping[str, str]) -> OperatorSettings | None:
+    """The settings of the file that LUPINLADDER_OPERATOR names: what is on beyond the platform's needs.
+    None if the variable is not set; ConfigError if the file cannot be used."""
+    path = env.get(OPERATOR_VARIABLE)
+    if not path:
+        return None
+    try:
+        # The platform's start does without these, so it needs none of their packages.
+        from lupinladder.operator_config import settings
+        from lupinladder.operator_config.toml_decoder import TomlError
+    except ModuleNotFoundError as error:
+        remedy = f"needs the package {error.name}: pip install 'lupinladder[operator]'"
+        message = f"{OPERATOR_VARIABLE} {remedy}"
+        raise ConfigError(message) from None
+    try:
+        return settings.load(path)
+    except TomlError as error:
+        raise ConfigError(str(error)) from None
--- a/lupinladder/proxy.py
+++ b/lupinladder/proxy.py
@@ -22,85 +22,110 @@
     from lupinladder.net.state_persister import StatePersister
     from lupinladder.operator_config.settings import OperatorSettings
 
-SUMMARY_MS, LEAVING_MS = 10_000.0, 20.0  # between lines of figures; between looks whether all is answered
+METRICS_INTERVAL_MS = 10_000.0  # between lines of figures in the log
+SHUTDOWN_POLL_INTERVAL_MS = 20.0  # between looks whether all is answered
 
 
 class Proxy:
-    """Wires the parts together."""
+    """One proxy: it listens from its construction on, and serves while its loop runs."""
 
     def __init__(self, conf: config.ProxyConfig, operator: OperatorSettings | None = None) -> None:
-        self._conf, self._stopping = conf, False
-        self.loop, self._budget = EventLoop(), DescriptorBudget(conf.sockets)
-        self._keeper: StatePersister | None = None
-        if operator and operator.store:
-            from lupinladder.net.state_persister import StatePersister
-
-            self._keeper = StatePersister(conf, operator.store, self.loop.now())
-        self._nodes: UpstreamProtocol = CacheNodeProtocol(conf.settings.report_fields)
-        self._group = EndpointRegistry(
+        self._conf = conf
+        self._shutting_down = False
+        self.loop = EventLoop()
+        self._budget = DescriptorBudget(conf.max_descriptors)
+        self._persister = self._open_persister(operator)
+        self._cache_node_protocol = CacheNodeProtocol(conf.settings.report_fields)
+        self._registry = EndpointRegistry(
             self.loop,
             self._budget,
-            conf.discovery,
-            conf.listing,
-            self._link,
-            lambda event: self.engine.notify(event),
+            conf.discovery_address,
+            conf.endpoint_parser,
+            self._make_pool,
+            lambda update: self.dispatcher.notify(update),  # the dispatcher is made after the registry
         )
-        self.engine = RequestDispatcher(
-            self.loop, conf.settings, conf.seed, self._group.pool_for, self._group.open_watch, conf.max_open
+        self.dispatcher = RequestDispatcher(
+            self.loop,
+            conf.settings,
+            conf.seed,
+            self._registry.pool_for,
+            self._registry.open_watch,
+            conf.max_open_requests,
         )
-        if self._keeper:
-            begun = self._keeper.beginning
-            self.engine.start(self._group.load_cached(begun.known))
-            for event in begun.events:
-                self.engine.notify(event)
-            log_event("warm_start", summary=self._keeper.report())
-            self._keeper.start(self.loop, self.engine, self._group)
-        else:
-            self.engine.start(self._group.load_cached(conf.known))
-        if (
-            not conf.settings.poll_endpoints
-        ):  # pushed: what waits for us counts as told from our first moment on
-            self._group.open_watch()
-        self.front = ClientListener(
-            self.loop, self._budget, self.engine, conf.listen, conf.classes, conf.tenants
+        self._start_dispatcher()
+        if not conf.settings.poll_endpoints:
+            # The list is pushed: what discovery has for us counts as told from our first moment on.
+            self._registry.open_watch()
+        self.listener = ClientListener(
+            self.loop, self._budget, self.dispatcher, conf.listen_address, conf.classes, conf.tenants
         )
-        self._figures()
+        self._log_metrics()
+
+    def _open_persister(self, operator: OperatorSettings | None) -> StatePersister | None:
+        """The persister of the state that outlives a restart, where the operator has asked for one."""
+        if operator is None or operator.store is None:
+            return None
+        from lupinladder.net.state_persister import StatePersister
+
+        return StatePersister(self._conf, operator.store, self.loop.now())
+
+    def _start_dispatcher(self) -> None:
+        """Give the balancer its first list: the stored one and what goes with it, or the platform's."""
+        if self._persister is None:
+            self.dispatcher.start(self._registry.load_cached(self._conf.known))
+            return
+        warm_start = self._persister.beginning
+        self.dispatcher.start(self._registry.load_cached(warm_start.known))
+        for event in warm_start.events:
+            self.dispatcher.notify(event)
+        log_event("warm_start", summary=self._persister.report())
+        self._persister.start(self.loop, self.dispatcher, self._registry)
 
-    def _link(self, entry: Endpoint, address: Address) -> ConnectionPool:
-        conf, dialect = self._conf, self._nodes
-        if entry.server_kind == conf.origin_kind:
-            dialect = OriginProtocol(address, conf.settings.report_fields)
+    def _make_pool(self, endpoint: Endpoint, address: Address) -> ConnectionPool:
+        """A pool of connections to this server, in the protocol of its kind."""
+        conf = self._conf
+        protocol: UpstreamProtocol = self._cache_node_protocol
+        if endpoint.server_kind == conf.origin_kind:
+            protocol = OriginProtocol(address, conf.settings.report_fields)
         return ConnectionPool(
-            self.loop, self._budget, address, dialect, conf.idle_ms, conf.connect_ms, max(conf.streams, 1)
+            self.loop,
+            self._budget,
+            address,
+            protocol,
+            conf.idle_timeout_ms,
+            conf.connect_timeout_ms,
+            max(conf.streams_per_connection, 1),
         )
 
-    def _figures(self) -> None:
+    def _log_metrics(self) -> None:
         log_event("metrics", **metrics.summary())
-        self.loop.call_at(self.loop.now() + SUMMARY_MS, self._figures)
+        self.loop.call_at(self.loop.now() + METRICS_INTERVAL_MS, self._log_metrics)
 
     def reload(self) -> None:
-        """Read the configuration file again and follow the list where it says. What else changed in it holds
-        from the next start; with a file that cannot be used all stays as it is."""
+        """Read the configuration file again and watch discovery at the address that it names. What else has
+        changed in it holds from the next start; with a file that cannot be used all stays as it is."""
         try:
-            fresh = config.load(os.environ)
-        except config.ConfigError as bad:
-            log_event("reload_rejected", error=bad)
+            reloaded = config.load(os.environ)
+        except config.ConfigError as error:
+            log_event("reload_rejected", error=error)
             return
-        log_event("reloaded", discovery=format_address(fresh.discovery))
-        self._group.move_watch(fresh.discovery)
+        log_event("reloaded", discovery=format_address(reloaded.discovery_address))
+        self._registry.move_watch(reloaded.discovery_address)
 
     def stop(self) -> None:
-        if self._stopping:
+        """Begin the graceful shutdown; the loop stops once all is answered. A second call does nothing."""
+        if self._shutting_down:
             return
-        self._stopping = True
+        self._shutting_down = True
         log_event("shutdown_started")
-        self.front.shut_down()
-        self._leave()
-
-    def _leave(self) -> None:
-        if self.engine.is_idle and self.front.is_finished:
-            if self._keeper:
-                self._keeper.finish()
-            self.loop.stop()
-        else:
-            self.loop.call_at(self.loop.now() + LEAVING_MS, self._leave)
+        self.listener.shut_down()
+        self._stop_when_idle()
+
+    def _stop_when_idle(self) -> None:
+        """Stop the loop if nothing is left to answer, else look again in a while."""
+        if not (self.dispatcher.is_idle and self.listener.is_finished):
+            self.loop.call_at(self.loop.now() + SHUTDOWN_POLL_INTERVAL_MS, self._stop_when_idle)
+            return
+        if self._persister:
+            self._persister.finish()
+        self.loop.stop()
--- a/lupinladder/signals.py
+++ b/lupinladder/signals.py
@@ -8,28 +8,35 @@
 from lupinladder.net.connection import READ
 from lupinladder.proxy import Proxy
 
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+WAKEUP_READ_BYTES = 4096
 
-class Signals:
-    """What the process was told. A handler may run anywhere, so it only notes the signal; the loop is woken
-    through a socket. Notes cannot be lost, as bytes could on a socket that a storm of signals has filled."""
+
+class SignalReceiver:
+    """The signals that the process has received and not handled yet.
+
+    A handler may run anywhere, so it only notes the signal; the loop is woken through a socket. Notes cannot
+    be lost, as bytes could on a socket that a storm of signals has filled."""
 
     def __init__(self) -> None:
-        self._told: set[int] = set()
-        self._near, self._far = socket.socketpair()
-        self._near.setblocking(False)
-        self._far.setblocking(False)
-        signal.set_wakeup_fd(self._far.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            signal.signal(number, lambda number, _: self._told.add(number))
+        self._pending: set[int] = set()
+        self._receiver, self._sender = socket.socketpair()
+        self._receiver.setblocking(False)
+        self._sender.setblocking(False)
+        signal.set_wakeup_fd(self._sender.fileno(), warn_on_full_buffer=False)
+        for number in HANDLED_SIGNALS:
+            signal.signal(number, lambda number, _: self._pending.add(number))
 
     def attach(self, proxy: Proxy) -> None:
-        proxy.loop.watch(self._near, 0, READ, lambda _: self._woken(proxy))
-
-    def _woken(self, proxy: Proxy) -> None:
-        self._near.recv(4096)
-        told = set(self._told)
-        self._told -= told
-        if signal.SIGHUP in told:
+        """Have the proxy's loop call the proxy for each signal, those noted before included."""
+        proxy.loop.watch(self._receiver, 0, READ, lambda _: self._on_wakeup(proxy))
+
+    def _on_wakeup(self, proxy: Proxy) -> None:
+        """Reload on SIGHUP, shut down on any other signal."""
+        self._receiver.recv(WAKEUP_READ_BYTES)
+        received = set(self._pending)
+        self._pending -= received
+        if signal.SIGHUP in received:
             proxy.reload()
-        if told - {signal.SIGHUP}:
+        if received - {signal.SIGHUP}:
             proxy.stop()
--- a/tests/net/test_config.py
+++ b/tests/net/test_config.py
@@ -12,19 +12,20 @@
 from tests.support.endpoint_lists import configuration
 
 
-class Configuration(unittest.TestCase):
-    def test_a_good_one(self) -> None:
+class ConfigParsing(unittest.TestCase):
+    def test_a_good_configuration_is_read_and_keeps_within_its_limits(self) -> None:
         tree = configuration()
         tree["settings"]["tenants"] = SETTINGS["tenants"]
         conf = config.parse(json.dumps(tree))
         self.assertEqual(
-            (conf.listen, conf.classes, conf.tenants, conf.seed),
+            (conf.listen_address, conf.classes, conf.tenants, conf.seed),
             (("127.0.0.1", 7001), ["read"], ["a"], 0x8C1F30D27A5BE964),
         )
-        self.assertLess(conf.sockets, 1024)
-        self.assertLess(conf.max_open * 2 * (64 << 10), 192 << 20)  # what all open queries may hold
+        self.assertLess(conf.max_descriptors, 1024)
+        bytes_of_open_requests = conf.max_open_requests * 2 * (64 << 10)
+        self.assertLess(bytes_of_open_requests, 192 << 20)
 
-    def test_bad_ones_are_one_line(self) -> None:
+    def test_a_bad_configuration_raises_an_error_of_one_line(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "config.json"
             texts = ["{", "[" * 100_000, "[]"]
