Give the event loop a typed timer and one method for each step of a turn

A timer was a bare tuple, read by index, and a turn was one function. Timer is a named tuple; the wait, the ready sockets and the due timers are a method each, and a traceback on one line, which loop and dispatcher worded each for itself, is made in log.py.

--- a/lupinladder/net/event_loop.py
+++ b/lupinladder/net/event_loop.py
@@ -1,66 +1,75 @@
-"""The event loop: one selector, one clock, one sorted list of deadlines."""
+"""The event loop: one selector, one clock, one sorted list of timers."""
 
 from __future__ import annotations
 
 import selectors
 import socket
 import time
-import traceback
 from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from math import inf
+from typing import NamedTuple
 
-from lupinladder.net.log import log_event
+from lupinladder.net.log import format_traceback, log_event
 from lupinladder.net.metrics import metrics
 
-STALL_THRESHOLD_MS = (
-    50.0  # ms beyond what was asked for: the slack that the rules give each time limit (PROTOCOL)
-)
-Timer = tuple[float, int, Callable[[], object]]  # when, a number that breaks ties, what to do
+# Time beyond what was asked for, after which the process counts as having stood still: the slack that the
+# rules give each time limit (PROTOCOL).
+STALL_THRESHOLD_MS = 50.0
+
+
+class Timer(NamedTuple):
+    """A callback at a time. Timers sort by their time, then in the order in which they were set."""
+
+    when: float  # ms on the loop's clock
+    number: int  # never used twice, so that a comparison never reaches the callback
+    callback: Callable[[], object]
 
 
 class EventLoop:
-    """Runs callbacks for ready sockets and for deadlines that have passed. Nothing here may block."""
+    """Runs callbacks for ready sockets and for timers that are due. Nothing here may block."""
 
     def __init__(self) -> None:
         self._selector = selectors.DefaultSelector()
         # Monotonic milliseconds, anchored once to Unix time: discovery's start times need no conversion,
         # and a step of the system's clock moves nothing.
-        self._anchor = (time.time() - time.monotonic()) * 1000
-        self._due: list[Timer] = []
+        self._clock_offset_ms = (time.time() - time.monotonic()) * 1000
+        self._timers: list[Timer] = []  # sorted
         self._soon: deque[Callable[[], object]] = deque()
-        self._number = 0
+        self._last_timer_number = 0
         self._running = True
-        self._first = set[int]()  # descriptors that are looked after before the others in a turn
-        self.loop_latency = (
-            0.0  # ms that the turn before this one took: bytes read now may have come so much earlier
-        )
+        self._prioritized = set[int]()  # descriptors that are looked after before the others in a turn
+        # Ms that the turn before this one took: bytes that are read now may have come so much earlier.
+        self.loop_latency = 0.0
 
     def now(self) -> float:
-        return time.monotonic() * 1000 + self._anchor
-
-    def call_at(self, when: float, call: Callable[[], object]) -> Timer:
-        """Call at this time; the result names the deadline for `cancel`."""
-        self._number += 1
-        deadline = (when, self._number, call)
-        insort(self._due, deadline)
-        return deadline
-
-    def cancel(self, deadline: Timer | None) -> None:
-        """Forget a deadline. One that has passed, or none, is no fault."""
-        if deadline is None:
+        """The loop's time in ms: Unix time at its start, monotonic since."""
+        return time.monotonic() * 1000 + self._clock_offset_ms
+
+    def call_at(self, when: float, callback: Callable[[], object]) -> Timer:
+        """Call at this time, in ms; the result names the timer for `cancel`."""
+        self._last_timer_number += 1
+        timer = Timer(when, self._last_timer_number, callback)
+        insort(self._timers, timer)
+        return timer
+
+    def cancel(self, timer: Timer | None) -> None:
+        """Forget a timer. One that has fired, or none, is no fault."""
+        if timer is None:
             return
-        place = bisect_left(self._due, deadline[:2])
-        if place < len(self._due) and self._due[place][1] == deadline[1]:
-            del self._due[place]
+        place = bisect_left(self._timers, timer)
+        if place < len(self._timers) and self._timers[place] is timer:
+            del self._timers[place]
 
-    def call_soon(self, call: Callable[[], object]) -> None:
+    def call_soon(self, callback: Callable[[], object]) -> None:
         """Call after the callbacks now running, so that none is entered from within another."""
-        self._soon.append(call)
+        self._soon.append(callback)
 
     def watch(self, sock: socket.socket, old: int, new: int, ready: Callable[[int], None]) -> None:
-        """Change what a socket is watched for: bits of selectors.EVENT_READ and EVENT_WRITE."""
+        """Change what a socket is watched for: bits of selectors.EVENT_READ and EVENT_WRITE. `ready` is
+        called with the bits that came true."""
         if old == new:
             return
         if not old:
@@ -69,48 +78,66 @@
             self._selector.modify(sock, new, ready)
         else:
             self._selector.unregister(sock)
-            self._first.discard(sock.fileno())
+            self._prioritized.discard(sock.fileno())
 
     def prioritize(self, sock: socket.socket) -> None:
         """Look after this one, which is watched, before the others that are ready in the same turn: what it
         brings decides what may be done with theirs. Without that a process that stood still would send on,
         by the list it had, whatever has come meanwhile, with the new list unread beside it."""
-        self._first.add(sock.fileno())
+        self._prioritized.add(sock.fileno())
 
     def run_once(self) -> None:
-        """Wait for the next thing to do and do all that is due."""
-        asked = self.now()
-        wait = 0.0 if self._soon else max(self._due[0][0] - asked, 0.0) if self._due else inf
+        """One turn: wait for the next thing to do and do all that is due."""
+        asked_at = self.now()
+        wait = self._time_until_next(asked_at)
         ready = self._selector.select(None if wait == inf else wait / 1000)
-        began = self.now()
-        if (
-            began - asked - wait > STALL_THRESHOLD_MS
-        ):  # we stood still: more is ready by now than what would have woken us
+        started_at = self.now()
+        if started_at - asked_at - wait > STALL_THRESHOLD_MS:
+            # The process stood still: more is ready by now than what would have woken it.
             ready = self._selector.select(0)
-        if self._first and len(ready) > 1:
-            ready.sort(key=lambda one: one[0].fd not in self._first)
+        self._run_ready(ready)
+        self._run_due_timers()
+        for _ in range(len(self._soon)):
+            self._run(self._soon.popleft())
+        self.loop_latency = self.now() - started_at
+
+    def _time_until_next(self, now: float) -> float:
+        """How long a turn may wait for sockets, in ms: until the first timer is due, or without end."""
+        if self._soon:
+            return 0.0
+        if self._timers:
+            return max(self._timers[0].when - now, 0.0)
+        return inf
+
+    def _run_ready(self, ready: list[tuple[selectors.SelectorKey, int]]) -> None:
+        """Call back for the sockets that are ready, the prioritized ones first."""
+        if self._prioritized and len(ready) > 1:
+            ready.sort(key=lambda pair: pair[0].fd not in self._prioritized)
         for key, mask in ready:
             # A callback earlier in this turn may have closed this socket, and its number may be in use again.
             if self._selector.get_map().get(key.fd) is key:
-                self._run(lambda key=key, mask=mask: key.data(mask))  # type: ignore[misc]
-        last, now = self._number, self.now()
-        # What a callback adds waits for the next turn, else a deadline in the past would starve the sockets.
-        while self._due and self._due[0][0] <= now and self._due[0][1] <= last:
-            self._run(self._due.pop(0)[2])
-        for _ in range(len(self._soon)):
-            self._run(self._soon.popleft())
-        self.loop_latency = self.now() - began
+                self._run(partial(key.data, mask))
+
+    def _run_due_timers(self) -> None:
+        """Call back for the timers that are due. Those that a callback adds wait for the next turn, else a
+        timer in the past would starve the sockets."""
+        last_number = self._last_timer_number
+        now = self.now()
+        while self._timers and self._timers[0].when <= now and self._timers[0].number <= last_number:
+            self._run(self._timers.pop(0).callback)
 
-    def _run(self, call: Callable[[], object]) -> None:
+    def _run(self, callback: Callable[[], object]) -> None:
         try:
-            call()
-        except Exception:  # one connection's trouble must not end the others
+            callback()
+        except Exception:  # noqa: BLE001, RUF100 - the boundary: one callback's fault must not end the others
             metrics.callback_errors += 1
-            log_event("callback_failed", traceback=traceback.format_exc().strip().replace("\n", " | "))
+            log_event("callback_failed", traceback=format_traceback())
 
     def run(self) -> None:
+        """Turn until `stop` is called."""
         while self._running:
             self.run_once()
 
     def stop(self) -> None:
+        """Have `run` return after the turn that is running."""
         self._running = False
--- a/lupinladder/net/log.py
+++ b/lupinladder/net/log.py
@@ -6,6 +6,7 @@
 import re
 import sys
 import time
+import traceback
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -44,6 +45,11 @@
         print(f"lupinladder: {line}", file=sys.stderr, flush=True)
 
 
+def format_traceback() -> str:
+    """The traceback of the exception that is being handled, on one line."""
+    return traceback.format_exc().strip().replace("\n", " | ")
+
+
 def _format_value(value: object) -> str:
     """A value as one word, in quotes where it would not be one."""
     text = str(value)
--- a/lupinladder/net/request_dispatcher.py
+++ b/lupinladder/net/request_dispatcher.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import traceback
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -35,7 +34,7 @@
 from lupinladder.balancing.settings import ServerId, Settings
 from lupinladder.graceful_shutdown import ShutdownSchedule
 from lupinladder.net.event_loop import EventLoop
-from lupinladder.net.log import log_event
+from lupinladder.net.log import format_traceback, log_event
 from lupinladder.net.metrics import metrics
 from lupinladder.net.pending_request import Attempt as Attempt
 from lupinladder.net.pending_request import AttemptExecutor, ResponseHandler
@@ -113,9 +112,7 @@
 
     def _fault(self, where: str) -> None:
         metrics.dispatcher_errors += 1
-        log_event(
-            "internal_error", where=where, traceback=traceback.format_exc().strip().replace("\n", " | ")
-        )
+        log_event("internal_error", where=where, traceback=format_traceback())
 
     def _carry_out(self, action: Action) -> None:
         if isinstance(action, SetTimer):
