Read and discard a connection's input in separate methods; one job a module

Connection._read held two loops in one, told apart by a flag at each step: filling the inbox, and discarding what comes on a connection that is being ended. Each is a method now, over one that receives once; the order of callbacks is as before. The handler's protocol moved to connection_handler.py, the budget's members are described.

--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -1,4 +1,4 @@
-"""Non-blocking TCP connections with one ring a direction, and the budget of descriptors."""
+"""Non-blocking TCP connections, with a ring buffer for each direction."""
 
 from __future__ import annotations
 
@@ -6,25 +6,28 @@
 import selectors
 import socket
 from collections.abc import Callable
-from typing import Protocol
 
+from lupinladder.net.connection_handler import NULL_HANDLER, ConnectionHandler
+
+# Exported as well: this is where others import it from.
 from lupinladder.net.descriptor_budget import DescriptorBudget as DescriptorBudget
 from lupinladder.net.event_loop import EventLoop, Timer
 from lupinladder.net.metrics import metrics
 from lupinladder.net.ring_buffer import RingBuffer
 
-MAX_INBOX_BYTES = (
-    160 << 10
-)  # of the inbox: two of the largest commands; longer answers are taken off it in parts
-MAX_OUTBOX_BYTES = (
-    1 << 20
-) + 1024  # of the outbox: the largest answer and its framing, since it is put in whole
-MAX_READS_PER_EVENT = 4  # reads from one connection in a turn, so that none holds up the others
-LINGER_MS = 1000.0  # how long a connection that we end is read from, ms
+# Of the inbox: two of the largest commands; longer answers are taken off it in parts.
+MAX_INBOX_BYTES = 160 << 10
+# Of the outbox: the largest answer and its framing, since it is put in whole.
+MAX_OUTBOX_BYTES = (1 << 20) + 1024
+MAX_READS_PER_EVENT = 4  # from one connection in a turn, so that none holds up the others
+LINGER_MS = 1000.0  # how long a connection that we end is read from
 MAX_DISCARDED_BYTES = 256 << 10  # bytes read from such a connection until it is closed all the same
-READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
-Address = tuple[str, int]
-_sink = bytearray(64 << 10)  # where bytes go that nobody wants; shared, as none is ever read
+READ = selectors.EVENT_READ
+WRITE = selectors.EVENT_WRITE
+Address = tuple[str, int]  # IPv4 address and port
+
+# Where bytes go that nobody wants; shared by all connections, as it is never read.
+_discard_buffer = bytearray(64 << 10)
 
 
 def format_address(address: Address) -> str:
@@ -32,36 +35,9 @@
     return f"{address[0]}:{address[1]}"
 
 
-class ConnectionHandler(Protocol):
-    """What a connection calls. After `ended(False)` it is closed; after `ended(True)` it can be written."""
-
-    def on_connected(self) -> None: ...
-    def on_data(self) -> None: ...
-    def on_written(self) -> None: ...
-    def on_closed(self, by_peer: bool) -> None: ...
-
-
-class NullHandler:
-    """Owns what is closed. With its owner still named, the two would hold one another until the collector
-    came, and on a day of ever new connections that is most of the memory."""
-
-    def on_connected(self) -> None:
-        pass
-
-    def on_data(self) -> None:
-        pass
-
-    def on_written(self) -> None:
-        pass
-
-    def on_closed(self, by_peer: bool) -> None:
-        pass
-
-
-NULL_HANDLER = NullHandler()
-
-
 class Connection:
+    """One connection, from the moment it is accepted or begun; its owner is called from the loop."""
+
     def __init__(
         self,
         loop: EventLoop,
@@ -70,16 +46,22 @@
         owner: ConnectionHandler,
         opening: bool = False,
     ) -> None:
-        self.inbox, self.outbox = RingBuffer(MAX_INBOX_BYTES), RingBuffer(MAX_OUTBOX_BYTES)
-        self.bytes_queued = self.bytes_sent = (
-            0  # bytes ever handed to the connection; taken from it by the system
-        )
-        self.is_open, self.connecting, self.eof = True, opening, False
-        self._loop, self._budget, self._sock = loop, budget, sock
+        self.inbox = RingBuffer(MAX_INBOX_BYTES)
+        self.outbox = RingBuffer(MAX_OUTBOX_BYTES)
+        self.bytes_queued = 0  # ever handed to the connection
+        self.bytes_sent = 0  # of them, taken from it by the system
+        self.is_open = True
+        self.connecting = opening
+        self.eof = False  # the peer has ended its sending
+        self._loop = loop
+        self._budget = budget
+        self._sock = sock
         self._owner: ConnectionHandler = owner
-        self._mask = 0
-        self._finishing = self._shut = False
-        self._discarded = 0
+        self._mask = 0  # what the loop watches the socket for
+        self._failed = False  # a read has found the connection reset
+        self._finishing = False  # we are ending it: what comes in is discarded
+        self._sending_ended = False
+        self._discarded = 0  # bytes read since
         self._linger: Timer | None = None
         budget.used += 1
         sock.setblocking(False)
@@ -90,20 +72,21 @@
     def connect(
         cls, loop: EventLoop, budget: DescriptorBudget, address: Address, owner: ConnectionHandler
     ) -> Connection:
-        """Begin to connect. Every failure comes through `ended`, never from here."""
+        """Begin to connect. Every failure comes through `on_closed`, never from here."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         try:
             code = sock.connect_ex(address)
         except OSError:  # not an address
             code = errno.EINVAL
-        self = cls(loop, budget, sock, owner, opening=True)
+        connection = cls(loop, budget, sock, owner, opening=True)
         if code not in (0, errno.EINPROGRESS):
-            loop.call_soon(lambda: self._broken())
-        return self
+            loop.call_soon(connection._fail)
+        return connection
 
     def send(self, data: bytes) -> None:
-        """Queue and try to write at once. Check `outbox.room` first."""
+        """Queue and try to write at once. Check `outbox.available_space` first: beyond it this raises
+        RingBufferFullError."""
         self.outbox.append(data)
         self.bytes_queued += len(data)
         if not self.connecting and len(self.outbox) == len(data):
@@ -111,12 +94,12 @@
         self._interest()
 
     def prioritize(self) -> None:
-        """Have it looked after first in each turn; see `Loop.prefer`."""
+        """Have it looked after first in each turn; see `EventLoop.prioritize`."""
         if self._mask:
             self._loop.prioritize(self._sock)
 
     def resume_reading(self) -> None:
-        """Call after taking bytes out of a full inbox outside of `received`."""
+        """Call after taking bytes out of a full inbox outside of `on_data`."""
         self._interest()
 
     def read_available(self) -> None:
@@ -135,11 +118,11 @@
         except BlockingIOError:
             return True
         except OSError:
-            pass
-        return False
+            return False
+        return False  # a byte, or the end
 
     def close_gracefully(self) -> None:
-        """Write what is queued, end our sending, read on until the peer ends or a while has passed.
+        """Write what is queued, end our sending, and read on until the peer ends or a while has passed.
         Closing with input unread would send a reset, which can destroy an answer still on its way."""
         if self.is_open and not self._finishing:
             self._finishing = True
@@ -151,89 +134,115 @@
         if self.is_open:
             self.is_open = False
             self._loop.cancel(self._linger)
-            self._owner, self._linger = NULL_HANDLER, None
+            self._owner = NULL_HANDLER
+            self._linger = None
             self._loop.watch(self._sock, self._mask, 0, self._ready)
             self._mask = 0
             self._sock.close()
             self._budget.used -= 1
 
-    def _broken(self) -> None:
+    def _fail(self) -> None:
+        """Close after a failure, and tell the owner."""
         if self.is_open:
             owner = self._owner
             self.close()
             owner.on_closed(False)
 
     def _interest(self) -> None:
+        """Have the loop watch for what can be done now: read with room in the inbox, write what is queued."""
         if not self.is_open:
             return
-        read = not self.connecting and not self.eof and (self.inbox.available_space or self._finishing)
-        mask = (READ if read else 0) | (WRITE if self.connecting or len(self.outbox) else 0)
+        can_read = not self.connecting and not self.eof and (self.inbox.available_space or self._finishing)
+        can_write = self.connecting or len(self.outbox)
+        mask = (READ if can_read else 0) | (WRITE if can_write else 0)
         self._loop.watch(self._sock, self._mask, mask, self._ready)
         self._mask = mask
 
     def _ready(self, mask: int) -> None:
+        """Do what the socket is ready for."""
         try:
             if self.connecting:
                 if self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-                    return self._broken()
+                    self._fail()
+                    return
                 self.connecting = False
-                self._guard(self._owner.on_connected)
+                self._call_owner(self._owner.on_connected)
             if mask & WRITE and self.is_open and len(self.outbox):
                 self._flush()
                 if self.is_open:
-                    self._guard(self._owner.on_written)
+                    self._call_owner(self._owner.on_written)
             if mask & READ and self.is_open:
                 self._read()
         finally:
             self._interest()
 
-    def _guard(self, call: Callable[[], None]) -> None:
-        """A fault in handling one connection's bytes ends that connection, and is then logged."""
+    def _call_owner(self, call: Callable[[], None]) -> None:
+        """A fault in handling one connection's bytes ends that connection; the loop logs it."""
         try:
             call()
         except Exception:
             metrics.connection_handler_errors += 1
-            self._broken()
+            self._fail()
             raise
 
     def _read(self) -> None:
-        got = lost = False
+        """Take in what has come, and tell the owner of it and of the end of the peer's bytes."""
+        if self._finishing:
+            self._discard_input()
+        elif self._fill_inbox():
+            self._call_owner(self._owner.on_data)
+        if self._failed:
+            self._fail()
+        elif self.eof and self.is_open:
+            if self._finishing:
+                self._end_sending()
+            else:
+                self._call_owner(lambda: self._owner.on_closed(True))
+
+    def _fill_inbox(self) -> bool:
+        """Read until nothing more has come or the inbox is full. Whether anything was read."""
+        received = False
         for _ in range(MAX_READS_PER_EVENT):
-            space = memoryview(_sink) if self._finishing else self.inbox.writable_view()
+            space = self.inbox.writable_view()
             if not len(space):
                 break
-            try:
-                count = self._sock.recv_into(space)
-            except (BlockingIOError, InterruptedError):
-                break
-            except OSError:
-                lost = True
-                break
+            count = self._receive(space)
             if not count:
-                self.eof = True
                 break
-            if self._finishing:  # not ours any more: the peer repeats it elsewhere
-                self._discarded += count
-                if (
-                    self._discarded > MAX_DISCARDED_BYTES
-                ):  # a peer that sends on at full speed would cost a core
-                    return self.close()
-                continue
             self.inbox.commit(count)
-            got = True
+            received = True
             if count < len(space):
                 break
-        if got:
-            self._guard(self._owner.on_data)
-        if lost:
-            self._broken()
-        elif self.eof and self.is_open:
-            if self._finishing:
-                self._end_sending()
-            else:
-                self._guard(lambda: self._owner.on_closed(True))
+        return received
+
+    def _discard_input(self) -> None:
+        """Read what is no concern of ours any more: the peer repeats it elsewhere. Close on a peer that sends
+        on at full speed, which would cost a core."""
+        for _ in range(MAX_READS_PER_EVENT):
+            count = self._receive(_discard_buffer)
+            if not count:
+                return
+            self._discarded += count
+            if self._discarded > MAX_DISCARDED_BYTES:
+                self.close()
+                return
+
+    def _receive(self, space: bytearray | memoryview) -> int:
+        """Read once into this space; the number of bytes. 0 if there are none for now, or none will come any
+        more: then `eof` or `_failed` is set."""
+        try:
+            count = self._sock.recv_into(space)
+        except (BlockingIOError, InterruptedError):
+            return 0
+        except OSError:
+            self._failed = True
+            return 0
+        if not count:
+            self.eof = True
+        return count
 
     def _flush(self) -> None:
+        """Write as much of what is queued as the system takes."""
         try:
             while len(self.outbox):
                 count = self._sock.send(self.outbox.readable_view())
@@ -242,18 +251,19 @@
         except (BlockingIOError, InterruptedError):
             pass
         except OSError:
-            self._loop.call_soon(self._broken)  # never from within the owner's own call
+            self._loop.call_soon(self._fail)  # never from within the owner's own call
             return
         if self._finishing:
             self._end_sending()
 
     def _end_sending(self) -> None:
+        """Once all is written: shut our side down, and close if the peer has ended as well."""
         if len(self.outbox) or not self.is_open:
             return
         if self.eof:
             self.close()
-        elif not self._shut:
-            self._shut = True
+        elif not self._sending_ended:
+            self._sending_ended = True
             try:
                 self._sock.shutdown(socket.SHUT_WR)
             except OSError:
--- a/lupinladder/net/descriptor_budget.py
+++ b/lupinladder/net/descriptor_budget.py
@@ -6,26 +6,30 @@
 
 
 class IdleConnection(Protocol):
-    """A connection with nothing out on it."""
+    """A connection to a server that no attempt uses."""
 
-    def abort(self) -> None: ...
+    def abort(self) -> None:
+        """Close it, and take it off the budget's idle connections."""
 
 
 class DescriptorBudget:
-    """Descriptors left to open. Clients leave a part of them to the links."""
+    """How many descriptors the process may hold and holds. Who opens one adds to `used`, who closes one takes
+    from it."""
 
     def __init__(self, limit: int) -> None:
-        self.limit, self.used = limit, 0
-        self.idle_connections: dict[
-            IdleConnection, None
-        ] = {}  # connections to servers, of all links, the longest idle first
+        self.limit = limit
+        self.used = 0
+        # Connections to servers, of all pools, the longest idle first.
+        self.idle_connections: dict[IdleConnection, None] = {}
 
     def close_longest_idle(self) -> bool:
-        """Close the connection to a server that has been idle for longest: at most a handshake is lost."""
-        for one in self.idle_connections:
-            one.abort()
+        """Close the connection to a server that has been idle for longest: at most a handshake is lost.
+        False if none is idle."""
+        for connection in self.idle_connections:
+            connection.abort()
             return True
         return False
 
-    def has_capacity(self, keep: int = 0) -> bool:
-        return self.used + keep < self.limit
+    def has_capacity(self, reserved: int = 0) -> bool:
+        """Whether one more may be opened with so many left for others."""
+        return self.used + reserved < self.limit
