--- a/lupinladder/net/__init__.py
+++ b/lupinladder/net/__init__.py
@@ -1,1 +1,1 @@
-"""The real proxy: sockets around the decision module."""
+"""The network side of the proxy: sockets, protocols and the event loop around the balancer."""
--- a/lupinladder/net/log.py
+++ b/lupinladder/net/log.py
@@ -27,7 +27,8 @@
 
 
 def log_event(event: str, /, **facts: object) -> None:
-    """Print one line of this event, unless too many were printed in this second."""
+    """Print one line of this event, unless too many were printed in this second. Never raises for an output
+    that is closed."""
     second = int(time.monotonic())
     rate = _rates.setdefault(event, _Rate(second))
     if rate.second != second:
--- a/lupinladder/net/metrics.py
+++ b/lupinladder/net/metrics.py
@@ -48,9 +48,14 @@
 
     def summary(self) -> dict[str, int]:
         """All counters that are not zero, by name; those of ended attempts by outcome."""
-        named = {one.name: getattr(self, one.name) for one in fields(self) if one.name != "attempts_ended"}
-        by_outcome = {f"attempts_ended_{kind.name.lower()}": n for kind, n in self.attempts_ended.items()}
-        return {name: count for name, count in sorted((named | by_outcome).items()) if count}
+        counts = {
+            counter.name: getattr(self, counter.name)
+            for counter in fields(self)
+            if counter.name != "attempts_ended"
+        }
+        for outcome, count in self.attempts_ended.items():
+            counts[f"attempts_ended_{outcome.name.lower()}"] = count
+        return {name: count for name, count in sorted(counts.items()) if count}
 
 
-metrics = Metrics()  # the one place for figures that an operator, or later an agent, reads
+metrics = Metrics()  # the process's counters: the one place for what an operator, or later an agent, reads
