Carry out each action of the balancer in a method of its own; type requests and attempts

The dispatcher's one long if-chain is a match over the types of actions, each carried out by a short method. PendingRequest and Attempt are dataclasses with slots, their command is a ClientCommand in place of Any (carried, never read), and each broad except states why it is a boundary. What is called, in which order, and what is counted and logged is unchanged.

--- a/lupinladder/net/pending_request.py
+++ b/lupinladder/net/pending_request.py
@@ -2,62 +2,67 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, Protocol
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Protocol
 
 from lupinladder.balancing.events import CacheResult, Outcome
 from lupinladder.net.event_loop import Timer
 
-if TYPE_CHECKING:  # which imports this module
+if TYPE_CHECKING:  # the dispatcher imports this module; commands are carried here and never read
+    from lupinladder.net.client_command import ClientCommand
     from lupinladder.net.request_dispatcher import RequestDispatcher
 
 
 class ResponseHandler(Protocol):
-    """Who asked a query. Exactly one of these is called, once."""
+    """Who sent a request. Exactly one of these is called, once, unless its client leaves before."""
 
-    def on_served(self, value: bytes) -> None: ...
-    def on_rejected(self, wait: float) -> None: ...
-    def on_failed(self) -> None: ...
+    def on_served(self, value: bytes) -> None:
+        """The request has its answer."""
+
+    def on_rejected(self, wait: float) -> None:
+        """The request was not served, and a retry does no harm, best after `wait` ms."""
+
+    def on_failed(self) -> None:
+        """The request was not served, with no promise about its effects."""
 
 
 class AttemptExecutor(Protocol):
-    """A way to a server. `start` ends with exactly one `attempt.end`, unless abandoned before."""
+    """A way to a server: it carries out attempts."""
+
+    def start(self, attempt: Attempt) -> None:
+        """Begin. Ends with exactly one `attempt.end`, unless abandoned before."""
 
-    def start(self, attempt: Attempt) -> None: ...
-    def abandon(self, attempt: Attempt) -> None: ...
+    def abandon(self, attempt: Attempt) -> None:
+        """Stop waiting for an attempt that has been started."""
 
 
+@dataclass(slots=True, eq=False, weakref_slot=True)
 class PendingRequest:
     """A request from its last byte until its last attempt has ended."""
 
-    def __init__(self, number: int, content: Any, deadline: float, asker: ResponseHandler) -> None:
-        self.request_id, self.command, self.deadline = number, content, deadline
-        self.handler: ResponseHandler | None = asker  # until told
-        self.attempts: list[Attempt] = []
-        self.finished = False
-        self.guard_timer: Timer | None = None
+    request_id: int
+    command: ClientCommand
+    deadline: float  # ms on the loop's clock
+    handler: ResponseHandler | None  # None once it has the final answer
+    attempts: list[Attempt] = field(default_factory=list)
+    finished: bool = False  # the final answer is given, or nobody waits for it
+    guard_timer: Timer | None = None  # fails the request if no answer comes by its deadline
 
 
+@dataclass(slots=True, eq=False, weakref_slot=True)
 class Attempt:
-    """One attempt."""
-
-    def __init__(
-        self,
-        engine: RequestDispatcher,
-        query: PendingRequest,
-        link: AttemptExecutor | None,
-        started: float,
-        until: float,
-        begin_by: float,
-    ) -> None:
-        self.request, self.executor, self.started_at, self.deadline = query, link, started, until
-        self.start_by = begin_by  # its first byte is written before this, or it is not sent
-        self.number, self.finished, self.write_started = (
-            len(query.attempts),
-            False,
-            False,
-        )  # begun: by the link
-        self.expiry_timer: Timer | None = None
-        self._engine = engine
+    """One attempt of a request at one server. Times are ms on the loop's clock."""
+
+    dispatcher: RequestDispatcher
+    request: PendingRequest
+    executor: AttemptExecutor | None  # None: there is no way to the server
+    number: int  # among the attempts of its request, from 0
+    started_at: float
+    deadline: float
+    start_by: float  # its first byte is written before this, or it is not sent
+    finished: bool = False
+    write_started: bool = False  # set by the executor
+    expiry_timer: Timer | None = None
 
     def end(
         self,
@@ -66,5 +71,5 @@
         cache_result: CacheResult = CacheResult.NONE,
         load: tuple[float, ...] = (),
     ) -> None:
-        """Report how it went. Whatever is said after the first time is passed over."""
-        self._engine.attempt_ended(self, outcome, value, cache_result, load)
+        """Report how it went. Whatever is reported after the first time is passed over."""
+        self.dispatcher.attempt_ended(self, outcome, value, cache_result, load)
--- a/lupinladder/net/request_dispatcher.py
+++ b/lupinladder/net/request_dispatcher.py
@@ -1,6 +1,6 @@
-"""The engine: feeds events to the decision module and carries out its actions, as the simulator does.
+"""The dispatcher: feeds events to the balancer and carries out its actions, as the simulator does.
 
-It alone calls the Balancer, and owns queries, attempts and their timers. It knows neither RESP nor HTTP:
+It alone calls the Balancer, and owns requests, attempts and their timers. It knows neither RESP nor HTTP:
 who asks and what is passed on are opaque to it, so that another protocol can go through the same decisions.
 """
 
@@ -8,12 +8,13 @@
 
 from collections import deque
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING
 
 from lupinladder import Balancer
 from lupinladder.balancing.actions import (
     Action,
     CancelAttempt,
+    Fail,
     LogMessage,
     Reject,
     SetTimer,
@@ -36,187 +37,231 @@
 from lupinladder.net.event_loop import EventLoop
 from lupinladder.net.log import format_traceback, log_event
 from lupinladder.net.metrics import metrics
+
+# Attempt and PendingRequest are exported as well: this is where others import them from.
 from lupinladder.net.pending_request import Attempt as Attempt
 from lupinladder.net.pending_request import AttemptExecutor, ResponseHandler
 from lupinladder.net.pending_request import PendingRequest as PendingRequest
 
-DEADLINE_GRACE_MS = 15.0  # ms past its deadline at which a query is failed if the module has not spoken
-OK, MOOT = Outcome.OK, Outcome.NOT_STARTED
+if TYPE_CHECKING:  # for a type alone: commands are passed on unread
+    from lupinladder.net.client_command import ClientCommand
+
+# How long after its deadline a request is failed if the balancer has not answered it.
+DEADLINE_GRACE_MS = 15.0
+
+RequestAction = StartAttempt | CancelAttempt | Reject | Fail
 
 
 class RequestDispatcher:
+    """The balancer, the requests it decides on and what its actions do. All times are ms on the loop's
+    clock. `route` finds the way to a server, `watch_endpoints` asks discovery for changes of the list."""
+
     def __init__(
         self,
         loop: EventLoop,
         settings: Settings,
         seed: int,
         route: Callable[[ServerId], AttemptExecutor | None],
-        follow: Callable[[], None],
+        watch_endpoints: Callable[[], None],
         max_open: int,
     ) -> None:
-        self._loop, self._settings, self._route, self._follow = loop, settings, route, follow
+        self._loop = loop
+        self._settings = settings
+        self._route = route
+        self._watch_endpoints = watch_endpoints
         self._max_open = max_open
-        self._queries: dict[int, PendingRequest] = {}
-        self._events: deque[Event] = deque()
-        self._running, self._number = False, 0
+        self._queries: dict[int, PendingRequest] = {}  # by request id; until their last attempt has ended
+        self._last_request_id = 0
+        self._events: deque[Event] = deque()  # not handled yet
+        self._handling_events = False
         self._balancer = Balancer(settings, seed, loop.now())
 
     def start(self, cached: EndpointUpdate) -> None:
-        """The module's first actions, and the list as it was last known."""
+        """Carry out the balancer's first actions, and tell it the list as it was last known."""
         for action in self._balancer.start(self._loop.now()):
             self._carry_out(action)
         self.notify(cached)
 
     def servers(self) -> list[Server]:
-        """What the module knows of each listed server, to read and never to change."""
+        """What the balancer knows of each listed server, to read and never to change."""
         return list(self._balancer.members.values())
 
     def slot_load(self) -> dict[int, float]:
-        """Its own sends by slot, fading."""
+        """The balancer's own sends by slot, decaying."""
         return self._balancer.slots.heat
 
     def shutdown_schedule(self) -> ShutdownSchedule:
-        """How to stop, beginning now."""
+        """How to shut down, beginning now."""
         return ShutdownSchedule(self._settings, self._loop.now())
 
     @property
     def is_idle(self) -> bool:
-        """No query waits for its answer."""
-        return all(query.finished for query in self._queries.values())
+        """Whether no request waits for its answer."""
+        return all(request.finished for request in self._queries.values())
+
+    def dispatch(
+        self,
+        command: ClientCommand,
+        make_event: Callable[[int], RequestReceived],
+        handler: ResponseHandler,
+    ) -> PendingRequest | None:
+        """Take a request; `make_event` words it for the balancer under the given id. None if it was rejected,
+        as too many are open for the memory we have."""
+        metrics.requests_received += 1
+        if len(self._queries) >= self._max_open:
+            metrics.requests_rejected_for_memory += 1
+            handler.on_rejected(self._settings.max_retry_after)
+            return None
+        now = self._loop.now()
+        self._last_request_id += 1
+        event = make_event(self._last_request_id)
+        request = PendingRequest(self._last_request_id, command, now + event.timeout, handler)
+        self._queries[request.request_id] = request
+        request.guard_timer = self._loop.call_at(
+            request.deadline + DEADLINE_GRACE_MS, lambda: self._fail_overdue(request)
+        )
+        self.notify(event)
+        return request
+
+    def client_disconnected(self, request: PendingRequest) -> None:
+        """The client has gone: nobody waits for the answer any more."""
+        if not request.finished:
+            metrics.requests_abandoned += 1
+            self._finish(request)
+            self.notify(ClientDisconnected(request.request_id))
+
+    def _fail_overdue(self, request: PendingRequest) -> None:
+        """Guard against a request stranded by a fault: its client gets an answer all the same."""
+        if not request.finished:
+            metrics.requests_overdue += 1
+            log_event("request_overdue", request=request.request_id)
+            self._finish(request).on_failed()
+            self.notify(ClientDisconnected(request.request_id))
+
+    def _finish(self, request: PendingRequest) -> ResponseHandler:
+        """From here on the request has its final answer, which the caller gives to the handler returned."""
+        handler = request.handler
+        assert handler, "a request has one final answer"
+        request.handler = None
+        request.finished = True
+        self._loop.cancel(request.guard_timer)
+        request.guard_timer = None
+        self._forget_if_over(request)
+        return handler
+
+    def _forget_if_over(self, request: PendingRequest) -> None:
+        """Let go of a request with nothing more to come. Whatever points back at it is cut here, so that it
+        is freed at once: the collector comes seldom, and meanwhile each request would hold some KiB."""
+        if request.finished and all(attempt.finished for attempt in request.attempts):
+            self._queries.pop(request.request_id, None)
+            request.attempts.clear()
 
     def notify(self, event: Event) -> None:
-        """Tell the module. What its actions cause at once is told after them, never from within."""
+        """Tell the balancer. What its actions cause at once is told after them, never from within."""
         self._events.append(event)
-        if self._running:
+        if self._handling_events:
             return
-        self._running = True
+        self._handling_events = True
         try:
             while self._events:
                 self._handle(self._events.popleft())
         finally:
-            self._running = False
+            self._handling_events = False
 
     def _handle(self, event: Event) -> None:
+        """Have the balancer decide on one event, and carry out its actions in order."""
         try:
             actions = self._balancer.handle(event, self._loop.now())
-        except Exception:  # the query of this event is failed below or by its guard; the rest goes on
-            self._fault(f"module, at {type(event).__name__}")
+        except Exception:  # noqa: BLE001, RUF100 - the boundary: a fault in a decision costs its request alone
+            self._log_fault(f"module, at {type(event).__name__}")
+            # Any other event's request is failed by its guard timer.
             if isinstance(event, RequestReceived) and event.request_id in self._queries:
                 self._finish(self._queries[event.request_id]).on_failed()
             return
         for action in actions:
             try:
                 self._carry_out(action)
-            except Exception:
-                self._fault(f"at {type(action).__name__}")
+            except Exception:  # noqa: BLE001, RUF100 - the boundary: the other actions are carried out
+                self._log_fault(f"at {type(action).__name__}")
 
-    def _fault(self, where: str) -> None:
+    def _log_fault(self, where: str) -> None:
         metrics.dispatcher_errors += 1
         log_event("internal_error", where=where, traceback=format_traceback())
 
     def _carry_out(self, action: Action) -> None:
-        if isinstance(action, SetTimer):
-            token = action.token
-            self._loop.call_at(self._loop.now() + action.delay, lambda: self.notify(TimerFired(token)))
-        elif isinstance(action, WatchEndpoints):
-            metrics.endpoint_watches_requested += 1
-            self._follow()
-        elif isinstance(action, LogMessage):
-            log_event("balancer", message=action.text)
-        else:
-            query = self._queries.get(action.request_id)
-            if query is None:
-                return  # finished with all its attempts: nothing can be owed or withdrawn
-            if isinstance(action, StartAttempt):
-                self._try(query, action)
-            elif isinstance(action, CancelAttempt):
-                if action.attempt < len(query.attempts):
-                    self._give_up(query.attempts[action.attempt], Outcome.CANCELLED)
-            elif not query.finished:
-                refused = isinstance(action, Reject)
-                metrics.requests_rejected += refused
-                metrics.requests_failed += not refused
-                asker = self._finish(query)
-                if isinstance(action, Reject):
-                    asker.on_rejected(action.retry_after)
-                else:
-                    asker.on_failed()
+        match action:
+            case SetTimer():
+                self._set_timer(action)
+            case WatchEndpoints():
+                metrics.endpoint_watches_requested += 1
+                self._watch_endpoints()
+            case LogMessage():
+                log_event("balancer", message=action.text)
+            case _:
+                self._carry_out_for_request(action)
 
-    def dispatch(
-        self, content: Any, request: Callable[[int], RequestReceived], asker: ResponseHandler
-    ) -> PendingRequest | None:
-        """Take a query; `request` words it for the module under the given id. None: turned away, as too many
-        are open for the memory we have."""
-        metrics.requests_received += 1
-        if len(self._queries) >= self._max_open:
-            metrics.requests_rejected_for_memory += 1
-            asker.on_rejected(self._settings.max_retry_after)
-            return None
-        now = self._loop.now()
-        self._number += 1
-        event = request(self._number)
-        query = self._queries[self._number] = PendingRequest(
-            self._number, content, now + event.timeout, asker
-        )
-        query.guard_timer = self._loop.call_at(
-            query.deadline + DEADLINE_GRACE_MS, lambda: self._overdue(query)
-        )
-        self.notify(event)
-        return query
+    def _carry_out_for_request(self, action: RequestAction) -> None:
+        request = self._queries.get(action.request_id)
+        if request is None:
+            return  # finished with all its attempts: nothing can be owed or cancelled
+        match action:
+            case StartAttempt():
+                self._start_attempt(request, action)
+            case CancelAttempt():
+                self._cancel_attempt(request, action.attempt)
+            case Reject():
+                self._reject(request, action.retry_after)
+            case Fail():
+                self._fail(request)
 
-    def client_disconnected(self, query: PendingRequest) -> None:
-        """The client has gone."""
-        if not query.finished:
-            metrics.requests_abandoned += 1
-            self._finish(query)
-            self.notify(ClientDisconnected(query.request_id))
+    def _set_timer(self, action: SetTimer) -> None:
+        token = action.token
+        self._loop.call_at(self._loop.now() + action.delay, lambda: self.notify(TimerFired(token)))
 
-    def _overdue(self, query: PendingRequest) -> None:
-        """Guards against a query stranded by a fault: its client gets an answer all the same."""
-        if not query.finished:
-            metrics.requests_overdue += 1
-            log_event("request_overdue", request=query.request_id)
-            self._finish(query).on_failed()
-            self.notify(ClientDisconnected(query.request_id))
-
-    def _finish(self, query: PendingRequest) -> ResponseHandler:
-        """From here on the query has its final answer, which the caller gives to the asker."""
-        asker, query.handler, query.finished = query.handler, None, True
-        assert asker, "a query has one final answer"
-        self._loop.cancel(query.guard_timer)
-        query.guard_timer = None
-        self._forget(query)
-        return asker
-
-    def _forget(self, query: PendingRequest) -> None:
-        """Let go of a query with nothing more to come. Whatever points back at it is cut here, so that it is
-        freed at once: the collector comes seldom, and meanwhile each query would hold some KiB."""
-        if query.finished and all(one.finished for one in query.attempts):
-            self._queries.pop(query.request_id, None)
-            query.attempts.clear()
-
-    def _try(self, query: PendingRequest, action: StartAttempt) -> None:
+    def _reject(self, request: PendingRequest, retry_after: float) -> None:
+        if not request.finished:
+            metrics.requests_rejected += 1
+            self._finish(request).on_rejected(retry_after)
+
+    def _fail(self, request: PendingRequest) -> None:
+        if not request.finished:
+            metrics.requests_failed += 1
+            self._finish(request).on_failed()
+
+    def _cancel_attempt(self, request: PendingRequest, number: int) -> None:
+        if number < len(request.attempts):
+            self._give_up(request.attempts[number], Outcome.CANCELLED)
+
+    def _start_attempt(self, request: PendingRequest, action: StartAttempt) -> None:
+        """Start an attempt; it ends at once where it may not begin, or there is no way to its server."""
         now = self._loop.now()
-        until = min(action.expire_at or query.deadline, query.deadline)
-        attempt = Attempt(self, query, self._route(action.server), now, until, action.start_by)
-        query.attempts.append(attempt)
-        if query.finished or attempt.number >= self._settings.max_attempts or now >= query.deadline:
-            return attempt.end(MOOT)
+        number = len(request.attempts)
+        deadline = min(action.expire_at or request.deadline, request.deadline)
+        executor = self._route(action.server)
+        attempt = Attempt(self, request, executor, number, now, deadline, action.start_by)
+        request.attempts.append(attempt)
+        if request.finished or number >= self._settings.max_attempts or now >= request.deadline:
+            attempt.end(Outcome.NOT_STARTED)
+            return
         metrics.attempts_started += 1
-        if attempt.executor is None:
-            return attempt.end(Outcome.CONNECT_FAILED)
-        attempt.expiry_timer = self._loop.call_at(until, lambda: self._give_up(attempt, Outcome.TIMEOUT))
+        if executor is None:
+            attempt.end(Outcome.CONNECT_FAILED)
+            return
+        attempt.expiry_timer = self._loop.call_at(deadline, lambda: self._give_up(attempt, Outcome.TIMEOUT))
         try:
-            attempt.executor.start(attempt)
-        except Exception:  # it may be half written, so nothing may be promised
-            self._fault("starting an attempt")
+            executor.start(attempt)
+        except Exception:  # noqa: BLE001, RUF100 - the boundary: it may be half written, so it counts as run
+            self._log_fault("starting an attempt")
             self._give_up(attempt, Outcome.RESET)
 
     def _give_up(self, attempt: Attempt, outcome: Outcome) -> None:
-        if not attempt.finished and attempt.executor:
-            attempt.executor.abandon(attempt)
-            never_ran = outcome is Outcome.TIMEOUT and not attempt.write_started
-            attempt.end(Outcome.CONNECT_FAILED if never_ran else outcome)
+        """Stop waiting for an attempt. One that expires unwritten has not run, and ends as such."""
+        if attempt.finished or attempt.executor is None:
+            return
+        attempt.executor.abandon(attempt)
+        if outcome is Outcome.TIMEOUT and not attempt.write_started:
+            outcome = Outcome.CONNECT_FAILED
+        attempt.end(outcome)
 
     def attempt_ended(
         self,
@@ -226,20 +271,27 @@
         cache_result: CacheResult,
         load: tuple[float, ...],
     ) -> None:
+        """Take the end of an attempt: give its answer to the client, if it is the first, and tell the
+        balancer. Called by `Attempt.end`; further ends of the same attempt are passed over."""
         if attempt.finished:
             return
         attempt.finished = True
         self._loop.cancel(attempt.expiry_timer)
         attempt.expiry_timer = None
-        query = attempt.request
         metrics.attempts_ended[outcome] += 1
-        if outcome is OK and not query.finished:
+        request = attempt.request
+        if outcome is Outcome.OK and not request.finished:
             metrics.requests_served += 1
-            self._finish(query).on_served(value or b"")
-        latency = self._loop.now() - attempt.started_at
+            self._finish(request).on_served(value or b"")
         self.notify(
             AttemptEnded(
-                query.request_id, attempt.number, outcome, latency, query.finished, cache_result, load
+                request.request_id,
+                attempt.number,
+                outcome,
+                self._loop.now() - attempt.started_at,
+                request.finished,
+                cache_result,
+                load,
             )
         )
-        self._forget(query)
+        self._forget_if_over(request)
