--- a/tests/net/test_request_dispatcher.py
+++ b/tests/net/test_request_dispatcher.py
@@ -8,15 +8,12 @@
 from typing import Any
 
 from lupinladder.balancing.actions import Action, CancelAttempt, Fail, Reject, StartAttempt
-from lupinladder.balancing.events import (
-    Outcome,
-    RequestReceived,
-)
+from lupinladder.balancing.events import Outcome, RequestReceived
 from lupinladder.net.connection import Connection
 from tests.support.network_scene import NODE, SERVED, NetworkScene, RecordingPeer, get
 
 
-class Growth(NetworkScene):
+class Memory(NetworkScene):
     def test_what_is_over_is_freed_at_once_without_the_collector(self) -> None:
         refs = list[weakref.ref[Any]]()
         gc.disable()
@@ -26,10 +23,13 @@
             self.until(lambda: any(peer.got for peer in self.node.peers), "a request")
             [node] = [peer for peer in self.node.peers if peer.got]
             node.got = b""
-            [mine], [query] = list(self.front.clients), list(self.engine._queries.values())
-            [attempt], [wire] = query.attempts, list(self.links[NODE]._busy)
-            refs += map(weakref.ref, (mine, mine.conn, query, attempt))
-            refs += map(weakref.ref, (wire, wire.connection) if case == "broken by the node" else ())
+            [connection] = list(self.front.clients)
+            [request] = list(self.engine._queries.values())
+            [attempt] = request.attempts
+            [upstream] = list(self.links[NODE]._busy)
+            refs += map(weakref.ref, (connection, connection.conn, request, attempt))
+            if case == "broken by the node":
+                refs += map(weakref.ref, (upstream, upstream.connection))
             if case == "left by the client":
                 client.reset()
                 self.until(lambda: not self.front.clients, "its leaving")
@@ -39,50 +39,52 @@
                 self.until(lambda: client.got, "an answer")  # noqa: B023
                 client.conn.close_gracefully()
                 self.until(lambda: not client.conn.is_open, "our end")  # noqa: B023
-            del mine, query, attempt, wire
+            del connection, request, attempt, upstream
         self.front.await_closing(Connection(self.loop, self.budget, socket.socket(), RecordingPeer()))
         self.assertEqual(len(self.front.closing_connections), 1)
         self.script.events.clear()
         self.assertEqual([ref() for ref in refs if ref()], [])
 
 
-class Engines(NetworkScene):
-    """The simulator's semantics."""
-
-    def test_past_the_attempt_limit_or_after_the_end_an_execution_is_moot(self) -> None:
+class AttemptLimits(NetworkScene):
+    def test_an_attempt_past_the_limit_or_after_the_answer_is_not_started(self) -> None:
         def react(event: Any) -> list[Action]:
             if isinstance(event, RequestReceived):
                 return [StartAttempt(event.request_id, NODE)] * 3
             return [StartAttempt(event.request_id, NODE)] if event.attempt == 0 else []
 
         self.script.react = react
-        asked = self.ask()
+        handler = self.ask()
         self.assertEqual(self.script.ends(), [(2, "NOT_STARTED", False)])
         self.at_node(0).conn.send(SERVED)
         self.at_node(1).conn.send(SERVED)
         self.until(lambda: len(self.script.ends()) == 4, "all ends")
-        self.assertEqual(asked.told, [b"V"])
+        self.assertEqual(handler.told, [b"V"])
         self.assertIn((3, "NOT_STARTED", True), self.script.ends())
         self.assertIn((1, "OK", True), self.script.ends())
 
     def test_expiry_is_cut_to_the_clients_deadline_and_the_past_expires_at_once(self) -> None:
-        self.script.react = lambda e: (
-            [StartAttempt(e.request_id, NODE, e.request_id * 1e15)] if isinstance(e, RequestReceived) else []
+        self.script.react = lambda event: (
+            [StartAttempt(event.request_id, NODE, event.request_id * 1e15)]
+            if isinstance(event, RequestReceived)
+            else []
         )
-        started = self.loop.now()
+        started_at = self.loop.now()
         self.ask(50)
         self.until(lambda: self.script.ends(), "the deadline")
         self.assertEqual(self.script.ends(), [(0, "TIMEOUT", False)])
-        self.assertLess(self.loop.now() - started, 4000)
-        started = self.loop.now()
-        self.script.react = lambda e: (
-            [StartAttempt(e.request_id, NODE, 1.0)] if isinstance(e, RequestReceived) else []
+        self.assertLess(self.loop.now() - started_at, 4000)
+        started_at = self.loop.now()
+        self.script.react = lambda event: (
+            [StartAttempt(event.request_id, NODE, 1.0)] if isinstance(event, RequestReceived) else []
         )
         self.ask()
         self.until(lambda: len(self.script.ends()) == 2, "an end at once")
-        self.assertLess(self.loop.now() - started, 800)
+        self.assertLess(self.loop.now() - started_at, 800)
+
 
-    def test_withdraw_ends_one_execution_and_the_last_answer_is_the_only_one(self) -> None:
+class FinalAnswers(NetworkScene):
+    def test_a_cancel_ends_one_attempt_and_the_first_final_answer_is_the_only_one(self) -> None:
         def react(event: Any) -> list[Action]:
             if isinstance(event, RequestReceived):
                 return [
@@ -93,18 +95,18 @@
             return [Reject(event.request_id), Fail(event.request_id), Reject(77)]
 
         self.script.react = react
-        asked = self.ask()
-        self.assertEqual((asked.told, self.script.ends()), ([0.0], [(0, "CANCELLED", False)]))
+        handler = self.ask()
+        self.assertEqual((handler.told, self.script.ends()), ([0.0], [(0, "CANCELLED", False)]))
         self.assertTrue(self.engine.is_idle)
 
-    def test_a_fault_in_the_module_strands_no_query(self) -> None:
+    def test_a_fault_in_the_balancer_strands_no_request(self) -> None:
         self.script.react = lambda event: [][1]
         self.assertEqual(self.ask().told, ["failed"])
 
-        def forgets(event: Any) -> list[Action]:
+        def fail_after_first(event: Any) -> list[Action]:
             return [StartAttempt(event.request_id, NODE)] if isinstance(event, RequestReceived) else [][1]
 
-        self.script.react = forgets
-        asked = self.ask(60)
-        self.until(lambda: asked.told, "the guard")
-        self.assertEqual(asked.told, ["failed"])
+        self.script.react = fail_after_first
+        handler = self.ask(60)
+        self.until(lambda: handler.told, "the guard timer")
+        self.assertEqual(handler.told, ["failed"])
