Describe the tests' network scene and set it up a step a line

Its parts and members say what they keep; timeouts are class constants; the dispatcher with the scripted balancer is made by one method. Members that the tests use keep their names.

--- a/tests/support/network_scene.py
+++ b/tests/support/network_scene.py
@@ -1,4 +1,4 @@
-"""Real sockets for the tests of the network code: peers on the proxy's own loop, and a scripted module."""
+"""Real sockets for the tests of the network code: peers on the proxy's own loop, and a scripted balancer."""
 
 from __future__ import annotations
 
@@ -10,31 +10,35 @@
 from lupinladder.balancing.actions import Action, Fail, StartAttempt
 from lupinladder.balancing.events import AttemptEnded, Event, RequestReceived
 from lupinladder.balancing.settings import RequestClass, Settings
-from lupinladder.net import request_dispatcher as engine_module
+from lupinladder.net import request_dispatcher
+from lupinladder.net.client_command import parse_command
 from lupinladder.net.client_listener import ClientListener
 from lupinladder.net.connection import READ, Address, Connection
-from lupinladder.net.connection_pool import CacheNodeProtocol, ConnectionPool
+from lupinladder.net.connection_pool import CacheNodeProtocol, ConnectionPool, UpstreamProtocol
 from lupinladder.net.descriptor_budget import DescriptorBudget
 from lupinladder.net.event_loop import EventLoop
 from lupinladder.net.origin_protocol import OriginProtocol
 from lupinladder.net.pending_request import PendingRequest
 from lupinladder.net.request_dispatcher import RequestDispatcher
 
-NODE, ORIGIN = b"s-node", b"s-origin"
+NODE = b"s-node"
+ORIGIN = b"s-origin"
 GET = b"*4\r\n$7\r\nOBJ.GET\r\n$2\r\n1f\r\n$1\r\n%b\r\n$12\r\nc=read,d=%d\r\n"
 SERVED = b"*3\r\n$1\r\nV\r\n$3\r\nhit\r\n$-1\r\n"
 MISSED = b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n"
 
 
 def get(ident: bytes = b"a", wait: int = 900) -> bytes:
+    """A read under this id, whose client waits so many ms."""
     return GET % (ident, wait)
 
 
 class RecordingPeer:
-    """The other end of one connection."""
+    """The other end of one connection; it keeps the bytes that came and how the connection ended."""
 
     def __init__(self) -> None:
-        self.got, self.ends = b"", list[bool]()
+        self.got = b""
+        self.ends = list[bool]()  # by_peer of each on_closed
         self.conn: Connection
 
     def on_connected(self) -> None:
@@ -56,7 +60,7 @@
 
 
 class RecordingListener:
-    """A listener on a port of its own, and whoever came."""
+    """A listener on a port of its own, and a peer for each connection accepted."""
 
     def __init__(self, loop: EventLoop) -> None:
         self.peers = list[RecordingPeer]()
@@ -77,31 +81,31 @@
 
 
 class ScriptedBalancer:
-    """Stands in for the Balancer: keeps the events and does as told."""
+    """Stands in for the Balancer: keeps the events and answers each by `react`."""
 
     def __init__(self) -> None:
         self.events = list[Event]()
         self.react: Callable[[Any], list[Action]] = lambda event: []
-        self.depth = 0
+        self._handling = False
 
     def start(self, now: float) -> list[Action]:
         return []
 
     def handle(self, event: Event, now: float) -> list[Action]:
-        assert not self.depth, "entered again from within"
-        self.depth += 1
+        assert not self._handling, "entered again from within"
+        self._handling = True
         try:
             self.events.append(event)
             return self.react(event)
         finally:
-            self.depth -= 1
+            self._handling = False
 
     def ends(self) -> list[tuple[int, str, bool]]:
-        """(attempt, outcome, over) of the attempts ended so far."""
+        """(attempt, outcome, request_finished) of the attempts ended so far."""
         return [
-            (e.attempt, e.outcome.name, e.request_finished)
-            for e in self.events
-            if isinstance(e, AttemptEnded)
+            (event.attempt, event.outcome.name, event.request_finished)
+            for event in self.events
+            if isinstance(event, AttemptEnded)
         ]
 
 
@@ -119,10 +123,10 @@
 
 
 class RecordingHandler:
-    """An asker that keeps what it was told."""
+    """A response handler that keeps what it was told."""
 
     def __init__(self) -> None:
-        self.told = list[object]()
+        self.told = list[object]()  # a value, the wait of a rejection, or "failed"
         self.query: PendingRequest | None = None
 
     def on_served(self, value: bytes) -> None:
@@ -136,68 +140,88 @@
 
 
 class NetworkScene(TestCase):
-    """A front, an engine with a scripted module, one cache node and the origin, all on one loop."""
+    """A listener, a dispatcher with a scripted balancer, one cache node and the origin, all on one loop."""
 
-    IDLE_MS, STREAMS, SOCKETS, MAX_OPEN = 10_000.0, 1, 100, 50
+    IDLE_MS = 10_000.0
+    CONNECT_TIMEOUT_MS = 120.0
+    STREAMS = 1
+    SOCKETS = 100
+    MAX_OPEN = 50
     TENANTS: ClassVar[list[str]] = []
+    UNTIL_TIMEOUT_MS = 5000.0
 
     def setUp(self) -> None:
         quiet = mock.patch("builtins.print")
         quiet.start()
         self.addCleanup(quiet.stop)
-        self.loop, self.budget, self.script = EventLoop(), DescriptorBudget(self.SOCKETS), ScriptedBalancer()
-        self.node, self.origin = RecordingListener(self.loop), RecordingListener(self.loop)
+        self.loop = EventLoop()
+        self.budget = DescriptorBudget(self.SOCKETS)
+        self.script = ScriptedBalancer()
+        self.script.react = once_to()
+        self.node = RecordingListener(self.loop)
         self.addCleanup(self.node.close)
+        self.origin = RecordingListener(self.loop)
         self.addCleanup(self.origin.close)
         self.links = {
             NODE: self.link(self.node.address, CacheNodeProtocol([])),
             ORIGIN: self.link(self.origin.address, OriginProtocol(self.origin.address, [])),
         }
-        settings = Settings([RequestClass(500, 1500)], max_attempts=2, max_retry_after=400.0)
-        with mock.patch.object(engine_module, "Balancer", lambda *_: self.script):
-            self.engine = RequestDispatcher(
-                self.loop, settings, 1, self.links.get, lambda: None, self.MAX_OPEN
-            )
+        self.engine = self._dispatcher()
         self.front = ClientListener(
             self.loop, self.budget, self.engine, ("127.0.0.1", 0), ["read"], self.TENANTS
         )
         self.address: Address = self.front._sock.getsockname()
         self.addCleanup(self.front._sock.close)
-        self.script.react = once_to()
 
-    def link(self, address: Address, dialect: Any) -> ConnectionPool:
-        return ConnectionPool(self.loop, self.budget, address, dialect, self.IDLE_MS, 120.0, self.STREAMS)
+    def _dispatcher(self) -> RequestDispatcher:
+        settings = Settings([RequestClass(500, 1500)], max_attempts=2, max_retry_after=400.0)
+        with mock.patch.object(request_dispatcher, "Balancer", lambda *_: self.script):
+            return RequestDispatcher(self.loop, settings, 1, self.links.get, lambda: None, self.MAX_OPEN)
+
+    def link(self, address: Address, protocol: UpstreamProtocol) -> ConnectionPool:
+        """A pool of connections to this address."""
+        return ConnectionPool(
+            self.loop,
+            self.budget,
+            address,
+            protocol,
+            self.IDLE_MS,
+            self.CONNECT_TIMEOUT_MS,
+            self.STREAMS,
+        )
 
     def until(self, done: Callable[[], object], what: str = "") -> None:
-        """Turn the loop until it is so; a test fails after 5 s."""
+        """Turn the loop until `done`; a test fails after 5 s."""
         late = list[bool]()
-        limit = self.loop.call_at(self.loop.now() + 5000, lambda: late.append(True))
+        limit = self.loop.call_at(self.loop.now() + self.UNTIL_TIMEOUT_MS, lambda: late.append(True))
         while not done():
             self.loop.run_once()
             self.assertFalse(late, f"never came: {what}")
         self.loop.cancel(limit)
 
     def client(self, data: bytes = b"") -> RecordingPeer:
+        """A client that has connected to the listener and sends this."""
         peer = RecordingPeer()
         peer.conn = Connection.connect(self.loop, DescriptorBudget(99), self.address, peer)
         peer.conn.send(data)
         return peer
 
     def ask(self, wait: float = 900) -> RecordingHandler:
-        """A query straight to the engine."""
-        from lupinladder.net.client_command import parse_command
-
-        asked = RecordingHandler()
-        content = parse_command([b"OBJ.GET", b"1f", b"a", b"c=read,d=%d" % wait], ["read"])
-        asked.query = self.engine.dispatch(content, lambda n: RequestReceived(n, 0, wait), asked)
-        return asked
+        """A read given straight to the dispatcher, by a client that waits so many ms."""
+        handler = RecordingHandler()
+        command = parse_command([b"OBJ.GET", b"1f", b"a", b"c=read,d=%d" % wait], ["read"])
+        handler.query = self.engine.dispatch(
+            command, lambda number: RequestReceived(number, 0, wait), handler
+        )
+        return handler
 
-    def at_node(self, number: int = 0, door: RecordingListener | None = None) -> RecordingPeer:
-        """The connection of this number at the node, once a request has come on it."""
-        door = door or self.node
-        self.until(lambda: len(door.peers) > number and door.peers[number].got, "a request")
-        return door.peers[number]
+    def at_node(self, number: int = 0, listener: RecordingListener | None = None) -> RecordingPeer:
+        """The connection of this number at the node, or another listener, once a request has come on it."""
+        peers = (listener or self.node).peers
+        self.until(lambda: len(peers) > number and peers[number].got, "a request")
+        return peers[number]
 
     def answers(self, peer: RecordingPeer, data: bytes) -> None:
+        """Wait until this peer has so many bytes, which must be these."""
         self.until(lambda: len(peer.got) >= len(data) or peer.ends, "an answer")
         self.assertEqual(peer.got, data)
