--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -1,4 +1,4 @@
-"""The whole proxy as a process: start, reload and stop."""
+"""The whole proxy as a process: start, reload and shutdown."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 from pathlib import Path
+from typing import Any
 from unittest import mock
 
 from lupinladder.net.discovery import endpoint_registry
@@ -19,127 +20,132 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 
-
 PING = b"*1\r\n$4\r\nPING\r\n"
+END_TIMEOUT_S = 30
+
 
+class ProxyProcess(NetworkScene):
+    """The program itself, as deploy/balancer.toml starts it, with its configuration in a file."""
 
-class Program(NetworkScene):
-    """The program itself, as deploy/balancer.toml starts it."""
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.config_path = Path(folder.name) / "config.json"
 
     def start(self, env: dict[str, str]) -> subprocess.Popen[bytes]:
         return subprocess.Popen(
             [sys.executable, "-m", "lupinladder"], cwd=ROOT, env={**os.environ, **env}, stderr=subprocess.PIPE
         )
 
+    def configuration(self) -> dict[str, Any]:
+        """A configuration that names a free port to listen on and this scene's node as the one endpoint."""
+        conf = configuration()
+        with socket.create_server(("127.0.0.1", 0)) as spare:
+            conf["listen"] = f"127.0.0.1:{spare.getsockname()[1]}"
+        conf["known"] = listing(type="m2", address=f"127.0.0.1:{self.node.address[1]}", since_ms=0)
+        return conf
+
+    def start_listening(self, conf: dict[str, Any]) -> subprocess.Popen[bytes]:
+        """Start with this configuration, and return once the proxy listens. `client` then connects to it."""
+        self.config_path.write_text(json.dumps(conf))
+        process = self.start({"GW_CONFIG": str(self.config_path)})
+        assert process.stderr
+        self.assertTrue(process.stderr.readline().startswith(b"lupinladder: metrics"), "it does not listen")
+        self.address = endpoint_registry.parse_address(conf["listen"])
+        return process
+
+
+class BadStart(ProxyProcess):
+    def test_a_bad_configuration_is_one_plain_line(self) -> None:
+        with self.start({"GW_CONFIG": "/nowhere"}) as process:
+            _, errors = process.communicate(timeout=END_TIMEOUT_S)
+        self.assertEqual((process.returncode, errors.count(b"\n")), (2, 1))
+
+
+class Log(NetworkScene):
     def test_a_log_that_nobody_reads_any_more_does_no_harm(self) -> None:
         broken = mock.patch("builtins.print", side_effect=BrokenPipeError)
         with broken:
             log_event("test", detail="x")
 
-    def test_a_bad_configuration_is_one_plain_line(self) -> None:
-        with self.start({"GW_CONFIG": "/nowhere"}) as process:
-            _, errors = process.communicate(timeout=30)
-        self.assertEqual((process.returncode, errors.count(b"\n")), (2, 1))
 
-    def test_told_to_reload_it_follows_the_list_at_the_new_address_and_goes_on(self) -> None:
-        doors = [RecordingListener(self.loop) for _ in range(2)]
-        conf = configuration()
-        with socket.create_server(("127.0.0.1", 0)) as spare:
-            conf["listen"] = f"127.0.0.1:{spare.getsockname()[1]}"
-        conf["known"] = listing(type="m2", address=f"127.0.0.1:{self.node.address[1]}", since_ms=0)
+class Reload(ProxyProcess):
+    def test_on_sighup_it_follows_the_list_at_the_new_address_and_goes_on(self) -> None:
+        listeners = [RecordingListener(self.loop) for _ in range(2)]
+        for listener in listeners:
+            self.addCleanup(listener.close)
+        conf = self.configuration()
         conf["settings"]["obligations"]["ask-within-ms"] = 50.0
-        with tempfile.TemporaryDirectory() as folder:
-            path = Path(folder) / "config.json"
-
-            def write(door: RecordingListener) -> None:
-                conf["discovery"] = f"127.0.0.1:{door.address[1]}"
-                path.write_text(json.dumps(conf))
-
-            write(doors[0])
-            with self.start({"GW_CONFIG": str(path)}) as process:
-                assert process.stderr
-                process.stderr.readline()  # it listens
-                self.until(lambda: doors[0].peers, "the first watch")
-                self.address = endpoint_registry.parse_address(conf["listen"])
-                client = self.client(get())
-                node = self.at_node()
-                path.write_text("{")
-                process.send_signal(signal.SIGHUP)
-                self.assertIn(b"reload_rejected error=", process.stderr.readline())
-                write(doors[1])
-                for _ in range(50):
-                    process.send_signal(signal.SIGHUP)
-                self.until(lambda: doors[1].peers and doors[1].peers[0].got, "the second watch")
-                self.assertIn(b"index=4 ", doors[1].peers[0].got)
-                node.conn.send(SERVED)
-                self.answers(client, b"$1\r\nV\r\n")
-                process.send_signal(signal.SIGTERM)
+        conf["discovery"] = f"127.0.0.1:{listeners[0].address[1]}"
+        with self.start_listening(conf) as process:
+            assert process.stderr
+            self.until(lambda: listeners[0].peers, "the first watch")
+            client = self.client(get())
+            node = self.at_node()
+            self.config_path.write_text("{")
+            process.send_signal(signal.SIGHUP)
+            self.assertIn(b"reload_rejected error=", process.stderr.readline())
+            conf["discovery"] = f"127.0.0.1:{listeners[1].address[1]}"
+            self.config_path.write_text(json.dumps(conf))
+            for _ in range(50):
                 process.send_signal(signal.SIGHUP)
-                self.until(lambda: client.ends, "the end")
-                client.conn.close()
-                process.communicate(timeout=30)
-        self.assertEqual((process.returncode, len(doors[1].peers)), (0, 1))
-        for door in doors:
-            door.close()
-
-    def test_a_pushed_list_is_followed_from_the_first_moment_and_again_when_its_watch_is_lost(self) -> None:
-        door, conf = RecordingListener(self.loop), configuration()
-        self.addCleanup(door.close)
-        with socket.create_server(("127.0.0.1", 0)) as spare:
-            conf["listen"] = f"127.0.0.1:{spare.getsockname()[1]}"
-        conf["discovery"] = f"127.0.0.1:{door.address[1]}"
-        conf["known"] = listing(type="m2", address=f"127.0.0.1:{self.node.address[1]}", since_ms=0)
+            self.until(lambda: listeners[1].peers and listeners[1].peers[0].got, "the second watch")
+            self.assertIn(b"index=4 ", listeners[1].peers[0].got)
+            node.conn.send(SERVED)
+            self.answers(client, b"$1\r\nV\r\n")
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGHUP)
+            self.until(lambda: client.ends, "the end")
+            client.conn.close()
+            process.communicate(timeout=END_TIMEOUT_S)
+        self.assertEqual((process.returncode, len(listeners[1].peers)), (0, 1))
+
+
+class PushedList(ProxyProcess):
+    def test_it_is_watched_from_the_first_moment_and_again_when_its_watch_is_lost(self) -> None:
+        discovery = RecordingListener(self.loop)
+        self.addCleanup(discovery.close)
+        conf = self.configuration()
+        conf["discovery"] = f"127.0.0.1:{discovery.address[1]}"
         conf["settings"]["membership-mode"] = "push"
         conf["settings"]["obligations"] |= {"ask-within-ms": 60000.0, "stop-sending-within-ms": 400.0}
-        with tempfile.TemporaryDirectory() as folder:
-            path = Path(folder) / "config.json"
-            path.write_text(json.dumps(conf))
-            process = self.start({"GW_CONFIG": str(path)})
-            self.addCleanup(process.communicate)
-            self.addCleanup(process.kill)
-            assert process.stderr
-            process.stderr.readline()  # it listens
-            for number in range(3):
-                self.at_node(number, door).reset()
-            watch = self.at_node(3, door)
-            gone = listing(type="m2", status="leaving", since_ms=0)
-            text = json.dumps({**gone, "index": 9, "snapshot": False}).encode() + b"\n"
-            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-            watch.conn.send(head + b"%x\r\n%b\r\n" % (len(text), text))
-            self.address = endpoint_registry.parse_address(conf["listen"])
-            self.until(lambda: self.refused(), "nothing sent to the node that leaves")
-
-    def refused(self) -> bool:
-        """Whether a request is refused, as nobody may be sent one."""
+        process = self.start_listening(conf)
+        self.addCleanup(process.communicate)
+        self.addCleanup(process.kill)
+        for number in range(3):
+            self.at_node(number, discovery).reset()
+        watch = self.at_node(3, discovery)
+        draining = listing(type="m2", status="leaving", since_ms=0)
+        text = json.dumps({**draining, "index": 9, "snapshot": False}).encode() + b"\n"
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        watch.conn.send(head + b"%x\r\n%b\r\n" % (len(text), text))
+        self.until(lambda: self.is_rejected(), "nothing sent to the node that leaves")
+
+    def is_rejected(self) -> bool:
+        """Whether a request is rejected, as no node may be sent one."""
         client = self.client(get(wait=100))
         self.until(lambda: client.got, "an answer")
         client.conn.close()
         return client.got.startswith(b"-BUSY")
 
-    def test_told_to_stop_it_answers_what_it_took_and_ends_with_0(self) -> None:
-        with socket.create_server(("127.0.0.1", 0)) as spare:
-            listen = f"127.0.0.1:{spare.getsockname()[1]}"
-        where = f"127.0.0.1:{self.node.address[1]}"
-        known = listing(type="m2", address=where, since_ms=0)
-        with tempfile.TemporaryDirectory() as folder:
-            path = Path(folder) / "config.json"
-            path.write_text(json.dumps({**configuration(), "listen": listen, "known": known}))
-            with self.start({"GW_CONFIG": str(path)}) as process:
-                assert process.stderr
-                process.stderr.readline()  # it listens
-                self.address = endpoint_registry.parse_address(listen)
-                client, idle = self.client(get()), self.client(PING)
-                self.answers(idle, b"+PONG\r\n")
-                node = self.at_node()
-                process.send_signal(signal.SIGTERM)
-                late = self.client(PING)
-                self.answers(late, b"+PONG\r\n")  # still accepting
-                self.until(lambda: idle.ends and late.ends, "idle connections to end")
-                self.assertEqual((idle.ends, client.ends), ([True], []))
-                node.conn.send(SERVED)
-                self.until(lambda: client.ends, "the last answer")
-                self.assertEqual((client.got, client.ends), (b"$1\r\nV\r\n", [True]))
-                for peer in (client, idle, late):
-                    peer.conn.close()
-                process.communicate(timeout=30)
+
+class Shutdown(ProxyProcess):
+    def test_on_sigterm_it_answers_what_it_took_and_ends_with_0(self) -> None:
+        with self.start_listening(self.configuration()) as process:
+            client = self.client(get())
+            idle = self.client(PING)
+            self.answers(idle, b"+PONG\r\n")
+            node = self.at_node()
+            process.send_signal(signal.SIGTERM)
+            late = self.client(PING)
+            self.answers(late, b"+PONG\r\n")  # still accepting
+            self.until(lambda: idle.ends and late.ends, "idle connections to end")
+            self.assertEqual((idle.ends, client.ends), ([True], []))
+            node.conn.send(SERVED)
+            self.until(lambda: client.ends, "the last answer")
+            self.assertEqual((client.got, client.ends), (b"$1\r\nV\r\n", [True]))
+            for peer in (client, idle, late):
+                peer.conn.close()
+            process.communicate(timeout=END_TIMEOUT_S)
         self.assertEqual(process.returncode, 0)
