Test by today's names that the program's start imports nothing optional

The start of a proxy may need neither the command line nor the operator's packages. The test names the optional modules as they are called now; it fails when proxy.py is made to import msgspec.

--- a/lupinladder/net/config.py
+++ b/lupinladder/net/config.py
@@ -80,7 +80,7 @@
     settings_tree = read_value(tree, "settings", dict)
     settings = parse_settings(json.dumps(settings_tree))
     zones = [str(zone) for zone in read_value(settings_tree, "zones", list)]
-    kinds = [str(kind) for kind in read_value(settings_tree, "kinds", list)]
+    kinds = [str(server_kind) for server_kind in read_value(settings_tree, "kinds", list)]
     endpoint_parser = EndpointParser(zones, kinds)
     known = read_value(tree, "known", dict)
     endpoint_parser.read(known)  # a list that cannot be read is refused here, not at its first use
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import unittest
 from pathlib import Path
 from typing import Any
 from unittest import mock
@@ -22,6 +23,17 @@
 
 PING = b"*1\r\n$4\r\nPING\r\n"
 END_TIMEOUT_S = 30
+# What the platform's start does without: the command line, the emulator and what an operator may switch on.
+OPTIONAL_MODULES = (
+    "click",
+    "msgspec",
+    "lupinladder.cli",
+    "lupinladder.emulator",
+    "lupinladder.net.state_persister",
+    "lupinladder.operator_config",
+    "lupinladder.recovery",
+    "lupinladder.store",
+)
 
 
 class ProxyProcess(NetworkScene):
@@ -63,6 +75,17 @@
         self.assertEqual((process.returncode, errors.count(b"\n")), (2, 1))
 
 
+class Imports(unittest.TestCase):
+    def test_the_program_imports_nothing_optional(self) -> None:
+        code = "import sys, lupinladder.__main__; print(*sys.modules)"
+        ran = subprocess.run(
+            [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
+        )
+        imported = ran.stdout.split()
+        self.assertIn("lupinladder.proxy", imported)
+        self.assertEqual([name for name in imported if name.startswith(OPTIONAL_MODULES)], [])
+
+
 class Log(NetworkScene):
     def test_a_log_that_nobody_reads_any_more_does_no_harm(self) -> None:
         broken = mock.patch("builtins.print", side_effect=BrokenPipeError)
