--- a/lupinladder/net/log.py
+++ b/lupinladder/net/log.py
@@ -6,6 +6,7 @@
 import re
 import sys
 import time
+import traceback
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -26,7 +27,8 @@
 
 
 def log_event(event: str, /, **facts: object) -> None:
-    """Print one line of this event, unless too many were printed in this second."""
+    """Print one line of this event, unless too many were printed in this second. Never raises for an output
+    that is closed."""
     second = int(time.monotonic())
     rate = _rates.setdefault(event, _Rate(second))
     if rate.second != second:
@@ -44,6 +46,11 @@
         print(f"lupinladder: {line}", file=sys.stderr, flush=True)
 
 
+def format_traceback() -> str:
+    """The traceback of the exception that is being handled, on one line."""
+    return traceback.format_exc().strip().replace("\n", " | ")
+
+
 def _format_value(value: object) -> str:
     """A value as one word, in quotes where it would not be one."""
     text = str(value)
--- a/tests/net/test_client_connection.py
+++ b/tests/net/test_client_connection.py
@@ -12,13 +12,13 @@
 from lupinladder.net import connection
 from lupinladder.net.client_connection import MAX_PIPELINE_DEPTH
 from lupinladder.net.connection import Connection
-from tests.support.network_scene import MISSED, ORIGIN, SERVED, Scene, get, once_to
+from tests.support.network_scene import MISSED, ORIGIN, SERVED, NetworkScene, get, once_to
 
 PING = b"*1\r\n$4\r\nPING\r\n"
 HTTP_OK = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nV"
 
 
-class Forwarding(Scene):
+class Forwarding(NetworkScene):
     def test_a_hit_is_forwarded_with_nothing_changed_but_the_deadline(self) -> None:
         client = self.client(get())
         node = self.at_node()
@@ -68,7 +68,7 @@
             self.assertEqual(request.timeout, timeout)
 
 
-class Pipelining(Scene):
+class Pipelining(NetworkScene):
     def test_pipelined_commands_are_answered_in_order_and_invalid_ones_do_no_harm(self) -> None:
         invalid = b"*1\r\n$7\r\nOBJ.GET\r\n"
         client = self.client(get() + PING + invalid + get(b"b"))
@@ -106,7 +106,7 @@
         self.assertEqual(client.got, value * 32)
 
 
-class FramingErrors(Scene):
+class FramingErrors(NetworkScene):
     def test_a_framing_error_is_told_after_the_pending_replies_and_closes(self) -> None:
         client = self.client(get() + b"GET / HTTP/1.1\r\n\r\n")
         self.at_node().conn.send(SERVED)
@@ -131,7 +131,7 @@
         self.assertLess(len(accepted.conn.inbox), 1 << 17)
 
 
-class Disconnects(Scene):
+class Disconnects(NetworkScene):
     def disconnected(self) -> set[int]:
         return {event.request_id for event in self.script.events if isinstance(event, ClientDisconnected)}
 
@@ -175,7 +175,7 @@
         self.assertTrue(self.engine.is_idle)
 
 
-class RequestIds(Scene):
+class RequestIds(NetworkScene):
     def test_the_id_of_an_open_request_is_an_error_until_that_one_is_answered_or_disconnected(self) -> None:
         first = self.client(get())
         disconnecting = self.client(get(b"b"))
@@ -192,7 +192,7 @@
         self.until(lambda: sum(isinstance(e, RequestReceived) for e in self.script.events) == 4, "both")
 
 
-class Tenants(Scene):
+class Tenants(NetworkScene):
     TENANTS: ClassVar[list[str]] = ["a", "b"]
 
     def test_each_request_counts_for_its_own_tenant_and_an_unknown_tenant_is_an_error(self) -> None:
--- a/tests/net/test_client_listener.py
+++ b/tests/net/test_client_listener.py
@@ -12,13 +12,13 @@
 from lupinladder.net import client_connection
 from lupinladder.net.client_listener import MAX_ACCEPTS_PER_EVENT
 from lupinladder.net.connection import Connection
-from tests.support.network_scene import SERVED, Peer, Scene, get
+from tests.support.network_scene import SERVED, NetworkScene, RecordingPeer, get
 
 PING = b"*1\r\n$4\r\nPING\r\n"
 
 
-class Timeouts(Scene):
-    def until_closed(self, peer: Peer) -> None:
+class Timeouts(NetworkScene):
+    def until_closed(self, peer: RecordingPeer) -> None:
         self.until(lambda: peer.ends, "a close")
 
     def test_clients_that_send_nothing_or_half_a_command_are_closed_and_others_stay(self) -> None:
@@ -44,7 +44,7 @@
         self.answers(waiting, b"$1\r\nV\r\n")
 
 
-class Shutdown(Scene):
+class Shutdown(NetworkScene):
     def shut_down_at_once(self) -> None:
         """Do all at once what a shutdown does within half a second."""
         self.front.shut_down()
--- a/tests/net/test_connection_pool.py
+++ b/tests/net/test_connection_pool.py
@@ -4,13 +4,22 @@
 
 from unittest import mock
 
-from tests.support.network_scene import NODE, ORIGIN, SERVED, Asked, Door, Peer, Scene, once_to
+from tests.support.network_scene import (
+    NODE,
+    ORIGIN,
+    SERVED,
+    NetworkScene,
+    RecordingHandler,
+    RecordingListener,
+    RecordingPeer,
+    once_to,
+)
 
 PING = b"*1\r\n$4\r\nPING\r\n"
 OK_HTTP = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nV"
 
 
-class ConnectionReuse(Scene):
+class ConnectionReuse(NetworkScene):
     IDLE_MS = 2000.0
 
     def test_the_last_used_is_taken_first_and_idle_ones_close_before_the_server_does(self) -> None:
@@ -50,15 +59,17 @@
                 self.assertGreater(len(door.peers), connections_before)
                 other_peer.got = b""
 
-    def requested(self, door: Door, other_than: Peer | None = None) -> Peer:
+    def requested(self, door: RecordingListener, other_than: RecordingPeer | None = None) -> RecordingPeer:
         """The one connection at the door on which a request has come, which is not this other one."""
         self.until(lambda: any(peer.got for peer in door.peers if peer is not other_than), "a request")
         [peer] = [peer for peer in door.peers if peer.got]
         return peer
 
-    def ask_when_served(self, first: Asked, peer: Peer, data: bytes, ends: bool) -> Asked:
+    def ask_when_served(
+        self, first: RecordingHandler, peer: RecordingPeer, data: bytes, ends: bool
+    ) -> RecordingHandler:
         """Send the reply to the first request, and ask again from within the call that passes it on."""
-        second = list[Asked]()
+        second = list[RecordingHandler]()
 
         def on_served(value: bytes) -> None:
             if ends:
@@ -91,7 +102,7 @@
         self.assertEqual(asked.told, [b"V"])
 
 
-class DescriptorShortage(Scene):
+class DescriptorShortage(NetworkScene):
     SOCKETS = 2
     STREAMS = 2
     MAX_OPEN = 3
--- a/tests/net/test_endpoint_registry.py
+++ b/tests/net/test_endpoint_registry.py
@@ -7,7 +7,7 @@
 from lupinladder.balancing.events import EndpointUpdateKind
 from tests.support.discovery_scene import STREAM_HEAD, DiscoveryScene, chunks, delta
 from tests.support.endpoint_lists import listing
-from tests.support.network_scene import Door
+from tests.support.network_scene import RecordingListener
 
 
 class Updates(DiscoveryScene):
@@ -35,7 +35,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.moved = Door(self.loop)
+        self.moved = RecordingListener(self.loop)
         self.addCleanup(self.moved.close)
 
     def test_the_watch_is_resumed_and_the_previous_one_heard_until_the_new_one_speaks(self) -> None:
--- a/tests/net/test_endpoint_watch.py
+++ b/tests/net/test_endpoint_watch.py
@@ -14,7 +14,7 @@
 from lupinladder.net.event_loop import EventLoop
 from tests.support.discovery_scene import STREAM_HEAD, DiscoveryScene, chunks, delta
 from tests.support.endpoint_lists import ENTRY, listing
-from tests.support.network_scene import Peer
+from tests.support.network_scene import RecordingPeer
 
 
 def silence_timeout(timeout_ms: float) -> Any:
@@ -48,7 +48,7 @@
                 self.assertEqual(self.update_kinds(), ["FAILED"])
                 self.updates.clear()
 
-    def trickle(self, peer: Peer, data: bytes) -> None:
+    def trickle(self, peer: RecordingPeer, data: bytes) -> None:
         """Send these bytes every 5 ms, until the watch is given up."""
         if not self.updates and not peer.ends:
             peer.conn.send(data)
--- a/tests/net/test_idle_client_tracker.py
+++ b/tests/net/test_idle_client_tracker.py
@@ -5,12 +5,12 @@
 from unittest import mock
 
 from lupinladder.net import idle_client_tracker
-from tests.support.network_scene import SERVED, Scene, get
+from tests.support.network_scene import SERVED, NetworkScene, get
 
 PING = b"*1\r\n$4\r\nPING\r\n"
 
 
-class Eviction(Scene):
+class Eviction(NetworkScene):
     def test_clients_that_send_one_command_make_room_and_those_that_return_are_kept(self) -> None:
         """Incident r0d6542: such connections filled the clients' share, and nobody could connect any more."""
         for _ in range(60):  # of other clients: the second command comes soon, or never
--- a/tests/net/test_upstream_connection.py
+++ b/tests/net/test_upstream_connection.py
@@ -13,20 +13,31 @@
 from lupinladder.net.connection import Connection
 from lupinladder.net.origin_protocol import OriginReplyReader
 from lupinladder.net.upstream_connection import UpstreamConnection
-from tests.support.network_scene import MISSED, NODE, ORIGIN, SERVED, Asked, Door, Peer, Scene, get, once_to
-
-
-def wait_until(scene: Scene, time: float) -> None:
+from tests.support.network_scene import (
+    MISSED,
+    NODE,
+    ORIGIN,
+    SERVED,
+    NetworkScene,
+    RecordingHandler,
+    RecordingListener,
+    RecordingPeer,
+    get,
+    once_to,
+)
+
+
+def wait_until(scene: NetworkScene, time: float) -> None:
     """Turn the loop until this time, in ms on its clock."""
     passed = list[bool]()
     scene.loop.call_at(time, lambda: passed.append(True))
     scene.until(lambda: passed, "a time")
 
 
-class AttemptOutcomes(Scene):
+class AttemptOutcomes(NetworkScene):
     """CONNECT_FAILED proves that an attempt never ran, RESET says that it may have."""
 
-    def outcome(self, asked: Asked) -> str:
+    def outcome(self, asked: RecordingHandler) -> str:
         self.until(lambda: asked.told, "an end")
         self.assertEqual(asked.told, ["failed"])
         return self.script.ends()[0][1]
@@ -47,7 +58,7 @@
         large = mock.patch(
             "tests.support.network_scene.CacheNodeProtocol.encode", return_value=b"x" * 150_000
         )
-        with large, mock.patch("tests.support.network_scene.Peer.on_data"):  # the node does not read
+        with large, mock.patch("tests.support.network_scene.RecordingPeer.on_data"):  # the node does not read
             self.until(lambda: self.node.peers and upstream.connection.bytes_sent, "some bytes")
             self.node.peers[0].reset()
             self.assertEqual(self.outcome(asked), "CONNECT_FAILED")
@@ -72,7 +83,7 @@
     def test_a_response_without_a_length_is_whole_only_at_an_orderly_end(self) -> None:
         self.script.react = once_to(ORIGIN)
         head = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
-        cases: list[tuple[Callable[[Peer], None], str]] = [
+        cases: list[tuple[Callable[[RecordingPeer], None], str]] = [
             (lambda peer: peer.conn.close_gracefully(), "OK"),
             (lambda peer: peer.reset(), "RESET"),
             (lambda peer: peer.conn.send(b"x" * (1 << 20)), "RESET"),  # longer than any answer: it never ends
@@ -96,7 +107,7 @@
         self.until(lambda: node.ends, "the end of the connection")
 
 
-class RemainingTime(Scene):
+class RemainingTime(NetworkScene):
     """An attempt tells its server at most the time that is left to the client when it is written."""
 
     LABELS = b"c=read,k=5c,d=900,r=1,size=3"
@@ -135,7 +146,7 @@
         self.check_origin_is_told(self.command(b"OBJ.SET", b"V"))
 
     def test_a_second_cache_node_is_told_the_time_that_the_first_leaves(self) -> None:
-        second = Door(self.loop)
+        second = RecordingListener(self.loop)
         self.addCleanup(second.close)
         self.links[b"s-second"] = self.link(second.address, CacheNodeProtocol([]))
         left = self.miss_after(80, self.command(b"OBJ.GET"), b"s-second")
@@ -172,7 +183,7 @@
         self._patch.stop()
 
 
-class UnsentAttempts(Scene):
+class UnsentAttempts(NetworkScene):
     """What may change between the decision and the first byte, while a connection comes up late."""
 
     STREAMS = 8
--- a/tests/support/discovery_scene.py
+++ b/tests/support/discovery_scene.py
@@ -9,7 +9,7 @@
 from lupinladder.net.discovery.endpoint_registry import EndpointRegistry
 from lupinladder.net.discovery.endpoint_watch import EndpointWatch
 from tests.support.endpoint_lists import ENTRY, PARSER
-from tests.support.network_scene import Door, Peer, Scene
+from tests.support.network_scene import NetworkScene, RecordingListener, RecordingPeer
 
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -25,12 +25,12 @@
     return json.dumps(tree).encode()
 
 
-class DiscoveryScene(Scene):
+class DiscoveryScene(NetworkScene):
     """A registry, the updates of which it has notified, and discovery's listener."""
 
     def setUp(self) -> None:
         super().setUp()
-        self.discovery = Door(self.loop)
+        self.discovery = RecordingListener(self.loop)
         self.addCleanup(self.discovery.close)
         self.updates = list[EndpointUpdate]()
         self.registry = EndpointRegistry(
@@ -42,13 +42,13 @@
             self.updates.append,
         )
 
-    def open_watch(self) -> Peer:
+    def open_watch(self) -> RecordingPeer:
         """Open a watch. Returns discovery's end of it, once the request has come."""
         opened_before = len(self.discovery.peers)
         self.registry.open_watch()
         return self.at_node(opened_before, self.discovery)
 
-    def follow(self, *lines: bytes, status: bytes = b"200 OK") -> Peer:
+    def follow(self, *lines: bytes, status: bytes = b"200 OK") -> RecordingPeer:
         """Open a watch and answer it with these lines as chunks. Returns discovery's end of it."""
         peer = self.open_watch()
         peer.conn.send(STREAM_HEAD.replace(b"200 OK", status))
