Import each name from the module that defines it, and drop the re-exports

Cause: parts that were worked on side by side kept the moved names importable from their old modules. Change: imports only, and the dispatcher's `_requests`; the persister's facts of a warm start are what its tests read in place of a line made for them. The warm start is logged once, by the persister. Seen: tests/net and tests/test_proxy.py pass, ruff and mypy clean.

--- a/lupinladder/net/cache_node_protocol.py
+++ b/lupinladder/net/cache_node_protocol.py
@@ -6,17 +6,17 @@
 
 from lupinladder.balancing.events import CacheResult, Outcome
 from lupinladder.net import resp
-from lupinladder.net.client_command import (
+from lupinladder.net.client_command import ClientCommand
+from lupinladder.net.log import log_event
+from lupinladder.net.metrics import metrics
+from lupinladder.net.ring_buffer import RingBuffer
+from lupinladder.net.upstream_protocol import UpstreamProtocolError
+from lupinladder.net.upstream_reply import (
     CACHE_RESULTS,
     MAX_REPLY_VALUE_BYTES,
-    ClientCommand,
     UpstreamReply,
     parse_load_report,
 )
-from lupinladder.net.log import log_event
-from lupinladder.net.metrics import metrics
-from lupinladder.net.ring_buffer import RingBuffer
-from lupinladder.net.upstream_protocol import UpstreamProtocolError
 
 MAX_REPLY_ITEMS = 16  # items of an array in a reply
 REJECTION = b"BUSY"  # the first word of the error by which a node rejects a request
--- a/lupinladder/net/client_command.py
+++ b/lupinladder/net/client_command.py
@@ -10,24 +10,6 @@
 
 from lupinladder.balancing.events import RequestReceived
 from lupinladder.errors import LupinladderError
-from lupinladder.net.upstream_reply import (
-    CACHE_RESULTS,
-    MAX_REPLY_VALUE_BYTES,
-    UpstreamReply,
-    parse_load_report,
-)
-
-__all__ = [  # the names of `upstream_reply` were defined here once, and are still imported from here
-    "CACHE_RESULTS",
-    "MAX_REPLY_VALUE_BYTES",
-    "MAX_STORED_VALUE_BYTES",
-    "ClientCommand",
-    "CommandError",
-    "CommandFault",
-    "UpstreamReply",
-    "parse_command",
-    "parse_load_report",
-]
 
 MAX_STORED_VALUE_BYTES = 64 << 10  # of a value that a client may store
 MAX_LABELS_BYTES = 1024
--- a/lupinladder/net/client_listener.py
+++ b/lupinladder/net/client_listener.py
@@ -8,16 +8,14 @@
 from lupinladder.connection_limits.idle_return_estimator import IdleReturnEstimator
 from lupinladder.graceful_shutdown import ShutdownSchedule
 from lupinladder.net.client_connection import ClientConnection
-from lupinladder.net.connection import READ, Address, Connection, DescriptorBudget
+from lupinladder.net.connection import READ, Address, Connection
+from lupinladder.net.descriptor_budget import DescriptorBudget
 from lupinladder.net.event_loop import EventLoop, Timer
 from lupinladder.net.idle_client_tracker import IdleClientTracker
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
-from lupinladder.net.pending_reply import PendingReply
 from lupinladder.net.request_dispatcher import RequestDispatcher
 
-__all__ = ["MAX_ACCEPTS_PER_EVENT", "ClientListener", "PendingReply"]
-
 LISTEN_BACKLOG = 1024
 MAX_ACCEPTS_PER_EVENT = 64
 UPSTREAM_DESCRIPTOR_DIVISOR = 3  # one part in so many of the descriptors is kept for upstream connections
--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -8,9 +8,7 @@
 from collections.abc import Callable
 
 from lupinladder.net.connection_handler import NULL_HANDLER, ConnectionHandler
-
-# Exported as well: this is where others import it from.
-from lupinladder.net.descriptor_budget import DescriptorBudget as DescriptorBudget
+from lupinladder.net.descriptor_budget import DescriptorBudget
 from lupinladder.net.event_loop import EventLoop, Timer
 from lupinladder.net.metrics import metrics
 from lupinladder.net.ring_buffer import RingBuffer
--- a/lupinladder/net/connection_pool.py
+++ b/lupinladder/net/connection_pool.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from lupinladder.balancing.events import Outcome
-from lupinladder.net.connection import Address, DescriptorBudget, format_address
+from lupinladder.net.connection import Address, format_address
+from lupinladder.net.descriptor_budget import DescriptorBudget
 from lupinladder.net.event_loop import EventLoop
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
-from lupinladder.net.request_dispatcher import Attempt
+from lupinladder.net.pending_request import Attempt
 from lupinladder.net.upstream_connection import UpstreamConnection
 from lupinladder.net.upstream_protocol import UpstreamProtocol
 
--- a/lupinladder/net/discovery/endpoint_registry.py
+++ b/lupinladder/net/discovery/endpoint_registry.py
@@ -7,8 +7,9 @@
 
 from lupinladder.balancing.events import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
 from lupinladder.balancing.settings import ServerId
-from lupinladder.net.connection import Address, DescriptorBudget
+from lupinladder.net.connection import Address
 from lupinladder.net.connection_pool import ConnectionPool
+from lupinladder.net.descriptor_budget import DescriptorBudget
 from lupinladder.net.discovery.endpoint_parser import EndpointList, EndpointParser
 from lupinladder.net.discovery.endpoint_watch import EndpointWatch
 from lupinladder.net.event_loop import EventLoop
--- a/lupinladder/net/discovery/endpoint_watch.py
+++ b/lupinladder/net/discovery/endpoint_watch.py
@@ -5,7 +5,8 @@
 from http import HTTPStatus
 from typing import Protocol
 
-from lupinladder.net.connection import Address, Connection, DescriptorBudget, format_address
+from lupinladder.net.connection import Address, Connection, format_address
+from lupinladder.net.descriptor_budget import DescriptorBudget
 from lupinladder.net.discovery.json_object_stream import JsonObjectStream
 from lupinladder.net.event_loop import EventLoop, Timer
 from lupinladder.net.http import HttpError, HttpResponse, ResponseReader, encode_request
--- a/lupinladder/net/origin_protocol.py
+++ b/lupinladder/net/origin_protocol.py
@@ -7,18 +7,14 @@
 from http import HTTPStatus
 
 from lupinladder.balancing.events import Outcome
-from lupinladder.net.client_command import (
-    MAX_REPLY_VALUE_BYTES,
-    ClientCommand,
-    UpstreamReply,
-    parse_load_report,
-)
+from lupinladder.net.client_command import ClientCommand
 from lupinladder.net.connection import Address, format_address
 from lupinladder.net.http import HttpError, HttpResponse, ResponseReader, encode_request
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
 from lupinladder.net.ring_buffer import RingBuffer
 from lupinladder.net.upstream_protocol import UpstreamProtocolError
+from lupinladder.net.upstream_reply import MAX_REPLY_VALUE_BYTES, UpstreamReply, parse_load_report
 
 LOAD_REPORT_HEADER = "x-pressure"
 REJECTED_HEADER = "x-turned-away"  # with the value 1: the request has not run
--- a/lupinladder/net/pending_reply.py
+++ b/lupinladder/net/pending_reply.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from lupinladder.net import resp
-from lupinladder.net.request_dispatcher import PendingRequest
+from lupinladder.net.pending_request import PendingRequest
 
 if TYPE_CHECKING:
     from lupinladder.net.client_connection import ClientConnection
--- a/lupinladder/net/request_dispatcher.py
+++ b/lupinladder/net/request_dispatcher.py
@@ -37,11 +37,7 @@
 from lupinladder.net.event_loop import EventLoop
 from lupinladder.net.log import format_traceback, log_event
 from lupinladder.net.metrics import metrics
-
-# Attempt and PendingRequest are exported as well: this is where others import them from.
-from lupinladder.net.pending_request import Attempt as Attempt
-from lupinladder.net.pending_request import AttemptExecutor, ResponseHandler
-from lupinladder.net.pending_request import PendingRequest as PendingRequest
+from lupinladder.net.pending_request import Attempt, AttemptExecutor, PendingRequest, ResponseHandler
 
 if TYPE_CHECKING:  # for a type alone: commands are passed on unread
     from lupinladder.net.client_command import ClientCommand
@@ -70,7 +66,7 @@
         self._route = route
         self._watch_endpoints = watch_endpoints
         self._max_open = max_open
-        self._queries: dict[int, PendingRequest] = {}  # by request id; until their last attempt has ended
+        self._requests: dict[int, PendingRequest] = {}  # by request id; until their last attempt has ended
         self._last_request_id = 0
         self._events: deque[Event] = deque()  # not handled yet
         self._handling_events = False
@@ -97,7 +93,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request waits for its answer."""
-        return all(request.finished for request in self._queries.values())
+        return all(request.finished for request in self._requests.values())
 
     def dispatch(
         self,
@@ -108,7 +104,7 @@
         """Take a request; `make_event` words it for the balancer under the given id. None if it was rejected,
         as too many are open for the memory we have."""
         metrics.requests_received += 1
-        if len(self._queries) >= self._max_open:
+        if len(self._requests) >= self._max_open:
             metrics.requests_rejected_for_memory += 1
             handler.on_rejected(self._settings.max_retry_after)
             return None
@@ -116,7 +112,7 @@
         self._last_request_id += 1
         event = make_event(self._last_request_id)
         request = PendingRequest(self._last_request_id, command, now + event.timeout, handler)
-        self._queries[request.request_id] = request
+        self._requests[request.request_id] = request
         request.guard_timer = self._loop.call_at(
             request.deadline + DEADLINE_GRACE_MS, lambda: self._fail_overdue(request)
         )
@@ -153,7 +149,7 @@
         """Let go of a request with nothing more to come. Whatever points back at it is cut here, so that it
         is freed at once: the collector comes seldom, and meanwhile each request would hold some KiB."""
         if request.finished and all(attempt.finished for attempt in request.attempts):
-            self._queries.pop(request.request_id, None)
+            self._requests.pop(request.request_id, None)
             request.attempts.clear()
 
     def notify(self, event: Event) -> None:
@@ -173,10 +169,10 @@
         try:
             actions = self._balancer.handle(event, self._loop.now())
         except Exception:  # noqa: BLE001, RUF100 - the boundary: a fault in a decision costs its request alone
-            self._log_fault(f"module, at {type(event).__name__}")
+            self._log_fault(f"balancer, at {type(event).__name__}")
             # Any other event's request is failed by its guard timer.
-            if isinstance(event, RequestReceived) and event.request_id in self._queries:
-                self._finish(self._queries[event.request_id]).on_failed()
+            if isinstance(event, RequestReceived) and event.request_id in self._requests:
+                self._finish(self._requests[event.request_id]).on_failed()
             return
         for action in actions:
             try:
@@ -201,7 +197,7 @@
                 self._carry_out_for_request(action)
 
     def _carry_out_for_request(self, action: RequestAction) -> None:
-        request = self._queries.get(action.request_id)
+        request = self._requests.get(action.request_id)
         if request is None:
             return  # finished with all its attempts: nothing can be owed or cancelled
         match action:
--- a/lupinladder/net/state_persister.py
+++ b/lupinladder/net/state_persister.py
@@ -138,13 +138,9 @@
         self._generation = self.beginning.generation
         self._writer = StoreWriter(store, lambda: time.time() * 1000 - clock_offset_ms)
 
-    def report(self) -> str:
-        """What this start begins with, in one line."""
-        return " ".join(f"{name}={value}" for name, value in self._warm_start_facts().items())
-
     def start(self, loop: EventLoop, dispatcher: RequestDispatcher, registry: EndpointRegistry) -> None:
         """Log what this start begins with, and store what changes from now on."""
-        log_event("warm_start", **self._warm_start_facts())
+        log_event("warm_start", **self.warm_start_facts())
         self._loop = loop
         self._dispatcher = dispatcher
         self._registry = registry
@@ -158,7 +154,8 @@
         self._writer.write(self._collect_changes(self._loop.now()))
         self._writer.finish(CLOSE_TIMEOUT_S)
 
-    def _warm_start_facts(self) -> dict[str, object]:
+    def warm_start_facts(self) -> dict[str, object]:
+        """What this start begins with, as the facts of the log event `warm_start`."""
         stored_age = self.beginning.stored_age
         restored = self.beginning.limits_restored
         return {
--- a/lupinladder/net/upstream_connection.py
+++ b/lupinladder/net/upstream_connection.py
@@ -7,14 +7,14 @@
 from typing import TYPE_CHECKING
 
 from lupinladder.balancing.events import Outcome
-from lupinladder.net.client_command import UpstreamReply
 from lupinladder.net.connection import Connection, format_address
 from lupinladder.net.event_loop import Timer
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
-from lupinladder.net.request_dispatcher import Attempt
+from lupinladder.net.pending_request import Attempt
 from lupinladder.net.resp import FramingError
 from lupinladder.net.upstream_protocol import UpstreamProtocolError
+from lupinladder.net.upstream_reply import UpstreamReply
 
 if TYPE_CHECKING:  # the pool imports this module
     from lupinladder.net.connection_pool import ConnectionPool
--- a/lupinladder/net/upstream_protocol.py
+++ b/lupinladder/net/upstream_protocol.py
@@ -5,8 +5,9 @@
 from typing import Protocol
 
 from lupinladder.errors import LupinladderError
-from lupinladder.net.client_command import ClientCommand, UpstreamReply
+from lupinladder.net.client_command import ClientCommand
 from lupinladder.net.ring_buffer import RingBuffer
+from lupinladder.net.upstream_reply import UpstreamReply
 
 
 class UpstreamProtocolError(LupinladderError):
--- a/tests/emulator/faulty_proxy.py
+++ b/tests/emulator/faulty_proxy.py
@@ -7,7 +7,7 @@
 
 from lupinladder import __main__ as program
 from lupinladder.balancing.events import EndpointState, EndpointUpdate
-from lupinladder.net import client_listener, connection_pool, upstream_connection
+from lupinladder.net import connection_pool, pending_reply, upstream_connection
 from lupinladder.net.discovery import endpoint_parser, endpoint_registry
 
 
@@ -17,7 +17,7 @@
 
     def twice(self: connection_pool.ConnectionPool, attempt: Any) -> None:
         start(self, attempt)
-        content = attempt.query.content
+        content = attempt.request.command
         if content.write and content.kind == 2:
             wire = upstream_connection.UpstreamConnection(self)
             wire.in_flight.append(upstream_connection.InFlightAttempt(None, 1 << 40))
@@ -28,14 +28,14 @@
 
 def lose() -> None:
     """Forgets every 40th answer."""
-    count, put = [0], client_listener.PendingReply._set
+    count, put = [0], pending_reply.PendingReply._set
 
-    def some(self: client_listener.PendingReply, answer: bytes) -> None:
+    def some(self: pending_reply.PendingReply, answer: bytes) -> None:
         count[0] += 1
         if count[0] % 40:
             put(self, answer)
 
-    client_listener.PendingReply._set = some  # type: ignore[method-assign]
+    pending_reply.PendingReply._set = some  # type: ignore[method-assign]
 
 
 def stale() -> None:
--- a/tests/net/test_state_persister.py
+++ b/tests/net/test_state_persister.py
@@ -48,10 +48,15 @@
         return StatePersister(load_configuration(), settings, NOW)
 
     def test_without_a_store_it_begins_with_the_configured_list(self) -> None:
-        expected = (
-            "source=config stored_age=none recent_starts=0 limits_full=0 limits_partial=0 limits_probe=0"
-        )
-        self.assertEqual(self.persister().report(), expected)
+        expected = {
+            "source": "config",
+            "stored_age": "none",
+            "recent_starts": 0,
+            "limits_full": 0,
+            "limits_partial": 0,
+            "limits_probe": 0,
+        }
+        self.assertEqual(self.persister().warm_start_facts(), expected)
 
     def test_with_a_store_it_begins_with_the_stored_list_and_limits(self) -> None:
         conf = load_configuration()
@@ -61,12 +66,17 @@
         store.put(LimitRecord("s-1", started_at, NOW - 1_500.0, 16, 5.0, 9.0))
         store.close(NOW - 1_500.0)
         with mock.patch.object(state_persister, "log_event") as logged:
-            report = self.persister().report()
+            facts = self.persister().warm_start_facts()
         logged.assert_not_called()  # nothing is wrong with the store
-        expected = (
-            "source=store stored_age=1.5 s recent_starts=1 limits_full=1 limits_partial=0 limits_probe=0"
-        )
-        self.assertEqual(report, expected)
+        expected = {
+            "source": "store",
+            "stored_age": "1.5 s",
+            "recent_starts": 1,
+            "limits_full": 1,
+            "limits_partial": 0,
+            "limits_probe": 0,
+        }
+        self.assertEqual(facts, expected)
 
 
 class Writing(StoreScene):
