Split the emulator's servers and clients into modules of one job, their text unchanged

cache_node_server, load_generator, origin_server and discovery_server held servers, connections, pools, encodings and corruption side by side. Each class now stands in a module of its own; imports follow, and load_generator still exports what others import from it.

--- a/lupinladder/emulator/cache_node.py
+++ b/lupinladder/emulator/cache_node.py
@@ -5,43 +5,14 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
-from collections.abc import Callable
-from typing import Any
-
 import numpy as np
 
+from lupinladder.emulator.cache_memory import CacheMemory
+from lupinladder.emulator.node_request import NodeRequest
 from lupinladder.emulator.processor_sharing_queue import Job, ProcessorSharingQueue
+from lupinladder.emulator.resp_encoding import bulk
 from lupinladder.emulator.scenario import ClusterConfig
-from lupinladder.emulator.shared_data import CacheMemory, SharedData
-
-DEDUPLICATION_MEMORY_MS = 5000.0  # for which the repeat of a keyed write is dropped
-
-
-def bulk(data: bytes) -> bytes:
-    return b"$%d\r\n%b\r\n" % (len(data), data)
-
-
-class NodeRequest:
-    """One command at a node, from its last byte to its answer. `answer` is called once, with the bytes and
-    the word for them: hit, miss, pending, busy or failed; not at all once it was dropped."""
-
-    __slots__ = ("answer", "ident", "job", "key", "labels", "proxy", "tag", "work", "write")
-
-    def __init__(
-        self,
-        proxy: int,
-        key: bytes,
-        ident: bytes,
-        labels: dict[bytes, bytes],
-        write: bool,
-        work: float,
-        answer: Callable[[bytes, str], None],
-        tag: Any = None,
-    ) -> None:
-        self.proxy, self.key, self.ident, self.labels = proxy, key, ident, labels
-        self.write, self.work, self.answer, self.tag = write, work, answer, tag
-        self.job: Job | None = None
+from lupinladder.emulator.shared_data import SharedData
 
 
 class CacheNode:
@@ -172,19 +143,3 @@
                 self.machine.held,
             )
         return self._report
-
-
-class DeduplicationTable:
-    """Keyed writes seen lately: all servers of the group drop a repeat (PROTOCOL, BRIEF)."""
-
-    def __init__(self) -> None:
-        self._seen: OrderedDict[bytes, float] = OrderedDict()
-
-    def fresh(self, token: bytes, now: float) -> bool:
-        """Whether this is the first within the window."""
-        while self._seen and next(iter(self._seen.values())) < now - DEDUPLICATION_MEMORY_MS:
-            self._seen.popitem(last=False)
-        if token in self._seen:
-            return False
-        self._seen[token] = now
-        return True
--- a/lupinladder/emulator/faults.py
+++ b/lupinladder/emulator/faults.py
@@ -6,15 +6,14 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-import msgspec
-
-from lupinladder.emulator.cache_node_server import CacheNodeServer, ResponseCorruption
+from lupinladder.emulator.cache_node_server import CacheNodeServer
 from lupinladder.emulator.cluster import Cluster
-from lupinladder.emulator.load_generator import ProxySelector
 from lupinladder.emulator.proxies import Managed, Proxies
+from lupinladder.emulator.proxy_selector import ProxySelector
+from lupinladder.emulator.response_corruption import ResponseCorruption
 from lupinladder.emulator.scenario import CORRUPTIONS, FaultConfig
+from lupinladder.emulator.store_corruption import aged
 from lupinladder.emulator.workload import random_stream
-from lupinladder.store import record_log, records
 
 FRONT_NOTICE_S = 1.5  # until the front notices that a proxy has died
 OLD_MS = 3_600_000.0  # by how much a store is older than its words where `how` is "old"
@@ -22,17 +21,6 @@
 STILL = 1e6  # times as slow as usual: a machine that stands still
 
 
-def aged(data: bytes, by: float) -> bytes:
-    """A store whose every word was said so much earlier (ms)."""
-    found = records.fold(record_log.scan(data))
-    if found is None:
-        return data
-    parts = [record_log.begin(1, msgspec.to_builtins(found.owner))]
-    for number, one in enumerate(found.all(), 2):
-        parts.append(records.encode(number, msgspec.structs.replace(one, at=one.at - by)))  # type: ignore[attr-defined]
-    return b"".join([*parts, record_log.end(len(parts) + 1)])
-
-
 class FaultInjector:
     def __init__(self, fleet: Cluster, proxies: Proxies, front: ProxySelector, start: float) -> None:
         self._fleet, self._proxies, self._front, self._start = fleet, proxies, front, start
--- a/lupinladder/emulator/misbehaving_clients.py
+++ b/lupinladder/emulator/misbehaving_clients.py
@@ -9,7 +9,7 @@
 import numpy as np
 
 from lupinladder.emulator.clock import Clock
-from lupinladder.emulator.load_generator import encode_command
+from lupinladder.emulator.resp_encoding import encode_command
 from lupinladder.emulator.rule_checker import RuleChecker
 from lupinladder.emulator.sockets import transport_of
 
--- a/lupinladder/emulator/origin.py
+++ b/lupinladder/emulator/origin.py
@@ -9,7 +9,8 @@
 
 import numpy as np
 
-from lupinladder.emulator.cache_node import DeduplicationTable, NodeRequest
+from lupinladder.emulator.deduplication_table import DeduplicationTable
+from lupinladder.emulator.node_request import NodeRequest
 from lupinladder.emulator.processor_sharing_queue import Job, ProcessorSharingQueue
 from lupinladder.emulator.scenario import OriginConfig
 from lupinladder.emulator.shared_data import SharedData
--- a/tests/emulator/test_servers.py
+++ b/tests/emulator/test_servers.py
@@ -9,11 +9,14 @@
 import numpy as np
 
 from lupinladder.emulator import scenario
-from lupinladder.emulator.cache_node import CacheNode, DeduplicationTable, NodeRequest
+from lupinladder.emulator.cache_memory import CacheMemory
+from lupinladder.emulator.cache_node import CacheNode
+from lupinladder.emulator.deduplication_table import DeduplicationTable
 from lupinladder.emulator.endpoint_list import EndpointList, ListedEndpoint
+from lupinladder.emulator.node_request import NodeRequest
 from lupinladder.emulator.origin import OriginModel
 from lupinladder.emulator.processor_sharing_queue import Job
-from lupinladder.emulator.shared_data import CacheMemory, SharedData
+from lupinladder.emulator.shared_data import SharedData
 from lupinladder.emulator.workload import KeyDistribution
 
 
