Mend the planted double sending, whose attribute names had changed under it

The renaming of members of shared types did not reach this file, whose attempts are typed Any: the defect 'double' no longer sent anything twice, and the test that the rule checker finds it failed (effect 0, not above 3). It reads the command by its present names again; the functions are named after what they break, the words of the command line stay. Seen: the four tests of planted defects pass.

--- a/tests/emulator/faulty_proxy.py
+++ b/tests/emulator/faulty_proxy.py
@@ -1,4 +1,7 @@
-"""The real proxy with one fault planted, for the checker: `python -m tests.emulator.faulty_proxy KIND`."""
+"""The real proxy with one defect for the rule checker: `python -m tests.emulator.faulty_proxy DEFECT`.
+
+Each defect replaces one function of the proxy, so it has to follow that function's name and arguments.
+"""
 
 from __future__ import annotations
 
@@ -10,58 +13,77 @@
 from lupinladder.net import client_listener, connection_pool
 from lupinladder.net.discovery import endpoint_registry
 
+CLAIM_SUBMIT = 2  # the place of this class, whose writes may not be repeated, among a scenario's classes
+REPLIES_FOR_EACH_LOST = 40
+CACHE_NODE = 0  # the server kind of cache nodes
+ORIGIN = b"origin"
+
 
-def double() -> None:
-    """Sends each claim-submit twice, at once."""
+def send_writes_twice() -> None:
+    """Send each claim-submit twice, at once."""
     start = connection_pool.ConnectionPool.start
 
-    def twice(self: connection_pool.ConnectionPool, attempt: Any) -> None:
+    def start_twice(self: connection_pool.ConnectionPool, attempt: Any) -> None:
         start(self, attempt)
-        content = attempt.query.content
-        if content.write and content.kind == 2:
-            wire = connection_pool.UpstreamConnection(self)
-            wire.in_flight.append((None, 1 << 40))
-            wire.connection.send(self.protocol.encode(content, 1000.0))
+        command = attempt.request.command
+        if command.is_write and command.request_class == CLAIM_SUBMIT:
+            connection = connection_pool.UpstreamConnection(self)
+            connection.in_flight.append((None, 1 << 40))
+            connection.connection.send(self.protocol.encode(command, 1000.0))
 
-    connection_pool.ConnectionPool.start = twice  # type: ignore[method-assign]
+    connection_pool.ConnectionPool.start = start_twice  # type: ignore[method-assign]
 
 
-def lose() -> None:
-    """Forgets every 40th answer."""
-    count, put = [0], client_listener.PendingReply._set
+def lose_replies() -> None:
+    """Forget every 40th reply."""
+    set_reply = client_listener.PendingReply._set
+    replies = 0
 
-    def some(self: client_listener.PendingReply, answer: bytes) -> None:
-        count[0] += 1
-        if count[0] % 40:
-            put(self, answer)
+    def set_most_replies(self: client_listener.PendingReply, answer: bytes) -> None:
+        nonlocal replies
+        replies += 1
+        if replies % REPLIES_FOR_EACH_LOST:
+            set_reply(self, answer)
 
-    client_listener.PendingReply._set = some  # type: ignore[method-assign]
+    client_listener.PendingReply._set = set_most_replies  # type: ignore[method-assign]
 
 
-def stale() -> None:
-    """Takes a node that drains for one at work."""
+def ignore_drains() -> None:
+    """Take a node that drains for one that is ready."""
     endpoint_registry.ENDPOINT_STATES["leaving"] = EndpointState.READY
 
 
-def flood() -> None:
-    """Sends all reads to the server that started last."""
-    take, route = endpoint_registry.EndpointRegistry._take, endpoint_registry.EndpointRegistry.pool_for
-    youngest: list[tuple[float, bytes]] = []
+def flood_youngest_node() -> None:
+    """Send all reads to the cache node that started last."""
+    take = endpoint_registry.EndpointRegistry._take
+    pool_for = endpoint_registry.EndpointRegistry.pool_for
+    started_nodes: list[tuple[float, bytes]] = []
 
-    def note(self: endpoint_registry.EndpointRegistry, tree: Any, form: Any) -> EndpointUpdate:
-        fleet = take(self, tree, form)
-        youngest.extend(
-            (e.started_at, e.server) for e in fleet.endpoints if e.started_at > 0 and e.server_kind == 0
+    def note_started_nodes(self: endpoint_registry.EndpointRegistry, tree: Any, form: Any) -> EndpointUpdate:
+        update = take(self, tree, form)
+        started_nodes.extend(
+            (endpoint.started_at, endpoint.server)
+            for endpoint in update.endpoints
+            if endpoint.started_at > 0 and endpoint.server_kind == CACHE_NODE
         )
-        return fleet
+        return update
+
+    def pool_of_youngest(self: endpoint_registry.EndpointRegistry, server: bytes) -> Any:
+        if started_nodes and server != ORIGIN:
+            server = max(started_nodes)[1]
+        return pool_for(self, server)
 
-    def to_it(self: endpoint_registry.EndpointRegistry, server: bytes) -> Any:
-        return route(self, max(youngest)[1] if youngest and server != b"origin" else server)
+    endpoint_registry.EndpointRegistry._take = note_started_nodes  # type: ignore[method-assign]
+    endpoint_registry.EndpointRegistry.pool_for = pool_of_youngest  # type: ignore[method-assign]
 
-    endpoint_registry.EndpointRegistry._take = note  # type: ignore[method-assign]
-    endpoint_registry.EndpointRegistry.pool_for = to_it  # type: ignore[method-assign]
 
+DEFECTS = {
+    "double": send_writes_twice,
+    "lose": lose_replies,
+    "stale": ignore_drains,
+    "flood": flood_youngest_node,
+}
 
 if __name__ == "__main__":
-    {"double": double, "lose": lose, "stale": stale, "flood": flood}[sys.argv[1]]()
+    DEFECTS[sys.argv[1]]()
     sys.exit(program.main())
