--- a/lupinladder/emulator/cache_node.py
+++ b/lupinladder/emulator/cache_node.py
@@ -1,145 +1,166 @@
-"""A cache node's decisions, free of I/O: what it does with a command and when it answers.
+"""The model of a cache node: what it does with a request and when it replies.
 
-PROTOCOL, "Proxies to cache nodes". The socket side (`node_server`) and a virtual network can both drive it.
+PROTOCOL, "Proxies to cache nodes". The model does no I/O; `cache_node_server` connects it to sockets.
 """
 
 from __future__ import annotations
 
+from math import inf
+
 import numpy as np
 
 from lupinladder.emulator.cache_memory import CacheMemory
-from lupinladder.emulator.node_request import NodeRequest
-from lupinladder.emulator.processor_sharing_queue import Job, ProcessorSharingQueue
-from lupinladder.emulator.resp_encoding import bulk
+from lupinladder.emulator.load_report import LoadReporter
+from lupinladder.emulator.node_request import NodeRequest, ReplyType
+from lupinladder.emulator.processor_sharing_queue import Job, ProcessorSharingQueue, Thrashing, WarmUp
+from lupinladder.emulator.resp_encoding import NULL_BULK_STRING, encode_bulk_string
 from lupinladder.emulator.scenario import ClusterConfig
 from lupinladder.emulator.shared_data import SharedData
 
+FETCH_PENDING_MS = 500.0  # after a miss for which the key counts as being fetched
+MAX_PENDING_FETCHES = 4096  # beyond which the ones that are over are removed
+
+
+def _warm_up(config: ClusterConfig) -> WarmUp:
+    """The warm-up of a node that starts during the run."""
+    work_ms = config.cold_s * 500 * config.cores if config.warm_by == "requests" else inf
+    return WarmUp(config.cold_share, config.cold_s * 1000, work_ms)
+
 
 class CacheNode:
-    """`wake` tells when `advance` has to be called next."""
+    """One cache node. `next_wakeup` tells when `advance` has to be called next.
+
+    Every call says what time it is, in ms, and never an earlier time than the call before.
+    """
 
     def __init__(
         self,
         now: float,
         name: str,
         zone: int,
-        fleet: ClusterConfig,
-        world: SharedData,
+        config: ClusterConfig,
+        shared_data: SharedData,
         rng: np.random.Generator,
-        cold: bool,
+        starts_empty: bool,
     ) -> None:
-        self.name, self.zone, self.fleet, self.started = name, zone, fleet, now if cold else 0.0
-        self.cold, self.up = cold, True
-        self._world, self._rng = world, rng
-        share = world.keys.pooled * fleet.memory / fleet.nodes
-        self.memory = CacheMemory(max(1, round(share)), fleet.evict == "fifo")
-        self.machine = ProcessorSharingQueue(
+        """With `starts_empty` the node starts now, with an empty cache; else it ran before the run began."""
+        self.name = name
+        self.zone = zone
+        self.config = config
+        self.started = now if starts_empty else 0.0
+        self.up = True
+        self._starts_empty = starts_empty
+        self._shared_data = shared_data
+        self._rng = rng
+        memory_size = shared_data.keys.pooled * config.memory / config.nodes
+        self.memory = CacheMemory(max(1, round(memory_size)), config.evict == "fifo")
+        self.queue = ProcessorSharingQueue(
             now,
-            fleet.cores,
-            float(rng.uniform(*fleet.speed)),
-            fleet.slots,
-            fleet.room,
-            thrash=fleet.thrash,
-            thrash_at=fleet.thrash_at,
-            cold_share=fleet.cold_share if cold else 1.0,
-            cold_ms=fleet.cold_s * 1000 if cold else 0.0,
-            warm_work=fleet.cold_s * 500 * fleet.cores if fleet.warm_by == "requests" else float("inf"),
+            config.cores,
+            float(rng.uniform(*config.speed)),
+            config.slots,
+            config.room,
+            thrashing=Thrashing(config.thrash, config.thrash_at),
+            warm_up=_warm_up(config) if starts_empty else None,
         )
-        self._pending: dict[bytes, float] = {}  # key: until when a miss told counts as a fetch under way
-        self._window: list[tuple[float, float, bool]] = []  # of answers lately: when, work, failed
-        self._report, self._reported = b"", -1e18
+        self._pending_fetches: dict[bytes, float] = {}  # by key: until when it counts as being fetched, ms
+        self._load_reporter = LoadReporter(self.queue, config.report_ms)
+
+    @property
+    def machine(self) -> ProcessorSharingQueue:
+        """The former name of `queue`."""
+        return self.queue
 
-    def ask(self, now: float, ask: NodeRequest) -> None:
-        """A whole command has come."""
+    def submit(self, now: float, request: NodeRequest) -> None:
+        """A whole command has arrived."""
         self.advance(now)
-        job = Job(ask.work * (self.fleet.miss_work if ask.write else 1.0), ask)
-        if not ask.write and not self._has(now, ask.key):
-            job.work *= self.fleet.miss_work
-        ask.job = job
-        if not self.machine.offer(now, job):
-            ask.answer(self._error(b"-BUSY", now), "busy")
+        job = Job(request.work * (self.config.miss_work if request.is_write else 1.0), request)
+        if not request.is_write and not self._has(now, request.key):
+            job.work *= self.config.miss_work
+        request.job = job
+        if not self.queue.offer(now, job):
+            request.reply(self._encode_error(b"-BUSY", now), ReplyType.BUSY)
 
     def _has(self, now: float, key: bytes) -> bool:
-        if self._world.held_before(key, not self.cold):
-            age = self._rng.random() * self._world.ttl()
-            self.memory.put(key, self._world.version(key), now + age)
+        if self._shared_data.was_cached_before_run(key, not self._starts_empty):
+            remaining_ttl = self._rng.random() * self._shared_data.draw_ttl()
+            self.memory.put(key, self._shared_data.version(key), now + remaining_ttl)
         return self.memory.get(key, now) is not None
 
-    def store(self, key: bytes, version: int, until: float) -> None:
-        """The origin's answer to a fetch that a miss here began."""
-        self._pending.pop(key, None)
-        self.memory.put(key, version, until)
+    def store(self, key: bytes, version: int, expires_at: float) -> None:
+        """Keep what the origin answered to a fetch that a miss here began."""
+        self._pending_fetches.pop(key, None)
+        self.memory.put(key, version, expires_at)
 
     def handshake(self, now: float) -> None:
-        """A connection came up, which is work."""
+        """A connection was established, which costs work."""
         self.advance(now)
-        self.machine.offer(now, Job(self.fleet.handshake_ms, None))
+        self.queue.offer(now, Job(self.config.handshake_ms, None))
 
-    def probe(self, now: float, ask: NodeRequest) -> None:
-        """A probe that is served like a request."""
+    def submit_health_check(self, now: float, request: NodeRequest) -> None:
+        """A health check has arrived, which is served like a request."""
         self.advance(now)
-        ask.work = self.fleet.probe_ms
-        job = ask.job = Job(ask.work, ask)
-        if not self.machine.offer(now, job):
-            ask.answer(b"-ERR busy\r\n", "busy")
+        request.work = self.config.probe_ms
+        request.job = Job(request.work, request)
+        if not self.queue.offer(now, request.job):
+            request.reply(b"-ERR busy\r\n", ReplyType.BUSY)
 
-    def drop(self, now: float, ask: NodeRequest) -> None:
-        """Its connection has gone."""
+    def cancel(self, now: float, request: NodeRequest) -> None:
+        """The connection of this request was closed."""
         self.advance(now)
-        if ask.job:
-            self.machine.drop(ask.job, self.fleet.cancel == "all")
+        if request.job:
+            self.queue.cancel(request.job, self.config.cancel == "all")
 
     def advance(self, now: float) -> None:
-        """Answer whatever is done by now."""
-        for job in self.machine.advance(now):
-            ask = job.owner
-            if isinstance(ask, NodeRequest):
-                self._finish(now, ask)
-
-    def wake(self) -> float:
-        return self.machine.next()
-
-    def _finish(self, now: float, ask: NodeRequest) -> None:
-        if ask.tag == "probe":
-            return ask.answer(b"", "probe")
-        failed = self._rng.random() < self.fleet.error_rate
-        self._window.append((now, ask.job.work if ask.job else 0.0, failed))
+        """Reply to whatever is done by now."""
+        for job in self.queue.advance(now):
+            request = job.owner
+            if isinstance(request, NodeRequest):
+                self._complete(now, request)
+
+    def next_wakeup(self) -> float:
+        """When `advance` must be called at the latest, in ms; infinity if nothing is under way."""
+        return self.queue.next_completion()
+
+    def _complete(self, now: float, request: NodeRequest) -> None:
+        if request.is_health_check:
+            request.reply(b"", ReplyType.HEALTH_CHECK)
+            return
+        failed = self._rng.random() < self.config.error_rate
+        self._load_reporter.record(now, request.job.work if request.job else 0.0, failed)
         if failed:
-            return ask.answer(self._error(b"-ERR failed", now), "failed")
-        version = None if ask.write else self.memory.get(ask.key, now)
-        if version is not None:
-            value = self._world.value(ask.key, ask.ident, self.name)
-            return ask.answer(self._array(now, bulk(value), b"hit"), "hit")
-        pending = self._pending.get(ask.key, 0) > now
-        if not ask.write:
-            self._world.missed(ask.ident, self.name)
-            self._pending[ask.key] = now + 500
-            if len(self._pending) > 4096:
-                self._pending = {key: until for key, until in self._pending.items() if until > now}
-        word = "pending" if pending else "miss"
-        ask.answer(self._array(now, b"$-1\r\n", word.encode()), word)
-
-    def _error(self, text: bytes, now: float) -> bytes:
-        return b" ".join(filter(None, (text, self.report(now)))) + b"\r\n"
-
-    def _array(self, now: float, value: bytes, note: bytes) -> bytes:
-        return b"*3\r\n" + value + bulk(note) + (bulk(self.report(now)) if self.fleet.reports else b"$-1\r\n")
-
-    def report(self, now: float) -> bytes:
-        """The load report, refreshed now and then; empty where nodes tell nothing of their load."""
-        if not self.fleet.reports:
+            request.reply(self._encode_error(b"-ERR failed", now), ReplyType.FAILED)
+            return
+        version = None if request.is_write else self.memory.get(request.key, now)
+        if version is None:
+            self._reply_miss(now, request)
+            return
+        value = self._shared_data.value(request.key, request.request_id, self.name)
+        request.reply(self._encode_reply(now, encode_bulk_string(value), ReplyType.HIT), ReplyType.HIT)
+
+    def _reply_miss(self, now: float, request: NodeRequest) -> None:
+        is_pending = self._pending_fetches.get(request.key, 0) > now
+        if not request.is_write:
+            self._shared_data.record_miss(request.request_id, self.name)
+            self._pending_fetches[request.key] = now + FETCH_PENDING_MS
+            self._forget_old_fetches(now)
+        reply_type = ReplyType.MISS_PENDING if is_pending else ReplyType.MISS
+        request.reply(self._encode_reply(now, NULL_BULK_STRING, reply_type), reply_type)
+
+    def _forget_old_fetches(self, now: float) -> None:
+        if len(self._pending_fetches) > MAX_PENDING_FETCHES:
+            pending = self._pending_fetches.items()
+            self._pending_fetches = {key: until for key, until in pending if until > now}
+
+    def _encode_error(self, text: bytes, now: float) -> bytes:
+        return b" ".join(filter(None, (text, self.load_report(now)))) + b"\r\n"
+
+    def _encode_reply(self, now: float, value: bytes, reply_type: ReplyType) -> bytes:
+        report = encode_bulk_string(self.load_report(now)) if self.config.reports else NULL_BULK_STRING
+        return b"*3\r\n" + value + encode_bulk_string(reply_type.encode()) + report
+
+    def load_report(self, now: float) -> bytes:
+        """The load report; empty in a scenario whose nodes do not report their load."""
+        if not self.config.reports:
             return b""
-        if now - self._reported >= self.fleet.report_ms:
-            self._reported = now
-            self._window = [one for one in self._window if one[0] > now - 1000]
-            count = len(self._window)
-            failures = sum(one[2] for one in self._window)
-            mean = sum(one[1] for one in self._window) / count if count else 0.0
-            took = mean / (self.machine.speed * self.machine.warmth(now))
-            self._report = b"eps=%d,latency_ms=%.2f,qps=%d,inflight=%d" % (
-                failures,
-                took,
-                count,
-                self.machine.held,
-            )
-        return self._report
+        return self._load_reporter.report(now)
--- a/lupinladder/emulator/cache_node_connection.py
+++ b/lupinladder/emulator/cache_node_connection.py
@@ -1,200 +1,207 @@
-"""One connection from a proxy to a cache node."""
+"""One connection from a proxy to a cache node: RESP2 commands, served as they arrive, replied to in order."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from lupinladder.emulator.cache_node_server import CacheNodeServer
-
 import asyncio
+from functools import partial
+from typing import TYPE_CHECKING
 
 import hiredis
 
-from lupinladder.emulator.node_request import NodeRequest
-from lupinladder.emulator.request_labels import parse_labels
-from lupinladder.emulator.resp_encoding import bulk
-from lupinladder.emulator.rule_checker import ObservedAttempt
-from lupinladder.emulator.sockets import DelayedChannel, reset, transport_of
+from lupinladder.emulator.node_request import NodeRequest, ReplyType
+from lupinladder.emulator.reply_pipeline import PendingReply, ReplyPipeline
+from lupinladder.emulator.request_labels import ArgumentCountError, RequestSyntaxError, parse_labels
+from lupinladder.emulator.resp_encoding import encode_bulk_string
+from lupinladder.emulator.sockets import DelayedChannel, as_stream_transport, reset_connection
 
-MAX_COMMAND = 2 << 20
+if TYPE_CHECKING:
+    from lupinladder.emulator.cache_node_server import CacheNodeServer
+
+MAX_COMMAND_SIZE = 2 << 20  # bytes
+READ_COMMAND = b"OBJ.GET"
+WRITE_COMMAND = b"OBJ.SET"
+READ_ARGUMENTS = 4  # command, key, request id, labels
+WRITE_ARGUMENTS = 5  # the same and the value
+PONG = b"+PONG\r\n"
 
 
-class CacheNodeProtocol(asyncio.Protocol):
-    """One connection from a proxy. Commands are begun as they come and answered in order."""
+class CacheNodeConnection(asyncio.Protocol):
+    """One connection from a proxy."""
 
     def __init__(self, server: CacheNodeServer, proxy: int) -> None:
-        self._server, self._proxy = server, proxy
+        self._server = server
+        self._proxy = proxy
         self._clock = server.clock
         self.transport: asyncio.Transport | None = None
         self._reader = hiredis.Reader()
-        self._raw = bytearray()  # of the command that is coming in
-        self._first = 0.0  # when its first byte came
-        self._row: list[_Place] = []  # of answers owed, in order
-        self._in, self._out = (
-            DelayedChannel(self._clock, server.ways[proxy]),
-            DelayedChannel(self._clock, server.ways[proxy]),
-        )
-        self._ready = 0.0
-        self._idle: asyncio.TimerHandle | None = None
+        self._raw = bytearray()  # the bytes of the command that is arriving
+        self._first_byte_at = 0.0  # of that command
+        self._requests = DelayedChannel(self._clock, server.paths[proxy])
+        self._replies = ReplyPipeline(DelayedChannel(self._clock, server.paths[proxy]), self._write)
+        self._handshake_done_at = 0.0
+        self._idle_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = transport_of(transport)
-        server, now = self._server, self._clock.now()
-        if not server.core.up or len(server.connections) >= server.core.fleet.connections:
-            reset(self.transport)
+        """Take the connection, which costs work, or reset it if there are too many."""
+        self.transport = as_stream_transport(transport)
+        server = self._server
+        config = server.core.config
+        now = self._clock.now()
+        if not server.core.up or len(server.connections) >= config.connections:
+            reset_connection(self.transport)
             return
         server.connections.add(self)
         server.core.handshake(now)
-        server.referee.tick("connects", now)
-        server.referee.load(now, self._proxy, server.core.name, server.core.fleet.handshake_ms)
-        server.driver.poke()
-        self._ready = now + server.core.fleet.handshake_rtts * server.rtt(self._proxy)
-        self._rest()
-
-    def _rest(self) -> None:
-        if self._idle:
-            self._idle.cancel()
-        self._idle = self._clock.loop.call_later(self._server.core.fleet.idle_s, self._idle_out)
-
-    def _idle_out(self) -> None:
-        if not self._row and self.transport and not self._server.silent:
-            self.transport.close()
-
-    def eof_received(self) -> bool:
-        return False
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        if self._idle:
-            self._idle.cancel()
+        server.rule_checker.tick("connects", now)
+        server.rule_checker.load(now, self._proxy, server.core.name, config.handshake_ms)
+        server.driver.update()
+        self._handshake_done_at = now + config.handshake_rtts * server.round_trip_ms(self._proxy)
+        self._restart_idle_timer()
+
+    def _restart_idle_timer(self) -> None:
+        if self._idle_timer:
+            self._idle_timer.cancel()
+        self._idle_timer = self._clock.loop.call_later(self._server.core.config.idle_s, self._on_idle)
+
+    def _on_idle(self) -> None:
+        if not self._replies and not self._server.is_unresponsive:
+            self._close()
+
+    def connection_lost(self, _exc: Exception | None) -> None:
+        """Cancel what the connection still waits for."""
+        if self._idle_timer:
+            self._idle_timer.cancel()
         self._server.connections.discard(self)
-        now = self._clock.now()
-        for place in list(self._row):  # an answer that is due just now takes its place away
-            if place.attempt:
-                self._server.referee.broke(place.attempt)
-            if place.ask:
-                self._server.core.drop(now, place.ask)
-        self._row.clear()
+        self._replies.abandon(self._server.rule_checker, partial(self._server.core.cancel, self._clock.now()))
         if self._server.core.up:
-            self._server.driver.poke()
+            self._server.driver.update()
 
     def data_received(self, data: bytes) -> None:
+        """Serve the commands that are complete; close the connection if it is not RESP2 or too long."""
         now = self._clock.now()
         if not self._raw:
-            self._first = now
+            self._first_byte_at = now
         self._raw += data
-        self._rest()
+        self._restart_idle_timer()
         try:
-            self._reader.feed(data)
-            while (words := self._reader.gets()) is not False:
-                raw = bytes(self._raw)
-                self._raw.clear()
-                self._command(now, words, raw)
-                self._first = now
-                if not self._reader.has_data():
-                    break
-            if len(self._raw) > MAX_COMMAND:
-                raise hiredis.ProtocolError("too long")
+            self._read_commands(now, data)
         except hiredis.ProtocolError:
-            self._end()
-
-    def _end(self) -> None:
+            self._close()
+            return
+        if len(self._raw) > MAX_COMMAND_SIZE:
+            self._close()
+
+    def _read_commands(self, now: float, data: bytes) -> None:
+        self._reader.feed(data)
+        while (command := self._reader.gets()) is not False:
+            raw = bytes(self._raw)
+            self._raw.clear()
+            self._serve(now, command, raw)
+            self._first_byte_at = now
+            if not self._reader.has_data():
+                break
+
+    def _close(self) -> None:
         if self.transport:
             self.transport.close()
 
-    def _command(self, now: float, words: object, raw: bytes) -> None:
-        plain = [w for w in words if isinstance(w, bytes)] if isinstance(words, list) else []
-        if not isinstance(words, list) or not plain or len(plain) != len(words):
-            return self._end()
-        name = plain[0].upper()
-        if name in (b"OBJ.GET", b"OBJ.SET"):
-            return self._query(now, name == b"OBJ.SET", plain, raw)
-        place = self._place()
-        probes = self._server.core.fleet.probes
-        if name in (b"PING", b"INFO"):
-            answer = b"+PONG\r\n" if name == b"PING" else bulk(self._server.core.report(now))
-            if not probes:
-                return self._fill(place, b"+PONG\r\n" if name == b"PING" else b"-NOPERM no probes\r\n")
-            ask = NodeRequest(
-                self._proxy,
-                b"",
-                b"",
-                {},
-                False,
-                0,
-                lambda data, word: self._fill(place, data or answer),
-                "probe",
-            )
-            place.ask = ask
-            self._server.core.probe(now, ask)
-            self._server.driver.poke()
+    def _serve(self, now: float, command: object, raw: bytes) -> None:
+        elements = command if isinstance(command, list) else []
+        arguments = [element for element in elements if isinstance(element, bytes)]
+        if not arguments or len(arguments) != len(elements):
+            self._close()
+            return
+        name = arguments[0].upper()
+        if name in (READ_COMMAND, WRITE_COMMAND):
+            self._serve_request(now, name == WRITE_COMMAND, arguments, raw)
+        elif name in (b"PING", b"INFO"):
+            self._serve_health_check(now, name)
         else:
-            self._fill(place, b"+OK\r\n" if name in (b"CLIENT", b"SELECT") else b"-ERR unknown command\r\n")
+            is_setup = name in (b"CLIENT", b"SELECT")
+            answer = b"+OK\r\n" if is_setup else b"-ERR unknown command\r\n"
+            self._replies.complete(self._replies.append(), answer)
+
+    def _serve_health_check(self, now: float, name: bytes) -> None:
+        core = self._server.core
+        reply = self._replies.append()
+        answer = PONG if name == b"PING" else encode_bulk_string(core.load_report(now))
+        if not core.config.probes:
+            self._replies.complete(reply, PONG if name == b"PING" else b"-NOPERM no probes\r\n")
+            return
 
-    def _query(self, now: float, write: bool, words: list[bytes], raw: bytes) -> None:
-        server, place = self._server, self._place()
+        def on_reply(data: bytes, _reply_type: ReplyType) -> None:
+            """The node has served the health check, or rejected it with `data`."""
+            self._replies.complete(reply, data or answer)
+
+        reply.request = NodeRequest(
+            self._proxy, b"", b"", {}, is_write=False, work=0, reply=on_reply, is_health_check=True
+        )
+        core.submit_health_check(now, reply.request)
+        self._server.driver.update()
+
+    def _serve_request(self, now: float, is_write: bool, arguments: list[bytes], raw: bytes) -> None:
+        server = self._server
+        reply = self._replies.append()
         try:
-            if len(words) != (5 if write else 4):
-                raise ValueError("wrong number of words")
-            labels = parse_labels(words[3])
-            work = server.work(labels)
-        except (ValueError, KeyError) as bad:
-            server.referee.counts["syntax"] += 1
-            return self._fill(place, b"-SYNTAX " + str(bad).encode() + b"\r\n")
-        place.attempt = server.referee.sent(now, self._first, self._proxy, server.core.name, words[2], raw)
-        place.ident = words[2]
-
-        def answer(data: bytes, word: str) -> None:
-            place.word = word
-            self._fill(place, data)
-
-        place.ask = NodeRequest(self._proxy, words[1], words[2], labels, write, work, answer)
-        if server.referee.load(now, self._proxy, server.core.name, work):
-            return server.fell()
-        if not server.silent:
-            self._in.after(lambda: self._begin(place), max(0.0, self._ready - now))
-
-    def _begin(self, place: _Place) -> None:
-        if place.ask and place in self._row and self._server.core.up:
-            self._server.core.ask(self._clock.now(), place.ask)
-            self._server.driver.poke()
-
-    def _place(self) -> _Place:
-        self._row.append(_Place())
-        return self._row[-1]
-
-    def _fill(self, place: _Place, data: bytes) -> None:
-        place.answer = data
-        while self._row and self._row[0].answer is not None:
-            self._out.after((lambda p: lambda: self._write(p))(self._row.pop(0)))
-
-    def _write(self, place: _Place) -> None:
-        if self.transport is None or self.transport.is_closing() or self._server.silent:
-            if place.attempt:
-                self._server.referee.broke(place.attempt)
+            if len(arguments) != (WRITE_ARGUMENTS if is_write else READ_ARGUMENTS):
+                raise ArgumentCountError
+            labels = parse_labels(arguments[3])
+            work = server.draw_work(labels)
+        except RequestSyntaxError as error:
+            server.rule_checker.counts["syntax"] += 1
+            self._replies.complete(reply, b"-SYNTAX " + str(error).encode() + b"\r\n")
             return
-        data = place.answer or b""
-        if place.attempt:
-            word, value = place.word, b""
-            if word == "hit":
-                _, length, rest = data.split(b"\r\n", 2)
-                value = rest[: int(length[1:])]
-            if self._server.garble:
-                data, how = self._server.garble.spoil(data)
-                if how in ("noise", "endless", "length", "huge"):
-                    word = "spoilt"
-                    self._server.referee.counts["spoilt"] += 1
-            self._server.referee.replied(self._clock.now(), place.ident, place.attempt, word, value)
+        _, key, request_id, *_ = arguments
+        name = server.core.name
+        reply.attempt = server.rule_checker.sent(now, self._first_byte_at, self._proxy, name, request_id, raw)
+
+        def on_reply(data: bytes, reply_type: ReplyType) -> None:
+            """The node has served the request or rejected it."""
+            reply.reply_type = reply_type
+            self._replies.complete(reply, data)
+
+        reply.request = NodeRequest(self._proxy, key, request_id, labels, is_write, work, on_reply)
+        if server.rule_checker.load(now, self._proxy, name, work):
+            server.crash_from_overload()
+        elif not server.is_unresponsive:
+            handshake_remaining = max(0.0, self._handshake_done_at - now)
+            self._requests.call_after_delay(partial(self._submit, reply), handshake_remaining)
+
+    def _submit(self, reply: PendingReply) -> None:
+        if reply.request and reply in self._replies and self._server.core.up:
+            self._server.core.submit(self._clock.now(), reply.request)
+            self._server.driver.update()
+
+    def _write(self, reply: PendingReply) -> None:
+        if self.transport is None or self.transport.is_closing() or self._server.is_unresponsive:
+            if reply.attempt:
+                self._server.rule_checker.broke(reply.attempt)
+            return
+        data = reply.data or b""
+        if reply.request and reply.attempt:
+            data = self._corrupt_and_record(reply, data)
         self.transport.write(data)
 
+    def _corrupt_and_record(self, reply: PendingReply, data: bytes) -> bytes:
+        """Tell the rule checker of a reply to a client's request. Returns the bytes to write."""
+        server = self._server
+        assert reply.request
+        assert reply.attempt
+        reply_type = reply.reply_type
+        value = _read_value(data) if reply_type is ReplyType.HIT else b""
+        if server.corruption:
+            corrupted = server.corruption.apply(data)
+            data = corrupted.data
+            if corrupted.is_unreadable:
+                reply_type = ReplyType.CORRUPTED
+                server.rule_checker.counts["spoilt"] += 1
+        server.rule_checker.replied(
+            self._clock.now(), reply.request.request_id, reply.attempt, reply_type, value
+        )
+        return data
 
-class _Place:
-    """The place of one answer in a connection's row."""
-
-    __slots__ = ("answer", "ask", "attempt", "ident", "word")
 
-    def __init__(self) -> None:
-        self.answer: bytes | None = None
-        self.ask: NodeRequest | None = None
-        self.attempt: ObservedAttempt | None = None
-        self.ident, self.word = b"", ""
+def _read_value(data: bytes) -> bytes:
+    """The first bulk string of an array."""
+    _, length, rest = data.split(b"\r\n", 2)
+    return rest[: int(length[1:])]
--- a/lupinladder/emulator/cache_node_server.py
+++ b/lupinladder/emulator/cache_node_server.py
@@ -1,87 +1,89 @@
-"""A cache node on real sockets: RESP2 in front of `NodeCore`, one listener for each proxy."""
+"""A cache node on real sockets, with one listener for each proxy."""
 
 from __future__ import annotations
 
 import socket
 from collections.abc import Callable, Sequence
-from typing import Protocol
+from functools import partial
 
 from lupinladder.emulator.cache_node import CacheNode
-from lupinladder.emulator.cache_node_connection import CacheNodeProtocol
-from lupinladder.emulator.clock import Clock, Driver
+from lupinladder.emulator.cache_node_connection import CacheNodeConnection
+from lupinladder.emulator.clock import Clock, ModelDriver
 from lupinladder.emulator.response_corruption import ResponseCorruption
 from lupinladder.emulator.rule_checker import RuleChecker
-from lupinladder.emulator.sockets import FaultyListener, NetworkPath, reset
+from lupinladder.emulator.sockets import FaultyListener, NetworkPath, reset_connection
 
-
-class WorkSettings(Protocol):
-    """Draws the work of a command by its labels, in ms."""
-
-    def __call__(self, labels: dict[bytes, bytes]) -> float: ...
+WorkSampler = Callable[[dict[bytes, bytes]], float]
+"""Draws the work of a command by its labels, in ms; UnknownClassError for a class that does not exist."""
 
 
 class CacheNodeServer:
-    """Listeners, connections and what each is answered."""
+    """The listeners and connections of one cache node."""
 
     def __init__(
         self,
         clock: Clock,
         core: CacheNode,
-        referee: RuleChecker,
-        work: WorkSettings,
-        ways: Sequence[NetworkPath],
-        sockets: Sequence[socket.socket | None] | None = None,
-        rtt: Callable[[int], float] = lambda proxy: 0.0,
+        rule_checker: RuleChecker,
+        draw_work: WorkSampler,
+        paths: Sequence[NetworkPath],
+        sockets: Sequence[socket.socket] | None = None,
+        round_trip_ms: Callable[[int], float] = lambda _proxy: 0.0,
     ) -> None:
-        self.clock, self.core, self.referee, self.work, self.ways = clock, core, referee, work, ways
-        self.rtt = rtt
-        self.driver = Driver(clock, core)
-        self.connections: set[CacheNodeProtocol] = set()
-        self.garble: ResponseCorruption | None = None
-        self.silent = False
-        self.on_fall: Callable[[], None] = lambda: None
-        socks = sockets or [None] * len(ways)
-        self.doors = [
-            FaultyListener(clock, (lambda p: lambda: CacheNodeProtocol(self, p))(proxy), socks[proxy])
-            for proxy in range(len(ways))
+        """`paths`, `sockets` (taken over from another node) and `round_trip_ms` are by proxy."""
+        self.clock = clock
+        self.core = core
+        self.rule_checker = rule_checker
+        self.draw_work = draw_work
+        self.paths = paths
+        self.round_trip_ms = round_trip_ms
+        self.driver = ModelDriver(clock, core)
+        self.connections: set[CacheNodeConnection] = set()
+        self.corruption: ResponseCorruption | None = None  # faults set it
+        self.is_unresponsive = False
+        self.on_overload_crash: Callable[[], None] = lambda: None
+        self.listeners = [
+            FaultyListener(
+                clock, partial(CacheNodeConnection, self, proxy), sockets[proxy] if sockets else None
+            )
+            for proxy in range(len(paths))
         ]
 
     def open(self) -> None:
-        for door in self.doors:
-            door.open()
-
-    def addresses(self) -> list[str]:
-        return [door.address for door in self.doors]
+        """Start to accept connections."""
+        for listener in self.listeners:
+            listener.open()
 
     def crash(self) -> None:
-        """The process dies: connections are reset, new ones refused."""
-        for door in self.doors:
-            door.shut()
-        self._die()
+        """The process dies: connections are reset and new ones refused."""
+        for listener in self.listeners:
+            listener.close()
+        self._end_process()
+
+    def crash_from_overload(self) -> None:
+        """The node was sent too much while it was warming up. It stays down."""
+        self.crash()
+        self.on_overload_crash()
 
-    def leave(self) -> list[socket.socket]:
-        """As `crash`, but the listening ports are kept, to be those of another node."""
-        kept = [door.hand_over() for door in self.doors]
-        self._die()
-        return kept
+    def crash_and_hand_over(self) -> list[socket.socket]:
+        """As `crash`, but the listening sockets stay open, for another node. Returns them by proxy."""
+        sockets = [listener.hand_over() for listener in self.listeners]
+        self._end_process()
+        return sockets
 
-    def _die(self) -> None:
+    def _end_process(self) -> None:
         self.core.up = False
-        self.reset_all()
+        self.reset_connections()
         self.driver.stop()
 
-    def reset_all(self) -> None:
-        for conn in list(self.connections):
-            if conn.transport:
-                reset(conn.transport)
-
-    def fall_silent(self) -> None:
-        """The machine is cut off: what is open stays open and silent, nothing new comes up."""
-        self.silent = True
-        for door in self.doors:
-            door.hang()
-
-    def fell(self) -> None:
-        """Pushed over while cold: it stays down."""
-        self.crash()
-        self.on_fall()
+    def reset_connections(self) -> None:
+        """Reset all connections; the process runs on."""
+        for connection in list(self.connections):
+            if connection.transport:
+                reset_connection(connection.transport)
+
+    def stop_responding(self) -> None:
+        """The machine is cut off: open connections stay open and silent, new ones do not come up."""
+        self.is_unresponsive = True
+        for listener in self.listeners:
+            listener.stop_responding()
--- a/lupinladder/emulator/client_attempt.py
+++ b/lupinladder/emulator/client_attempt.py
@@ -1,98 +1,127 @@
-"""One try of a request."""
+"""One attempt of a client's request at a proxy."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from lupinladder.emulator.client_reply import ClientOutcome, ClientReply
 from lupinladder.emulator.resp_encoding import encode_command
 from lupinladder.emulator.rule_checker import GRACE, SLACK
 
 if TYPE_CHECKING:
+    from lupinladder.emulator.client_connection import ClientConnection
     from lupinladder.emulator.client_pool import ClientPool
-    from lupinladder.emulator.client_protocol import ClientProtocol
 
+MIN_REMAINING_TIME_MS = 5.0  # a client with less time left does not begin to send
+LISTENING_AFTER_TIMEOUT_MS = GRACE + SLACK + 5.0  # so that a late reply is seen
 
-LEAST = 5.0  # ms that a client must have left to ask at all
 
+@dataclass(frozen=True, slots=True)
+class ClientCommand:
+    """What an attempt asks for."""
 
-PAST = GRACE + SLACK + 5.0  # ms past its time for which a client still listens, so that a late answer shows
+    request_class: int
+    key: bytes
+    labels: bytes  # without the deadline
+    value: bytes  # of a write; empty for a read
 
 
-class ClientTry:
-    """One try of a request: one id, one answer. Its time runs from here, whether or not a connection is free;
-    the command names what is left of it when it is written."""
+class ClientAttempt:
+    """One attempt: one request id, one reply.
+
+    Its time runs from its creation, whether or not a connection is free. The command names what is left of
+    it when it is written.
+    """
 
     __slots__ = (
-        "_done",
+        "_command",
+        "_deadline",
+        "_encoded",
+        "_is_sent",
+        "_on_done",
         "_pool",
-        "_raw",
         "_timer",
-        "_until",
-        "_words",
-        "again",
-        "conn",
-        "holds",
-        "ident",
-        "kind",
-        "over",
-        "sent",
+        "connection",
+        "is_over",
+        "keeps_connection",
+        "request_id",
+        "was_resent",
     )
 
     def __init__(
         self,
         pool: ClientPool,
-        ident: bytes,
-        kind: int,
-        words: tuple[bytes, bytes, bytes],
-        wait: float,
-        holds: bool,
-        done: Callable[[str, float], None],
+        request_id: bytes,
+        command: ClientCommand,
+        timeout_ms: float,
+        keeps_connection: bool,
+        on_done: Callable[[ClientReply], None],
     ) -> None:
-        """`words` are the key, the labels but for `d`, and a write's value (empty for a read)."""
-        self._pool, self.ident, self.kind, self._words = pool, ident, kind, words
-        self.holds, self._done = holds, done
-        self.conn: ClientProtocol | None = None
-        self.over = self.again = self.sent = False
-        self._raw = b""
-        self._until = pool.clock.now() + wait
-        self._timer = pool.clock.at(self._until + PAST, self._give_up)
-        pool.take(self)
-
-    def wants(self) -> bool:
-        """Whether it still is to be sent. Nobody begins to ask when his time is as good as over."""
-        if not self.over and self._until - self._pool.clock.now() < LEAST:
-            self.end("unsent", b"", 0.0)
-        return not self.over
+        """`keeps_connection`: the client holds its connection after the reply and never uses it again."""
+        self._pool = pool
+        self.request_id = request_id
+        self._command = command
+        self.keeps_connection = keeps_connection
+        self._on_done = on_done
+        self.connection: ClientConnection | None = None
+        self.is_over = False
+        self.was_resent = False  # on a new connection, because a close crossed the command
+        self._is_sent = False
+        self._encoded = b""
+        self._deadline = pool.clock.now() + timeout_ms
+        self._timer = pool.clock.at(self._deadline + LISTENING_AFTER_TIMEOUT_MS, self._give_up)
+
+    def start(self) -> None:
+        """Send it as soon as a connection is free."""
+        self._pool.submit(self)
+
+    def can_still_be_sent(self) -> bool:
+        """Whether there is time to send it. If there is next to none left, the attempt is over."""
+        if not self.is_over and self._deadline - self._pool.clock.now() < MIN_REMAINING_TIME_MS:
+            self.finish(ClientReply(ClientOutcome.NOT_SENT))
+        return not self.is_over
 
     def encode(self) -> bytes:
-        """The command, as it is written now. A second writing after a crossed close changes nothing."""
-        if not self._raw:
-            key, labels, value = self._words
-            wait = max(1, round(self._until - self._pool.clock.now()))
-            words = [b"OBJ.SET" if value else b"OBJ.GET", key, self.ident, labels + b",d=%d" % wait]
-            self._raw = encode_command(*words, value) if value else encode_command(*words)
-        return self._raw
-
-    def taken(self) -> None:
-        """Its last byte is written. A second writing keeps its time."""
-        if not self.sent:
-            self.sent = True
-            now = self._pool.clock.now()
-            wait = max(1.0, float(round(self._until - now)))
-            self._pool.referee.taken(now, self._pool.proxy, self.ident, self.kind, wait, self._raw)
+        """The command as it is written now; the same bytes when it is sent a second time."""
+        if not self._encoded:
+            command = self._command
+            remaining_ms = max(1, round(self._deadline - self._pool.clock.now()))
+            labels = command.labels + b",d=%d" % remaining_ms
+            if command.value:
+                arguments = (b"OBJ.SET", command.key, self.request_id, labels, command.value)
+                self._encoded = encode_command(*arguments)
+            else:
+                self._encoded = encode_command(b"OBJ.GET", command.key, self.request_id, labels)
+        return self._encoded
+
+    def on_sent(self) -> None:
+        """Its last byte is written. Sending it a second time changes nothing of its time."""
+        if self._is_sent:
+            return
+        self._is_sent = True
+        pool = self._pool
+        now = pool.clock.now()
+        remaining_ms = max(1.0, float(round(self._deadline - now)))
+        pool.rule_checker.taken(
+            now, pool.proxy, self.request_id, self._command.request_class, remaining_ms, self._encoded
+        )
 
     def _give_up(self) -> None:
-        if self.over:
+        if self.is_over:
+            return
+        if not self._is_sent:
+            self.finish(ClientReply(ClientOutcome.NOT_SENT))
             return
-        if self.sent:
-            self._pool.referee.gone(self._pool.clock.now(), self.ident)
-        self.end("unanswered" if self.sent else "unsent", b"", 0.0)
-        if self.conn and self.sent:
-            self.conn.close()
-
-    def end(self, word: str, raw: bytes, told: float) -> None:
-        if not self.over:
-            self.over = True
+        self._pool.rule_checker.gone(self._pool.clock.now(), self.request_id)
+        self.finish(ClientReply(ClientOutcome.UNANSWERED))
+        if self.connection:
+            self.connection.close()
+
+    def finish(self, reply: ClientReply) -> None:
+        """The attempt is over, with this reply or without one; only the first call counts."""
+        if not self.is_over:
+            self.is_over = True
             self._timer.cancel()
-            self._done(word, told)
+            self._on_done(reply)
--- /dev/null
+++ b/lupinladder/emulator/client_connection.py
@@ -0,0 +1,101 @@
+"""One connection of a client to a proxy, which carries one attempt at a time."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import hiredis
+
+from lupinladder.emulator.client_reply import ClientOutcome, ClientReply, read_reply
+from lupinladder.emulator.sockets import as_stream_transport
+
+if TYPE_CHECKING:
+    from lupinladder.emulator.client_attempt import ClientAttempt
+    from lupinladder.emulator.client_pool import ClientPool
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection of a pool."""
+
+    def __init__(self, pool: ClientPool) -> None:
+        self._pool = pool
+        self.transport: asyncio.Transport | None = None
+        self._reader = hiredis.Reader()
+        self._raw = bytearray()  # the bytes of the reply that is arriving
+        self._attempt: ClientAttempt | None = None  # that waits for its reply
+        self._last_request_id = b""
+        self._replies_received = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether it can still be written to."""
+        return self.transport is not None and not self.transport.is_closing()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection is established."""
+        self.transport = as_stream_transport(transport)
+
+    def send(self, attempt: ClientAttempt) -> None:
+        """Write the command of an attempt."""
+        assert self.transport
+        self._attempt = attempt
+        self._last_request_id = attempt.request_id
+        attempt.connection = self
+        self.transport.write(attempt.encode())
+        attempt.on_sent()
+
+    def data_received(self, data: bytes) -> None:
+        """Read the reply, if it is whole. Nothing may come while no attempt waits for one."""
+        attempt = self._attempt
+        if attempt is None:
+            pool = self._pool
+            pool.rule_checker.extra(pool.clock.now(), pool.proxy, self._last_request_id, data)
+            self.close()
+            return
+        self._raw += data
+        try:
+            self._reader.feed(data)
+            parsed = self._reader.gets()
+        except hiredis.ProtocolError:
+            self._finish(attempt, ClientReply(ClientOutcome.FAILED), can_be_reused=False)
+            self.close()
+            return
+        if parsed is False:
+            return
+        self._replies_received += 1
+        reply = read_reply(bytes(self._raw), parsed)
+        self._finish(attempt, reply, can_be_reused=self.is_open and not attempt.keeps_connection)
+
+    def _finish(self, attempt: ClientAttempt, reply: ClientReply, can_be_reused: bool) -> None:
+        """The attempt has its reply. The connection goes back to the pool before the client acts on it."""
+        raw = bytes(self._raw)
+        self._attempt = None
+        self._raw.clear()
+        now = self._pool.clock.now()
+        self._pool.rule_checker.answered(now, attempt.request_id, reply.outcome, reply.value, raw)
+        if can_be_reused:
+            self._pool.release(self)
+        attempt.finish(reply)
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        if self.transport:
+            self.transport.abort()
+
+    def connection_lost(self, _exc: Exception | None) -> None:
+        """Fail the attempt that waits, or send it once more if the close crossed its command."""
+        attempt = self._attempt
+        self._attempt = None
+        self._pool.on_connection_lost(self)
+        if attempt is None or attempt.is_over:
+            return
+        now = self._pool.clock.now()
+        closed_between_commands = self._replies_received and not self._raw
+        if closed_between_commands and not attempt.was_resent:
+            attempt.was_resent = True
+            self._pool.rule_checker.again(now, attempt.request_id)
+            self._pool.submit(attempt)
+            return
+        self._pool.rule_checker.ended(now, attempt.request_id, bytes(self._raw))
+        attempt.finish(ClientReply(ClientOutcome.FAILED))
--- a/lupinladder/emulator/client_pool.py
+++ b/lupinladder/emulator/client_pool.py
@@ -1,77 +1,90 @@
-"""A pool of connections to one proxy."""
+"""The connections of the usual clients to one proxy."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from lupinladder.emulator.client_attempt import ClientTry
-
 import asyncio
 from collections import deque
+from typing import TYPE_CHECKING
 
-from lupinladder.emulator.client_protocol import ClientProtocol
+from lupinladder.emulator.client_connection import ClientConnection
+from lupinladder.emulator.client_reply import ClientOutcome, ClientReply
 from lupinladder.emulator.clock import Clock
 from lupinladder.emulator.rule_checker import RuleChecker
 
+if TYPE_CHECKING:
+    from lupinladder.emulator.client_attempt import ClientAttempt
+
 
 class ClientPool:
-    """Connections to one proxy. A request that finds none free and none to open waits in line."""
+    """At most `max_connections` to one proxy. An attempt that finds none free waits for one."""
 
     def __init__(
-        self, clock: Clock, referee: RuleChecker, proxy: int, address: tuple[str, int], most: int
+        self,
+        clock: Clock,
+        rule_checker: RuleChecker,
+        proxy: int,
+        address: tuple[str, int],
+        max_connections: int,
     ) -> None:
-        self.clock, self.referee, self.proxy, self.address, self.most = clock, referee, proxy, address, most
-        self.idle: list[ClientProtocol] = []
-        self.count = self.opened = 0
-        self.line: deque[ClientTry] = deque()
+        self.clock = clock
+        self.rule_checker = rule_checker
+        self.proxy = proxy
+        self.opened = 0  # connections established since the start
+        self._address = address
+        self._max_connections = max_connections
+        self._connection_count = 0  # with those that are being established
+        self._idle: list[ClientConnection] = []
+        self._waiting: deque[ClientAttempt] = deque()
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def take(self, one: ClientTry) -> None:
-        while self.idle:
-            conn = self.idle.pop()
-            if conn.transport and not conn.transport.is_closing():
-                conn.ask(one)
+    def submit(self, attempt: ClientAttempt) -> None:
+        """Send an attempt on an idle connection or a new one, or let it wait for one."""
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_open:
+                connection.send(attempt)
                 return
-        if self.count < self.most:
-            self.count += 1
-            self._open(one)
+        if self._connection_count < self._max_connections:
+            self._connect_for(attempt)
         else:
-            self.line.append(one)
+            self._waiting.append(attempt)
 
-    def _open(self, one: ClientTry) -> None:
-        task = self.clock.loop.create_task(self._dial(one))
+    def _connect_for(self, attempt: ClientAttempt) -> None:
+        self._connection_count += 1
+        task = self.clock.loop.create_task(self._connect_and_send(attempt))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _dial(self, one: ClientTry) -> None:
+    async def _connect_and_send(self, attempt: ClientAttempt) -> None:
         try:
-            _, conn = await self.clock.loop.create_connection(lambda: ClientProtocol(self), *self.address)
+            _, connection = await self.clock.loop.create_connection(
+                lambda: ClientConnection(self), *self._address
+            )
         except OSError:
-            self.count -= 1
-            one.end("failed", b"", 0.0)
+            self._connection_count -= 1
+            attempt.finish(ClientReply(ClientOutcome.FAILED))
             return
         self.opened += 1
-        if not one.wants():
-            self.free(conn)
+        if attempt.can_still_be_sent():
+            connection.send(attempt)
         else:
-            conn.ask(one)
+            self.release(connection)
 
-    def free(self, conn: ClientProtocol) -> None:
+    def release(self, connection: ClientConnection) -> None:
         """The connection can be used again."""
-        while self.line:
-            one = self.line.popleft()
-            if one.wants():
-                conn.ask(one)
+        while self._waiting:
+            attempt = self._waiting.popleft()
+            if attempt.can_still_be_sent():
+                connection.send(attempt)
                 return
-        self.idle.append(conn)
+        self._idle.append(connection)
 
-    def lost(self, conn: ClientProtocol) -> None:
-        self.count -= 1
-        if conn in self.idle:
-            self.idle.remove(conn)
-        while self.line and self.count < self.most:
-            one = self.line.popleft()
-            if one.wants():
-                self.count += 1
-                self._open(one)
+    def on_connection_lost(self, connection: ClientConnection) -> None:
+        """A connection was closed: others may be opened for those who wait."""
+        self._connection_count -= 1
+        if connection in self._idle:
+            self._idle.remove(connection)
+        while self._waiting and self._connection_count < self._max_connections:
+            attempt = self._waiting.popleft()
+            if attempt.can_still_be_sent():
+                self._connect_for(attempt)
--- a/lupinladder/emulator/clock.py
+++ b/lupinladder/emulator/clock.py
@@ -1,4 +1,4 @@
-"""The lab's clock, calls at set times, and the watch on whether the lab itself runs late."""
+"""The emulator's clock, calls at set times, and the measure of whether the emulator itself runs late."""
 
 from __future__ import annotations
 
@@ -6,87 +6,115 @@
 import time
 import traceback
 from collections.abc import Callable
+from math import inf
 from typing import Any, Protocol
 
-BEAT = 0.02  # seconds between looks
+LATENESS_INTERVAL_S = 0.02  # between two measurements
+EARLIER_WAKEUP_MS = 0.01  # a wakeup that is earlier by more than this replaces the timer
+LATER_WAKEUP_MS = 50.0  # a wakeup that is later by more than this does so too
 
 
 class Clock:
-    """Monotonic ms, anchored once to Unix time, as the proxies' own: start times in the list need that."""
+    """Monotonic milliseconds, anchored once to Unix time, and the event loop.
+
+    The proxies' own clocks are anchored in the same way: the start times in the endpoint list need that.
+    """
 
     def __init__(self) -> None:
-        self._anchor = (time.time() - time.monotonic()) * 1000
+        self._anchor_ms = (time.time() - time.monotonic()) * 1000
         self.loop = asyncio.get_running_loop()
-        self.faults: list[str] = []  # of the lab's own code: with any, the run says nothing
-        self.loop.set_exception_handler(self._fault)
+        self.faults: list[str] = []  # exceptions of the emulator's own code: with any, a run is void
+        self.loop.set_exception_handler(self._on_exception)
 
-    def _fault(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
-        bad = context.get("exception")
-        if not isinstance(bad, OSError):  # a peer that has gone is none of ours
-            text = "".join(traceback.format_exception(bad)) if bad else context.get("message", "")
-            self.faults.append(text.strip().replace("\n", " | "))
+    def _on_exception(self, _loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        exception = context.get("exception")
+        if isinstance(exception, OSError):  # a peer that has gone is no fault of the emulator
+            return
+        lines = traceback.format_exception(exception) if exception else [context.get("message", "")]
+        text = "".join(lines)
+        self.faults.append(text.strip().replace("\n", " | "))
 
     def now(self) -> float:
-        return time.monotonic() * 1000 + self._anchor
+        """The time, in ms."""
+        return time.monotonic() * 1000 + self._anchor_ms
+
+    def at(self, when: float, callback: Callable[[], object]) -> asyncio.TimerHandle:
+        """Call back at this time (ms), or as soon as possible if it has passed."""
+        return self.loop.call_later(max(0.0, when - self.now()) / 1000, callback)
+
 
-    def at(self, when: float, call: Callable[[], object]) -> asyncio.TimerHandle:
-        return self.loop.call_later(max(0.0, when - self.now()) / 1000, call)
+class TimedModel(Protocol):
+    """A model that does no I/O and has to be told the time."""
 
+    def advance(self, now: float) -> object:
+        """Do what is due by now (ms)."""
 
-class Core(Protocol):
-    def advance(self, now: float) -> object: ...
-    def wake(self) -> float: ...
+    def next_wakeup(self) -> float:
+        """When `advance` has to be called next, in ms; infinity if nothing is under way."""
 
 
-class Driver:
-    """Calls a core when it wants to be called."""
+class ModelDriver:
+    """Calls `advance` of a model when it is due, and `after_advance` each time after that."""
 
-    def __init__(self, clock: Clock, core: Core, after: Callable[[], object] = lambda: None) -> None:
-        self._clock, self._core, self._after = clock, core, after
+    def __init__(
+        self, clock: Clock, model: TimedModel, after_advance: Callable[[], object] = lambda: None
+    ) -> None:
+        self._clock = clock
+        self._model = model
+        self._after_advance = after_advance
         self._timer: asyncio.TimerHandle | None = None
-        self._when = float("inf")
-
-    def poke(self) -> None:
-        """Something has changed: do what is due, and set the next call."""
-        self._core.advance(self._clock.now())
-        self._after()
-        when = self._core.wake()
-        if when < self._when - 0.01 or self._timer is None or when > self._when + 50:
-            if self._timer:
-                self._timer.cancel()
-            self._timer, self._when = None, when
-            if when != float("inf"):
-                self._timer = self._clock.at(when, self._fire)
-
-    def _fire(self) -> None:
-        self._timer, self._when = None, float("inf")
-        self.poke()
+        self._fires_at = inf
+
+    def update(self) -> None:
+        """The model has changed: do what is due, and set the timer."""
+        self._model.advance(self._clock.now())
+        self._after_advance()
+        wakeup = self._model.next_wakeup()
+        is_earlier = wakeup < self._fires_at - EARLIER_WAKEUP_MS
+        is_later = wakeup > self._fires_at + LATER_WAKEUP_MS
+        if is_earlier or is_later or self._timer is None:
+            self._set_timer(wakeup)
+
+    def _set_timer(self, wakeup: float) -> None:
+        self.stop()
+        self._timer = None
+        self._fires_at = wakeup
+        if wakeup != inf:
+            self._timer = self._clock.at(wakeup, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self._fires_at = inf
+        self.update()
 
     def stop(self) -> None:
+        """Cancel the timer."""
         if self._timer:
             self._timer.cancel()
 
 
 class Lateness:
-    """How late the lab's own loop runs. A run in which it was late says nothing of the proxies."""
+    """How late the emulator's own event loop runs. A run in which it was late says nothing of the proxies."""
 
     def __init__(self, clock: Clock) -> None:
-        self._clock, self._due = clock, clock.now()
+        self._clock = clock
         self.lags: list[float] = []  # ms
-        self._next()
+        self._schedule()
 
-    def _next(self) -> None:
-        self._due = self._clock.now() + BEAT * 1000
-        self._timer = self._clock.loop.call_later(BEAT, self._beat)
+    def _schedule(self) -> None:
+        self._due = self._clock.now() + LATENESS_INTERVAL_S * 1000
+        self._timer = self._clock.loop.call_later(LATENESS_INTERVAL_S, self._measure)
 
-    def _beat(self) -> None:
+    def _measure(self) -> None:
         self.lags.append(max(0.0, self._clock.now() - self._due))
-        self._next()
+        self._schedule()
 
     def stop(self) -> None:
+        """Measure no more."""
         self._timer.cancel()
 
     def share(self, over: float) -> float:
         """The share of time in which the loop was more than `over` ms late."""
-        lost = sum(lag for lag in self.lags if lag > over)
-        return lost / max(len(self.lags) * BEAT * 1000 + sum(self.lags), 1.0)
+        late_ms = sum(lag for lag in self.lags if lag > over)
+        total_ms = len(self.lags) * LATENESS_INTERVAL_S * 1000 + sum(self.lags)
+        return late_ms / max(total_ms, 1.0)
--- a/lupinladder/emulator/cluster.py
+++ b/lupinladder/emulator/cluster.py
@@ -1,9 +1,10 @@
-"""The servers of a run: cache nodes that come and go, the origin, the list, and the ways to all of them."""
+"""The servers of a run: cache nodes that come and go, the origin, discovery, and the paths to all of them."""
 
 from __future__ import annotations
 
 import socket
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 import numpy as np
 
@@ -11,177 +12,247 @@
 from lupinladder.emulator.cache_node_server import CacheNodeServer
 from lupinladder.emulator.clock import Clock
 from lupinladder.emulator.discovery_server import DiscoveryServer
-from lupinladder.emulator.endpoint_list import EndpointList, ListedEndpoint
+from lupinladder.emulator.endpoint_list import EndpointList, EndpointStatus, ListedEndpoint
 from lupinladder.emulator.origin import OriginModel
 from lupinladder.emulator.origin_server import OriginServer
+from lupinladder.emulator.request_labels import UnknownClassError
 from lupinladder.emulator.rule_checker import RuleChecker
-from lupinladder.emulator.scenario import Scenario
+from lupinladder.emulator.scenario import RequestClassConfig, Scenario
 from lupinladder.emulator.shared_data import SharedData
 from lupinladder.emulator.sockets import NetworkPath
 from lupinladder.emulator.workload import KeyDistribution, random_stream
 
-ORIGIN, ORIGIN_ZONE = "origin", 0
+ORIGIN = "origin"
+ORIGIN_ZONE = 0
+NODE_TYPE = "small-1"
+CLASS_LABEL = b"c"
+
+
+@dataclass(frozen=True, slots=True)
+class WorkDistribution:
+    """The lognormal distribution of the work of one request class."""
+
+    mean_ms: float
+    sigma: float
+
+    @classmethod
+    def of_class(cls, request_class: RequestClassConfig) -> WorkDistribution:
+        """The distribution with the mean and the coefficient of variation that the scenario sets."""
+        return cls(request_class.work_ms, float(np.sqrt(np.log1p(request_class.cv**2))))
+
+    def draw(self, rng: np.random.Generator) -> float:
+        """Draw the work of one request, in ms."""
+        return float(self.mean_ms * rng.lognormal(-self.sigma * self.sigma / 2, self.sigma))
 
 
 def origin_capacity(scenario: Scenario) -> float:
     """Fetches a second that the origin can do: as set, or the headroom times what one pooled cache leaves."""
     if scenario.origin.capacity:
         return scenario.origin.capacity
-    writes = sum(one.share for one in scenario.classes if one.write)
-    rate = max(max(step.rate, step.to or 0) for step in scenario.load)
-    return scenario.origin.headroom * rate * ((1 - writes) * (1 - scenario.clients.hits) + writes)
+    write_share = sum(one.share for one in scenario.classes if one.write)
+    peak_rate = max(max(phase.rate, phase.to or 0) for phase in scenario.load)
+    fetch_share = (1 - write_share) * (1 - scenario.clients.hits) + write_share
+    return scenario.origin.headroom * peak_rate * fetch_share
 
 
 class Cluster:
+    """All servers of a run."""
+
     def __init__(
-        self, clock: Clock, scenario: Scenario, keys: KeyDistribution, referee: RuleChecker, zones: list[int]
+        self,
+        clock: Clock,
+        scenario: Scenario,
+        keys: KeyDistribution,
+        rule_checker: RuleChecker,
+        proxy_zones: list[int],
     ) -> None:
-        """`zones` are those of the proxies."""
-        self.clock, self.scenario, self.referee, self.zones = clock, scenario, referee, zones
+        """`proxy_zones` are the zones of the proxies, by proxy."""
+        self.clock = clock
+        self.scenario = scenario
         self.rng = random_stream(scenario.seed, "fleet")
-        ttl = scenario.fleet.ttl_s
-        self.world = SharedData(keys, lambda: float(self.rng.uniform(*ttl)) * 1000)
         self.nodes: dict[str, CacheNodeServer] = {}
-        self.ways: dict[tuple[int, int], NetworkPath] = {}  # by the zones of both ends
-        self.list = EndpointList()
-        self.on_change: Callable[[str], None] = lambda what: None
-        self._works = {
-            one.name.encode(): (one.work_ms, float(np.sqrt(np.log1p(one.cv**2)))) for one in scenario.classes
-        }
-        self._number = 0
+        self.endpoints = EndpointList()
+        self.list = self.endpoints  # the former name
+        self.on_change: Callable[[str], None] = lambda _what: None
+        self._rule_checker = rule_checker
+        self._proxy_zones = proxy_zones
+        self._paths: dict[tuple[int, int], NetworkPath] = {}  # by the zones of both ends, the lower first
+        self._shared_data = SharedData(keys, self._draw_ttl)
+        self._work_by_class = {one.name.encode(): WorkDistribution.of_class(one) for one in scenario.classes}
+        self._nodes_placed = 0
+        self.origin = self._make_origin()
+        self.discovery = DiscoveryServer(
+            clock, self.endpoints, rule_checker, len(proxy_zones), self.addresses, scenario.discovery
+        )
+
+    def _draw_ttl(self) -> float:
+        return float(self.rng.uniform(*self.scenario.fleet.ttl_s)) * 1000
+
+    def _make_origin(self) -> OriginServer:
+        scenario = self.scenario
         core = OriginModel(
-            clock.now(),
+            self.clock.now(),
             scenario.origin,
             origin_capacity(scenario),
-            self.world,
+            self._shared_data,
             random_stream(scenario.seed, "origin"),
         )
-        self.origin = OriginServer(
-            clock, core, referee, self._ways_to(ORIGIN_ZONE), self._cold_miss, scenario.origin.fall_s * 1000
-        )
-        self.discovery = DiscoveryServer(
-            clock,
-            self.list,
-            referee,
-            len(zones),
-            self.addresses,
-            scenario.discovery.capacity,
-            scenario.discovery.empty_s,
-            scenario.discovery.timeout_s,
+        return OriginServer(
+            self.clock,
+            core,
+            self._rule_checker,
+            self._paths_to(ORIGIN_ZONE),
+            self._missed_at_warming_node,
+            scenario.origin.fall_s * 1000,
         )
 
     def open(self) -> None:
-        """Start the servers that run when the day begins; they are in the list from the first."""
+        """Start the servers that run when the run begins; they are in the list from the start."""
         self.origin.open()
-        self.list.put(
-            ListedEndpoint(ORIGIN, self.scenario.fleet.zones[ORIGIN_ZONE], "origin", 0, "active", 0)
-        )
+        zone = self.scenario.fleet.zones[ORIGIN_ZONE]
+        self.endpoints.put(ListedEndpoint(ORIGIN, zone, "origin", 0, EndpointStatus.ACTIVE, 0))
         for _ in range(self.scenario.fleet.nodes):
-            node = self._make(self._next_zone(), cold=False)
-            self.list.put(self.entry(node, "active"))
+            node = self._make_node(self._next_zone(), starts_empty=False)
+            self.endpoints.put(self.entry(node, EndpointStatus.ACTIVE))
         self.discovery.open()
 
     def _next_zone(self) -> int:
-        self._number += 1
-        return self._number % len(self.scenario.fleet.zones)
-
-    def way(self, one: int, other: int) -> NetworkPath:
-        """Between two zones; one object, so that a fault on it shows to all that use it."""
-        ends = (min(one, other), max(one, other))
-        if ends not in self.ways:
-            net = self.scenario.net
-            delay = net.same_ms if one == other else net.cross_ms
-            self.ways[ends] = NetworkPath(self.clock, self.rng, delay, net.jitter)
-        return self.ways[ends]
-
-    def _ways_to(self, zone: int) -> list[NetworkPath]:
-        return [self.way(one, zone) for one in self.zones]
-
-    def work(self, labels: dict[bytes, bytes]) -> float:
-        """Of one command, by its class: lognormal. KeyError for a class that does not exist."""
-        mean, sigma = self._works[labels[b"c"]]
-        return float(mean * self.rng.lognormal(-sigma * sigma / 2, sigma))
-
-    def _make(
-        self, zone: int, cold: bool, sockets: Sequence[socket.socket] | None = None, name: str = ""
+        self._nodes_placed += 1
+        return self._nodes_placed % len(self.scenario.fleet.zones)
+
+    def _path(self, zone: int, other_zone: int) -> NetworkPath:
+        """The path between two zones: one object, so that a fault on it affects all that use it."""
+        ends = (min(zone, other_zone), max(zone, other_zone))
+        if ends not in self._paths:
+            one_way_ms = self._one_way_ms(zone, other_zone)
+            self._paths[ends] = NetworkPath(self.rng, one_way_ms, self.scenario.net.jitter)
+        return self._paths[ends]
+
+    def _one_way_ms(self, zone: int, other_zone: int) -> float:
+        net = self.scenario.net
+        return net.same_ms if zone == other_zone else net.cross_ms
+
+    def _paths_to(self, zone: int) -> list[NetworkPath]:
+        """By proxy."""
+        return [self._path(proxy_zone, zone) for proxy_zone in self._proxy_zones]
+
+    def paths_between_zones(self, zone: int) -> list[NetworkPath]:
+        """The paths from this zone to others."""
+        return [path for ends, path in self._paths.items() if zone in ends and ends[0] != ends[1]]
+
+    def draw_work(self, labels: dict[bytes, bytes]) -> float:
+        """Draw the work of a command, in ms. UnknownClassError if its labels name no class that exists."""
+        name = labels.get(CLASS_LABEL)
+        if name is None:
+            raise UnknownClassError(CLASS_LABEL)
+        distribution = self._work_by_class.get(name)
+        if distribution is None:
+            raise UnknownClassError(name)
+        return distribution.draw(self.rng)
+
+    def _make_node(
+        self,
+        zone: int,
+        starts_empty: bool,
+        sockets: Sequence[socket.socket] | None = None,
+        name: str = "",
     ) -> CacheNodeServer:
         now = self.clock.now()
+        config = self.scenario.fleet
         name = name or f"s-{int(self.rng.integers(1 << 32)):08x}"
-        core = CacheNode(now, name, zone, self.scenario.fleet, self.world, self.rng, cold)
-        ways = self._ways_to(zone)
-        net = self.scenario.net
+        core = CacheNode(now, name, zone, config, self._shared_data, self.rng, starts_empty)
 
-        def rtt(proxy: int) -> float:
-            return 2 * (net.same_ms if self.zones[proxy] == zone else net.cross_ms)
+        def round_trip_ms(proxy: int) -> float:
+            """Between this proxy and the node, without jitter."""
+            return 2 * self._one_way_ms(self._proxy_zones[proxy], zone)
 
-        server = CacheNodeServer(self.clock, core, self.referee, self.work, ways, sockets, rtt)
+        server = CacheNodeServer(
+            self.clock,
+            core,
+            self._rule_checker,
+            self.draw_work,
+            self._paths_to(zone),
+            sockets,
+            round_trip_ms,
+        )
         server.open()
-        server.on_fall = lambda: self._fell(server)
-        self.world.nodes[name] = core
+        server.on_overload_crash = lambda: self._on_overload_crash(server)
+        self._shared_data.nodes[name] = core
         self.nodes[name] = server
-        if cold:
-            self.referee.cold(now, name, self.scenario.fleet.cold_s * 1000, core.machine.capacity)
+        if starts_empty:
+            self._rule_checker.cold(now, name, config.cold_s * 1000, core.queue.capacity)
         return server
 
-    def entry(self, node: CacheNodeServer, status: str) -> ListedEndpoint:
+    def entry(self, node: CacheNodeServer, status: EndpointStatus) -> ListedEndpoint:
+        """The list's entry of a node."""
         core = node.core
         zone = self.scenario.fleet.zones[core.zone]
-        return ListedEndpoint(core.name, zone, "small-1", core.zone, status, int(core.started))
+        return ListedEndpoint(core.name, zone, NODE_TYPE, core.zone, status, int(core.started))
 
     def addresses(self, proxy: int) -> dict[str, str]:
-        """Where each server is reached by one proxy."""
-        found = {name: node.doors[proxy].address for name, node in self.nodes.items()}
-        return {**found, ORIGIN: self.origin.doors[proxy].address}
+        """Where this proxy reaches each server, by name."""
+        node_addresses = {name: node.listeners[proxy].address for name, node in self.nodes.items()}
+        return {**node_addresses, ORIGIN: self.origin.listeners[proxy].address}
 
-    def _cold_miss(self, ident: bytes) -> bool:
-        """Whether the fetch comes from a miss at a cold node."""
+    def _missed_at_warming_node(self, request_id: bytes) -> bool:
+        """Whether the fetch of this request began with a miss at a node that warms up."""
         now = self.clock.now()
-        return any(self.referee.is_cold(now, name) for name in self.world.missers(ident)[:1])
+        first_node = self._shared_data.nodes_that_missed(request_id)[:1]
+        return any(self._rule_checker.is_cold(now, name) for name in first_node)
 
-    def notice(self, entry: ListedEndpoint, lag_s: float | None = None) -> None:
-        """The list will show this, some time from now."""
-        lag = lag_s if lag_s is not None else float(self.rng.uniform(*self.scenario.discovery.notice_s))
-        self.list.notice(self.clock.now() + lag * 1000, entry)
-        self.discovery.driver.poke()
+    def announce(self, entry: ListedEndpoint, delay_s: float | None = None) -> None:
+        """The list will show this after `delay_s`, which is drawn if it is not given."""
+        if delay_s is None:
+            delay_s = float(self.rng.uniform(*self.scenario.discovery.notice_s))
+        self.endpoints.notice_at(self.clock.now() + delay_s * 1000, entry)
+        self.discovery.driver.update()
 
     def start_node(
         self, zone: int, sockets: Sequence[socket.socket] | None = None, name: str = ""
     ) -> CacheNodeServer:
-        """A new node, cold."""
-        node = self._make(zone, True, sockets, name)
-        self.notice(self.entry(node, "active"))
+        """Start a new node with empty caches, on `sockets` (by proxy) and under `name` if these are given."""
+        node = self._make_node(zone, True, sockets, name)
+        self.announce(self.entry(node, EndpointStatus.ACTIVE))
         self.on_change(f"{node.core.name} started")
         return node
 
     def drain(self, node: CacheNodeServer) -> None:
-        """It finishes what it has, and the list will say so."""
-        self.notice(self.entry(node, "leaving"))
+        """The node finishes what it has, and the list will say that it drains."""
+        self.announce(self.entry(node, EndpointStatus.DRAINING))
 
-    def end(self, node: CacheNodeServer, keep: bool = False) -> list[socket.socket]:
-        """Its process ends. With `keep`, its listening sockets are for a successor."""
-        kept: list[socket.socket] = node.leave() if keep else []
-        if not keep:
-            node.crash()
-        self._forget(node)
-        self.notice(self.entry(node, "left"))
-        self.on_change(f"{node.core.name} ended")
-        return kept
+    def end_node(self, node: CacheNodeServer) -> None:
+        """The node's process ends."""
+        node.crash()
+        self._remove(node, "ended")
+
+    def end_node_and_keep_sockets(self, node: CacheNodeServer) -> list[socket.socket]:
+        """The node's process ends. Returns its listening sockets, by proxy, for a successor."""
+        sockets = node.crash_and_hand_over()
+        self._remove(node, "ended")
+        return sockets
+
+    def replace_unresponsive(self, node: CacheNodeServer) -> None:
+        """A machine that was cut off comes back under its old name, with empty caches."""
+        node.crash()
+        self.nodes.pop(node.core.name, None)
+        self.start_node(node.core.zone, None, node.core.name)
 
-    def _fell(self, node: CacheNodeServer) -> None:
-        self._forget(node)
-        self.notice(self.entry(node, "left"))
-        self.on_change(f"{node.core.name} fell over")
+    def _on_overload_crash(self, node: CacheNodeServer) -> None:
+        self._remove(node, "fell over")
 
-    def _forget(self, node: CacheNodeServer) -> None:
-        if self.nodes.get(node.core.name) is node:
-            del self.nodes[node.core.name]
-        self.world.nodes.pop(node.core.name, None)
+    def _remove(self, node: CacheNodeServer, what: str) -> None:
+        name = node.core.name
+        if self.nodes.get(name) is node:
+            del self.nodes[name]
+        self._shared_data.nodes.pop(name, None)
+        self.announce(self.entry(node, EndpointStatus.REMOVED))
+        self.on_change(f"{name} {what}")
 
     def close(self) -> None:
+        """End all servers."""
         for node in self.nodes.values():
             node.crash()
-        for door in [*self.origin.doors, *self.discovery.doors]:
-            door.shut()
+        for listener in self.origin.listeners:
+            listener.close()
         self.origin.driver.stop()
-        self.discovery.go_down()
-        self.discovery.driver.stop()
+        self.discovery.close()
--- a/lupinladder/emulator/deduplication_table.py
+++ b/lupinladder/emulator/deduplication_table.py
@@ -1,23 +1,23 @@
-"""Keyed writes seen lately."""
+"""Recent writes by idempotency key, so that a repeat within the window is dropped."""
 
 from __future__ import annotations
 
 from collections import OrderedDict
 
-DEDUPLICATION_MEMORY_MS = 5000.0  # for which the repeat of a keyed write is dropped
+DEDUPLICATION_WINDOW_MS = 5000.0
 
 
 class DeduplicationTable:
-    """Keyed writes seen lately: all servers of the group drop a repeat (PROTOCOL, BRIEF)."""
+    """Idempotency keys seen lately: all servers of the group drop a repeat (PROTOCOL, BRIEF)."""
 
     def __init__(self) -> None:
-        self._seen: OrderedDict[bytes, float] = OrderedDict()
+        self._first_seen: OrderedDict[bytes, float] = OrderedDict()  # by idempotency key, ms
 
-    def fresh(self, token: bytes, now: float) -> bool:
-        """Whether this is the first within the window."""
-        while self._seen and next(iter(self._seen.values())) < now - DEDUPLICATION_MEMORY_MS:
-            self._seen.popitem(last=False)
-        if token in self._seen:
+    def is_first(self, idempotency_key: bytes, now: float) -> bool:
+        """Whether this is the first write with this key within the window; it is remembered if so."""
+        while self._first_seen and next(iter(self._first_seen.values())) < now - DEDUPLICATION_WINDOW_MS:
+            self._first_seen.popitem(last=False)
+        if idempotency_key in self._first_seen:
             return False
-        self._seen[token] = now
+        self._first_seen[idempotency_key] = now
         return True
--- a/lupinladder/emulator/discovery_connection.py
+++ b/lupinladder/emulator/discovery_connection.py
@@ -1,42 +1,54 @@
-"""One connection from a proxy to discovery."""
+"""One connection from a proxy to discovery: polls of the whole list, or one watch, over HTTP/1.1."""
 
 from __future__ import annotations
 
 import asyncio
+from functools import partial
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs, urlsplit
 
 import httptools
 
-from lupinladder.emulator.endpoint_list import ListedEndpoint
-from lupinladder.emulator.sockets import reset, transport_of
+from lupinladder.emulator.endpoint_list import EndpointChanges
+from lupinladder.emulator.http_encoding import encode_response
+from lupinladder.emulator.sockets import as_stream_transport, reset_connection
 
 if TYPE_CHECKING:
     from lupinladder.emulator.discovery_server import DiscoveryServer
 
+LIST_PATH = "/v1/endpoints"
+WATCH_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+class DiscoveryConnection(asyncio.Protocol):
+    """One connection from a proxy."""
 
-class DiscoveryProtocol(asyncio.Protocol):
     def __init__(self, server: DiscoveryServer, proxy: int) -> None:
-        self._server, self._proxy = server, proxy
+        self._server = server
+        self._proxy = proxy
         self.transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._url = b""
-        self._index: int | None = None  # of the watch
-        self._empty: asyncio.TimerHandle | None = None
+        self._watch_index: int | None = None  # the version that the watch was sent last; None without one
+        self._keepalive_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = transport_of(transport)
-        if self._server.down:
-            reset(self.transport)
+        """Take the connection, or reset it if discovery is down."""
+        self.transport = as_stream_transport(transport)
+        if self._server.is_down:
+            reset_connection(self.transport)
             return
         self._server.connections.add(self)
 
-    def connection_lost(self, exc: Exception | None) -> None:
+    def connection_lost(self, _exc: Exception | None) -> None:
+        """Forget the connection and its watch."""
         self._server.connections.discard(self)
-        if self._empty:
-            self._empty.cancel()
+        if self._keepalive_timer:
+            self._keepalive_timer.cancel()
 
     def data_received(self, data: bytes) -> None:
+        """Parse a part of a request; close the connection if it is not HTTP/1.1."""
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -44,66 +56,74 @@
                 self.transport.close()
 
     def on_url(self, url: bytes) -> None:
+        """The parser has read a part of the path and the query string."""
         self._url += url
 
     def on_message_complete(self) -> None:
-        parts, self._url = urlsplit(self._url.decode("latin-1")), b""
-        self._server.referee.tick("calls for the list", self._server.clock.now())
-        wait = self._server.turn()
-        if wait is None:
-            self._answer(503, b"")
+        """The parser has read a whole request."""
+        url = urlsplit(self._url.decode("latin-1"))
+        self._url = b""
+        self._server.rule_checker.tick("calls for the list", self._server.clock.now())
+        wait_s = self._server.reserve_turn()
+        if wait_s is None:
+            self._respond(HTTPStatus.SERVICE_UNAVAILABLE, b"")
             return
-        asked = parse_qs(parts.query)
-        watch = asked.get("stream") == ["1"]
-        index = int(asked.get("index", ["0"])[0] or 0) if asked.get("index", ["0"])[0].isdigit() else 0
-        if parts.path != "/v1/endpoints":
-            self._answer(404, b"")
+        if url.path != LIST_PATH:
+            self._respond(HTTPStatus.NOT_FOUND, b"")
             return
-        self._server.clock.loop.call_later(wait, (lambda: self._begin(index)) if watch else self._whole)
-
-    def _answer(self, status: int, body: bytes) -> None:
+        parameters = parse_qs(url.query)
+        if parameters.get("stream") == ["1"]:
+            index = parameters.get("index", ["0"])[0]
+            answer = partial(self._start_watch, int(index) if index.isdigit() else 0)
+        else:
+            answer = partial(self._send_list)
+        self._server.clock.loop.call_later(wait_s, answer)
+
+    def _respond(self, status: HTTPStatus, body: bytes) -> None:
         if self.transport and not self.transport.is_closing():
-            head = b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n\r\n" % (
-                status,
-                {200: b"OK", 404: b"Not Found"}.get(status, b"Service Unavailable"),
-                len(body),
-            )
-            self.transport.write(head + body)
-
-    def _whole(self) -> None:
-        core = self._server.core
-        entries = list(core.entries.values())
-        self._answer(200, core.text(True, entries, self._server.addresses(self._proxy)) + b"\n")
-        self._told(True, entries)
-
-    def _told(self, whole: bool, entries: list[ListedEndpoint]) -> None:
-        if whole:
-            self._server.referee.told_whole(
-                self._server.clock.now(), self._proxy, {entry.name for entry in entries}
-            )
-        for entry in entries:
-            self._server.referee.told(self._server.clock.now(), self._proxy, entry.name, entry.status)
-
-    def _begin(self, index: int) -> None:
+            self.transport.write(encode_response(status, body))
+
+    def _send_list(self) -> None:
+        endpoints = self._server.core
+        changes = EndpointChanges(True, list(endpoints.entries.values()))
+        text = endpoints.text(*changes, self._server.addresses(self._proxy))
+        self._respond(HTTPStatus.OK, text + b"\n")
+        self._record_written(changes)
+
+    def _record_written(self, changes: EndpointChanges) -> None:
+        """Tell the rule checker what the proxy now knows."""
+        rule_checker = self._server.rule_checker
+        clock = self._server.clock
+        if changes.is_snapshot:
+            names = {entry.name for entry in changes.entries}
+            rule_checker.told_whole(clock.now(), self._proxy, names)
+        for entry in changes.entries:
+            rule_checker.told(clock.now(), self._proxy, entry.name, entry.status)
+
+    def _start_watch(self, index: int) -> None:
         if self.transport is None or self.transport.is_closing():
             return
-        self.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        self._write(*self._server.core.since(index))
-
-    def changed(self) -> None:
-        """The list has changed; a watch is written what it has not heard."""
-        if self._index is not None:
-            self._write(*self._server.core.since(self._index))
-
-    def _write(self, whole: bool, entries: list[ListedEndpoint]) -> None:
-        core = self._server.core
-        self._index = core.index
-        self._line(core.text(whole, entries, self._server.addresses(self._proxy)))
-        self._told(whole, entries)
-
-    def _line(self, text: bytes) -> None:
-        if self._empty:
-            self._empty.cancel()
+        self.transport.write(WATCH_HEAD)
+        self._send_changes(index)
+
+    def on_list_changed(self) -> None:
+        """Send the watch, if there is one, what it has not been sent yet."""
+        if self._watch_index is not None:
+            self._send_changes(self._watch_index)
+
+    def _send_changes(self, index: int) -> None:
+        endpoints = self._server.core
+        changes = endpoints.since(index)
+        self._watch_index = endpoints.index
+        self._send_line(endpoints.text(*changes, self._server.addresses(self._proxy)))
+        self._record_written(changes)
+
+    def _send_line(self, text: bytes) -> None:
+        """Send one chunk, a line, and an empty line once nothing else has been sent for a while."""
+        if self._keepalive_timer:
+            self._keepalive_timer.cancel()
         if self.transport and not self.transport.is_closing():
             self.transport.write(b"%x\r\n%b\n\r\n" % (len(text) + 1, text))
-            self._empty = self._server.clock.loop.call_later(self._server.empty_s, lambda: self._line(b""))
+            self._keepalive_timer = self._server.clock.loop.call_later(
+                self._server.keepalive_interval_s, self._send_line, b""
+            )
--- a/lupinladder/emulator/discovery_server.py
+++ b/lupinladder/emulator/discovery_server.py
@@ -1,97 +1,125 @@
-"""Discovery on real sockets: the whole list and the watch, HTTP/1.1, one listener for each proxy."""
+"""Discovery on real sockets: polls of the list and watches, with one listener for each proxy."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
-from lupinladder.emulator.clock import Clock, Driver
-from lupinladder.emulator.discovery_connection import DiscoveryProtocol
-from lupinladder.emulator.endpoint_list import EndpointList, ListedEndpoint
+from lupinladder.emulator.clock import Clock, ModelDriver
+from lupinladder.emulator.discovery_connection import DiscoveryConnection
+from lupinladder.emulator.endpoint_list import EndpointList, EndpointStatus, ListedEndpoint
 from lupinladder.emulator.rule_checker import RuleChecker
-from lupinladder.emulator.sockets import FaultyListener, reset
+from lupinladder.emulator.scenario import DiscoveryConfig
+from lupinladder.emulator.sockets import FaultyListener, reset_connection
+
+COUNTS_AS_KNOWN_AFTER_MS = 6000.0  # after which a proxy has to know of a change, sent to it or not
 
 
 class DiscoveryServer:
-    """Calls are worked off one after another; a watch is written every change as it becomes known."""
+    """Serves requests one after another; a watch is sent every change as soon as it is noticed."""
 
     def __init__(
         self,
         clock: Clock,
         core: EndpointList,
-        referee: RuleChecker,
-        proxies: int,
+        rule_checker: RuleChecker,
+        proxy_count: int,
         addresses: Callable[[int], dict[str, str]],
-        capacity: float,
-        empty_s: float,
-        timeout_s: float,
+        config: DiscoveryConfig,
     ) -> None:
-        self.clock, self.core, self.referee = clock, core, referee
-        self.addresses, self._call_s = addresses, 1 / capacity
-        self.empty_s, self.timeout_s = empty_s, timeout_s
-        self.driver = Driver(clock, core, self._changed)
-        self.connections: set[DiscoveryProtocol] = set()
-        self.down = False
-        self.told_after = 6000.0  # ms after which what is in the list counts as told, written or not
-        self._free = 0.0  # when the call before is done
-        self._seen: int = 0
-        self.count = proxies
-        self.doors = [self._door(proxy) for proxy in range(proxies)]
-
-    def _door(self, proxy: int) -> FaultyListener:
-        return FaultyListener(self.clock, lambda: DiscoveryProtocol(self, proxy))
+        """`addresses` gives the servers' addresses, by name, as one proxy reaches them."""
+        self.clock = clock
+        self.core = core
+        self.rule_checker = rule_checker
+        self.addresses = addresses
+        self.keepalive_interval_s = config.empty_s
+        self.driver = ModelDriver(clock, core, self._on_advanced)
+        self.connections: set[DiscoveryConnection] = set()
+        self.is_down = False  # new connections are reset
+        self._proxy_count = proxy_count
+        self._seconds_per_request = 1 / config.capacity
+        self._max_wait_s = config.timeout_s
+        self._busy_until_s = 0.0
+        self._index_sent = 0
+        self.listeners = self._new_listeners()
+
+    @property
+    def doors(self) -> list[FaultyListener]:
+        """The former name of `listeners`."""
+        return self.listeners
+
+    def _new_listeners(self) -> list[FaultyListener]:
+        return [
+            FaultyListener(self.clock, partial(DiscoveryConnection, self, proxy))
+            for proxy in range(self._proxy_count)
+        ]
 
     def open(self) -> None:
-        self._seen = self.core.index
-        for door in self.doors:
-            door.open()
-
-    def turn(self) -> float | None:
-        """Seconds until a call that comes now is answered; None if it would wait too long."""
-        now = self.clock.now() / 1000
-        self._free = max(self._free, now) + self._call_s
-        if self._free - now > self.timeout_s:
-            self._free -= self._call_s
+        """Start to accept connections."""
+        self._index_sent = self.core.index
+        for listener in self.listeners:
+            listener.open()
+
+    def reserve_turn(self) -> float | None:
+        """Seconds until a request that comes now is answered; None if it would wait too long."""
+        now_s = self.clock.now() / 1000
+        self._busy_until_s = max(self._busy_until_s, now_s) + self._seconds_per_request
+        if self._busy_until_s - now_s > self._max_wait_s:
+            self._busy_until_s -= self._seconds_per_request
             return None
-        return self._free - now
+        return self._busy_until_s - now_s
 
-    def _changed(self) -> None:
-        if self.core.index == self._seen:
+    def _on_advanced(self) -> None:
+        if self.core.index == self._index_sent:
             return
-        _, entries = self.core.since(self._seen)
-        self._seen = self.core.index
-        # Whatever it has to tell counts as told some seconds later, whether it arrived or not.
-        for entry in entries:
-            if entry.status != "active":
-                self.clock.at(
-                    self.clock.now() + self.told_after, (lambda e: lambda: self._counts_as_told(e))(entry)
-                )
-        for conn in list(self.connections):
-            conn.changed()
-
-    def _counts_as_told(self, entry: ListedEndpoint) -> None:
+        changes = self.core.since(self._index_sent)
+        self._index_sent = self.core.index
+        for entry in changes.entries:
+            if entry.status != EndpointStatus.ACTIVE:
+                self._count_as_known_later(entry)
+        for connection in list(self.connections):
+            connection.on_list_changed()
+
+    def _count_as_known_later(self, entry: ListedEndpoint) -> None:
+        """Some seconds on, a drain or an end counts as known to all proxies, sent to them or not."""
+        when = self.clock.now() + COUNTS_AS_KNOWN_AFTER_MS
+        self.clock.at(when, partial(self._count_as_known, entry))
+
+    def _count_as_known(self, entry: ListedEndpoint) -> None:
         known = self.core.entries.get(entry.name)
-        if known is None or known.status != "active":
-            for proxy in range(self.count):
-                self.referee.told(self.clock.now(), proxy, entry.name, entry.status)
+        if known is not None and known.status == EndpointStatus.ACTIVE:
+            return
+        for proxy in range(self._proxy_count):
+            self.rule_checker.told(self.clock.now(), proxy, entry.name, entry.status)
 
     def go_down(self) -> None:
-        self.down = True
-        for conn in list(self.connections):
-            if conn.transport:
-                reset(conn.transport)
-
-    def move(self, hold_s: float) -> None:
-        """To other addresses: the old ones accept nothing new and their connections close after a while."""
-        old, old_conns = self.doors, list(self.connections)
-        self.doors = [self._door(proxy) for proxy in range(self.count)]
-        for door in self.doors:
-            door.open()
-        for door in old:
-            door.shut()
-
-        def close() -> None:
-            for conn in old_conns:
-                if conn.transport:
-                    conn.transport.close()
-
-        self.clock.loop.call_later(hold_s, close)
+        """Reset all connections, and new ones until `is_down` is cleared."""
+        self.is_down = True
+        for connection in list(self.connections):
+            if connection.transport:
+                reset_connection(connection.transport)
+
+    def move(self, linger_s: float) -> None:
+        """Move to other addresses. The old ones refuse, and their connections are closed after `linger_s`."""
+        old_listeners = self.listeners
+        old_connections = list(self.connections)
+        self.listeners = self._new_listeners()
+        for listener in self.listeners:
+            listener.open()
+        for listener in old_listeners:
+            listener.close()
+
+        def close_old_connections() -> None:
+            """Close what was connected to the old addresses."""
+            for connection in old_connections:
+                if connection.transport:
+                    connection.transport.close()
+
+        self.clock.loop.call_later(linger_s, close_old_connections)
+
+    def close(self) -> None:
+        """End discovery for good."""
+        for listener in self.listeners:
+            listener.close()
+        self.go_down()
+        self.driver.stop()
--- /dev/null
+++ b/lupinladder/emulator/fault_context.py
@@ -0,0 +1,41 @@
+"""What the faults of a run act on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+import numpy as np
+
+from lupinladder.emulator.cache_node_server import CacheNodeServer
+from lupinladder.emulator.clock import Clock
+from lupinladder.emulator.cluster import Cluster
+from lupinladder.emulator.proxies import Proxies
+from lupinladder.emulator.proxy_selector import ProxySelector
+from lupinladder.emulator.scenario import FaultConfig
+
+FaultHandler = Callable[[FaultConfig], Coroutine[Any, Any, None]]
+"""Plays one fault from its begin to its end."""
+
+
+@dataclass(frozen=True, slots=True)
+class FaultContext:
+    """The parts of a run, and the one stream of random numbers that all faults draw from."""
+
+    cluster: Cluster
+    proxies: Proxies
+    selector: ProxySelector
+    rng: np.random.Generator
+    mark: Callable[[str], None]  # notes an event of the run
+
+    @property
+    def clock(self) -> Clock:
+        """The clock of the run."""
+        return self.cluster.clock
+
+    def pick_nodes(self, share: float) -> list[CacheNodeServer]:
+        """Draw this share of the cache nodes, at least one."""
+        nodes = sorted(self.cluster.nodes.values(), key=lambda node: node.core.name)
+        count = max(1, round(share * len(nodes)))
+        return [nodes[n] for n in self.rng.permutation(len(nodes))[:count]]
--- a/lupinladder/emulator/misbehaving_clients.py
+++ b/lupinladder/emulator/misbehaving_clients.py
@@ -11,123 +11,162 @@
 from lupinladder.emulator.clock import Clock
 from lupinladder.emulator.resp_encoding import encode_command
 from lupinladder.emulator.rule_checker import RuleChecker
-from lupinladder.emulator.sockets import transport_of
-
-OWED_MS, OWED_BIG_MS = 3000.0, 6000.0
-BIG = 60_000_000
-PIECE = b"." * (1 << 16)
-
-
-def opening_bytes(kind: str, rng: np.random.Generator, name: str, stolen: bytes, deadline: int) -> bytes:
-    """What a client of this kind writes first. `name` is a class that exists."""
-    labels = b"c=%b,d=%d" % (name.encode(), deadline)
-    ident = b"%016x" % int(rng.integers(1, 1 << 62))
-    return {
-        "noise": bytes(rng.bytes(200)),
+from lupinladder.emulator.sockets import as_stream_transport
+
+REACTION_TIME_MS = 3000.0  # in which a proxy has to end it
+BIG_VALUE_REACTION_TIME_MS = 6000.0
+TOLERANCE_S = 0.05
+BIG_VALUE_SIZE = 60_000_000  # bytes
+BIG_VALUE_PIECE = b"." * (1 << 16)
+MAX_WRITE_BUFFER = 1 << 20  # bytes
+INVALID_COMMAND = encode_command(b"NONSENSE")
+INVALID_COMMAND_REPEATS = 20
+MAX_RECEIVED_KEPT = 400  # bytes
+MAX_CHUNK_KEPT = 200  # bytes
+
+
+def opening_bytes(
+    misbehaviour: str, rng: np.random.Generator, class_name: str, stolen_id: bytes, deadline_ms: int
+) -> bytes:
+    """What a client of this kind, one of scenario.MISBEHAVIOURS, writes first.
+
+    `class_name` is a class that exists, `stolen_id` the id of another client's request. The same numbers are
+    drawn for every kind, so that one kind more shifts no other.
+    """
+    class_label = b"c=%b" % class_name.encode()
+    labels = b"%b,d=%d" % (class_label, deadline_ms)
+    request_id = b"%016x" % int(rng.integers(1, 1 << 62))
+    noise = bytes(rng.bytes(200))
+    big_write = b"*5\r\n$7\r\nOBJ.SET\r\n$2\r\n1f\r\n$16\r\n%b\r\n$%d\r\n%b\r\n$%d\r\n"
+    variants = {
+        "noise": noise,
         "endless": b"*" + b"7" * 20_000,
         "lengths": b"*4\r\n$7\r\nOBJ.GET\r\n$99\r\n1f\r\n$-5\r\nxx\r\n",
         "huge": b"*4\r\n$7\r\nOBJ.GET\r\n$4000000000\r\nxx",
-        "big": b"*5\r\n$7\r\nOBJ.SET\r\n$2\r\n1f\r\n$16\r\n%b\r\n$%d\r\n%b\r\n$%d\r\n"
-        % (ident, len(labels), labels, BIG),
-        "class": encode_command(b"OBJ.GET", b"1f", ident, b"c=nonsuch,d=500"),
-        "deadline": encode_command(b"OBJ.GET", b"1f", ident, b"c=%b,d=soon" % name.encode()),
+        "big": big_write % (request_id, len(labels), labels, BIG_VALUE_SIZE),
+        "class": encode_command(b"OBJ.GET", b"1f", request_id, b"c=nonsuch,d=500"),
+        "deadline": encode_command(b"OBJ.GET", b"1f", request_id, class_label + b",d=soon"),
         "noid": encode_command(b"OBJ.GET", b"1f", b"", labels),
-        "stolen": encode_command(b"OBJ.GET", b"1f", stolen, b"c=%b,d=x1" % name.encode()),
+        "stolen": encode_command(b"OBJ.GET", b"1f", stolen_id, class_label + b",d=x1"),
         "half": b"*4\r\n$7\r\nOBJ.GET\r\n$2\r\n1f\r\n$16\r\n",
         "many": encode_command(b"OBJ.GET", b"1f", b"", labels) * 300,
-        "again": encode_command(b"NONSENSE"),
+        "again": INVALID_COMMAND,
         "silent": b"",
-    }[kind]
+    }
+    return variants[misbehaviour]
 
 
 class MisbehavingClients:
-    """Sends them and counts who got what it is owed."""
+    """Starts clients that misbehave, and counts the reactions they are owed and those that did not come."""
 
     def __init__(
         self,
         clock: Clock,
-        referee: RuleChecker,
+        rule_checker: RuleChecker,
         rng: np.random.Generator,
         addresses: list[tuple[str, int]],
-        name: str,
-        deadline: float,
-        stolen: Callable[[], bytes],
+        class_name: str,
+        deadline_ms: float,
+        last_request_id: Callable[[], bytes],
     ) -> None:
-        self._clock, self._referee, self._rng, self._addresses = clock, referee, rng, addresses
-        self._name, self._deadline, self._stolen = name, int(deadline), stolen
-        self.owed: Counter[str] = Counter()
+        """`addresses` are those of the proxies; `last_request_id` is of a usual client, for a stolen id."""
+        self.owed: Counter[str] = Counter()  # by misbehaviour
         self.unpaid: Counter[str] = Counter()
-        self._tasks: set[asyncio.Task[None]] = set()
         self.open = 0
+        self._clock = clock
+        self._rule_checker = rule_checker
+        self._rng = rng
+        self._addresses = addresses
+        self._class_name = class_name
+        self._deadline_ms = int(deadline_ms)
+        self._last_request_id = last_request_id
+        self._tasks: set[asyncio.Task[None]] = set()
 
-    def send(self, kind: str) -> None:
+    def send(self, misbehaviour: str) -> None:
+        """Start a client of this kind at one of the proxies."""
         proxy = int(self._rng.integers(len(self._addresses)))
-        task = self._clock.loop.create_task(self._one(kind, proxy))
+        task = self._clock.loop.create_task(self._run_client(misbehaviour, proxy))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _one(self, kind: str, proxy: int) -> None:
+    async def _run_client(self, misbehaviour: str, proxy: int) -> None:
         try:
-            _, conn = await self._clock.loop.create_connection(
-                lambda: _Conn(self, kind), *self._addresses[proxy]
+            _, connection = await self._clock.loop.create_connection(
+                lambda: _MisbehavingConnection(misbehaviour), *self._addresses[proxy]
             )
         except OSError:
-            return  # nobody there: nothing is owed
+            return  # nobody is there: nothing is owed
         self.open += 1
-        self.owed[kind] += 1
-        conn.begin(opening_bytes(kind, self._rng, self._name, self._stolen(), self._deadline))
-        limit = OWED_BIG_MS if kind == "big" else OWED_MS
+        self.owed[misbehaviour] += 1
+        connection.begin(self._opening_bytes(misbehaviour))
+        limit_ms = BIG_VALUE_REACTION_TIME_MS if misbehaviour == "big" else REACTION_TIME_MS
         try:
-            await asyncio.wait_for(conn.paid.wait(), limit / 1000 + 0.05)
+            await asyncio.wait_for(connection.has_reaction.wait(), limit_ms / 1000 + TOLERANCE_S)
         except TimeoutError:
-            self.unpaid[kind] += 1
-        conn.end()
+            self.unpaid[misbehaviour] += 1
+        connection.close()
         self.open -= 1
-        if conn.served:
-            self._referee.extra(self._clock.now(), proxy, b"", conn.got)
+        if connection.was_served:
+            self._rule_checker.extra(self._clock.now(), proxy, b"", connection.received)
+
+    def _opening_bytes(self, misbehaviour: str) -> bytes:
+        stolen_id = self._last_request_id()
+        return opening_bytes(misbehaviour, self._rng, self._class_name, stolen_id, self._deadline_ms)
+
 
+class _MisbehavingConnection(asyncio.Protocol):
+    """The connection of one client, which ends with the proxy's reaction or with the client's time."""
 
-class _Conn(asyncio.Protocol):
-    def __init__(self, hostile: MisbehavingClients, kind: str) -> None:
-        self._kind, self.paid, self.served, self.got = kind, asyncio.Event(), False, b""
+    def __init__(self, misbehaviour: str) -> None:
+        self.has_reaction = asyncio.Event()
+        self.was_served = False  # as though it had sent a request
+        self.received = b""  # the first bytes
+        self._misbehaviour = misbehaviour
         self._transport: asyncio.Transport | None = None
-        self._left = BIG if kind == "big" else 0
-        self._again = 20 if kind == "again" else 0
+        self._value_remaining = BIG_VALUE_SIZE if misbehaviour == "big" else 0
+        self._repeats_remaining = INVALID_COMMAND_REPEATS if misbehaviour == "again" else 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = transport_of(transport)
+        """The connection is established."""
+        self._transport = as_stream_transport(transport)
 
     def begin(self, data: bytes) -> None:
+        """Write the first bytes."""
         if self._transport:
             self._transport.write(data)
-            if self._kind == "half":
+            if self._misbehaviour == "half":
                 self._transport.write_eof()
-            self._more()
+            self._write_value()
 
-    def _more(self) -> None:
-        while self._left > 0 and self._transport and not self._transport.is_closing():
-            self._left -= len(PIECE)
-            self._transport.write(PIECE)
-            if self._transport.get_write_buffer_size() > 1 << 20:
+    def _write_value(self) -> None:
+        while self._value_remaining > 0 and self._transport and not self._transport.is_closing():
+            self._value_remaining -= len(BIG_VALUE_PIECE)
+            self._transport.write(BIG_VALUE_PIECE)
+            if self._transport.get_write_buffer_size() > MAX_WRITE_BUFFER:
                 return
 
     def resume_writing(self) -> None:
-        self._more()
+        """The write buffer has room again."""
+        self._write_value()
 
     def data_received(self, data: bytes) -> None:
-        self.got += data[:200] if len(self.got) < 400 else b""
-        if data[:1] == b"-":
-            self.paid.set()
-        elif data[:1] in (b"$", b"*"):  # served as though it had asked something
-            self.served = True
-            self.paid.set()
-        if self._again and self._transport:
-            self._again -= 1
-            self._transport.write(encode_command(b"NONSENSE"))
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.paid.set()
-
-    def end(self) -> None:
+        """Note the reaction, and repeat the invalid command if that is the misbehaviour."""
+        if len(self.received) < MAX_RECEIVED_KEPT:
+            self.received += data[:MAX_CHUNK_KEPT]
+        is_value = data[:1] in (b"$", b"*")
+        if is_value:
+            self.was_served = True
+        if is_value or data[:1] == b"-":
+            self.has_reaction.set()
+        if self._repeats_remaining and self._transport:
+            self._repeats_remaining -= 1
+            self._transport.write(INVALID_COMMAND)
+
+    def connection_lost(self, _exc: Exception | None) -> None:
+        """A close is a reaction too."""
+        self.has_reaction.set()
+
+    def close(self) -> None:
+        """Close the connection at once."""
         if self._transport:
             self._transport.abort()
--- /dev/null
+++ b/lupinladder/emulator/node_faults.py
@@ -0,0 +1,153 @@
+"""Faults of cache nodes: replacement, loss and growth, silence, resets, and nodes that are slow."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+
+from lupinladder.emulator.cache_node_server import CacheNodeServer
+from lupinladder.emulator.endpoint_list import EndpointStatus
+from lupinladder.emulator.fault_context import FaultContext, FaultHandler
+from lupinladder.emulator.response_corruption import ResponseCorruption
+from lupinladder.emulator.scenario import CORRUPTIONS, FaultConfig
+
+PAUSED_SLOWDOWN = 1e6  # times as slow as usual: a machine that stands still
+PAUSE_INTERVAL = (2, 8)  # times the length of a pause, between pauses
+NEIGHBOUR_INTERVAL_S = (0.5, 1.5)  # between a neighbour's starts and stops
+MIN_NEIGHBOUR_LEAVES = 0.05  # of a machine
+
+
+class NodeFaults:
+    """Plays the faults of cache nodes."""
+
+    def __init__(self, context: FaultContext) -> None:
+        self._context = context
+        self._cluster = context.cluster
+        self._clock = context.clock
+
+    def handlers(self) -> dict[str, FaultHandler]:
+        """The handlers, by kind of fault."""
+        return {
+            "deploy": self._deploy,
+            "shrink": self._shrink,
+            "grow": self._grow,
+            "silent": self._cut_off,
+            "reset": self._reset_connections,
+            "garble": self._corrupt_replies,
+            "pauses": self._pause_nodes,
+            "neighbour": self._take_capacity,
+        }
+
+    async def _deploy(self, fault: FaultConfig) -> None:
+        """Replace a part of the nodes, a batch at a time, each by one that starts cold under a new id.
+
+        The new node starts as the drain begins or, at the same address, when the old one has ended.
+        """
+        nodes = self._context.pick_nodes(fault.part)
+        batch_size = max(1, round(fault.batch * self._cluster.scenario.fleet.nodes))
+        batches = [nodes[first : first + batch_size] for first in range(0, len(nodes), batch_size)]
+        pause_s = 0.0
+        if len(batches) > 1:
+            pause_s = max(0.0, fault.for_s - fault.drain_s) / (len(batches) - 1)
+        async with asyncio.TaskGroup() as group:
+            for number, batch in enumerate(batches):
+                group.create_task(self._replace(batch, fault, number * pause_s))
+
+    async def _replace(self, batch: list[CacheNodeServer], fault: FaultConfig, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        for node in batch:
+            self._cluster.drain(node)
+            if not fault.reuse:
+                self._cluster.start_node(node.core.zone)
+        await asyncio.sleep(fault.drain_s)
+        for node in batch:
+            if not node.core.up:
+                continue
+            if fault.reuse:
+                sockets = self._cluster.end_node_and_keep_sockets(node)
+                self._cluster.start_node(node.core.zone, sockets)
+            else:
+                self._cluster.end_node(node)
+
+    async def _shrink(self, fault: FaultConfig) -> None:
+        """A part of the nodes leaves for good, spread over the time."""
+        all_but_one = 1 - 1 / len(self._cluster.nodes)
+        nodes = self._context.pick_nodes(min(fault.part, all_but_one))
+        for node in nodes:
+            self._cluster.drain(node)
+            self._clock.at(self._clock.now() + fault.drain_s * 1000, partial(self._end_if_up, node))
+            await asyncio.sleep(fault.for_s / len(nodes))
+        await asyncio.sleep(fault.drain_s)
+
+    def _end_if_up(self, node: CacheNodeServer) -> None:
+        if node.core.up:
+            self._cluster.end_node(node)
+
+    async def _grow(self, fault: FaultConfig) -> None:
+        """Nodes that start cold join in one step, as many as a part of the cluster."""
+        config = self._cluster.scenario.fleet
+        for n in range(max(1, round(fault.part * config.nodes))):
+            self._cluster.start_node(n % len(config.zones))
+
+    async def _cut_off(self, fault: FaultConfig) -> None:
+        """Machines are cut off, and come back under their old ids, cold."""
+        notice_s = self._cluster.scenario.discovery.silent_notice_s
+        for node in self._context.pick_nodes(fault.part):
+            node.stop_responding()
+            self._cluster.announce(self._cluster.entry(node, EndpointStatus.REMOVED), notice_s)
+            self._context.mark(f"{node.core.name} silent")
+            comes_back_at = self._clock.now() + fault.for_s * 1000
+            self._clock.at(comes_back_at, partial(self._cluster.replace_unresponsive, node))
+        await asyncio.sleep(fault.for_s)
+
+    async def _reset_connections(self, fault: FaultConfig) -> None:
+        """All connections of some nodes are reset; the processes run on."""
+        for node in self._context.pick_nodes(fault.part):
+            node.reset_connections()
+
+    async def _corrupt_replies(self, fault: FaultConfig) -> None:
+        """A part of the replies of all nodes is corrupted, or follows interim responses of the origin."""
+        corruptions = [fault.how] if fault.how else list(CORRUPTIONS)
+        corruption = ResponseCorruption(self._context.rng, corruptions, fault.part)
+        nodes = list(self._cluster.nodes.values())
+        for node in nodes:
+            node.corruption = corruption
+        self._cluster.origin.sends_interim_responses = "interim" in corruptions
+        await asyncio.sleep(fault.for_s)
+        for node in nodes:
+            node.corruption = None
+        self._cluster.origin.sends_interim_responses = False
+        self._context.mark("answers clean again")
+
+    def _slow_down(self, node: CacheNodeServer, factor: float) -> None:
+        node.driver.update()  # what was done until now was done at the old speed
+        node.core.queue.slowdown *= factor
+        node.driver.update()
+
+    async def _pause_nodes(self, fault: FaultConfig) -> None:
+        """A part of the nodes stands still for `size` seconds at a time, each at times of its own."""
+        end = self._clock.now() + fault.for_s * 1000
+        nodes = self._context.pick_nodes(fault.part)
+        await asyncio.gather(*(self._pause_now_and_then(node, fault.size, end) for node in nodes))
+        self._context.mark("no more pauses")
+
+    async def _pause_now_and_then(self, node: CacheNodeServer, pause_s: float, end: float) -> None:
+        while True:
+            await asyncio.sleep(float(self._context.rng.uniform(*PAUSE_INTERVAL)) * pause_s)
+            if self._clock.now() + pause_s * 1000 > end or not node.core.up:
+                return
+            self._slow_down(node, PAUSED_SLOWDOWN)
+            await asyncio.sleep(pause_s)
+            self._slow_down(node, 1 / PAUSED_SLOWDOWN)
+
+    async def _take_capacity(self, fault: FaultConfig) -> None:
+        """Another program takes the share `size` of some machines, on and off."""
+        nodes = self._context.pick_nodes(fault.part)
+        end = self._clock.now() + fault.for_s * 1000
+        remaining_capacity = max(1 - fault.size, MIN_NEIGHBOUR_LEAVES)
+        while self._clock.now() < end:
+            for factor in (1 / remaining_capacity, remaining_capacity):
+                for node in nodes:
+                    self._slow_down(node, factor)
+                await asyncio.sleep(float(self._context.rng.uniform(*NEIGHBOUR_INTERVAL_S)))
+        self._context.mark("neighbours gone")
--- a/lupinladder/emulator/origin.py
+++ b/lupinladder/emulator/origin.py
@@ -1,101 +1,144 @@
-"""The origin's decisions, free of I/O: slow, with a capacity, and it stops when sent far too much for long.
+"""The model of the origin: slow, of limited capacity, and down for a while after a long heavy overload.
 
-PROTOCOL, "Proxies to cache nodes"; the stop: BENCH, "This kind of server".
+PROTOCOL, "Proxies to cache nodes"; the stop: BENCH, "This kind of server". The model does no I/O.
 """
 
 from __future__ import annotations
 
 from collections import deque
+from typing import NamedTuple
 
 import numpy as np
 
 from lupinladder.emulator.deduplication_table import DeduplicationTable
-from lupinladder.emulator.node_request import NodeRequest
+from lupinladder.emulator.node_request import NodeRequest, ReplyType
 from lupinladder.emulator.processor_sharing_queue import Job, ProcessorSharingQueue
 from lupinladder.emulator.scenario import OriginConfig
 from lupinladder.emulator.shared_data import SharedData
 
+MIN_CORES = 0.05
+SLOTS_PER_CORE = 8
+MIN_SLOTS = 4
+MIN_ROOM = 8
+
+
+class _Arrival(NamedTuple):
+    at: float  # ms
+    work: float  # ms
+
 
 class OriginModel:
-    """Answers go to `ask.answer` as (body, word) with the words value, receipt, busy and failed."""
+    """The origin. It replies with VALUE, RECEIPT, BUSY or DOWN.
+
+    Every call says what time it is, in ms, and never an earlier time than the call before.
+    """
 
     def __init__(
-        self, now: float, origin: OriginConfig, capacity: float, world: SharedData, rng: np.random.Generator
+        self,
+        now: float,
+        config: OriginConfig,
+        capacity: float,
+        shared_data: SharedData,
+        rng: np.random.Generator,
     ) -> None:
-        cores = max(capacity * origin.work_ms / 1000, 0.05)
-        self.name, self.capacity = "origin", capacity
-        slots = max(4, round(cores * 8))
-        self.machine = ProcessorSharingQueue(now, cores, 1.0, slots, max(8, int(capacity * origin.room_s)))
-        self._origin, self._world, self._rng = origin, world, rng
-        self._repeats = DeduplicationTable()
-        self._sent: deque[tuple[float, float]] = deque()  # when, work: of everything that came
-        self._load = 0.0
-        self._since: float | None = None  # the demand has been over the multiple since
-        self.down_until = 0.0
-        self.stops = 0
-        self._fetches: dict[bytes, list[NodeRequest]] = {}
+        """`capacity` is in fetches a second."""
+        cores = max(capacity * config.work_ms / 1000, MIN_CORES)
+        slots = max(MIN_SLOTS, round(cores * SLOTS_PER_CORE))
+        room = max(MIN_ROOM, int(capacity * config.room_s))
+        self.queue = ProcessorSharingQueue(now, cores, 1.0, slots, room)
+        self.down_until = 0.0  # ms
+        self.stops = 0  # because of overload
         self.served = 0
+        self._config = config
+        self._shared_data = shared_data
+        self._rng = rng
+        self._recent_writes = DeduplicationTable()
+        self._recent_arrivals: deque[_Arrival] = deque()  # of the last `fall_s`, also those turned down
+        self._recent_work = 0.0  # of these, ms
+        self._fetches: dict[bytes, list[NodeRequest]] = {}  # by key; one job serves all requests of a list
+
+    @property
+    def machine(self) -> ProcessorSharingQueue:
+        """The former name of `queue`."""
+        return self.queue
 
-    def work(self) -> float:
-        """Of one fetch: lognormal about the mean."""
-        sigma = self._origin.sigma
-        return float(self._origin.work_ms * self._rng.lognormal(-sigma * sigma / 2, sigma))
+    def _draw_work(self) -> float:
+        """Draw the work of one fetch, in ms: lognormal about the mean."""
+        sigma = self._config.sigma
+        return float(self._config.work_ms * self._rng.lognormal(-sigma * sigma / 2, sigma))
 
-    def ask(self, now: float, ask: NodeRequest) -> None:
+    def submit(self, now: float, request: NodeRequest) -> None:
+        """A whole request has arrived. Sets its work."""
         self.advance(now)
-        ask.work = self.work()
-        self._demand(now, ask.work)
+        request.work = self._draw_work()
+        self._record_arrival(now, request.work)
         if now < self.down_until:
-            return ask.answer(b"", "down")
-        if not ask.write and self._origin.coalesce and ask.key in self._fetches:
-            self._fetches[ask.key].append(ask)
+            request.reply(b"", ReplyType.DOWN)
+            return
+        if not request.is_write and self._config.coalesce and request.key in self._fetches:
+            self._fetches[request.key].append(request)
             return
-        ask.job = Job(ask.work, ask)
-        if not self.machine.offer(now, ask.job):
-            return ask.answer(b"", "busy")
-        if not ask.write:
-            self._fetches[ask.key] = [ask]
-
-    def _demand(self, now: float, work: float) -> None:
-        """Stops when what came in the last `fall_s` seconds is over the multiple of what could be done."""
-        span = self._origin.fall_s * 1000
-        self._sent.append((now, work))
-        self._load += work
-        while self._sent[0][0] < now - span:
-            self._load -= self._sent.popleft()[1]
-        multiple = self._origin.fall_multiple
-        if multiple and now >= self.down_until and self._load > multiple * span * self.machine.cores:
-            self.down_until = now + self._origin.down_s * 1000
+        request.job = Job(request.work, request)
+        if not self.queue.offer(now, request.job):
+            request.reply(b"", ReplyType.BUSY)
+        elif not request.is_write:
+            self._fetches[request.key] = [request]
+
+    def _record_arrival(self, now: float, work: float) -> None:
+        """Stop if the work that came within `fall_s` seconds is over the multiple of what could be done."""
+        window_ms = self._config.fall_s * 1000
+        self._recent_arrivals.append(_Arrival(now, work))
+        self._recent_work += work
+        while self._recent_arrivals[0].at < now - window_ms:
+            self._recent_work -= self._recent_arrivals.popleft().work
+        multiple = self._config.fall_multiple
+        is_overloaded = self._recent_work > multiple * window_ms * self.queue.cores
+        if multiple and now >= self.down_until and is_overloaded:
+            self.down_until = now + self._config.down_s * 1000
             self.stops += 1
-            self._sent.clear()
-            self._load = 0.0
+            self._recent_arrivals.clear()
+            self._recent_work = 0.0
 
-    def drop(self, now: float, ask: NodeRequest) -> None:
-        """Nobody waits for it any more: it goes on with a write and with a fetch that others joined."""
+    def cancel(self, now: float, request: NodeRequest) -> None:
+        """Nobody waits for this request. A write goes on, and so does a fetch that others have joined."""
         self.advance(now)
-        waiting = self._fetches.get(ask.key, [])
-        if ask in waiting and len(waiting) > 1:
-            if waiting[0] is ask:  # the job stays, another answer is due for it
-                waiting[1].job, ask.job = ask.job, None
-                assert waiting[1].job
-                waiting[1].job.owner = waiting[1]
-            waiting.remove(ask)
-        elif ask.job and not ask.write and self.machine.drop(ask.job, False):
-            self._fetches.pop(ask.key, None)
+        waiting = self._fetches.get(request.key, [])
+        if request in waiting and len(waiting) > 1:
+            if waiting[0] is request:
+                self._hand_over_job(request, waiting[1])
+            waiting.remove(request)
+        elif request.job and not request.is_write and self.queue.cancel(request.job, running_too=False):
+            self._fetches.pop(request.key, None)
+
+    def _hand_over_job(self, request: NodeRequest, successor: NodeRequest) -> None:
+        job = request.job
+        assert job
+        job.owner = successor
+        successor.job = job
+        request.job = None
 
     def advance(self, now: float) -> None:
-        for job in self.machine.advance(now):
-            ask: NodeRequest = job.owner
+        """Reply to whatever is done by now."""
+        for job in self.queue.advance(now):
+            request: NodeRequest = job.owner
             self.served += 1
-            if ask.write:
-                token = ask.labels.get(b"k")
-                if token is None or self._repeats.fresh(token, now):
-                    self._world.written(ask.key)
-                ask.answer(b"receipt|" + ask.ident + b"|origin", "receipt")
-                continue
-            for one in self._fetches.pop(ask.key, [ask]):
-                self._world.fetched(one.key, one.ident, now)
-                one.answer(self._world.value(one.key, one.ident, "origin"), "value")
-
-    def wake(self) -> float:
-        return self.machine.next()
+            if request.is_write:
+                self._complete_write(now, request)
+            else:
+                self._complete_fetch(now, request)
+
+    def _complete_write(self, now: float, request: NodeRequest) -> None:
+        idempotency_key = request.labels.get(b"k")
+        if idempotency_key is None or self._recent_writes.is_first(idempotency_key, now):
+            self._shared_data.invalidate(request.key)
+        request.reply(b"receipt|" + request.request_id + b"|origin", ReplyType.RECEIPT)
+
+    def _complete_fetch(self, now: float, request: NodeRequest) -> None:
+        for waiting in self._fetches.pop(request.key, [request]):
+            self._shared_data.store_fetched(waiting.key, waiting.request_id, now)
+            value = self._shared_data.value(waiting.key, waiting.request_id, "origin")
+            waiting.reply(value, ReplyType.VALUE)
+
+    def next_wakeup(self) -> float:
+        """When `advance` must be called at the latest, in ms; infinity if nothing is under way."""
+        return self.queue.next_completion()
--- a/lupinladder/emulator/origin_connection.py
+++ b/lupinladder/emulator/origin_connection.py
@@ -1,62 +1,68 @@
-"""One connection from a proxy to the origin."""
+"""One connection from a proxy to the origin: HTTP/1.1 requests, replied to in order."""
 
 from __future__ import annotations
 
 import asyncio
+from functools import partial
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import httptools
 
-from lupinladder.emulator.node_request import NodeRequest
-from lupinladder.emulator.request_labels import parse_labels
-from lupinladder.emulator.rule_checker import ObservedAttempt
-from lupinladder.emulator.sockets import DelayedChannel, reset, transport_of
+from lupinladder.emulator.http_encoding import NO_HEADERS, encode_response
+from lupinladder.emulator.node_request import NodeRequest, ReplyType
+from lupinladder.emulator.reply_pipeline import PendingReply, ReplyPipeline
+from lupinladder.emulator.request_labels import LabelSyntaxError, parse_labels
+from lupinladder.emulator.sockets import DelayedChannel, as_stream_transport, reset_connection
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from lupinladder.emulator.origin_server import OriginServer
 
-CONNECTIONS = 900
-REASON = {200: b"OK", 400: b"Bad Request", 500: b"Internal Server Error", 503: b"Service Unavailable"}
+MAX_CONNECTIONS = 900
+HEALTH_CHECK_PATHS = (b"/health", b"/status/load")
+REJECTED_HEADERS = {b"X-Turned-Away": b"1"}
+EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
 
 
-class OriginProtocol(asyncio.Protocol):
-    """One connection from a proxy; answers in order."""
+class OriginConnection(asyncio.Protocol):
+    """One connection from a proxy."""
 
     def __init__(self, server: OriginServer, proxy: int) -> None:
-        self._server, self._proxy, self._clock = server, proxy, server.clock
+        self._server = server
+        self._proxy = proxy
+        self._clock = server.clock
         self.transport: asyncio.Transport | None = None
-        self._in, self._out = (
-            DelayedChannel(self._clock, server.ways[proxy]),
-            DelayedChannel(self._clock, server.ways[proxy]),
-        )
-        self._row: list[_Place] = []
-        self._raw, self._first = bytearray(), 0.0
-        self._reset()
-
-    def _reset(self) -> None:
+        self._requests = DelayedChannel(self._clock, server.paths[proxy])
+        self._replies = ReplyPipeline(DelayedChannel(self._clock, server.paths[proxy]), self._write)
+        self._raw = bytearray()  # the bytes of the request that is arriving
+        self._first_byte_at = 0.0  # of that request
         self._parser = httptools.HttpRequestParser(self)
-        self._url, self._body = b"", bytearray()
+        self._url = b""
         self._headers: dict[bytes, bytes] = {}
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = transport_of(transport)
-        if len(self._server.connections) >= CONNECTIONS or self._clock.now() < self._server.core.down_until:
-            reset(self.transport)
+        """Take the connection, or reset it if there are too many or the origin is down."""
+        self.transport = as_stream_transport(transport)
+        is_down = self._clock.now() < self._server.core.down_until
+        if is_down or len(self._server.connections) >= MAX_CONNECTIONS:
+            reset_connection(self.transport)
             return
         self._server.connections.add(self)
 
-    def connection_lost(self, exc: Exception | None) -> None:
+    def connection_lost(self, _exc: Exception | None) -> None:
+        """Cancel what the connection still waits for."""
         self._server.connections.discard(self)
-        for place in list(self._row):
-            if place.attempt:
-                self._server.referee.broke(place.attempt)
-            if place.ask:
-                self._server.core.drop(self._clock.now(), place.ask)
-        self._row.clear()
+        self._replies.abandon(self._server.rule_checker, self._cancel)
+
+    def _cancel(self, request: NodeRequest) -> None:
+        self._server.core.cancel(self._clock.now(), request)
 
     def data_received(self, data: bytes) -> None:
+        """Parse a part of a request; close the connection if it is not HTTP/1.1."""
         if not self._raw:
-            self._first = self._clock.now()
+            self._first_byte_at = self._clock.now()
         self._raw += data
         try:
             self._parser.feed_data(data)
@@ -65,81 +71,84 @@
                 self.transport.close()
 
     def on_url(self, url: bytes) -> None:
+        """The parser has read a part of the path."""
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """The parser has read a header."""
         self._headers[name.lower()] = value
 
-    def on_body(self, body: bytes) -> None:
-        self._body += body
-
     def on_message_complete(self) -> None:
-        now, raw = self._clock.now(), bytes(self._raw)
+        """The parser has read a whole request."""
+        path = self._url
+        headers = self._headers
+        raw = bytes(self._raw)
+        self._url = b""
+        self._headers = {}
         self._raw.clear()
-        method, key, headers = self._parser.get_method(), self._url[1:], self._headers
-        self._url, self._body, self._headers = b"", bytearray(), {}
-        place = _Place()
-        self._row.append(place)
-        if key in (b"health", b"status/load"):
-            return self._fill(place, 200, b"ok", {})
-        ident = headers.get(b"x-txn", b"")
-        try:
-            labels = parse_labels(headers[b"x-labels"])
-            if method not in (b"GET", b"PUT") or not ident:
-                raise ValueError("method or id")
-        except (KeyError, ValueError):
-            self._server.referee.counts["syntax"] += 1
-            return self._fill(place, 400, b"syntax", {})
-        place.attempt = self._server.referee.sent(now, self._first, self._proxy, "origin", ident, raw)
-
-        def answer(body: bytes, word: str) -> None:
-            place.word = word
-            if word == "down":
-                if self.transport:
-                    reset(self.transport)
-            elif word == "busy":
-                self._fill(place, 503, b"", {b"X-Turned-Away": b"1"})
-            else:
-                self._fill(place, 200, body, {})
-
-        place.ask = NodeRequest(self._proxy, key, ident, labels, method == b"PUT", 0.0, answer)
-        self._in.after(lambda: self._begin(place))
-
-    def _begin(self, place: _Place) -> None:
-        if place in self._row and place.ask:
-            self._server.ask(place.ask)
-
-    def _fill(self, place: _Place, status: int, body: bytes, headers: dict[bytes, bytes]) -> None:
-        report = b"eps=0,latency_ms=%.1f,qps=%d,inflight=%d" % (
-            self._server.core.machine.held,
-            self._server.core.served,
-            self._server.core.machine.held,
-        )
-        lines = {b"Content-Length": b"%d" % len(body), b"X-Pressure": report, **headers}
-        head = b"HTTP/1.1 %d %b\r\n" % (status, REASON[status])
-        place.body = body
-        place.answer = head + b"".join(b"%b: %b\r\n" % pair for pair in lines.items()) + b"\r\n" + body
-        while self._row and self._row[0].answer is not None:
-            self._out.after((lambda p: lambda: self._write(p))(self._row.pop(0)))
-
-    def _write(self, place: _Place) -> None:
+        reply = self._replies.append()
+        if path in HEALTH_CHECK_PATHS:
+            self._complete(reply, HTTPStatus.OK, b"ok")
+        else:
+            self._serve(reply, path[1:], headers, raw)
+
+    def _serve(self, reply: PendingReply, key: bytes, headers: dict[bytes, bytes], raw: bytes) -> None:
+        now = self._clock.now()
+        rule_checker = self._server.rule_checker
+        method = self._parser.get_method()
+        request_id = headers.get(b"x-txn", b"")
+        labels = _read_labels(headers)
+        if labels is None or method not in (b"GET", b"PUT") or not request_id:
+            rule_checker.counts["syntax"] += 1
+            self._complete(reply, HTTPStatus.BAD_REQUEST, b"syntax")
+            return
+        reply.attempt = rule_checker.sent(now, self._first_byte_at, self._proxy, "origin", request_id, raw)
+        on_reply = partial(self._on_reply, reply)
+        reply.request = NodeRequest(self._proxy, key, request_id, labels, method == b"PUT", 0.0, on_reply)
+        self._requests.call_after_delay(partial(self._submit, reply))
+
+    def _submit(self, reply: PendingReply) -> None:
+        if reply.request and reply in self._replies:
+            self._server.submit(reply.request)
+
+    def _on_reply(self, reply: PendingReply, body: bytes, reply_type: ReplyType) -> None:
+        reply.reply_type = reply_type
+        if reply_type is ReplyType.DOWN:
+            if self.transport:
+                reset_connection(self.transport)
+        elif reply_type is ReplyType.BUSY:
+            self._complete(reply, HTTPStatus.SERVICE_UNAVAILABLE, b"", REJECTED_HEADERS)
+        else:
+            self._complete(reply, HTTPStatus.OK, body)
+
+    def _complete(
+        self,
+        reply: PendingReply,
+        status: HTTPStatus,
+        body: bytes,
+        headers: Mapping[bytes, bytes] = NO_HEADERS,
+    ) -> None:
+        core = self._server.core
+        load = b"eps=0,latency_ms=%.1f,qps=%d,inflight=%d" % (core.queue.held, core.served, core.queue.held)
+        reply.value = body
+        self._replies.complete(reply, encode_response(status, body, {b"X-Pressure": load, **headers}))
+
+    def _write(self, reply: PendingReply) -> None:
         if self.transport is None or self.transport.is_closing():
-            if place.attempt:
-                self._server.referee.broke(place.attempt)
+            if reply.attempt:
+                self._server.rule_checker.broke(reply.attempt)
             return
-        if place.attempt and place.ask:
-            self._server.referee.replied(
-                self._clock.now(), place.ask.ident, place.attempt, place.word, place.body
+        if reply.attempt and reply.request:
+            self._server.rule_checker.replied(
+                self._clock.now(), reply.request.request_id, reply.attempt, reply.reply_type, reply.value
             )
-        interim = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" if self._server.interim else b""
-        self.transport.write(interim + (place.answer or b""))
-
+        interim = EARLY_HINTS if self._server.sends_interim_responses else b""
+        self.transport.write(interim + (reply.data or b""))
 
-class _Place:
-    __slots__ = ("answer", "ask", "attempt", "body", "word")
 
-    def __init__(self) -> None:
-        self.answer: bytes | None = None
-        self.ask: NodeRequest | None = None
-        self.attempt: ObservedAttempt | None = None
-        self.body, self.word = b"", ""
+def _read_labels(headers: dict[bytes, bytes]) -> dict[bytes, bytes] | None:
+    """The labels of a request; None if it has none that can be read."""
+    try:
+        return parse_labels(headers[b"x-labels"])
+    except (KeyError, LabelSyntaxError):
+        return None
--- a/lupinladder/emulator/origin_server.py
+++ b/lupinladder/emulator/origin_server.py
@@ -1,50 +1,60 @@
-"""The origin on real sockets: HTTP/1.1 in front of `OriginCore`, one listener for each proxy."""
+"""The origin on real sockets, with one listener for each proxy."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from functools import partial
 
-from lupinladder.emulator.clock import Clock, Driver
+from lupinladder.emulator.clock import Clock, ModelDriver
 from lupinladder.emulator.node_request import NodeRequest
 from lupinladder.emulator.origin import OriginModel
-from lupinladder.emulator.origin_connection import OriginProtocol
+from lupinladder.emulator.origin_connection import OriginConnection
 from lupinladder.emulator.rule_checker import RuleChecker
-from lupinladder.emulator.sockets import FaultyListener, NetworkPath, reset
+from lupinladder.emulator.sockets import FaultyListener, NetworkPath, reset_connection
 
 
 class OriginServer:
+    """The listeners and connections of the origin."""
+
     def __init__(
         self,
         clock: Clock,
         core: OriginModel,
-        referee: RuleChecker,
-        ways: Sequence[NetworkPath],
-        cold_miss: Callable[[bytes], bool] = lambda ident: False,
-        fall_ms: float = 3000.0,
+        rule_checker: RuleChecker,
+        paths: Sequence[NetworkPath],
+        missed_at_warming_node: Callable[[bytes], bool] = lambda _request_id: False,
+        overload_window_ms: float = 3000.0,
     ) -> None:
-        self.clock, self.core, self.referee, self.ways = clock, core, referee, ways
-        self.cold_miss, self.fall_ms = cold_miss, fall_ms
-        self.driver = Driver(clock, core)
-        self.connections: set[OriginProtocol] = set()
-        self.interim = 0.0  # share of answers with a 1xx in front
-        self._stops = 0
-        self.doors = [
-            FaultyListener(clock, (lambda p: lambda: OriginProtocol(self, p))(proxy))
-            for proxy in range(len(ways))
+        """`missed_at_warming_node`: whether a miss at a node that warms up began the fetch of a request."""
+        self.clock = clock
+        self.core = core
+        self.rule_checker = rule_checker
+        self.paths = paths
+        self.driver = ModelDriver(clock, core)
+        self.connections: set[OriginConnection] = set()
+        self.sends_interim_responses = False  # faults change it
+        self._missed_at_warming_node = missed_at_warming_node
+        self._overload_window_ms = overload_window_ms
+        self._stops_seen = 0
+        self.listeners = [
+            FaultyListener(clock, partial(OriginConnection, self, proxy)) for proxy in range(len(paths))
         ]
 
     def open(self) -> None:
-        for door in self.doors:
-            door.open()
+        """Start to accept connections."""
+        for listener in self.listeners:
+            listener.open()
 
-    def ask(self, ask: NodeRequest) -> None:
+    def submit(self, request: NodeRequest) -> None:
+        """A whole request has arrived. If it makes the origin stop, all connections are reset."""
         now = self.clock.now()
-        self.core.ask(now, ask)
-        self.referee.origin_load(now, ask.work, not ask.write and self.cold_miss(ask.ident), self.fall_ms)
-        if self.core.stops > self._stops:
-            self._stops = self.core.stops
-            self.referee.origin_stopped(now)
-            for conn in list(self.connections):
-                if conn.transport:
-                    reset(conn.transport)
-        self.driver.poke()
+        self.core.submit(now, request)
+        is_from_warming_node = not request.is_write and self._missed_at_warming_node(request.request_id)
+        self.rule_checker.origin_load(now, request.work, is_from_warming_node, self._overload_window_ms)
+        if self.core.stops > self._stops_seen:
+            self._stops_seen = self.core.stops
+            self.rule_checker.origin_stopped(now)
+            for connection in list(self.connections):
+                if connection.transport:
+                    reset_connection(connection.transport)
+        self.driver.update()
--- a/lupinladder/emulator/ports.py
+++ b/lupinladder/emulator/ports.py
@@ -6,14 +6,29 @@
 import socket
 from contextlib import suppress
 
-PORTS = (12_000, 32_000)  # of what listens; the system gives connections ports above
+from lupinladder.emulator.sockets import HOST
+from lupinladder.errors import LupinladderError
+
+FIRST_PORT = 12_000
+LAST_PORT = 31_999  # the system gives outgoing connections ports above
+MAX_TRIES = 200
+
+
+class NoFreePortError(LupinladderError, RuntimeError):
+    """No free port was found."""
+
+    def __init__(self) -> None:
+        super().__init__(f"no free port from {FIRST_PORT} to {LAST_PORT}")
 
 
 def free_port() -> int:
-    """A port of loopback that is free now, below those that the system gives to whoever connects: a proxy
-    that is away for a second must find its own free when it comes back."""
-    for _ in range(200):
-        with socket.socket() as sock, suppress(OSError):
-            sock.bind(("127.0.0.1", secrets.randbelow(PORTS[1] - PORTS[0]) + PORTS[0]))
-            return int(sock.getsockname()[1])
-    raise RuntimeError(f"no free port from {PORTS[0]} to {PORTS[1]}")
+    """A port of loopback that is free now, below those that the system gives to outgoing connections.
+
+    A proxy that is away for a second must find its port free when it comes back. NoFreePortError if there
+    is none.
+    """
+    for _ in range(MAX_TRIES):
+        with socket.socket() as trial, suppress(OSError):
+            trial.bind((HOST, secrets.randbelow(LAST_PORT + 1 - FIRST_PORT) + FIRST_PORT))
+            return int(trial.getsockname()[1])
+    raise NoFreePortError
--- a/lupinladder/emulator/processor_sharing_queue.py
+++ b/lupinladder/emulator/processor_sharing_queue.py
@@ -1,38 +1,70 @@
-"""A machine that works on jobs: cores shared evenly by what is in its slots, a waiting room, warming up.
+"""A processor-sharing queue: the cores of a server, shared evenly by the jobs in its slots.
 
-Processor sharing by virtual time: every running job gets the same rate, so one running sum of that rate
-tells when each will be done, and a heap holds their order. Free of I/O and of a clock: every call says
-when it is, in milliseconds, never earlier than the call before.
+The queue works in virtual time. Every running job gets the same rate, so one running sum of that rate tells
+when each job will be done, and a heap holds the jobs in the order of their completion.
+
+The module does no I/O and reads no clock. Every call says what time it is, in milliseconds, and never an
+earlier time than the call before.
 """
 
 from __future__ import annotations
 
 import heapq
 from collections import deque
+from dataclasses import dataclass
 from math import inf
 from typing import Any
 
-EPS = 1e-6  # ms
-STEP = 100.0  # ms for which the rate of a machine that is warming up is taken as constant
+from lupinladder.errors import LupinladderError
+
+ROUNDING_TOLERANCE_MS = 1e-6
+WARMUP_STEP_MS = 100.0  # for which the rate of a queue that is warming up is taken as constant
+
+
+class QueueNotAdvancedError(LupinladderError, ValueError):
+    """A job was offered at a time to which the queue had not been advanced."""
+
+    def __init__(self, queue_time: float, offered_at: float) -> None:
+        super().__init__(f"a job was offered at {offered_at} ms to a queue advanced to {queue_time} ms")
+        self.queue_time = queue_time
+        self.offered_at = offered_at
+
+
+@dataclass(frozen=True, slots=True)
+class WarmUp:
+    """How a server that starts with empty caches comes to its full capacity."""
+
+    initial_capacity: float = 1.0  # share of the full capacity
+    duration_ms: float = 0.0  # until the full capacity, however little work is done
+    work_ms: float = inf  # work after which the capacity is full, however early
+
+
+@dataclass(frozen=True, slots=True)
+class Thrashing:
+    """The efficiency that a server loses when it holds too many jobs at once."""
+
+    loss_per_job: float = 0.0
+    threshold: int = 1 << 30  # jobs that it holds without loss
 
 
 class Job:
-    """Some work, in milliseconds of one core at speed 1, and what its owner wants back when done."""
+    """Some work, in milliseconds of one core at speed 1, and its owner, who gets it back when it is done."""
 
-    __slots__ = ("done", "finish", "owner", "running", "work")
+    __slots__ = ("done", "finish_at", "owner", "running", "work")
 
     def __init__(self, work: float, owner: Any) -> None:
-        self.work, self.owner = work, owner
-        self.running = self.done = False
-        self.finish = 0.0
+        self.work = work
+        self.owner = owner
+        self.running = False
+        self.done = False  # completed or cancelled
+        self.finish_at = 0.0  # in virtual time
 
     def __lt__(self, other: Job) -> bool:
-        return self.finish < other.finish
+        return self.finish_at < other.finish_at
 
 
 class ProcessorSharingQueue:
-    """`cores` at `speed`, `slots` jobs in work, `room` waiting. A cold one begins at `cold_share` of its
-    capacity and is warm after `cold_ms`, sooner if `warm_work` milliseconds of work are done before."""
+    """A server with `cores` at `speed`, which runs `slots` jobs at once while up to `room` others wait."""
 
     def __init__(
         self,
@@ -42,126 +74,136 @@
         slots: int,
         room: int,
         *,
-        thrash: float = 0.0,
-        thrash_at: int = 1 << 30,
-        cold_share: float = 1.0,
-        cold_ms: float = 0.0,
-        warm_work: float = inf,
+        thrashing: Thrashing | None = None,
+        warm_up: WarmUp | None = None,
     ) -> None:
-        self.cores, self.speed, self.slots, self.room = cores, speed, slots, room
-        self.thrash, self.thrash_at = thrash, thrash_at
-        self.cold_share, self.cold_ms, self.warm_work = cold_share, cold_ms, warm_work
-        self.slow = 1.0  # divides the speed: a fault
-        self.started, self.did = now, 0.0  # ms of work done
-        self._now, self._virtual = now, 0.0
-        self._running: list[Job] = []
-        self._count = 0  # of the running ones that were not dropped
-        self._waiting: deque[Job] = deque()
-        self._waits = 0
+        self.cores = cores
+        self.speed = speed
+        self.slots = slots
+        self.room = room
+        self.slowdown = 1.0  # divides the speed; faults change it
+        self.started = now
+        self.work_done = 0.0  # ms
+        self._thrashing = thrashing or Thrashing()
+        self._warm_up = warm_up or WarmUp()
+        self._now = now
+        self._virtual_time = 0.0
+        self._running: list[Job] = []  # a heap; cancelled jobs stay in it until they come to its top
+        self._running_count = 0  # without the cancelled ones
+        self._waiting: deque[Job] = deque()  # cancelled jobs stay in it until their turn
+        self._waiting_count = 0  # without the cancelled ones
 
     @property
     def held(self) -> int:
-        return self._count + self._waits
-
-    @property
-    def waiting(self) -> int:
-        return self._waits
+        """Jobs that run or wait."""
+        return self._running_count + self._waiting_count
 
     def warmth(self, now: float) -> float:
-        """The share of its full capacity that it has now."""
-        if self.cold_ms <= 0:
+        """The capacity that the server has now, as a share of its full one."""
+        warm_up = self._warm_up
+        if warm_up.duration_ms <= 0:
             return 1.0
-        part = max((now - self.started) / self.cold_ms, self.did / self.warm_work)
-        return min(1.0, self.cold_share + (1 - self.cold_share) * max(part, 0.0))
+        progress = max((now - self.started) / warm_up.duration_ms, self.work_done / warm_up.work_ms)
+        return min(1.0, warm_up.initial_capacity + (1 - warm_up.initial_capacity) * max(progress, 0.0))
 
     def capacity(self, now: float) -> float:
-        """Milliseconds of work a millisecond, uncrowded."""
+        """Milliseconds of work done in a millisecond, without thrashing."""
         return self.cores * self.speed * self.warmth(now)
 
     def _rate(self, now: float) -> float:
-        """Work per ms of each running job."""
-        crowd = 1 / (1 + self.thrash * max(0, self.held - self.thrash_at))
-        share = min(1.0, self.cores / self._count)
-        return share * self.speed * self.warmth(now) * crowd / self.slow
+        """Work done on each running job in a millisecond."""
+        excess = max(0, self.held - self._thrashing.threshold)
+        efficiency = 1 / (1 + self._thrashing.loss_per_job * excess)
+        core_share = min(1.0, self.cores / self._running_count)
+        return core_share * self.speed * self.warmth(now) * efficiency / self.slowdown
 
     def offer(self, now: float, job: Job) -> bool:
-        """Take a job; False if there is no room. `advance` to this time comes first: else the job would be
-        given the work that was done before it came."""
-        if not self._count:
+        """Take a job; False if there is no room for it.
+
+        The queue must have been advanced to this time, or the job would be credited with work done before
+        it came: then QueueNotAdvancedError is raised.
+        """
+        if not self._running_count:
             self._now = max(self._now, now)
-        if now > self._now + EPS:
-            raise ValueError("the machine was not advanced to the time of the offer")
-        if self._count < self.slots:
-            self._begin(job)
-        elif self._waits < self.room:
+        if now > self._now + ROUNDING_TOLERANCE_MS:
+            raise QueueNotAdvancedError(self._now, now)
+        if self._running_count < self.slots:
+            self._run(job)
+        elif self._waiting_count < self.room:
             self._waiting.append(job)
-            self._waits += 1
+            self._waiting_count += 1
         else:
             return False
         return True
 
-    def _begin(self, job: Job) -> None:
-        job.running, job.finish = True, self._virtual + job.work
+    def _run(self, job: Job) -> None:
+        job.running = True
+        job.finish_at = self._virtual_time + job.work
         heapq.heappush(self._running, job)
-        self._count += 1
+        self._running_count += 1
 
     def advance(self, now: float) -> list[Job]:
-        """The jobs done by now, in order."""
-        done: list[Job] = []
-        while True:
-            if not self._count:
-                self._now = max(self._now, now)
-                break
-            self._clean()
+        """Work until this time. Returns the jobs completed by then, in order."""
+        completed: list[Job] = []
+        while self._running_count:
+            self._discard_cancelled()
             rate = self._rate(self._now)
-            step = min(max(now - self._now, 0.0), STEP if self.warmth(self._now) < 1 else inf)
-            left = (self._running[0].finish - self._virtual) / rate
-            if left > step + EPS:  # else rounding could leave a job a hair short of its end for ever
-                if step <= 0:
-                    break
-                self._move(step, rate)
-                continue
-            self._move(max(left, 0.0), rate)
-            job = heapq.heappop(self._running)
-            self._virtual = max(self._virtual, job.finish)
-            job.done = True
-            self._count -= 1
-            done.append(job)
-            self._refill()
-        return done
-
-    def _move(self, step: float, rate: float) -> None:
+            longest_step = WARMUP_STEP_MS if self.warmth(self._now) < 1 else inf
+            step = min(max(now - self._now, 0.0), longest_step)
+            until_completion = (self._running[0].finish_at - self._virtual_time) / rate
+            # Without the tolerance, rounding could leave a job a hair short of its end for ever.
+            if until_completion <= step + ROUNDING_TOLERANCE_MS:
+                self._pass_time(max(until_completion, 0.0), rate)
+                completed.append(self._complete_next())
+            elif step > 0:
+                self._pass_time(step, rate)
+            else:
+                return completed
+        self._now = max(self._now, now)
+        return completed
+
+    def _pass_time(self, step: float, rate: float) -> None:
         self._now += step
-        self._virtual += step * rate
-        self.did += step * rate * self._count
+        self._virtual_time += step * rate
+        self.work_done += step * rate * self._running_count
+
+    def _complete_next(self) -> Job:
+        job = heapq.heappop(self._running)
+        self._virtual_time = max(self._virtual_time, job.finish_at)
+        job.done = True
+        self._running_count -= 1
+        self._fill_slots()
+        return job
 
-    def _clean(self) -> None:
+    def _discard_cancelled(self) -> None:
         while self._running and self._running[0].done:
             heapq.heappop(self._running)
 
-    def _refill(self) -> None:
-        while self._waiting and self._count < self.slots:
+    def _fill_slots(self) -> None:
+        while self._waiting and self._running_count < self.slots:
             job = self._waiting.popleft()
             if not job.done:
-                self._waits -= 1
-                self._begin(job)
+                self._waiting_count -= 1
+                self._run(job)
 
-    def next(self) -> float:
-        """When to call `advance` again at the latest: the time of the next job done, or infinity."""
-        if not self._count:
+    def next_completion(self) -> float:
+        """When to call `advance` again at the latest, in ms; infinity if no job runs."""
+        if not self._running_count:
             return inf
-        self._clean()
-        left = (self._running[0].finish - self._virtual) / self._rate(self._now)
-        return self._now + (min(left, STEP) if self.warmth(self._now) < 1 else left)
-
-    def drop(self, job: Job, running_too: bool) -> bool:
-        """Leave a job undone; a running one only if asked. Whether it was dropped."""
+        self._discard_cancelled()
+        remaining = (self._running[0].finish_at - self._virtual_time) / self._rate(self._now)
+        if self.warmth(self._now) < 1:
+            remaining = min(remaining, WARMUP_STEP_MS)
+        return self._now + remaining
+
+    def cancel(self, job: Job, running_too: bool) -> bool:
+        """Leave a job undone, a running one only if `running_too`. Returns whether it was cancelled."""
         if job.done or (job.running and not running_too):
             return False
         job.done = True
         if job.running:
-            self._count -= 1
-            self._refill()
+            self._running_count -= 1
+            self._fill_slots()
         else:
-            self._waits -= 1
+            self._waiting_count -= 1
         return True
--- a/lupinladder/emulator/proxy_selector.py
+++ b/lupinladder/emulator/proxy_selector.py
@@ -1,17 +1,22 @@
-"""Which proxy a client asks."""
+"""The clients' choice of a proxy."""
 
 from __future__ import annotations
 
 
 class ProxySelector:
-    """Spreads clients over the proxies of their zone that it believes alive."""
+    """Spreads clients in turn over the proxies of their zone that are believed to be alive."""
 
     def __init__(self, zones: list[int]) -> None:
-        self._zones, self._turn = zones, 0
+        """`zones` are those of the proxies, by proxy."""
+        self._zones = zones
+        self._turn = 0
         self.alive = [True] * len(zones)
 
     def pick(self, zone: int) -> int:
-        near = [p for p, z in enumerate(self._zones) if z == zone and self.alive[p]]
-        able = near or [p for p in range(len(self._zones)) if self.alive[p]] or list(range(len(self._zones)))
+        """The proxy for a client of this zone; of another zone, or a dead one, if there is no other."""
+        proxies = range(len(self._zones))
+        alive = [proxy for proxy in proxies if self.alive[proxy]]
+        nearby = [proxy for proxy in alive if self._zones[proxy] == zone]
+        candidates = nearby or alive or list(proxies)
         self._turn += 1
-        return able[self._turn % len(able)]
+        return candidates[self._turn % len(candidates)]
--- /dev/null
+++ b/lupinladder/emulator/reply_pipeline.py
@@ -0,0 +1,58 @@
+"""The replies that a connection of a server owes, in the order of their requests."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from lupinladder.emulator.node_request import NodeRequest, ReplyType
+from lupinladder.emulator.rule_checker import ObservedAttempt, RuleChecker
+from lupinladder.emulator.sockets import DelayedChannel
+
+
+@dataclass(slots=True, eq=False)
+class PendingReply:
+    """The reply to one request, ready or not."""
+
+    data: bytes | None = None  # what will be written; None until it is ready
+    request: NodeRequest | None = None
+    attempt: ObservedAttempt | None = None  # None for what is no attempt of a client's request
+    reply_type: ReplyType = ReplyType.FAILED
+    value: bytes = b""  # for the rule checker
+
+
+class ReplyPipeline:
+    """Writes replies in the order of their requests, each after the delay of the network path."""
+
+    def __init__(self, channel: DelayedChannel, write: Callable[[PendingReply], None]) -> None:
+        self._channel = channel
+        self._write = write
+        self._pending: list[PendingReply] = []
+
+    def __contains__(self, reply: PendingReply) -> bool:
+        return reply in self._pending
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    def append(self) -> PendingReply:
+        """A request has arrived: the next reply is owed to it."""
+        reply = PendingReply()
+        self._pending.append(reply)
+        return reply
+
+    def complete(self, reply: PendingReply, data: bytes) -> None:
+        """A reply is ready. It is written once those before it are."""
+        reply.data = data
+        while self._pending and self._pending[0].data is not None:
+            self._channel.call_after_delay(partial(self._write, self._pending.pop(0)))
+
+    def abandon(self, rule_checker: RuleChecker, cancel: Callable[[NodeRequest], None]) -> None:
+        """The connection is closed: cancel what has not been replied to."""
+        for reply in list(self._pending):  # a copy: cancelling can complete a reply that is due just now
+            if reply.attempt:
+                rule_checker.broke(reply.attempt)
+            if reply.request:
+                cancel(reply.request)
+        self._pending.clear()
--- a/lupinladder/emulator/resp_encoding.py
+++ b/lupinladder/emulator/resp_encoding.py
@@ -1,12 +1,15 @@
-"""RESP2 encoding of what the emulator writes."""
+"""Encoding of the RESP2 messages that the emulator writes."""
 
 from __future__ import annotations
 
+NULL_BULK_STRING = b"$-1\r\n"
 
-def bulk(data: bytes) -> bytes:
+
+def encode_bulk_string(data: bytes) -> bytes:
+    """A bulk string."""
     return b"$%d\r\n%b\r\n" % (len(data), data)
 
 
-def encode_command(*words: bytes) -> bytes:
-    """A RESP command."""
-    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words)
+def encode_command(*arguments: bytes) -> bytes:
+    """A command: an array of bulk strings."""
+    return b"*%d\r\n" % len(arguments) + b"".join(map(encode_bulk_string, arguments))
--- a/lupinladder/emulator/response_corruption.py
+++ b/lupinladder/emulator/response_corruption.py
@@ -1,33 +1,55 @@
-"""Spoils answers of cache nodes."""
+"""Corruption of the replies of cache nodes (LATER, "Bad cache nodes")."""
 
 from __future__ import annotations
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 import numpy as np
 
-HUGE = b"*3\r\n$3000000000\r\n"
+HUGE_LENGTH = b"*3\r\n$3000000000\r\n"
+UNREADABLE = frozenset({"noise", "endless", "length", "huge"})  # no value can be read from these
+
+
+@dataclass(frozen=True, slots=True)
+class CorruptedReply:
+    """A reply as it is sent."""
+
+    data: bytes
+    corruption: str = ""  # one of scenario.CORRUPTIONS; empty if the reply is as it was
+
+    @property
+    def is_unreadable(self) -> bool:
+        """Whether a proxy cannot read a value from it."""
+        return self.corruption in UNREADABLE
 
 
 class ResponseCorruption:
-    """Spoils some of the answers: LATER, "Bad cache nodes"."""
+    """Corrupts a share of the replies, each in one way of `corruptions` (names of scenario.CORRUPTIONS)."""
 
-    def __init__(self, rng: np.random.Generator, kinds: Sequence[str], share: float) -> None:
-        self._rng, self._kinds, self._share = rng, kinds, share
+    def __init__(self, rng: np.random.Generator, corruptions: Sequence[str], share: float) -> None:
+        self._rng = rng
+        self._corruptions = list(corruptions)
+        self._share = share
 
-    def spoil(self, answer: bytes) -> tuple[bytes, str]:
-        """The answer as it is sent, and how it was spoilt ("" if not)."""
+    def apply(self, reply: bytes) -> CorruptedReply:
+        """The reply as it is sent, corrupted or not."""
         if self._rng.random() >= self._share:
-            return answer, ""
-        how = str(self._rng.choice(list(self._kinds)))
+            return CorruptedReply(reply)
+        corruption = str(self._rng.choice(self._corruptions))
         noise = self._rng.bytes(64).replace(b"\n", b"x")
-        return {
-            "noise": noise + b"\r\n",
-            "endless": b"+" + noise * 200,
-            "length": answer.replace(b"$", b"$9", 1),
-            "huge": HUGE + noise * 50,
-            "copy": answer + answer,
-            "trailing": answer + noise,
-            "report": answer.replace(b"inflight=", b"infl\x00ght=\xff"),
-            "interim": answer,
-        }[how], how
+        return CorruptedReply(_corrupt(reply, corruption, noise), corruption)
+
+
+def _corrupt(reply: bytes, corruption: str, noise: bytes) -> bytes:
+    variants = {
+        "noise": noise + b"\r\n",
+        "endless": b"+" + noise * 200,
+        "length": reply.replace(b"$", b"$9", 1),
+        "huge": HUGE_LENGTH + noise * 50,
+        "copy": reply + reply,
+        "trailing": reply + noise,
+        "report": reply.replace(b"inflight=", b"infl\x00ght=\xff"),
+        "interim": reply,  # the origin sends the interim responses
+    }
+    return variants[corruption]
--- a/lupinladder/emulator/sockets.py
+++ b/lupinladder/emulator/sockets.py
@@ -1,4 +1,4 @@
-"""What the stand-ins' sockets share: listeners per proxy, delay by zone, resets, silence."""
+"""What the emulated servers' sockets share: a listener for each proxy, delays between zones, and resets."""
 
 from __future__ import annotations
 
@@ -13,119 +13,139 @@
 from lupinladder.emulator.clock import Clock
 
 HOST = "127.0.0.1"
+BACKLOG = 512
+ACCEPTS_AT_ONCE = 64
+FULL_BACKLOG_CONNECTIONS = 4  # which fill a backlog of 0 for certain
+IMMEDIATE_MS = 0.05  # a delay below this is none
 
 
-def listener(backlog: int = 512) -> socket.socket:
+def open_listening_socket() -> socket.socket:
     """A listening socket on a free port of loopback."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((HOST, 0))
-    sock.listen(backlog)
-    sock.setblocking(False)
-    return sock
+    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listening.bind((HOST, 0))
+    listening.listen(BACKLOG)
+    listening.setblocking(False)
+    return listening
 
 
-def address(sock: socket.socket) -> str:
-    host, port = sock.getsockname()
+def format_address(bound: socket.socket) -> str:
+    """The address of a socket, as `host:port`."""
+    host, port = bound.getsockname()
     return f"{host}:{port}"
 
 
 class NetworkPath:
-    """The way between a proxy and a server: delay in ms each way, with jitter, bytes never out of order."""
+    """The path between two zones: a delay in ms each way, with jitter as a share of it."""
 
-    def __init__(self, clock: Clock, rng: np.random.Generator, one_way: float, jitter: float) -> None:
-        self._clock, self._rng, self._one_way, self._jitter = clock, rng, one_way, jitter
-        self.added = 0.0  # a fault
+    def __init__(self, rng: np.random.Generator, one_way_ms: float, jitter: float) -> None:
+        self._rng = rng
+        self._one_way_ms = one_way_ms
+        self._jitter = jitter
+        self.added_ms = 0.0  # faults change it
 
-    def delay(self) -> float:
-        base = self._one_way + self.added
-        return base * float(1 + self._rng.uniform(-self._jitter, self._jitter)) if base else 0.0
+    def draw_delay(self) -> float:
+        """Draw the delay of one message, in ms."""
+        mean = self._one_way_ms + self.added_ms
+        if not mean:
+            return 0.0
+        return mean * float(1 + self._rng.uniform(-self._jitter, self._jitter))
 
 
 class DelayedChannel:
-    """One direction of one connection: calls come after the way's delay, in order."""
-
-    def __init__(self, clock: Clock, way: NetworkPath) -> None:
-        self._clock, self._way, self._last = clock, way, 0.0
-
-    def after(self, call: Callable[[], object], extra: float = 0.0) -> None:
-        when = max(self._clock.now() + self._way.delay() + extra, self._last)
-        self._last = when
-        if when <= self._clock.now() + 0.05:
-            call()
+    """One direction of one connection: calls are made after the path's delay, and never out of order."""
+
+    def __init__(self, clock: Clock, path: NetworkPath) -> None:
+        self._clock = clock
+        self._path = path
+        self._last_call_at = 0.0
+
+    def call_after_delay(self, callback: Callable[[], object], extra_ms: float = 0.0) -> None:
+        """Call back after the path's delay and `extra_ms`, at once if that is next to nothing."""
+        when = max(self._clock.now() + self._path.draw_delay() + extra_ms, self._last_call_at)
+        self._last_call_at = when
+        if when <= self._clock.now() + IMMEDIATE_MS:
+            callback()
         else:
-            self._clock.at(when, call)
+            self._clock.at(when, callback)
 
 
-def reset(transport: asyncio.Transport) -> None:
-    """Close with a reset, as when a process dies."""
-    sock = transport.get_extra_info("socket")
-    if sock is not None and not transport.is_closing():
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+def reset_connection(transport: asyncio.Transport) -> None:
+    """Close a connection with a reset, as when a process dies."""
+    connected = transport.get_extra_info("socket")
+    if connected is not None and not transport.is_closing():
+        connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         transport.abort()
 
 
 class FaultyListener:
-    """A listener for one proxy. It can be shut (refused), hung (no connection comes up) and handed over.
+    """A listener for one proxy, which can refuse connections, leave them unanswered or be handed over.
 
     It accepts by itself: asyncio's servers own their socket and cannot stop accepting without closing it.
     """
 
     def __init__(
-        self, clock: Clock, factory: Callable[[], asyncio.Protocol], sock: socket.socket | None = None
+        self,
+        clock: Clock,
+        protocol_factory: Callable[[], asyncio.Protocol],
+        listening: socket.socket | None = None,
     ) -> None:
-        self._loop, self._factory = clock.loop, factory
-        self.sock = sock or listener()
-        self.address = address(self.sock)
-        self._plugs: list[socket.socket] = []
-        self._coming: set[asyncio.Task[object]] = set()
+        self._loop = clock.loop
+        self._protocol_factory = protocol_factory
+        self._socket = listening or open_listening_socket()
+        self.address = format_address(self._socket)
+        self._backlog_fillers: list[socket.socket] = []
+        self._accepting: set[asyncio.Task[object]] = set()
 
     def open(self) -> None:
-        self._loop.add_reader(self.sock.fileno(), self._ready)
+        """Start to accept connections."""
+        self._loop.add_reader(self._socket.fileno(), self._on_readable)
 
-    def _ready(self) -> None:
-        for _ in range(64):
+    def _on_readable(self) -> None:
+        for _ in range(ACCEPTS_AT_ONCE):
             try:
-                sock, _ = self.sock.accept()
+                accepted, _ = self._socket.accept()
             except OSError:
                 return
-            sock.setblocking(False)
-            task = self._loop.create_task(self._loop.connect_accepted_socket(self._factory, sock))
-            self._coming.add(task)
-            task.add_done_callback(self._came)
-
-    def _came(self, task: asyncio.Task[object]) -> None:
-        self._coming.discard(task)
-        bad = None if task.cancelled() else task.exception()
-        if bad:
-            self._loop.call_exception_handler({"exception": bad, "message": "accepting"})
+            accepted.setblocking(False)
+            connect = self._loop.connect_accepted_socket(self._protocol_factory, accepted)
+            task = self._loop.create_task(connect)
+            self._accepting.add(task)
+            task.add_done_callback(self._on_accepted)
+
+    def _on_accepted(self, task: asyncio.Task[object]) -> None:
+        self._accepting.discard(task)
+        exception = None if task.cancelled() else task.exception()
+        if exception:
+            self._loop.call_exception_handler({"exception": exception, "message": "accepting"})
 
     def hand_over(self) -> socket.socket:
-        """Stop accepting and give the listening socket away."""
-        self._loop.remove_reader(self.sock.fileno())
-        return self.sock
-
-    def shut(self) -> None:
-        """New connections are refused from now on."""
-        for plug in self._plugs:
-            plug.close()
-        if self.sock.fileno() >= 0:
-            self._loop.remove_reader(self.sock.fileno())
-            self.sock.close()
-
-    def hang(self) -> None:
-        """New connections never come up, as with a machine cut off: the backlog is full for good."""
-        self._loop.remove_reader(self.sock.fileno())
-        self.sock.listen(0)
-        for _ in range(4):
-            plug = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            plug.setblocking(False)
-            plug.connect_ex(self.sock.getsockname())
-            self._plugs.append(plug)
-
-
-def transport_of(transport: asyncio.BaseTransport) -> asyncio.Transport:
-    sock = transport.get_extra_info("socket")
-    if sock is not None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        """Stop accepting and return the listening socket, which stays open."""
+        self._loop.remove_reader(self._socket.fileno())
+        return self._socket
+
+    def close(self) -> None:
+        """Refuse new connections from now on."""
+        for filler in self._backlog_fillers:
+            filler.close()
+        if self._socket.fileno() >= 0:
+            self._loop.remove_reader(self._socket.fileno())
+            self._socket.close()
+
+    def stop_responding(self) -> None:
+        """Leave new connections unanswered, as a machine that is cut off does: the backlog stays full."""
+        self._loop.remove_reader(self._socket.fileno())
+        self._socket.listen(0)
+        for _ in range(FULL_BACKLOG_CONNECTIONS):
+            filler = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            filler.setblocking(False)
+            filler.connect_ex(self._socket.getsockname())
+            self._backlog_fillers.append(filler)
+
+
+def as_stream_transport(transport: asyncio.BaseTransport) -> asyncio.Transport:
+    """The transport of a new TCP connection, which from now on sends small messages at once."""
+    connected = transport.get_extra_info("socket")
+    if connected is not None:
+        connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return cast(asyncio.Transport, transport)
--- a/lupinladder/emulator/store_corruption.py
+++ b/lupinladder/emulator/store_corruption.py
@@ -1,18 +1,50 @@
-"""Stores that are older than they say."""
+"""What becomes of the stores of proxies that were killed: lost, damaged, swapped or old."""
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import msgspec
+import numpy as np
 
 from lupinladder.store import record_log, records
 
+AGE_OF_OLD_STORE_MS = 3_600_000.0
+
 
-def aged(data: bytes, by: float) -> bytes:
-    """A store whose every word was said so much earlier (ms)."""
-    found = records.fold(record_log.scan(data))
-    if found is None:
+def with_older_records(data: bytes, age_ms: float) -> bytes:
+    """A store in which every record was made so much earlier."""
+    state = records.fold(record_log.scan(data))
+    if state is None:
         return data
-    parts = [record_log.begin(1, msgspec.to_builtins(found.owner))]
-    for number, one in enumerate(found.all(), 2):
-        parts.append(records.encode(number, msgspec.structs.replace(one, at=one.at - by)))  # type: ignore[attr-defined]
+    parts = [record_log.begin(1, msgspec.to_builtins(state.owner))]
+    for number, record in enumerate(state.all(), 2):
+        older = msgspec.structs.replace(record, at=record.at - age_ms)  # type: ignore[attr-defined]
+        parts.append(records.encode(number, older))
     return b"".join([*parts, record_log.end(len(parts) + 1)])
+
+
+def corrupt_stores(paths: list[Path], how: str, rng: np.random.Generator) -> None:
+    """Do to these stores, as far as they exist, what `how` says (one of scenario.STORES)."""
+    existing = [path for path in paths if path.exists()]
+    for path in existing:
+        _corrupt(path, how, rng)
+    if how == "swapped" and len(existing) > 1:
+        contents = [path.read_bytes() for path in existing]
+        rotated = [*contents[1:], contents[0]]
+        for path, content in zip(existing, rotated, strict=True):
+            path.write_bytes(content)
+
+
+def _corrupt(path: Path, how: str, rng: np.random.Generator) -> None:
+    data = bytearray(path.read_bytes())
+    if how == "lost":
+        path.unlink()
+    elif how == "torn":
+        path.write_bytes(data[: int(rng.integers(len(data)))])
+    elif how == "flipped":
+        byte = int(rng.integers(len(data)))
+        data[byte] ^= 1 << int(rng.integers(8))
+        path.write_bytes(data)
+    elif how == "old":
+        path.write_bytes(with_older_records(bytes(data), AGE_OF_OLD_STORE_MS))
--- a/lupinladder/emulator/workload.py
+++ b/lupinladder/emulator/workload.py
@@ -1,4 +1,4 @@
-"""Everything a run draws, from one seed: the same seed gives the same plan.
+"""Everything a run draws from its seed: the same seed gives the same plan.
 
 numpy's SeedSequence gives every concern a stream of its own, so that one more fault shifts no arrival.
 """
@@ -10,14 +10,14 @@
 
 import numpy as np
 
-from lupinladder.emulator.scenario import ClientsConfig, Scenario
+from lupinladder.emulator.scenario import ClientsConfig, LoadPhase, Scenario
 
-LARGEST = 1 << 20  # bytes of a value
+MAX_VALUE_SIZE = 1 << 20  # bytes
 
 
-def random_stream(seed: int, what: str) -> np.random.Generator:
+def random_stream(seed: int, concern: str) -> np.random.Generator:
     """The generator of one concern, the same on every machine and in every process."""
-    return np.random.default_rng(np.random.SeedSequence([seed, zlib.crc32(what.encode())]))
+    return np.random.default_rng(np.random.SeedSequence([seed, zlib.crc32(concern.encode())]))
 
 
 class KeyDistribution:
@@ -26,105 +26,127 @@
     def __init__(self, seed: int, clients: ClientsConfig) -> None:
         rng = random_stream(seed, "keys")
         self._clients = clients
-        self.names = [b"%016x" % n for n in rng.integers(1, 1 << 62, clients.keys)]
+        self.names = [b"%016x" % number for number in rng.integers(1, 1 << 62, clients.keys)]
         weights = 1 / (np.arange(clients.keys) + 1 + clients.offset) ** clients.zipf
-        self._cdf = np.cumsum(weights / weights.sum())
+        self._cumulative_shares = np.cumsum(weights / weights.sum())
         sizes = clients.size[0] * rng.lognormal(0, clients.size[1], clients.keys)
-        self._sizes = dict(zip(self.names, np.minimum(sizes, LARGEST).astype(int), strict=True))
-        self.pooled = int(np.searchsorted(self._cdf, clients.hits)) + 1  # objects that one pooled cache keeps
+        self._sizes = dict(zip(self.names, np.minimum(sizes, MAX_VALUE_SIZE).astype(int), strict=True))
+        # Objects that one pooled cache keeps, of as many keys as give the scenario's share of hits.
+        self.pooled = int(np.searchsorted(self._cumulative_shares, clients.hits)) + 1
         self._kept = set(self.names[: self.pooled])
 
     def size(self, key: bytes) -> int:
+        """The size of the key's value, in bytes."""
         return int(self._sizes.get(key, self._clients.size[0]))
 
     def kept(self, key: bytes) -> bool:
+        """Whether one pooled cache of the cluster's size would hold the key."""
         return key in self._kept
 
     def draw(self, rng: np.random.Generator, count: int, when: np.ndarray) -> list[bytes]:
-        """Keys for requests at these seconds; with drift, ranks move on to new keys by and by."""
-        ranks = np.searchsorted(self._cdf, rng.random(count))
-        moved = (when * self._clients.drift * self._clients.keys).astype(int)
-        return [self.names[n] for n in (ranks + moved) % self._clients.keys]
+        """Keys for requests at these seconds; with drift, ranks move on to new keys with time."""
+        ranks = np.searchsorted(self._cumulative_shares, rng.random(count))
+        ranks_moved = (when * self._clients.drift * self._clients.keys).astype(int)
+        return [self.names[rank] for rank in (ranks + ranks_moved) % self._clients.keys]
 
 
 @dataclass(slots=True)
 class Arrival:
-    """One request as its client means it. `at` is in seconds from the start of the counted part."""
+    """One request as its client intends it."""
 
-    at: float
-    kind: int
+    at: float  # seconds from the start of the counted part
+    request_class: int
     key: bytes
     zone: int
-    patience: float  # ms until the client gives a try up
-    honours: bool
-    holds: bool  # keeps its connection for ever after
-    tenant: str = ""  # where there are any
+    attempt_timeout: float  # ms until the client gives an attempt up
+    honours_retry_after: bool
+    keeps_connection: bool  # open for ever after the reply, and never uses it again
+    tenant: str = ""  # in a scenario with tenants
 
 
 class ArrivalPlan:
-    """The arrivals of a run, drawn ahead: what answers do changes none of them."""
+    """The arrivals of a run, drawn ahead: the proxies' replies change none of them."""
 
     def __init__(self, scenario: Scenario, keys: KeyDistribution) -> None:
-        self.scenario, clients = scenario, scenario.clients
+        self.scenario = scenario
+        self.arrivals = self._draw(keys)
+
+    def _draw(self, keys: KeyDistribution) -> list[Arrival]:
+        """Draw all arrivals. The order of the draws is part of what a seed means."""
+        scenario = self.scenario
+        clients = scenario.clients
         rng = random_stream(scenario.seed, "arrivals")
-        times = self._times(rng)
+        times = self._draw_times(rng)
         count = len(times)
-        kinds = rng.choice(len(scenario.classes), count, p=self._shares())
+        classes = rng.choice(len(scenario.classes), count, p=self._class_shares())
         names = keys.draw(rng, count, times)
         zones = rng.integers(0, len(scenario.fleet.zones), count)
-        low, high = clients.try_share
-        patience = rng.uniform(low, high, count)
-        honours = rng.random(count) < clients.honour
-        holds = rng.random(count) < clients.hold
-        who = random_stream(scenario.seed, "tenants")
-        shares = np.array(list(clients.tenants.values()))
-        tenants = who.choice(list(clients.tenants), count, p=shares / shares.sum()) if len(shares) else None
-        self._heat(times, names, keys)
-        deadline = [one.deadline_ms for one in scenario.classes]
-        self.arrivals = [
+        timeout_shares = rng.uniform(*clients.try_share, count)
+        honours_retry_after = rng.random(count) < clients.honour
+        keeps_connection = rng.random(count) < clients.hold
+        tenants = self._draw_tenants(count)
+        self._replace_by_hot_keys(times, names, keys)
+        deadlines = [request_class.deadline_ms for request_class in scenario.classes]
+        return [
             Arrival(
                 float(times[n]),
-                int(kinds[n]),
+                int(classes[n]),
                 names[n],
                 int(zones[n]),
-                float(deadline[kinds[n]] * patience[n]),
-                bool(honours[n]),
-                bool(holds[n]),
-                "" if tenants is None else str(tenants[n]),
+                float(deadlines[classes[n]] * timeout_shares[n]),
+                bool(honours_retry_after[n]),
+                bool(keeps_connection[n]),
+                tenants[n],
             )
             for n in range(count)
         ]
 
-    def _shares(self) -> np.ndarray:
-        shares = np.array([one.share for one in self.scenario.classes])
+    def _class_shares(self) -> np.ndarray:
+        shares = np.array([request_class.share for request_class in self.scenario.classes])
         return np.asarray(shares / shares.sum())
 
+    def _draw_tenants(self, count: int) -> list[str]:
+        tenants = self.scenario.clients.tenants
+        if not tenants:
+            return [""] * count
+        rng = random_stream(self.scenario.seed, "tenants")
+        shares = np.array(list(tenants.values()))
+        drawn = rng.choice(list(tenants), count, p=shares / shares.sum())
+        return [str(tenant) for tenant in drawn]
+
     def rate(self, at: float) -> float:
-        """Requests a second meant at this second."""
-        steps = self.scenario.load
-        place = max((n for n, step in enumerate(steps) if step.at <= at), default=0)
-        step = steps[place]
-        if step.to is None:
-            return step.rate
-        end = steps[place + 1].at if place + 1 < len(steps) else self.scenario.seconds
-        return step.rate + (step.to - step.rate) * min(1.0, max(0.0, (at - step.at) / (end - step.at)))
-
-    def _times(self, rng: np.random.Generator) -> np.ndarray:
+        """Requests a second intended at this second."""
+        phases = self.scenario.load
+        current = max((n for n, phase in enumerate(phases) if phase.at <= at), default=0)
+        phase = phases[current]
+        if phase.to is None:
+            return phase.rate
+        is_last = current + 1 == len(phases)
+        end = self.scenario.seconds if is_last else phases[current + 1].at
+        progress = min(1.0, max(0.0, (at - phase.at) / (end - phase.at)))
+        return phase.rate + (phase.to - phase.rate) * progress
+
+    def _draw_times(self, rng: np.random.Generator) -> np.ndarray:
         """A Poisson process of changing rate, by thinning."""
-        begin, end = -self.scenario.lead_s, self.scenario.seconds
-        top = max(max(s.rate, s.to or 0) for s in self.scenario.load)
-        count = rng.poisson(top * (end - begin))
+        begin = -self.scenario.lead_s
+        end = self.scenario.seconds
+        peak = max(_peak_rate(phase) for phase in self.scenario.load)
+        count = rng.poisson(peak * (end - begin))
         times = np.sort(rng.uniform(begin, end, count))
-        keep = rng.random(count) * top < np.array([self.rate(t) for t in times])
-        return np.asarray(times[keep])
+        is_kept = rng.random(count) * peak < np.array([self.rate(at) for at in times])
+        return np.asarray(times[is_kept])
 
-    def _heat(self, times: np.ndarray, names: list[bytes], keys: KeyDistribution) -> None:
-        """Hot keys: a share of the traffic goes to one to a few keys for a while."""
+    def _replace_by_hot_keys(self, times: np.ndarray, names: list[bytes], keys: KeyDistribution) -> None:
+        """Hot keys: a share of the traffic goes to one or a few keys for a while."""
         rng = random_stream(self.scenario.seed, "hot")
         for fault in self.scenario.faults:
             if fault.kind != "hot-key":
                 continue
-            hot = [keys.names[n] for n in rng.integers(0, len(keys.names), max(fault.keys, 1))]
+            hot_keys = [keys.names[n] for n in rng.integers(0, len(keys.names), max(fault.keys, 1))]
             for n in np.flatnonzero((times >= fault.at) & (times < fault.at + fault.for_s)):
                 if rng.random() < fault.size:
-                    names[n] = hot[rng.integers(len(hot))]
+                    names[n] = hot_keys[rng.integers(len(hot_keys))]
+
+
+def _peak_rate(phase: LoadPhase) -> float:
+    return max(phase.rate, phase.to or 0)
--- a/tests/emulator/test_processor_sharing_queue.py
+++ b/tests/emulator/test_processor_sharing_queue.py
@@ -1,4 +1,4 @@
-"""The stand-ins' machine against closed forms and against a plain simulation in small steps."""
+"""The processor-sharing queue against closed forms and against a plain simulation in small steps."""
 
 from __future__ import annotations
 
@@ -8,48 +8,49 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lupinladder.emulator.processor_sharing_queue import Job, ProcessorSharingQueue
+from lupinladder.emulator.processor_sharing_queue import Job, ProcessorSharingQueue, WarmUp
 
 
-def run_out(machine: ProcessorSharingQueue, now: float = 0.0) -> list[tuple[float, object]]:
+def run_until_empty(queue: ProcessorSharingQueue, now: float = 0.0) -> list[tuple[float, object]]:
     """When each job is done."""
     done = []
-    while machine.next() < inf:
-        now = max(now, machine.next())
-        done += [(now, job.owner) for job in machine.advance(now)]
+    while queue.next_completion() < inf:
+        now = max(now, queue.next_completion())
+        done += [(now, job.owner) for job in queue.advance(now)]
     return done
 
 
-class Sharing(TestCase):
+class ProcessorSharingQueueTest(TestCase):
     def test_jobs_share_the_cores_evenly_and_short_ones_leave_first(self) -> None:
-        machine = ProcessorSharingQueue(0, 1, 1.0, 8, 0)
+        queue = ProcessorSharingQueue(0, 1, 1.0, 8, 0)
         for work in (10, 20, 30):
-            machine.offer(0, Job(work, work))
+            queue.offer(0, Job(work, work))
         # 3 share until 10 is done at 30, 2 until 20 is done at 50, the last runs alone.
-        self.assertEqual([(round(t, 6), w) for t, w in run_out(machine)], [(30, 10), (50, 20), (60, 30)])
+        completions = [(round(at, 6), work) for at, work in run_until_empty(queue)]
+        self.assertEqual(completions, [(30, 10), (50, 20), (60, 30)])
 
-    def test_beyond_the_slots_jobs_wait_and_beyond_the_room_they_are_turned_away(self) -> None:
-        machine = ProcessorSharingQueue(0, 2, 1.0, 2, 1)
-        self.assertEqual([machine.offer(0, Job(10, n)) for n in range(4)], [True, True, True, False])
-        self.assertEqual([round(t) for t, _ in run_out(machine)], [10, 10, 20])
+    def test_beyond_the_slots_jobs_wait_and_beyond_the_room_they_are_rejected(self) -> None:
+        queue = ProcessorSharingQueue(0, 2, 1.0, 2, 1)
+        self.assertEqual([queue.offer(0, Job(10, n)) for n in range(4)], [True, True, True, False])
+        self.assertEqual([round(t) for t, _ in run_until_empty(queue)], [10, 10, 20])
 
-    def test_a_cold_machine_does_the_integral_of_its_rising_capacity(self) -> None:
-        machine = ProcessorSharingQueue(0, 1, 1.0, 1, 0, cold_share=0.2, cold_ms=1000)
-        machine.offer(0, Job(600, "x"))
+    def test_a_queue_that_warms_up_does_the_integral_of_its_rising_capacity(self) -> None:
+        queue = ProcessorSharingQueue(0, 1, 1.0, 1, 0, warm_up=WarmUp(0.2, 1000))
+        queue.offer(0, Job(600, "x"))
         # The integral of 0.2 + 0.8 t over a second is 0.6; the rate is constant over steps of 100 ms.
-        [(when, _)] = run_out(machine)
+        [(when, _)] = run_until_empty(queue)
         self.assertAlmostEqual(when, 1000, delta=60)
 
-    def test_dropped_jobs_give_their_place_away_running_ones_only_if_asked(self) -> None:
-        machine = ProcessorSharingQueue(0, 1, 1.0, 1, 2)
+    def test_cancelled_jobs_free_their_slots_running_ones_only_if_asked(self) -> None:
+        queue = ProcessorSharingQueue(0, 1, 1.0, 1, 2)
         jobs = [Job(10, n) for n in range(3)]
         for job in jobs:
-            machine.offer(0, job)
-        self.assertFalse(machine.drop(jobs[0], running_too=False))
-        self.assertTrue(machine.drop(jobs[1], running_too=False))
-        self.assertTrue(machine.drop(jobs[0], running_too=True))
-        self.assertEqual([(round(t), n) for t, n in run_out(machine)], [(10, 2)])
-        self.assertEqual(machine.held, 0)
+            queue.offer(0, job)
+        self.assertFalse(queue.cancel(jobs[0], running_too=False))
+        self.assertTrue(queue.cancel(jobs[1], running_too=False))
+        self.assertTrue(queue.cancel(jobs[0], running_too=True))
+        self.assertEqual([(round(t), n) for t, n in run_until_empty(queue)], [(10, 2)])
+        self.assertEqual(queue.held, 0)
 
     @settings(max_examples=60, deadline=None)
     @given(
@@ -61,15 +62,19 @@
         self, jobs: list[tuple[float, float]], cores: int, slots: int
     ) -> None:
         jobs = sorted(jobs)
-        machine, found = ProcessorSharingQueue(0, cores, 1.0, slots, 99), dict[object, float]()
+        queue = ProcessorSharingQueue(0, cores, 1.0, slots, 99)
+        found = dict[object, float]()
         for n, (at, work) in enumerate(jobs):
-            while machine.next() <= at:
-                now = machine.next()
-                found |= {job.owner: now for job in machine.advance(now)}
-            found |= {job.owner: at for job in machine.advance(at)}
-            machine.offer(at, Job(work, n))
-        found |= {owner: now for now, owner in run_out(machine, jobs[-1][0])}
-        left, step, now, expected = dict[int, float](), 0.01, 0.0, dict[int, float]()
+            while queue.next_completion() <= at:
+                now = queue.next_completion()
+                found |= {job.owner: now for job in queue.advance(now)}
+            found |= {job.owner: at for job in queue.advance(at)}
+            queue.offer(at, Job(work, n))
+        found |= {owner: now for now, owner in run_until_empty(queue, jobs[-1][0])}
+        expected = dict[int, float]()
+        left = dict[int, float]()
+        step = 0.01
+        now = 0.0
         todo = list(enumerate(jobs))
         while todo or left:
             while todo and todo[0][1][0] <= now:
