Write the emulator's capacity benchmark in shorter functions with the field's names

One function played, measured and printed. Figures and keys of its lines are as before; the garbage collector is switched back on after each direct run. Not run here: the machine is shared, and no load programs run on it now.

--- a/benchmarks/lab_capacity.py
+++ b/benchmarks/lab_capacity.py
@@ -1,7 +1,7 @@
-"""What the lab can drive, and what a proxy adds: `python -m benchmarks.lab_capacity [--rates ...]`.
+"""What the emulator can drive, and what a proxy adds: `python -m benchmarks.lab_capacity [--rates ...]`.
 
-A fleet with cores to spare answers in a millisecond, so that the figures are the lab's and the proxies'.
-The direct path is the same clients on the same nodes with nothing between.
+A cluster with cores to spare answers in a millisecond, so that the figures are those of the emulator
+and the proxies. The direct path is the same clients on the same nodes with nothing between.
 """
 
 from __future__ import annotations
@@ -10,6 +10,9 @@
 import asyncio
 import gc
 import json
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
 from typing import Any
 
 import uvloop
@@ -17,41 +20,61 @@
 from lupinladder.emulator import report, run
 from lupinladder.emulator.clock import Clock, Lateness
 from lupinladder.emulator.cluster import Cluster
-from lupinladder.emulator.load_generator import ClientPool, LoadGenerator, ProxySelector
+from lupinladder.emulator.load_generator import ClientPool, LoadGenerator, ProxySelector, Result
 from lupinladder.emulator.rule_checker import RuleChecker
 from lupinladder.emulator.scenario import LoadPhase, RequestClassConfig, Scenario
 from lupinladder.emulator.workload import ArrivalPlan, KeyDistribution, random_stream
 
 SECONDS = 6.0
-
-
-def scenario(rate: float, proxies: int) -> Scenario:
-    made = Scenario(SECONDS, [LoadPhase(0, rate)], lead_s=1.0)
-    made.classes = [RequestClassConfig("map-view", 1.0, 1.0, 300, 600, 5, cv=0.1)]
-    made.fleet.cores, made.fleet.slots, made.fleet.thrash = 32.0, 64, 0.0
-    made.fleet.error_rate, made.fleet.handshake_ms = 0.0, 0.1
-    made.net.cross_ms = 0.0
-    made.clients.hits, made.clients.keys = 0.999, 2000
-    made.fleet.memory = 20.0
-    made.origin.capacity, made.origin.work_ms = 5000.0, 2.0
-    made.proxies.count = proxies
-    made.clients.connections = 200
-    made.check()
-    return made
-
-
-def through(rate: float, proxies: int) -> dict[str, Any]:
-    outcome = run.play(scenario(rate, proxies))
-    tree = report.figures(outcome)
-    cpu = 0.0
-    for one in outcome.proxies:
-        counted = [look for look in one.usage if look.at >= 0]
-        cpu += counted[-1].cpu_s - counted[0].cpu_s
-    span = counted[-1].at - counted[0].at
-    return row(tree, rate) | {"proxies": proxies, "cpu_us": cpu / (rate * span) * 1e6}
-
-
-def row(tree: dict[str, Any], rate: float) -> dict[str, Any]:
+CONNECTIONS = 200
+SETTLE_S = 0.2
+FINISH_S = 1.0
+SHORTEST_SLEEP_MS = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class DirectRun:
+    """What a run without proxies left."""
+
+    results: list[Result]
+    late_share: float
+
+
+def make_scenario(rate: float, proxies: int) -> Scenario:
+    """A cluster that is never the bottleneck, at this many requests a second."""
+    scenario = Scenario(SECONDS, [LoadPhase(0, rate)], lead_s=1.0)
+    scenario.classes = [RequestClassConfig("map-view", 1.0, 1.0, 300, 600, 5, cv=0.1)]
+    scenario.fleet.cores = 32.0
+    scenario.fleet.slots = 64
+    scenario.fleet.thrash = 0.0
+    scenario.fleet.error_rate = 0.0
+    scenario.fleet.handshake_ms = 0.1
+    scenario.fleet.memory = 20.0
+    scenario.net.cross_ms = 0.0
+    scenario.clients.hits = 0.999
+    scenario.clients.keys = 2000
+    scenario.clients.connections = CONNECTIONS
+    scenario.origin.capacity = 5000.0
+    scenario.origin.work_ms = 2.0
+    scenario.proxies.count = proxies
+    scenario.check()
+    return scenario
+
+
+def measure_through_proxies(rate: float, proxies: int) -> dict[str, Any]:
+    """The figures of a run through this many proxies, with the CPU time that they took for each request."""
+    outcome = run.play(make_scenario(rate, proxies))
+    cpu_s = 0.0
+    span_s = 0.0
+    for proxy in outcome.proxies:
+        counted = [sample for sample in proxy.usage if sample.at >= 0]
+        cpu_s += counted[-1].cpu_s - counted[0].cpu_s
+        span_s = counted[-1].at - counted[0].at
+    cpu_us_per_request = cpu_s / (rate * span_s) * 1e6
+    return _figures(report.figures(outcome), rate) | {"proxies": proxies, "cpu_us": cpu_us_per_request}
+
+
+def _figures(tree: dict[str, Any], rate: float) -> dict[str, Any]:
     return {
         "rate": rate,
         "in_time": tree["share"],
@@ -63,52 +86,85 @@
     }
 
 
-async def _direct(made: Scenario) -> dict[str, Any]:
-    made.fleet.nodes = 1  # which then holds every key, as the proxies' nodes do
+def measure_direct(rate: float) -> dict[str, Any]:
+    """The figures of a run in which the clients talk to the nodes."""
+    outcome = uvloop.run(_run_direct(make_scenario(rate, 1)))
+    counted = [result for result in outcome.results if result.at >= 0]
+    latency_ms = report._latency(counted)
+    return {"direct": True, "rate": rate, "lab_late": outcome.late_share, **latency_ms}
+
+
+async def _run_direct(scenario: Scenario) -> DirectRun:
+    scenario.fleet.nodes = 1  # which then holds every key, as the proxies' nodes do
     clock = Clock()
-    keys = KeyDistribution(made.seed, made.clients)
-    referee = RuleChecker(made.classes, 1, clock.now())
-    referee.proxy_up(clock.now(), 0)
-    fleet = Cluster(clock, made, keys, referee, [0])
-    fleet.open()
-    await asyncio.sleep(0.2)
-    start = clock.now() + made.lead_s * 1000
+    keys = KeyDistribution(scenario.seed, scenario.clients)
+    rule_checker = RuleChecker(scenario.classes, 1, clock.now())
+    rule_checker.proxy_up(clock.now(), 0)
+    cluster = Cluster(clock, scenario, keys, rule_checker, [0])
+    cluster.open()
+    await asyncio.sleep(SETTLE_S)
+    start = clock.now() + scenario.lead_s * 1000
+    pools = [
+        ClientPool(clock, rule_checker, 0, _parse_address(address), CONNECTIONS)
+        for name, address in cluster.addresses(0).items()
+        if name in cluster.nodes
+    ]
+    generator = LoadGenerator(
+        clock,
+        rule_checker,
+        pools,
+        ProxySelector([0] * len(pools)),
+        scenario.classes,
+        scenario.clients,
+        random_stream(1, "clients"),
+        start,
+    )
+    with _no_garbage_collection():
+        lateness = Lateness(clock)
+        await _begin_arrivals(generator, ArrivalPlan(scenario, keys), clock, start)
+        lateness.stop()
+    cluster.close()
+    return DirectRun(generator.results, lateness.share(run.LATE_MS))
+
+
+async def _begin_arrivals(generator: LoadGenerator, plan: ArrivalPlan, clock: Clock, start: float) -> None:
+    """Begin every request at its time, and wait until all have their replies."""
+    for arrival in plan.arrivals:
+        wait_ms = start + arrival.at * 1000 - clock.now()
+        if wait_ms > SHORTEST_SLEEP_MS:
+            await asyncio.sleep(wait_ms / 1000)
+        arrival.zone = 0
+        generator.begin(arrival)
+    await asyncio.sleep(FINISH_S)
+
+
+@contextmanager
+def _no_garbage_collection() -> Iterator[None]:
+    """A full collection takes tens of ms, which would count as latency."""
     gc.collect()
     gc.freeze()
     gc.disable()
-    pools = []
-    for node in fleet.nodes.values():
-        host, port = node.doors[0].address.split(":")
-        pools.append(ClientPool(clock, referee, 0, (host, int(port)), 200))
-    front = ProxySelector([0] * len(pools))
-    crowd = LoadGenerator(
-        clock, referee, pools, front, made.classes, made.clients, random_stream(1, "clients"), start
-    )
-    late = Lateness(clock)
-    for arrival in ArrivalPlan(made, keys).arrivals:
-        wait = start + arrival.at * 1000 - clock.now()
-        if wait > 0.5:
-            await asyncio.sleep(wait / 1000)
-        arrival.zone = 0
-        crowd.begin(arrival)
-    await asyncio.sleep(1)
-    late.stop()
-    fleet.close()
-    counted = [one for one in crowd.results if one.at >= 0]
-    return {"latency_ms": report._latency(counted), "late": late.share(run.LATE_MS)}
+    try:
+        yield
+    finally:
+        gc.enable()
+
+
+def _parse_address(address: str) -> tuple[str, int]:
+    host, port = address.split(":")
+    return host, int(port)
 
 
 def main() -> None:
+    """Print one line of JSON for each rate and path."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--rates", type=float, nargs="+", default=[200, 800, 1600, 2400, 3200])
     parser.add_argument("--proxies", type=int, nargs="+", default=[1, 3])
-    chosen = parser.parse_args()
-    for rate in chosen.rates:
-        direct = uvloop.run(_direct(scenario(rate, 1)))
-        told = {"direct": True, "rate": rate, "lab_late": direct["late"], **direct["latency_ms"]}
-        print(json.dumps(told), flush=True)
-        for proxies in chosen.proxies:
-            print(json.dumps(through(rate, proxies)), flush=True)
+    arguments = parser.parse_args()
+    for rate in arguments.rates:
+        print(json.dumps(measure_direct(rate)), flush=True)
+        for proxies in arguments.proxies:
+            print(json.dumps(measure_through_proxies(rate, proxies)), flush=True)
 
 
 if __name__ == "__main__":
