Share the parser of the emulator's HTTP servers and the reset of all connections

The origin's and discovery's connections parsed and closed alike, and three servers reset their connections by the same loop. Each stands once now.

--- a/lupinladder/emulator/cache_node_server.py
+++ b/lupinladder/emulator/cache_node_server.py
@@ -11,7 +11,7 @@
 from lupinladder.emulator.clock import Clock, ModelDriver
 from lupinladder.emulator.response_corruption import ResponseCorruption
 from lupinladder.emulator.rule_checker import RuleChecker
-from lupinladder.emulator.sockets import FaultyListener, NetworkPath, reset_connection
+from lupinladder.emulator.sockets import FaultyListener, NetworkPath, reset_all
 
 WorkSampler = Callable[[dict[bytes, bytes]], float]
 """Draws the work of a command by its labels, in ms; UnknownClassError for a class that does not exist."""
@@ -78,9 +78,7 @@
 
     def reset_connections(self) -> None:
         """Reset all connections; the process runs on."""
-        for connection in list(self.connections):
-            if connection.transport:
-                reset_connection(connection.transport)
+        reset_all(self.connections)
 
     def stop_responding(self) -> None:
         """The machine is cut off: open connections stay open and silent, new ones do not come up."""
--- a/lupinladder/emulator/cluster.py
+++ b/lupinladder/emulator/cluster.py
@@ -69,7 +69,7 @@
         """`proxy_zones` are the zones of the proxies, by proxy."""
         self.clock = clock
         self.scenario = scenario
-        self.rng = random_stream(scenario.seed, "fleet")
+        self._rng = random_stream(scenario.seed, "fleet")
         self.nodes: dict[str, CacheNodeServer] = {}
         self.endpoints = EndpointList()
         self.list = self.endpoints  # the former name
@@ -86,7 +86,7 @@
         )
 
     def _draw_ttl(self) -> float:
-        return float(self.rng.uniform(*self.scenario.fleet.ttl_s)) * 1000
+        return float(self._rng.uniform(*self.scenario.fleet.ttl_s)) * 1000
 
     def _make_origin(self) -> OriginServer:
         scenario = self.scenario
@@ -125,7 +125,7 @@
         ends = (min(zone, other_zone), max(zone, other_zone))
         if ends not in self._paths:
             one_way_ms = self._one_way_ms(zone, other_zone)
-            self._paths[ends] = NetworkPath(self.rng, one_way_ms, self.scenario.net.jitter)
+            self._paths[ends] = NetworkPath(self._rng, one_way_ms, self.scenario.net.jitter)
         return self._paths[ends]
 
     def _one_way_ms(self, zone: int, other_zone: int) -> float:
@@ -148,7 +148,7 @@
         distribution = self._work_by_class.get(name)
         if distribution is None:
             raise UnknownClassError(name)
-        return distribution.draw(self.rng)
+        return distribution.draw(self._rng)
 
     def _make_node(
         self,
@@ -159,8 +159,8 @@
     ) -> CacheNodeServer:
         now = self.clock.now()
         config = self.scenario.fleet
-        name = name or f"s-{int(self.rng.integers(1 << 32)):08x}"
-        core = CacheNode(now, name, zone, config, self._shared_data, self.rng, starts_empty)
+        name = name or f"s-{int(self._rng.integers(1 << 32)):08x}"
+        core = CacheNode(now, name, zone, config, self._shared_data, self._rng, starts_empty)
 
         def round_trip_ms(proxy: int) -> float:
             """Between this proxy and the node, without jitter."""
@@ -203,7 +203,7 @@
     def announce(self, entry: ListedEndpoint, delay_s: float | None = None) -> None:
         """The list will show this after `delay_s`, which is drawn if it is not given."""
         if delay_s is None:
-            delay_s = float(self.rng.uniform(*self.scenario.discovery.notice_s))
+            delay_s = float(self._rng.uniform(*self.scenario.discovery.notice_s))
         self.endpoints.notice_at(self.clock.now() + delay_s * 1000, entry)
         self.discovery.driver.update()
 
--- a/lupinladder/emulator/discovery_connection.py
+++ b/lupinladder/emulator/discovery_connection.py
@@ -8,9 +8,8 @@
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs, urlsplit
 
-import httptools
-
 from lupinladder.emulator.endpoint_list import EndpointChanges
+from lupinladder.emulator.http_connection import HttpServerConnection
 from lupinladder.emulator.http_encoding import encode_response
 from lupinladder.emulator.sockets import as_stream_transport, reset_connection
 
@@ -21,15 +20,13 @@
 WATCH_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
-class DiscoveryConnection(asyncio.Protocol):
+class DiscoveryConnection(HttpServerConnection):
     """One connection from a proxy."""
 
     def __init__(self, server: DiscoveryServer, proxy: int) -> None:
+        super().__init__()
         self._server = server
         self._proxy = proxy
-        self.transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
-        self._url = b""
         self._watch_index: int | None = None  # the version that the watch was sent last; None without one
         self._keepalive_timer: asyncio.TimerHandle | None = None
 
@@ -47,22 +44,9 @@
         if self._keepalive_timer:
             self._keepalive_timer.cancel()
 
-    def data_received(self, data: bytes) -> None:
-        """Parse a part of a request; close the connection if it is not HTTP/1.1."""
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            if self.transport:
-                self.transport.close()
-
-    def on_url(self, url: bytes) -> None:
-        """The parser has read a part of the path and the query string."""
-        self._url += url
-
     def on_message_complete(self) -> None:
         """The parser has read a whole request."""
-        url = urlsplit(self._url.decode("latin-1"))
-        self._url = b""
+        url = urlsplit(self._take_url().decode("latin-1"))
         self._server.rule_checker.tick("calls for the list", self._server.clock.now())
         wait_s = self._server.reserve_turn()
         if wait_s is None:
--- a/lupinladder/emulator/discovery_server.py
+++ b/lupinladder/emulator/discovery_server.py
@@ -10,7 +10,7 @@
 from lupinladder.emulator.endpoint_list import EndpointList, EndpointStatus, ListedEndpoint
 from lupinladder.emulator.rule_checker import RuleChecker
 from lupinladder.emulator.scenario import DiscoveryConfig
-from lupinladder.emulator.sockets import FaultyListener, reset_connection
+from lupinladder.emulator.sockets import FaultyListener, reset_all
 
 COUNTS_AS_KNOWN_AFTER_MS = 6000.0  # after which a proxy has to know of a change, sent to it or not
 
@@ -95,9 +95,7 @@
     def go_down(self) -> None:
         """Reset all connections, and new ones until `is_down` is cleared."""
         self.is_down = True
-        for connection in list(self.connections):
-            if connection.transport:
-                reset_connection(connection.transport)
+        reset_all(self.connections)
 
     def move(self, linger_s: float) -> None:
         """Move to other addresses. The old ones refuse, and their connections are closed after `linger_s`."""
--- a/lupinladder/emulator/origin_connection.py
+++ b/lupinladder/emulator/origin_connection.py
@@ -7,8 +7,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-import httptools
-
+from lupinladder.emulator.http_connection import HttpServerConnection
 from lupinladder.emulator.http_encoding import NO_HEADERS, encode_response
 from lupinladder.emulator.node_request import NodeRequest, ReplyType
 from lupinladder.emulator.reply_pipeline import PendingReply, ReplyPipeline
@@ -26,20 +25,18 @@
 EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
 
 
-class OriginConnection(asyncio.Protocol):
+class OriginConnection(HttpServerConnection):
     """One connection from a proxy."""
 
     def __init__(self, server: OriginServer, proxy: int) -> None:
+        super().__init__()
         self._server = server
         self._proxy = proxy
         self._clock = server.clock
-        self.transport: asyncio.Transport | None = None
         self._requests = DelayedChannel(self._clock, server.paths[proxy])
         self._replies = ReplyPipeline(DelayedChannel(self._clock, server.paths[proxy]), self._write)
         self._raw = bytearray()  # the bytes of the request that is arriving
         self._first_byte_at = 0.0  # of that request
-        self._parser = httptools.HttpRequestParser(self)
-        self._url = b""
         self._headers: dict[bytes, bytes] = {}
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -60,19 +57,11 @@
         self._server.core.cancel(self._clock.now(), request)
 
     def data_received(self, data: bytes) -> None:
-        """Parse a part of a request; close the connection if it is not HTTP/1.1."""
+        """Keep the bytes of the request, for the rule checker, and parse them."""
         if not self._raw:
             self._first_byte_at = self._clock.now()
         self._raw += data
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            if self.transport:
-                self.transport.close()
-
-    def on_url(self, url: bytes) -> None:
-        """The parser has read a part of the path."""
-        self._url += url
+        super().data_received(data)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """The parser has read a header."""
@@ -80,10 +69,9 @@
 
     def on_message_complete(self) -> None:
         """The parser has read a whole request."""
-        path = self._url
+        path = self._take_url()
         headers = self._headers
         raw = bytes(self._raw)
-        self._url = b""
         self._headers = {}
         self._raw.clear()
         reply = self._replies.append()
--- a/lupinladder/emulator/origin_server.py
+++ b/lupinladder/emulator/origin_server.py
@@ -10,7 +10,7 @@
 from lupinladder.emulator.origin import OriginModel
 from lupinladder.emulator.origin_connection import OriginConnection
 from lupinladder.emulator.rule_checker import RuleChecker
-from lupinladder.emulator.sockets import FaultyListener, NetworkPath, reset_connection
+from lupinladder.emulator.sockets import FaultyListener, NetworkPath, reset_all
 
 
 class OriginServer:
@@ -54,7 +54,5 @@
         if self.core.stops > self._stops_seen:
             self._stops_seen = self.core.stops
             self.rule_checker.origin_stopped(now)
-            for connection in list(self.connections):
-                if connection.transport:
-                    reset_connection(connection.transport)
+            reset_all(self.connections)
         self.driver.update()
--- a/lupinladder/emulator/sockets.py
+++ b/lupinladder/emulator/sockets.py
@@ -5,8 +5,8 @@
 import asyncio
 import socket
 import struct
-from collections.abc import Callable
-from typing import cast
+from collections.abc import Callable, Iterable
+from typing import Protocol, cast
 
 import numpy as np
 
@@ -78,6 +78,19 @@
         transport.abort()
 
 
+class HasTransport(Protocol):
+    """A connection of a server."""
+
+    transport: asyncio.Transport | None
+
+
+def reset_all(connections: Iterable[HasTransport]) -> None:
+    """Reset these connections, which may leave the server's collection of them meanwhile."""
+    for connection in list(connections):
+        if connection.transport:
+            reset_connection(connection.transport)
+
+
 class FaultyListener:
     """A listener for one proxy, which can refuse connections, leave them unanswered or be handed over.
 
