--- a/lupinladder/emulator/reply_pipeline.py
+++ b/lupinladder/emulator/reply_pipeline.py
@@ -30,7 +30,7 @@
         self._write = write
         self._pending: list[PendingReply] = []
 
-    def __contains__(self, reply: PendingReply) -> bool:
+    def __contains__(self, reply: object) -> bool:
         return reply in self._pending
 
     def __len__(self) -> int:
--- /dev/null
+++ b/tests/emulator/test_cache_memory.py
@@ -0,0 +1,19 @@
+"""The memory of a cache node."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from lupinladder.emulator.cache_memory import CacheMemory
+
+
+class CacheMemoryTest(TestCase):
+    def test_memory_is_bounded_in_the_order_that_is_set_and_goes_stale(self) -> None:
+        for fifo, kept in [(False, "ac"), (True, "bc")]:
+            memory = CacheMemory(2, fifo)
+            memory.put(b"a", 0, 100)
+            memory.put(b"b", 0, 100)
+            memory.get(b"a", 1)
+            memory.put(b"c", 0, 50)
+            self.assertEqual([k for k in "abc" if memory.get(k.encode(), 2) is not None], list(kept))
+            self.assertIsNone(memory.get(b"c", 50))
