--- a/lupinladder/emulator/client_request.py
+++ b/lupinladder/emulator/client_request.py
@@ -81,7 +81,7 @@
             Result(
                 self._arrival.at,
                 self._arrival.request_class,
-                reply.outcome,
+                reply.outcome.value,
                 latency,
                 self._attempts,
                 self._late,
