--- /dev/null
+++ b/lupinladder/emulator/client_attempt.py
@@ -0,0 +1,127 @@
+"""One attempt of a client's request at a proxy."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from lupinladder.emulator.client_reply import ClientOutcome, ClientReply
+from lupinladder.emulator.resp_encoding import encode_command
+from lupinladder.emulator.rule_checker import GRACE, SLACK
+
+if TYPE_CHECKING:
+    from lupinladder.emulator.client_connection import ClientConnection
+    from lupinladder.emulator.client_pool import ClientPool
+
+MIN_REMAINING_TIME_MS = 5.0  # a client with less time left does not begin to send
+LISTENING_AFTER_TIMEOUT_MS = GRACE + SLACK + 5.0  # so that a late reply is seen
+
+
+@dataclass(frozen=True, slots=True)
+class ClientCommand:
+    """What an attempt asks for."""
+
+    request_class: int
+    key: bytes
+    labels: bytes  # without the deadline
+    value: bytes  # of a write; empty for a read
+
+
+class ClientAttempt:
+    """One attempt: one request id, one reply.
+
+    Its time runs from its creation, whether or not a connection is free. The command names what is left of
+    it when it is written.
+    """
+
+    __slots__ = (
+        "_command",
+        "_deadline",
+        "_encoded",
+        "_is_sent",
+        "_on_done",
+        "_pool",
+        "_timer",
+        "connection",
+        "is_over",
+        "keeps_connection",
+        "request_id",
+        "was_resent",
+    )
+
+    def __init__(
+        self,
+        pool: ClientPool,
+        request_id: bytes,
+        command: ClientCommand,
+        timeout_ms: float,
+        keeps_connection: bool,
+        on_done: Callable[[ClientReply], None],
+    ) -> None:
+        """`keeps_connection`: the client holds its connection after the reply and never uses it again."""
+        self._pool = pool
+        self.request_id = request_id
+        self._command = command
+        self.keeps_connection = keeps_connection
+        self._on_done = on_done
+        self.connection: ClientConnection | None = None
+        self.is_over = False
+        self.was_resent = False  # on a new connection, because a close crossed the command
+        self._is_sent = False
+        self._encoded = b""
+        self._deadline = pool.clock.now() + timeout_ms
+        self._timer = pool.clock.at(self._deadline + LISTENING_AFTER_TIMEOUT_MS, self._give_up)
+
+    def start(self) -> None:
+        """Send it as soon as a connection is free."""
+        self._pool.submit(self)
+
+    def can_still_be_sent(self) -> bool:
+        """Whether there is time to send it. If there is next to none left, the attempt is over."""
+        if not self.is_over and self._deadline - self._pool.clock.now() < MIN_REMAINING_TIME_MS:
+            self.finish(ClientReply(ClientOutcome.NOT_SENT))
+        return not self.is_over
+
+    def encode(self) -> bytes:
+        """The command as it is written now; the same bytes when it is sent a second time."""
+        if not self._encoded:
+            command = self._command
+            remaining_ms = max(1, round(self._deadline - self._pool.clock.now()))
+            labels = command.labels + b",d=%d" % remaining_ms
+            if command.value:
+                arguments = (b"OBJ.SET", command.key, self.request_id, labels, command.value)
+                self._encoded = encode_command(*arguments)
+            else:
+                self._encoded = encode_command(b"OBJ.GET", command.key, self.request_id, labels)
+        return self._encoded
+
+    def on_sent(self) -> None:
+        """Its last byte is written. Sending it a second time changes nothing of its time."""
+        if self._is_sent:
+            return
+        self._is_sent = True
+        pool = self._pool
+        now = pool.clock.now()
+        remaining_ms = max(1.0, float(round(self._deadline - now)))
+        pool.rule_checker.taken(
+            now, pool.proxy, self.request_id, self._command.request_class, remaining_ms, self._encoded
+        )
+
+    def _give_up(self) -> None:
+        if self.is_over:
+            return
+        if not self._is_sent:
+            self.finish(ClientReply(ClientOutcome.NOT_SENT))
+            return
+        self._pool.rule_checker.gone(self._pool.clock.now(), self.request_id)
+        self.finish(ClientReply(ClientOutcome.UNANSWERED))
+        if self.connection:
+            self.connection.close()
+
+    def finish(self, reply: ClientReply) -> None:
+        """The attempt is over, with this reply or without one; only the first call counts."""
+        if not self.is_over:
+            self.is_over = True
+            self._timer.cancel()
+            self._on_done(reply)
--- /dev/null
+++ b/lupinladder/emulator/origin_connection.py
@@ -0,0 +1,142 @@
+"""One connection from a proxy to the origin: HTTP/1.1 requests, replied to in order."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from lupinladder.emulator.http_connection import HttpServerConnection
+from lupinladder.emulator.http_encoding import NO_HEADERS, encode_response
+from lupinladder.emulator.node_request import NodeRequest, ReplyType
+from lupinladder.emulator.reply_pipeline import PendingReply, ReplyPipeline
+from lupinladder.emulator.request_labels import LabelSyntaxError, parse_labels
+from lupinladder.emulator.sockets import DelayedChannel, as_stream_transport, reset_connection
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from lupinladder.emulator.origin_server import OriginServer
+
+MAX_CONNECTIONS = 900
+HEALTH_CHECK_PATHS = (b"/health", b"/status/load")
+REJECTED_HEADERS = {b"X-Turned-Away": b"1"}
+EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+
+
+class OriginConnection(HttpServerConnection):
+    """One connection from a proxy."""
+
+    def __init__(self, server: OriginServer, proxy: int) -> None:
+        super().__init__()
+        self._server = server
+        self._proxy = proxy
+        self._clock = server.clock
+        self._requests = DelayedChannel(self._clock, server.paths[proxy])
+        self._replies = ReplyPipeline(DelayedChannel(self._clock, server.paths[proxy]), self._write)
+        self._raw = bytearray()  # the bytes of the request that is arriving
+        self._first_byte_at = 0.0  # of that request
+        self._headers: dict[bytes, bytes] = {}
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the connection, or reset it if there are too many or the origin is down."""
+        self.transport = as_stream_transport(transport)
+        is_down = self._clock.now() < self._server.core.down_until
+        if is_down or len(self._server.connections) >= MAX_CONNECTIONS:
+            reset_connection(self.transport)
+            return
+        self._server.connections.add(self)
+
+    def connection_lost(self, _exc: Exception | None) -> None:
+        """Cancel what the connection still waits for."""
+        self._server.connections.discard(self)
+        self._replies.abandon(self._server.rule_checker, self._cancel)
+
+    def _cancel(self, request: NodeRequest) -> None:
+        self._server.core.cancel(self._clock.now(), request)
+
+    def data_received(self, data: bytes) -> None:
+        """Keep the bytes of the request, for the rule checker, and parse them."""
+        if not self._raw:
+            self._first_byte_at = self._clock.now()
+        self._raw += data
+        super().data_received(data)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """The parser has read a header."""
+        self._headers[name.lower()] = value
+
+    def on_message_complete(self) -> None:
+        """The parser has read a whole request."""
+        path = self._take_url()
+        headers = self._headers
+        raw = bytes(self._raw)
+        self._headers = {}
+        self._raw.clear()
+        reply = self._replies.append()
+        if path in HEALTH_CHECK_PATHS:
+            self._complete(reply, HTTPStatus.OK, b"ok")
+        else:
+            self._serve(reply, path[1:], headers, raw)
+
+    def _serve(self, reply: PendingReply, key: bytes, headers: dict[bytes, bytes], raw: bytes) -> None:
+        now = self._clock.now()
+        rule_checker = self._server.rule_checker
+        method = self._parser.get_method()
+        request_id = headers.get(b"x-txn", b"")
+        labels = _read_labels(headers)
+        if labels is None or method not in (b"GET", b"PUT") or not request_id:
+            rule_checker.counts["syntax"] += 1
+            self._complete(reply, HTTPStatus.BAD_REQUEST, b"syntax")
+            return
+        reply.attempt = rule_checker.sent(now, self._first_byte_at, self._proxy, "origin", request_id, raw)
+        on_reply = partial(self._on_reply, reply)
+        reply.request = NodeRequest(self._proxy, key, request_id, labels, method == b"PUT", 0.0, on_reply)
+        self._requests.call_after_delay(partial(self._submit, reply))
+
+    def _submit(self, reply: PendingReply) -> None:
+        if reply.request and reply in self._replies:
+            self._server.submit(reply.request)
+
+    def _on_reply(self, reply: PendingReply, body: bytes, reply_type: ReplyType) -> None:
+        reply.reply_type = reply_type
+        if reply_type is ReplyType.DOWN:
+            if self.transport:
+                reset_connection(self.transport)
+        elif reply_type is ReplyType.BUSY:
+            self._complete(reply, HTTPStatus.SERVICE_UNAVAILABLE, b"", REJECTED_HEADERS)
+        else:
+            self._complete(reply, HTTPStatus.OK, body)
+
+    def _complete(
+        self,
+        reply: PendingReply,
+        status: HTTPStatus,
+        body: bytes,
+        headers: Mapping[bytes, bytes] = NO_HEADERS,
+    ) -> None:
+        core = self._server.core
+        load = b"eps=0,latency_ms=%.1f,qps=%d,inflight=%d" % (core.queue.held, core.served, core.queue.held)
+        reply.value = body
+        self._replies.complete(reply, encode_response(status, body, {b"X-Pressure": load, **headers}))
+
+    def _write(self, reply: PendingReply) -> None:
+        if self.transport is None or self.transport.is_closing():
+            if reply.attempt:
+                self._server.rule_checker.broke(reply.attempt)
+            return
+        if reply.attempt and reply.request:
+            self._server.rule_checker.replied(
+                self._clock.now(), reply.request.request_id, reply.attempt, reply.reply_type, reply.value
+            )
+        interim = EARLY_HINTS if self._server.sends_interim_responses else b""
+        self.transport.write(interim + (reply.data or b""))
+
+
+def _read_labels(headers: dict[bytes, bytes]) -> dict[bytes, bytes] | None:
+    """The labels of a request; None if it has none that can be read."""
+    try:
+        return parse_labels(headers[b"x-labels"])
+    except (KeyError, LabelSyntaxError):
+        return None
