--- a/lupinladder/net/request_dispatcher.py
+++ b/lupinladder/net/request_dispatcher.py
@@ -21,7 +21,6 @@
     StartAttempt,
     WatchEndpoints,
 )
-from lupinladder.balancing.balancer import Server
 from lupinladder.balancing.events import (
     AttemptEnded,
     CacheResult,
@@ -32,6 +31,7 @@
     RequestReceived,
     TimerFired,
 )
+from lupinladder.balancing.server import Server
 from lupinladder.balancing.settings import ServerId, Settings
 from lupinladder.graceful_shutdown import ShutdownSchedule
 from lupinladder.net.event_loop import EventLoop, Timer
--- a/tests/balancing/test_balancer_rules.py
+++ b/tests/balancing/test_balancer_rules.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from lupinladder import Balancer
-from lupinladder.balancing.balancer import ConcurrencyLimiter, RequestState, Server
+from lupinladder.balancing.concurrency_limiter import ConcurrencyLimiter
 from lupinladder.balancing.events import (
     ClientDisconnected,
     Endpoint,
@@ -22,6 +22,8 @@
     Outcome,
     RequestReceived,
 )
+from lupinladder.balancing.request_state import RequestState
+from lupinladder.balancing.server import Server
 from lupinladder.balancing.settings import RetrySafety, Settings
 from tests.support import balancer_harness
 from tests.support.balancer_harness import Proxy, entries, sid
--- a/tests/balancing/test_concurrency_limiter.py
+++ b/tests/balancing/test_concurrency_limiter.py
@@ -4,7 +4,7 @@
 
 from math import inf, isclose, sqrt
 
-from lupinladder.balancing.balancer import (
+from lupinladder.balancing.concurrency_limiter import (
     EMA_ALPHA,
     MIN_ALPHA,
     MIN_WINDOW_SAMPLES,
--- a/tests/balancing/test_many_balancers.py
+++ b/tests/balancing/test_many_balancers.py
@@ -6,7 +6,7 @@
 
 from benchmarks.model_fleet import Fleet
 from lupinladder import Balancer
-from lupinladder.balancing.balancer import SLOT_COUNT, ConcurrencyLimiter, Server, splitmix64
+from lupinladder.balancing.concurrency_limiter import ConcurrencyLimiter
 from lupinladder.balancing.events import (
     AttemptEnded,
     CacheResult,
@@ -16,6 +16,9 @@
     Outcome,
     RequestReceived,
 )
+from lupinladder.balancing.hashing import splitmix64
+from lupinladder.balancing.server import Server
+from lupinladder.balancing.slot_table import SLOT_COUNT
 from tests.support.balancer_harness import Proxy, entries, settings
 
 
--- a/tests/balancing/test_slot_table.py
+++ b/tests/balancing/test_slot_table.py
@@ -4,8 +4,10 @@
 
 import random
 
-from lupinladder.balancing.balancer import SLOT_COUNT, ConcurrencyLimiter, Server, SlotTable
+from lupinladder.balancing.concurrency_limiter import ConcurrencyLimiter
 from lupinladder.balancing.events import Endpoint
+from lupinladder.balancing.server import Server
+from lupinladder.balancing.slot_table import SLOT_COUNT, SlotTable
 from tests.support.balancer_harness import sid
 
 
