Rename the verb lab to emulator and comeback to restart-recovery, old ones hidden aliases

Cause: lab and comeback are names of our own; the package is called emulator since the renaming of modules. The check that the platform's start imports no tool names the packages as they are called since the renaming ('operator.' found nothing any more).

--- a/lupinladder/cli/emulator.py
+++ b/lupinladder/cli/emulator.py
@@ -1,4 +1,4 @@
-"""`lupinladder demo` and `lupinladder lab ...`."""
+"""`lupinladder demo` and `lupinladder emulator ...`."""
 
 from __future__ import annotations
 
@@ -14,11 +14,14 @@
 from rich.progress import BarColumn, Progress, TextColumn, TimeRemainingColumn
 from rich.table import Table
 
+from lupinladder.cli.command_group import FormerNameGroup
 from lupinladder.cli.errors import InputError
 from lupinladder.emulator import report, restart_recovery, run, scenario
 from lupinladder.emulator.scenario import Scenario
 from lupinladder.operator_config.toml_decoder import TomlError
 
+FORMER_NAMES = {"comeback": "restart-recovery"}
+
 console = Console()
 if not console.is_terminal:  # into a file or a pipe: nothing folds its columns
     console = Console(width=120)
@@ -169,23 +172,23 @@
     sys.exit(report.exit_code(tree))
 
 
-@click.group()
-def lab() -> None:
+@click.group(cls=FormerNameGroup, former_names=FORMER_NAMES)
+def emulator() -> None:
     """Stand-ins, scenarios, load and reports.
 
     \b
     Example:
-        lupinladder lab run deploy --report deploy.json
+        lupinladder emulator run deploy --report deploy.json
     """
 
 
-@lab.command("list")
+@emulator.command("list")
 def list_() -> None:
     """The scenarios that come with the program.
 
     \b
     Example:
-        lupinladder lab list
+        lupinladder emulator list
     """
     table = Table()
     for name in ("name", "seconds", "about"):
@@ -196,7 +199,7 @@
     console.print(table)
 
 
-@lab.command("run")
+@emulator.command("run")
 @click.argument("scenarios", nargs=-1, required=True, metavar="SCENARIO...")
 @_SECONDS
 @_SEED
@@ -225,7 +228,7 @@
 
     \b
     Example:
-        lupinladder lab run deploy --repeat 3 --report new.json
+        lupinladder emulator run deploy --repeat 3 --report new.json
     """
     found = [_read(name, seed, seconds) for name in scenarios for _ in range(repeat)]
     worst = 0
@@ -245,7 +248,7 @@
     return path.with_stem(path.stem + suffix) if path else None
 
 
-@lab.command()
+@emulator.command()
 @click.argument("before", type=click.Path(path_type=Path))
 @click.argument("after", type=click.Path(path_type=Path))
 @click.option("--format", "form", type=click.Choice(["table", "json"]), default="table")
@@ -256,7 +259,7 @@
 
     \b
     Example:
-        lupinladder lab compare old.json new.json
+        lupinladder emulator compare old.json new.json
     """
     rows = report.compare(_reports(before), _reports(after))
     if form == "json":
@@ -281,14 +284,14 @@
     return trees
 
 
-@lab.command()
+@emulator.command()
 @click.argument("name", metavar="SCENARIO")
 def check(name: str) -> None:
     """Read a scenario and say what is wrong with it.
 
     \b
     Example:
-        lupinladder lab check mine.toml
+        lupinladder emulator check mine.toml
     """
     found = _read(name, None, None)
     click.echo(
@@ -296,7 +299,7 @@
     )
 
 
-@lab.command("comeback")
+@emulator.command("restart-recovery")
 @click.option("--proxies", type=click.IntRange(2, 16), default=12, show_default=True)
 @click.option("--kill", type=click.FloatRange(0.01, 1), default=0.67, show_default=True, help="Share killed.")
 @click.option(
@@ -310,7 +313,7 @@
 @_PLOT
 @_LOGS
 @_QUIET
-def comeback_(
+def restart_recovery_(
     proxies: int,
     kill: float,
     store: restart_recovery.Stores,
@@ -323,11 +326,11 @@
 ) -> None:
     """Kill most proxies at once, start them together, and say how long until all is as before.
 
-    Exit codes are those of `lab run`.
+    Exit codes are those of `emulator run`.
 
     \b
     Example:
-        lupinladder lab comeback --store lost --discovery down --seeds 1-10 --report lost.json
+        lupinladder emulator restart-recovery --store lost --discovery down --seeds 1-10 --report lost.json
     """
     first, _, last = seeds.partition("-")
     if not first.isdigit() or not (last or first).isdigit() or int(last or first) < int(first):
@@ -374,8 +377,8 @@
         "origin": "The origin alone, for any HTTP client to talk to.",
         "discovery": "Discovery alone, with the list of the scenario's fleet.",
     }[part]
-    serve.__doc__ = f"{about}\n\n\b\nExample:\n    lupinladder lab {part} --seconds 60\n"
-    return lab.command(part)(serve)
+    serve.__doc__ = f"{about}\n\n\b\nExample:\n    lupinladder emulator {part} --seconds 60\n"
+    return emulator.command(part)(serve)
 
 
 for _part in ("node", "origin", "discovery"):
--- a/lupinladder/emulator/report.py
+++ b/lupinladder/emulator/report.py
@@ -94,7 +94,7 @@
 
 
 def figures(outcome: RunResult) -> dict[str, Any]:
-    """The whole report as plain data; docs/lab.md describes it."""
+    """The whole report as plain data; docs/emulator.md describes it."""
     scenario, classes, results = outcome.scenario, outcome.scenario.classes, outcome.results
     by_class = {}
     for number, kind in enumerate(classes):
--- a/lupinladder/emulator/scenario.py
+++ b/lupinladder/emulator/scenario.py
@@ -1,4 +1,4 @@
-"""The scenario: one TOML file that says what the lab plays. docs/lab.md describes each setting.
+"""The scenario: one TOML file that says what the lab plays. docs/emulator.md describes each setting.
 
 Times are in the units their names end on (`_ms`, `_s`); without an ending they are seconds from the
 start of the counted part.
@@ -132,7 +132,7 @@
 
 
 class FaultConfig(msgspec.Struct, forbid_unknown_fields=True):
-    """One trouble. Which settings count depends on the kind: docs/lab.md."""
+    """One trouble. Which settings count depends on the kind: docs/emulator.md."""
 
     kind: Literal[
         "deploy", "shrink", "grow", "hot-key", "late-list", "list-down", "list-move", "silent", "reset",
--- a/tests/emulator/test_runs.py
+++ b/tests/emulator/test_runs.py
@@ -18,6 +18,7 @@
 from lupinladder.emulator.run import LATE
 from lupinladder.emulator.scenario import FaultConfig, LoadPhase, MisbehavingClientsConfig, Scenario
 
+VERBS = ("run", "list", "compare", "check", "restart-recovery", "node", "origin", "discovery")
 TRIES = 4  # of a run that is void: the machine, not the proxy, was late
 
 
@@ -164,10 +165,22 @@
         return done.exit_code, done.output
 
     def test_every_verb_has_help_with_an_example(self) -> None:
-        for words in (["demo"], ["lab"], *(["lab", v] for v in ("run", "list", "compare", "check", "node"))):
+        for words in (["demo"], ["emulator"], *(["emulator", verb] for verb in VERBS)):
             code, text = self.invoke(*words, "--help")
             self.assertEqual((code, "Example:" in text), (0, True), words)
 
+    def test_former_names_do_the_same_and_are_shown_in_no_help(self) -> None:
+        for former, present in [
+            (("lab", "list"), ("emulator", "list")),
+            (("lab", "check", "demo"), ("emulator", "check", "demo")),
+            (("lab", "comeback", "--seeds", "x"), ("emulator", "restart-recovery", "--seeds", "x")),
+            (("emulator", "comeback", "--seeds", "x"), ("emulator", "restart-recovery", "--seeds", "x")),
+        ]:
+            self.assertEqual(self.invoke(*former), self.invoke(*present))
+        for words, former_name in [((), "lab"), (("emulator",), "comeback"), (("lab",), "comeback")]:
+            code, text = self.invoke(*words, "--help")
+            self.assertEqual((code, former_name in text.split()), (0, False), text)
+
     def test_bad_input_is_one_line_and_exit_2(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             bad = Path(folder) / "bad.toml"
@@ -175,10 +188,10 @@
             none = Path(folder) / "none.json"
             none.write_text("{}")
             for words, part in [
-                (("lab", "run", str(bad)), "bad.toml:4: fleet: Object contains unknown field `nods`"),
-                (("lab", "run", "nonesuch"), "no such file, nor one of the scenarios that ship"),
-                (("lab", "compare", "x.json", "y.json"), "x.json: no such report"),
-                (("lab", "compare", str(none), str(none)), "not a report of schema 1"),
+                (("emulator", "run", str(bad)), "bad.toml:4: fleet: Object contains unknown field `nods`"),
+                (("emulator", "run", "nonesuch"), "no such file, nor one of the scenarios that ship"),
+                (("emulator", "compare", "x.json", "y.json"), "x.json: no such report"),
+                (("emulator", "compare", str(none), str(none)), "not a report of schema 1"),
                 (("demo", "--seconds", "x"), "not a valid float"),
             ]:
                 code, text = self.invoke(*words)
@@ -188,18 +201,28 @@
     def test_a_run_leaves_a_report_and_a_picture_and_repeats_can_be_compared(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path, plot = Path(folder) / "r.json", Path(folder) / "r.png"
-            words = ("lab", "run", "calm", "--seconds", "2", "--rate", "50", "--repeat", "2", "--quiet")
+            words = ("emulator", "run", "calm", "--seconds", "2", "--rate", "50", "--repeat", "2", "--quiet")
             code, text = self.invoke(*words, "--report", str(path), "--plot", str(plot))
             self.assertIn(code, (0, 3), text)
             self.assertTrue((Path(folder) / "r-2.png").read_bytes().startswith(b"\x89PNG"))
-            code, text = self.invoke("lab", "compare", str(path), str(path), "--format", "json")
+            code, text = self.invoke("emulator", "compare", str(path), str(path), "--format", "json")
             rows = {row["figure"]: row for row in json.loads(text)}
             self.assertEqual(rows["in time"]["before"], rows["in time"]["after"])
             self.assertFalse(any(row["clear"] for row in rows.values()))
 
     def test_a_run_that_is_ended_or_cannot_start_leaves_no_proxy_behind(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
-            words = [sys.executable, "-m", "lupinladder", "lab", "run", "calm", "--quiet", "--logs", folder]
+            words = [
+                sys.executable,
+                "-m",
+                "lupinladder",
+                "emulator",
+                "run",
+                "calm",
+                "--quiet",
+                "--logs",
+                folder,
+            ]
             ran = subprocess.Popen(words, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
             assert ran.stderr
             self.assertIn("proxies listen at", ran.stderr.readline())  # they are up
@@ -214,13 +237,14 @@
             bad.write_text(
                 f"seconds = 2\nload = [{{ at = 0, rate = 1 }}]\n[proxies]\ncommand = {json.dumps(command)}\n"
             )
-            code, text = self.invoke("lab", "run", str(bad), "--quiet")
+            code, text = self.invoke("emulator", "run", str(bad), "--quiet")
             self.assertEqual((code, "did not start: no good" in text), (1, True), text)
 
     def test_the_platforms_start_imports_none_of_it(self) -> None:
         code = (
             "import sys, lupinladder.__main__; print([m for m in sys.modules for part in "
-            "('lab', 'click', 'msgspec', 'store', 'recovery', 'operator.') if part in m])"
+            "('emulator', 'lupinladder.cli', 'click', 'msgspec', 'store', 'recovery', 'operator_config') "
+            "if part in m])"
         )
         ran = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
         self.assertEqual(ran.stdout.strip(), "[]")
