Split the emulator's command line, report and rule checker by job, text unchanged

Change: mechanical. cli/emulator/ has one module for each kind of command; tables and the comparison of reports move out of report.py; the records of the rule checker to observed_request.py. Only imports and the names of what was private to the old module differ. Seen: mypy and ruff clean; rule checker, scenario, command line and report tests pass.

--- a/lupinladder/emulator/rule_checker.py
+++ b/lupinladder/emulator/rule_checker.py
@@ -12,8 +12,11 @@
 from dataclasses import dataclass, field
 from math import inf
 
+from lupinladder.emulator.observed_request import ObservedAttempt, ObservedRequest, RuleViolation
 from lupinladder.emulator.scenario import RequestClassConfig
 
+__all__ = ["GRACE", "SLACK", "ObservedAttempt", "RuleChecker", "RuleViolation"]
+
 SLACK = 50.0  # ms that every time limit is longer on sockets
 GRACE = 20.0  # past the client's deadline
 DRAIN = 1500.0
@@ -24,49 +27,6 @@
 SHOWN = 240  # bytes of a command or an answer in a finding
 
 
-@dataclass(slots=True)
-class RuleViolation:
-    """One broken rule."""
-
-    rule: str  # lost, effect, drain, cold
-    at: float  # seconds from the start of the counted part
-    proxy: int
-    query: str
-    what: str
-    data: str  # the bytes of the matter, readable
-
-    def __str__(self) -> str:
-        where = f"{self.at:8.3f} s  {self.rule:<6} proxy {self.proxy}  query {self.query or '-'}"
-        return f"{where}: {self.what}  {self.data}"
-
-
-@dataclass(slots=True)
-class ObservedAttempt:
-    """A whole command as a server got it."""
-
-    at: float  # of its first byte
-    server: str
-    raw: bytes
-    state: str = "out"  # out, never, may, done
-
-
-@dataclass(slots=True)
-class ObservedRequest:
-    """A try of a client, from its last byte written."""
-
-    ident: bytes
-    kind: int
-    deadline: float
-    proxy: int
-    life: int  # of the proxy: counts its starts
-    raw: bytes
-    attempts: list[ObservedAttempt] = field(default_factory=list)
-    made: set[bytes] = field(default_factory=set)  # values that servers made for it
-    taken: float = 0.0
-    over: str = ""  # served, refused, failed, gone, excused
-    ended: float = 0.0
-
-
 @dataclass(slots=True)
 class _Cold:
     """What reached a server that started cold: the window of the fall, and who sent it."""
--- a/tests/emulator/test_runs.py
+++ b/tests/emulator/test_runs.py
@@ -14,7 +14,7 @@
 from click.testing import CliRunner
 
 from lupinladder.cli.app import app
-from lupinladder.emulator import report, run, scenario
+from lupinladder.emulator import report, report_comparison, run, scenario
 from lupinladder.emulator.run import LATE
 from lupinladder.emulator.scenario import FaultConfig, LoadPhase, MisbehavingClientsConfig, Scenario
 
@@ -268,7 +268,7 @@
             (trees(0.8, 0.92), trees(0.9, 0.95), False),
             (trees(0.8), trees(0.95), False),
         ]:
-            [row] = report.compare(before, after)
+            [row] = report_comparison.compare(before, after)
             self.assertEqual(row["clear"], clear)
 
     def test_the_lab_says_when_it_was_late_itself(self) -> None:
