Divide the rule checker by rule, with types for states, outcomes and proxies

Cause: one class of 330 lines held four rules, the proxies' processes and the log; states were bare strings, arrivals bare tuples, and what a proxy had been told stood in parallel lists. Change: ViolationLog and Rule (rule_violation.py), ObservedProxy, EffectChecker, OverloadChecker; AttemptState and RequestOutcome are enums; unused constants and a property that nobody read are gone. Texts of violations say request and fail where they said query and fell over; keys and rules' names are as before. Tests of the rule checker pass.

--- /dev/null
+++ b/lupinladder/emulator/effect_checker.py
@@ -0,0 +1,55 @@
+"""The rule on effects: nothing is repeated that may have been executed, unless its class allows it."""
+
+from __future__ import annotations
+
+from lupinladder.emulator.observed_request import ObservedAttempt, ObservedRequest, RequestOutcome
+from lupinladder.emulator.rule_violation import Rule, ViolationLog
+from lupinladder.emulator.scenario import RequestClassConfig
+
+
+class EffectChecker:
+    """Checks each attempt against the earlier ones, and each rejection against all of them."""
+
+    def __init__(self, log: ViolationLog, classes: list[RequestClassConfig], slack_ms: float) -> None:
+        """`slack_ms` is by how much every time limit is longer on sockets."""
+        self._log = log
+        self._classes = classes
+        self._slack_ms = slack_ms
+
+    def check_attempt(self, now: float, request: ObservedRequest, attempt: ObservedAttempt) -> None:
+        """Check an attempt that is not yet among those of the request."""
+        outcome = request.outcome
+        is_finished = outcome is not None and outcome is not RequestOutcome.EXCUSED
+        if is_finished and now > request.ended_at + self._slack_ms:
+            self._report(now, request, f"sent after it was {outcome}", attempt)
+        earlier = request.first_attempt_with_effect()
+        if earlier is not None:
+            self._check_repetition(now, request, earlier, attempt)
+
+    def _check_repetition(
+        self, now: float, request: ObservedRequest, earlier: ObservedAttempt, attempt: ObservedAttempt
+    ) -> None:
+        request_class = self._classes[request.class_index]
+        if request_class.repeat == "safe":
+            return
+        if request_class.repeat == "unsafe":
+            description = f"sent to {attempt.server} though it may have run at {earlier.server}"
+            self._report(now, request, description, attempt)
+        elif attempt.at > earlier.at + request_class.window_ms + self._slack_ms:
+            description = f"sent again {attempt.at - earlier.at:.0f} ms after its first sending"
+            self._report(now, request, description, attempt)
+
+    def check_rejection(self, now: float, request: ObservedRequest) -> None:
+        """A rejection says that nothing was executed, so that a client may repeat what is not idempotent."""
+        if self._classes[request.class_index].repeat != "unsafe":
+            return
+        attempt = request.first_attempt_with_effect()
+        if attempt is not None:
+            self._report(now, request, f"refused though it may have run at {attempt.server}", attempt)
+
+    def _report(
+        self, now: float, request: ObservedRequest, description: str, attempt: ObservedAttempt
+    ) -> None:
+        self._log.add(
+            Rule.NO_DUPLICATE_EFFECT, now, request.proxy, request.request_id, description, attempt.raw
+        )
--- a/lupinladder/emulator/observed_request.py
+++ b/lupinladder/emulator/observed_request.py
@@ -1,48 +1,85 @@
-"""What the rule checker records of requests and attempts, and a broken rule."""
+"""What the rule checker records of clients' requests and of the attempts that proxies make for them."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import Enum, StrEnum, auto
 
 
-@dataclass(slots=True)
-class RuleViolation:
-    """One broken rule."""
+class AttemptState(Enum):
+    """Whether the server has executed the command of an attempt, as seen at the server."""
 
-    rule: str  # lost, effect, drain, cold
-    at: float  # seconds from the start of the counted part
-    proxy: int
-    query: str
-    what: str
-    data: str  # the bytes of the matter, readable
+    OUTSTANDING = auto()
+    NOT_EXECUTED = auto()
+    MAY_HAVE_EXECUTED = auto()
+    EXECUTED = auto()
+
+
+# Answers of servers, by what they say of the execution; any other leaves it open.
+NOT_EXECUTED_REPLIES = ("busy", "miss", "pending")
+EXECUTED_REPLIES = ("hit", "value", "receipt")
+
+
+class RequestOutcome(StrEnum):
+    """How a request ended. The values of answers are those that clients report, and keys of reports."""
 
-    def __str__(self) -> str:
-        where = f"{self.at:8.3f} s  {self.rule:<6} proxy {self.proxy}  query {self.query or '-'}"
-        return f"{where}: {self.what}  {self.data}"
+    SERVED = "served"
+    REJECTED = "refused"
+    FAILED = "failed"
+    ABANDONED = "gone"  # the client gave up
+    EXCUSED = "excused"  # the emulator stopped the proxy: no answer was owed
 
 
 @dataclass(slots=True)
 class ObservedAttempt:
-    """A whole command as a server got it."""
+    """A complete command as a server received it."""
 
-    at: float  # of its first byte
+    at: float  # ms, of its first byte
     server: str
     raw: bytes
-    state: str = "out"  # out, never, may, done
+    state: AttemptState = AttemptState.OUTSTANDING
+
+    @property
+    def may_have_executed(self) -> bool:
+        """Whether the server may have executed it, or may still do so."""
+        return self.state is not AttemptState.NOT_EXECUTED
+
+    def on_reply(self, reply: str) -> None:
+        """The server has written its answer: hit, value, receipt, miss, pending, busy or failed."""
+        if reply in NOT_EXECUTED_REPLIES:
+            self.state = AttemptState.NOT_EXECUTED
+        elif reply in EXECUTED_REPLIES:
+            self.state = AttemptState.EXECUTED
+        else:
+            self.state = AttemptState.MAY_HAVE_EXECUTED
+
+    def on_connection_lost(self) -> None:
+        """The connection to the server ended, with or without an answer before."""
+        if self.state is AttemptState.OUTSTANDING:
+            self.state = AttemptState.MAY_HAVE_EXECUTED
 
 
 @dataclass(slots=True)
 class ObservedRequest:
-    """A try of a client, from its last byte written."""
+    """One request of a client, which has an id of its own; a client's retry is another one."""
 
-    ident: bytes
-    kind: int
-    deadline: float
+    request_id: bytes
+    class_index: int
+    deadline: float  # ms
     proxy: int
-    life: int  # of the proxy: counts its starts
+    proxy_start: int  # which start of the proxy received it, counted from 1
     raw: bytes
+    sent_at: float  # ms, of its last byte
     attempts: list[ObservedAttempt] = field(default_factory=list)
-    made: set[bytes] = field(default_factory=set)  # values that servers made for it
-    taken: float = 0.0
-    over: str = ""  # served, refused, failed, gone, excused
-    ended: float = 0.0
+    values: set[bytes] = field(default_factory=set)  # that servers returned for it
+    outcome: RequestOutcome | None = None
+    ended_at: float = 0.0  # ms
+
+    def end(self, outcome: RequestOutcome, now: float) -> None:
+        """Record how the request ended."""
+        self.outcome = outcome
+        self.ended_at = now
+
+    def first_attempt_with_effect(self) -> ObservedAttempt | None:
+        """The first attempt that may have been executed, if there is one."""
+        return next((attempt for attempt in self.attempts if attempt.may_have_executed), None)
--- a/lupinladder/emulator/rule_checker.py
+++ b/lupinladder/emulator/rule_checker.py
@@ -1,360 +1,289 @@
-"""The referee: holds the four rules of the operators against what was seen on the sockets of both sides.
+"""The rule checker: compares what was seen on the sockets of both sides with the operators' four rules.
 
-Free of I/O, and of anything that a proxy says of itself: it is told what clients wrote and read, what nodes
-and the origin got and answered, and what discovery wrote to whom. Every time is in ms on one clock, the
-lab's, and taken where the bytes were read or written; PROTOCOL, "The rules on sockets", grants 50 ms.
+It does no I/O and uses nothing that a proxy says of itself: it is told what clients wrote and read, what
+cache nodes and the origin received and answered, and what discovery wrote to which proxy. Every time is in
+ms on one clock, the emulator's, and taken where the bytes were read or written; PROTOCOL, "The rules on
+sockets", grants 50 ms beyond each limit.
 """
 
 from __future__ import annotations
 
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from math import inf
 
-from lupinladder.emulator.observed_request import ObservedAttempt, ObservedRequest, RuleViolation
+from lupinladder.emulator.effect_checker import EffectChecker
+from lupinladder.emulator.observed_proxy import ObservedProxy
+from lupinladder.emulator.observed_request import (
+    AttemptState,
+    ObservedAttempt,
+    ObservedRequest,
+    RequestOutcome,
+)
+from lupinladder.emulator.overload_checker import OverloadChecker
+from lupinladder.emulator.rule_violation import Rule, RuleViolation, ViolationLog
 from lupinladder.emulator.scenario import RequestClassConfig
 
-__all__ = ["GRACE", "SLACK", "ObservedAttempt", "RuleChecker", "RuleViolation"]
+__all__ = ["GRACE", "SLACK", "ObservedAttempt", "RuleChecker"]
 
-SLACK = 50.0  # ms that every time limit is longer on sockets
-GRACE = 20.0  # past the client's deadline
-DRAIN = 1500.0
-TOLD_AT_LATEST, TOLD_AFTER_HUP = 6000.0, 4000.0
-OVERLOAD, FALL_MS, SPARE = 3.0, 1000.0, 250.0  # of a cold node; ms of work allowed for chance
-STOPPING = 700.0  # after SIGTERM for which what comes must still be answered
-KEEP_MS = 20_000.0  # for which a query that is over is remembered
-SHOWN = 240  # bytes of a command or an answer in a finding
-
-
-@dataclass(slots=True)
-class _Cold:
-    """What reached a server that started cold: the window of the fall, and who sent it."""
-
-    started: float
-    until: float
-    capacity: Callable[[float], float]
-    sent: deque[tuple[float, float, bool]] = field(default_factory=deque)  # when, work, by one who was told
-    total: float = 0.0
-    knew: float = 0.0
-    fallen: bool = False
+SLACK = 50.0  # ms by which every time limit is longer on sockets
+GRACE = 20.0  # ms beyond the client's deadline within which a reply is in time
+DRAIN_GRACE_MS = 1500.0  # after discovery's word, for requests to a server that leaves
+SHUTDOWN_GRACE_MS = 700.0  # after SIGTERM, for which requests that arrive must still be answered
+SWEEP_MARGIN_MS = 100.0  # beyond the last moment for a reply, until a request counts as unanswered
+FINISHED_KEPT_MS = 20_000.0  # for which a finished request is remembered
 
 
 class RuleChecker:
-    """`now` of each call never goes back. `broken` holds what was found, in order."""
+    """Told of everything in the order of time: `now` of each call never goes back."""
 
     def __init__(
         self, classes: list[RequestClassConfig], proxies: int, start: float, unanswered: str = "lost"
     ) -> None:
-        self.start = start  # of the counted part, ms
-        self.broken: list[RuleViolation] = []
-        self.counts: Counter[str] = Counter()
-        self.rates: dict[str, Counter[int]] = {}  # how often something happened, by tenths of a second
-        self._classes, self._lost = classes, unanswered == "lost"
-        self._queries: OrderedDict[bytes, ObservedRequest] = OrderedDict()
-        self._due: deque[ObservedRequest] = deque()
-        self._told: list[dict[str, float]] = [
-            {} for _ in range(proxies)
-        ]  # server: told to stop sending since
-        self._known: list[dict[str, float]] = [{} for _ in range(proxies)]  # server: told of it since
-        self._lives = [0] * proxies
-        self._up = [False] * proxies
-        self._frozen: list[list[tuple[float, float]]] = [[] for _ in range(proxies)]  # when each stood still
-        self._stopping: list[float | None] = [None] * proxies
-        self._cold: dict[str, _Cold] = {}
-        self._origin: deque[tuple[float, float, bool]] = deque()
-
-    def _find(self, rule: str, now: float, proxy: int, query: bytes, what: str, data: bytes = b"") -> None:
-        shown = data[:SHOWN]
-        text = repr(shown)[1:] + (f" and {len(data) - SHOWN} bytes more" if len(data) > SHOWN else "")
-        self.counts["broken_" + rule] += 1
-        self.broken.append(
-            RuleViolation(
-                rule, (now - self.start) / 1000, proxy, query.decode("latin-1"), what, text if data else ""
-            )
-        )
+        """`start` is when the counted part begins; `unanswered` is "lost" if a request without an answer
+        breaks a rule, and "failed" if it does not."""
+        self.log = ViolationLog(start)
+        self._must_answer = unanswered == "lost"
+        self._requests: OrderedDict[bytes, ObservedRequest] = OrderedDict()
+        self._open_requests: deque[ObservedRequest] = deque()
+        self._proxies = [ObservedProxy() for _ in range(proxies)]
+        self._effects = EffectChecker(self.log, classes, SLACK)
+        self._overload = OverloadChecker(self.log)
+
+    @property
+    def violations(self) -> list[RuleViolation]:
+        """What was found, in order."""
+        return self.log.violations
+
+    @property
+    def counts(self) -> Counter[str]:
+        """Counters of the report."""
+        return self.log.counts
 
     def tick(self, what: str, now: float) -> None:
-        """Something that all proxies together must not do too often has happened."""
-        self.rates.setdefault(what, Counter())[int((now - self.start) // 100)] += 1
+        """Count an event that all proxies together must not cause too often."""
+        self.log.count_rate(what, now)
 
-    # The proxies' lives
+    # Processes of the proxies
 
     def proxy_up(self, now: float, proxy: int) -> None:
-        """It answered PING after a start. It knows nothing but what its configuration told it."""
-        self._lives[proxy] += 1
-        self._up[proxy], self._stopping[proxy] = True, None
-        self._told[proxy], self._known[proxy] = {}, {}
+        """The proxy answered PING after a start."""
+        del now  # each observation comes with its time; this one leaves none
+        self._proxies[proxy].on_started()
 
     def proxy_killed(self, now: float, proxy: int) -> None:
-        """By the lab. What it held is excused."""
-        self._up[proxy] = False
-        for query in self._queries.values():
-            if not query.over and query.proxy == proxy:
-                query.over, query.ended = "excused", now
+        """The emulator killed the proxy: the requests it held are excused."""
+        self._proxies[proxy].is_up = False
+        for request in self._requests.values():
+            if request.outcome is None and request.proxy == proxy:
+                request.end(RequestOutcome.EXCUSED, now)
 
     def proxy_frozen(self, now: float, proxy: int) -> None:
-        """The lab has stopped it (SIGSTOP). What is open meanwhile is excused; no other rule is."""
-        self._frozen[proxy].append((now, inf))
+        """The emulator sent SIGSTOP. Requests open meanwhile are excused; no other rule is."""
+        self._proxies[proxy].on_paused(now)
 
     def proxy_thawed(self, now: float, proxy: int) -> None:
-        """It was let go."""
-        self._frozen[proxy].append((self._frozen[proxy].pop()[0], now))
-
-    def _stood(self, query: ObservedRequest, now: float) -> bool:
-        return any(begin <= now and query.taken <= end for begin, end in self._frozen[query.proxy])
+        """The emulator sent SIGCONT."""
+        self._proxies[proxy].on_resumed(now)
 
     def proxy_stopping(self, now: float, proxy: int) -> None:
-        """SIGTERM was sent to it."""
-        self._stopping[proxy] = now
+        """The emulator sent SIGTERM."""
+        self._proxies[proxy].stopping_since = now
 
     def proxy_ended(self, now: float, proxy: int) -> None:
-        """It ended after SIGTERM. What it had taken in time and not answered is lost."""
-        self._up[proxy] = False
-        told = self._stopping[proxy] or now
-        for query in self._queries.values():
-            if query.over or query.proxy != proxy or query.life != self._lives[proxy]:
+        """The proxy ended after SIGTERM. What it had received in time and not answered is lost."""
+        observed = self._proxies[proxy]
+        observed.is_up = False
+        stopping_since = observed.stopping_since or now
+        for request in self._requests.values():
+            if request.outcome is not None:
+                continue
+            if request.proxy != proxy or request.proxy_start != observed.start_count:
                 continue
-            query.over, query.ended = "excused", now
-            if query.taken <= told + STOPPING:
-                self._find("lost", now, proxy, query.ident, "the proxy ended without answering it", query.raw)
+            request.end(RequestOutcome.EXCUSED, now)
+            if request.sent_at <= stopping_since + SHUTDOWN_GRACE_MS:
+                self._report_lost(now, request, "the proxy ended without answering it")
 
     def proxy_died(self, now: float, proxy: int, code: int) -> None:
-        """It ended though nobody told it to, or with another code than 0."""
-        self._find("lost", now, proxy, b"", f"the proxy ended with {code}")
+        """The proxy ended though it was not told to, or with another exit code than 0."""
+        self.log.add(Rule.ONE_ANSWER, now, proxy, b"", f"the proxy ended with {code}")
         self.proxy_killed(now, proxy)
 
-    # Clients' side
+    # Connections of clients
 
     def taken(self, now: float, proxy: int, ident: bytes, kind: int, wait: float, raw: bytes) -> None:
-        """A client has written the last byte of a command that gives `d` = wait ms."""
-        query = ObservedRequest(ident, kind, now + wait, proxy, self._lives[proxy], raw, taken=now)
-        self._queries[ident] = query
-        self._due.append(query)
+        """A client has written the last byte of a command of class `kind`; its deadline is `wait` ms away."""
+        start = self._proxies[proxy].start_count
+        request = ObservedRequest(ident, kind, now + wait, proxy, start, raw, now)
+        self._requests[ident] = request
+        self._open_requests.append(request)
         self.counts["taken"] += 1
 
     def again(self, now: float, ident: bytes) -> None:
-        """The connection was closed between commands and the client sends this one on a new one."""
+        """The connection was closed between commands, and the client sends this one on a new connection."""
         self.counts["crossed_a_close"] += 1
-        query = self._queries.get(ident)
-        if query and query.attempts and self._up[query.proxy]:
-            what = "its connection was ended without an answer, though it had been read and sent on"
-            self._find("lost", now, query.proxy, ident, what, query.raw)
+        request = self._requests.get(ident)
+        if request and request.attempts and self._proxies[request.proxy].is_up:
+            description = "its connection was ended without an answer, though it had been read and sent on"
+            self._report_lost(now, request, description)
 
     def answered(self, now: float, ident: bytes, answer: str, value: bytes, raw: bytes) -> None:
-        """A whole answer was read: served, refused or failed."""
-        query = self._queries.get(ident)
-        if query is None or query.over == "gone":
+        """A client has read a complete answer, `answer` being served, refused or failed."""
+        request = self._requests.get(ident)
+        if request is None or request.outcome is RequestOutcome.ABANDONED:
             return
-        crossed = (
-            query.over == "excused" and now <= query.ended + SLACK
-        )  # its bytes were there before the end
-        if query.over and not crossed:
-            self._find("lost", now, query.proxy, ident, f"a second final answer after {query.over}", raw)
+        if request.outcome is not None and not self._was_under_way(now, request):
+            self._report_lost(now, request, f"a second final answer after {request.outcome}", raw)
             return
-        query.over, query.ended = answer, now
-        self.counts[answer] += 1
-        if now > query.deadline + GRACE + SLACK and not self._stood(query, now):
-            self._find(
-                "lost", now, query.proxy, ident, f"answered {now - query.deadline:.0f} ms too late", raw
-            )
-        if answer == "served" and value not in query.made:
-            self._find("lost", now, query.proxy, ident, "served what no server made for it", raw)
-        if answer == "refused" and self._classes[query.kind].repeat == "unsafe":
-            for one in query.attempts:
-                if one.state != "never":
-                    self._find(
-                        "effect",
-                        now,
-                        query.proxy,
-                        ident,
-                        f"refused though it may have run at {one.server}",
-                        one.raw,
-                    )
-                    break
+        outcome = RequestOutcome(answer)
+        request.end(outcome, now)
+        self.counts[outcome.value] += 1
+        self._check_in_time(now, request, raw)
+        if outcome is RequestOutcome.SERVED and value not in request.values:
+            self._report_lost(now, request, "served what no server made for it", raw)
+        if outcome is RequestOutcome.REJECTED:
+            self._effects.check_rejection(now, request)
 
     def ended(self, now: float, ident: bytes, part: bytes) -> None:
-        """The proxy ended the connection with no whole answer to this query."""
-        query = self._queries.get(ident)
-        if query is None or query.over:
+        """The proxy ended the connection; `part` is what it had written of the answer."""
+        request = self._requests.get(ident)
+        if request is None or request.outcome is not None:
             return
-        query.ended = now
-        if part and query.attempts:  # the client can tell that it is not whole
-            query.over = "failed"
+        if part and request.attempts:  # the client can tell that the answer is incomplete
+            request.end(RequestOutcome.FAILED, now)
             self.counts["cut_off"] += 1
-        elif not self._up[query.proxy] or self._lives[query.proxy] != query.life:
-            query.over = "excused"
+        elif not self._proxies[request.proxy].is_running_start(request.proxy_start):
+            request.end(RequestOutcome.EXCUSED, now)
         else:
-            query.over = "failed"
-            self._find(
-                "lost", now, query.proxy, ident, "its connection was ended without an answer", query.raw
-            )
+            request.end(RequestOutcome.FAILED, now)
+            self._report_lost(now, request, "its connection was ended without an answer")
 
     def gone(self, now: float, ident: bytes) -> None:
-        """The client has given up and closed. An answer that comes now reaches nobody."""
-        query = self._queries.get(ident)
-        if query and not query.over:
-            self._unanswered(now, query)
+        """The client has given up and closed its connection. An answer that comes now reaches nobody."""
+        request = self._requests.get(ident)
+        if request and request.outcome is None:
+            self._end_unanswered(now, request)
 
     def extra(self, now: float, proxy: int, last: bytes, raw: bytes) -> None:
-        """Bytes came on a connection on which nothing was owed."""
-        self._find("lost", now, proxy, last, "bytes that no query was owed", raw)
-
-    def _unanswered(self, now: float, query: ObservedRequest) -> None:
-        query.ended = now
-        up = self._up[query.proxy] and self._lives[query.proxy] == query.life
-        if not up or self._stood(query, now):
-            query.over = "excused"
+        """A client has read bytes on a connection without an open request; `last` is the last one's id."""
+        self.log.add(Rule.ONE_ANSWER, now, proxy, last, "bytes that no request was owed", raw)
+
+    def _was_under_way(self, now: float, request: ObservedRequest) -> bool:
+        """Whether an answer that is read now had been written before the proxy was killed."""
+        return request.outcome is RequestOutcome.EXCUSED and now <= request.ended_at + SLACK
+
+    def _check_in_time(self, now: float, request: ObservedRequest, raw: bytes) -> None:
+        if now > request.deadline + GRACE + SLACK and not self._was_paused(now, request):
+            self._report_lost(now, request, f"answered {now - request.deadline:.0f} ms too late", raw)
+
+    def _end_unanswered(self, now: float, request: ObservedRequest) -> None:
+        is_same_process = self._proxies[request.proxy].is_running_start(request.proxy_start)
+        if not is_same_process or self._was_paused(now, request):
+            request.end(RequestOutcome.EXCUSED, now)
             return
-        query.over = "gone"
+        request.end(RequestOutcome.ABANDONED, now)
         self.counts["unanswered"] += 1
-        if self._lost:
-            self._find(
-                "lost", now, query.proxy, query.ident, "no answer before its client gave up", query.raw
-            )
+        if self._must_answer:
+            self._report_lost(now, request, "no answer before its client gave up")
 
-    # Servers' side
+    def _was_paused(self, now: float, request: ObservedRequest) -> bool:
+        return self._proxies[request.proxy].was_paused_between(request.sent_at, now)
+
+    def _report_lost(
+        self, now: float, request: ObservedRequest, description: str, raw: bytes | None = None
+    ) -> None:
+        """Record a violation; the bytes shown are those of the request unless others are given."""
+        data = request.raw if raw is None else raw
+        self.log.add(Rule.ONE_ANSWER, now, request.proxy, request.request_id, description, data)
+
+    # Connections of servers
 
     def sent(
         self, now: float, first: float, proxy: int, server: str, ident: bytes, raw: bytes
     ) -> ObservedAttempt:
-        """A whole command has come to a cache node or the origin; `first` is when its first byte did."""
+        """A complete command has reached a cache node or the origin; `first` is when its first byte did."""
         attempt = ObservedAttempt(first, server, raw)
         self.counts["executions"] += 1
-        told = self._told[proxy].get(server)
-        if told is not None and first > told + DRAIN + SLACK:
-            late = first - told
-            self._find(
-                "drain", now, proxy, ident, f"sent to {server} {late:.0f} ms after word of its end", raw
-            )
-        query = self._queries.get(ident)
-        if query is None:
-            self._find("effect", now, proxy, ident, f"sent to {server} though no client asked it", raw)
+        self._check_drain(now, proxy, ident, attempt)
+        request = self._requests.get(ident)
+        if request is None:
+            description = f"sent to {server} though no client asked it"
+            self.log.add(Rule.NO_DUPLICATE_EFFECT, now, proxy, ident, description, raw)
             return attempt
-        self._effects(now, first, query, attempt)
-        query.attempts.append(attempt)
+        self._effects.check_attempt(now, request, attempt)
+        request.attempts.append(attempt)
         return attempt
 
-    def _effects(self, now: float, first: float, query: ObservedRequest, attempt: ObservedAttempt) -> None:
-        kind = self._classes[query.kind]
-        risky = [one for one in query.attempts if one.state != "never"]
-        if query.over and query.over != "excused" and now > query.ended + SLACK:
-            self._find(
-                "effect", now, query.proxy, query.ident, f"sent after it was {query.over}", attempt.raw
-            )
-        if not risky or kind.repeat == "safe":
-            return
-        if kind.repeat == "unsafe":
-            what = f"sent to {attempt.server} though it may have run at {risky[0].server}"
-            self._find("effect", now, query.proxy, query.ident, what, attempt.raw)
-        elif first > risky[0].at + kind.window_ms + SLACK:
-            what = f"sent again {first - risky[0].at:.0f} ms after its first sending"
-            self._find("effect", now, query.proxy, query.ident, what, attempt.raw)
-
     def replied(
         self, now: float, ident: bytes, attempt: ObservedAttempt, word: str, value: bytes = b""
     ) -> None:
         """A server has written its answer: hit, value, receipt (these with the value), miss, pending, busy
         or failed."""
-        if word in ("busy", "miss", "pending"):
-            attempt.state = "never"
-        elif word in ("hit", "value", "receipt"):
-            attempt.state = "done"
-            query = self._queries.get(ident)
-            if query:
-                query.made.add(value)
-        else:
-            attempt.state = "may"
+        del now  # each observation comes with its time; this one leaves none
+        attempt.on_reply(word)
+        request = self._requests.get(ident)
+        if request and attempt.state is AttemptState.EXECUTED:
+            request.values.add(value)
 
     def broke(self, attempt: ObservedAttempt) -> None:
-        """Its connection ended with nothing answered: it may have run."""
-        if attempt.state == "out":
-            attempt.state = "may"
+        """The connection to the server ended: without an answer the command may have been executed."""
+        attempt.on_connection_lost()
+
+    def _check_drain(self, now: float, proxy: int, request_id: bytes, attempt: ObservedAttempt) -> None:
+        draining_since = self._proxies[proxy].draining_since.get(attempt.server)
+        if draining_since is not None and attempt.at > draining_since + DRAIN_GRACE_MS + SLACK:
+            late = attempt.at - draining_since
+            description = f"sent to {attempt.server} {late:.0f} ms after word of its end"
+            self.log.add(Rule.DRAIN, now, proxy, request_id, description, attempt.raw)
 
     # Discovery
 
     def told(self, now: float, proxy: int, server: str, status: str) -> None:
-        """Discovery has written this status to the proxy (or must count as having done so by now)."""
+        """Discovery has written this status to the proxy, or has had the time to do so."""
         if status == "active":
-            self._told[proxy].pop(server, None)
-            self._known[proxy].setdefault(server, now)
+            self._proxies[proxy].on_server_active(server, now)
         else:
-            self._told[proxy].setdefault(server, now)
+            self._proxies[proxy].on_server_leaving(server, now)
 
     def told_whole(self, now: float, proxy: int, servers: set[str]) -> None:
-        """Discovery has written a whole list: whoever is missing from it is gone."""
-        for server in set(self._known[proxy]) - servers:
-            self._told[proxy].setdefault(server, now)
+        """Discovery has written a full list to the proxy."""
+        self._proxies[proxy].on_full_list(servers, now)
 
-    # Cold servers
+    # Load of servers
 
     def cold(self, now: float, server: str, warm_ms: float, capacity: Callable[[float], float]) -> None:
-        """A server has started cold; `capacity(now)` is in ms of work a ms."""
-        self._cold[server] = _Cold(now, now + warm_ms, capacity)
+        """A server has started with an empty cache; `capacity(now)` is in ms of work a ms."""
+        self._overload.on_server_started(now, server, warm_ms, capacity)
+
+    def is_cold(self, now: float, server: str) -> bool:
+        """Whether the server still warms up."""
+        return self._overload.is_warming_up(now, server)
 
     def load(self, now: float, proxy: int, server: str, work: float) -> bool:
-        """Work has come to a server, also what it turned away. True: a cold one has fallen over under it."""
-        cold = self._cold.get(server)
-        if cold is None or cold.fallen:
-            return False
-        if now > cold.until:
-            del self._cold[server]
-            return False
-        self.tick("sends to cold nodes", now)
-        knew = proxy >= 0 and server in self._known[proxy]
-        cold.sent.append((now, work, knew))
-        cold.total += work
-        cold.knew += work if knew else 0.0
-        while cold.sent[0][0] < now - FALL_MS:
-            _, old, known = cold.sent.popleft()
-            cold.total -= old
-            cold.knew -= old if known else 0.0
-        bound = OVERLOAD * cold.capacity(now) * FALL_MS + SPARE
-        if cold.total <= bound:
-            return False
-        cold.fallen = True
-        self.counts["fallen"] += 1
-        if cold.knew >= cold.total * 2 / 3:
-            what = f"{server}, {now - cold.started:.0f} ms old, fell over: {cold.total:.0f} ms of work"
-            self._find("cold", now, proxy, b"", f"{what}, {bound:.0f} allowed in a second")
-        return True
+        """Work (ms) has reached a server, also if it was rejected. True if the server warms up and fails
+        under it."""
+        is_informed = proxy >= 0 and server in self._proxies[proxy].listed_since
+        return self._overload.on_server_load(now, proxy, server, work, is_informed)
 
     def origin_load(self, now: float, work: float, cold_miss: bool, span: float) -> None:
-        """Work has come to the origin; whether a miss at a cold node made it."""
-        self.tick("fetches", now)
-        self._origin.append((now, work, cold_miss))
-        while self._origin[0][0] < now - span:
-            self._origin.popleft()
+        """Work (ms) has reached the origin; `cold_miss` if a miss at a server that warms up made it; `span`
+        is the time in ms over which the origin's load is measured."""
+        self._overload.on_origin_load(now, work, cold_miss, span)
 
     def origin_stopped(self, now: float) -> None:
-        """It was sent too much. The rule is broken if misses at cold nodes made much of that."""
-        total = sum(work for _, work, _ in self._origin)
-        cold = sum(work for _, work, is_cold in self._origin if is_cold)
-        self.counts["origin_stops"] += 1
-        share = cold / total if total else 0.0
-        if share > 0.3:
-            self._find("cold", now, -1, b"", f"the origin stopped; cold misses made {share:.0%} of its load")
-
-    def is_cold(self, now: float, server: str) -> bool:
-        cold = self._cold.get(server)
-        return cold is not None and now <= cold.until
+        """The origin failed under its load."""
+        self._overload.on_origin_stopped(now)
 
     # Time
 
     def sweep(self, now: float) -> None:
-        """Find queries whose time has run out, and forget what was over long ago."""
-        while self._due and self._due[0].over:
-            self._due.popleft()
-        for query in self._due:
-            if not query.over and now > query.deadline + GRACE + SLACK + 2 * SLACK:
-                self._unanswered(now, query)
-        while self._queries:
-            query = next(iter(self._queries.values()))
-            if not query.over or query.ended > now - KEEP_MS:
+        """End the requests whose time has run out, and forget those that ended long ago."""
+        while self._open_requests and self._open_requests[0].outcome is not None:
+            self._open_requests.popleft()
+        for request in self._open_requests:
+            if request.outcome is None and now > request.deadline + GRACE + SLACK + SWEEP_MARGIN_MS:
+                self._end_unanswered(now, request)
+        while self._requests:
+            oldest = next(iter(self._requests.values()))
+            if oldest.outcome is None or oldest.ended_at > now - FINISHED_KEPT_MS:
                 break
-            self._queries.popitem(last=False)
-
-    @property
-    def open(self) -> int:
-        """Queries that wait for their answer."""
-        return sum(1 for query in self._queries.values() if not query.over)
+            self._requests.popitem(last=False)
--- a/lupinladder/emulator/run.py
+++ b/lupinladder/emulator/run.py
@@ -24,7 +24,8 @@
 from lupinladder.emulator.misbehaving_clients import MisbehavingClients
 from lupinladder.emulator.peers import Peers
 from lupinladder.emulator.proxies import Managed, Proxies
-from lupinladder.emulator.rule_checker import RuleChecker, RuleViolation
+from lupinladder.emulator.rule_checker import RuleChecker
+from lupinladder.emulator.rule_violation import RuleViolation
 from lupinladder.emulator.scenario import MISBEHAVIOURS, Scenario
 from lupinladder.emulator.workload import ArrivalPlan, KeyDistribution, random_stream
 
@@ -154,7 +155,7 @@
         gc.freeze()
         gc.disable()
         start = self.start = clock.now() + scenario.lead_s * 1000 + 100
-        self.referee.start = start
+        self.referee.log.start = start
         self.lateness = Lateness(clock)
         front = ProxySelector([one.zone for one in self.proxies.all])
         most = max(1, scenario.clients.connections // len(self.proxies.all))
@@ -247,7 +248,7 @@
         return RunResult(
             self.scenario,
             [one for one in self.crowd.results if one.at >= 0],
-            self.referee.broken,
+            self.referee.violations,
             self.referee.counts,
             self.seconds,
             self.faults.marks,
@@ -257,7 +258,7 @@
             begun[int(len(begun) * 0.99)] if begun else 0.0,
             void,
             self.fleet.origin.core.stops,
-            self.referee.rates,
+            self.referee.log.rates,
             self.hostile.owed,
             self.hostile.unpaid,
             sum(pool.opened for pool in self.pools),
--- a/tests/emulator/test_rule_checker.py
+++ b/tests/emulator/test_rule_checker.py
@@ -215,20 +215,20 @@
             with self.subTest(name):
                 case = Case()
                 play(case)
-                self.assertEqual([one.rule for one in case.judge.broken], expected, case.judge.broken)
+                self.assertEqual([one.rule for one in case.judge.violations], expected, case.judge.violations)
 
     def test_what_is_found_names_time_query_and_bytes(self) -> None:
         case = Case()
         repeat(CLAIM, "broke", 50)(case)
-        text = str(case.judge.broken[0])
-        for part in ("0.050 s", "effect", "proxy 0", "query a", "s2", "may have run at s1", "raw"):
+        text = str(case.judge.violations[0])
+        for part in ("0.050 s", "effect", "proxy 0", "request a", "s2", "may have run at s1", "raw"):
             self.assertIn(part, text)
 
     def test_a_query_that_nobody_heard_of_and_bytes_that_none_is_owed(self) -> None:
         case = Case()
         case.send(5, "ghost")
         case.judge.extra(6, 1, b"a", b"+more\r\n")
-        self.assertEqual([one.rule for one in case.judge.broken], ["effect", "lost"])
+        self.assertEqual([one.rule for one in case.judge.violations], ["effect", "lost"])
 
     def test_the_sweep_finds_the_unanswered_and_forgets_the_old(self) -> None:
         case = Case()
@@ -236,8 +236,8 @@
             case.served(n, f"a{n}")
         case.ask(100, "b")
         case.judge.sweep(600)
-        self.assertFalse(case.judge.broken)
+        self.assertFalse(case.judge.violations)
         case.judge.sweep(30_000)
-        self.assertEqual([one.query for one in case.judge.broken], ["b"])
+        self.assertEqual([one.request_id for one in case.judge.violations], ["b"])
         case.judge.sweep(60_000)
-        self.assertEqual(len(case.judge._queries), 0)
+        self.assertEqual(len(case.judge._requests), 0)
