--- a/tests/emulator/test_rule_checker.py
+++ b/tests/emulator/test_rule_checker.py
@@ -1,4 +1,4 @@
-"""The referee: a table of what it must find, and of what it must let pass."""
+"""The rule checker: what it must report, and what it must let pass."""
 
 from __future__ import annotations
 
@@ -8,236 +8,249 @@
 from lupinladder.emulator.rule_checker import ObservedAttempt, RuleChecker
 from lupinladder.emulator.scenario import Scenario
 
-READ, CLAIM, EDIT = 0, 2, 3
-Play = Callable[["Case"], None]
+READ = 0
+CLAIM = 2
+EDIT = 3
+Scene = Callable[["Observations"], None]
 
 
-class Case:
-    """Two proxies that are up, and short words for what is seen."""
+class Observations:
+    """A rule checker with two proxies that are up, and short methods for what it is told of one of them."""
 
     def __init__(self) -> None:
-        self.judge = RuleChecker(Scenario(1, []).classes, 2, 0.0)
-        self.judge.proxy_up(0, 0)
-        self.judge.proxy_up(0, 1)
+        self.checker = RuleChecker(Scenario(1, []).classes, 2, 0.0)
+        self.checker.proxy_up(0, 0)
+        self.checker.proxy_up(0, 1)
 
-    def ask(self, now: float, ident: str, kind: int = READ, wait: float = 500) -> None:
-        self.judge.taken(now, 0, ident.encode(), kind, wait, b"command " + ident.encode())
+    def client_sends(self, now: float, request_id: str, request_class: int = READ, wait: float = 500) -> None:
+        self.checker.taken(
+            now, 0, request_id.encode(), request_class, wait, b"command " + request_id.encode()
+        )
 
-    def send(self, now: float, ident: str, server: str = "s1", first: float | None = None) -> ObservedAttempt:
-        return self.judge.sent(now, now if first is None else first, 0, server, ident.encode(), b"raw")
+    def server_receives(
+        self, now: float, request_id: str, server: str = "s1", first: float | None = None
+    ) -> ObservedAttempt:
+        return self.checker.sent(now, now if first is None else first, 0, server, request_id.encode(), b"raw")
 
-    def reply(self, now: float, ident: str, attempt: ObservedAttempt, word: str, value: bytes = b"v") -> None:
-        self.judge.replied(now, ident.encode(), attempt, word, value)
+    def server_replies(
+        self, now: float, request_id: str, attempt: ObservedAttempt, answer: str, value: bytes = b"v"
+    ) -> None:
+        self.checker.replied(now, request_id.encode(), attempt, answer, value)
 
-    def answer(self, now: float, ident: str, word: str = "served", value: bytes = b"v") -> None:
-        self.judge.answered(now, ident.encode(), word, value, b"$1\r\nv\r\n")
+    def client_reads(self, now: float, request_id: str, answer: str = "served", value: bytes = b"v") -> None:
+        self.checker.answered(now, request_id.encode(), answer, value, b"$1\r\nv\r\n")
 
-    def served(self, now: float, ident: str, kind: int = READ) -> None:
-        self.ask(now, ident, kind)
-        self.reply(now + 5, ident, self.send(now + 1, ident), "hit")
-        self.answer(now + 9, ident)
+    def request_served(self, now: float, request_id: str, request_class: int = READ) -> None:
+        self.client_sends(now, request_id, request_class)
+        self.server_replies(now + 5, request_id, self.server_receives(now + 1, request_id), "hit")
+        self.client_reads(now + 9, request_id)
 
 
-def second_answer(c: Case) -> None:
-    c.served(0, "a")
-    c.answer(20, "a")
+def answered_twice(observed: Observations) -> None:
+    observed.request_served(0, "a")
+    observed.client_reads(20, "a")
 
 
-def foreign_value(c: Case) -> None:
-    c.ask(0, "a")
-    c.reply(5, "a", c.send(1, "a"), "hit", b"of b")
-    c.answer(9, "a", value=b"of c")
+def value_of_another_request(observed: Observations) -> None:
+    observed.client_sends(0, "a")
+    observed.server_replies(5, "a", observed.server_receives(1, "a"), "hit", b"of b")
+    observed.client_reads(9, "a", value=b"of c")
 
 
-def repeat(kind: int, word: str, later: float, answer: str = "") -> Play:
-    def play(c: Case) -> None:
-        c.ask(0, "a", kind, 9000)
-        first = c.send(1, "a")
-        if word == "broke":
-            c.judge.broke(first)
-        elif word:
-            c.reply(5, "a", first, word)
+def repeated(request_class: int, reply: str, later: float, answer: str = "") -> Scene:
+    def scene(observed: Observations) -> None:
+        observed.client_sends(0, "a", request_class, 9000)
+        first = observed.server_receives(1, "a")
+        if reply == "broke":
+            observed.checker.broke(first)
+        elif reply:
+            observed.server_replies(5, "a", first, reply)
         if answer:
-            c.answer(later, "a", answer)
+            observed.client_reads(later, "a", answer)
         else:
-            c.send(later, "a", "s2")
+            observed.server_receives(later, "a", "s2")
 
-    return play
+    return scene
 
 
-def drained(first: float, again: bool = False) -> Play:
-    def play(c: Case) -> None:
-        c.judge.told(0, 0, "s1", "leaving")
-        c.judge.told(900, 0, "s1", "left")  # counts from the first word
-        if again:
-            c.judge.told(950, 0, "s1", "active")
-        c.ask(first, "a")
-        c.send(first + 400, "a", first=first)
+def sent_to_leaving_server(first: float, active_again: bool = False) -> Scene:
+    def scene(observed: Observations) -> None:
+        observed.checker.told(0, 0, "s1", "leaving")
+        observed.checker.told(900, 0, "s1", "left")  # the first notice counts
+        if active_again:
+            observed.checker.told(950, 0, "s1", "active")
+        observed.client_sends(first, "a")
+        observed.server_receives(first + 400, "a", first=first)
 
-    return play
+    return scene
 
 
-def cold(work: float, told: bool, spread: float = 0.0) -> Play:
-    def play(c: Case) -> None:
-        c.judge.cold(0, "s1", 20_000, lambda now: 0.22)
-        if told:
-            c.judge.told(10, 0, "s1", "active")
+def warming_server_loaded(work: float, informed: bool, spread: float = 0.0) -> Scene:
+    def scene(observed: Observations) -> None:
+        observed.checker.cold(0, "s1", 20_000, lambda now: 0.22)
+        if informed:
+            observed.checker.told(10, 0, "s1", "active")
         for n in range(20):
-            c.judge.load(100 + n * spread, 0, "s1", work / 20)
+            observed.checker.load(100 + n * spread, 0, "s1", work / 20)
 
-    return play
+    return scene
 
 
-def origin(cold_share: float) -> Play:
-    def play(c: Case) -> None:
+def origin_failed(warmup_share: float) -> Scene:
+    def scene(observed: Observations) -> None:
         for n in range(100):
-            c.judge.origin_load(n, 40, n < cold_share * 100, 3000)
-        c.judge.origin_stopped(100)
+            observed.checker.origin_load(n, 40, n < warmup_share * 100, 3000)
+        observed.checker.origin_stopped(100)
 
-    return play
+    return scene
 
 
-def silence(killed: bool) -> Play:
-    def play(c: Case) -> None:
-        c.ask(0, "a")
+def never_answered(killed: bool) -> Scene:
+    def scene(observed: Observations) -> None:
+        observed.client_sends(0, "a")
         if killed:
-            c.judge.proxy_killed(100, 0)
-        c.judge.gone(575, b"a")
+            observed.checker.proxy_killed(100, 0)
+        observed.checker.gone(575, b"a")
 
-    return play
+    return scene
 
 
-def ended(part: bytes, sent: bool) -> Play:
-    def play(c: Case) -> None:
-        c.ask(0, "a")
+def connection_ended(part: bytes, sent: bool) -> Scene:
+    def scene(observed: Observations) -> None:
+        observed.client_sends(0, "a")
         if sent:
-            c.send(1, "a")
-        c.judge.ended(50, b"a", part)
+            observed.server_receives(1, "a")
+        observed.checker.ended(50, b"a", part)
 
-    return play
+    return scene
 
 
-def crossed(sent: bool) -> Play:
-    def play(c: Case) -> None:
-        c.ask(0, "a")
+def connection_closed_before_command(sent: bool) -> Scene:
+    def scene(observed: Observations) -> None:
+        observed.client_sends(0, "a")
         if sent:
-            c.send(1, "a")
-        c.judge.again(5, b"a")
+            observed.server_receives(1, "a")
+        observed.checker.again(5, b"a")
 
-    return play
+    return scene
 
 
-def stopped(asked: float) -> Play:
-    def play(c: Case) -> None:
-        c.judge.proxy_stopping(100, 0)
-        c.ask(asked, "a", wait=3000)
-        c.judge.proxy_ended(2000, 0)
+def proxy_stopped(requested_at: float) -> Scene:
+    def scene(observed: Observations) -> None:
+        observed.checker.proxy_stopping(100, 0)
+        observed.client_sends(requested_at, "a", wait=3000)
+        observed.checker.proxy_ended(2000, 0)
 
-    return play
+    return scene
 
 
-def after_the_end(later: float) -> Play:
-    def play(c: Case) -> None:
-        c.ask(0, "a")
-        c.answer(10, "a", "refused")
-        c.send(later, "a")
+def attempt_after_rejection(later: float) -> Scene:
+    def scene(observed: Observations) -> None:
+        observed.client_sends(0, "a")
+        observed.client_reads(10, "a", "refused")
+        observed.server_receives(later, "a")
 
-    return play
+    return scene
 
 
-def late(by: float) -> Play:
-    def play(c: Case) -> None:
-        c.ask(0, "a")
-        c.answer(500 + by, "a", "failed")
+def answered_late(by: float) -> Scene:
+    def scene(observed: Observations) -> None:
+        observed.client_sends(0, "a")
+        observed.client_reads(500 + by, "a", "failed")
 
-    return play
+    return scene
 
 
-def under_way(*answers: float) -> Play:
-    """Its proxy is killed at 100; answers are read at these times."""
+def answered_after_kill(*answers: float) -> Scene:
+    """The proxy is killed at 100 ms; answers are read at these times."""
 
-    def play(c: Case) -> None:
-        c.ask(0, "a")
-        c.reply(90, "a", c.send(1, "a"), "hit")
-        c.judge.proxy_killed(100, 0)
+    def scene(observed: Observations) -> None:
+        observed.client_sends(0, "a")
+        observed.server_replies(90, "a", observed.server_receives(1, "a"), "hit")
+        observed.checker.proxy_killed(100, 0)
         for now in answers:
-            c.answer(now, "a")
-
-    return play
-
-
-CASES: list[tuple[str, Play, list[str]]] = [
-    ("served once", lambda c: c.served(0, "a"), []),
-    ("a second final answer", second_answer, ["lost"]),
-    ("a value that no server made for it", foreign_value, ["lost"]),
-    ("late within the slack", late(69), []),
-    ("late beyond it", late(72), ["lost"]),
-    ("silence", silence(False), ["lost"]),
-    ("silence of a proxy that was killed", silence(True), []),
-    ("an answer that was under way as its proxy was killed", under_way(103), []),
-    ("the same twice", under_way(103, 104), ["lost"]),
-    ("an answer long after its proxy was killed", under_way(200), ["lost"]),
-    ("ended without a byte", ended(b"", True), ["lost"]),
-    ("ended within a value, so that its client can tell", ended(b"$9\r\nab", True), []),
-    ("a close that crossed an unread query", crossed(False), []),
-    ("a close after the query was read and sent on", crossed(True), ["lost"]),
-    ("left behind by SIGTERM", stopped(600), ["lost"]),
-    ("come too late after SIGTERM", stopped(900), []),
-    ("safe, repeated after a reset", repeat(READ, "broke", 50), []),
-    ("unsafe, repeated after busy", repeat(CLAIM, "busy", 50), []),
-    ("unsafe, repeated after a miss", repeat(CLAIM, "miss", 50), []),
-    ("unsafe, repeated while the first is out", repeat(CLAIM, "", 50), ["effect"]),
-    ("unsafe, repeated after a reset", repeat(CLAIM, "broke", 50), ["effect"]),
-    ("unsafe, repeated after an error", repeat(CLAIM, "failed", 50), ["effect"]),
-    ("unsafe, repeated after a spoilt answer", repeat(CLAIM, "spoilt", 50), ["effect"]),
-    ("unsafe, refused though it may have run", repeat(CLAIM, "failed", 50, "refused"), ["effect"]),
-    ("unsafe, failed after it may have run", repeat(CLAIM, "failed", 50, "failed"), []),
-    ("unsafe, refused after busy", repeat(CLAIM, "busy", 50, "refused"), []),
-    ("keyed, repeated within its window", repeat(EDIT, "broke", 5040), []),
-    ("keyed, repeated after it", repeat(EDIT, "broke", 5060), ["effect"]),
-    ("sent long after its answer", after_the_end(100), ["effect"]),
-    ("sent as its answer was read", after_the_end(40), []),
-    ("to a draining server within the grace", drained(1540), []),
-    ("to one whose first byte came late", drained(1560), ["drain"]),
-    ("to one that is at work again", drained(1560, True), []),
-    ("a cold server filled within its budget", cold(880, True), []),
-    ("a cold server pushed over", cold(950, True), ["cold"]),
-    ("the same spread over longer", cold(1900, True, 150), []),
-    ("pushed over by who was never told of it", cold(950, False), []),
-    ("the origin stopped by other load", origin(0.2), []),
-    ("the origin stopped by cold misses", origin(0.4), ["cold"]),
+            observed.client_reads(now, "a")
+
+    return scene
+
+
+CASES: list[tuple[str, Scene, list[str]]] = [
+    ("served once", lambda observed: observed.request_served(0, "a"), []),
+    ("a second final answer", answered_twice, ["lost"]),
+    ("a value that no server made for it", value_of_another_request, ["lost"]),
+    ("late, within the allowance for sockets", answered_late(69), []),
+    ("late, beyond that allowance", answered_late(72), ["lost"]),
+    ("no answer", never_answered(False), ["lost"]),
+    ("no answer of a proxy that was killed", never_answered(True), []),
+    ("an answer already written when its proxy was killed", answered_after_kill(103), []),
+    ("the same answer twice", answered_after_kill(103, 104), ["lost"]),
+    ("an answer long after its proxy was killed", answered_after_kill(200), ["lost"]),
+    ("ended without a byte", connection_ended(b"", True), ["lost"]),
+    ("ended within a value, so that its client can tell", connection_ended(b"$9\r\nab", True), []),
+    ("a connection closed before the command was read", connection_closed_before_command(False), []),
+    (
+        "a connection closed after the command was read and forwarded",
+        connection_closed_before_command(True),
+        ["lost"],
+    ),
+    ("unanswered by a proxy that ended after SIGTERM", proxy_stopped(600), ["lost"]),
+    ("received too late after SIGTERM", proxy_stopped(900), []),
+    ("idempotent, repeated after a reset", repeated(READ, "broke", 50), []),
+    ("not idempotent, repeated after busy", repeated(CLAIM, "busy", 50), []),
+    ("not idempotent, repeated after a miss", repeated(CLAIM, "miss", 50), []),
+    ("not idempotent, repeated while the first is outstanding", repeated(CLAIM, "", 50), ["effect"]),
+    ("not idempotent, repeated after a reset", repeated(CLAIM, "broke", 50), ["effect"]),
+    ("not idempotent, repeated after an error", repeated(CLAIM, "failed", 50), ["effect"]),
+    ("not idempotent, repeated after a corrupted answer", repeated(CLAIM, "spoilt", 50), ["effect"]),
+    ("not idempotent, rejected though it may have run", repeated(CLAIM, "failed", 50, "refused"), ["effect"]),
+    ("not idempotent, failed after it may have run", repeated(CLAIM, "failed", 50, "failed"), []),
+    ("not idempotent, rejected after busy", repeated(CLAIM, "busy", 50, "refused"), []),
+    ("idempotency key, repeated within its window", repeated(EDIT, "broke", 5040), []),
+    ("idempotency key, repeated after it", repeated(EDIT, "broke", 5060), ["effect"]),
+    ("sent long after its answer", attempt_after_rejection(100), ["effect"]),
+    ("sent as its answer was read", attempt_after_rejection(40), []),
+    ("to a leaving server within the grace period", sent_to_leaving_server(1540), []),
+    ("to a leaving server after the grace period", sent_to_leaving_server(1560), ["drain"]),
+    ("to a server that is active again", sent_to_leaving_server(1560, True), []),
+    ("a warming server loaded within its bound", warming_server_loaded(880, True), []),
+    ("a warming server overloaded", warming_server_loaded(950, True), ["cold"]),
+    ("the same work over a longer time", warming_server_loaded(1900, True, 150), []),
+    ("overloaded by a proxy that was never told of it", warming_server_loaded(950, False), []),
+    ("the origin failed under other load", origin_failed(0.2), []),
+    ("the origin failed under misses of warming servers", origin_failed(0.4), ["cold"]),
 ]
 
 
-class Rules(TestCase):
-    def test_each_is_found_and_nothing_else(self) -> None:
-        for name, play, expected in CASES:
+class RuleCheckerTest(TestCase):
+    def test_each_violation_is_found_and_nothing_else(self) -> None:
+        for name, scene, expected in CASES:
             with self.subTest(name):
-                case = Case()
-                play(case)
-                self.assertEqual([one.rule for one in case.judge.violations], expected, case.judge.violations)
-
-    def test_what_is_found_names_time_query_and_bytes(self) -> None:
-        case = Case()
-        repeat(CLAIM, "broke", 50)(case)
-        text = str(case.judge.violations[0])
+                observed = Observations()
+                scene(observed)
+                violations = observed.checker.violations
+                self.assertEqual([violation.rule for violation in violations], expected, violations)
+
+    def test_a_violation_names_time_request_and_bytes(self) -> None:
+        observed = Observations()
+        repeated(CLAIM, "broke", 50)(observed)
+        text = str(observed.checker.violations[0])
         for part in ("0.050 s", "effect", "proxy 0", "request a", "s2", "may have run at s1", "raw"):
             self.assertIn(part, text)
 
-    def test_a_query_that_nobody_heard_of_and_bytes_that_none_is_owed(self) -> None:
-        case = Case()
-        case.send(5, "ghost")
-        case.judge.extra(6, 1, b"a", b"+more\r\n")
-        self.assertEqual([one.rule for one in case.judge.violations], ["effect", "lost"])
+    def test_attempts_and_bytes_without_a_request_are_found(self) -> None:
+        observed = Observations()
+        observed.server_receives(5, "ghost")
+        observed.checker.extra(6, 1, b"a", b"+more\r\n")
+        self.assertEqual([violation.rule for violation in observed.checker.violations], ["effect", "lost"])
 
-    def test_the_sweep_finds_the_unanswered_and_forgets_the_old(self) -> None:
-        case = Case()
+    def test_a_sweep_finds_unanswered_requests_and_forgets_old_ones(self) -> None:
+        observed = Observations()
         for n in range(50):
-            case.served(n, f"a{n}")
-        case.ask(100, "b")
-        case.judge.sweep(600)
-        self.assertFalse(case.judge.violations)
-        case.judge.sweep(30_000)
-        self.assertEqual([one.request_id for one in case.judge.violations], ["b"])
-        case.judge.sweep(60_000)
-        self.assertEqual(len(case.judge._requests), 0)
+            observed.request_served(n, f"a{n}")
+        observed.client_sends(100, "b")
+        observed.checker.sweep(600)
+        self.assertFalse(observed.checker.violations)
+        observed.checker.sweep(30_000)
+        self.assertEqual([violation.request_id for violation in observed.checker.violations], ["b"])
+        observed.checker.sweep(60_000)
+        self.assertEqual(len(observed.checker._requests), 0)
