--- a/lupinladder/cli/emulator/live_view.py
+++ b/lupinladder/cli/emulator/live_view.py
@@ -47,7 +47,10 @@
         table = Table.grid(padding=(0, 2))
         recent = [one for one in playing.crowd.results[-2000:] if one.at > at - 2]
         classes = self._found.classes
-        good = sum(one.outcome == "served" and one.latency <= classes[one.kind].aim_ms for one in recent)
+        good = sum(
+            one.outcome == "served" and one.latency <= classes[one.kind].latency_objective_ms
+            for one in recent
+        )
         share = f"{good / len(recent):.0%}" if recent else "-"
         table.add_row("in time lately", share, "open", str(playing.crowd.open))
         table.add_row("origin holds", str(playing.fleet.origin.core.machine.held), "", "")
--- a/lupinladder/cli/emulator/scenarios.py
+++ b/lupinladder/cli/emulator/scenarios.py
@@ -37,7 +37,7 @@
         fault.at *= factor
         if fault.kind not in ("kill", "term", "rolling-restart", "silent"):
             fault.for_s *= factor
-    for bad in found.hostile:
+    for bad in found.misbehaving_clients:
         bad.at, bad.for_s = bad.at * factor, bad.for_s * factor
 
 
--- a/lupinladder/emulator/proxies.py
+++ b/lupinladder/emulator/proxies.py
@@ -43,9 +43,9 @@
         "classes": [
             {
                 "name": one.name,
-                "goal-time-ms": one.aim_ms,
+                "goal-time-ms": one.latency_objective_ms,
                 "deadline-ms": one.deadline_ms,
-                "worth": one.worth,
+                "worth": one.priority_weight,
                 "repeat": one.repeat,
                 "key-scope": "all",
                 "window-ms": one.window_ms,
--- a/lupinladder/emulator/report.py
+++ b/lupinladder/emulator/report.py
@@ -48,13 +48,15 @@
 
 
 def _word(one: Result, kind: RequestClassConfig) -> str:
-    return "late" if one.outcome == "served" and one.latency > kind.aim_ms else one.outcome
+    return "late" if one.outcome == "served" and one.latency > kind.latency_objective_ms else one.outcome
 
 
 def _share(results: Sequence[Result], classes: Sequence[RequestClassConfig]) -> float:
     """Worth answered within the aim over the worth asked for."""
-    asked = sum(classes[one.kind].worth for one in results)
-    good = sum(classes[one.kind].worth for one in results if _word(one, classes[one.kind]) == "served")
+    asked = sum(classes[one.kind].priority_weight for one in results)
+    good = sum(
+        classes[one.kind].priority_weight for one in results if _word(one, classes[one.kind]) == "served"
+    )
     return good / asked if asked else 1.0
 
 
@@ -70,7 +72,7 @@
     asked: dict[int, float] = defaultdict(float)
     good: dict[int, float] = defaultdict(float)
     for one in results:
-        worth = classes[one.kind].worth
+        worth = classes[one.kind].priority_weight
         asked[int(one.at)] += worth
         good[int(one.at)] += worth if _word(one, classes[one.kind]) == "served" else 0.0
     width = int(min(WINDOW_S, max(seconds, 1.0)))
--- a/lupinladder/emulator/restart_recovery.py
+++ b/lupinladder/emulator/restart_recovery.py
@@ -51,8 +51,12 @@
     for one in results:
         step, kind = int(one.at / STEP_S), made.classes[one.kind]
         if 0 <= step < len(asked):
-            asked[step] += kind.worth
-            good[step] += kind.worth if one.outcome == "served" and one.latency <= kind.aim_ms else 0.0
+            asked[step] += kind.priority_weight
+            good[step] += (
+                kind.priority_weight
+                if one.outcome == "served" and one.latency <= kind.latency_objective_ms
+                else 0.0
+            )
     return asked, good
 
 
@@ -86,7 +90,7 @@
     words = Counter[str]()
     for one in outcome.results:
         if one.at >= KILLED_S:
-            late = one.outcome == "served" and one.latency > made.classes[one.kind].aim_ms
+            late = one.outcome == "served" and one.latency > made.classes[one.kind].latency_objective_ms
             words["late" if late else one.outcome] += 1
     rates = {}
     for name in RATES:
--- a/lupinladder/emulator/run.py
+++ b/lupinladder/emulator/run.py
@@ -227,7 +227,7 @@
     async def _harm(self) -> None:
         """Hostile clients, at their rates."""
         rng = random_stream(self.scenario.seed, "harm")
-        groups = [(one, one.kinds or list(MISBEHAVIOURS)) for one in self.scenario.hostile]
+        groups = [(one, one.kinds or list(MISBEHAVIOURS)) for one in self.scenario.misbehaving_clients]
         count = 0
         while groups:
             at = (self.clock.now() - self.start) / 1000
--- a/tests/emulator/test_runs.py
+++ b/tests/emulator/test_runs.py
@@ -114,7 +114,7 @@
         6,
         60,
         FaultConfig("connections", 0.5, 3, size=300),
-        hostile=[MisbehavingClientsConfig(per_s=15)],
+        misbehaving_clients=[MisbehavingClientsConfig(per_s=15)],
         clients__unanswered="failed",
         clients__hold=0.05,
     ),
@@ -130,7 +130,7 @@
                 answered = sum(tree["outcomes"].get(word, 0) for word in ("served", "late"))
                 self.assertGreater(answered, tree["asked"] / 2)
                 self.assertFalse(tree["hostile"]["unpaid"])
-                if made.hostile:
+                if made.misbehaving_clients:
                     self.assertGreater(sum(tree["hostile"]["owed"].values()), 30)
 
 
