--- a/lupinladder/cli/emulator/compare.py
+++ b/lupinladder/cli/emulator/compare.py
@@ -11,41 +11,46 @@
 
 from lupinladder.cli.emulator.console import console
 from lupinladder.cli.emulator.group import emulator
-from lupinladder.cli.emulator.scenarios import usage
+from lupinladder.cli.errors import InputError
+from lupinladder.cli.help_text import example
 from lupinladder.emulator import report, report_comparison, report_table
 
 
 @emulator.command()
 @click.argument("before", type=click.Path(path_type=Path))
 @click.argument("after", type=click.Path(path_type=Path))
-@click.option("--format", "form", type=click.Choice(["table", "json"]), default="table")
-def compare(before: Path, after: Path, form: str) -> None:
+@click.option("--format", "output_format", type=click.Choice(["table", "json"]), default="table")
+@example("lupinladder emulator compare old.json new.json")
+def compare(before: Path, after: Path, output_format: str) -> None:
     """What changed between reports, with the spread over repeats.
 
     BEFORE and AFTER are reports, or stand for their repeats (new.json for new-1.json, new-2.json ...).
-
-    \b
-    Example:
-        lupinladder emulator compare old.json new.json
     """
-    rows = report_comparison.compare(_reports(before), _reports(after))
-    if form == "json":
-        click.echo(json.dumps(rows, indent=1))
+    comparisons = report_comparison.compare(_read_reports(before), _read_reports(after))
+    if output_format == "json":
+        click.echo(json.dumps(comparisons, indent=1))
     else:
-        console.print(report_table.show_compared(rows))
-
-
-def _reports(path: Path) -> list[dict[str, Any]]:
-    paths = [path] if path.exists() else sorted(path.parent.glob(f"{path.stem}-[0-9]*{path.suffix}"))
-    if not paths:
-        raise usage(f"{path}: no such report, and none numbered {path.stem}-1{path.suffix}")
-    trees = []
-    for one in paths:
-        try:
-            tree = msgspec.json.decode(one.read_bytes(), type=dict[str, Any])
-        except (OSError, msgspec.DecodeError) as bad:
-            raise usage(f"{one}: not a report: {bad}") from None
-        if tree.get("schema") != report.SCHEMA:
-            raise usage(f"{one}: not a report of schema {report.SCHEMA}")
-        trees.append(tree)
-    return trees
+        console.print(report_table.show_compared(comparisons))
+
+
+def _read_reports(path: Path) -> list[dict[str, Any]]:
+    """The report at a path or, if there is none, its numbered repeats."""
+    if path.exists():
+        return [_read_report(path)]
+    numbered = sorted(path.parent.glob(f"{path.stem}-[0-9]*{path.suffix}"))
+    if not numbered:
+        message = f"{path}: no such report, and none numbered {path.stem}-1{path.suffix}"
+        raise InputError(message)
+    return [_read_report(one) for one in numbered]
+
+
+def _read_report(path: Path) -> dict[str, Any]:
+    try:
+        tree = msgspec.json.decode(path.read_bytes(), type=dict[str, Any])
+    except (OSError, msgspec.DecodeError) as error:
+        message = f"{path}: not a report: {error}"
+        raise InputError(message) from None
+    if tree.get("schema") != report.SCHEMA:
+        message = f"{path}: not a report of schema {report.SCHEMA}"
+        raise InputError(message)
+    return tree
--- a/lupinladder/cli/emulator/console.py
+++ b/lupinladder/cli/emulator/console.py
@@ -4,7 +4,13 @@
 
 from rich.console import Console
 
-console = Console()
-if not console.is_terminal:  # into a file or a pipe: nothing folds its columns
-    console = Console(width=120)
+FILE_WIDTH = 120  # characters, in a file or a pipe, so that no column is folded
+
+
+def _output_console() -> Console:
+    console = Console()
+    return console if console.is_terminal else Console(width=FILE_WIDTH)
+
+
+console = _output_console()
 errors = Console(stderr=True)
--- a/lupinladder/cli/emulator/group.py
+++ b/lupinladder/cli/emulator/group.py
@@ -5,15 +5,12 @@
 import click
 
 from lupinladder.cli.command_group import FormerNameGroup
+from lupinladder.cli.help_text import example
 
 FORMER_NAMES = {"comeback": "restart-recovery"}
 
 
 @click.group(cls=FormerNameGroup, former_names=FORMER_NAMES)
+@example("lupinladder emulator run deploy --report deploy.json")
 def emulator() -> None:
-    """Stand-ins, scenarios, load and reports.
-
-    \b
-    Example:
-        lupinladder emulator run deploy --report deploy.json
-    """
+    """Emulated servers, scenarios, load and reports."""
--- a/lupinladder/cli/emulator/live_view.py
+++ b/lupinladder/cli/emulator/live_view.py
@@ -2,32 +2,45 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from itertools import islice
+
 from rich.live import Live
 from rich.progress import BarColumn, Progress, TextColumn, TimeRemainingColumn
 from rich.table import Table
 
 from lupinladder.cli.emulator.console import errors
-from lupinladder.emulator import run
+from lupinladder.emulator.result_statistics import outcome_of
+from lupinladder.emulator.run import Run
 from lupinladder.emulator.scenario import Scenario
 
+REFRESHES_PER_S = 4
+RECENT_S = 2  # over which the share in time is shown
+MAX_RECENT_RESULTS = 2000
+MAX_NODES = 24
+MAX_MARKS = 4
+MAX_BAR_LENGTH = 40  # characters, one for each request that a node holds
+
 
-class Shown:
-    """The live view of a run: a bar, what is in time, what the nodes hold, and what has just happened."""
+class LiveView:
+    """A progress bar, the share in time, what the nodes hold, and what has just happened."""
 
-    def __init__(self, found: Scenario, quiet: bool) -> None:
-        self._found, self._quiet = found, quiet
-        self._bar = Progress(
+    def __init__(self, played: Scenario, quiet: bool) -> None:
+        """With `quiet`, or without a terminal, only the proxies' addresses are told."""
+        self._scenario = played
+        self._quiet = quiet or not errors.is_terminal
+        self._progress = Progress(
             TextColumn("{task.description}"),
             BarColumn(),
             TextColumn("{task.completed:.0f} of {task.total:.0f} s"),
             TimeRemainingColumn(),
             console=errors,
         )
-        self._task = self._bar.add_task("playing", total=found.seconds)
-        self._live = Live(self._bar, console=errors, refresh_per_second=4, transient=True)
-        self._told = False
+        self._task = self._progress.add_task("playing", total=played.seconds)
+        self._live = Live(self._progress, console=errors, refresh_per_second=REFRESHES_PER_S, transient=True)
+        self._has_told_addresses = False
 
-    def __enter__(self) -> Shown:
+    def __enter__(self) -> LiveView:
         if not self._quiet:
             self._live.start()
         return self
@@ -36,32 +49,44 @@
         if not self._quiet:
             self._live.stop()
 
-    def look(self, at: float, playing: run.Run) -> None:
-        if not self._told:
-            self._told = True
-            listen = ", ".join(one.address for one in playing.proxies.all)
-            errors.print(f"proxies listen at {listen}; any RESP client may talk to them while this runs")
-        self._bar.update(self._task, completed=max(0.0, min(at, self._found.seconds)))
+    def update(self, at: float, run: Run) -> None:
+        """Show the run as it is at this second of the counted part."""
+        if not self._has_told_addresses:
+            self._has_told_addresses = True
+            addresses = ", ".join(proxy.address for proxy in run.proxies.all)
+            errors.print(f"proxies listen at {addresses}; any RESP client may talk to them while this runs")
+        self._progress.update(self._task, completed=max(0.0, min(at, self._scenario.seconds)))
         if self._quiet:
             return
+        view = Table.grid()
+        view.add_row(self._progress)
+        view.add_row(self._state_table(at, run))
+        self._live.update(view)
+
+    def _state_table(self, at: float, run: Run) -> Table:
         table = Table.grid(padding=(0, 2))
-        recent = [one for one in playing.crowd.results[-2000:] if one.at > at - 2]
-        classes = self._found.classes
-        good = sum(
-            one.outcome == "served" and one.latency <= classes[one.kind].latency_objective_ms
-            for one in recent
-        )
-        share = f"{good / len(recent):.0%}" if recent else "-"
-        table.add_row("in time lately", share, "open", str(playing.crowd.open))
-        table.add_row("origin holds", str(playing.fleet.origin.core.machine.held), "", "")
-        now = playing.clock.now()
-        for name, node in list(playing.fleet.nodes.items())[:24]:
-            machine = node.core.machine
-            warm = machine.warmth(now)
-            table.add_row(name, "#" * min(machine.held, 40), "", "" if warm >= 1 else f"cold, {warm:.0%}")
-        for when, what in playing.faults.marks[-4:]:
+        table.add_row("in time lately", self._recent_share(at, run), "open", str(run.load_generator.open))
+        table.add_row("origin holds", str(run.cluster.origin.core.machine.held), "", "")
+        for row in islice(_node_rows(run), MAX_NODES):
+            table.add_row(*row)
+        for when, what in run.faults.marks[-MAX_MARKS:]:
             table.add_row(f"{when:6.1f} s", what)
-        whole = Table.grid()
-        whole.add_row(self._bar)
-        whole.add_row(table)
-        self._live.update(whole)
+        return table
+
+    def _recent_share(self, at: float, run: Run) -> str:
+        latest = run.load_generator.results[-MAX_RECENT_RESULTS:]
+        recent = [result for result in latest if result.at > at - RECENT_S]
+        if not recent:
+            return "-"
+        classes = self._scenario.classes
+        in_time = sum(outcome_of(result, classes[result.kind]) == "served" for result in recent)
+        return f"{in_time / len(recent):.0%}"
+
+
+def _node_rows(run: Run) -> Iterator[tuple[str, str, str, str]]:
+    now = run.clock.now()
+    for name, node in run.cluster.nodes.items():
+        machine = node.core.machine
+        warmth = machine.warmth(now)
+        state = "" if warmth >= 1 else f"cold, {warmth:.0%}"
+        yield name, "#" * min(machine.held, MAX_BAR_LENGTH), "", state
--- a/lupinladder/cli/emulator/options.py
+++ b/lupinladder/cli/emulator/options.py
@@ -1,31 +1,65 @@
-"""Options that several commands share, and what they ask to be written."""
+"""Options that several commands share."""
 
 from __future__ import annotations
 
+import functools
 import json
+from collections.abc import Callable
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
 import click
 
-REPORT = click.option(
-    "--report", "report_path", type=click.Path(path_type=Path), help="Write the figures as JSON."
-)
-PLOT = click.option("--plot", type=click.Path(path_type=Path), help="Write a picture (.png, .svg, .pdf).")
-SEED = click.option("--seed", type=click.IntRange(0), help="Draw everything from this seed.")
-SECONDS = click.option("--seconds", type=click.FloatRange(2, 3600), help="Play it in so many seconds.")
-LOGS = click.option("--logs", type=click.Path(path_type=Path), help="Keep configurations and logs here.")
-QUIET = click.option("--quiet", is_flag=True, help="No live view.")
+_PATH = click.Path(path_type=Path)
 
+seed_option = click.option("--seed", type=click.IntRange(0), help="Draw everything from this seed.")
+seconds_option = click.option("--seconds", type=click.FloatRange(2, 3600), help="Play it in so many seconds.")
 
-def write(tree: dict[str, Any], report_path: Path | None, plot: Path | None) -> None:
-    if report_path:
-        report_path.write_text(json.dumps(tree, indent=1) + "\n")
-    if plot:
-        from lupinladder.emulator.plot import draw
 
-        draw(tree, plot)
+@dataclass(frozen=True, slots=True)
+class OutputOptions:
+    """What a command shows and writes beside its table."""
 
+    report_path: Path | None
+    plot_path: Path | None
+    logs: Path | None  # a folder for configurations and logs of the proxies
+    quiet: bool
 
-def numbered(path: Path | None, suffix: str) -> Path | None:
-    return path.with_stem(path.stem + suffix) if path else None
+    def for_run(self, number: int) -> OutputOptions:
+        """The same for one of several runs, with names of its own; `number` counts from 1."""
+        return replace(
+            self,
+            report_path=_numbered(self.report_path, number),
+            plot_path=_numbered(self.plot_path, number),
+            logs=self.logs_of(number),
+        )
+
+    def logs_of(self, number: int) -> Path | None:
+        """The folder for the logs of one of several runs."""
+        return self.logs / str(number) if self.logs else None
+
+    def write_report(self, tree: dict[str, Any]) -> None:
+        """Write the report, if one is wanted."""
+        if self.report_path:
+            self.report_path.write_text(json.dumps(tree, indent=1) + "\n")
+
+
+def _numbered(path: Path | None, number: int) -> Path | None:
+    return path.with_stem(f"{path.stem}-{number}") if path else None
+
+
+def output_options(command: Callable[..., None]) -> Callable[..., None]:
+    """A decorator that adds the options and passes them as `output`, an OutputOptions."""
+
+    @click.option("--report", "report_path", type=_PATH, help="Write the figures as JSON.")
+    @click.option("--plot", "plot_path", type=_PATH, help="Write a picture (.png, .svg, .pdf).")
+    @click.option("--logs", type=_PATH, help="Keep configurations and logs here.")
+    @click.option("--quiet", is_flag=True, help="No live view.")
+    @functools.wraps(command)
+    def with_output(
+        report_path: Path | None, plot_path: Path | None, logs: Path | None, quiet: bool, **others: Any
+    ) -> None:
+        command(output=OutputOptions(report_path, plot_path, logs, quiet), **others)
+
+    return with_output
--- a/lupinladder/cli/emulator/play.py
+++ b/lupinladder/cli/emulator/play.py
@@ -3,99 +3,93 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Iterator
 from pathlib import Path
-from typing import Any
 
 import click
 
-from lupinladder.cli.emulator.console import console, errors
+from lupinladder.cli.emulator.console import console
 from lupinladder.cli.emulator.group import emulator
-from lupinladder.cli.emulator.live_view import Shown
-from lupinladder.cli.emulator.options import LOGS, PLOT, QUIET, REPORT, SECONDS, SEED, numbered, write
+from lupinladder.cli.emulator.live_view import LiveView
+from lupinladder.cli.emulator.options import OutputOptions, output_options, seconds_option, seed_option
 from lupinladder.cli.emulator.scenarios import read_scenario
-from lupinladder.emulator import report, report_table, run, scenario
-from lupinladder.emulator.scenario import Scenario
+from lupinladder.cli.help_text import example
+from lupinladder.emulator import report, report_table, run
+from lupinladder.emulator.run_result import RunResult
+from lupinladder.emulator.scenario import LoadPhase, Scenario
+from lupinladder.errors import LupinladderError
 
 
-def play_scenario(found: Scenario, quiet: bool, logs: Path | None) -> dict[str, Any]:
-    with Shown(found, quiet or not errors.is_terminal) as shown:
+def play(scenario: Scenario, quiet: bool, logs: Path | None) -> RunResult:
+    """Play a scenario with a live view. ClickException if it could not be played to its end."""
+    with LiveView(scenario, quiet) as view:
         try:
-            return report.figures(run.play(found, logs, shown.look))
-        except RuntimeError as bad:
-            raise click.ClickException(str(bad)) from None
+            return run.play(scenario, logs, view.update)
+        except (LupinladderError, RuntimeError) as error:  # RuntimeError: no free port was found
+            raise click.ClickException(str(error)) from None
+
+
+def _play_and_report(scenario: Scenario, output: OutputOptions) -> report.ExitCode:
+    tree = report.figures(play(scenario, output.quiet, output.logs))
+    output.write_report(tree)
+    if output.plot_path:
+        from lupinladder.emulator.plot import draw  # matplotlib takes long to import
+
+        draw(tree, output.plot_path)
+    console.print(report_table.show(tree))
+    return report.exit_code(tree)
 
 
 @click.command()
-@SECONDS
-@SEED
-@REPORT
-@PLOT
-@LOGS
-@QUIET
-def demo(
-    seconds: float | None,
-    seed: int | None,
-    report_path: Path | None,
-    plot: Path | None,
-    logs: Path | None,
-    quiet: bool,
-) -> None:
-    """Start a fleet on loopback, play load and trouble, and judge it.
+@seconds_option
+@seed_option
+@output_options
+@example("lupinladder demo --seconds 15 --plot demo.png")
+def demo(seconds: float | None, seed: int | None, output: OutputOptions) -> None:
+    """Emulate a cluster on loopback under load and faults, and check the rules.
 
     Discovery, an origin, twelve nodes in three zones, three proxies and clients run on free ports of
     loopback; one key turns hot and half of the nodes are replaced. Exit code 0 only if all four rules were
-    kept, 1 if one was broken, 3 if the machine was too slow for the lab itself.
-
-    \b
-    Example:
-        lupinladder demo --seconds 15 --plot demo.png
+    kept, 1 if one was broken, 3 if the machine was too slow for the emulator itself.
     """
-    tree = play_scenario(read_scenario("demo", seed, seconds), quiet, logs)
-    write(tree, report_path, plot)
-    console.print(report_table.show(tree))
-    sys.exit(report.exit_code(tree))
+    sys.exit(_play_and_report(read_scenario("demo", seed, seconds), output))
 
 
 @emulator.command("run")
 @click.argument("scenarios", nargs=-1, required=True, metavar="SCENARIO...")
-@SECONDS
-@SEED
-@REPORT
-@PLOT
-@LOGS
-@QUIET
+@seconds_option
+@seed_option
+@output_options
 @click.option("--rate", type=click.FloatRange(0.1, 50_000), help="A constant rate in place of the load.")
 @click.option(
     "--repeat", type=click.IntRange(1, 100), default=1, help="Play each so often, with seeds in a row."
 )
-def run_(
+@example("lupinladder emulator run deploy --repeat 3 --report new.json")
+def run_scenarios(
     scenarios: tuple[str, ...],
     seconds: float | None,
     seed: int | None,
-    report_path: Path | None,
-    plot: Path | None,
-    logs: Path | None,
-    quiet: bool,
+    output: OutputOptions,
     rate: float | None,
     repeat: int,
 ) -> None:
     """Play scenarios: files, or names of those that ship.
 
     With more than one run, the reports' names get -1, -2 and so on before their endings.
-
-    \b
-    Example:
-        lupinladder emulator run deploy --repeat 3 --report new.json
     """
-    found = [read_scenario(name, seed, seconds) for name in scenarios for _ in range(repeat)]
-    worst = 0
-    for place, one in enumerate(found):
-        one.seed += place % repeat
+    played = [scenario for name in scenarios for scenario in _repeats(name, seed, seconds, repeat)]
+    worst = report.ExitCode.RULES_KEPT
+    for number, scenario in enumerate(played, 1):
         if rate is not None:
-            one.load = [scenario.LoadPhase(0, rate)]
-        tree = play_scenario(one, quiet, logs / str(place + 1) if logs and len(found) > 1 else logs)
-        suffix = f"-{place + 1}" if len(found) > 1 else ""
-        write(tree, numbered(report_path, suffix), numbered(plot, suffix))
-        console.print(report_table.show(tree))
-        worst = max(worst, report.exit_code(tree))
+            scenario.load = [LoadPhase(0, rate)]
+        own_output = output.for_run(number) if len(played) > 1 else output
+        worst = max(worst, _play_and_report(scenario, own_output))
     sys.exit(worst)
+
+
+def _repeats(name: str, seed: int | None, seconds: float | None, count: int) -> Iterator[Scenario]:
+    """The scenario so often, with seeds in a row."""
+    for offset in range(count):
+        scenario = read_scenario(name, seed, seconds)
+        scenario.seed += offset
+        yield scenario
--- a/lupinladder/cli/emulator/restart_recovery.py
+++ b/lupinladder/cli/emulator/restart_recovery.py
@@ -2,19 +2,18 @@
 
 from __future__ import annotations
 
-import json
 import sys
-from pathlib import Path
 from typing import Any, get_args
 
 import click
 
-from lupinladder.cli.emulator.console import console, errors
+from lupinladder.cli.emulator.console import console
 from lupinladder.cli.emulator.group import emulator
-from lupinladder.cli.emulator.live_view import Shown
-from lupinladder.cli.emulator.options import LOGS, PLOT, QUIET, REPORT
-from lupinladder.cli.emulator.scenarios import usage
-from lupinladder.emulator import report, restart_recovery, run
+from lupinladder.cli.emulator.options import OutputOptions, output_options
+from lupinladder.cli.emulator.play import play
+from lupinladder.cli.errors import InputError
+from lupinladder.cli.help_text import example
+from lupinladder.emulator import restart_recovery, restart_recovery_table
 
 
 @emulator.command("restart-recovery")
@@ -27,55 +26,51 @@
     "--discovery", type=click.Choice(get_args(restart_recovery.Lists)), default="up", show_default=True
 )
 @click.option("--seeds", default="1", show_default=True, help="One seed, or the first and the last: 1-10.")
-@REPORT
-@PLOT
-@LOGS
-@QUIET
-def restart_recovery_(
+@output_options
+@example(
+    "lupinladder emulator restart-recovery --store lost --discovery down --seeds 1-10 --report lost.json"
+)
+def measure_restart_recovery(
     proxies: int,
     kill: float,
     store: restart_recovery.Stores,
     discovery: restart_recovery.Lists,
     seeds: str,
-    report_path: Path | None,
-    plot: Path | None,
-    logs: Path | None,
-    quiet: bool,
+    output: OutputOptions,
 ) -> None:
     """Kill most proxies at once, start them together, and say how long until all is as before.
 
     Exit codes are those of `emulator run`.
-
-    \b
-    Example:
-        lupinladder emulator restart-recovery --store lost --discovery down --seeds 1-10 --report lost.json
     """
-    first, _, last = seeds.partition("-")
-    if not first.isdigit() or not (last or first).isdigit() or int(last or first) < int(first):
-        raise usage(f"--seeds {seeds}: expected a seed, or the first and the last, as in 1-10")
     rows = []
-    for seed in range(int(first), int(last or first) + 1):
-        made = restart_recovery.scenario(proxies, kill, store, discovery, seed)
-        with Shown(made, quiet or not errors.is_terminal) as shown:
-            try:
-                outcome = run.play(made, logs / str(seed) if logs else None, shown.look)
-            except RuntimeError as bad:
-                raise click.ClickException(str(bad)) from None
-        rows.append(restart_recovery.figures(outcome))
-        full = rows[-1]["full_after_s"]
-        after = "not within the run" if full is None else f"after {full:.1f} s"
-        console.print(f"seed {seed}: full service {after}{'; void: ' + outcome.void if outcome.void else ''}")
-    tree: dict[str, Any] = {
-        "schema": report.SCHEMA,
-        "about": made.about,
-        "summary": restart_recovery.summary(rows),
-        "runs": rows,
-    }
-    if report_path:
-        report_path.write_text(json.dumps(tree, indent=1) + "\n")
-    if plot:
-        from lupinladder.emulator.plot import draw_comeback
+    for seed in _parse_seeds(seeds):
+        scenario = restart_recovery.scenario(proxies, kill, store, discovery, seed)
+        outcome = play(scenario, output.quiet, output.logs_of(seed))
+        row = restart_recovery.figures(outcome)
+        console.print(_row_text(row))
+        rows.append(row)
+    tree = restart_recovery.full_report(scenario.about, rows)
+    output.write_report(tree)
+    if output.plot_path:
+        from lupinladder.emulator.plot import draw_restart_recovery  # matplotlib takes long to import
 
-        draw_comeback(tree, restart_recovery.KILLED_S, plot)
-    console.print(restart_recovery.show(tree))
+        draw_restart_recovery(tree, restart_recovery.KILLED_S, output.plot_path)
+    console.print(restart_recovery_table.show(tree))
     sys.exit(restart_recovery.exit_code(tree["summary"]))
+
+
+def _parse_seeds(text: str) -> range:
+    """The seeds of `3` or `1-10`. InputError for anything else."""
+    first, _, last = text.partition("-")
+    last = last or first
+    if not first.isdigit() or not last.isdigit() or int(last) < int(first):
+        message = f"--seeds {text}: expected a seed, or the first and the last, as in 1-10"
+        raise InputError(message)
+    return range(int(first), int(last) + 1)
+
+
+def _row_text(row: dict[str, Any]) -> str:
+    full_after = row["full_after_s"]
+    when = "not within the run" if full_after is None else f"after {full_after:.1f} s"
+    void = f"; void: {row['void']}" if row["void"] else ""
+    return f"seed {row['seed']}: full service {when}{void}"
--- a/lupinladder/cli/emulator/scenarios.py
+++ b/lupinladder/cli/emulator/scenarios.py
@@ -8,52 +8,48 @@
 from lupinladder.cli.emulator.console import console
 from lupinladder.cli.emulator.group import emulator
 from lupinladder.cli.errors import InputError
+from lupinladder.cli.help_text import example
 from lupinladder.emulator import scenario
 from lupinladder.emulator.scenario import Scenario
 from lupinladder.operator_config.toml_decoder import TomlError
 
+UNSCALED_FAULTS = ("kill", "term", "rolling-restart", "silent")
+"""Faults whose duration is that of a process, which does not go faster in a shorter run."""
 
-def read_scenario(name: str, seed: int | None, seconds: float | None) -> Scenario:
-    """A scenario with what the command line sets otherwise."""
+
+def read_scenario(name: str, seed: int | None = None, seconds: float | None = None) -> Scenario:
+    """A scenario with what the command line sets otherwise. InputError if it cannot be used."""
     try:
         found = scenario.read(name)
-    except TomlError as bad:
-        raise usage(str(bad)) from None
+    except TomlError as error:
+        raise InputError(str(error)) from None
     if seed is not None:
         found.seed = seed
     if seconds is not None:
-        _stretch(found, seconds)
+        _scale(found, seconds)
     return found
 
 
-def _stretch(found: Scenario, seconds: float) -> None:
-    """Play it in so many seconds: the times of load and faults keep their places in it. Drains stay as long
-    as they are, since the list's lag does too."""
-    factor = seconds / found.seconds
-    found.seconds = seconds
-    for step in found.load:
-        step.at *= factor
-    for fault in found.faults:
+def _scale(played: Scenario, seconds: float) -> None:
+    """Play it in so many seconds: load and faults keep their places in it. Drains last as long as before,
+    since the delay of the list does too."""
+    factor = seconds / played.seconds
+    played.seconds = seconds
+    for phase in played.load:
+        phase.at *= factor
+    for fault in played.faults:
         fault.at *= factor
-        if fault.kind not in ("kill", "term", "rolling-restart", "silent"):
+        if fault.kind not in UNSCALED_FAULTS:
             fault.for_s *= factor
-    for bad in found.misbehaving_clients:
-        bad.at, bad.for_s = bad.at * factor, bad.for_s * factor
-
-
-def usage(text: str) -> click.ClickException:
-    """Bad input: one line, exit 2."""
-    return InputError(text)
+    for clients in played.misbehaving_clients:
+        clients.at *= factor
+        clients.for_s *= factor
 
 
 @emulator.command("list")
-def list_() -> None:
-    """The scenarios that come with the program.
-
-    \b
-    Example:
-        lupinladder emulator list
-    """
+@example("lupinladder emulator list")
+def list_scenarios() -> None:
+    """The scenarios that come with the program."""
     table = Table()
     for name in ("name", "seconds", "about"):
         table.add_column(name)
@@ -65,14 +61,9 @@
 
 @emulator.command()
 @click.argument("name", metavar="SCENARIO")
+@example("lupinladder emulator check mine.toml")
 def check(name: str) -> None:
-    """Read a scenario and say what is wrong with it.
-
-    \b
-    Example:
-        lupinladder emulator check mine.toml
-    """
-    found = read_scenario(name, None, None)
-    click.echo(
-        f"{name}: {found.seconds:g} s, {len(found.faults)} faults, {len(found.load)} steps of load: good"
-    )
+    """Read a scenario and say what is wrong with it."""
+    found = read_scenario(name)
+    counts = f"{len(found.faults)} faults, {len(found.load)} steps of load"
+    click.echo(f"{name}: {found.seconds:g} s, {counts}: good")
--- a/lupinladder/cli/emulator/standalone.py
+++ b/lupinladder/cli/emulator/standalone.py
@@ -6,25 +6,30 @@
 
 from lupinladder.cli.emulator.group import emulator
 from lupinladder.cli.emulator.scenarios import read_scenario
+from lupinladder.cli.help_text import example
+from lupinladder.emulator.standalone import ServerType, run_standalone
 
+DESCRIPTIONS = {
+    ServerType.NODE: "One cache node alone, for any RESP client to talk to.",
+    ServerType.ORIGIN: "The origin alone, for any HTTP client to talk to.",
+    ServerType.DISCOVERY: "Discovery alone, with the list of the scenario's cluster.",
+}
 
-def _alone(part: str) -> click.Command:
-    @click.option("--seconds", type=click.FloatRange(0.1, 86_400), default=60.0, show_default=True)
-    @click.option("--scenario", "name", default="calm", show_default=True, help="Whose settings to take.")
-    def serve(seconds: float, name: str) -> None:
-        from lupinladder.emulator import standalone
 
-        found = read_scenario(name, None, None)
-        standalone.run_standalone(part, found, seconds, lambda line: click.echo(line))
+def _add_command(server: ServerType) -> None:
+    def serve(seconds: float, scenario_name: str) -> None:
+        run_standalone(server, read_scenario(scenario_name), seconds, click.echo)
 
-    about = {
-        "node": "One cache node alone, for any RESP client to talk to.",
-        "origin": "The origin alone, for any HTTP client to talk to.",
-        "discovery": "Discovery alone, with the list of the scenario's fleet.",
-    }[part]
-    serve.__doc__ = f"{about}\n\n\b\nExample:\n    lupinladder emulator {part} --seconds 60\n"
-    return emulator.command(part)(serve)
+    serve.__doc__ = DESCRIPTIONS[server]
+    serve = example(f"lupinladder emulator {server} --seconds 60")(serve)
+    scenario_option = click.option(
+        "--scenario", "scenario_name", default="calm", show_default=True, help="Whose settings to take."
+    )
+    seconds_option = click.option(
+        "--seconds", type=click.FloatRange(0.1, 86_400), default=60.0, show_default=True
+    )
+    emulator.command(server.value)(seconds_option(scenario_option(serve)))
 
 
-for _part in ("node", "origin", "discovery"):
-    _alone(_part)
+for _server in ServerType:
+    _add_command(_server)
--- a/lupinladder/emulator/plot.py
+++ b/lupinladder/emulator/plot.py
@@ -1,7 +1,8 @@
-"""Pictures of a report: outcomes and latency over time, load of the nodes, marks where faults happen."""
+"""Plots of reports: outcomes, latency and the load of servers over time, with marks where faults happen."""
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
@@ -12,7 +13,8 @@
 from matplotlib.axes import Axes
 from matplotlib.ticker import NullFormatter, ScalarFormatter
 
-COLOURS = {
+DOTS_PER_INCH = 110
+OUTCOME_COLOURS = {
     "served": "#3a7d44",
     "late": "#e0a526",
     "refused": "#4a7fb5",
@@ -20,94 +22,140 @@
     "unanswered": "#5b2a6e",
     "unsent": "#999999",
 }
-
-
-def _marks(axes: Axes, tree: dict[str, Any], named: bool) -> None:
-    for at, what in tree["marks"]:
-        if what.startswith("["):
-            axes.axvline(at, color="#333333", linewidth=0.8, linestyle="--")
-            if named:
-                axes.annotate(
-                    what.strip("[]"),
-                    (at, 1.0),
-                    xycoords=("data", "axes fraction"),
-                    fontsize=7,
-                    rotation=30,
-                    va="bottom",
-                )
+PERCENTILE_STYLES = {"p50": "-", "p90": "--", "p99": ":"}
+MAIN_COLOUR = "#26456e"
+MARK_COLOUR = "#333333"
+ORIGIN_COLOUR = "#5b2a6e"
+WARM_NODE_COLOUR = "#8a9aa8"
+COLD_NODE_COLOUR = "#c06014"
+SINGLE_RUN_COLOUR = "#8a9aa8"
 
 
 def draw(tree: dict[str, Any], path: Path) -> None:
-    """Write the picture of one report; the ending of the path says in which format."""
-    figure, (outcomes, latency, load, held) = plt.subplots(
+    """Write the plot of one report; the ending of the path says in which format."""
+    figure, (outcomes, latency, nodes, held) = plt.subplots(
         4, 1, figsize=(10, 11), sharex=True, height_ratios=(3, 3, 3, 2), layout="constrained"
     )
-    times = [*(one["at_s"] for one in tree["timeline"]), tree["seconds"]]
+    _draw_outcomes(outcomes, tree)
+    _draw_latency(latency, tree)
+    _draw_nodes(nodes, tree)
+    _draw_held(held, tree)
+    for axes in (outcomes, latency, nodes, held):
+        _draw_marks(axes, tree, with_names=axes is outcomes)
+        axes.spines[["top", "right"]].set_visible(False)
+    verdict = "all rules kept" if tree["kept"] else "RULES BROKEN"
+    if tree["void"]:
+        verdict = "void"
+    title = f"{tree['about']}\n{tree['share']:.1%} in time, {verdict}, seed {tree['seed']}"
+    figure.suptitle(title, fontsize=10)
+    figure.savefig(path, dpi=DOTS_PER_INCH)
+    plt.close(figure)
+
+
+def _draw_outcomes(axes: Axes, tree: dict[str, Any]) -> None:
+    times = [*(second["at_s"] for second in tree["timeline"]), tree["seconds"]]
     seconds = [*tree["timeline"], tree["timeline"][-1]]  # a step lasts until the next one begins
-    stacks = {word: [one["outcomes"].get(word, 0) for one in seconds] for word in COLOURS}
-    shown = {word: counts for word, counts in stacks.items() if any(counts)}
-    outcomes.stackplot(
-        times, *shown.values(), labels=list(shown), colors=[COLOURS[word] for word in shown], step="post"
-    )
-    outcomes.set_ylabel("requests a second")
-    outcomes.legend(loc="lower left", fontsize=8, ncols=6)
-    for q, style in (("p50", "-"), ("p90", "--"), ("p99", ":")):
-        points = [(one["at_s"] + 0.5, one["latency_ms"].get(q)) for one in tree["timeline"]]
-        points = [point for point in points if point[1] is not None]
+    counts = {
+        outcome: [second["outcomes"].get(outcome, 0) for second in seconds] for outcome in OUTCOME_COLOURS
+    }
+    shown = {outcome: values for outcome, values in counts.items() if any(values)}
+    colours = [OUTCOME_COLOURS[outcome] for outcome in shown]
+    axes.stackplot(times, *shown.values(), labels=list(shown), colors=colours, step="post")
+    axes.set_ylabel("requests a second")
+    axes.legend(loc="lower left", fontsize=8, ncols=6)
+
+
+def _draw_latency(axes: Axes, tree: dict[str, Any]) -> None:
+    for percentile, style in PERCENTILE_STYLES.items():
+        points = [
+            (second["at_s"] + 0.5, second["latency_ms"][percentile])
+            for second in tree["timeline"]
+            if percentile in second["latency_ms"]
+        ]
         if points:
-            latency.plot(*zip(*points, strict=True), style, label=q, color="#26456e")
-    latency.set_yscale("log")
-    latency.yaxis.set_major_formatter(ScalarFormatter())
-    latency.yaxis.set_minor_formatter(NullFormatter())
-    latency.set_ylabel("latency of served, ms")
-    latency.legend(loc="upper left", fontsize=8, ncols=3)
-    names = sorted({name for one in tree["nodes"] for name in one["nodes"]})
+            axes.plot(*zip(*points, strict=True), style, label=percentile, color=MAIN_COLOUR)
+    axes.set_yscale("log")
+    axes.yaxis.set_major_formatter(ScalarFormatter())
+    axes.yaxis.set_minor_formatter(NullFormatter())
+    axes.set_ylabel("latency of served, ms")
+    axes.legend(loc="upper left", fontsize=8, ncols=3)
+
+
+def _draw_nodes(axes: Axes, tree: dict[str, Any]) -> None:
+    names = sorted({name for snapshot in tree["nodes"] for name in snapshot["nodes"]})
     for name in names:
-        line = [(one["at_s"], one["nodes"][name][0]) for one in tree["nodes"] if name in one["nodes"]]
-        cold = any(one["nodes"][name][1] < 1 for one in tree["nodes"] if name in one["nodes"])
-        load.plot(*zip(*line, strict=True), linewidth=0.9, color="#c06014" if cold else "#8a9aa8")
-    load.set_ylabel("held by each node\n(started cold: orange)")
-    looks = [one["at_s"] for one in tree["nodes"]]
-    held.plot(looks, [one["origin"] for one in tree["nodes"]], color="#5b2a6e", label="held by the origin")
-    held.plot(
-        looks, [one["open"] for one in tree["nodes"]], color="#333333", linewidth=0.8, label="open requests"
-    )
-    held.legend(loc="upper left", fontsize=8, ncols=2)
-    held.set_xlabel("seconds")
-    held.set_xlim(0, tree["seconds"])
-    for axes in (outcomes, latency, load, held):
-        _marks(axes, tree, axes is outcomes)
-        axes.spines[["top", "right"]].set_visible(False)
-    kept = "void" if tree["void"] else "all rules kept" if tree["kept"] else "RULES BROKEN"
-    figure.suptitle(f"{tree['about']}\n{tree['share']:.1%} in time, {kept}, seed {tree['seed']}", fontsize=10)
-    figure.savefig(path, dpi=110)
-    plt.close(figure)
+        own = [
+            (snapshot["at_s"], *snapshot["nodes"][name])
+            for snapshot in tree["nodes"]
+            if name in snapshot["nodes"]
+        ]
+        started_cold = any(warmth < 1 for _, _, warmth in own)
+        line = [(at, held) for at, held, _ in own]
+        colour = COLD_NODE_COLOUR if started_cold else WARM_NODE_COLOUR
+        axes.plot(*zip(*line, strict=True), linewidth=0.9, color=colour)
+    axes.set_ylabel("held by each node\n(started cold: orange)")
 
 
-def draw_comeback(tree: dict[str, Any], killed: float, path: Path) -> None:
-    """A picture of many runs of one comeback: the share in time and the highest rates, second by second."""
-    rows = [row for row in tree["runs"] if not row["void"]] or tree["runs"]
-    names = list(rows[0]["by_second"])
+def _draw_held(axes: Axes, tree: dict[str, Any]) -> None:
+    times = [snapshot["at_s"] for snapshot in tree["nodes"]]
+    origin = [snapshot["origin"] for snapshot in tree["nodes"]]
+    open_requests = [snapshot["open"] for snapshot in tree["nodes"]]
+    axes.plot(times, origin, color=ORIGIN_COLOUR, label="held by the origin")
+    axes.plot(times, open_requests, color=MARK_COLOUR, linewidth=0.8, label="open requests")
+    axes.legend(loc="upper left", fontsize=8, ncols=2)
+    axes.set_xlabel("seconds")
+    axes.set_xlim(0, tree["seconds"])
+
+
+def _draw_marks(axes: Axes, tree: dict[str, Any], with_names: bool) -> None:
+    """A line where each fault begins; those marks stand in brackets."""
+    for at, what in tree["marks"]:
+        if not what.startswith("["):
+            continue
+        axes.axvline(at, color=MARK_COLOUR, linewidth=0.8, linestyle="--")
+        if with_names:
+            axes.annotate(
+                what.strip("[]"),
+                (at, 1.0),
+                xycoords=("data", "axes fraction"),
+                fontsize=7,
+                rotation=30,
+                va="bottom",
+            )
+
+
+def draw_restart_recovery(tree: dict[str, Any], killed: float, path: Path) -> None:
+    """Write the plot of many runs: the share in time and the rates of what proxies do, second by second.
+
+    `killed` is the second at which the proxies were killed.
+    """
+    runs = [run for run in tree["runs"] if not run["void"]] or tree["runs"]
+    series = {"weight in time": [run["in_time_by_second"] for run in runs]}
+    for name in runs[0]["by_second"]:
+        series[name + " a second"] = [run["by_second"][name] for run in runs]
     figure, panels = plt.subplots(
-        1 + len(names),
+        len(series),
         1,
         figsize=(9, 10),
         sharex=True,
         layout="constrained",
-        height_ratios=[2] + [1] * len(names),
+        height_ratios=[2] + [1] * (len(series) - 1),
     )
-    series = [("worth in time", [row["in_time_by_second"] for row in rows])]
-    series += [(name + " a second", [row["by_second"][name] for row in rows]) for name in names]
-    for axes, (name, lines) in zip(panels, series, strict=True):
-        for line in lines:
-            axes.step(range(len(line)), line, where="post", linewidth=0.7, color="#8a9aa8")
-        middle = [sorted(values)[len(values) // 2] for values in zip(*lines, strict=True)]
-        axes.step(range(len(middle)), middle, where="post", linewidth=1.8, color="#26456e")
-        axes.axvline(killed, color="#333333", linewidth=0.8, linestyle="--")
+    for axes, (name, lines) in zip(panels, series.items(), strict=True):
+        _draw_runs(axes, lines)
+        axes.axvline(killed, color=MARK_COLOUR, linewidth=0.8, linestyle="--")
         axes.set_ylabel(name, fontsize=8)
         axes.set_ylim(bottom=0)
         axes.spines[["top", "right"]].set_visible(False)
     panels[-1].set_xlabel("seconds; the line is the kill, thick is the median of the runs")
     figure.suptitle(tree["about"], fontsize=10)
-    figure.savefig(path, dpi=110)
+    figure.savefig(path, dpi=DOTS_PER_INCH)
     plt.close(figure)
+
+
+def _draw_runs(axes: Axes, lines: Sequence[Sequence[float]]) -> None:
+    """A thin line for each run and a thick one for their median."""
+    for line in lines:
+        axes.step(range(len(line)), line, where="post", linewidth=0.7, color=SINGLE_RUN_COLOUR)
+    median = [sorted(values)[len(values) // 2] for values in zip(*lines, strict=True)]
+    axes.step(range(len(median)), median, where="post", linewidth=1.8, color=MAIN_COLOUR)
--- a/lupinladder/emulator/proxies.py
+++ b/lupinladder/emulator/proxies.py
@@ -1,4 +1,4 @@
-"""The proxies under test: their configuration files, processes, signals, and what the system says of them."""
+"""The proxies under test: their configuration files, processes and signals, and the resources they use."""
 
 from __future__ import annotations
 
@@ -16,94 +16,46 @@
 
 from lupinladder.emulator.clock import Clock
 from lupinladder.emulator.load_generator import free_port
+from lupinladder.emulator.proxy_settings import settings
 from lupinladder.emulator.rule_checker import RuleChecker
 from lupinladder.emulator.scenario import Scenario
+from lupinladder.errors import LupinladderError
 
-READY_S, LINGER_S = 15.0, 0.7
-
-
-def settings(scenario: Scenario, me: int, zone: int) -> dict[str, Any]:
-    """The object that DEPLOY calls `settings`, as WIRE describes it."""
-    fleet, origin = scenario.fleet, scenario.origin
-    busiest = max(max(step.rate, step.to or 0) for step in scenario.load)
-    return {
-        "ceilings": {
-            "cancel": True,
-            "conn-idle-ms": fleet.idle_s * 1000,
-            "connect-timeout-ms": 120.0,
-            "max-attempts": 6,
-            "max-open": 20000,
-            "max-retry-after-ms": 2000.0,
-            "may-duplicate": True,
-            "peers": True,
-            "probes": fleet.probes,
-            "retry-after": True,
-            "streams-per-conn": fleet.streams,
-        },
-        "classes": [
-            {
-                "name": one.name,
-                "goal-time-ms": one.latency_objective_ms,
-                "deadline-ms": one.deadline_ms,
-                "worth": one.priority_weight,
-                "repeat": one.repeat,
-                "key-scope": "all",
-                "window-ms": one.window_ms,
-                "late-worth": 0.0,
-                "stream": False,
-            }
-            for one in scenario.classes
-        ],
-        "clients": {"marks-retry": False},
-        "family": "cache",
-        "family-info": {
-            "mode": "aside",
-            "origin-kind": 1,
-            "origin-fall-ms": origin.fall_s * 1000,
-            "origin-fall-multiple": origin.fall_multiple,
-        },
-        "kinds": ["small-1", "origin"],
-        "me": me,
-        "membership-mode": "ask",
-        "n-instances": scenario.proxies.count,
-        "obligations": {
-            "ask-within-ms": 10000.0,
-            "cold-ms": fleet.cold_s * 1000,
-            "cold-share": fleet.cold_share,
-            "fall-ms": 1000.0,
-            "grace-to-answer-ms": 20.0,
-            "overload-factor": 3.0,
-            "stop-sending-within-ms": 1500.0,
-        },
-        "over-share-worth": 0.1,
-        "reporting": {
-            "fields": ["fail_rate", "lat_ms", "rate", "rif"] if fleet.reports else [],
-            "via": "answers" if fleet.reports else "none",
-        },
-        "tenants": [
-            # Twice what each asks for at the busiest: shares are uneven over proxies.
-            {"name": name, "quota-per-s": 2 * share * busiest, "fraction": share}
-            for name, share in scenario.clients.tenants.items()
-        ],
-        "weights": "none",
-        "zone": zone,
-        "zones": fleet.zones,
-    }
+HOST = "127.0.0.1"
+READY_TIMEOUT_S = 15.0  # for the first PONG after a start
+RETRY_CONNECT_S = 0.02
+MAX_DEADLINE_S = 3.0  # a stop waits no longer than this for requests in progress
+STOP_MARGIN_S = 0.7  # beyond the longest deadline, until SIGKILL follows SIGTERM
+END_TIMEOUT_S = 5.0  # the same at the end of a run
+STORE_INTERVAL_MS = 250
+CPU_CORES = 1.0
+MIB = 1 << 20
+PING = b"*1\r\n$4\r\nPING\r\n"
+PONG = b"+PONG\r\n"
+
+
+class ProxyStartError(LupinladderError):
+    """A proxy ended, or did not answer PING in time, after its start."""
+
+    def __init__(self, number: int, last_log_line: str) -> None:
+        super().__init__(f"proxy {number} did not start: {last_log_line}")
+        self.number = number
+        self.last_log_line = last_log_line
 
 
 @dataclass(slots=True)
 class Usage:
-    """One look at a proxy's process."""
+    """The resources of a proxy's process at one moment."""
 
     at: float  # seconds from the start of the counted part
-    cpu_s: float  # used since its start
+    cpu_s: float  # over all its processes so far
     rss_mb: float
     descriptors: int
 
 
 @dataclass(slots=True)
 class Managed:
-    """One proxy: its place and whatever process stands there now."""
+    """One proxy: its place, and the process that stands there now."""
 
     number: int
     zone: int
@@ -114,186 +66,236 @@
     starts: int = 0
     expected_end: bool = False
     usage: list[Usage] = field(default_factory=list)
-    cpu_before: float = 0.0  # of its earlier processes
+    cpu_before: float = 0.0  # seconds, of its earlier processes
 
     @property
     def address(self) -> str:
+        """Where it listens for clients, as host:port."""
         return f"{self.listen[0]}:{self.listen[1]}"
 
+    @property
+    def config_path(self) -> Path:
+        """Its configuration file."""
+        return self.folder / f"proxy-{self.number}.json"
+
+    @property
+    def log_path(self) -> Path:
+        """What its processes write to standard output and error."""
+        return self.folder / f"proxy-{self.number}.log"
+
+    @property
+    def running(self) -> asyncio.subprocess.Process | None:
+        """Its process, if one runs."""
+        if self.process is None or self.process.returncode is not None:
+            return None
+        return self.process
+
+    def last_log_line(self) -> str:
+        """The last line of its log, for errors."""
+        lines = self.log_path.read_text(errors="replace").splitlines() if self.log_path.exists() else []
+        return lines[-1] if lines else "it wrote no log"
+
+    def on_stop(self) -> None:
+        """Its process is about to be stopped: that is no failure, and the CPU it used still counts."""
+        self.expected_end = True
+        if self.usage:
+            self.cpu_before = self.usage[-1].cpu_s
+
 
 class Proxies:
+    """Starts, stops and watches the proxies of a run, and tells the rule checker."""
+
     def __init__(
         self,
         clock: Clock,
         scenario: Scenario,
-        referee: RuleChecker,
+        rule_checker: RuleChecker,
         folder: Path,
         config: Callable[[Managed], dict[str, Any]],
         seed: Callable[[], int],
     ) -> None:
-        self._clock, self._scenario, self._referee = clock, scenario, referee
-        self._config, self._seed = config, seed
+        """`config` gives the part of a configuration that the run knows, `seed` a new seed for each file."""
+        self._clock = clock
+        self._scenario = scenario
+        self._rule_checker = rule_checker
+        self._config = config
+        self._seed = seed
         zones = len(scenario.fleet.zones)
         self.all = [
-            Managed(n, n % zones, ("127.0.0.1", free_port()), ("127.0.0.1", free_port()), folder)
-            for n in range(scenario.proxies.count)
+            Managed(number, number % zones, (HOST, free_port()), (HOST, free_port()), folder)
+            for number in range(scenario.proxies.count)
         ]
         self._watchers: set[asyncio.Task[None]] = set()
-        self.on_up: Callable[[int], None] = lambda proxy: None
-
-    def store(self, one: Managed) -> Path:
-        """Where it keeps what outlives it."""
-        return one.folder / f"n{one.number}.store"
-
-    def write(self, one: Managed) -> Path:
-        """The configuration as it stands now, replaced as a whole."""
-        path = one.folder / f"proxy-{one.number}.json"
-        tree = {
-            "name": f"n{one.number}",
-            "listen": one.address,
+        self.on_up: Callable[[int], object] = _ignore
+
+    def store(self, proxy: Managed) -> Path:
+        """Where a proxy keeps its state over restarts."""
+        return proxy.folder / f"n{proxy.number}.store"
+
+    def write(self, proxy: Managed) -> Path:
+        """Write the configuration as it is now; the file is replaced as a whole."""
+        config = {
+            "name": f"n{proxy.number}",
+            "listen": proxy.address,
             "seed": f"{self._seed():016x}",
             "limits": {
-                "cores": 1.0,
+                "cores": CPU_CORES,
                 "memory_mb": self._scenario.proxies.memory_mb,
                 "sockets": self._scenario.proxies.sockets,
             },
-            "peer_listen": "{}:{}".format(*one.peer_listen),
-            "settings": settings(self._scenario, one.number, one.zone),
-            **self._config(one),
+            "peer_listen": "{}:{}".format(*proxy.peer_listen),
+            "settings": settings(self._scenario, proxy.number, proxy.zone),
+            **self._config(proxy),
         }
-        fresh = path.with_suffix(".new")
-        fresh.write_text(json.dumps(tree))
-        os.replace(fresh, path)
-        return path
-
-    async def start(self, one: Managed) -> None:
-        """Start it and wait until it answers PING. RuntimeError with the end of its log if it does not."""
-        path = self.write(one)
-        one.starts += 1
-        one.expected_end = False
+        new_path = proxy.config_path.with_suffix(".new")
+        new_path.write_text(json.dumps(config))
+        return new_path.replace(proxy.config_path)
+
+    async def start(self, proxy: Managed) -> None:
+        """Start a process and wait until it answers PING. ProxyStartError if it does not."""
+        config_path = self.write(proxy)
+        proxy.starts += 1
+        proxy.expected_end = False
         command = self._scenario.proxies.command or [sys.executable, "-m", "lupinladder"]
-        env = {
+        environment = self._environment(proxy, config_path)
+        with proxy.log_path.open("ab") as log:
+            proxy.process = await asyncio.create_subprocess_exec(
+                *command, env=environment, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log
+            )
+        watcher = self._clock.loop.create_task(self._watch(proxy, proxy.process))
+        self._watchers.add(watcher)
+        watcher.add_done_callback(self._watchers.discard)
+        await self._wait_until_ready(proxy)
+        self._rule_checker.proxy_up(self._clock.now(), proxy.number)
+        self.on_up(proxy.number)
+
+    def _environment(self, proxy: Managed, config_path: Path) -> dict[str, str]:
+        environment = {
             **os.environ,
-            "GW_CONFIG": str(path),
-            "GW_NAME": f"n{one.number}",
-            "GW_LISTEN": one.address,
+            "GW_CONFIG": str(config_path),
+            "GW_NAME": f"n{proxy.number}",
+            "GW_LISTEN": proxy.address,
         }
         if self._scenario.proxies.store:
-            operators = one.folder / "operator.toml"
-            if not operators.exists():
-                store = json.dumps(str(one.folder.resolve() / "{name}.store"))
-                operators.write_text(f"[store]\npath = {store}\nevery_ms = 250\n")
-            env["LUPINLADDER_OPERATOR"] = str(operators)
-        with (one.folder / f"proxy-{one.number}.log").open("ab") as log:
-            one.process = await asyncio.create_subprocess_exec(
-                *command, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log
-            )
-        task = self._clock.loop.create_task(self._watch(one, one.process))
-        self._watchers.add(task)
-        task.add_done_callback(self._watchers.discard)
-        await self._ready(one)
-        self._referee.proxy_up(self._clock.now(), one.number)
-        self.on_up(one.number)
-
-    async def _ready(self, one: Managed) -> None:
-        limit = self._clock.now() + READY_S * 1000
-        while self._clock.now() < limit:
-            if one.process is None or one.process.returncode is not None:
-                break
+            environment["LUPINLADDER_OPERATOR"] = str(_operator_file(proxy.folder))
+        return environment
+
+    async def _wait_until_ready(self, proxy: Managed) -> None:
+        limit = self._clock.now() + READY_TIMEOUT_S * 1000
+        while self._clock.now() < limit and proxy.running:
             try:
-                reader, writer = await asyncio.open_connection(*one.listen)
+                reader, writer = await asyncio.open_connection(*proxy.listen)
             except OSError:
-                await asyncio.sleep(0.02)
+                await asyncio.sleep(RETRY_CONNECT_S)
                 continue
-            writer.write(b"*1\r\n$4\r\nPING\r\n")
+            writer.write(PING)
             answer = await reader.readline()
             writer.close()
-            if answer == b"+PONG\r\n":
+            if answer == PONG:
                 return
-        raise RuntimeError(f"proxy {one.number} did not start: {self.log_end(one)}")
-
-    def log_end(self, one: Managed) -> str:
-        path = one.folder / f"proxy-{one.number}.log"
-        lines = path.read_text(errors="replace").splitlines() if path.exists() else []
-        return lines[-1] if lines else "it wrote no log"
+        raise ProxyStartError(proxy.number, proxy.last_log_line())
 
-    async def _watch(self, one: Managed, process: asyncio.subprocess.Process) -> None:
+    async def _watch(self, proxy: Managed, process: asyncio.subprocess.Process) -> None:
         code = await process.wait()
-        if one.process is process and not (one.expected_end and code in (0, -signal.SIGKILL)):
-            self._referee.proxy_died(self._clock.now(), one.number, code)
+        is_expected = proxy.expected_end and code in (0, -signal.SIGKILL)
+        if proxy.process is process and not is_expected:
+            self._rule_checker.proxy_died(self._clock.now(), proxy.number, code)
 
     def look(self, start: float) -> None:
-        """Note what each process uses now."""
-        for one in self.all:
-            if one.process is None or one.process.returncode is not None:
+        """Note what each process uses now; `start` is when the counted part begins (ms)."""
+        for proxy in self.all:
+            process = proxy.running
+            if process is None:
                 continue
             try:
-                process = psutil.Process(one.process.pid)
-                with process.oneshot():
-                    times, memory = process.cpu_times(), process.memory_info()
-                    count = process.num_fds()
+                usage = _usage(process.pid, (self._clock.now() - start) / 1000, proxy.cpu_before)
             except psutil.Error:
                 continue
-            used = one.cpu_before + times.user + times.system
-            at = (self._clock.now() - start) / 1000
-            one.usage.append(Usage(round(at, 2), round(used, 3), round(memory.rss / 2**20, 1), count))
-
-    def _keep_usage(self, one: Managed) -> None:
-        if one.usage:
-            one.cpu_before = one.usage[-1].cpu_s
-
-    def kill(self, one: Managed) -> None:
-        """SIGKILL."""
-        if one.process and one.process.returncode is None:
-            one.expected_end = True
-            self._keep_usage(one)
-            self._referee.proxy_killed(self._clock.now(), one.number)
-            one.process.send_signal(signal.SIGKILL)
-
-    def freeze(self, one: Managed, still: bool) -> None:
-        """SIGSTOP, or SIGCONT."""
-        if one.process and one.process.returncode is None:
-            tell = self._referee.proxy_frozen if still else self._referee.proxy_thawed
-            tell(self._clock.now(), one.number)
-            one.process.send_signal(signal.SIGSTOP if still else signal.SIGCONT)
-
-    def hup(self, one: Managed) -> None:
-        """Its file is written anew and it is told so."""
-        self.write(one)
-        if one.process and one.process.returncode is None:
-            one.process.send_signal(signal.SIGHUP)
-
-    async def term(self, one: Managed) -> None:
-        """SIGTERM, and SIGKILL no sooner than the longest deadline plus 0.7 s later."""
-        process = one.process
-        if process is None or process.returncode is not None:
+            proxy.usage.append(usage)
+
+    def kill(self, proxy: Managed) -> None:
+        """Send SIGKILL."""
+        process = proxy.running
+        if process:
+            proxy.on_stop()
+            self._rule_checker.proxy_killed(self._clock.now(), proxy.number)
+            process.send_signal(signal.SIGKILL)
+
+    def freeze(self, proxy: Managed, still: bool) -> None:
+        """Send SIGSTOP, or SIGCONT if `still` is false."""
+        process = proxy.running
+        if process is None:
+            return
+        if still:
+            self._rule_checker.proxy_frozen(self._clock.now(), proxy.number)
+            process.send_signal(signal.SIGSTOP)
+        else:
+            self._rule_checker.proxy_thawed(self._clock.now(), proxy.number)
+            process.send_signal(signal.SIGCONT)
+
+    def hup(self, proxy: Managed) -> None:
+        """Write the configuration anew and send SIGHUP."""
+        self.write(proxy)
+        if proxy.running:
+            proxy.running.send_signal(signal.SIGHUP)
+
+    async def term(self, proxy: Managed) -> None:
+        """Send SIGTERM and wait for the end; SIGKILL follows no sooner than the longest deadline later."""
+        process = proxy.running
+        if process is None:
             return
-        one.expected_end = True
-        self._keep_usage(one)
-        self._referee.proxy_stopping(self._clock.now(), one.number)
+        proxy.on_stop()
+        self._rule_checker.proxy_stopping(self._clock.now(), proxy.number)
         process.send_signal(signal.SIGTERM)
-        longest = min(3.0, max(kind.deadline_ms / 1000 for kind in self._scenario.classes))
-        try:
-            await asyncio.wait_for(process.wait(), longest + LINGER_S)
-        except TimeoutError:
-            self._referee.counts["killed_after_term"] += 1
-            process.send_signal(signal.SIGKILL)
-            await process.wait()
-        # What it had taken and not answered is lost; nobody excuses a planned stop.
-        self._referee.proxy_ended(self._clock.now(), one.number)
+        longest = max(request_class.deadline_ms / 1000 for request_class in self._scenario.classes)
+        if await _kill_unless_ended(process, min(MAX_DEADLINE_S, longest) + STOP_MARGIN_S):
+            self._rule_checker.counts["killed_after_term"] += 1
+        # What it had received and not answered is lost; a planned stop excuses nothing.
+        self._rule_checker.proxy_ended(self._clock.now(), proxy.number)
 
     async def end(self) -> None:
-        """End what still runs; at most a second for each to do so by itself."""
-        for one in self.all:
-            if one.process and one.process.returncode is None:
-                one.expected_end = True
-                one.process.send_signal(signal.SIGTERM)
-        for one in self.all:
-            if one.process and one.process.returncode is None:
-                try:
-                    await asyncio.wait_for(one.process.wait(), 5)
-                except TimeoutError:
-                    one.process.send_signal(signal.SIGKILL)
-                    await one.process.wait()
-        for task in list(self._watchers):
-            task.cancel()
+        """End what still runs: SIGTERM to all, then SIGKILL to each that does not end in time."""
+        for proxy in self.all:
+            if proxy.running:
+                proxy.expected_end = True
+                proxy.running.send_signal(signal.SIGTERM)
+        for proxy in self.all:
+            if proxy.running:
+                await _kill_unless_ended(proxy.running, END_TIMEOUT_S)
+        for watcher in list(self._watchers):
+            watcher.cancel()
+
+
+def _ignore(_proxy: int) -> None:
+    """For `on_up` until somebody wants to know."""
+
+
+def _operator_file(folder: Path) -> Path:
+    """The operator's file that lets each proxy keep a store; it is written once."""
+    path = folder / "operator.toml"
+    if not path.exists():
+        store = json.dumps(str(folder.resolve() / "{name}.store"))
+        path.write_text(f"[store]\npath = {store}\nevery_ms = {STORE_INTERVAL_MS}\n")
+    return path
+
+
+def _usage(pid: int, at: float, cpu_before: float) -> Usage:
+    """What a process uses now. psutil.Error if it has ended."""
+    process = psutil.Process(pid)
+    with process.oneshot():
+        times = process.cpu_times()
+        memory = process.memory_info()
+        descriptors = process.num_fds()
+    cpu_s = cpu_before + times.user + times.system
+    return Usage(round(at, 2), round(cpu_s, 3), round(memory.rss / MIB, 1), descriptors)
+
+
+async def _kill_unless_ended(process: asyncio.subprocess.Process, timeout_s: float) -> bool:
+    """Wait for the end of a process and kill it at the timeout. Whether it had to be killed."""
+    try:
+        await asyncio.wait_for(process.wait(), timeout_s)
+    except TimeoutError:
+        process.send_signal(signal.SIGKILL)
+        await process.wait()
+        return True
+    return False
--- a/lupinladder/emulator/report_comparison.py
+++ b/lupinladder/emulator/report_comparison.py
@@ -3,48 +3,73 @@
 from __future__ import annotations
 
 import statistics
-from typing import Any
-
-COMPARED = (
-    ("in time", ("share",), 100, "%"),
-    ("worst 10 s", ("share_worst_10s",), 100, "%"),
-    ("worst class", ("share_worst_class",), 100, "%"),
-    ("p50", ("latency_ms", "p50"), 1, "ms"),
-    ("p99", ("latency_ms", "p99"), 1, "ms"),
-    ("p99.9", ("latency_ms", "p99.9"), 1, "ms"),
-    ("executions", ("counts", "executions"), 1, ""),
-    ("refused", ("counts", "refused"), 1, ""),
+from typing import Any, NamedTuple, TypedDict
+
+
+class ComparedFigure(NamedTuple):
+    """A figure of a report: where it stands in it, and how it is shown."""
+
+    name: str
+    path: tuple[str, ...]
+    factor: int = 1  # from the report's unit to the one shown
+    unit: str = ""
+
+
+COMPARED_FIGURES = (
+    ComparedFigure("in time", ("share",), 100, "%"),
+    ComparedFigure("worst 10 s", ("share_worst_10s",), 100, "%"),
+    ComparedFigure("worst class", ("share_worst_class",), 100, "%"),
+    ComparedFigure("p50", ("latency_ms", "p50"), unit="ms"),
+    ComparedFigure("p99", ("latency_ms", "p99"), unit="ms"),
+    ComparedFigure("p99.9", ("latency_ms", "p99.9"), unit="ms"),
+    ComparedFigure("executions", ("counts", "executions")),
+    ComparedFigure("refused", ("counts", "refused")),
 )
 
 
-def _figure(tree: dict[str, Any], path: tuple[str, ...]) -> float | None:
-    node: Any = tree
-    for step in path:
-        node = node.get(step) if isinstance(node, dict) else None
-    return float(node) if isinstance(node, int | float) else None
+class Comparison(TypedDict):
+    """Medians and ranges of one figure on both sides, as written in JSON."""
+
+    figure: str
+    unit: str
+    before: float
+    before_range: list[float]
+    after: float
+    after_range: list[float]
+    clear: bool  # the ranges of the repeats do not meet; never so with one run a side
 
 
-def compare(before: list[dict[str, Any]], after: list[dict[str, Any]]) -> list[dict[str, Any]]:
-    """Each figure's median and spread on both sides. `clear` if the ranges of repeats do not meet; with one
-    run a side nothing is ever clear."""
-    rows = []
-    for name, path, factor, unit in COMPARED:
-        sides = []
-        for trees in (before, after):
-            found = [value * factor for tree in trees if (value := _figure(tree, path)) is not None]
-            sides.append(found)
-        if not sides[0] or not sides[1]:
-            continue
-        apart = min(sides[0]) > max(sides[1]) or max(sides[0]) < min(sides[1])
-        rows.append(
-            {
-                "figure": name,
-                "unit": unit,
-                "before": statistics.median(sides[0]),
-                "before_range": [min(sides[0]), max(sides[0])],
-                "after": statistics.median(sides[1]),
-                "after_range": [min(sides[1]), max(sides[1])],
-                "clear": apart and min(len(side) for side in sides) > 1,
-            }
-        )
-    return rows
+def compare(before: list[dict[str, Any]], after: list[dict[str, Any]]) -> list[Comparison]:
+    """Compare the reports of two sides, figure by figure; those missing from a side are left out."""
+    comparisons = []
+    for figure in COMPARED_FIGURES:
+        before_values = _values(before, figure)
+        after_values = _values(after, figure)
+        if before_values and after_values:
+            comparisons.append(_comparison(figure, before_values, after_values))
+    return comparisons
+
+
+def _comparison(figure: ComparedFigure, before: list[float], after: list[float]) -> Comparison:
+    ranges_are_apart = min(before) > max(after) or max(before) < min(after)
+    return {
+        "figure": figure.name,
+        "unit": figure.unit,
+        "before": statistics.median(before),
+        "before_range": [min(before), max(before)],
+        "after": statistics.median(after),
+        "after_range": [min(after), max(after)],
+        "clear": ranges_are_apart and min(len(before), len(after)) > 1,
+    }
+
+
+def _values(reports: list[dict[str, Any]], figure: ComparedFigure) -> list[float]:
+    values = (_value(report, figure.path) for report in reports)
+    return [value * figure.factor for value in values if value is not None]
+
+
+def _value(report: dict[str, Any], path: tuple[str, ...]) -> float | None:
+    node: Any = report
+    for key in path:
+        node = node.get(key) if isinstance(node, dict) else None
+    return float(node) if isinstance(node, int | float) else None
--- a/lupinladder/emulator/report_table.py
+++ b/lupinladder/emulator/report_table.py
@@ -9,71 +9,94 @@
 from rich.table import Table
 from rich.text import Text
 
-from lupinladder.emulator.report import OUTCOMES, RULES
+from lupinladder.emulator.report_comparison import Comparison
+from lupinladder.emulator.result_statistics import OUTCOMES
+from lupinladder.emulator.rule_violation import Rule
+
+MAX_VIOLATIONS_SHOWN = 10
+RULE_DESCRIPTIONS = {
+    Rule.ONE_ANSWER: "one final answer to each request, in time",
+    Rule.NO_DUPLICATE_EFFECT: "nothing repeated that may have been executed",
+    Rule.DRAIN: "no new requests 1.5 s after notice that a server leaves",
+    Rule.NO_OVERLOAD: "no server that warms up, nor the origin, overloaded",
+}
 
 
 def show(tree: dict[str, Any]) -> RenderableType:
-    """The report as tables for a terminal."""
+    """A report as tables, ending with the verdict on the rules."""
+    parts: list[RenderableType] = [_class_table(tree), _phase_table(tree), Text(_summary(tree))]
+    sent = sum(tree["hostile"]["owed"].values())
+    if sent:
+        unpaid = sum(tree["hostile"]["unpaid"].values())
+        summary = f"misbehaving clients: {sent} sent, {unpaid} got neither an error nor a close in time"
+        parts.append(Text(summary))
+    parts.append(verdict(tree))
+    return Group(*parts)
+
+
+def _class_table(tree: dict[str, Any]) -> Table:
     table = Table(title=tree["about"] or None, title_justify="left", box=SIMPLE, pad_edge=False)
     table.add_column("class")
-    for name in ("asked", *OUTCOMES, "in time"):
+    for name in ("asked", *OUTCOMES, "in time", "p50 ms", "p99 ms", "p99.9 ms"):
         table.add_column(name, justify="right")
-    for name in ("p50", "p99", "p99.9"):
-        table.add_column(name + " ms", justify="right")
-    rows = [*tree["classes"].items(), ("all", tree)]
-    for name, one in rows:
-        latency = one["latency_ms"]
+    for name, row in [*tree["classes"].items(), ("all", tree)]:
         table.add_row(
             name,
-            str(one["asked"]),
-            *(str(one["outcomes"].get(word, 0) or "") for word in OUTCOMES),
-            f"{one['share']:.1%}",
-            *(f"{latency[q]:.1f}" if q in latency else "-" for q in ("p50", "p99", "p99.9")),
+            str(row["asked"]),
+            *(str(row["outcomes"].get(outcome, 0) or "") for outcome in OUTCOMES),
+            f"{row['share']:.1%}",
+            *_percentiles(row["latency_ms"], "p50", "p99", "p99.9"),
         )
-    phases = Table(title="by phase", title_justify="left", box=SIMPLE, pad_edge=False)
-    for name in ("phase", "from s", "to s", "in time", "p50 ms", "p99 ms"):
-        phases.add_column(name, justify="left" if name == "phase" else "right")
-    for one in tree["phases"]:
-        latency = one["latency_ms"]
-        phases.add_row(
-            one["name"],
-            f"{one['from_s']:g}",
-            f"{one['to_s']:g}",
-            f"{one['share']:.1%}",
-            *(f"{latency[q]:.1f}" if q in latency else "-" for q in ("p50", "p99")),
-        )
-    parts: list[RenderableType] = [table, phases]
-    cpu = sum(one["cpu_s"] for one in tree["proxies"])
-    parts.append(
-        Text(
-            f"worst 10 s {tree['share_worst_10s']:.1%}, worst class {tree['share_worst_class']:.1%}; "
-            f"{tree['counts'].get('executions', 0)} executions, {tree['connections']} client connections, "
-            f"{tree['origin_stops']} stops of the origin; proxies used {cpu:.2f} s of CPU, at most "
-            f"{max(one['rss_mb'] for one in tree['proxies']):.0f} MB and "
-            f"{max(one['descriptors'] for one in tree['proxies'])} descriptors each"
+    return table
+
+
+def _phase_table(tree: dict[str, Any]) -> Table:
+    table = Table(title="by phase", title_justify="left", box=SIMPLE, pad_edge=False)
+    table.add_column("phase")
+    for name in ("from s", "to s", "in time", "p50 ms", "p99 ms"):
+        table.add_column(name, justify="right")
+    for phase in tree["phases"]:
+        table.add_row(
+            phase["name"],
+            f"{phase['from_s']:g}",
+            f"{phase['to_s']:g}",
+            f"{phase['share']:.1%}",
+            *_percentiles(phase["latency_ms"], "p50", "p99"),
         )
+    return table
+
+
+def _percentiles(latency: dict[str, float], *names: str) -> list[str]:
+    return [f"{latency[name]:.1f}" if name in latency else "-" for name in names]
+
+
+def _summary(tree: dict[str, Any]) -> str:
+    proxies = tree["proxies"]
+    cpu = sum(proxy["cpu_s"] for proxy in proxies)
+    memory = max(proxy["rss_mb"] for proxy in proxies)
+    descriptors = max(proxy["descriptors"] for proxy in proxies)
+    return (
+        f"worst 10 s {tree['share_worst_10s']:.1%}, worst class {tree['share_worst_class']:.1%}; "
+        f"{tree['counts'].get('executions', 0)} attempts, {tree['connections']} client connections, "
+        f"{tree['origin_stops']} stops of the origin; proxies used {cpu:.2f} s of CPU, at most "
+        f"{memory:.0f} MB and {descriptors} descriptors each"
     )
-    unpaid = sum(tree["hostile"]["unpaid"].values())
-    if tree["hostile"]["owed"]:
-        owed = sum(tree["hostile"]["owed"].values())
-        parts.append(Text(f"harmful clients: {owed} sent, {unpaid} got neither an error nor a close in time"))
-    parts.append(verdict(tree))
-    return Group(*parts)
 
 
 def verdict(tree: dict[str, Any]) -> Text:
-    """The four rules, one line each, and whether the run counts."""
+    """The four rules, one line each, the first violations, and whether the run counts."""
     text = Text()
-    for rule, meaning in RULES.items():
+    for rule, description in RULE_DESCRIPTIONS.items():
         count = tree["rules"][rule]
-        text.append(
-            "  kept    " if not count else f"  BROKEN {count:>4} ", "green" if not count else "bold red"
-        )
-        text.append(meaning + "\n")
-    for line in tree["broken"][:10]:
-        text.append("  " + line + "\n", "red")
-    if len(tree["broken"]) > 10:
-        text.append(f"  and {len(tree['broken']) - 10} more, in the report\n", "red")
+        if count:
+            text.append(f"  BROKEN {count:>4} ", "bold red")
+        else:
+            text.append("  kept    ", "green")
+        text.append(description + "\n")
+    for violation in tree["broken"][:MAX_VIOLATIONS_SHOWN]:
+        text.append(f"  {violation}\n", "red")
+    if len(tree["broken"]) > MAX_VIOLATIONS_SHOWN:
+        text.append(f"  and {len(tree['broken']) - MAX_VIOLATIONS_SHOWN} more, in the report\n", "red")
     if tree["void"]:
         text.append(f"VOID: {tree['void']}; it says nothing of the proxies", "bold yellow")
     elif tree["kept"]:
@@ -83,11 +106,12 @@
     return text
 
 
-def show_compared(rows: list[dict[str, Any]]) -> Table:
+def show_compared(comparisons: list[Comparison]) -> Table:
+    """A comparison of reports as a table, one row a figure."""
     table = Table()
     for name in ("figure", "before", "range", "after", "range", "change", ""):
         table.add_column(name, justify="left" if name in ("figure", "") else "right")
-    for row in rows:
+    for row in comparisons:
         table.add_row(
             row["figure"],
             f"{row['before']:.1f} {row['unit']}",
--- a/lupinladder/emulator/restart_recovery.py
+++ b/lupinladder/emulator/restart_recovery.py
@@ -1,7 +1,7 @@
 """Most proxies killed at once and started together: how long until all is as before, and what it cost.
 
-The scenario, and the measures on what a run of it left. All figures are the lab's: from clients' results and
-from what came to servers, discovery and the origin; nothing is taken from a proxy's own word.
+Here are the scenario and the measurements. They come from clients' results and from what reached servers,
+discovery and the origin; nothing is taken from what a proxy says of itself.
 """
 
 from __future__ import annotations
@@ -11,183 +11,172 @@
 from collections.abc import Sequence
 from typing import Any, Literal
 
-from rich.table import Table
-
 from lupinladder.emulator import report
 from lupinladder.emulator.load_generator import Result
-from lupinladder.emulator.run import RunResult
+from lupinladder.emulator.result_statistics import count_outcomes, outcome_of
+from lupinladder.emulator.run_result import RunResult
 from lupinladder.emulator.scenario import FaultConfig, LoadPhase, ProxiesConfig, Scenario
 
 Stores = Literal["none", "kept", "lost", "torn", "flipped", "swapped", "old"]
 Lists = Literal["up", "late", "down"]
 
-SECONDS, KILLED_S, AWAY_S = 17.0, 6.0, 1.2  # of a run; when it happens; until they are started again
-BEFORE_S = 2.0  # from here on until the kill is what is normal
-WITHIN, FOR_S = 0.02, 2.0  # full service: so near to the share in time before, for so long
-STEP_S = 0.1
-RATE = 12.5  # requests a second to each proxy
+SECONDS = 17.0  # length of a run
+KILLED_S = 6.0  # when the proxies are killed
+AWAY_S = 1.2  # until they are started again
+BASELINE_BEGIN_S = 2.0  # from here until the kill is what is normal
+FULL_SERVICE_MARGIN = 0.02  # by which the share in time may be below the normal one
+FULL_SERVICE_S = 2.0  # for which it must be there
+STEP_S = 0.1  # in which the share in time is measured
+STEPS_PER_S = 10
+REQUESTS_PER_S = 12.5  # to each proxy
 RATES = ("fetches", "calls for the list", "connects", "sends to cold nodes")
+LOST_AND_LATE = ("late", "refused", "failed", "unanswered")
 
 
 def scenario(proxies: int, kill: float, store: Stores, lists: Lists, seed: int) -> Scenario:
-    """With the store a configuration names nothing but the origin, as after a stop of days; without one, the
-    list as the run began: a proxy that knows nothing of the list has nobody to send to."""
-    faults = [FaultConfig("kill-many", KILLED_S, AWAY_S, kill, how="" if store == "none" else store)]
-    if lists == "down":
-        faults.insert(0, FaultConfig("list-down", KILLED_S - 0.5, 5.0))
-    elif lists == "late":  # and some of the nodes are replaced while most proxies are away, at used addresses
-        faults.insert(0, FaultConfig("late-list", KILLED_S - 3, 8.0, size=1.5))
-        faults.insert(1, FaultConfig("deploy", KILLED_S - 1, 5.0, 0.25, 0.09, 3.0, reuse=True))
-    made = Scenario(SECONDS, [LoadPhase(0, RATE * proxies)], seed=seed, faults=faults)
+    """The scenario in which a share `kill` of the proxies is killed.
+
+    With a store the configurations name nothing but the origin, as after a stop of days; without one they
+    name the endpoints as the run began: a proxy that knows no endpoint has nobody to send to.
+    """
+    has_store = store != "none"
+    faults = [FaultConfig("kill-many", KILLED_S, AWAY_S, kill, how=store if has_store else "")]
+    made = Scenario(SECONDS, [LoadPhase(0, REQUESTS_PER_S * proxies)], seed=seed)
+    made.faults = _discovery_faults(lists) + faults
     made.about = f"{kill:.0%} of {proxies} proxies killed at once; store {store}, discovery {lists}"
-    made.proxies = ProxiesConfig(proxies, store=store != "none", known="first" if store == "none" else "none")
+    made.proxies = ProxiesConfig(proxies, store=has_store, known="none" if has_store else "first")
     made.check()
     return made
 
 
-def _worth(results: Sequence[Result], made: Scenario) -> tuple[list[float], list[float]]:
-    """By steps of STEP_S of the intended time: the worth asked for, and that answered within its aim."""
-    asked, good = [0.0] * round(made.seconds / STEP_S), [0.0] * round(made.seconds / STEP_S)
-    for one in results:
-        step, kind = int(one.at / STEP_S), made.classes[one.kind]
-        if 0 <= step < len(asked):
-            asked[step] += kind.priority_weight
-            good[step] += (
-                kind.priority_weight
-                if one.outcome == "served" and one.latency <= kind.latency_objective_ms
-                else 0.0
-            )
-    return asked, good
+def _discovery_faults(lists: Lists) -> list[FaultConfig]:
+    if lists == "down":
+        return [FaultConfig("list-down", KILLED_S - 0.5, 5.0)]
+    if lists == "late":  # and nodes are replaced at used addresses while most proxies are away
+        return [
+            FaultConfig("late-list", KILLED_S - 3, 8.0, size=1.5),
+            FaultConfig("deploy", KILLED_S - 1, 5.0, part=0.25, batch=0.09, drain_s=3.0, reuse=True),
+        ]
+    return []
+
+
+class WeightByStep:
+    """The priority weight requested, and that answered in time, by steps of STEP_S of the intended time."""
+
+    def __init__(self, results: Sequence[Result], played: Scenario) -> None:
+        steps = round(played.seconds / STEP_S)
+        self._requested = [0.0] * steps
+        self._in_time = [0.0] * steps
+        for result in results:
+            step = int(result.at / STEP_S)
+            if not 0 <= step < steps:
+                continue
+            request_class = played.classes[result.kind]
+            self._requested[step] += request_class.priority_weight
+            if outcome_of(result, request_class) == "served":
+                self._in_time[step] += request_class.priority_weight
+
+    def __len__(self) -> int:
+        return len(self._requested)
+
+    def share(self, begin: int, end: int) -> float:
+        """The share in time over these steps; 0 without requests."""
+        return sum(self._in_time[begin:end]) / max(sum(self._requested[begin:end]), 1e-9)
 
 
 def full_after(results: Sequence[Result], made: Scenario, killed: float = KILLED_S) -> float | None:
-    """Seconds from the kill to full service: the first moment from which on the share of worth in time over
-    FOR_S is within WITHIN of the share before. None if that did not come."""
-    asked, good = _worth(results, made)
-
-    def share(begin: int, end: int) -> float:
-        return sum(good[begin:end]) / max(sum(asked[begin:end]), 1e-9)
-
-    at, span = round(killed / STEP_S), round(FOR_S / STEP_S)
-    before = share(round(BEFORE_S / STEP_S), at)
-    for begin in range(at, len(asked) - span + 1):
-        if share(begin, begin + span) >= before - WITHIN:
-            return (begin - at) * STEP_S
+    """Seconds from the kill to full service: the first moment from which on the share of weight in time over
+    FULL_SERVICE_S is within FULL_SERVICE_MARGIN of the share before. None if that did not come."""
+    weight = WeightByStep(results, made)
+    kill_step = round(killed / STEP_S)
+    span = round(FULL_SERVICE_S / STEP_S)
+    normal = weight.share(round(BASELINE_BEGIN_S / STEP_S), kill_step)
+    for begin in range(kill_step, len(weight) - span + 1):
+        if weight.share(begin, begin + span) >= normal - FULL_SERVICE_MARGIN:
+            return (begin - kill_step) * STEP_S
     return None
 
 
 def highest(rate: Counter[int], begin: float, end: float) -> int:
-    """The most within a second that lies in this span (s), in steps of a tenth."""
-    first, last = round(begin * 10), round(end * 10)
-    return max(
-        (sum(rate[n] for n in range(at, at + 10)) for at in range(first, max(last - 9, first + 1))), default=0
-    )
+    """The most within one second that lies in the span (s); `rate` counts by tenths of a second, and the
+    second may begin at each of them."""
+    first = round(begin * STEPS_PER_S)
+    last = round(end * STEPS_PER_S)
+    begins = range(first, max(last - STEPS_PER_S + 1, first + 1))
+    return max((_count_in_second(rate, step) for step in begins), default=0)
+
+
+def _count_in_second(rate: Counter[int], first_step: int) -> int:
+    return sum(rate[step] for step in range(first_step, first_step + STEPS_PER_S))
 
 
 def figures(outcome: RunResult) -> dict[str, Any]:
     """One run as plain data."""
-    made, tree = outcome.scenario, report.figures(outcome)
-    words = Counter[str]()
-    for one in outcome.results:
-        if one.at >= KILLED_S:
-            late = one.outcome == "served" and one.latency > made.classes[one.kind].latency_objective_ms
-            words["late" if late else one.outcome] += 1
-    rates = {}
-    for name in RATES:
-        rate = outcome.rates.get(name, Counter())
-        rates[name] = {
-            "before": highest(rate, BEFORE_S, KILLED_S),
-            "after": highest(rate, KILLED_S, made.seconds),
-        }
+    played = outcome.scenario
+    tree = report.figures(outcome)
+    rates = {name: outcome.rates.get(name, Counter()) for name in RATES}
+    after_kill = [result for result in outcome.results if result.at >= KILLED_S]
     return {
-        "seed": made.seed,
+        "seed": played.seed,
         "void": outcome.void,
         "kept": tree["kept"],
         "rules": tree["rules"],
         "broken": tree["broken"],
         "share": tree["share"],
-        "full_after_s": full_after(outcome.results, made),
-        "outcomes": dict(words),
-        "highest": rates,
+        "full_after_s": full_after(outcome.results, played),
+        "outcomes": count_outcomes(after_kill, played.classes),
+        "highest": {
+            name: {
+                "before": highest(rate, BASELINE_BEGIN_S, KILLED_S),
+                "after": highest(rate, KILLED_S, played.seconds),
+            }
+            for name, rate in rates.items()
+        },
         "by_second": {
-            name: [
-                sum(outcome.rates.get(name, Counter())[10 * s + n] for n in range(10))
-                for s in range(int(SECONDS))
-            ]
-            for name in RATES
+            name: [_count_in_second(rate, second * STEPS_PER_S) for second in range(int(SECONDS))]
+            for name, rate in rates.items()
         },
-        "in_time_by_second": _by_second(outcome),
+        "in_time_by_second": _share_by_second(outcome),
     }
 
 
-def _by_second(outcome: RunResult) -> list[float]:
-    asked, good = _worth(outcome.results, outcome.scenario)
-    steps = round(1 / STEP_S)
-    return [
-        round(sum(good[n : n + steps]) / max(sum(asked[n : n + steps]), 1e-9), 4)
-        for n in range(0, len(asked), steps)
-    ]
+def _share_by_second(outcome: RunResult) -> list[float]:
+    weight = WeightByStep(outcome.results, outcome.scenario)
+    begins = range(0, len(weight), STEPS_PER_S)
+    return [round(weight.share(begin, begin + STEPS_PER_S), 4) for begin in begins]
 
 
 def summary(rows: Sequence[dict[str, Any]]) -> dict[str, Any]:
     """Over the seeds that say something: median and worst time to full service, and the highest seconds."""
-    good = [row for row in rows if not row["void"]]
-    times = [SECONDS - KILLED_S if row["full_after_s"] is None else row["full_after_s"] for row in good]
-    most = {}
-    for name in RATES:
-        most[name] = {
-            when: max((row["highest"][name][when] for row in good), default=0) for when in ("before", "after")
-        }
+    valid = [row for row in rows if not row["void"]]
+    times = [SECONDS - KILLED_S if row["full_after_s"] is None else row["full_after_s"] for row in valid]
     return {
         "runs": len(rows),
-        "void": len(rows) - len(good),
-        "kept": all(row["kept"] for row in good),
+        "void": len(rows) - len(valid),
+        "kept": all(row["kept"] for row in valid),
         "full_after_s": {"median": statistics.median(times), "worst": max(times)} if times else {},
-        "never_full": sum(row["full_after_s"] is None for row in good),
-        "share": round(statistics.fmean(row["share"] for row in good), 4) if good else None,
+        "never_full": sum(row["full_after_s"] is None for row in valid),
+        "share": round(statistics.fmean(row["share"] for row in valid), 4) if valid else None,
         "lost_and_late": {
-            word: sum(row["outcomes"].get(word, 0) for row in good)
-            for word in ("late", "refused", "failed", "unanswered")
+            outcome: sum(row["outcomes"].get(outcome, 0) for row in valid) for outcome in LOST_AND_LATE
+        },
+        "highest": {
+            name: {
+                when: max((row["highest"][name][when] for row in valid), default=0)
+                for when in ("before", "after")
+            }
+            for name in RATES
         },
-        "highest": most,
     }
 
 
-def exit_code(tree: dict[str, Any]) -> int:
-    """As of `lab run`: 1 if a rule was broken, 3 if no run says anything, else 0."""
+def full_report(about: str, rows: Sequence[dict[str, Any]]) -> dict[str, Any]:
+    """The report over the runs of all seeds."""
+    return {"schema": report.SCHEMA, "about": about, "summary": summary(rows), "runs": list(rows)}
+
+
+def exit_code(tree: dict[str, Any]) -> report.ExitCode:
+    """The exit code for a summary: as of `emulator run`; void if no run says anything."""
     if not tree["kept"]:
-        return 1
-    return 3 if tree["void"] == tree["runs"] else 0
-
-
-def show(tree: dict[str, Any]) -> Table:
-    """For people."""
-    found, table = tree["summary"], Table(title=tree["about"])
-    for name in ("figure", "value"):
-        table.add_column(name)
-    kept = (
-        "yes"
-        if found["kept"]
-        else "no: " + ", ".join(f"{n} x {rule}" for rule, n in _broken(tree).items() if n)
-    )
-    table.add_row("rules kept", kept)
-    table.add_row("runs, of these void", f"{found['runs']}, {found['void']}")
-    if found["full_after_s"]:
-        times = found["full_after_s"]
-        never = f", not at all in {found['never_full']}" if found["never_full"] else ""
-        table.add_row(
-            "full service after, median and worst", f"{times['median']:.1f} s, {times['worst']:.1f} s{never}"
-        )
-        table.add_row("worth in time, whole run", f"{found['share']:.1%}")
-    for word, count in found["lost_and_late"].items():
-        table.add_row(f"{word} since the kill", str(count))
-    for name, most in found["highest"].items():
-        table.add_row(f"most {name} in a second, before and after", f"{most['before']}, {most['after']}")
-    return table
-
-
-def _broken(tree: dict[str, Any]) -> Counter[str]:
-    count = Counter[str]()
-    for row in tree["runs"]:
-        count.update(row["rules"])
-    return count
+        return report.ExitCode.RULE_BROKEN
+    return report.ExitCode.VOID if tree["void"] == tree["runs"] else report.ExitCode.RULES_KEPT
--- /dev/null
+++ b/lupinladder/emulator/result_statistics.py
@@ -0,0 +1,85 @@
+"""Statistics over the results of requests: outcomes, latency percentiles, and the share answered in time."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Sequence
+
+from hdrh.histogram import HdrHistogram
+
+from lupinladder.emulator.load_generator import Result
+from lupinladder.emulator.scenario import RequestClassConfig
+
+OUTCOMES = ("served", "late", "refused", "failed", "unanswered", "unsent")
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+MAX_LATENCY_US = 60_000_000
+SIGNIFICANT_DIGITS = 3
+WORST_SPAN_S = 10.0
+
+
+def outcome_of(result: Result, request_class: RequestClassConfig) -> str:
+    """One of OUTCOMES: an answer beyond the class's latency objective is late, not served."""
+    if result.outcome == "served" and result.latency > request_class.latency_objective_ms:
+        return "late"
+    return result.outcome
+
+
+def count_outcomes(results: Sequence[Result], classes: Sequence[RequestClassConfig]) -> dict[str, int]:
+    """How often each outcome happened; those that never did are missing."""
+    return dict(Counter(outcome_of(result, classes[result.kind]) for result in results))
+
+
+def latency_percentiles(results: Sequence[Result]) -> dict[str, float]:
+    """Percentiles and maximum (ms) over the served, from the intended time of each request; empty if none was
+    served."""
+    histogram = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+    for result in results:
+        if result.outcome == "served":
+            histogram.record_value(max(1, round(result.latency * 1000)))
+    if not histogram.get_total_count():
+        return {}
+    percentiles = {
+        f"p{percentile:g}": histogram.get_value_at_percentile(percentile) / 1000 for percentile in PERCENTILES
+    }
+    return percentiles | {"max": histogram.get_max_value() / 1000}
+
+
+def share_in_time(results: Sequence[Result], classes: Sequence[RequestClassConfig]) -> float:
+    """The priority weight answered within its latency objective over that requested; 1 without requests."""
+    requested = sum(classes[result.kind].priority_weight for result in results)
+    in_time = sum(
+        classes[result.kind].priority_weight
+        for result in results
+        if outcome_of(result, classes[result.kind]) == "served"
+    )
+    return in_time / requested if requested else 1.0
+
+
+def worst_share_in_time(
+    results: Sequence[Result], classes: Sequence[RequestClassConfig], seconds: float
+) -> float:
+    """The lowest share over WORST_SPAN_S that begins at a full second, or over a run that is shorter."""
+    requested: dict[int, float] = defaultdict(float)
+    in_time: dict[int, float] = defaultdict(float)
+    for result in results:
+        second = int(result.at)
+        request_class = classes[result.kind]
+        requested[second] += request_class.priority_weight
+        if outcome_of(result, request_class) == "served":
+            in_time[second] += request_class.priority_weight
+    width = int(min(WORST_SPAN_S, max(seconds, 1.0)))
+    shares = []
+    for begin in range(max(1, int(seconds) - width + 1)):
+        span = range(begin, begin + width)
+        total = sum(requested[second] for second in span)
+        if total:
+            shares.append(sum(in_time[second] for second in span) / total)
+    return min(shares, default=1.0)
+
+
+def by_second(results: Sequence[Result], seconds: float) -> list[tuple[int, list[Result]]]:
+    """The results of each full second of the intended time; a run shorter than a second has one."""
+    found: dict[int, list[Result]] = defaultdict(list)
+    for result in results:
+        found[int(result.at)].append(result)
+    return [(second, found[second]) for second in range(max(1, int(seconds)))]
--- a/lupinladder/emulator/run.py
+++ b/lupinladder/emulator/run.py
@@ -1,16 +1,14 @@
-"""One run of a scenario: opens everything, plays load and faults, ends everything, and reports."""
+"""One run of a scenario: starts servers and proxies, plays load and faults, ends everything, and reports."""
 
 from __future__ import annotations
 
 import asyncio
 import gc
 import json
-import os
 import signal
 import tempfile
-from collections import Counter
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
@@ -20,256 +18,306 @@
 from lupinladder.emulator.cluster import Cluster
 from lupinladder.emulator.endpoint_list import ListedEndpoint
 from lupinladder.emulator.faults import FaultInjector
-from lupinladder.emulator.load_generator import ClientPool, LoadGenerator, ProxySelector, Result
+from lupinladder.emulator.load_generator import ClientPool, LoadGenerator, ProxySelector
 from lupinladder.emulator.misbehaving_clients import MisbehavingClients
 from lupinladder.emulator.peers import Peers
 from lupinladder.emulator.proxies import Managed, Proxies
 from lupinladder.emulator.rule_checker import RuleChecker
-from lupinladder.emulator.rule_violation import RuleViolation
+from lupinladder.emulator.run_result import RunResult, Snapshot
 from lupinladder.emulator.scenario import MISBEHAVIOURS, Scenario
-from lupinladder.emulator.workload import ArrivalPlan, KeyDistribution, random_stream
+from lupinladder.emulator.workload import Arrival, ArrivalPlan, KeyDistribution, random_stream
+from lupinladder.errors import LupinladderError
 
-LATE_MS, LATE_SHARE = 30.0, 0.01  # a run is void if the lab was later than this for more of the time
-LATE = "the lab itself ran over {:.0f} ms late for {:.1%} of the time"  # what is said of it
+LATE_MS = 30.0  # by which the emulator itself may be late
+MAX_LATE_SHARE = 0.01  # of the time for which it may be later than that, else the run is void
+LATE_MESSAGE = "the emulator itself ran over {:.0f} ms late for {:.1%} of the time"
+MAX_FAULTS_SHOWN = 3  # of the emulator's own, in the reason why a run is void
 
+START_MARGIN_MS = 100.0  # between the preparations and the first request
+ANSWER_MARGIN_MS = 2500.0  # beyond the longest deadline, to wait for answers after the load
+SETTLE_STEP_S = 0.05
+SETTLE_S = 0.2  # for what is still under way when all is answered
+SNAPSHOT_INTERVAL_S = 0.5
+MISBEHAVIOUR_STEPS_PER_S = 10
+MIN_SLEEP_MS = 0.5  # a wait that is shorter is not worth a timer
 
-@dataclass(slots=True)
-class Second:
-    """What the fleet looked like at one moment, for tables and plots."""
 
-    at: float
-    nodes: dict[str, tuple[int, float]]  # held, share of its full capacity
-    origin_held: int
-    open: int
+class RunInterruptedError(LupinladderError):
+    """A signal ended the run before its time."""
 
+    def __init__(self) -> None:
+        super().__init__("stopped before its end")
 
-@dataclass(slots=True)
-class RunResult:
-    """All that a run left."""
 
-    scenario: Scenario
-    results: list[Result]
-    broken: list[RuleViolation]
-    counts: Counter[str]
-    seconds: list[Second]
-    marks: list[tuple[float, str]]
-    proxies: list[Managed]
-    late_share: float
-    late_worst: float
-    late_begin: float  # 99th percentile of how late requests were begun, ms
-    void: str  # why the run says nothing; "" if it does
-    origin_stops: int
-    rates: dict[str, Counter[int]] = field(default_factory=dict)  # by tenths of a second, over all proxies
-    hostile_owed: Counter[str] = field(default_factory=Counter)
-    hostile_unpaid: Counter[str] = field(default_factory=Counter)
-    connections: int = 0
-    logs: str = ""
-
-
-Live = Callable[[float, "Run"], None]
+Observer = Callable[[float, "Run"], None]
+"""Called at each snapshot with the second of the counted part, for a live view."""
 
 
 class Run:
-    """`clients` false leaves the usual clients out: a fleet to talk to."""
+    """Servers, proxies and clients of one run. Its attributes exist while it plays."""
+
+    clock: Clock
+    rule_checker: RuleChecker
+    proxies: Proxies
+    cluster: Cluster
+    load_generator: LoadGenerator
+    faults: FaultInjector
+    _peers: Peers
+    _lateness: Lateness
+    _pools: list[ClientPool]
+    _misbehaving_clients: MisbehavingClients
+    _start: float  # of the counted part, ms
 
-    def __init__(self, scenario: Scenario, folder: Path, live: Live | None = None) -> None:
-        self.scenario, self._folder, self._live = scenario, folder, live
-        self.seconds: list[Second] = []
-        self._first: tuple[int, list[ListedEndpoint]] = (0, [])  # the list as the run began
+    def __init__(self, scenario: Scenario, folder: Path, observer: Observer | None = None) -> None:
+        """`folder` is for configurations, logs and stores of the proxies."""
+        self.scenario = scenario
+        self._folder = folder
+        self._observer = observer
+        self._snapshots: list[Snapshot] = []
+        self._first_index = 0
+        self._first_endpoints: list[ListedEndpoint] = []  # the list as the run began
 
     async def play(self) -> RunResult:
-        """Until the end, or until SIGTERM or Ctrl-C; whichever comes, no proxy is left behind."""
-        task = asyncio.current_task()
-        assert task
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, task.cancel)
+        """Until the end; SIGTERM or Ctrl-C raise RunInterruptedError. No proxy is left behind.
+
+        ProxyStartError if a proxy does not start.
+        """
         try:
-            return await self._play()
+            with _cancelled_by_signals():
+                return await self._play()
         except asyncio.CancelledError:
-            raise RuntimeError("stopped before its end") from None
-        finally:
-            for number in (signal.SIGTERM, signal.SIGINT):
-                loop.remove_signal_handler(number)
+            raise RunInterruptedError from None
 
     async def _play(self) -> RunResult:
         scenario = self.scenario
-        clock = self.clock = Clock()
+        self.clock = Clock()
         keys = KeyDistribution(scenario.seed, scenario.clients)
         plan = ArrivalPlan(scenario, keys)
-        self.referee = RuleChecker(
+        self._create_servers(keys)
+        await self._peers.open()
+        self.cluster.open()
+        try:
+            await self._start_proxies()
+            await self._play_load(plan.arrivals)
+            return self._result()
+        finally:
+            gc.enable()
+            await self._close()
+
+    def _create_servers(self, keys: KeyDistribution) -> None:
+        scenario = self.scenario
+        clock = self.clock
+        self.rule_checker = RuleChecker(
             scenario.classes, scenario.proxies.count, clock.now(), scenario.clients.unanswered
         )
         seeds = random_stream(scenario.seed, "proxies")
         self.proxies = Proxies(
-            clock, scenario, self.referee, self._folder, self._config, lambda: int(seeds.integers(1 << 62))
-        )
-        zones = [one.zone for one in self.proxies.all]
-        self.fleet = Cluster(clock, scenario, keys, self.referee, zones)
-        self.peers = Peers(
             clock,
-            scenario.net,
-            random_stream(scenario.seed, "peers"),
-            [one.peer_listen for one in self.proxies.all],
+            scenario,
+            self.rule_checker,
+            self._folder,
+            self._proxy_config,
+            lambda: int(seeds.integers(1 << 62)),
         )
-        await self.peers.open()
-        self.fleet.open()
-        try:
-            started = await asyncio.gather(
-                *(self.proxies.start(one) for one in self.proxies.all), return_exceptions=True
-            )
-            for bad in started:
-                if isinstance(bad, BaseException):
-                    raise bad
-            return await self._load(plan)
-        finally:
-            gc.enable()
-            await self._close()
+        zones = [proxy.zone for proxy in self.proxies.all]
+        self.cluster = Cluster(clock, scenario, keys, self.rule_checker, zones)
+        peer_addresses = [proxy.peer_listen for proxy in self.proxies.all]
+        self._peers = Peers(clock, scenario.net, random_stream(scenario.seed, "peers"), peer_addresses)
+
+    async def _start_proxies(self) -> None:
+        starts = [self.proxies.start(proxy) for proxy in self.proxies.all]
+        for outcome in await asyncio.gather(*starts, return_exceptions=True):
+            if isinstance(outcome, BaseException):
+                raise outcome
 
     async def _close(self) -> None:
         await self.proxies.end()
-        self.fleet.close()
-        self.peers.close()
-
-    def _config(self, one: Managed) -> dict[str, Any]:
-        """What of a proxy's configuration the fleet knows."""
-        fleet = self.fleet
-        core, told = fleet.list, self.scenario.proxies.known
-        if not self._first[1]:
-            self._first = core.index, list(core.entries.values())
-        index, entries = self._first if told != "now" else (core.index, list(core.entries.values()))
-        if told == "none":  # nothing but where the origin is, as after a stop of days
-            index, entries = 0, [one for one in entries if one.type == "origin"]
-        known = json.loads(core.text(True, entries, fleet.addresses(one.number)))
+        self.cluster.close()
+        self._peers.close()
+
+    def _proxy_config(self, proxy: Managed) -> dict[str, Any]:
+        """The part of a proxy's configuration that depends on the cluster and on the other proxies."""
+        index, endpoints = self._known_endpoints()
+        text = self.cluster.list.text(True, endpoints, self.cluster.addresses(proxy.number))
         return {
-            "discovery": fleet.discovery.doors[one.number].address,
-            "peers": self.peers.addresses(one.number),
-            "peers_all": self.peers.to_all(one.number),
-            "known": {**known, "index": index},
+            "discovery": self.cluster.discovery.doors[proxy.number].address,
+            "peers": self._peers.addresses(proxy.number),
+            "peers_all": self._peers.to_all(proxy.number),
+            "known": {**json.loads(text), "index": index},
         }
 
-    async def _load(self, plan: ArrivalPlan) -> RunResult:
-        scenario, clock = self.scenario, self.clock
-        # A full walk of the collector stops the lab for 70 ms and more, which would be blamed on the proxies.
-        gc.collect()
-        gc.freeze()
-        gc.disable()
-        start = self.start = clock.now() + scenario.lead_s * 1000 + 100
-        self.referee.log.start = start
-        self.lateness = Lateness(clock)
-        front = ProxySelector([one.zone for one in self.proxies.all])
-        most = max(1, scenario.clients.connections // len(self.proxies.all))
-        self.pools = [
-            ClientPool(clock, self.referee, one.number, one.listen, most) for one in self.proxies.all
+    def _known_endpoints(self) -> tuple[int, list[ListedEndpoint]]:
+        """The index and the endpoints that a configuration names, by the scenario's `proxies.known`."""
+        current = self.cluster.list
+        if not self._first_endpoints:
+            self._first_index = current.index
+            self._first_endpoints = list(current.entries.values())
+        if self.scenario.proxies.known == "now":
+            return current.index, list(current.entries.values())
+        if self.scenario.proxies.known == "first":
+            return self._first_index, self._first_endpoints
+        # Nothing but where the origin is, as after days without a proxy.
+        return 0, [endpoint for endpoint in self._first_endpoints if endpoint.type == "origin"]
+
+    async def _play_load(self, arrivals: list[Arrival]) -> None:
+        _suspend_garbage_collection()
+        self._start = self.clock.now() + self.scenario.lead_s * 1000 + START_MARGIN_MS
+        self.rule_checker.log.start = self._start
+        self._lateness = Lateness(self.clock)
+        self._create_clients()
+        background = [
+            self.clock.loop.create_task(self._take_snapshots()),
+            self.clock.loop.create_task(self._send_misbehaving_clients()),
         ]
-        self.crowd = LoadGenerator(
-            clock,
-            self.referee,
-            self.pools,
-            front,
+        for arrival in arrivals:
+            wait_ms = self._start + arrival.at * 1000 - self.clock.now()
+            if wait_ms > MIN_SLEEP_MS:
+                await asyncio.sleep(wait_ms / 1000)
+            self.load_generator.begin(arrival)
+        await self._settle()
+        await self.faults.finish()
+        for task in background:
+            task.cancel()
+        self._lateness.stop()
+
+    def _create_clients(self) -> None:
+        scenario = self.scenario
+        proxies = self.proxies.all
+        selector = ProxySelector([proxy.zone for proxy in proxies])
+        pool_size = max(1, scenario.clients.connections // len(proxies))
+        self._pools = [
+            ClientPool(self.clock, self.rule_checker, proxy.number, proxy.listen, pool_size)
+            for proxy in proxies
+        ]
+        self.load_generator = LoadGenerator(
+            self.clock,
+            self.rule_checker,
+            self._pools,
+            selector,
             scenario.classes,
             scenario.clients,
             random_stream(scenario.seed, "clients"),
-            start,
+            self._start,
         )
-        self.faults = FaultInjector(self.fleet, self.proxies, front, start)
+        self.faults = FaultInjector(self.cluster, self.proxies, selector, self._start)
         self.faults.plan(scenario.faults)
-        self.hostile = MisbehavingClients(
-            clock,
-            self.referee,
+        self._misbehaving_clients = MisbehavingClients(
+            self.clock,
+            self.rule_checker,
             random_stream(scenario.seed, "hostile"),
-            [one.listen for one in self.proxies.all],
+            [proxy.listen for proxy in proxies],
             scenario.classes[0].name,
             scenario.classes[0].deadline_ms,
-            lambda: self.crowd.last_ident,
+            lambda: self.load_generator.last_ident,
         )
-        side = [clock.loop.create_task(task) for task in (self._look(), self._harm())]
-        for arrival in plan.arrivals:
-            wait = start + arrival.at * 1000 - clock.now()
-            if wait > 0.5:
-                await asyncio.sleep(wait / 1000)
-            self.crowd.begin(arrival)
-        await self._settle()
-        await self.faults.finish()
-        for task in side:
-            task.cancel()
-        self.lateness.stop()
-        return self._outcome()
 
     async def _settle(self) -> None:
         """Until all is answered or given up, and the counted part is over."""
-        longest = max(one.deadline_ms for one in self.scenario.classes)
-        end = self.start + self.scenario.seconds * 1000
-        limit = max(end, self.clock.now()) + longest + 2500
-        while self.clock.now() < limit and (self.crowd.open or self.clock.now() < end or self.hostile.open):
-            await asyncio.sleep(0.05)
-        await asyncio.sleep(0.2)
-        self.referee.sweep(self.clock.now())
-
-    async def _look(self) -> None:
-        """Twice a second: what is held where, what the processes use, and what is overdue."""
+        longest = max(request_class.deadline_ms for request_class in self.scenario.classes)
+        end = self._start + self.scenario.seconds * 1000
+        limit = max(end, self.clock.now()) + longest + ANSWER_MARGIN_MS
+        while self.clock.now() < limit and self._is_playing(end):
+            await asyncio.sleep(SETTLE_STEP_S)
+        await asyncio.sleep(SETTLE_S)
+        self.rule_checker.sweep(self.clock.now())
+
+    def _is_playing(self, end: float) -> bool:
+        open_clients = self.load_generator.open or self._misbehaving_clients.open
+        return bool(open_clients) or self.clock.now() < end
+
+    async def _take_snapshots(self) -> None:
+        """Note what is held where and what the processes use, and look for overdue answers."""
         while True:
             now = self.clock.now()
-            at = (now - self.start) / 1000
+            at = (now - self._start) / 1000
             nodes = {
                 name: (node.core.machine.held, node.core.machine.warmth(now))
-                for name, node in self.fleet.nodes.items()
+                for name, node in self.cluster.nodes.items()
             }
-            held = self.fleet.origin.core.machine.held
-            self.seconds.append(Second(round(at, 2), nodes, held, self.crowd.open))
-            self.proxies.look(self.start)
-            gc.collect(1)  # the young alone: what a query leaves behind
-            self.referee.sweep(now)
-            if self._live:
-                self._live(at, self)
-            await asyncio.sleep(0.5)
-
-    async def _harm(self) -> None:
-        """Hostile clients, at their rates."""
+            origin_held = self.cluster.origin.core.machine.held
+            self._snapshots.append(Snapshot(round(at, 2), nodes, origin_held, self.load_generator.open))
+            self.proxies.look(self._start)
+            gc.collect(1)  # the young objects alone: what a request leaves behind
+            self.rule_checker.sweep(now)
+            if self._observer:
+                self._observer(at, self)
+            await asyncio.sleep(SNAPSHOT_INTERVAL_S)
+
+    async def _send_misbehaving_clients(self) -> None:
+        """Send them at the rates of the scenario, the kinds of a group in turn."""
         rng = random_stream(self.scenario.seed, "harm")
-        groups = [(one, one.kinds or list(MISBEHAVIOURS)) for one in self.scenario.misbehaving_clients]
+        groups = [(group, group.kinds or list(MISBEHAVIOURS)) for group in self.scenario.misbehaving_clients]
         count = 0
         while groups:
-            at = (self.clock.now() - self.start) / 1000
-            for one, kinds in groups:
-                if one.at <= at < min(one.at + one.for_s, self.scenario.seconds):
-                    for _ in range(rng.poisson(one.per_s / 10)):
+            at = (self.clock.now() - self._start) / 1000
+            for group, kinds in groups:
+                if group.at <= at < min(group.at + group.for_s, self.scenario.seconds):
+                    for _ in range(rng.poisson(group.per_s / MISBEHAVIOUR_STEPS_PER_S)):
                         count += 1
-                        self.hostile.send(kinds[count % len(kinds)])
-            await asyncio.sleep(0.1)
-
-    def _outcome(self) -> RunResult:
-        lags = self.lateness.lags
-        begun = sorted(one.late for one in self.crowd.results)
-        late = self.lateness.share(LATE_MS)
-        void = "; ".join([*self.faults.errors, *self.clock.faults[:3]])
-        if late > LATE_SHARE:
-            void = LATE.format(LATE_MS, late)
+                        self._misbehaving_clients.send(kinds[count % len(kinds)])
+            await asyncio.sleep(1 / MISBEHAVIOUR_STEPS_PER_S)
+
+    def _void_reason(self, late_share: float) -> str:
+        """Why the run says nothing of the proxies; empty if it does."""
+        if late_share > MAX_LATE_SHARE:
+            return LATE_MESSAGE.format(LATE_MS, late_share)
+        return "; ".join([*self.faults.errors, *self.clock.faults[:MAX_FAULTS_SHOWN]])
+
+    def _result(self) -> RunResult:
+        results = self.load_generator.results
+        begun_late = sorted(result.late for result in results)
+        late_share = self._lateness.share(LATE_MS)
         return RunResult(
-            self.scenario,
-            [one for one in self.crowd.results if one.at >= 0],
-            self.referee.violations,
-            self.referee.counts,
-            self.seconds,
-            self.faults.marks,
-            self.proxies.all,
-            late,
-            max(lags, default=0.0),
-            begun[int(len(begun) * 0.99)] if begun else 0.0,
-            void,
-            self.fleet.origin.core.stops,
-            self.referee.log.rates,
-            self.hostile.owed,
-            self.hostile.unpaid,
-            sum(pool.opened for pool in self.pools),
-            str(self._folder),
+            scenario=self.scenario,
+            results=[result for result in results if result.at >= 0],
+            broken=self.rule_checker.violations,
+            counts=self.rule_checker.counts,
+            snapshots=self._snapshots,
+            marks=self.faults.marks,
+            proxies=self.proxies.all,
+            late_share=late_share,
+            late_worst=max(self._lateness.lags, default=0.0),
+            late_begin=begun_late[int(len(begun_late) * 0.99)] if begun_late else 0.0,
+            void=self._void_reason(late_share),
+            origin_stops=self.cluster.origin.core.stops,
+            rates=self.rule_checker.log.rates,
+            misbehaving_owed=self._misbehaving_clients.owed,
+            misbehaving_unpaid=self._misbehaving_clients.unpaid,
+            connections=sum(pool.opened for pool in self._pools),
+            logs=str(self._folder),
         )
 
 
-def play(scenario: Scenario, folder: Path | None = None, live: Live | None = None) -> RunResult:
-    """Play a scenario to its end. RuntimeError if it could not be started."""
+@contextmanager
+def _cancelled_by_signals() -> Iterator[None]:
+    """SIGTERM and Ctrl-C cancel the current task."""
+    task = asyncio.current_task()
+    assert task
+    loop = asyncio.get_running_loop()
+    signals = (signal.SIGTERM, signal.SIGINT)
+    for number in signals:
+        loop.add_signal_handler(number, task.cancel)
+    try:
+        yield
+    finally:
+        for number in signals:
+            loop.remove_signal_handler(number)
+
+
+def _suspend_garbage_collection() -> None:
+    """A full collection stops the emulator for 70 ms and more, which would be blamed on the proxies."""
+    gc.collect()
+    gc.freeze()
+    gc.disable()
+
+
+def play(scenario: Scenario, folder: Path | None = None, observer: Observer | None = None) -> RunResult:
+    """Play a scenario to its end; without a folder, configurations and logs are removed afterwards.
+
+    ProxyStartError if a proxy does not start, RunInterruptedError if a signal ended the run.
+    """
     if folder is None:
-        with tempfile.TemporaryDirectory(prefix="lupinladder-lab-") as name:
-            return play(scenario, Path(name), live)
-    os.makedirs(folder, exist_ok=True)
-    return uvloop.run(Run(scenario, folder, live).play())
+        with tempfile.TemporaryDirectory(prefix="lupinladder-emulator-") as name:
+            return play(scenario, Path(name), observer)
+    folder.mkdir(parents=True, exist_ok=True)
+    return uvloop.run(Run(scenario, folder, observer).play())
--- a/lupinladder/emulator/standalone.py
+++ b/lupinladder/emulator/standalone.py
@@ -1,9 +1,10 @@
-"""One stand-in alone, to be talked to by hand."""
+"""One emulated server by itself, to be talked to by hand."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
+from enum import StrEnum
 
 import uvloop
 
@@ -14,32 +15,54 @@
 from lupinladder.emulator.workload import KeyDistribution
 
 
-def run_standalone(part: str, scenario: Scenario, seconds: float, say: Callable[[str], None]) -> None:
-    """Serve `node`, `origin` or `discovery` on a free port for so long; the address is said first."""
-    uvloop.run(_serve(part, scenario, seconds, say))
+class ServerType(StrEnum):
+    """What can run by itself. The values are verbs of the command line."""
 
+    NODE = "node"
+    ORIGIN = "origin"
+    DISCOVERY = "discovery"
 
-async def _serve(part: str, scenario: Scenario, seconds: float, say: Callable[[str], None]) -> None:
+
+def run_standalone(
+    server: ServerType, scenario: Scenario, seconds: float, write_line: Callable[[str], None]
+) -> None:
+    """Serve on a free port for so long; `write_line` is called once with the address and an example."""
+    uvloop.run(_serve(server, scenario, seconds, write_line))
+
+
+async def _serve(
+    server: ServerType, scenario: Scenario, seconds: float, write_line: Callable[[str], None]
+) -> None:
     clock = Clock()
-    scenario.fleet.nodes = 1 if part == "node" else scenario.fleet.nodes
-    referee = RuleChecker(scenario.classes, 1, clock.now())
-    fleet = Cluster(clock, scenario, KeyDistribution(scenario.seed, scenario.clients), referee, [0])
-    fleet.open()
-    addresses = fleet.addresses(0)
-    node = next(iter(fleet.nodes))
-    address = {
-        "node": addresses[node],
-        "origin": addresses["origin"],
-        "discovery": fleet.discovery.doors[0].address,
-    }[part]
-    kind = scenario.classes[0].name
-    example = {
-        "node": f"OBJ.GET 1f a1 c={kind},d=500",
-        "origin": f"GET /1f with the headers X-Txn: a1 and X-Labels: c={kind},d=500",
-        "discovery": "GET /v1/endpoints, or GET /v1/endpoints?stream=1&index=1",
-    }[part]
-    say(f"{part} listens at {address} for {seconds:g} s; for example: {example}")
+    if server is ServerType.NODE:
+        scenario.fleet.nodes = 1
+    keys = KeyDistribution(scenario.seed, scenario.clients)
+    rule_checker = RuleChecker(scenario.classes, 1, clock.now())
+    cluster = Cluster(clock, scenario, keys, rule_checker, [0])
+    cluster.open()
+    address = _address(server, cluster)
+    example = _example(server, scenario.classes[0].name)
+    write_line(f"{server} listens at {address} for {seconds:g} s; for example: {example}")
     try:
         await asyncio.sleep(seconds)
     finally:
-        fleet.close()
+        cluster.close()
+
+
+def _address(server: ServerType, cluster: Cluster) -> str:
+    if server is ServerType.DISCOVERY:
+        return cluster.discovery.doors[0].address
+    addresses = cluster.addresses(0)
+    if server is ServerType.ORIGIN:
+        return addresses["origin"]
+    return addresses[next(iter(cluster.nodes))]
+
+
+def _example(server: ServerType, class_name: str) -> str:
+    match server:
+        case ServerType.NODE:
+            return f"OBJ.GET 1f a1 c={class_name},d=500"
+        case ServerType.ORIGIN:
+            return f"GET /1f with the headers X-Txn: a1 and X-Labels: c={class_name},d=500"
+        case ServerType.DISCOVERY:
+            return "GET /v1/endpoints, or GET /v1/endpoints?stream=1&index=1"
--- a/tests/emulator/test_runs.py
+++ b/tests/emulator/test_runs.py
@@ -14,8 +14,9 @@
 from click.testing import CliRunner
 
 from lupinladder.cli.app import app
-from lupinladder.emulator import report, report_comparison, run, scenario
-from lupinladder.emulator.run import LATE
+from lupinladder.emulator import report, report_comparison, result_statistics, run, scenario
+from lupinladder.emulator.run import LATE_MESSAGE
+from lupinladder.emulator.run_result import RunResult
 from lupinladder.emulator.scenario import FaultConfig, LoadPhase, MisbehavingClientsConfig, Scenario
 
 VERBS = ("run", "list", "compare", "check", "restart-recovery", "node", "origin", "discovery")
@@ -31,14 +32,14 @@
     return made
 
 
-def outcome_of(made: Scenario) -> run.RunResult:
+def outcome_of(made: Scenario) -> RunResult:
     """The first run that says something. A machine that is late in all of them has judged nothing: that is
     no verdict on the proxy, so it skips. A fault of the lab's own is a failure."""
     for _ in range(TRIES):
         found = run.play(made)
         if not found.void:
             return found
-    if found.void.startswith(LATE.partition("{")[0]):
+    if found.void.startswith(LATE_MESSAGE.partition("{")[0]):
         raise SkipTest(found.void)
     raise AssertionError(found.void)
 
@@ -49,7 +50,7 @@
 
 class Void(TestCase):
     def test_a_machine_that_is_late_gives_no_verdict_and_a_fault_of_the_lab_does(self) -> None:
-        for void, raised in [(LATE.format(30, 0.013), SkipTest), ("a fault", AssertionError)]:
+        for void, raised in [(LATE_MESSAGE.format(30, 0.013), SkipTest), ("a fault", AssertionError)]:
             with mock.patch.object(run, "play", return_value=mock.Mock(void=void)), self.assertRaises(raised):
                 play(CASES["restarts"])
 
@@ -256,8 +257,10 @@
         from lupinladder.emulator.load_generator import Result
 
         results = [Result(n / 100, 0, "served", max(5.0, 500 - n * 10), 1, 0) for n in range(100)]
-        self.assertGreater(report._latency(results)["p90"], 400)
-        self.assertAlmostEqual(report._share(results, scenario.read("calm").classes), 0.8, delta=0.02)
+        self.assertGreater(result_statistics.latency_percentiles(results)["p90"], 400)
+        self.assertAlmostEqual(
+            result_statistics.share_in_time(results, scenario.read("calm").classes), 0.8, delta=0.02
+        )
 
     def test_a_change_is_clear_only_if_the_ranges_of_repeats_do_not_meet(self) -> None:
         def trees(*shares: float) -> list[dict[str, Any]]:
