Give the clients of a run and the proxies' processes modules of their own

Change: run_clients.py plays arrivals and misbehaving clients; managed_proxy.py describes one proxy and measures its process; the report's verdict and totals are functions.

--- a/lupinladder/cli/__init__.py
+++ b/lupinladder/cli/__init__.py
@@ -1,1 +1,1 @@
-"""The command line: `lupinladder` with arguments. Without any, the program is the platform's proxy."""
+"""The command line: `lupinladder` with arguments. Without any, the program is the proxy."""
--- a/lupinladder/cli/emulator/live_view.py
+++ b/lupinladder/cli/emulator/live_view.py
@@ -38,7 +38,7 @@
         )
         self._task = self._progress.add_task("playing", total=played.seconds)
         self._live = Live(self._progress, console=errors, refresh_per_second=REFRESHES_PER_S, transient=True)
-        self._has_told_addresses = False
+        self._addresses_shown = False
 
     def __enter__(self) -> LiveView:
         if not self._quiet:
@@ -51,8 +51,8 @@
 
     def update(self, at: float, run: Run) -> None:
         """Show the run as it is at this second of the counted part."""
-        if not self._has_told_addresses:
-            self._has_told_addresses = True
+        if not self._addresses_shown:
+            self._addresses_shown = True
             addresses = ", ".join(proxy.address for proxy in run.proxies.all)
             errors.print(f"proxies listen at {addresses}; any RESP client may talk to them while this runs")
         self._progress.update(self._task, completed=max(0.0, min(at, self._scenario.seconds)))
@@ -65,7 +65,7 @@
 
     def _state_table(self, at: float, run: Run) -> Table:
         table = Table.grid(padding=(0, 2))
-        table.add_row("in time lately", self._recent_share(at, run), "open", str(run.load_generator.open))
+        table.add_row("in time lately", self._recent_share(at, run), "open", str(run.clients.open_requests))
         table.add_row("origin holds", str(run.cluster.origin.core.machine.held), "", "")
         for row in islice(_node_rows(run), MAX_NODES):
             table.add_row(*row)
@@ -74,7 +74,7 @@
         return table
 
     def _recent_share(self, at: float, run: Run) -> str:
-        latest = run.load_generator.results[-MAX_RECENT_RESULTS:]
+        latest = run.clients.results[-MAX_RECENT_RESULTS:]
         recent = [result for result in latest if result.at > at - RECENT_S]
         if not recent:
             return "-"
--- a/lupinladder/emulator/__init__.py
+++ b/lupinladder/emulator/__init__.py
@@ -1,4 +1,5 @@
-"""The lab: a fleet of stand-ins on loopback, load, faults and a referee. See docs/emulator.md.
+"""The emulator: servers on loopback that behave as those of a cluster, clients, faults and a rule checker.
 
-Nothing that the platform starts imports this package: its libraries come with the extra `lupinladder[lab]`.
+docs/emulator.md describes it. The proxy never imports this package: its libraries come with the extra
+`lupinladder[lab]`.
 """
--- a/lupinladder/emulator/observed_proxy.py
+++ b/lupinladder/emulator/observed_proxy.py
@@ -54,11 +54,11 @@
         self.draining_since.pop(server, None)
         self.listed_since.setdefault(server, now)
 
-    def on_server_leaving(self, server: str, now: float) -> None:
+    def on_server_draining(self, server: str, now: float) -> None:
         """Discovery has told the proxy that the server leaves or has left; only the first time counts."""
         self.draining_since.setdefault(server, now)
 
     def on_full_list(self, servers: set[str], now: float) -> None:
         """Discovery has sent a full list: each server that is missing from it has left."""
         for server in set(self.listed_since) - servers:
-            self.on_server_leaving(server, now)
+            self.on_server_draining(server, now)
--- a/lupinladder/emulator/plot.py
+++ b/lupinladder/emulator/plot.py
@@ -27,7 +27,7 @@
 MARK_COLOUR = "#333333"
 ORIGIN_COLOUR = "#5b2a6e"
 WARM_NODE_COLOUR = "#8a9aa8"
-COLD_NODE_COLOUR = "#c06014"
+WARMING_NODE_COLOUR = "#c06014"
 SINGLE_RUN_COLOUR = "#8a9aa8"
 
 
@@ -89,9 +89,9 @@
             for snapshot in tree["nodes"]
             if name in snapshot["nodes"]
         ]
-        started_cold = any(warmth < 1 for _, _, warmth in own)
+        was_warming = any(warmth < 1 for _, _, warmth in own)
         line = [(at, held) for at, held, _ in own]
-        colour = COLD_NODE_COLOUR if started_cold else WARM_NODE_COLOUR
+        colour = WARMING_NODE_COLOUR if was_warming else WARM_NODE_COLOUR
         axes.plot(*zip(*line, strict=True), linewidth=0.9, color=colour)
     axes.set_ylabel("held by each node\n(started cold: orange)")
 
--- a/lupinladder/emulator/proxies.py
+++ b/lupinladder/emulator/proxies.py
@@ -8,7 +8,6 @@
 import signal
 import sys
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -16,11 +15,14 @@
 
 from lupinladder.emulator.clock import Clock
 from lupinladder.emulator.load_generator import free_port
+from lupinladder.emulator.managed_proxy import Managed, measure_usage
 from lupinladder.emulator.proxy_settings import settings
 from lupinladder.emulator.rule_checker import RuleChecker
 from lupinladder.emulator.scenario import Scenario
 from lupinladder.errors import LupinladderError
 
+__all__ = ["Managed", "Proxies", "ProxyStartError"]
+
 HOST = "127.0.0.1"
 READY_TIMEOUT_S = 15.0  # for the first PONG after a start
 RETRY_CONNECT_S = 0.02
@@ -29,7 +31,6 @@
 END_TIMEOUT_S = 5.0  # the same at the end of a run
 STORE_INTERVAL_MS = 250
 CPU_CORES = 1.0
-MIB = 1 << 20
 PING = b"*1\r\n$4\r\nPING\r\n"
 PONG = b"+PONG\r\n"
 
@@ -43,65 +44,6 @@
         self.last_log_line = last_log_line
 
 
-@dataclass(slots=True)
-class Usage:
-    """The resources of a proxy's process at one moment."""
-
-    at: float  # seconds from the start of the counted part
-    cpu_s: float  # over all its processes so far
-    rss_mb: float
-    descriptors: int
-
-
-@dataclass(slots=True)
-class Managed:
-    """One proxy: its place, and the process that stands there now."""
-
-    number: int
-    zone: int
-    listen: tuple[str, int]
-    peer_listen: tuple[str, int]
-    folder: Path
-    process: asyncio.subprocess.Process | None = None
-    starts: int = 0
-    expected_end: bool = False
-    usage: list[Usage] = field(default_factory=list)
-    cpu_before: float = 0.0  # seconds, of its earlier processes
-
-    @property
-    def address(self) -> str:
-        """Where it listens for clients, as host:port."""
-        return f"{self.listen[0]}:{self.listen[1]}"
-
-    @property
-    def config_path(self) -> Path:
-        """Its configuration file."""
-        return self.folder / f"proxy-{self.number}.json"
-
-    @property
-    def log_path(self) -> Path:
-        """What its processes write to standard output and error."""
-        return self.folder / f"proxy-{self.number}.log"
-
-    @property
-    def running(self) -> asyncio.subprocess.Process | None:
-        """Its process, if one runs."""
-        if self.process is None or self.process.returncode is not None:
-            return None
-        return self.process
-
-    def last_log_line(self) -> str:
-        """The last line of its log, for errors."""
-        lines = self.log_path.read_text(errors="replace").splitlines() if self.log_path.exists() else []
-        return lines[-1] if lines else "it wrote no log"
-
-    def on_stop(self) -> None:
-        """Its process is about to be stopped: that is no failure, and the CPU it used still counts."""
-        self.expected_end = True
-        if self.usage:
-            self.cpu_before = self.usage[-1].cpu_s
-
-
 class Proxies:
     """Starts, stops and watches the proxies of a run, and tells the rule checker."""
 
@@ -208,7 +150,7 @@
             if process is None:
                 continue
             try:
-                usage = _usage(process.pid, (self._clock.now() - start) / 1000, proxy.cpu_before)
+                usage = measure_usage(process.pid, (self._clock.now() - start) / 1000, proxy.cpu_before)
             except psutil.Error:
                 continue
             proxy.usage.append(usage)
@@ -279,17 +221,6 @@
     return path
 
 
-def _usage(pid: int, at: float, cpu_before: float) -> Usage:
-    """What a process uses now. psutil.Error if it has ended."""
-    process = psutil.Process(pid)
-    with process.oneshot():
-        times = process.cpu_times()
-        memory = process.memory_info()
-        descriptors = process.num_fds()
-    cpu_s = cpu_before + times.user + times.system
-    return Usage(round(at, 2), round(cpu_s, 3), round(memory.rss / MIB, 1), descriptors)
-
-
 async def _kill_unless_ended(process: asyncio.subprocess.Process, timeout_s: float) -> bool:
     """Wait for the end of a process and kill it at the timeout. Whether it had to be killed."""
     try:
--- a/lupinladder/emulator/report.py
+++ b/lupinladder/emulator/report.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import statistics
+from collections import Counter
 from collections.abc import Sequence
 from enum import IntEnum
 from typing import Any, NamedTuple
 
 from lupinladder.emulator.load_generator import Result
-from lupinladder.emulator.proxies import Managed
+from lupinladder.emulator.managed_proxy import Managed
 from lupinladder.emulator.result_statistics import (
     by_second,
     count_outcomes,
@@ -17,7 +18,7 @@
     worst_share_in_time,
 )
 from lupinladder.emulator.rule_violation import Rule
-from lupinladder.emulator.run_result import RunResult
+from lupinladder.emulator.run_result import RunResult, Snapshot
 from lupinladder.emulator.scenario import RequestClassConfig, Scenario
 
 SCHEMA = 1
@@ -45,28 +46,17 @@
 def figures(outcome: RunResult) -> dict[str, Any]:
     """The whole report."""
     scenario = outcome.scenario
-    classes = scenario.classes
-    results = outcome.results
-    class_reports = _class_reports(results, classes)
-    class_shares = [report["share"] for report in class_reports.values() if report["asked"]]
+    class_reports = _class_reports(outcome.results, scenario.classes)
     return {
         "schema": SCHEMA,
         "about": scenario.about,
         "seed": scenario.seed,
         "seconds": scenario.seconds,
-        "void": outcome.void,
-        "kept": not outcome.broken,
-        "rules": {rule.value: sum(violation.rule == rule for violation in outcome.broken) for rule in Rule},
-        "broken": [str(violation) for violation in outcome.broken[:MAX_VIOLATIONS]],
-        "share": round(share_in_time(results, classes), 4),
-        "share_worst_10s": round(worst_share_in_time(results, classes, scenario.seconds), 4),
-        "share_worst_class": min(class_shares, default=1.0),
-        "asked": len(results),
-        "outcomes": count_outcomes(results, classes),
-        "latency_ms": latency_percentiles(results),
+        **_verdict(outcome),
+        **_totals(outcome, class_reports),
         "classes": class_reports,
-        "phases": _phase_reports(results, scenario),
-        "timeline": _timeline(results, scenario),
+        "phases": _phase_reports(outcome.results, scenario),
+        "timeline": _timeline(outcome.results, scenario),
         "counts": dict(outcome.counts),
         "origin_stops": outcome.origin_stops,
         "connections": outcome.connections,
@@ -75,15 +65,7 @@
             "unpaid": dict(outcome.misbehaving_unpaid),
         },
         "marks": [(round(at, 2), what) for at, what in outcome.marks],
-        "nodes": [
-            {
-                "at_s": snapshot.at,
-                "nodes": snapshot.nodes,
-                "origin": snapshot.origin_held,
-                "open": snapshot.open_requests,
-            }
-            for snapshot in outcome.snapshots
-        ],
+        "nodes": [_snapshot_report(snapshot) for snapshot in outcome.snapshots],
         "proxies": [_proxy_report(proxy) for proxy in outcome.proxies],
         "lab": {
             "late_share": round(outcome.late_share, 5),
@@ -93,6 +75,31 @@
     }
 
 
+def _verdict(outcome: RunResult) -> dict[str, Any]:
+    counts = Counter(violation.rule for violation in outcome.broken)
+    return {
+        "void": outcome.void,
+        "kept": not outcome.broken,
+        "rules": {rule.value: counts[rule] for rule in Rule},
+        "broken": [str(violation) for violation in outcome.broken[:MAX_VIOLATIONS]],
+    }
+
+
+def _totals(outcome: RunResult, class_reports: dict[str, dict[str, Any]]) -> dict[str, Any]:
+    classes = outcome.scenario.classes
+    results = outcome.results
+    worst_share = worst_share_in_time(results, classes, outcome.scenario.seconds)
+    class_shares = [class_report["share"] for class_report in class_reports.values() if class_report["asked"]]
+    return {
+        "share": round(share_in_time(results, classes), 4),
+        "share_worst_10s": round(worst_share, 4),
+        "share_worst_class": min(class_shares, default=1.0),
+        "asked": len(results),
+        "outcomes": count_outcomes(results, classes),
+        "latency_ms": latency_percentiles(results),
+    }
+
+
 def _class_reports(
     results: Sequence[Result], classes: Sequence[RequestClassConfig]
 ) -> dict[str, dict[str, Any]]:
@@ -147,6 +154,15 @@
     ]
 
 
+def _snapshot_report(snapshot: Snapshot) -> dict[str, Any]:
+    return {
+        "at_s": snapshot.at,
+        "nodes": snapshot.nodes,
+        "origin": snapshot.origin_held,
+        "open": snapshot.open_requests,
+    }
+
+
 def _proxy_report(proxy: Managed) -> dict[str, Any]:
     return {
         "number": proxy.number,
--- a/lupinladder/emulator/rule_checker.py
+++ b/lupinladder/emulator/rule_checker.py
@@ -242,7 +242,7 @@
         if status == "active":
             self._proxies[proxy].on_server_active(server, now)
         else:
-            self._proxies[proxy].on_server_leaving(server, now)
+            self._proxies[proxy].on_server_draining(server, now)
 
     def told_whole(self, now: float, proxy: int, servers: set[str]) -> None:
         """Discovery has written a full list to the proxy."""
--- a/lupinladder/emulator/run.py
+++ b/lupinladder/emulator/run.py
@@ -18,13 +18,13 @@
 from lupinladder.emulator.cluster import Cluster
 from lupinladder.emulator.endpoint_list import ListedEndpoint
 from lupinladder.emulator.faults import FaultInjector
-from lupinladder.emulator.load_generator import ClientPool, LoadGenerator, ProxySelector
-from lupinladder.emulator.misbehaving_clients import MisbehavingClients
+from lupinladder.emulator.load_generator import ProxySelector
 from lupinladder.emulator.peers import Peers
 from lupinladder.emulator.proxies import Managed, Proxies
 from lupinladder.emulator.rule_checker import RuleChecker
+from lupinladder.emulator.run_clients import RunClients
 from lupinladder.emulator.run_result import RunResult, Snapshot
-from lupinladder.emulator.scenario import MISBEHAVIOURS, Scenario
+from lupinladder.emulator.scenario import Scenario
 from lupinladder.emulator.workload import Arrival, ArrivalPlan, KeyDistribution, random_stream
 from lupinladder.errors import LupinladderError
 
@@ -34,12 +34,7 @@
 MAX_FAULTS_SHOWN = 3  # of the emulator's own, in the reason why a run is void
 
 START_MARGIN_MS = 100.0  # between the preparations and the first request
-ANSWER_MARGIN_MS = 2500.0  # beyond the longest deadline, to wait for answers after the load
-SETTLE_STEP_S = 0.05
-SETTLE_S = 0.2  # for what is still under way when all is answered
 SNAPSHOT_INTERVAL_S = 0.5
-MISBEHAVIOUR_STEPS_PER_S = 10
-MIN_SLEEP_MS = 0.5  # a wait that is shorter is not worth a timer
 
 
 class RunInterruptedError(LupinladderError):
@@ -60,12 +55,10 @@
     rule_checker: RuleChecker
     proxies: Proxies
     cluster: Cluster
-    load_generator: LoadGenerator
+    clients: RunClients
     faults: FaultInjector
     _peers: Peers
     _lateness: Lateness
-    _pools: list[ClientPool]
-    _misbehaving_clients: MisbehavingClients
     _start: float  # of the counted part, ms
 
     def __init__(self, scenario: Scenario, folder: Path, observer: Observer | None = None) -> None:
@@ -164,66 +157,18 @@
         self._start = self.clock.now() + self.scenario.lead_s * 1000 + START_MARGIN_MS
         self.rule_checker.log.start = self._start
         self._lateness = Lateness(self.clock)
-        self._create_clients()
-        background = [
-            self.clock.loop.create_task(self._take_snapshots()),
-            self.clock.loop.create_task(self._send_misbehaving_clients()),
-        ]
-        for arrival in arrivals:
-            wait_ms = self._start + arrival.at * 1000 - self.clock.now()
-            if wait_ms > MIN_SLEEP_MS:
-                await asyncio.sleep(wait_ms / 1000)
-            self.load_generator.begin(arrival)
-        await self._settle()
-        await self.faults.finish()
-        for task in background:
-            task.cancel()
-        self._lateness.stop()
-
-    def _create_clients(self) -> None:
-        scenario = self.scenario
-        proxies = self.proxies.all
-        selector = ProxySelector([proxy.zone for proxy in proxies])
-        pool_size = max(1, scenario.clients.connections // len(proxies))
-        self._pools = [
-            ClientPool(self.clock, self.rule_checker, proxy.number, proxy.listen, pool_size)
-            for proxy in proxies
-        ]
-        self.load_generator = LoadGenerator(
-            self.clock,
-            self.rule_checker,
-            self._pools,
-            selector,
-            scenario.classes,
-            scenario.clients,
-            random_stream(scenario.seed, "clients"),
-            self._start,
+        selector = ProxySelector([proxy.zone for proxy in self.proxies.all])
+        self.clients = RunClients(
+            self.clock, self.scenario, self.rule_checker, self.proxies.all, selector, self._start
         )
         self.faults = FaultInjector(self.cluster, self.proxies, selector, self._start)
-        self.faults.plan(scenario.faults)
-        self._misbehaving_clients = MisbehavingClients(
-            self.clock,
-            self.rule_checker,
-            random_stream(scenario.seed, "hostile"),
-            [proxy.listen for proxy in proxies],
-            scenario.classes[0].name,
-            scenario.classes[0].deadline_ms,
-            lambda: self.load_generator.last_ident,
-        )
-
-    async def _settle(self) -> None:
-        """Until all is answered or given up, and the counted part is over."""
-        longest = max(request_class.deadline_ms for request_class in self.scenario.classes)
-        end = self._start + self.scenario.seconds * 1000
-        limit = max(end, self.clock.now()) + longest + ANSWER_MARGIN_MS
-        while self.clock.now() < limit and self._is_playing(end):
-            await asyncio.sleep(SETTLE_STEP_S)
-        await asyncio.sleep(SETTLE_S)
-        self.rule_checker.sweep(self.clock.now())
-
-    def _is_playing(self, end: float) -> bool:
-        open_clients = self.load_generator.open or self._misbehaving_clients.open
-        return bool(open_clients) or self.clock.now() < end
+        self.faults.plan(self.scenario.faults)
+        snapshots = self.clock.loop.create_task(self._take_snapshots())
+        await self.clients.play(arrivals)
+        await self.faults.finish()
+        self.clients.close()
+        snapshots.cancel()
+        self._lateness.stop()
 
     async def _take_snapshots(self) -> None:
         """Note what is held where and what the processes use, and look for overdue answers."""
@@ -235,7 +180,7 @@
                 for name, node in self.cluster.nodes.items()
             }
             origin_held = self.cluster.origin.core.machine.held
-            self._snapshots.append(Snapshot(round(at, 2), nodes, origin_held, self.load_generator.open))
+            self._snapshots.append(Snapshot(round(at, 2), nodes, origin_held, self.clients.open_requests))
             self.proxies.look(self._start)
             gc.collect(1)  # the young objects alone: what a request leaves behind
             self.rule_checker.sweep(now)
@@ -243,20 +188,6 @@
                 self._observer(at, self)
             await asyncio.sleep(SNAPSHOT_INTERVAL_S)
 
-    async def _send_misbehaving_clients(self) -> None:
-        """Send them at the rates of the scenario, the kinds of a group in turn."""
-        rng = random_stream(self.scenario.seed, "harm")
-        groups = [(group, group.kinds or list(MISBEHAVIOURS)) for group in self.scenario.misbehaving_clients]
-        count = 0
-        while groups:
-            at = (self.clock.now() - self._start) / 1000
-            for group, kinds in groups:
-                if group.at <= at < min(group.at + group.for_s, self.scenario.seconds):
-                    for _ in range(rng.poisson(group.per_s / MISBEHAVIOUR_STEPS_PER_S)):
-                        count += 1
-                        self._misbehaving_clients.send(kinds[count % len(kinds)])
-            await asyncio.sleep(1 / MISBEHAVIOUR_STEPS_PER_S)
-
     def _void_reason(self, late_share: float) -> str:
         """Why the run says nothing of the proxies; empty if it does."""
         if late_share > MAX_LATE_SHARE:
@@ -264,7 +195,7 @@
         return "; ".join([*self.faults.errors, *self.clock.faults[:MAX_FAULTS_SHOWN]])
 
     def _result(self) -> RunResult:
-        results = self.load_generator.results
+        results = self.clients.results
         begun_late = sorted(result.late for result in results)
         late_share = self._lateness.share(LATE_MS)
         return RunResult(
@@ -281,9 +212,9 @@
             void=self._void_reason(late_share),
             origin_stops=self.cluster.origin.core.stops,
             rates=self.rule_checker.log.rates,
-            misbehaving_owed=self._misbehaving_clients.owed,
-            misbehaving_unpaid=self._misbehaving_clients.unpaid,
-            connections=sum(pool.opened for pool in self._pools),
+            misbehaving_owed=self.clients.misbehaving.owed,
+            misbehaving_unpaid=self.clients.misbehaving.unpaid,
+            connections=self.clients.connections,
             logs=str(self._folder),
         )
 
--- a/lupinladder/emulator/run_result.py
+++ b/lupinladder/emulator/run_result.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from lupinladder.emulator.load_generator import Result
-from lupinladder.emulator.proxies import Managed
+from lupinladder.emulator.managed_proxy import Managed
 from lupinladder.emulator.rule_violation import RuleViolation
 from lupinladder.emulator.scenario import Scenario
 
