--- a/tests/emulator/test_runs.py
+++ b/tests/emulator/test_runs.py
@@ -2,24 +2,15 @@
 
 from __future__ import annotations
 
-import json
-import subprocess
 import sys
-import tempfile
-from pathlib import Path
 from typing import Any
 from unittest import SkipTest, TestCase, mock
 
-import psutil
-from click.testing import CliRunner
-
-from lupinladder.cli.app import app
-from lupinladder.emulator import report, report_comparison, result_statistics, run, scenario
+from lupinladder.emulator import report, run
 from lupinladder.emulator.run import LATE_MESSAGE
 from lupinladder.emulator.run_result import RunResult
 from lupinladder.emulator.scenario import FaultConfig, LoadPhase, MisbehavingClientsConfig, Scenario
 
-VERBS = ("run", "list", "compare", "check", "restart-recovery", "node", "origin", "discovery")
 TRIES = 4  # of a run that is void: the machine, not the proxy, was late
 
 
@@ -158,122 +149,3 @@
     def test_a_cold_node_that_is_flooded(self) -> None:
         made = short(6, 120, FaultConfig("grow", 0, part=0.1), discovery__notice_s=(0.1, 0.3))
         self.assertGreater(self.caught("flood", made)["cold"], 0)
-
-
-class CommandLine(TestCase):
-    def invoke(self, *words: str) -> tuple[int, str]:
-        done = CliRunner().invoke(app, words)
-        return done.exit_code, done.output
-
-    def test_every_verb_has_help_with_an_example(self) -> None:
-        for words in (["demo"], ["emulator"], *(["emulator", verb] for verb in VERBS)):
-            code, text = self.invoke(*words, "--help")
-            self.assertEqual((code, "Example:" in text), (0, True), words)
-
-    def test_former_names_do_the_same_and_are_shown_in_no_help(self) -> None:
-        for former, present in [
-            (("lab", "list"), ("emulator", "list")),
-            (("lab", "check", "demo"), ("emulator", "check", "demo")),
-            (("lab", "comeback", "--seeds", "x"), ("emulator", "restart-recovery", "--seeds", "x")),
-            (("emulator", "comeback", "--seeds", "x"), ("emulator", "restart-recovery", "--seeds", "x")),
-        ]:
-            self.assertEqual(self.invoke(*former), self.invoke(*present))
-        for words, former_name in [((), "lab"), (("emulator",), "comeback"), (("lab",), "comeback")]:
-            code, text = self.invoke(*words, "--help")
-            self.assertEqual((code, former_name in text.split()), (0, False), text)
-
-    def test_bad_input_is_one_line_and_exit_2(self) -> None:
-        with tempfile.TemporaryDirectory() as folder:
-            bad = Path(folder) / "bad.toml"
-            bad.write_text("seconds = 5\nload = [{ at = 0, rate = 1 }]\n[fleet]\nnods = 3\n")
-            none = Path(folder) / "none.json"
-            none.write_text("{}")
-            for words, part in [
-                (("emulator", "run", str(bad)), "bad.toml:4: fleet: Object contains unknown field `nods`"),
-                (("emulator", "run", "nonesuch"), "no such file, nor one of the scenarios that ship"),
-                (("emulator", "compare", "x.json", "y.json"), "x.json: no such report"),
-                (("emulator", "compare", str(none), str(none)), "not a report of schema 1"),
-                (("demo", "--seconds", "x"), "not a valid float"),
-            ]:
-                code, text = self.invoke(*words)
-                self.assertEqual(code, 2, text)
-                self.assertIn(part, text.replace("\n", " "))
-
-    def test_a_run_leaves_a_report_and_a_picture_and_repeats_can_be_compared(self) -> None:
-        with tempfile.TemporaryDirectory() as folder:
-            path, plot = Path(folder) / "r.json", Path(folder) / "r.png"
-            words = ("emulator", "run", "calm", "--seconds", "2", "--rate", "50", "--repeat", "2", "--quiet")
-            code, text = self.invoke(*words, "--report", str(path), "--plot", str(plot))
-            self.assertIn(code, (0, 3), text)
-            self.assertTrue((Path(folder) / "r-2.png").read_bytes().startswith(b"\x89PNG"))
-            code, text = self.invoke("emulator", "compare", str(path), str(path), "--format", "json")
-            rows = {row["figure"]: row for row in json.loads(text)}
-            self.assertEqual(rows["in time"]["before"], rows["in time"]["after"])
-            self.assertFalse(any(row["clear"] for row in rows.values()))
-
-    def test_a_run_that_is_ended_or_cannot_start_leaves_no_proxy_behind(self) -> None:
-        with tempfile.TemporaryDirectory() as folder:
-            words = [
-                sys.executable,
-                "-m",
-                "lupinladder",
-                "emulator",
-                "run",
-                "calm",
-                "--quiet",
-                "--logs",
-                folder,
-            ]
-            ran = subprocess.Popen(words, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
-            assert ran.stderr
-            self.assertIn("proxies listen at", ran.stderr.readline())  # they are up
-            mine = psutil.Process(ran.pid).children(recursive=True)
-            self.assertEqual(len(mine), 3)
-            ran.terminate()
-            _, said = ran.communicate(timeout=20)
-            self.assertEqual((ran.returncode, "stopped before its end" in said), (1, True), said)
-            self.assertFalse(any(one.is_running() for one in mine))
-            bad = Path(folder) / "bad.toml"
-            command = [sys.executable, "-c", "print('no good')"]
-            bad.write_text(
-                f"seconds = 2\nload = [{{ at = 0, rate = 1 }}]\n[proxies]\ncommand = {json.dumps(command)}\n"
-            )
-            code, text = self.invoke("emulator", "run", str(bad), "--quiet")
-            self.assertEqual((code, "did not start: no good" in text), (1, True), text)
-
-    def test_the_platforms_start_imports_none_of_it(self) -> None:
-        code = (
-            "import sys, lupinladder.__main__; print([m for m in sys.modules for part in "
-            "('emulator', 'lupinladder.cli', 'click', 'msgspec', 'store', 'recovery', 'operator_config') "
-            "if part in m])"
-        )
-        ran = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
-        self.assertEqual(ran.stdout.strip(), "[]")
-
-
-class Reports(TestCase):
-    def test_a_stalled_proxy_is_charged_for_what_would_have_come_meanwhile(self) -> None:
-        """Latency counts from the intended time (no coordinated omission)."""
-        from lupinladder.emulator.load_generator import Result
-
-        results = [Result(n / 100, 0, "served", max(5.0, 500 - n * 10), 1, 0) for n in range(100)]
-        self.assertGreater(result_statistics.latency_percentiles(results)["p90"], 400)
-        self.assertAlmostEqual(
-            result_statistics.share_in_time(results, scenario.read("calm").classes), 0.8, delta=0.02
-        )
-
-    def test_a_change_is_clear_only_if_the_ranges_of_repeats_do_not_meet(self) -> None:
-        def trees(*shares: float) -> list[dict[str, Any]]:
-            return [{"share": one} for one in shares]
-
-        for before, after, clear in [
-            (trees(0.8, 0.82), trees(0.9, 0.95), True),
-            (trees(0.8, 0.92), trees(0.9, 0.95), False),
-            (trees(0.8), trees(0.95), False),
-        ]:
-            [row] = report_comparison.compare(before, after)
-            self.assertEqual(row["clear"], clear)
-
-    def test_the_lab_says_when_it_was_late_itself(self) -> None:
-        for void, kept, code in [("late", False, 3), ("", False, 1), ("", True, 0)]:
-            self.assertEqual(report.exit_code({"void": void, "kept": kept}), code)
