Describe the emulator by the names of the field and of its modules; name its tests by expectation

Cause: docs/lab.md spoke of stand-ins, a referee and harmful clients, and named modules that are called otherwise now.

--- a/tests/emulator/test_command_line.py
+++ b/tests/emulator/test_command_line.py
@@ -14,18 +14,18 @@
 
 from lupinladder.cli.app import app
 
-VERBS = ("run", "list", "compare", "check", "restart-recovery", "node", "origin", "discovery")
+COMMANDS = ("run", "list", "compare", "check", "restart-recovery", "node", "origin", "discovery")
 
 
 class CommandLine(TestCase):
-    def invoke(self, *words: str) -> tuple[int, str]:
-        done = CliRunner().invoke(app, words)
-        return done.exit_code, done.output
+    def invoke(self, *arguments: str) -> tuple[int, str]:
+        result = CliRunner().invoke(app, arguments)
+        return result.exit_code, result.output
 
-    def test_every_verb_has_help_with_an_example(self) -> None:
-        for words in (["demo"], ["emulator"], *(["emulator", verb] for verb in VERBS)):
-            code, text = self.invoke(*words, "--help")
-            self.assertEqual((code, "Example:" in text), (0, True), words)
+    def test_every_command_has_help_with_an_example(self) -> None:
+        for arguments in (["demo"], ["emulator"], *(["emulator", command] for command in COMMANDS)):
+            code, text = self.invoke(*arguments, "--help")
+            self.assertEqual((code, "Example:" in text), (0, True), arguments)
 
     def test_former_names_do_the_same_and_are_shown_in_no_help(self) -> None:
         for former, present in [
@@ -35,8 +35,8 @@
             (("emulator", "comeback", "--seeds", "x"), ("emulator", "restart-recovery", "--seeds", "x")),
         ]:
             self.assertEqual(self.invoke(*former), self.invoke(*present))
-        for words, former_name in [((), "lab"), (("emulator",), "comeback"), (("lab",), "comeback")]:
-            code, text = self.invoke(*words, "--help")
+        for arguments, former_name in [((), "lab"), (("emulator",), "comeback"), (("lab",), "comeback")]:
+            code, text = self.invoke(*arguments, "--help")
             self.assertEqual((code, former_name in text.split()), (0, False), text)
 
     def test_bad_input_is_one_line_and_exit_2(self) -> None:
@@ -45,22 +45,33 @@
             bad.write_text("seconds = 5\nload = [{ at = 0, rate = 1 }]\n[fleet]\nnods = 3\n")
             none = Path(folder) / "none.json"
             none.write_text("{}")
-            for words, part in [
+            for arguments, part in [
                 (("emulator", "run", str(bad)), "bad.toml:4: fleet: Object contains unknown field `nods`"),
                 (("emulator", "run", "nonesuch"), "no such file, nor one of the scenarios that ship"),
                 (("emulator", "compare", "x.json", "y.json"), "x.json: no such report"),
                 (("emulator", "compare", str(none), str(none)), "not a report of schema 1"),
                 (("demo", "--seconds", "x"), "not a valid float"),
             ]:
-                code, text = self.invoke(*words)
+                code, text = self.invoke(*arguments)
                 self.assertEqual(code, 2, text)
                 self.assertIn(part, text.replace("\n", " "))
 
     def test_a_run_leaves_a_report_and_a_picture_and_repeats_can_be_compared(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path, plot = Path(folder) / "r.json", Path(folder) / "r.png"
-            words = ("emulator", "run", "calm", "--seconds", "2", "--rate", "50", "--repeat", "2", "--quiet")
-            code, text = self.invoke(*words, "--report", str(path), "--plot", str(plot))
+            arguments = (
+                "emulator",
+                "run",
+                "calm",
+                "--seconds",
+                "2",
+                "--rate",
+                "50",
+                "--repeat",
+                "2",
+                "--quiet",
+            )
+            code, text = self.invoke(*arguments, "--report", str(path), "--plot", str(plot))
             self.assertIn(code, (0, 3), text)
             self.assertTrue((Path(folder) / "r-2.png").read_bytes().startswith(b"\x89PNG"))
             code, text = self.invoke("emulator", "compare", str(path), str(path), "--format", "json")
@@ -70,7 +81,7 @@
 
     def test_a_run_that_is_ended_or_cannot_start_leaves_no_proxy_behind(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
-            words = [
+            arguments = [
                 sys.executable,
                 "-m",
                 "lupinladder",
@@ -81,15 +92,15 @@
                 "--logs",
                 folder,
             ]
-            ran = subprocess.Popen(words, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
-            assert ran.stderr
-            self.assertIn("proxies listen at", ran.stderr.readline())  # they are up
-            mine = psutil.Process(ran.pid).children(recursive=True)
-            self.assertEqual(len(mine), 3)
-            ran.terminate()
-            _, said = ran.communicate(timeout=20)
-            self.assertEqual((ran.returncode, "stopped before its end" in said), (1, True), said)
-            self.assertFalse(any(one.is_running() for one in mine))
+            process = subprocess.Popen(arguments, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+            assert process.stderr
+            self.assertIn("proxies listen at", process.stderr.readline())  # all proxies are up
+            proxies = psutil.Process(process.pid).children(recursive=True)
+            self.assertEqual(len(proxies), 3)
+            process.terminate()
+            _, output = process.communicate(timeout=20)
+            self.assertEqual((process.returncode, "stopped before its end" in output), (1, True), output)
+            self.assertFalse(any(proxy.is_running() for proxy in proxies))
             bad = Path(folder) / "bad.toml"
             command = [sys.executable, "-c", "print('no good')"]
             bad.write_text(
@@ -104,5 +115,5 @@
             "('emulator', 'lupinladder.cli', 'click', 'msgspec', 'store', 'recovery', 'operator_config') "
             "if part in m])"
         )
-        ran = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
-        self.assertEqual(ran.stdout.strip(), "[]")
+        process = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+        self.assertEqual(process.stdout.strip(), "[]")
--- a/tests/emulator/test_report.py
+++ b/tests/emulator/test_report.py
@@ -6,31 +6,34 @@
 from unittest import TestCase
 
 from lupinladder.emulator import report, report_comparison, result_statistics, scenario
+from lupinladder.emulator.load_generator import Result
 
 
-class Reports(TestCase):
+class Statistics(TestCase):
     def test_a_stalled_proxy_is_charged_for_what_would_have_come_meanwhile(self) -> None:
         """Latency counts from the intended time (no coordinated omission)."""
-        from lupinladder.emulator.load_generator import Result
-
         results = [Result(n / 100, 0, "served", max(5.0, 500 - n * 10), 1, 0) for n in range(100)]
         self.assertGreater(result_statistics.latency_percentiles(results)["p90"], 400)
         self.assertAlmostEqual(
             result_statistics.share_in_time(results, scenario.read("calm").classes), 0.8, delta=0.02
         )
 
+
+class Comparing(TestCase):
     def test_a_change_is_clear_only_if_the_ranges_of_repeats_do_not_meet(self) -> None:
-        def trees(*shares: float) -> list[dict[str, Any]]:
-            return [{"share": one} for one in shares]
+        def reports(*shares: float) -> list[dict[str, Any]]:
+            return [{"share": share} for share in shares]
 
         for before, after, clear in [
-            (trees(0.8, 0.82), trees(0.9, 0.95), True),
-            (trees(0.8, 0.92), trees(0.9, 0.95), False),
-            (trees(0.8), trees(0.95), False),
+            (reports(0.8, 0.82), reports(0.9, 0.95), True),
+            (reports(0.8, 0.92), reports(0.9, 0.95), False),
+            (reports(0.8), reports(0.95), False),
         ]:
-            [row] = report_comparison.compare(before, after)
-            self.assertEqual(row["clear"], clear)
+            [comparison] = report_comparison.compare(before, after)
+            self.assertEqual(comparison["clear"], clear)
+
 
-    def test_the_lab_says_when_it_was_late_itself(self) -> None:
+class ExitCodes(TestCase):
+    def test_a_void_run_a_broken_rule_and_a_good_run_have_codes_of_their_own(self) -> None:
         for void, kept, code in [("late", False, 3), ("", False, 1), ("", True, 0)]:
             self.assertEqual(report.exit_code({"void": void, "kept": kept}), code)
--- a/tests/emulator/test_runs.py
+++ b/tests/emulator/test_runs.py
@@ -1,4 +1,4 @@
-"""The lab on real sockets: every fault, planted faults of the proxy, and the command line."""
+"""Runs of the emulator with real processes: each kind of fault, and proxies with a planted fault."""
 
 from __future__ import annotations
 
@@ -11,56 +11,57 @@
 from lupinladder.emulator.run_result import RunResult
 from lupinladder.emulator.scenario import FaultConfig, LoadPhase, MisbehavingClientsConfig, Scenario
 
-TRIES = 4  # of a run that is void: the machine, not the proxy, was late
+MAX_VOID_RUNS = 4  # in which the machine, not the proxy, was late
 
 
-def short(seconds: float, rate: float, *faults: FaultConfig, **more: Any) -> Scenario:
-    made = Scenario(seconds, [LoadPhase(0, rate)], lead_s=0.5, faults=list(faults))
-    for path, value in more.items():
+def short_scenario(seconds: float, rate: float, *faults: FaultConfig, **settings: Any) -> Scenario:
+    """`settings` are values of the scenario, or, as `part__name`, of one of its parts."""
+    played = Scenario(seconds, [LoadPhase(0, rate)], lead_s=0.5, faults=list(faults))
+    for path, value in settings.items():
         part, _, name = path.partition("__")
-        setattr(getattr(made, part) if name else made, name or part, value)
-    made.check()
-    return made
+        setattr(getattr(played, part) if name else played, name or part, value)
+    played.check()
+    return played
 
 
-def outcome_of(made: Scenario) -> RunResult:
-    """The first run that says something. A machine that is late in all of them has judged nothing: that is
-    no verdict on the proxy, so it skips. A fault of the lab's own is a failure."""
-    for _ in range(TRIES):
-        found = run.play(made)
-        if not found.void:
-            return found
-    if found.void.startswith(LATE_MESSAGE.partition("{")[0]):
-        raise SkipTest(found.void)
-    raise AssertionError(found.void)
+def outcome_of(played: Scenario) -> RunResult:
+    """The result of the first run that is not void. If the machine was late in all of them nothing is known
+    of the proxy, and the test skips. A fault of the emulator's own is a failure."""
+    for _ in range(MAX_VOID_RUNS):
+        outcome = run.play(played)
+        if not outcome.void:
+            return outcome
+    if outcome.void.startswith(LATE_MESSAGE.partition("{")[0]):
+        raise SkipTest(outcome.void)
+    raise AssertionError(outcome.void)
 
 
-def play(made: Scenario) -> dict[str, Any]:
-    return report.figures(outcome_of(made))
+def report_of(played: Scenario) -> dict[str, Any]:
+    return report.figures(outcome_of(played))
 
 
-class Void(TestCase):
-    def test_a_machine_that_is_late_gives_no_verdict_and_a_fault_of_the_lab_does(self) -> None:
+class VoidRuns(TestCase):
+    def test_a_late_machine_skips_the_test_and_a_fault_of_the_emulator_fails_it(self) -> None:
         for void, raised in [(LATE_MESSAGE.format(30, 0.013), SkipTest), ("a fault", AssertionError)]:
             with mock.patch.object(run, "play", return_value=mock.Mock(void=void)), self.assertRaises(raised):
-                play(CASES["restarts"])
+                report_of(CASES["restarts"])
 
 
 CASES: dict[str, Scenario] = {
-    "a deploy at used addresses, a hot key": short(
+    "a deploy at used addresses, a hot key": short_scenario(
         7,
         60,
         FaultConfig("deploy", 0, 5, 0.4, 0.2, 3.0, reuse=True),
         FaultConfig("hot-key", 1, 3, keys=2),
     ),
-    "shrink and grow": short(
+    "shrink and grow": short_scenario(
         6,
         60,
         FaultConfig("shrink", 0, 2, 0.3, drain_s=3.5),
         FaultConfig("grow", 1, part=0.25),
         FaultConfig("term", 2, 0.1, proxy=2),
     ),
-    "list late, down, moved": short(
+    "list late, down, moved": short_scenario(
         7,
         60,
         FaultConfig("late-list", 0, 2, size=1),
@@ -68,7 +69,7 @@
         FaultConfig("list-down", 2.5, 1),
         FaultConfig("list-move", 5),
     ),
-    "silent, reset, garbled": short(
+    "silent, reset, corrupted": short_scenario(
         6,
         60,
         FaultConfig("silent", 0.5, 2, 0.1),
@@ -76,13 +77,13 @@
         FaultConfig("garble", 2, 3, 0.1),
         clients__unanswered="failed",
     ),
-    "slow origin, far zone": short(
+    "slow origin, far zone": short_scenario(
         4,
         60,
         FaultConfig("slow-origin", 0.5, 2, size=3),
         FaultConfig("zone-delay", 1, 2, size=0.03, zone="jelgava"),
     ),
-    "pauses, a neighbour, no reports, tenants": short(
+    "pauses, a neighbour, no reports, tenants": short_scenario(
         6,
         60,
         FaultConfig("pauses", 0, 5, 0.4, size=0.3),
@@ -93,16 +94,16 @@
         clients__tenants={"a": 0.7, "b": 0.3},
     ),
     # What waits in line for a connection has less time left when it is sent: its command must say so.
-    "more requests than connections": short(3, 150, clients__connections=9),
-    "values of 1 MiB": short(3, 15, clients__size=(1 << 20, 0.0)),
-    "restarts": short(
+    "more requests than connections": short_scenario(3, 150, clients__connections=9),
+    "values of 1 MiB": short_scenario(3, 15, clients__size=(1 << 20, 0.0)),
+    "restarts": short_scenario(
         9,
         60,
         FaultConfig("kill", 0.5, 0.5, proxy=1),
         FaultConfig("hup", 2, proxy=0),
         FaultConfig("rolling-restart", 2.5, 0.1),
     ),
-    "harmful clients": short(
+    "misbehaving clients": short_scenario(
         6,
         60,
         FaultConfig("connections", 0.5, 3, size=300),
@@ -114,38 +115,40 @@
 
 
 class Faults(TestCase):
-    def test_the_proxy_keeps_the_rules_under_each(self) -> None:
-        for name, made in CASES.items():
+    def test_the_proxy_keeps_the_rules_under_each_kind(self) -> None:
+        for name, played in CASES.items():
             with self.subTest(name):
-                tree = play(made)
+                tree = report_of(played)
                 self.assertTrue(tree["kept"], tree["broken"])
-                answered = sum(tree["outcomes"].get(word, 0) for word in ("served", "late"))
+                answered = sum(tree["outcomes"].get(outcome, 0) for outcome in ("served", "late"))
                 self.assertGreater(answered, tree["asked"] / 2)
                 self.assertFalse(tree["hostile"]["unpaid"])
-                if made.misbehaving_clients:
+                if played.misbehaving_clients:
                     self.assertGreater(sum(tree["hostile"]["owed"].values()), 30)
 
 
-class Planted(TestCase):
-    """A proxy with a fault planted is caught, by the rule it breaks."""
+class PlantedFaults(TestCase):
+    """A proxy with a planted fault is found out, by the rule that it breaks."""
 
-    def caught(self, kind: str, made: Scenario) -> dict[str, int]:
-        made.proxies.command = [sys.executable, "-m", "tests.emulator.faulty_proxy", kind]
-        rules: dict[str, int] = play(made)["rules"]
+    def broken_rules(self, fault: str, played: Scenario) -> dict[str, int]:
+        played.proxies.command = [sys.executable, "-m", "tests.emulator.faulty_proxy", fault]
+        rules: dict[str, int] = report_of(played)["rules"]
         return rules
 
-    def test_a_claim_sent_twice(self) -> None:
-        rules = self.caught("double", short(3, 100))
+    def test_a_request_that_is_not_idempotent_is_sent_twice(self) -> None:
+        rules = self.broken_rules("double", short_scenario(3, 100))
         self.assertGreater(rules["effect"], 3)
 
-    def test_an_answer_that_is_lost(self) -> None:
-        rules = self.caught("lose", short(3, 100))
+    def test_answers_are_lost(self) -> None:
+        rules = self.broken_rules("lose", short_scenario(3, 100))
         self.assertGreater(rules["lost"], 3)
 
-    def test_work_sent_to_a_draining_node(self) -> None:
-        made = short(7, 60, FaultConfig("deploy", 0, 1, 0.3, 0.3, 6.5), discovery__notice_s=(0.1, 0.3))
-        self.assertGreater(self.caught("stale", made)["drain"], 3)
+    def test_requests_are_sent_to_a_leaving_node(self) -> None:
+        played = short_scenario(
+            7, 60, FaultConfig("deploy", 0, 1, 0.3, 0.3, 6.5), discovery__notice_s=(0.1, 0.3)
+        )
+        self.assertGreater(self.broken_rules("stale", played)["drain"], 3)
 
-    def test_a_cold_node_that_is_flooded(self) -> None:
-        made = short(6, 120, FaultConfig("grow", 0, part=0.1), discovery__notice_s=(0.1, 0.3))
-        self.assertGreater(self.caught("flood", made)["cold"], 0)
+    def test_a_node_that_warms_up_is_overloaded(self) -> None:
+        played = short_scenario(6, 120, FaultConfig("grow", 0, part=0.1), discovery__notice_s=(0.1, 0.3))
+        self.assertGreater(self.broken_rules("flood", played)["cold"], 0)
--- a/tests/emulator/test_scenario.py
+++ b/tests/emulator/test_scenario.py
@@ -1,4 +1,4 @@
-"""Scenarios: what is wrong is told with its line; the same seed draws the same run."""
+"""Scenarios: errors name their line; the same seed draws the same requests."""
 
 from __future__ import annotations
 
@@ -13,30 +13,30 @@
 from lupinladder.emulator.workload import ArrivalPlan, KeyDistribution
 from lupinladder.operator_config import toml_decoder
 
-GOOD = "seconds = 5\nload = [{ at = 0, rate = 10 }]\n"
-BAD = [  # text, line, a part of what is said
+VALID = "seconds = 5\nload = [{ at = 0, rate = 10 }]\n"
+FAULTY = [  # text, line, a part of the message
     ("seconds = 5\nload = [\n", 2, "not TOML"),
     ("seconds = 'x'\nload = [{ at = 0, rate = 1 }]\n", 1, "seconds: Expected `float`"),
-    (GOOD + "[fleet]\nnodes = 12\ncolour = 1\n", 5, "unknown field `colour`"),
-    (GOOD + "[fleet]\n\nnodes = 0\n", 5, "fleet.nodes: 0 is out of range, expected 1 to 200"),
+    (VALID + "[fleet]\nnodes = 12\ncolour = 1\n", 5, "unknown field `colour`"),
+    (VALID + "[fleet]\n\nnodes = 0\n", 5, "fleet.nodes: 0 is out of range, expected 1 to 200"),
     (
-        GOOD + "[[faults]]\nkind = 'reset'\nat = 1\n[[faults]]\nkind = 'reset'\nat = 9\n",
+        VALID + "[[faults]]\nkind = 'reset'\nat = 1\n[[faults]]\nkind = 'reset'\nat = 9\n",
         8,
         "faults[1].at: 9 is",
     ),
-    (GOOD + "[[faults]]\nat = 1\nkind = 'rest'\n", 5, "Invalid enum value 'rest'"),
-    (GOOD + "[[faults]]\nkind = 'reset'\n", 3, "missing required field `at`"),
+    (VALID + "[[faults]]\nat = 1\nkind = 'rest'\n", 5, "Invalid enum value 'rest'"),
+    (VALID + "[[faults]]\nkind = 'reset'\n", 3, "missing required field `at`"),
     (
-        GOOD + "faults = [{ kind = 'kill', at = 1 },\n { kind = 'kill', at = 1, proxy = 7 }]\n",
+        VALID + "faults = [{ kind = 'kill', at = 1 },\n { kind = 'kill', at = 1, proxy = 7 }]\n",
         4,
         "there are proxies 0 to 2",
     ),
     ("seconds = 5\nload = [\n { at = 0, rate = 1 },\n { at = 0, rate = 2 },\n]\n", 4, "later than the step"),
-    (GOOD + "[fleet]\ncores.x = 1\n", 4, "fleet.cores"),
-    (GOOD + "[[hostile]]\nkinds = ['noise',\n 'nosie']\n", 4, "'nosie' is none of"),
+    (VALID + "[fleet]\ncores.x = 1\n", 4, "fleet.cores"),
+    (VALID + "[[hostile]]\nkinds = ['noise',\n 'nosie']\n", 4, "'nosie' is none of"),
     ("seconds = 5\nschema = 2\nload = [{ at = 0, rate = 1 }]\n", 2, "reads schema 1"),
     (
-        GOOD
+        VALID
         + "[[classes]]\nname='a'\nshare=1\nwork_ms=1\naim_ms=9\ndeadline_ms=9\nwrite = true\nrepeat='safe'\n",
         10,
         "never safe",
@@ -44,24 +44,24 @@
 ]
 
 
-class Reading(TestCase):
-    def test_each_fault_is_one_line_with_its_place(self) -> None:
-        for text, line, what in BAD:
-            with self.subTest(what):
+class ReadingScenarios(TestCase):
+    def test_each_error_is_one_line_that_names_its_place(self) -> None:
+        for text, line, message in FAULTY:
+            with self.subTest(message):
                 with self.assertRaises(toml_decoder.TomlError) as caught:
                     toml_decoder.parse(text.encode(), "x.toml", Scenario)
-                said = str(caught.exception)
-                self.assertTrue(said.startswith(f"x.toml:{line}: "), said)
-                self.assertIn(what, said)
-                self.assertNotIn("\n", said)
+                text_of_error = str(caught.exception)
+                self.assertTrue(text_of_error.startswith(f"x.toml:{line}: "), text_of_error)
+                self.assertIn(message, text_of_error)
+                self.assertNotIn("\n", text_of_error)
 
-    def test_places_are_found_in_every_form_of_toml(self) -> None:
+    def test_lines_are_found_in_every_form_of_toml(self) -> None:
         text = (
             '[a."b.c"]\nd.e = [1,\n 2]\n[[t]]\nx = {y = 1, z = [\n{q=3}]}\n[t.sub]\nk = 1\n'
             '[[t]]\n# remark\n"w\\u0061" = 1\n'
             "[[t.in]]\nm = 1\n[[t.in]]\nm = 2\n"
         )
-        places = toml_decoder.SourceLines(text.encode())
+        source_lines = toml_decoder.SourceLines(text.encode())
         cases: list[tuple[list[toml_decoder.Step], int]] = [
             (["a", "b.c", "d", "e", 1], 3),
             (["t", 0, "x", "z", 0, "q"], 6),
@@ -72,16 +72,16 @@
         ]
         for path, line in cases:
             with self.subTest(path=path):
-                self.assertEqual(places.line(path), line)
-        self._every_key_has_a_place(tomllib.loads(text), [], places)
+                self.assertEqual(source_lines.line(path), line)
+        self._assert_every_key_has_a_line(tomllib.loads(text), [], source_lines)
 
-    def _every_key_has_a_place(
-        self, tree: Any, path: list[toml_decoder.Step], places: toml_decoder.SourceLines
+    def _assert_every_key_has_a_line(
+        self, tree: Any, path: list[toml_decoder.Step], source_lines: toml_decoder.SourceLines
     ) -> None:
-        self.assertIn(tuple(path), places._lines)
+        self.assertIn(tuple(path), source_lines._lines)
         pairs = tree.items() if isinstance(tree, dict) else enumerate(tree) if isinstance(tree, list) else ()
         for step, value in pairs:
-            self._every_key_has_a_place(value, [*path, step], places)
+            self._assert_every_key_has_a_line(value, [*path, step], source_lines)
 
     def test_the_scenarios_that_ship_can_be_read_and_cover_every_fault(self) -> None:
         played = {fault.kind for name in scenario.shipped() for fault in scenario.read(name).faults}
@@ -89,16 +89,16 @@
         self.assertEqual(known - played, {"term"})  # which a rolling restart plays
 
 
-class Drawing(TestCase):
-    def plan(self, seed: int, **more: Any) -> tuple[KeyDistribution, ArrivalPlan]:
-        made = scenario.read("demo")
-        made.seed = seed
-        for name, value in more.items():
-            setattr(made, name, value)
-        keys = KeyDistribution(seed, made.clients)
-        return keys, ArrivalPlan(made, keys)
+class DrawnRequests(TestCase):
+    def plan(self, seed: int, **settings: Any) -> tuple[KeyDistribution, ArrivalPlan]:
+        played = scenario.read("demo")
+        played.seed = seed
+        for name, value in settings.items():
+            setattr(played, name, value)
+        keys = KeyDistribution(seed, played.clients)
+        return keys, ArrivalPlan(played, keys)
 
-    def test_the_same_seed_draws_the_same_and_another_another(self) -> None:
+    def test_the_same_seed_draws_the_same_requests_and_another_seed_others(self) -> None:
         first, again, other = (self.plan(seed)[1].arrivals for seed in (3, 3, 4))
         self.assertEqual(first, again)
         self.assertNotEqual(first[:50], other[:50])
@@ -106,9 +106,9 @@
     def test_a_hot_key_gets_its_share_and_shifts_no_arrival(self) -> None:
         _, hot = self.plan(3)
         _, calm = self.plan(3, faults=[])
-        self.assertEqual([one.at for one in hot.arrivals], [one.at for one in calm.arrivals])
+        self.assertEqual([arrival.at for arrival in hot.arrivals], [arrival.at for arrival in calm.arrivals])
         fault = scenario.read("demo").faults[0]
-        during = [one.key for one in hot.arrivals if fault.at <= one.at < fault.at + fault.for_s]
+        during = [arrival.key for arrival in hot.arrivals if fault.at <= arrival.at < fault.at + fault.for_s]
         most = max(during.count(key) for key in set(during))
         self.assertAlmostEqual(most / len(during), fault.size, delta=0.05)
 
