--- a/tests/emulator/test_command_line.py
+++ b/tests/emulator/test_command_line.py
@@ -13,6 +13,7 @@
 from click.testing import CliRunner
 
 from lupinladder.cli.app import app
+from lupinladder.cli.command_group import LazyCommand, LazyGroup
 
 COMMANDS = ("run", "list", "compare", "check", "restart-recovery", "node", "origin", "discovery")
 
@@ -39,6 +40,22 @@
             code, text = self.invoke(*arguments, "--help")
             self.assertEqual((code, former_name in text.split()), (0, False), text)
 
+    def test_a_missing_package_is_one_line_that_says_what_to_install(self) -> None:
+        group = LazyGroup(
+            lazy_commands={"extra": LazyCommand("no_such_package", "extra", "Needs a package.")}
+        )
+        listed = CliRunner().invoke(group, ["--help"])
+        self.assertEqual((listed.exit_code, "Needs a package." in listed.output), (0, True), listed.output)
+        called = CliRunner().invoke(group, ["extra"])
+        self.assertEqual(called.exit_code, 1)
+        message = "extra needs the package no_such_package: pip install 'lupinladder[lab]'"
+        self.assertIn(message, called.output)
+
+    def test_a_server_runs_alone_and_says_where_it_listens(self) -> None:
+        for server in ("node", "origin", "discovery"):
+            code, text = self.invoke("emulator", server, "--seconds", "0.1")
+            self.assertEqual((code, text.startswith(f"{server} listens at 127.0.0.1:")), (0, True), text)
+
     def test_bad_input_is_one_line_and_exit_2(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             bad = Path(folder) / "bad.toml"
