--- a/lupinladder/cli/emulator/restart_recovery.py
+++ b/lupinladder/cli/emulator/restart_recovery.py
@@ -20,10 +20,13 @@
 @click.option("--proxies", type=click.IntRange(2, 16), default=12, show_default=True)
 @click.option("--kill", type=click.FloatRange(0.01, 1), default=0.67, show_default=True, help="Share killed.")
 @click.option(
-    "--store", type=click.Choice(get_args(restart_recovery.Stores)), default="kept", show_default=True
+    "--store", type=click.Choice(get_args(restart_recovery.StoreCondition)), default="kept", show_default=True
 )
 @click.option(
-    "--discovery", type=click.Choice(get_args(restart_recovery.Lists)), default="up", show_default=True
+    "--discovery",
+    type=click.Choice(get_args(restart_recovery.DiscoveryCondition)),
+    default="up",
+    show_default=True,
 )
 @click.option("--seeds", default="1", show_default=True, help="One seed, or the first and the last: 1-10.")
 @output_options
@@ -33,8 +36,8 @@
 def measure_restart_recovery(
     proxies: int,
     kill: float,
-    store: restart_recovery.Stores,
-    discovery: restart_recovery.Lists,
+    store: restart_recovery.StoreCondition,
+    discovery: restart_recovery.DiscoveryCondition,
     seeds: str,
     output: OutputOptions,
 ) -> None:
--- a/lupinladder/emulator/restart_recovery.py
+++ b/lupinladder/emulator/restart_recovery.py
@@ -17,8 +17,11 @@
 from lupinladder.emulator.run_result import RunResult
 from lupinladder.emulator.scenario import FaultConfig, LoadPhase, ProxiesConfig, Scenario
 
-Stores = Literal["none", "kept", "lost", "torn", "flipped", "swapped", "old"]
-Lists = Literal["up", "late", "down"]
+StoreCondition = Literal["none", "kept", "lost", "torn", "flipped", "swapped", "old"]
+"""What becomes of the stores of killed proxies; none: they never had one."""
+
+DiscoveryCondition = Literal["up", "late", "down"]
+"""How discovery works around the kill."""
 
 SECONDS = 17.0  # length of a run
 KILLED_S = 6.0  # when the proxies are killed
@@ -33,7 +36,9 @@
 LOST_AND_LATE = ("late", "refused", "failed", "unanswered")
 
 
-def scenario(proxies: int, kill: float, store: Stores, lists: Lists, seed: int) -> Scenario:
+def scenario(
+    proxies: int, kill: float, store: StoreCondition, discovery: DiscoveryCondition, seed: int
+) -> Scenario:
     """The scenario in which a share `kill` of the proxies is killed.
 
     With a store the configurations name nothing but the origin, as after a stop of days; without one they
@@ -42,17 +47,17 @@
     has_store = store != "none"
     faults = [FaultConfig("kill-many", KILLED_S, AWAY_S, kill, how=store if has_store else "")]
     made = Scenario(SECONDS, [LoadPhase(0, REQUESTS_PER_S * proxies)], seed=seed)
-    made.faults = _discovery_faults(lists) + faults
-    made.about = f"{kill:.0%} of {proxies} proxies killed at once; store {store}, discovery {lists}"
+    made.faults = _discovery_faults(discovery) + faults
+    made.about = f"{kill:.0%} of {proxies} proxies killed at once; store {store}, discovery {discovery}"
     made.proxies = ProxiesConfig(proxies, store=has_store, known="none" if has_store else "first")
     made.check()
     return made
 
 
-def _discovery_faults(lists: Lists) -> list[FaultConfig]:
-    if lists == "down":
+def _discovery_faults(discovery: DiscoveryCondition) -> list[FaultConfig]:
+    if discovery == "down":
         return [FaultConfig("list-down", KILLED_S - 0.5, 5.0)]
-    if lists == "late":  # and nodes are replaced at used addresses while most proxies are away
+    if discovery == "late":  # and nodes are replaced at used addresses while most proxies are away
         return [
             FaultConfig("late-list", KILLED_S - 3, 8.0, size=1.5),
             FaultConfig("deploy", KILLED_S - 1, 5.0, part=0.25, batch=0.09, drain_s=3.0, reuse=True),
