--- /dev/null
+++ b/lupinladder/cli/emulator/group.py
@@ -0,0 +1,16 @@
+"""The group of commands `lupinladder emulator ...`."""
+
+from __future__ import annotations
+
+import click
+
+from lupinladder.cli.command_group import FormerNameGroup
+from lupinladder.cli.help_text import example
+
+FORMER_NAMES = {"comeback": "restart-recovery"}
+
+
+@click.group(cls=FormerNameGroup, former_names=FORMER_NAMES)
+@example("lupinladder emulator run deploy --report deploy.json")
+def emulator() -> None:
+    """Emulated servers, scenarios, load and reports."""
--- /dev/null
+++ b/lupinladder/emulator/report_comparison.py
@@ -0,0 +1,75 @@
+"""The comparison of reports from before and after a change."""
+
+from __future__ import annotations
+
+import statistics
+from typing import Any, NamedTuple, TypedDict
+
+
+class ComparedFigure(NamedTuple):
+    """A figure of a report: where it stands in it, and how it is shown."""
+
+    name: str
+    path: tuple[str, ...]
+    factor: int = 1  # from the report's unit to the one shown
+    unit: str = ""
+
+
+COMPARED_FIGURES = (
+    ComparedFigure("in time", ("share",), 100, "%"),
+    ComparedFigure("worst 10 s", ("share_worst_10s",), 100, "%"),
+    ComparedFigure("worst class", ("share_worst_class",), 100, "%"),
+    ComparedFigure("p50", ("latency_ms", "p50"), unit="ms"),
+    ComparedFigure("p99", ("latency_ms", "p99"), unit="ms"),
+    ComparedFigure("p99.9", ("latency_ms", "p99.9"), unit="ms"),
+    ComparedFigure("executions", ("counts", "executions")),
+    ComparedFigure("refused", ("counts", "refused")),
+)
+
+
+class Comparison(TypedDict):
+    """Medians and ranges of one figure on both sides, as written in JSON."""
+
+    figure: str
+    unit: str
+    before: float
+    before_range: list[float]
+    after: float
+    after_range: list[float]
+    clear: bool  # the ranges of the repeats do not meet; never so with one run a side
+
+
+def compare(before: list[dict[str, Any]], after: list[dict[str, Any]]) -> list[Comparison]:
+    """Compare the reports of two sides, figure by figure; those missing from a side are left out."""
+    comparisons = []
+    for figure in COMPARED_FIGURES:
+        before_values = _values(before, figure)
+        after_values = _values(after, figure)
+        if before_values and after_values:
+            comparisons.append(_comparison(figure, before_values, after_values))
+    return comparisons
+
+
+def _comparison(figure: ComparedFigure, before: list[float], after: list[float]) -> Comparison:
+    ranges_are_apart = min(before) > max(after) or max(before) < min(after)
+    return {
+        "figure": figure.name,
+        "unit": figure.unit,
+        "before": statistics.median(before),
+        "before_range": [min(before), max(before)],
+        "after": statistics.median(after),
+        "after_range": [min(after), max(after)],
+        "clear": ranges_are_apart and min(len(before), len(after)) > 1,
+    }
+
+
+def _values(reports: list[dict[str, Any]], figure: ComparedFigure) -> list[float]:
+    values = (_value(report, figure.path) for report in reports)
+    return [value * figure.factor for value in values if value is not None]
+
+
+def _value(report: dict[str, Any], path: tuple[str, ...]) -> float | None:
+    node: Any = report
+    for key in path:
+        node = node.get(key) if isinstance(node, dict) else None
+    return float(node) if isinstance(node, int | float) else None
