--- a/benchmarks/model_fleet.py
+++ b/benchmarks/model_fleet.py
@@ -113,7 +113,15 @@
         asked, tried = self.open.get((n, request), (self.now, []))
         tried.append(node.id)
         node.sent[self.second] += 1
-        job = _Job(self, n, request, len(tried) - 1, self.balancers[n].live[request].request.key, node, asked)
+        job = _Job(
+            self,
+            n,
+            request,
+            len(tried) - 1,
+            self.balancers[n].open_requests[request].request.key,
+            node,
+            asked,
+        )
         if not node.reached:
             return self.at(self.now + DIAL, lambda: job.end(Outcome.CONNECT_FAILED))
         self.at(asked + 600.0, lambda: job.end(Outcome.TIMEOUT))
--- a/lupinladder/balancing/endpoint_table.py
+++ b/lupinladder/balancing/endpoint_table.py
@@ -9,46 +9,76 @@
 from lupinladder.balancing.server import Server
 from lupinladder.balancing.settings import ServerId, Settings
 
+ServerFactory = Callable[[Endpoint, bool, float], Server]  # endpoint, whether it is the origin, now
+
 
 class EndpointTable:
     """The listed servers by id, and which of them is the origin."""
 
-    def __init__(self, settings: Settings, new_server: Callable[[Endpoint, bool, float], Server]) -> None:
-        self.settings = settings
-        self.new_server = new_server
+    def __init__(self, settings: Settings, new_server: ServerFactory) -> None:
+        self._settings = settings
+        self._new_server = new_server
+        self._version = -1
         self.members = dict[ServerId, Server]()
-        self.ring = list[Server]()  # the servers that hold slots
+        self.slot_owners = list[Server]()  # ready members other than the origin
         self.origin: Server | None = None
-        self.version = -1
-
-    def merge(self, event: EndpointUpdate, now: float) -> bool:
-        """Take in an update that holds a list; true if owners change."""
-        if event.kind is EndpointUpdateKind.DELTA and event.version < self.version:
-            return False  # stale: a newer list is known
-        self.version, changed, entries = event.version, False, event.endpoints
-        if event.kind is not EndpointUpdateKind.DELTA:  # who is missing from a whole list is gone
-            named = {e.server for e in entries}
-            entries = entries + [Endpoint(i, EndpointState.GONE) for i in self.members if i not in named]
-        for entry in entries:
-            changed = self.listed(entry, now) or changed
+
+    def is_stale(self, update: EndpointUpdate) -> bool:
+        """Whether a newer list than the one that this delta changes is known."""
+        return update.kind is EndpointUpdateKind.DELTA and update.version < self._version
+
+    def merge(self, update: EndpointUpdate, now: float) -> bool:
+        """Take in a full, cached or changed list; true if slots change their owners."""
+        self._version = update.version
+        endpoints = update.endpoints
+        if update.kind is not EndpointUpdateKind.DELTA:  # who is missing from a whole list is gone
+            listed = {endpoint.server for endpoint in endpoints}
+            missing = [server for server in self.members if server not in listed]
+            endpoints = endpoints + [Endpoint(server, EndpointState.GONE) for server in missing]
+        changed = False
+        for endpoint in endpoints:
+            changed = self._merge_endpoint(endpoint, now) or changed
         if changed:
-            self.ring = [s for s in self.members.values() if s is not self.origin and s.ready]
+            members = self.members.values()
+            self.slot_owners = [s for s in members if s is not self.origin and s.is_ready]
         return changed
 
-    def listed(self, entry: Endpoint, now: float) -> bool:
-        """Take in one entry; true if owners change."""
-        server, ready = self.members.get(entry.server), entry.state is EndpointState.READY
-        if entry.state is EndpointState.GONE:
-            if server:
-                server.ready = False  # attempts in flight still hold it
-            self.origin = None if server is self.origin else self.origin
-            return self.members.pop(entry.server, None) is not None
-        changed = server is None or server.entry.started_at != entry.started_at
-        if server is None or changed:  # new, or started again under its id
-            origin = entry.server_kind == self.settings.origin_kind
-            server = self.new_server(entry, origin, now)
-            self.members[entry.server], self.origin = server, server if origin else self.origin
-        weight = 1.0 if self.settings.live_weights or not 0 < entry.weight < inf else entry.weight
-        changed = changed or server.ready is not ready or server.weight != weight
-        server.entry, server.ready, server.weight = entry, ready, weight
+    def _merge_endpoint(self, endpoint: Endpoint, now: float) -> bool:
+        """Take in one endpoint; true if slots change their owners."""
+        server = self.members.get(endpoint.server)
+        if endpoint.state is EndpointState.GONE:
+            return self._remove(server)
+        changed = False
+        if server is None or server.endpoint.started_at != endpoint.started_at:
+            server = self._add(endpoint, now)  # new, or started again under its id
+            changed = True
+        is_ready = endpoint.state is EndpointState.READY
+        weight = self._weight_of(endpoint)
+        changed = changed or server.is_ready is not is_ready or server.weight != weight
+        server.endpoint = endpoint
+        server.is_ready = is_ready
+        server.weight = weight
         return changed
+
+    def _add(self, endpoint: Endpoint, now: float) -> Server:
+        is_origin = endpoint.server_kind == self._settings.origin_kind
+        server = self._new_server(endpoint, is_origin, now)
+        self.members[endpoint.server] = server
+        if is_origin:
+            self.origin = server
+        return server
+
+    def _weight_of(self, endpoint: Endpoint) -> float:
+        """A server's weight as listed; weights that follow the load of the moment are not used."""
+        if self._settings.live_weights or not 0 < endpoint.weight < inf:
+            return 1.0
+        return endpoint.weight
+
+    def _remove(self, server: Server | None) -> bool:
+        if server is None:
+            return False
+        server.is_ready = False  # attempts in flight still hold it
+        if server is self.origin:
+            self.origin = None
+        del self.members[server.id]
+        return True
--- /dev/null
+++ b/lupinladder/balancing/event_dispatcher.py
@@ -0,0 +1,182 @@
+"""Dispatch of each event to its handler, and the bookkeeping around it.
+
+No decision is made here: what to send, reject or hold is said by the handlers, in balancer.py.
+"""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+
+from lupinladder.balancing.actions import Action, Fail, LogMessage, Reject, StartAttempt, WatchEndpoints
+from lupinladder.balancing.endpoint_poller import EndpointPoller
+from lupinladder.balancing.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Event,
+    LimitRestored,
+    RequestReceived,
+    SlotLoadRestored,
+    TimerFired,
+)
+from lupinladder.balancing.fleet_review import review_fleet
+from lupinladder.balancing.fleet_state import FleetState
+from lupinladder.balancing.request_record import Attempt
+from lupinladder.balancing.request_state import RequestState
+from lupinladder.balancing.server import Server
+from lupinladder.balancing.settings import ServerId, Settings
+from lupinladder.balancing.slot_table import SlotTable
+from lupinladder.balancing.timers import TimerRegistry
+
+
+class EventDispatcher(ABC):
+    """Takes events in, one by one, and returns the actions that their handlers add.
+
+    Events that name an unknown or finished request, an attempt that was never made or a stale timer are
+    ignored; a clock that goes back is read as the latest time seen.
+    """
+
+    def __init__(self, settings: Settings, fleet: FleetState, now: float) -> None:
+        self.settings = settings
+        self.fleet = fleet
+        self.now = now
+        self.review_at = now
+        self.actions = list[Action]()
+        self.timers = TimerRegistry()
+        self.poller = EndpointPoller(settings, fleet.random)
+        self.open_requests = dict[int, RequestState]()  # by id, until the last attempt has ended
+
+    @property
+    def members(self) -> dict[ServerId, Server]:
+        """The listed servers by id."""
+        return self.fleet.endpoints.members
+
+    @property
+    def slots(self) -> SlotTable:
+        """The slots, their owners and their load."""
+        return self.fleet.slots
+
+    def start(self, now: float) -> list[Action]:
+        """The first actions: the list is polled for, where it is not pushed."""
+        if self.settings.poll_endpoints:
+            self._poll_endpoints_after(self.poller.first_delay())
+        return self.actions
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take in one event at this time; returns the actions to carry out, in order."""
+        self.actions = []
+        self.now = max(now, self.now)
+        if self.now >= self.review_at:
+            self.review_at = review_fleet(self.fleet, self.now)
+        if isinstance(event, RequestReceived):
+            self._dispatch_request(event)
+        elif isinstance(event, AttemptEnded):
+            self._dispatch_attempt_ended(event)
+        elif isinstance(event, TimerFired):
+            self.timers.fire(event.token)
+        elif isinstance(event, EndpointUpdate):
+            self._dispatch_endpoint_update(event)
+        elif isinstance(event, ClientDisconnected):
+            state = self.open_requests.get(event.request_id)
+            if state is not None:
+                self.finish(state)
+        elif isinstance(event, LimitRestored):
+            self.on_limit_restored(event)
+        elif isinstance(event, SlotLoadRestored):
+            self.slots.load.restore(event.slot_load)
+        return self.actions
+
+    def finish(self, state: RequestState) -> None:
+        """The request has its final answer; it is forgotten once its last attempt has ended."""
+        state.finished = True
+        if not state.has_outstanding_attempt():
+            self.open_requests.pop(state.request.request_id, None)
+
+    def reject(self, state: RequestState, retry_after: float) -> None:
+        """Give the final answer that a retry does no harm."""
+        self.actions.append(Reject(state.request.request_id, retry_after))
+        self.finish(state)
+
+    def fail(self, state: RequestState) -> None:
+        """Give the final answer that promises nothing."""
+        self.actions.append(Fail(state.request.request_id))
+        self.finish(state)
+
+    def start_attempt(self, state: RequestState, server: Server, start_by: float, is_fetch: bool) -> None:
+        """Send the request to this server, and count the send."""
+        now = self.now
+        state.attempts.append(Attempt(server, now, is_fetch))
+        server.limiter.on_send(now)
+        server.sends_since_review += 1
+        server.slow_start_credit -= 1
+        if is_fetch:
+            self.fleet.origin_limiter.on_send(now)
+        self.actions.append(StartAttempt(state.request.request_id, server.id, start_by=start_by))
+
+    def hold_until_deadline(self, state: RequestState) -> None:
+        """Set the timer that answers the request if nothing else has."""
+        self.actions.append(self.timers.set(state.deadline - self.now, lambda: self._on_deadline(state)))
+
+    def log(self, text: str | None) -> None:
+        """Add a line for the operator's log, if there is one."""
+        if text:
+            self.actions.append(LogMessage(text))
+
+    def _dispatch_endpoint_update(self, event: EndpointUpdate) -> None:
+        """Merge a list, or poll for it again."""
+        endpoints = self.fleet.endpoints
+        if event.kind is EndpointUpdateKind.FAILED:
+            self._poll_endpoints_after(self.poller.delay_after_failure())
+        elif not endpoints.is_stale(event):
+            self.poller.on_success()
+            if endpoints.merge(event, self.now):
+                self.slots.assign(endpoints.slot_owners)
+
+    def _poll_endpoints_after(self, delay: float) -> None:
+        self.actions.append(self.timers.set(delay, self._poll_endpoints))
+
+    def _poll_endpoints(self) -> None:
+        self.actions.append(WatchEndpoints())
+
+    def _on_deadline(self, state: RequestState) -> None:
+        if not state.finished and not state.has_outstanding_attempt():
+            self.reject_or_fail(state)
+
+    def _dispatch_request(self, event: RequestReceived) -> None:
+        """Open a request; an id that is open or a class that is not in the settings is misuse."""
+        classes = self.settings.classes
+        if event.request_id in self.open_requests or not 0 <= event.request_class < len(classes):
+            self.actions.append(Reject(event.request_id))
+            return
+        state = RequestState(event, classes[event.request_class], self.now)
+        self.open_requests[event.request_id] = state
+        self.on_request(state)
+
+    def _dispatch_attempt_ended(self, event: AttemptEnded) -> None:
+        state = self.open_requests.get(event.request_id)
+        if state is None or event.attempt >= len(state.attempts):
+            return
+        attempt = state.attempts[event.attempt]
+        if attempt.outcome is not None:
+            return
+        attempt.outcome = event.outcome
+        attempt.server.limiter.inflight -= 1
+        self.fleet.origin_limiter.inflight -= attempt.is_fetch
+        self.on_attempt_ended(state, attempt, event)
+
+    @abstractmethod
+    def on_request(self, state: RequestState) -> None:
+        """A request has come, and is open."""
+
+    @abstractmethod
+    def on_attempt_ended(self, state: RequestState, attempt: Attempt, event: AttemptEnded) -> None:
+        """An attempt that was outstanding has ended; its outcome is set already."""
+
+    @abstractmethod
+    def on_limit_restored(self, event: LimitRestored) -> None:
+        """What was known of a server before a restart."""
+
+    @abstractmethod
+    def reject_or_fail(self, state: RequestState) -> None:
+        """Answer a request that gets no further attempt, or is held and at its deadline."""
--- /dev/null
+++ b/lupinladder/balancing/fleet_review.py
@@ -0,0 +1,47 @@
+"""What a review changes: slots that load moves, warm-up; part of lupinladder/balancing/ policy."""
+
+from __future__ import annotations
+
+from lupinladder.balancing.fleet_state import FleetState
+from lupinladder.balancing.server import Server
+
+REVIEW_OBJECTIVES = 2  # the time between reviews, in latency objectives
+OVERLOAD_RATE = 0.5  # of late, dropped or spilled sends, from which on slots move away
+CALM_RATE = OVERLOAD_RATE / 5  # below it they come back
+MIN_SLOT_SHARE = 0.25  # of its slots, what load leaves a server at the least
+SLOT_SHARE_DOWN = 1 / 16  # steps of a review
+SLOT_SHARE_UP = 1 / 64
+# Of what pushes a cold server over. Most warm up sooner: held to the slowest, the rest drowns in a deploy.
+OVERLOAD_FACTOR_SHARE = 0.8
+
+
+def review_fleet(fleet: FleetState, now: float) -> float:
+    """Set what may be sent by what has been sent since the last review; returns the time of the next."""
+    fleet.age(now)
+    fleet.ejected_count = sum(server.ejected_until > now for server in fleet.endpoints.slot_owners)
+    for server in fleet.endpoints.slot_owners:
+        _move_slots(fleet, server)
+        _warm_up(fleet, server, now)
+    return now + REVIEW_OBJECTIVES * fleet.latency_objective
+
+
+def _move_slots(fleet: FleetState, server: Server) -> None:
+    """Move slots by load, stepwise, in the order of owners(); a sparse balancer needs many reviews."""
+    if server.overload_signal > max(OVERLOAD_RATE, 2 * fleet.overload_signal):
+        server.slot_share = max(server.slot_share - SLOT_SHARE_DOWN, MIN_SLOT_SHARE)
+    elif server.overload_signal < CALM_RATE:
+        server.slot_share = min(server.slot_share + SLOT_SHARE_UP, 1.0)
+
+
+def _warm_up(fleet: FleetState, server: Server, now: float) -> None:
+    """Set what a started server may carry, by what the settings' slowest warm-up leaves it."""
+    warmth = 1.0
+    if server.warming_up:
+        initial = fleet.settings.initial_capacity
+        age = now - server.endpoint.started_at
+        warmth = initial + (1 - initial) * age / max(fleet.settings.warmup_time, 1.0)
+        warmth = min(max(warmth, initial), 1.0)
+    boost = max(fleet.settings.overload_factor * OVERLOAD_FACTOR_SHARE, 1.0)
+    server.warming_up = warmth < 1
+    server.active_share = min(warmth * boost, 1.0) * server.slot_share
+    server.credit_rate = fleet.warm_send_rate * server.weight * warmth * boost
--- a/lupinladder/balancing/hashing.py
+++ b/lupinladder/balancing/hashing.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-MASK = (1 << 64) - 1
+HASH_MASK = (1 << 64) - 1  # the highest value of a hash
 
 
-def splitmix64(x: int) -> int:
-    """A fixed 64-bit hash, the same in every process."""
-    x = (x + 0x9E3779B97F4A7C15) & MASK
-    x = ((x ^ (x >> 30)) * 0xBF58476D1CE4E5B9) & MASK
-    x = ((x ^ (x >> 27)) * 0x94D049BB133111EB) & MASK
-    return x ^ (x >> 31)
+def splitmix64(value: int) -> int:
+    """The SplitMix64 hash of a number, the same in every process."""
+    value = (value + 0x9E3779B97F4A7C15) & HASH_MASK
+    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & HASH_MASK
+    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & HASH_MASK
+    return value ^ (value >> 31)
 
 
 class RandomSource:
@@ -22,4 +22,4 @@
     def random_fraction(self) -> float:
         """A random number from 0 to 1."""
         self._state = splitmix64(self._state)
-        return self._state / MASK
+        return self._state / HASH_MASK
--- a/lupinladder/balancing/request_state.py
+++ b/lupinladder/balancing/request_state.py
@@ -1,37 +1,50 @@
-"""An open request, its attempts and what is still allowed. Policy: see lupinladder/balancing/balancer.py."""
+"""An open request, and what is still allowed for it; part of lupinladder/balancing/ policy."""
 
 from __future__ import annotations
 
-from lupinladder.balancing.attempt import Attempt
-from lupinladder.balancing.events import Outcome, RequestReceived
+from lupinladder.balancing.events import Outcome
+from lupinladder.balancing.request_record import Attempt, RequestRecord
 from lupinladder.balancing.server import Server
-from lupinladder.balancing.settings import DeduplicationScope, RequestClass, RetrySafety, Settings
-
-NEVER_RAN = (Outcome.REJECTED, Outcome.MISS, Outcome.CONNECT_FAILED, Outcome.NOT_STARTED)
-SAFE, UNSAFE = RetrySafety.IDEMPOTENT, RetrySafety.NON_IDEMPOTENT
-
-
-class RequestState:  # a request from its arrival until its last attempt has ended
-    def __init__(self, request: RequestReceived, kind: RequestClass, now: float) -> None:
-        self.request, self.kind, self.deadline = request, kind, now + request.timeout
-        self.attempts: list[Attempt] = []
-        self.done = self.over_share = False
-
-    def ran(self) -> list[Attempt]:
-        """What may have run, the earliest first; outstanding ones may run."""
-        return [a for a in self.attempts if a.outcome not in NEVER_RAN]
-
-    def rights(self, server: Server | None, now: float, settings: Settings) -> bool:
-        """THE place that derives from what may have run if a send to this server (or, with none, a refusal)
-        is allowed. Wrong here means an effect twice."""
-        kind, ran, all_drop = self.kind, self.ran(), self.kind.deduplication_scope is DeduplicationScope.ALL
-        if server is None:
-            return kind.retry_safety is SAFE or not ran or (kind.retry_safety is not UNSAFE and all_drop)
-        out = any(a.outcome is None for a in self.attempts) and not settings.may_duplicate
-        if out or self.done or now >= self.deadline or len(self.attempts) >= settings.max_attempts:
+from lupinladder.balancing.settings import DeduplicationScope, RetrySafety, Settings
+
+NOT_EXECUTED = (Outcome.REJECTED, Outcome.MISS, Outcome.CONNECT_FAILED, Outcome.NOT_STARTED)
+
+
+class RequestState(RequestRecord):
+    """A request, with what the outcomes of its attempts still allow. Wrong here means an effect twice."""
+
+    def possibly_executed(self) -> list[Attempt]:
+        """The attempts that may have run, the earliest first; outstanding ones may run."""
+        return [a for a in self.attempts if a.outcome not in NOT_EXECUTED]
+
+    def may_reject(self) -> bool:
+        """Whether the client may be told that a retry does no harm."""
+        safety = self.request_class.retry_safety
+        if safety is RetrySafety.IDEMPOTENT or not self.possibly_executed():
+            return True
+        everywhere = self.request_class.deduplication_scope is DeduplicationScope.ALL
+        return safety is RetrySafety.IDEMPOTENCY_KEY and everywhere
+
+    def may_attempt(self, server: Server, now: float, settings: Settings) -> bool:
+        """Whether an attempt at this server is allowed: within the time and count, with no effect twice."""
+        if self.finished or now >= self.deadline or len(self.attempts) >= settings.max_attempts:
+            return False
+        if not settings.may_duplicate and self.has_outstanding_attempt():
             return False
-        if kind.retry_safety is SAFE or not ran:
+        safety = self.request_class.retry_safety
+        if safety is RetrySafety.IDEMPOTENT:
+            return True
+        executed = self.possibly_executed()
+        if not executed or safety is RetrySafety.NON_IDEMPOTENT:
+            return not executed
+        is_remembered = now - executed[0].sent_at < self.request_class.deduplication_window
+        return is_remembered and self._drops_repeats_of(executed, server)
+
+    def _drops_repeats_of(self, executed: list[Attempt], server: Server) -> bool:
+        """Whether the server drops repeats of what the earlier servers may have executed."""
+        scope = self.request_class.deduplication_scope
+        if scope is DeduplicationScope.ALL:
             return True
-        at = kind.deduplication_scope.value  # "zone" or "cell"
-        same = all_drop or all(getattr(a.server.entry, at) == getattr(server.entry, at) for a in ran)
-        return kind.retry_safety is not UNSAFE and now - ran[0].sent < kind.deduplication_window and same
+        if scope is DeduplicationScope.ZONE:
+            return all(a.server.endpoint.zone == server.endpoint.zone for a in executed)
+        return all(a.server.endpoint.cell == server.endpoint.cell for a in executed)
--- a/lupinladder/net/request_dispatcher.py
+++ b/lupinladder/net/request_dispatcher.py
@@ -130,7 +130,7 @@
 
     def slot_load(self) -> dict[int, float]:
         """Its own sends by slot, fading."""
-        return self._balancer.slots.heat
+        return self._balancer.slots.load.by_slot
 
     def shutdown_schedule(self) -> ShutdownSchedule:
         """How to stop, beginning now."""
--- a/lupinladder/net/state_persister.py
+++ b/lupinladder/net/state_persister.py
@@ -149,7 +149,7 @@
     def _endpoints(self) -> Iterable[dict[str, Any]]:
         conf = self._conf
         for server in self._engine.servers():
-            entry, address = server.entry, self._group.address_of(server.id)
+            entry, address = server.endpoint, self._group.address_of(server.id)
             if address and entry.state is EndpointState.READY:
                 yield {
                     "name": server.id.decode(),
@@ -166,16 +166,16 @@
         """Of each server on which a window has closed: what it then gave, and when that was."""
         for server in self._engine.servers():
             limiter = server.limiter
-            if limiter.seen and not server.cold:
+            if limiter.sample_count and not server.warming_up:
                 yield records.LimitRecord(
                     server.id.decode(),
-                    server.entry.started_at,
-                    limiter.start,
-                    limiter.seen,
+                    server.endpoint.started_at,
+                    limiter.window_start,
+                    limiter.sample_count,
                     round(limiter.min_latency, 3),
                     round(limiter.max_qps * 1000, 4),
-                    server.moved,
-                    round(server.failed, 3),
+                    server.slot_share,
+                    round(server.failure_rate, 3),
                 )
 
     def finish(self) -> None:
--- a/tests/balancing/test_balancer_failures.py
+++ b/tests/balancing/test_balancer_failures.py
@@ -117,7 +117,7 @@
         while None in proxy.seen[n].outcomes:
             proxy.now += 3
             proxy.end(n, len(proxy.seen[n].tries) - 1, Outcome.ERROR)
-    assert sum(s.out_until > proxy.now for s in proxy.balancer.members.values()) <= 4
+    assert sum(s.ejected_until > proxy.now for s in proxy.balancer.members.values()) <= 4
     assert serve(proxy, 1) is not None
 
 
@@ -253,7 +253,7 @@
     warm(proxy)
     hot = serve(proxy, 7)
     limit = proxy.balancer.members[hot or b""].limiter
-    limit.max_concurrency, limit.next_send, limit.measuring = 10.0, 0.0, False
+    limit.max_concurrency, limit.next_send_at, limit.is_retesting = 10.0, 0.0, False
     for _ in range(400):
         proxy.now += 2
         ask(proxy, 7, tenant=0)
@@ -273,13 +273,13 @@
         proxy.now += 30
         if proxy.seen[n].tries:
             proxy.feed(AttemptEnded(n, 0, Outcome.OK, 900.0 if late else 50.0, True, CacheResult.HIT))
-    assert 0.25 <= server.moved < 1  # bounded: it keeps a quarter of its slots
-    others = [s.moved for s in proxy.balancer.members.values() if s is not server]
+    assert 0.25 <= server.slot_share < 1  # bounded: it keeps a quarter of its slots
+    others = [s.slot_share for s in proxy.balancer.members.values() if s is not server]
     assert min(others) == 1.0
     for _ in range(15):
         for key in range(1, 300):
             serve(proxy, key, 20)
-    assert server.moved == 1.0
+    assert server.slot_share == 1.0
 
 
 def test_the_work_for_a_request_does_not_grow_with_the_fleet() -> None:
--- a/tests/balancing/test_balancer_rules.py
+++ b/tests/balancing/test_balancer_rules.py
@@ -63,7 +63,7 @@
     proxy.advance(proxy.now + 5000)
     left = [i for i, one in proxy.seen.items() if not one.answered]
     assert not left, f"requests without an answer: {left}"
-    assert not proxy.balancer.live, "requests still held after their end"
+    assert not proxy.balancer.open_requests, "requests still held after their end"
     return proxy
 
 
@@ -97,26 +97,38 @@
 
 
 def test_without_the_deadline_timer_a_held_request_is_lost(monkeypatch: pytest.MonkeyPatch) -> None:
-    def never(self: Balancer, delay: float, life: RequestState | None) -> None:
+    def never(self: Balancer, state: RequestState) -> None:
         return
 
-    monkeypatch.setattr(Balancer, "later", never)
+    monkeypatch.setattr(Balancer, "hold_until_deadline", never)
     fails("requests without an answer")
 
 
+def careless(state: RequestState, text: str) -> RequestState:
+    """A copy of the request that is read as one of which less is forbidden."""
+    loose = copy.copy(state)
+    if text == "forgotten":
+        loose.request_class = dataclasses.replace(state.request_class, deduplication_window=float("inf"))
+    else:
+        loose.request_class = dataclasses.replace(state.request_class, retry_safety=RetrySafety.IDEMPOTENT)
+    return loose
+
+
 @pytest.mark.parametrize("text", ["may have run", "may not hold", "forgotten", "its zone", "its cell"])
-def test_without_the_rights_an_effect_happens_twice(monkeypatch: pytest.MonkeyPatch, text: str) -> None:
-    kept = RequestState.rights
+def test_without_may_attempt_and_may_reject_an_effect_happens_twice(
+    monkeypatch: pytest.MonkeyPatch, text: str
+) -> None:
+    may_attempt = RequestState.may_attempt
+    may_reject = RequestState.may_reject
 
-    def free(self: RequestState, server: Server | None, now: float, conf: Settings) -> bool:
-        right, life = self.kind, copy.copy(self)
-        if text == "forgotten":
-            life.kind = dataclasses.replace(right, deduplication_window=float("inf"))
-        else:
-            life.kind = dataclasses.replace(right, retry_safety=RetrySafety.IDEMPOTENT)
-        return kept(life, server, now, conf)
+    def attempts(self: RequestState, server: Server, now: float, conf: Settings) -> bool:
+        return may_attempt(careless(self, text), server, now, conf)
+
+    def rejects(self: RequestState) -> bool:
+        return may_reject(careless(self, text))
 
-    monkeypatch.setattr(RequestState, "rights", free)
+    monkeypatch.setattr(RequestState, "may_attempt", attempts)
+    monkeypatch.setattr(RequestState, "may_reject", rejects)
     fails(text)
 
 
@@ -124,7 +136,7 @@
     kept: Callable[..., bool] = Server.admits
 
     def blind(self: Server, now: float, share: float = 1.0) -> bool:
-        self.ready = True
+        self.is_ready = True
         return kept(self, now, share)
 
     monkeypatch.setattr(Server, "admits", blind)
@@ -178,8 +190,16 @@
 def test_without_the_ramp_a_cold_server_is_pushed_over(monkeypatch: pytest.MonkeyPatch) -> None:
     kept = Server.__init__
 
-    def warm(self: Server, entry: Endpoint, limiter: ConcurrencyLimiter, now: float, cold: bool) -> None:
-        kept(self, entry, ConcurrencyLimiter(now, limiter.aim, limiter.floor, False), now, False)
+    def warm(
+        self: Server, endpoint: Endpoint, limiter: ConcurrencyLimiter, now: float, warming_up: bool
+    ) -> None:
+        kept(
+            self,
+            endpoint,
+            ConcurrencyLimiter(now, limiter.latency_objective, limiter.min_limit, False),
+            now,
+            False,
+        )
 
     monkeypatch.setattr(Server, "__init__", warm)
     assert cold_work(1) > 1
--- a/tests/balancing/test_concurrency_limiter.py
+++ b/tests/balancing/test_concurrency_limiter.py
@@ -5,16 +5,16 @@
 from math import inf, isclose, sqrt
 
 from lupinladder.balancing.concurrency_limiter import (
-    EMA_ALPHA,
     MIN_ALPHA,
     MIN_WINDOW_SAMPLES,
     RETEST_LATENCIES,
-    WINDOW_AIMS,
+    WINDOW_OBJECTIVES,
     WINDOW_SAMPLES,
     ConcurrencyLimiter,
 )
+from lupinladder.balancing.limiter_state import EMA_ALPHA
 
-AIM = 500.0
+OBJECTIVE = 500.0
 
 
 def fill(
@@ -24,21 +24,21 @@
     now = start
     for _ in range(n):
         now += step
-        limiter.sent(now)
+        limiter.on_send(now)
         limiter.inflight -= 1
-        limiter.completed(latency, now)
+        limiter.on_complete(latency, now)
     return now
 
 
 def test_no_limit_before_a_first_window() -> None:
-    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(0, OBJECTIVE, 0.5, False)
     assert limiter.max_concurrency == inf
     fill(limiter, 0, 10, 100, WINDOW_SAMPLES - 1)
     assert limiter.max_concurrency == inf and limiter.admits(200)
 
 
 def test_first_window_sets_min_latency_and_the_formula_the_limit() -> None:
-    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(0, OBJECTIVE, 0.5, False)
     fill(limiter, 0, 10, 100)
     # 16 sends in 160 ms: 0.1 a millisecond. alpha = 500 / 100 - 2 = 3. Room is (2 + 3) * 100 - 100 = 400.
     assert limiter.min_latency == 100 and limiter.latency == 100 and isclose(limiter.max_qps, 0.1)
@@ -49,9 +49,9 @@
 def test_where_nobody_else_could_be_asked_the_swing_is_one_send_more_while_latency_leaves_room() -> None:
     for latency, more in ((50, 1.0), (600, 0.0)):  # 600: beyond the room of what was first seen
         limits = []
-        for gap in (inf, AIM):
-            limiter = ConcurrencyLimiter(0, AIM, 0.01, False)
-            limiter.gap = gap
+        for interval in (inf, OBJECTIVE):
+            limiter = ConcurrencyLimiter(0, OBJECTIVE, 0.01, False)
+            limiter.mean_send_interval = interval
             now = fill(limiter, 0, 500, 50)  # two a second, as a balancer among 200 fetches
             fill(limiter, now, 500, latency)
             limits.append(limiter.max_concurrency)
@@ -59,18 +59,22 @@
 
 
 def test_a_window_closes_early_on_enough_samples_or_at_its_timeout_with_a_few() -> None:
-    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
-    fill(limiter, 0, WINDOW_AIMS * AIM / MIN_WINDOW_SAMPLES, 100, MIN_WINDOW_SAMPLES)
-    assert limiter.count == 0 and isclose(limiter.max_qps, MIN_WINDOW_SAMPLES / (WINDOW_AIMS * AIM))
-    sparse = ConcurrencyLimiter(0, AIM, 0.5, False)
-    fill(sparse, 0, WINDOW_AIMS * AIM, 100, MIN_WINDOW_SAMPLES - 1)
-    assert sparse.count == MIN_WINDOW_SAMPLES - 1 and sparse.max_concurrency == inf  # too few: it stays open
-    fill(sparse, 3 * WINDOW_AIMS * AIM, WINDOW_AIMS * AIM, 100, 1)
-    assert isclose(sparse.max_qps, 4 / (4 * WINDOW_AIMS * AIM))  # over the true span
+    limiter = ConcurrencyLimiter(0, OBJECTIVE, 0.5, False)
+    fill(limiter, 0, WINDOW_OBJECTIVES * OBJECTIVE / MIN_WINDOW_SAMPLES, 100, MIN_WINDOW_SAMPLES)
+    assert limiter.window_count == 0 and isclose(
+        limiter.max_qps, MIN_WINDOW_SAMPLES / (WINDOW_OBJECTIVES * OBJECTIVE)
+    )
+    sparse = ConcurrencyLimiter(0, OBJECTIVE, 0.5, False)
+    fill(sparse, 0, WINDOW_OBJECTIVES * OBJECTIVE, 100, MIN_WINDOW_SAMPLES - 1)
+    assert (
+        sparse.window_count == MIN_WINDOW_SAMPLES - 1 and sparse.max_concurrency == inf
+    )  # too few: it stays open
+    fill(sparse, 3 * WINDOW_OBJECTIVES * OBJECTIVE, WINDOW_OBJECTIVES * OBJECTIVE, 100, 1)
+    assert isclose(sparse.max_qps, 4 / (4 * WINDOW_OBJECTIVES * OBJECTIVE))  # over the true span
 
 
 def test_max_qps_jumps_up_and_decays_by_a_tenth_of_ema_alpha() -> None:
-    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(0, OBJECTIVE, 0.5, False)
     now = fill(limiter, 0, 10, 100)
     now = fill(limiter, now, 5, 100)
     assert isclose(limiter.max_qps, 0.2)
@@ -79,7 +83,7 @@
 
 
 def test_min_latency_rises_by_ema_and_not_past_the_bound() -> None:
-    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(0, OBJECTIVE, 0.5, False)
     now = fill(limiter, 0, 10, 100)
     now = fill(limiter, now, 10, 200)
     assert isclose(limiter.min_latency, 110)
@@ -88,28 +92,30 @@
     for _ in range(200):
         limiter.retest_at = inf
         now = fill(limiter, now, 10, 2000)
-    assert isclose(limiter.min_latency, AIM / (2 + MIN_ALPHA))
+    assert isclose(limiter.min_latency, OBJECTIVE / (2 + MIN_ALPHA))
 
 
 def test_latency_beyond_the_room_leaves_the_floor_kept_as_a_mean() -> None:
-    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(0, OBJECTIVE, 0.5, False)
     now = fill(limiter, 0, 10, 100)
     limiter.retest_at = inf
     now = fill(limiter, now, 10, 900)
     assert limiter.max_concurrency == 0.5
     assert limiter.admits(now)
-    limiter.sent(now)
+    limiter.on_send(now)
     limiter.inflight -= 1
     # Little's law: a mean concurrency of 0.5 at 900 ms is a send each 1,800 ms.
     assert not limiter.admits(now + 1799) and limiter.admits(now + 1800)
     limiter.max_concurrency = 0.01
-    limiter.sent(now + 1800)
+    limiter.on_send(now + 1800)
     limiter.inflight -= 1
-    assert limiter.admits(now + 1800 + WINDOW_AIMS * AIM)  # bounded: else it never hears of a recovery
+    assert limiter.admits(
+        now + 1800 + WINDOW_OBJECTIVES * OBJECTIVE
+    )  # bounded: else it never hears of a recovery
 
 
 def test_a_limit_below_one_recovers_on_one_sample() -> None:
-    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(0, OBJECTIVE, 0.5, False)
     now = fill(limiter, 0, 10, 100)
     limiter.retest_at = inf
     now = fill(limiter, now, 10, 900)
@@ -118,69 +124,69 @@
 
 
 def test_an_attempt_lost_with_nothing_completed_since_drains_the_server() -> None:
-    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(0, OBJECTIVE, 0.5, False)
     now = fill(limiter, 0, 10, 100)
-    limiter.lost(now - 50, now + 450)
+    limiter.on_drop(now - 50, now + 450)
     assert limiter.max_concurrency > 1  # a later send has completed: the request was heavy, not the server
-    limiter.lost(now + 1, now + 501)
+    limiter.on_drop(now + 1, now + 501)
     assert limiter.max_concurrency == 0.5
     assert not limiter.admits(now + 1000) and limiter.admits(now + 1001)  # paused for as long as it took
 
 
 def test_retest_cuts_drains_and_measures() -> None:
-    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(0, OBJECTIVE, 0.5, False)
     now = fill(limiter, 0, 10, 100)
     assert limiter.retest_at == now + RETEST_LATENCIES * 100
     limiter.inflight = 10
     now = fill(limiter, limiter.retest_at, 1, 150)
-    assert limiter.max_concurrency == 5 and limiter.measuring  # under the ten in flight
+    assert limiter.max_concurrency == 5 and limiter.is_retesting  # under the ten in flight
     assert not limiter.admits(now + 299)
     limiter.inflight = 0
     assert limiter.admits(now + 300)  # drained for twice the latency of 150
     kept = limiter.min_latency
-    limiter.completed(400, now + 310)
-    assert limiter.count == 0  # sent before the drain: it had queued
+    limiter.on_complete(400, now + 310)
+    assert limiter.window_count == 0  # sent before the drain: it had queued
     fill(limiter, now + 300 + 80, 10, 80, 2 * MIN_WINDOW_SAMPLES)
-    assert not limiter.measuring
+    assert not limiter.is_retesting
     assert isclose(limiter.min_latency, kept + (80 - kept) * 8 / 12)  # eight samples against four
 
 
 def test_a_retest_with_few_in_flight_keeps_a_quarter_of_the_limit() -> None:
-    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(0, OBJECTIVE, 0.5, False)
     fill(limiter, 0, 10, 100)
     limiter.inflight = 2
     fill(limiter, limiter.retest_at, 1, 100)
     # The last window fell into the long wait, so qps has decayed by a hundredth from 0.1; no rise in latency.
     full = 0.099 * 400 + 1 + sqrt(0.099 * 400)
-    assert limiter.measuring and isclose(limiter.max_concurrency, full / 4, rel_tol=0.02)
+    assert limiter.is_retesting and isclose(limiter.max_concurrency, full / 4, rel_tol=0.02)
 
 
 def test_retests_leave_a_sparse_server_its_limit_most_of_the_time() -> None:
     # A retest holds a few sends a second to one at a time until eight are measured. Every 100 latencies that
     # was a quarter of the time, and most refusals of a fleet with room to spare.
-    limiter, now, cut = ConcurrencyLimiter(0, AIM, 0.5, False), 0.0, 0
+    limiter, now, cut = ConcurrencyLimiter(0, OBJECTIVE, 0.5, False), 0.0, 0
     for _ in range(1000):
         now += 200
-        cut += limiter.measuring
+        cut += limiter.is_retesting
         if limiter.admits(now):
-            limiter.sent(now)
+            limiter.on_send(now)
             limiter.inflight -= 1
-            limiter.completed(60, now + 60)
+            limiter.on_complete(60, now + 60)
     assert 0 < cut < 100
 
 
 def test_a_limit_is_rounded_to_the_nearest_number_of_sends() -> None:
     # Rounded down, a limit of 1.9 let one send through at a time; and at least one always goes.
-    limiter = ConcurrencyLimiter(0, AIM, 0.5, False)
-    for limit, allowed in ((0.5, 1), (1.0, 1), (1.4, 1), (1.9, 2), (2.4, 2), (2.5, 3), (8.0, 8)):
+    limiter = ConcurrencyLimiter(0, OBJECTIVE, 0.5, False)
+    for limit, admitted in ((0.5, 1), (1.0, 1), (1.4, 1), (1.9, 2), (2.4, 2), (2.5, 3), (8.0, 8)):
         limiter.max_concurrency, limiter.inflight = limit, 0
         while limiter.admits(0):
             limiter.inflight += 1
-        assert limiter.inflight == allowed
+        assert limiter.inflight == admitted
 
 
 def test_a_started_server_starts_small_and_grows_window_by_window() -> None:
-    limiter = ConcurrencyLimiter(0, AIM, 0.5, True)
+    limiter = ConcurrencyLimiter(0, OBJECTIVE, 0.5, True)
     limits, now = [limiter.max_concurrency], 0.0
     for _ in range(4):
         limiter.retest_at = inf
@@ -190,7 +196,7 @@
 
 
 def test_a_clock_that_stands_still_divides_by_no_zero() -> None:
-    limiter = ConcurrencyLimiter(5, AIM, 0.5, False)
+    limiter = ConcurrencyLimiter(5, OBJECTIVE, 0.5, False)
     fill(limiter, 5, 0, 0.0)
     assert limiter.max_qps == WINDOW_SAMPLES
     fill(limiter, 5, 0, 0.0)
@@ -200,10 +206,10 @@
     limiter, now = ConcurrencyLimiter(0.0, 66.0, 0.5, False), 0.0
     for n in range(400):  # 8 in flight; 28 of the 40 ms are the way there and back
         now += 5
-        limiter.completed(40 if n % 2 else 42, now)
+        limiter.on_complete(40 if n % 2 else 42, now)
     assert limiter.max_concurrency >= 8
     near, now = ConcurrencyLimiter(0.0, 66.0, 0.5, False), 0.0
     for n in range(400):  # 1 ms away: that it takes 40 is its queue, and the bound stays
         now += 5
-        near.completed(40 if n % 20 else 1, now)
+        near.on_complete(40 if n % 20 else 1, now)
     assert near.min_latency <= 66 / 2.3
--- a/tests/balancing/test_many_balancers.py
+++ b/tests/balancing/test_many_balancers.py
@@ -18,7 +18,7 @@
 )
 from lupinladder.balancing.hashing import splitmix64
 from lupinladder.balancing.server import Server
-from lupinladder.balancing.slot_table import SLOT_COUNT
+from lupinladder.balancing.slot_load import SLOT_COUNT
 from tests.support.balancer_harness import Proxy, entries, settings
 
 
@@ -47,9 +47,9 @@
                 limiter, now = ConcurrencyLimiter(0.0, 300.0, min(1.0, 2 / balancers), False), 0.0
                 while now < 20_000:
                     if limiter.admits(now):
-                        limiter.sent(now)
+                        limiter.on_send(now)
                         limiter.inflight -= 1
-                        limiter.lost(now, now + 600)
+                        limiter.on_drop(now, now + 600)
                         count += 1
                     now += 50
             return count
@@ -102,7 +102,7 @@
             proxy = alone(balancer_count=balancers)
             owners = [server for server, _ in proxy.balancer.slots.owners(splitmix64(1) % SLOT_COUNT)]
             for server in owners[:closed]:  # a retest's drain, or the pace of a limit below one
-                server.limiter.next_send = proxy.now + 1000
+                server.limiter.next_send_at = proxy.now + 1000
             proxy.feed(RequestReceived(1, 0, 1500.0, key=1))
             self.assertEqual([to for to, _ in proxy.seen[1].tries], [owners[closed].id][:sent])
 
@@ -167,6 +167,6 @@
                 fleet.run(10_000, 170)
             return sum(fleet.served(2, 10) for fleet in fleets) / 2
 
-        with mock.patch.object(Server, "reported", lambda *_: None):
+        with mock.patch.object(Server, "on_load_report", lambda *_: None):
             blind = served()
         self.assertGreater(served(), blind + 0.005)
--- a/tests/balancing/test_slot_table.py
+++ b/tests/balancing/test_slot_table.py
@@ -7,7 +7,8 @@
 from lupinladder.balancing.concurrency_limiter import ConcurrencyLimiter
 from lupinladder.balancing.events import Endpoint
 from lupinladder.balancing.server import Server
-from lupinladder.balancing.slot_table import SLOT_COUNT, SlotTable
+from lupinladder.balancing.slot_load import SLOT_COUNT
+from lupinladder.balancing.slot_table import SlotTable
 from tests.support.balancer_harness import sid
 
 
@@ -17,7 +18,7 @@
 
 def owner_map(ids: list[int]) -> dict[int, bytes]:
     slots = SlotTable()
-    slots.deal(servers(ids))
+    slots.assign(servers(ids))
     return {slot: slots.owners(slot)[0][0].id for slot in range(SLOT_COUNT)}
 
 
@@ -39,19 +40,19 @@
 
 def test_a_leavers_slots_pass_to_their_next_owners_and_to_many() -> None:
     slots = SlotTable()
-    slots.deal(servers(list(range(30))))
+    slots.assign(servers(list(range(30))))
     heirs = {s: slots.owners(s)[1][0].id for s in range(SLOT_COUNT) if slots.owners(s)[0][0].id == sid(7)}
     after = owner_map([i for i in range(30) if i != 7])
     assert all(after[slot] == heir for slot, heir in heirs.items())
     assert len(set(heirs.values())) > 8  # no single neighbour is buried
 
 
-def test_weights_scale_the_deal() -> None:
+def test_weights_scale_the_share_of_slots() -> None:
     fleet = servers(list(range(20)))
     for server in fleet[:10]:
         server.weight = 3.0
     slots = SlotTable()
-    slots.deal(fleet)
+    slots.assign(fleet)
     heavy = {s.id for s in fleet[:10]}
     share = sum(slots.owners(s)[0][0].id in heavy for s in range(SLOT_COUNT)) / SLOT_COUNT
     assert 0.65 < share < 0.85
@@ -59,24 +60,24 @@
 
 def test_owners_are_distinct_and_empty_without_servers() -> None:
     slots = SlotTable()
-    slots.deal([])
+    slots.assign([])
     assert slots.owners(5) == []
-    slots.deal(servers([1, 2, 3]))
+    slots.assign(servers([1, 2, 3]))
     assert len({s.id for s, _ in slots.owners(5)}) == 3
 
 
 def test_a_hot_slot_splits_and_merges_again() -> None:
     slots = SlotTable()
-    slots.deal(servers(list(range(10))))
+    slots.assign(servers(list(range(10))))
     for i in range(2000):
-        slots.parts(i % 500 + 1)
+        slots.owner_count(i % 500 + 1)
         if i % 4 == 0:
-            slots.parts(0)
+            slots.owner_count(0)
         if i % 200 == 0:
-            slots.fade(10)
-    assert slots.parts(0) > 2 and slots.parts(1) == 1
+            slots.load.decay(10)
+    assert slots.owner_count(0) > 2 and slots.owner_count(1) == 1
     for _ in range(60):
-        slots.fade(10)
+        slots.load.decay(10)
         for i in range(200):
-            slots.parts(i + 1)
-    assert slots.parts(0) == 1
+            slots.owner_count(i + 1)
+    assert slots.owner_count(0) == 1
--- a/tests/recovery/test_warm_start.py
+++ b/tests/recovery/test_warm_start.py
@@ -110,7 +110,7 @@
         limits = {}
         for use in RestoreMode:
             limiter = self.proxy(LimitRestored(server, use, 50.0, 0.1)).balancer.members[server].limiter
-            limits[use], fresh = limiter.max_concurrency, limiter.fresh
+            limits[use], fresh = limiter.max_concurrency, limiter.in_slow_start
             self.assertEqual(fresh, use is not RestoreMode.FULL)
         self.assertEqual(limits[RestoreMode.PROBE], 1.0)
         self.assertEqual(limits[RestoreMode.PARTIAL] * 2, limits[RestoreMode.FULL])
@@ -130,5 +130,5 @@
 
     def test_recalled_slots_are_split_from_the_first_request_on(self) -> None:
         proxy = self.proxy(SlotLoadRestored({5: 40.0, -1: 9.0, 1 << 40: 9.0}))
-        self.assertEqual(proxy.balancer.slots.heat, {5: 40.0})
-        self.assertGreater(proxy.balancer.slots.parts(5), 1)
+        self.assertEqual(proxy.balancer.slots.load.by_slot, {5: 40.0})
+        self.assertGreater(proxy.balancer.slots.owner_count(5), 1)
