Give the codec named fields and typed readers; settings errors a type of their own

Cause: the codec read events into short names through a table of tuples, codes of actions were bare numbers, and bad settings raised plain ValueError. Change: Decoder's readers return Decoded(instance, message, end) and are EventReader(name, read); ActionCode names the records; the adapter's loop is three short functions. SettingsError is a LupinladderError and a ValueError, texts unchanged; parse_settings is split. Events, actions and settings have doc comments in the field's terms.

--- a/lupinladder/balancing/actions.py
+++ b/lupinladder/balancing/actions.py
@@ -10,7 +10,7 @@
 
 @dataclass(slots=True)
 class StartAttempt:
-    """Start an attempt. A request's attempts are numbered from 0 in the order of their Try."""
+    """Start an attempt. A request's attempts are numbered from 0 in the order of their starts."""
 
     request_id: int
     server: ServerId
@@ -43,7 +43,7 @@
 
 @dataclass(slots=True)
 class SetTimer:
-    """Ask for Timer(token) after a delay."""
+    """Ask for TimerFired(token) after a delay."""
 
     delay: float
     token: int
@@ -51,7 +51,7 @@
 
 @dataclass(slots=True)
 class WatchEndpoints:
-    """Subscribe to changes of the list; one Fleet event answers."""
+    """Subscribe to changes of the list; one EndpointUpdate answers."""
 
 
 @dataclass(slots=True)
--- a/lupinladder/balancing/concurrency_limiter.py
+++ b/lupinladder/balancing/concurrency_limiter.py
@@ -76,7 +76,7 @@
         self.next_send_at = max(self.next_send_at, now + self.latency)
 
     def limit_for_latency(self, latency: float) -> float:
-        """brpc's formula, at the mean latency of a window."""
+        """The limit by brpc's formula, at the mean latency of a window."""
         alpha = min(max(self.latency_objective / self.min_latency - 2, MIN_ALPHA), MAX_ALPHA)
         headroom = (2 + alpha) * self.min_latency - latency
         limit = self.max_qps * headroom
--- a/lupinladder/balancing/event_dispatcher.py
+++ b/lupinladder/balancing/event_dispatcher.py
@@ -59,6 +59,7 @@
 
     def start(self, now: float) -> list[Action]:
         """The first actions: the list is polled for, where it is not pushed."""
+        self.now = max(now, self.now)
         if self.settings.poll_endpoints:
             self._poll_endpoints_after(self.poller.first_delay())
         return self.actions
--- a/lupinladder/balancing/events.py
+++ b/lupinladder/balancing/events.py
@@ -10,7 +10,7 @@
 
 Misuse is harmless: events that name an unknown or finished request, an attempt that was never made or
 a stale timer are ignored, and a request that comes before the first list or with the id of one still
-open is refused.
+open is rejected.
 """
 
 from __future__ import annotations
@@ -22,20 +22,24 @@
 
 
 class EndpointState(Enum):
+    """Whether a listed server may be sent to."""
+
     GONE = 0
     DRAINING = 1
     READY = 2
 
 
 class EndpointUpdateKind(Enum):
-    DELTA = 0
-    FULL = 1
-    CACHED = 2
-    FAILED = 3
+    """What an update holds."""
+
+    DELTA = 0  # changes of the list
+    FULL = 1  # the whole list
+    CACHED = 2  # a whole list that may be old
+    FAILED = 3  # nothing: the call for the list, or the watch, has failed
 
 
 class Outcome(Enum):
-    """How an attempt ended. FULL, CONNECT_FAILED, MOOT and MISS prove that it never ran."""
+    """How an attempt ended. REJECTED, CONNECT_FAILED, NOT_STARTED and MISS prove that it never ran."""
 
     OK = "ok"
     ERROR = "error"
@@ -84,15 +88,17 @@
 
 @dataclass(slots=True)
 class RequestReceived:
+    """A request has come from a client."""
+
     request_id: int
     request_class: int  # index of its class
     timeout: float  # time until the client gives this try up
     key: int = 0  # 0: none
     tenant: int = 0
     is_write: bool = False
-    is_retry: bool = False  # a client's repeat, where clients say so
-    expected_work: float = 0.0  # expected work, where known; 0: unknown
-    size: float = 0.0
+    is_retry: bool = False  # a client's retry, where clients say so
+    expected_work: float = 0.0  # 0: unknown
+    size: float = 0.0  # 0: unknown
 
 
 @dataclass(slots=True)
@@ -106,7 +112,7 @@
 
 @dataclass(slots=True)
 class AttemptEnded:
-    """An attempt has ended; exactly one for each Try."""
+    """An attempt has ended; exactly one for each StartAttempt."""
 
     request_id: int
     attempt: int
@@ -126,11 +132,15 @@
 
 @dataclass(slots=True)
 class TimerFired:
+    """A timer that SetTimer has set is due."""
+
     token: int
 
 
 @dataclass(slots=True)
 class HealthCheckResult:
+    """How a health check ended; the balancer asks for none and reads none."""
+
     server: ServerId
     outcome: Outcome
     latency: float
@@ -138,7 +148,7 @@
 
 
 class RestoreMode(Enum):
-    """What a recalled limit may be used for; docs/recovery.md has the table."""
+    """What a restored limit may be used for; docs/recovery.md has the table."""
 
     PROBE = "trial"  # one send at a time, doubled by each good window
     PARTIAL = "part"  # half of it, doubled likewise
@@ -147,8 +157,8 @@
 
 @dataclass(slots=True)
 class LimitRestored:
-    """What was known of a server before this balancer stopped. Passed over for one that is not listed, that
-    has lately started, or of which something is known already."""
+    """What was known of a server before this balancer stopped. It is skipped for a server that is not listed,
+    that has lately started, or of which something is known already."""
 
     server: ServerId
     mode: RestoreMode
@@ -160,7 +170,7 @@
 
 @dataclass(slots=True)
 class SlotLoadRestored:
-    """Own sends by slot, as they were; their numbers are those of this text of the module."""
+    """Own sends by slot, as they were; the slots' numbers are those of this version of the slot table."""
 
     slot_load: dict[int, float]
 
--- a/lupinladder/balancing/settings_reader.py
+++ b/lupinladder/balancing/settings_reader.py
@@ -6,85 +6,61 @@
 from typing import Any
 
 from lupinladder.balancing.settings import DeduplicationScope, RequestClass, RetrySafety, Settings
+from lupinladder.errors import LupinladderError
+
+VALUE_BOUND = 1e12  # times and rates are below it
 
 _MISSING = object()
 
 
-def read_value(tree: Any, path: str, kind: type, default: Any = _MISSING) -> Any:
-    """The value at a dotted path. A required one that is missing, or any of a wrong kind, is an error."""
-    node = tree
-    for part in path.split("."):
-        node = node.get(part, _MISSING) if isinstance(node, dict) else _MISSING
-        if node is _MISSING:
-            break
-    if node is _MISSING:
-        if default is _MISSING:
-            raise ValueError(f"settings: {path} is missing")
-        return default
-    if kind is float and isinstance(node, int) and not isinstance(node, bool):
-        node = float(node)
-    if not isinstance(node, kind) or (isinstance(node, bool) and kind is not bool):
-        raise ValueError(f"settings: {path} is {node!r}, not a {kind.__name__}")
-    if isinstance(node, float) and not 0 <= node < 1e12:
-        raise ValueError(f"settings: {path} is {node!r}, out of range")
-    return node
+class SettingsError(LupinladderError, ValueError):
+    """Settings that cannot be used; the text names the key and its value."""
 
 
-def _request_class(tree: Any, n: int) -> RequestClass:
-    try:
-        aim, deadline = read_value(tree, "goal-time-ms", float), read_value(tree, "deadline-ms", float)
-        if deadline <= 0 or aim <= 0:
-            raise ValueError("settings: goal-time-ms and deadline-ms are above 0")
-        return RequestClass(
-            aim,
-            deadline,
-            RetrySafety(read_value(tree, "repeat", str)),
-            DeduplicationScope(read_value(tree, "key-scope", str, None) or "all"),
-            read_value(tree, "window-ms", float, 0.0),
-            read_value(tree, "worth", float, 1.0),
-            read_value(tree, "late-worth", float, 0.0),
-            read_value(tree, "stream", bool, False),
-        )
-    except ValueError as bad:
-        raise ValueError(f"{bad} (class {n})") from None
+def read_value(tree: Any, path: str, expected: type, default: Any = _MISSING) -> Any:
+    """The value at a dotted path of a JSON tree; a whole number is read as a float where one is expected.
+
+    Raises SettingsError for a required value that is missing, and for one of a wrong type or out of range.
+    """
+    value = _find(tree, path)
+    if value is _MISSING:
+        if default is _MISSING:
+            raise SettingsError(f"settings: {path} is missing")
+        return default
+    if expected is float and isinstance(value, int) and not isinstance(value, bool):
+        value = float(value)
+    if not isinstance(value, expected) or (isinstance(value, bool) and expected is not bool):
+        raise SettingsError(f"settings: {path} is {value!r}, not a {expected.__name__}")
+    if isinstance(value, float) and not 0 <= value < VALUE_BOUND:
+        raise SettingsError(f"settings: {path} is {value!r}, out of range")
+    return value
 
 
 def parse_settings(text: str) -> Settings:
-    """The settings, from their JSON text. Unknown keys are skipped."""
+    """The settings, from their JSON text. Unknown keys are skipped; raises SettingsError."""
     try:
         tree = json.loads(text)
-    except ValueError as bad:
-        raise ValueError(f"settings: not JSON: {bad}") from None
-    classes = [_request_class(c, n) for n, c in enumerate(read_value(tree, "classes", list))]
-    if not classes:
-        raise ValueError("settings: classes is empty")
-    mode = read_value(tree, "membership-mode", str)
-    if mode not in ("ask", "push"):
-        raise ValueError(f"settings: membership-mode is {mode!r}")
-    cache = read_value(tree, "family-info.mode", str, "through")
-    if cache not in ("through", "aside"):
-        raise ValueError(f"settings: family-info.mode is {cache!r}")
-    count = read_value(tree, "n-instances", int)
-    if count < 1:
-        raise ValueError(f"settings: n-instances is {count}")
-    attempts = read_value(tree, "ceilings.max-attempts", int)
-    if attempts < 1:
-        raise ValueError(f"settings: ceilings.max-attempts is {attempts}")
-    advises = read_value(tree, "ceilings.retry-after", bool, False)
+    except ValueError as error:
+        raise SettingsError(f"settings: not JSON: {error}") from None
+    classes = _read_classes(tree)
+    polled = _read_choice(tree, "membership-mode", ("ask", "push")) == "ask"
+    cache_aside = _read_choice(tree, "family-info.mode", ("through", "aside"), "through") == "aside"
+    balancer_count = _read_count(tree, "n-instances")
+    max_attempts = _read_count(tree, "ceilings.max-attempts")
     return Settings(
         classes=classes,
-        balancer_count=count,
+        balancer_count=balancer_count,
         balancer_index=read_value(tree, "me", int),
         zone=read_value(tree, "zone", int, 0),
-        poll_endpoints=mode == "ask",
+        poll_endpoints=polled,
         poll_interval=read_value(tree, "obligations.ask-within-ms", float, 0.0),
-        cache_aside=cache == "aside",
+        cache_aside=cache_aside,
         origin_kind=read_value(tree, "family-info.origin-kind", int, -1),
-        max_attempts=attempts,
+        max_attempts=max_attempts,
         may_duplicate=read_value(tree, "ceilings.may-duplicate", bool, False),
         may_cancel=read_value(tree, "ceilings.cancel", bool, False),
         may_probe=read_value(tree, "ceilings.probes", bool, False),
-        max_retry_after=read_value(tree, "ceilings.max-retry-after-ms", float, 0.0) if advises else 0.0,
+        max_retry_after=_read_max_retry_after(tree),
         drain_grace_period=read_value(tree, "obligations.stop-sending-within-ms", float),
         initial_capacity=read_value(tree, "obligations.cold-share", float),
         warmup_time=read_value(tree, "obligations.cold-ms", float),
@@ -95,3 +71,61 @@
         live_weights=read_value(tree, "weights", str, "none") == "live",
         report_fields=[str(name) for name in read_value(tree, "reporting.fields", list, [])],
     )
+
+
+def _find(tree: Any, path: str) -> Any:
+    node = tree
+    for key in path.split("."):
+        if not isinstance(node, dict) or key not in node:
+            return _MISSING
+        node = node[key]
+    return node
+
+
+def _read_choice(tree: Any, path: str, choices: tuple[str, ...], default: Any = _MISSING) -> str:
+    value: str = read_value(tree, path, str, default)
+    if value not in choices:
+        raise SettingsError(f"settings: {path} is {value!r}")
+    return value
+
+
+def _read_count(tree: Any, path: str) -> int:
+    value: int = read_value(tree, path, int)
+    if value < 1:
+        raise SettingsError(f"settings: {path} is {value}")
+    return value
+
+
+def _read_max_retry_after(tree: Any) -> float:
+    """How long clients may be told to stay away; 0 where they do not heed it."""
+    if not read_value(tree, "ceilings.retry-after", bool, False):
+        return 0.0
+    value: float = read_value(tree, "ceilings.max-retry-after-ms", float, 0.0)
+    return value
+
+
+def _read_classes(tree: Any) -> list[RequestClass]:
+    classes = [_read_class(one, number) for number, one in enumerate(read_value(tree, "classes", list))]
+    if not classes:
+        raise SettingsError("settings: classes is empty")
+    return classes
+
+
+def _read_class(tree: Any, number: int) -> RequestClass:
+    try:
+        latency_objective = read_value(tree, "goal-time-ms", float)
+        deadline = read_value(tree, "deadline-ms", float)
+        if deadline <= 0 or latency_objective <= 0:
+            raise SettingsError("settings: goal-time-ms and deadline-ms are above 0")
+        return RequestClass(
+            latency_objective,
+            deadline,
+            retry_safety=RetrySafety(read_value(tree, "repeat", str)),
+            deduplication_scope=DeduplicationScope(read_value(tree, "key-scope", str, None) or "all"),
+            deduplication_window=read_value(tree, "window-ms", float, 0.0),
+            priority_weight=read_value(tree, "worth", float, 1.0),
+            late_weight=read_value(tree, "late-worth", float, 0.0),
+            stream=read_value(tree, "stream", bool, False),
+        )
+    except ValueError as error:
+        raise SettingsError(f"{error} (class {number})") from None
--- a/lupinladder/simulator/adapter.py
+++ b/lupinladder/simulator/adapter.py
@@ -1,10 +1,11 @@
-"""The adapter: speaks the bench's wire on standard input and output and hosts the instances."""
+"""The adapter: speaks the simulator's wire on standard input and output and hosts the instances."""
 
 from __future__ import annotations
 
 import sys
 from typing import BinaryIO
 
+from lupinladder.balancing.actions import Action
 from lupinladder.balancing.balancer import Balancer
 from lupinladder.balancing.settings_reader import parse_settings
 from lupinladder.simulator.codec import (
@@ -13,52 +14,57 @@
     Decoder,
     InstanceKilled,
     InstanceStarted,
+    Message,
     PeerMessage,
     encode_action,
     encode_fault,
     encode_reply,
 )
 
+EXIT_BAD_INPUT = 2
+
 
 class InstanceHost:
-    """The instances of one process. They share nothing but the reader of the wire."""
+    """The instances of one process. They share nothing but the decoder of the wire."""
 
     def __init__(self) -> None:
         self._decoder = Decoder()
-        self._instances: dict[int, Balancer | None] = {}  # None: has sent its FAULT
+        self._instances: dict[int, Balancer | None] = {}  # None: it has sent its FAULT
 
-    def batch(self, body: bytes, now: float) -> bytes:
-        """The reply to one batch."""
+    def handle_batch(self, body: bytes, now: float) -> bytes:
+        """The reply to one batch. Raises CodecError for a batch that cannot be read."""
         records: list[bytes] = []
-        instances = self._instances
-        for inst, message in self._decoder.decode(body):
+        for instance, message in self._decoder.decode(body):
             try:
-                if isinstance(message, InstanceStarted):
-                    instances[inst] = None
-                    settings = parse_settings(message.env)
-                    self._decoder.classes[inst] = len(settings.classes)
-                    balancer = Balancer(settings, message.seed, now)
-                    instances[inst] = balancer
-                    actions = balancer.start(now)
-                elif isinstance(message, InstanceKilled):
-                    instances.pop(inst, None)
-                    continue
-                elif isinstance(message, PeerMessage):
-                    continue
-                else:
-                    target = instances.get(inst)
-                    if target is None:
-                        continue  # killed, or already declared broken
-                    actions = target.handle(message, now)
-                for action in actions:
-                    records.append(encode_action(inst, action))
-            except Exception as bad:
-                instances[inst] = None
-                records.append(encode_fault(inst, f"{type(bad).__name__}: {bad}"))
+                actions = self._handle_message(instance, message, now)
+                records.extend(encode_action(instance, action) for action in actions)
+            except Exception as error:  # whatever breaks an instance is its FAULT, and no other's
+                self._instances[instance] = None
+                records.append(encode_fault(instance, f"{type(error).__name__}: {error}"))
         return encode_reply(records)
 
+    def _handle_message(self, instance: int, message: Message, now: float) -> list[Action]:
+        if isinstance(message, InstanceStarted):
+            return self._start_instance(instance, message, now)
+        if isinstance(message, InstanceKilled):
+            self._instances.pop(instance, None)
+            return []
+        balancer = self._instances.get(instance)
+        if balancer is None or isinstance(message, PeerMessage):
+            return []  # killed, already declared broken, or nothing that the balancer reads
+        return balancer.handle(message, now)
+
+    def _start_instance(self, instance: int, message: InstanceStarted, now: float) -> list[Action]:
+        self._instances[instance] = None
+        settings = parse_settings(message.settings_text)
+        self._decoder.class_counts[instance] = len(settings.classes)
+        balancer = Balancer(settings, message.seed, now)
+        self._instances[instance] = balancer
+        return balancer.start(now)
+
 
-def _read(source: BinaryIO, size: int) -> bytes:
+def _read_exactly(source: BinaryIO, size: int) -> bytes:
+    """This many bytes, or fewer where the input ends."""
     parts = []
     while size > 0:
         part = source.read(size)
@@ -74,27 +80,27 @@
     host = InstanceHost()
     offset = 0
     while True:
-        head = _read(source, HEADER.size)
-        if not head:
+        header = _read_exactly(source, HEADER.size)
+        if not header:
             return 0
-        if len(head) < HEADER.size:
-            return _bad(f"batch header at byte {offset} is cut short")
-        size, now = HEADER.unpack(head)
-        body = _read(source, size)
+        if len(header) < HEADER.size:
+            return _report_bad_input(f"batch header at byte {offset} is cut short")
+        size, now = HEADER.unpack(header)
+        body = _read_exactly(source, size)
         if len(body) < size:
-            return _bad(f"batch at byte {offset} is cut short: {len(body)} of {size} bytes")
+            return _report_bad_input(f"batch at byte {offset} is cut short: {len(body)} of {size} bytes")
         try:
-            answer = host.batch(body, now)
-        except CodecError as bad:
-            return _bad(f"batch at byte {offset}: {bad} of its body")
-        sink.write(answer)
+            reply = host.handle_batch(body, now)
+        except CodecError as error:
+            return _report_bad_input(f"batch at byte {offset}: {error} of its body")
+        sink.write(reply)
         sink.flush()
-        offset += len(head) + size
+        offset += len(header) + size
 
 
-def _bad(text: str) -> int:
+def _report_bad_input(text: str) -> int:
     print(f"lupinladder.simulator.adapter: {text}", file=sys.stderr)
-    return 2
+    return EXIT_BAD_INPUT
 
 
 if __name__ == "__main__":
--- a/lupinladder/simulator/codec.py
+++ b/lupinladder/simulator/codec.py
@@ -1,9 +1,12 @@
-"""Codec of the bench's wire (binary, little-endian) and of its settings JSON. It decides nothing."""
+"""Codec of the simulator's wire (binary, little-endian). It decides nothing."""
 
 from __future__ import annotations
 
 import struct
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import NamedTuple
 
 from lupinladder.balancing.actions import (
     Action,
@@ -29,30 +32,44 @@
     ResponseStarted,
     TimerFired,
 )
-
-HEADER = struct.Struct("<Id")
-REPLY = struct.Struct("<II")
-_LIST = struct.Struct("<HI")
-_ENTRY = struct.Struct("<HHfdBB6s")
-_TIMER = struct.Struct("<HI")
-_INST = struct.Struct("<H")
-_REQUEST = struct.Struct("<HQHHdQdBf")
-_PEER = struct.Struct("<HHH")
-_ENDED = struct.Struct("<HQ6sIBdHBB")
-_STARTED = struct.Struct("<HQd6sB")
-_FLEET = struct.Struct("<HBQH")
-_UP = struct.Struct("<HQI")
-_LEFT = struct.Struct("<HQ")
-_PROBED = struct.Struct("<H6sHdB")
-_FLOATS = [struct.Struct(f"<{n}f") for n in range(256)]
-
-_TRY = struct.Struct("<BHQd6s")
-_WITHDRAW = struct.Struct("<BHQB")
-_REFUSE = struct.Struct("<BHQd")
-_FAIL = struct.Struct("<BHQ")
-_SCHEDULE = struct.Struct("<BHdI")
-_FOLLOW = struct.Struct("<BHB")
-_TEXT = struct.Struct("<BHH")
+from lupinladder.errors import LupinladderError
+
+HEADER = struct.Struct("<Id")  # of a batch: size of the body, time in ms
+REPLY = struct.Struct("<II")  # size of the body, number of records
+
+# Events, without their leading code; the names are those of the wire's description.
+_DEFINE_LIST = struct.Struct("<HI")  # list number, count of entries
+_LIST_ENTRY = struct.Struct("<HHfdBB6s")  # zone, cell, weight, start, availability, kind, server
+_REMINDER = struct.Struct("<HI")  # instance, token
+_KILLED = struct.Struct("<H")  # instance
+_REQUEST = struct.Struct("<HQHHdQdBf")  # instance, id, tenant, class, timeout, key, work, flags, size
+_PEER = struct.Struct("<HHH")  # instance, sender, size of the message
+_ATTEMPT_END = struct.Struct("<HQ6sIBdHBB")
+_HEADERS = struct.Struct("<HQd6sB")  # instance, id, latency, server, attempt
+_FLEET = struct.Struct("<HBQH")  # instance, form, version, list number
+_UP = struct.Struct("<HQI")  # instance, seed, size of the settings
+_LEFT = struct.Struct("<HQ")  # instance, id
+_HEALTH_RESULT = struct.Struct("<H6sHdB")  # instance, server, outcome, latency, count of load figures
+_LOAD_FIGURES = [struct.Struct(f"<{count}f") for count in range(256)]
+_LOAD_FIGURE_SIZE = 4
+
+# Flags of a request.
+_WORK_IS_KNOWN = 1
+_IS_RETRY = 2
+_IS_WRITE = 4
+
+# Actions: code, instance and fields.
+_TRY = struct.Struct("<BHQd6s")  # id, when the attempt is given up, server
+_WITHDRAW = struct.Struct("<BHQB")  # id, attempt
+_REFUSE = struct.Struct("<BHQd")  # id, how long to stay away
+_FAIL = struct.Struct("<BHQ")  # id
+_SCHEDULE = struct.Struct("<BHdI")  # delay, token
+_FOLLOW = struct.Struct("<BHB")  # 1: follow the list
+_TEXT = struct.Struct("<BHH")  # size of the text
+
+MAX_TEXT_SIZE = 0xFFFF  # bytes; its size has 16 bits
+MAX_LISTS = 16  # list numbers run from 0 to 15
+TIMEOUT_BOUND_MS = 1e12  # a timeout beyond it is no time
 
 OUTCOMES = {
     200: Outcome.OK,
@@ -65,188 +82,241 @@
     410: Outcome.NOT_STARTED,
     404: Outcome.MISS,
 }
-CACHE_RESULTS = {result.value: result for result in CacheResult}
-FORMS = {form.value: form for form in EndpointUpdateKind}
-STATES = {state.value: state for state in EndpointState}
-LISTS = 16  # list numbers run from 0 to 15
+_CACHE_RESULTS = {result.value: result for result in CacheResult}
+_UPDATE_KINDS = {kind.value: kind for kind in EndpointUpdateKind}
+_STATES = {state.value: state for state in EndpointState}
+
+
+class ActionCode(IntEnum):
+    """The codes of the records of a reply."""
+
+    FAULT = 64
+    WITHDRAW = 65
+    FOLLOW = 66
+    NOTE_DOWN = 67
+    REFUSE = 68
+    FAIL = 69
+    TRY = 71
+    SCHEDULE = 73
 
 
-class CodecError(Exception):
+class CodecError(LupinladderError):
     """Input that the wire's description does not allow; the text names the event and its offset."""
 
 
+@dataclass(slots=True)
 class InstanceStarted:
     """An instance starts."""
 
-    __slots__ = ("env", "seed")
-
-    def __init__(self, seed: int, env: str) -> None:
-        self.seed, self.env = seed, env
+    seed: int
+    settings_text: str  # JSON, see balancing/settings_reader.py
 
 
+@dataclass(slots=True)
 class InstanceKilled:
     """An instance is killed."""
 
-    __slots__ = ()
-
 
+@dataclass(slots=True)
 class PeerMessage:
     """A message from another instance (the balancer sends none and reads none)."""
 
-    __slots__ = ()
-
 
 Message = Event | InstanceStarted | InstanceKilled | PeerMessage
 
 
+class Decoded(NamedTuple):
+    """An event of a batch: its instance, the message (None: none is passed on) and where the next begins."""
+
+    instance: int
+    message: Message | None
+    end: int
+
+
+class EventReader(NamedTuple):
+    """An event's name on the wire, and what reads its fields from an offset of a batch."""
+
+    name: str
+    read: Callable[[bytes, int], Decoded]
+
+
 class Decoder:
     """Reads batches. It holds the numbered lists, which belong to the process."""
 
     def __init__(self) -> None:
-        self.classes: dict[int, int] = {}  # how many classes an instance's settings name
+        self.class_counts: dict[int, int] = {}  # by instance: how many classes its settings name
         self._lists: dict[int, list[Endpoint]] = {}
-        self._readers: dict[int, tuple[str, Callable[[bytes, int], tuple[int, Message | None, int]]]] = {
-            0: ("DEFINE_LIST", self._define),
-            1: ("REMINDER", self._timer),
-            2: ("KILLED", self._killed),
-            3: ("REQUEST", self._request),
-            4: ("PEER", self._peer),
-            5: ("ATTEMPT_END", self._ended),
-            6: ("HEADERS", self._started),
-            7: ("FLEET", self._fleet),
-            8: ("UP", self._up),
-            9: ("LEFT", self._left),
-            10: ("HEALTH_RESULT", self._probed),
+        self._readers = {
+            0: EventReader("DEFINE_LIST", self._read_define_list),
+            1: EventReader("REMINDER", self._read_reminder),
+            2: EventReader("KILLED", self._read_killed),
+            3: EventReader("REQUEST", self._read_request),
+            4: EventReader("PEER", self._read_peer),
+            5: EventReader("ATTEMPT_END", self._read_attempt_end),
+            6: EventReader("HEADERS", self._read_headers),
+            7: EventReader("FLEET", self._read_fleet),
+            8: EventReader("UP", self._read_up),
+            9: EventReader("LEFT", self._read_left),
+            10: EventReader("HEALTH_RESULT", self._read_health_result),
         }
 
     def decode(self, body: bytes) -> Iterator[tuple[int, Message]]:
-        """The events of a batch, in order, each with its instance."""
-        at, end, readers = 0, len(body), self._readers
-        while at < end:
-            code = body[at]
-            if code not in readers:
-                raise CodecError(f"unknown event code {code} at byte {at}")
-            name, reader = readers[code]
-            try:
-                inst, message, stop = reader(body, at + 1)
-            except struct.error:
-                raise CodecError(f"{name} at byte {at} is cut short") from None
-            except (KeyError, ValueError) as fault:
-                raise CodecError(f"{name} at byte {at}: {fault}") from None
-            if stop > end:
-                raise CodecError(f"{name} at byte {at} is cut short")
-            if message is not None:
-                yield inst, message
-            at = stop
-
-    def _define(self, body: bytes, at: int) -> tuple[int, None, int]:
-        ref, count = _LIST.unpack_from(body, at)
-        if ref >= LISTS:
-            raise ValueError(f"list number {ref} is out of range")
-        at += _LIST.size
-        stop = at + count * _ENTRY.size
-        if stop > len(body):
+        """The events of a batch, in order, each with its instance.
+
+        Raises CodecError for what the wire's description does not allow, with the event and its offset.
+        """
+        offset = 0
+        while offset < len(body):
+            decoded = self._read_event(body, offset)
+            if decoded.message is not None:
+                yield decoded.instance, decoded.message
+            offset = decoded.end
+
+    def _read_event(self, body: bytes, offset: int) -> Decoded:
+        reader = self._readers.get(body[offset])
+        if reader is None:
+            raise CodecError(f"unknown event code {body[offset]} at byte {offset}")
+        try:
+            decoded = reader.read(body, offset + 1)
+        except struct.error:
+            raise CodecError(f"{reader.name} at byte {offset} is cut short") from None
+        except (KeyError, ValueError) as error:
+            raise CodecError(f"{reader.name} at byte {offset}: {error}") from None
+        if decoded.end > len(body):
+            raise CodecError(f"{reader.name} at byte {offset} is cut short")
+        return decoded
+
+    def _read_define_list(self, body: bytes, offset: int) -> Decoded:
+        number, count = _DEFINE_LIST.unpack_from(body, offset)
+        if number >= MAX_LISTS:
+            raise ValueError(f"list number {number} is out of range")
+        start = offset + _DEFINE_LIST.size
+        end = start + count * _LIST_ENTRY.size
+        if end > len(body):
             raise struct.error
-        entries = []
-        for zone, cell, weight, launched, state, kind, server in _ENTRY.iter_unpack(body[at:stop]):
-            if state not in STATES:
+        endpoints = []
+        for zone, cell, weight, started_at, state, kind, server in _LIST_ENTRY.iter_unpack(body[start:end]):
+            if state not in _STATES:
                 raise ValueError(f"availability {state} is out of range")
-            entries.append(Endpoint(server, STATES[state], weight, launched, zone, cell, kind))
-        self._lists[ref] = entries
-        return 0, None, stop
-
-    def _timer(self, body: bytes, at: int) -> tuple[int, Message, int]:
-        inst, token = _TIMER.unpack_from(body, at)
-        return inst, TimerFired(token), at + _TIMER.size
-
-    def _killed(self, body: bytes, at: int) -> tuple[int, Message, int]:
-        return _INST.unpack_from(body, at)[0], InstanceKilled(), at + _INST.size
-
-    def _request(self, body: bytes, at: int) -> tuple[int, Message, int]:
-        inst, ticket, party, kind, patience, key, work, attrs, size = _REQUEST.unpack_from(body, at)
-        if not patience < 1e12 or not patience > -1e12:
-            raise ValueError(f"patience-left-ms {patience} is out of range")
-        if kind >= self.classes.get(inst, kind + 1):
-            raise ValueError(f"class {kind} is out of range")
-        hint = work if attrs & 1 else 0.0
+            endpoints.append(Endpoint(server, _STATES[state], weight, started_at, zone, cell, kind))
+        self._lists[number] = endpoints
+        return Decoded(0, None, end)
+
+    def _read_reminder(self, body: bytes, offset: int) -> Decoded:
+        instance, token = _REMINDER.unpack_from(body, offset)
+        return Decoded(instance, TimerFired(token), offset + _REMINDER.size)
+
+    def _read_killed(self, body: bytes, offset: int) -> Decoded:
+        (instance,) = _KILLED.unpack_from(body, offset)
+        return Decoded(instance, InstanceKilled(), offset + _KILLED.size)
+
+    def _read_request(self, body: bytes, offset: int) -> Decoded:
+        fields = _REQUEST.unpack_from(body, offset)
+        instance, request_id, tenant, request_class, timeout, key, work, flags, size = fields
+        if not -TIMEOUT_BOUND_MS < timeout < TIMEOUT_BOUND_MS:
+            raise ValueError(f"patience-left-ms {timeout} is out of range")
+        if request_class >= self.class_counts.get(instance, request_class + 1):
+            raise ValueError(f"class {request_class} is out of range")
         request = RequestReceived(
-            ticket, kind, patience, key, party, attrs & 4 != 0, attrs & 2 != 0, hint, size
+            request_id,
+            request_class,
+            timeout,
+            key,
+            tenant,
+            is_write=flags & _IS_WRITE != 0,
+            is_retry=flags & _IS_RETRY != 0,
+            expected_work=work if flags & _WORK_IS_KNOWN else 0.0,
+            size=size,
+        )
+        return Decoded(instance, request, offset + _REQUEST.size)
+
+    def _read_peer(self, body: bytes, offset: int) -> Decoded:
+        instance, _, size = _PEER.unpack_from(body, offset)
+        return Decoded(instance, PeerMessage(), offset + _PEER.size + size)
+
+    def _read_attempt_end(self, body: bytes, offset: int) -> Decoded:
+        fields = _ATTEMPT_END.unpack_from(body, offset)
+        instance, request_id, _, cache_result, finished, latency, code, attempt, figures = fields
+        ended = AttemptEnded(
+            request_id,
+            attempt,
+            _outcome(code),
+            latency,
+            finished != 0,
+            _CACHE_RESULTS.get(cache_result, CacheResult.MISS_PENDING),
         )
-        return inst, request, at + _REQUEST.size
-
-    def _peer(self, body: bytes, at: int) -> tuple[int, Message, int]:
-        inst, _, size = _PEER.unpack_from(body, at)
-        return inst, PeerMessage(), at + _PEER.size + size
-
-    def _ended(self, body: bytes, at: int) -> tuple[int, Message, int]:
-        inst, ticket, _, note, over, latency, code, attempt, n = _ENDED.unpack_from(body, at)
-        if code not in OUTCOMES:
-            raise ValueError(f"outcome {code} is unknown")
-        at += _ENDED.size
-        load = _FLOATS[n].unpack_from(body, at) if n else ()
-        cache_result = CACHE_RESULTS.get(note, CacheResult.MISS_PENDING)
-        ended = AttemptEnded(ticket, attempt, OUTCOMES[code], latency, over != 0, cache_result, load)
-        return inst, ended, at + 4 * n
-
-    def _started(self, body: bytes, at: int) -> tuple[int, Message, int]:
-        inst, ticket, latency, _, attempt = _STARTED.unpack_from(body, at)
-        return inst, ResponseStarted(ticket, attempt, latency), at + _STARTED.size
-
-    def _fleet(self, body: bytes, at: int) -> tuple[int, Message, int]:
-        inst, form, version, ref = _FLEET.unpack_from(body, at)
-        if form not in FORMS:
+        end = offset + _ATTEMPT_END.size
+        if figures:
+            ended.load = _LOAD_FIGURES[figures].unpack_from(body, end)
+        return Decoded(instance, ended, end + figures * _LOAD_FIGURE_SIZE)
+
+    def _read_headers(self, body: bytes, offset: int) -> Decoded:
+        instance, request_id, latency, _, attempt = _HEADERS.unpack_from(body, offset)
+        return Decoded(instance, ResponseStarted(request_id, attempt, latency), offset + _HEADERS.size)
+
+    def _read_fleet(self, body: bytes, offset: int) -> Decoded:
+        instance, form, version, number = _FLEET.unpack_from(body, offset)
+        if form not in _UPDATE_KINDS:
             raise ValueError(f"form {form} is out of range")
-        if FORMS[form] is EndpointUpdateKind.FAILED:
-            return inst, EndpointUpdate(EndpointUpdateKind.FAILED, version), at + _FLEET.size
-        if ref not in self._lists:
-            raise ValueError(f"list {ref} was never defined")
-        return inst, EndpointUpdate(FORMS[form], version, self._lists[ref]), at + _FLEET.size
-
-    def _up(self, body: bytes, at: int) -> tuple[int, Message, int]:
-        inst, seed, size = _UP.unpack_from(body, at)
-        at += _UP.size
-        if at + size > len(body):
+        update = EndpointUpdate(_UPDATE_KINDS[form], version)
+        if update.kind is not EndpointUpdateKind.FAILED:
+            if number not in self._lists:
+                raise ValueError(f"list {number} was never defined")
+            update.endpoints = self._lists[number]
+        return Decoded(instance, update, offset + _FLEET.size)
+
+    def _read_up(self, body: bytes, offset: int) -> Decoded:
+        instance, seed, size = _UP.unpack_from(body, offset)
+        start = offset + _UP.size
+        end = start + size
+        if end > len(body):
             raise struct.error
-        return inst, InstanceStarted(seed, body[at : at + size].decode()), at + size
+        return Decoded(instance, InstanceStarted(seed, body[start:end].decode()), end)
+
+    def _read_left(self, body: bytes, offset: int) -> Decoded:
+        instance, request_id = _LEFT.unpack_from(body, offset)
+        return Decoded(instance, ClientDisconnected(request_id), offset + _LEFT.size)
+
+    def _read_health_result(self, body: bytes, offset: int) -> Decoded:
+        instance, server, code, latency, figures = _HEALTH_RESULT.unpack_from(body, offset)
+        result = HealthCheckResult(server, _outcome(code), latency)
+        end = offset + _HEALTH_RESULT.size
+        if figures:
+            result.load = _LOAD_FIGURES[figures].unpack_from(body, end)
+        return Decoded(instance, result, end + figures * _LOAD_FIGURE_SIZE)
 
-    def _left(self, body: bytes, at: int) -> tuple[int, Message, int]:
-        inst, ticket = _LEFT.unpack_from(body, at)
-        return inst, ClientDisconnected(ticket), at + _LEFT.size
 
-    def _probed(self, body: bytes, at: int) -> tuple[int, Message, int]:
-        inst, server, code, latency, n = _PROBED.unpack_from(body, at)
-        if code not in OUTCOMES:
-            raise ValueError(f"outcome {code} is unknown")
-        at += _PROBED.size
-        load = _FLOATS[n].unpack_from(body, at) if n else ()
-        return inst, HealthCheckResult(server, OUTCOMES[code], latency, load), at + 4 * n
+def _outcome(code: int) -> Outcome:
+    if code not in OUTCOMES:
+        raise ValueError(f"outcome {code} is unknown")
+    return OUTCOMES[code]
 
 
-def encode_action(inst: int, action: Action) -> bytes:
+def encode_action(instance: int, action: Action) -> bytes:
     """One action as a record."""
     if isinstance(action, StartAttempt):
-        return _TRY.pack(71, inst, action.request_id, action.expire_at, action.server)
+        return _TRY.pack(ActionCode.TRY, instance, action.request_id, action.expire_at, action.server)
     if isinstance(action, Reject):
-        return _REFUSE.pack(68, inst, action.request_id, action.retry_after)
+        return _REFUSE.pack(ActionCode.REFUSE, instance, action.request_id, action.retry_after)
     if isinstance(action, Fail):
-        return _FAIL.pack(69, inst, action.request_id)
+        return _FAIL.pack(ActionCode.FAIL, instance, action.request_id)
     if isinstance(action, SetTimer):
-        return _SCHEDULE.pack(73, inst, action.delay, action.token)
+        return _SCHEDULE.pack(ActionCode.SCHEDULE, instance, action.delay, action.token)
     if isinstance(action, CancelAttempt):
-        return _WITHDRAW.pack(65, inst, action.request_id, action.attempt)
+        return _WITHDRAW.pack(ActionCode.WITHDRAW, instance, action.request_id, action.attempt)
     if isinstance(action, WatchEndpoints):
-        return _FOLLOW.pack(66, inst, 1)
-    return _text(67, inst, action.text)
+        return _FOLLOW.pack(ActionCode.FOLLOW, instance, 1)
+    return _encode_text(ActionCode.NOTE_DOWN, instance, action.text)
 
 
-def encode_fault(inst: int, text: str) -> bytes:
+def encode_fault(instance: int, text: str) -> bytes:
     """The record that declares an instance's decisions broken."""
-    return _text(64, inst, text)
+    return _encode_text(ActionCode.FAULT, instance, text)
 
 
-def _text(code: int, inst: int, text: str) -> bytes:
-    raw = text.encode("utf-8", "replace")[:65535]
-    return _TEXT.pack(code, inst, len(raw)) + raw
+def _encode_text(code: ActionCode, instance: int, text: str) -> bytes:
+    raw = text.encode("utf-8", "replace")[:MAX_TEXT_SIZE]
+    return _TEXT.pack(code, instance, len(raw)) + raw
 
 
 def encode_reply(records: list[bytes]) -> bytes:
