Split the encoder from the codec; name tests, the pool and its review by the field

Change: simulator/encoder.py holds the actions' records, codec.py the events. PoolState and pool_review.py. Tests say what is expected in the field's terms; no assertion is changed but for the wording of one rule's message.

--- a/benchmarks/model_fleet.py
+++ b/benchmarks/model_fleet.py
@@ -123,7 +123,8 @@
             asked,
         )
         if not node.reached:
-            return self.at(self.now + DIAL, lambda: job.end(Outcome.CONNECT_FAILED))
+            self.at(self.now + DIAL, lambda: job.end(Outcome.CONNECT_FAILED))
+            return
         self.at(asked + 600.0, lambda: job.end(Outcome.TIMEOUT))
         self.at(self.now + LEG, lambda: self.arrive(node, job))
 
--- a/lupinladder/balancing/balancer.py
+++ b/lupinladder/balancing/balancer.py
@@ -12,10 +12,10 @@
 from lupinladder.balancing.endpoint_table import EndpointTable
 from lupinladder.balancing.event_dispatcher import EventDispatcher
 from lupinladder.balancing.events import AttemptEnded, CacheResult, Endpoint, LimitRestored, Outcome
-from lupinladder.balancing.fleet_review import MIN_SLOT_SHARE
-from lupinladder.balancing.fleet_state import FleetState, strictest_objective
 from lupinladder.balancing.hashing import RandomSource, splitmix64
 from lupinladder.balancing.outcome_recorder import record_outcome
+from lupinladder.balancing.pool_review import MIN_SLOT_SHARE
+from lupinladder.balancing.pool_state import PoolState, strictest_objective
 from lupinladder.balancing.request_record import Attempt
 from lupinladder.balancing.request_state import RequestState
 from lupinladder.balancing.server import Server
@@ -42,8 +42,8 @@
         self._endpoints = EndpointTable(settings, self._new_server)
         min_limit = min(1.0, 2 / settings.balancer_count)  # of all balancers: a core's worth of sends
         origin_limiter = ConcurrencyLimiter(now, self._objective, 1.0, False)
-        fleet = FleetState(settings, self._endpoints, RandomSource(seed), min_limit, origin_limiter, now)
-        super().__init__(settings, fleet, now)
+        pool = PoolState(settings, self._endpoints, RandomSource(seed), min_limit, origin_limiter, now)
+        super().__init__(settings, pool, now)
         self._retry_budget = 1.0
         self._waiting_for_fetch = dict[int, list[RequestState]]()  # by key
 
@@ -51,13 +51,13 @@
         age = now - endpoint.started_at
         warming_up = not is_origin and endpoint.started_at > 0 and age < self.settings.warmup_time
         objective = self._objective * (MISS_HOP_SHARE if self.settings.cache_aside else 1)
-        limiter = ConcurrencyLimiter(now, objective, self.fleet.min_limit, warming_up)
+        limiter = ConcurrencyLimiter(now, objective, self.pool.min_limit, warming_up)
         server = Server(endpoint, limiter, now, warming_up)
         if is_origin:
             limiter.mean_send_interval = self._objective
-        if warming_up and self.fleet.min_limit < SPARSE_MIN_LIMIT:
+        if warming_up and self.pool.min_limit < SPARSE_MIN_LIMIT:
             # One send in many seconds: from zero on all balancers would wait at first.
-            server.slow_start_credit = self.fleet.random.random_fraction()
+            server.slow_start_credit = self.pool.random.random_fraction()
         return server
 
     def on_limit_restored(self, event: LimitRestored) -> None:
@@ -74,7 +74,7 @@
         self._retry_budget = min(self._retry_budget + RETRY_SHARE, MAX_RETRY_BUDGET)
         tenant = state.request.tenant
         if tenant < len(self.settings.tenant_quotas):
-            state.over_quota = self.fleet.count_tenant(tenant) > self._quota(tenant)
+            state.over_quota = self.pool.count_tenant(tenant) > self._quota(tenant)
         if self.settings.cache_aside and state.request.is_write:
             self._fetch_from_origin(state)
         else:
@@ -90,18 +90,18 @@
         """Send to the slot's owner, over its limit to the next, else reject."""
         slot = splitmix64(state.request.key or state.request.request_id) % SLOT_COUNT
         candidates, owner_count = self._candidates(slot)
-        is_known = state.request.is_write or self.fleet.has_recent_key(state.request.key)
+        is_known = state.request.is_write or self.pool.has_recent_key(state.request.key)
         is_fetch = not (is_known or self.settings.cache_aside)
         if is_fetch and not self._origin_admits_fetch():
             candidates = []  # known keys go on, but a fetch would only join the origin's queue
         # One rejected for want of own sends says nothing of the next, so with many balancers all are asked.
-        left = MAX_OWNERS if self.fleet.min_limit < SPARSE_MIN_LIMIT else owner_count + EXTRA_OWNERS_ASKED
+        left = MAX_OWNERS if self.pool.min_limit < SPARSE_MIN_LIMIT else owner_count + EXTRA_OWNERS_ASKED
         share = OVER_QUOTA_LIMIT_SHARE if state.over_quota else 1.0
         tried = [attempt.server for attempt in state.attempts]
         for server in [server for server in candidates if server not in tried]:
             if self._send(state, server, share, is_fetch):
                 return
-            self.fleet.smooth_overload(server, 1)
+            self.pool.smooth_overload(server, 1)
             left -= self.now >= server.ejected_until
             if not left or state.over_quota:
                 break
@@ -123,10 +123,10 @@
 
     def _origin_admits_fetch(self) -> bool:
         """Whether the origin has room, by the fetches expected of sends, or by all when it is behind."""
-        limiter = self.fleet.origin_limiter
+        limiter = self.pool.origin_limiter
         lately_dropped = self.now - limiter.dropped_at < DROP_MEMORY_OBJECTIVES * self._objective
         is_behind = lately_dropped or limiter.latency > ORIGIN_SLOWDOWN * limiter.min_latency
-        return limiter.admits(self.now, 1.0 if is_behind else 1 / self.fleet.miss_ratio)
+        return limiter.admits(self.now, 1.0 if is_behind else 1 / self.pool.miss_ratio)
 
     def _fetch_from_origin(self, state: RequestState) -> None:
         """Cache-aside mode: send to the origin. A key's concurrent misses wait for the one fetch."""
@@ -160,7 +160,7 @@
 
     def on_attempt_ended(self, state: RequestState, attempt: Attempt, event: AttemptEnded) -> None:
         """Take in an outcome, then answer the request, send it again or let it wait."""
-        self.log(record_outcome(self.fleet, state.request.key, attempt, event, self.now))
+        self.log(record_outcome(self.pool, state.request.key, attempt, event, self.now))
         is_origin = attempt.server is self._endpoints.origin
         if event.request_finished or state.finished:
             self.finish(state)
--- a/lupinladder/balancing/event_dispatcher.py
+++ b/lupinladder/balancing/event_dispatcher.py
@@ -20,8 +20,8 @@
     SlotLoadRestored,
     TimerFired,
 )
-from lupinladder.balancing.fleet_review import review_fleet
-from lupinladder.balancing.fleet_state import FleetState
+from lupinladder.balancing.pool_review import review_pool
+from lupinladder.balancing.pool_state import PoolState
 from lupinladder.balancing.request_record import Attempt
 from lupinladder.balancing.request_state import RequestState
 from lupinladder.balancing.server import Server
@@ -37,25 +37,25 @@
     ignored; a clock that goes back is read as the latest time seen.
     """
 
-    def __init__(self, settings: Settings, fleet: FleetState, now: float) -> None:
+    def __init__(self, settings: Settings, pool: PoolState, now: float) -> None:
         self.settings = settings
-        self.fleet = fleet
+        self.pool = pool
         self.now = now
         self.review_at = now
         self.actions = list[Action]()
         self.timers = TimerRegistry()
-        self.poller = EndpointPoller(settings, fleet.random)
+        self.poller = EndpointPoller(settings, pool.random)
         self.open_requests = dict[int, RequestState]()  # by id, until the last attempt has ended
 
     @property
     def members(self) -> dict[ServerId, Server]:
         """The listed servers by id."""
-        return self.fleet.endpoints.members
+        return self.pool.endpoints.members
 
     @property
     def slots(self) -> SlotTable:
         """The slots, their owners and their load."""
-        return self.fleet.slots
+        return self.pool.slots
 
     def start(self, now: float) -> list[Action]:
         """The first actions: the list is polled for, where it is not pushed."""
@@ -69,7 +69,7 @@
         self.actions = []
         self.now = max(now, self.now)
         if self.now >= self.review_at:
-            self.review_at = review_fleet(self.fleet, self.now)
+            self.review_at = review_pool(self.pool, self.now)
         if isinstance(event, RequestReceived):
             self._dispatch_request(event)
         elif isinstance(event, AttemptEnded):
@@ -112,7 +112,7 @@
         server.sends_since_review += 1
         server.slow_start_credit -= 1
         if is_fetch:
-            self.fleet.origin_limiter.on_send(now)
+            self.pool.origin_limiter.on_send(now)
         self.actions.append(StartAttempt(state.request.request_id, server.id, start_by=start_by))
 
     def hold_until_deadline(self, state: RequestState) -> None:
@@ -126,7 +126,7 @@
 
     def _dispatch_endpoint_update(self, event: EndpointUpdate) -> None:
         """Merge a list, or poll for it again."""
-        endpoints = self.fleet.endpoints
+        endpoints = self.pool.endpoints
         if event.kind is EndpointUpdateKind.FAILED:
             self._poll_endpoints_after(self.poller.delay_after_failure())
         elif not endpoints.is_stale(event):
@@ -163,7 +163,7 @@
             return
         attempt.outcome = event.outcome
         attempt.server.limiter.inflight -= 1
-        self.fleet.origin_limiter.inflight -= attempt.is_fetch
+        self.pool.origin_limiter.inflight -= attempt.is_fetch
         self.on_attempt_ended(state, attempt, event)
 
     @abstractmethod
--- a/lupinladder/balancing/outcome_recorder.py
+++ b/lupinladder/balancing/outcome_recorder.py
@@ -1,4 +1,4 @@
-"""What an outcome says of the server, the origin and the fleet; part of lupinladder/balancing/ policy."""
+"""What an outcome says of the server, the origin and the pool; part of lupinladder/balancing/ policy."""
 
 from __future__ import annotations
 
@@ -6,89 +6,89 @@
 
 from lupinladder.balancing.concurrency_limiter import SPARSE_MIN_LIMIT
 from lupinladder.balancing.events import AttemptEnded, CacheResult, Outcome
-from lupinladder.balancing.fleet_state import FleetState
+from lupinladder.balancing.pool_state import PoolState
 from lupinladder.balancing.request_record import Attempt
 from lupinladder.balancing.server import Server
 
 EJECTION_FAILURE_RATE = 0.5  # smoothed failures from which on a server is ejected
-MAX_EJECTED_SHARE = 1 / 3  # of the fleet
+MAX_EJECTED_SHARE = 1 / 3  # of the pool
 EJECTION_OBJECTIVES = (2, 16)  # the first and the longest ejection, in latency objectives; it doubles
 FAILURES = (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET)
 
 
 def record_outcome(
-    fleet: FleetState, key: int, attempt: Attempt, event: AttemptEnded, now: float
+    pool: PoolState, key: int, attempt: Attempt, event: AttemptEnded, now: float
 ) -> str | None:
     """Take in an ended attempt, signal by signal; returns a line for the log if its server is ejected."""
     server = attempt.server
     outcome = event.outcome
-    if event.load and fleet.load_fields:
-        held, rate = (event.load[index] for index in fleet.load_fields)
-        server.on_load_report(held, rate / 1000, now, fleet.latency_objective)
-    is_late = outcome is Outcome.TIMEOUT or event.latency > fleet.latency_objective
-    fetched = event.cache_result >= CacheResult.MISS and not fleet.settings.cache_aside
-    origin_is_slow = fleet.fetch_overhead > fleet.latency_objective / 2  # then drops tell of it alone
+    if event.load and pool.load_fields:
+        held, rate = (event.load[index] for index in pool.load_fields)
+        server.on_load_report(held, rate / 1000, now, pool.latency_objective)
+    is_late = outcome is Outcome.TIMEOUT or event.latency > pool.latency_objective
+    fetched = event.cache_result >= CacheResult.MISS and not pool.settings.cache_aside
+    origin_is_slow = pool.fetch_overhead > pool.latency_objective / 2  # then drops tell of it alone
     is_sign = (is_late or server.busy_until > now) and not (fetched or origin_is_slow)
-    if is_sign and _is_seldom_met(fleet, server):
+    if is_sign and _is_seldom_met(pool, server):
         # No window will tell in time: one sign has to do, and lasts until the next send would have come.
-        spread = 0.5 + fleet.random.random_fraction()  # not all balancers return at once
+        spread = 0.5 + pool.random.random_fraction()  # not all balancers return at once
         server.busy_until = now + server.limiter.max_send_interval * spread
         if outcome is Outcome.TIMEOUT:  # asked last, not closed: it is one sample
-            fleet.smooth_overload(server, 1)
+            pool.smooth_overload(server, 1)
             return None
     if attempt.is_fetch:
-        _record_fetch(fleet, event, fetched, origin_is_slow, now)
+        _record_fetch(pool, event, fetched, origin_is_slow, now)
     if not origin_is_slow and outcome is not Outcome.MISS:
-        fleet.smooth_overload(server, is_late or outcome is Outcome.REJECTED)
-    fleet.smooth_rejections(server, outcome is Outcome.REJECTED)
+        pool.smooth_overload(server, is_late or outcome is Outcome.REJECTED)
+    pool.smooth_rejections(server, outcome is Outcome.REJECTED)
     if outcome is Outcome.TIMEOUT or outcome is Outcome.REJECTED:
-        if not origin_is_slow and _is_drop(fleet, server, event):
+        if not origin_is_slow and _is_drop(pool, server, event):
             server.limiter.on_drop(now - event.latency, now)
         return None
-    server_latency = fleet.smooth_latency(event, fetched)
+    server_latency = pool.smooth_latency(event, fetched)
     if outcome is Outcome.OK:
-        fleet.recent_keys.add(key)
+        pool.recent_keys.add(key)
         server.limiter.on_complete(server_latency, now)
         server.ejected_until = server.ejection_time = 0.0
-    return _record_health(fleet, server, not fetched and outcome in FAILURES, now)
+    return _record_health(pool, server, not fetched and outcome in FAILURES, now)
 
 
-def _is_seldom_met(fleet: FleetState, server: Server) -> bool:
+def _is_seldom_met(pool: PoolState, server: Server) -> bool:
     """Whether many balancers share the server, and this one meets it too seldom for a limit of its own."""
-    is_shared = fleet.min_limit < SPARSE_MIN_LIMIT and server is not fleet.endpoints.origin
+    is_shared = pool.min_limit < SPARSE_MIN_LIMIT and server is not pool.endpoints.origin
     return is_shared and server.limiter.max_concurrency == inf
 
 
-def _record_fetch(fleet: FleetState, event: AttemptEnded, fetched: bool, is_slow: bool, now: float) -> None:
+def _record_fetch(pool: PoolState, event: AttemptEnded, fetched: bool, is_slow: bool, now: float) -> None:
     if event.cache_result:
-        fleet.smooth_misses(fetched)
+        pool.smooth_misses(fetched)
     if event.outcome is Outcome.OK:
         if fetched:
-            fleet.origin_limiter.on_complete(event.latency, now)
+            pool.origin_limiter.on_complete(event.latency, now)
     elif fetched or is_slow:  # dead fetches fill its queue, and each miss adds one
-        fleet.origin_limiter.on_drop(now - event.latency, now)
+        pool.origin_limiter.on_drop(now - event.latency, now)
 
 
-def _is_drop(fleet: FleetState, server: Server, event: AttemptEnded) -> bool:
+def _is_drop(pool: PoolState, server: Server, event: AttemptEnded) -> bool:
     """One rejection among many served is no queue: to drain for it would close a sparse server. Nor is a
     time-out of what began with less than the objective left, as a fetch does after a long wait."""
     if event.outcome is Outcome.REJECTED:
         return server.is_rejecting()
-    return event.latency >= fleet.latency_objective
+    return event.latency >= pool.latency_objective
 
 
-def _record_health(fleet: FleetState, server: Server, failed: bool, now: float) -> str | None:
-    """Eject a server that fails much more than the fleet; when all fail alike, the fault is behind them.
+def _record_health(pool: PoolState, server: Server, failed: bool, now: float) -> str | None:
+    """Eject a server that fails much more than the pool; when all fail alike, the fault is behind them.
     Fast errors look like low latency: they count here, not in the window."""
-    fleet.smooth_failures(server, failed)
-    if not failed or server is fleet.endpoints.origin or now < server.ejected_until:
+    pool.smooth_failures(server, failed)
+    if not failed or server is pool.endpoints.origin or now < server.ejected_until:
         return None
-    is_outlier = server.failure_rate > max(EJECTION_FAILURE_RATE, 2 * fleet.failure_rate)
-    if not is_outlier or fleet.ejected_count + 1 > len(fleet.endpoints.members) * MAX_EJECTED_SHARE:
+    is_outlier = server.failure_rate > max(EJECTION_FAILURE_RATE, 2 * pool.failure_rate)
+    if not is_outlier or pool.ejected_count + 1 > len(pool.endpoints.members) * MAX_EJECTED_SHARE:
         return None
-    shortest, longest = (n * fleet.latency_objective for n in EJECTION_OBJECTIVES)
+    shortest, longest = (n * pool.latency_objective for n in EJECTION_OBJECTIVES)
     server.ejection_time = min(max(2 * server.ejection_time, shortest), longest)
     server.ejected_until = now + server.ejection_time
     server.failure_rate = EJECTION_FAILURE_RATE
-    fleet.ejected_count += 1
+    pool.ejected_count += 1
     return f"{server.id.hex()} out for {server.ejection_time:.0f} ms: attempts fail"
--- a/lupinladder/balancing/fleet_review.py
+++ b/lupinladder/balancing/pool_review.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lupinladder.balancing.fleet_state import FleetState
+from lupinladder.balancing.pool_state import PoolState
 from lupinladder.balancing.server import Server
 
 REVIEW_OBJECTIVES = 2  # the time between reviews, in latency objectives
@@ -15,33 +15,33 @@
 OVERLOAD_FACTOR_SHARE = 0.8
 
 
-def review_fleet(fleet: FleetState, now: float) -> float:
+def review_pool(pool: PoolState, now: float) -> float:
     """Set what may be sent by what has been sent since the last review; returns the time of the next."""
-    fleet.age(now)
-    fleet.ejected_count = sum(server.ejected_until > now for server in fleet.endpoints.slot_owners)
-    for server in fleet.endpoints.slot_owners:
-        _move_slots(fleet, server)
-        _warm_up(fleet, server, now)
-    return now + REVIEW_OBJECTIVES * fleet.latency_objective
+    pool.age(now)
+    pool.ejected_count = sum(server.ejected_until > now for server in pool.endpoints.slot_owners)
+    for server in pool.endpoints.slot_owners:
+        _move_slots(pool, server)
+        _warm_up(pool, server, now)
+    return now + REVIEW_OBJECTIVES * pool.latency_objective
 
 
-def _move_slots(fleet: FleetState, server: Server) -> None:
+def _move_slots(pool: PoolState, server: Server) -> None:
     """Move slots by load, stepwise, in the order of owners(); a sparse balancer needs many reviews."""
-    if server.overload_signal > max(OVERLOAD_RATE, 2 * fleet.overload_signal):
+    if server.overload_signal > max(OVERLOAD_RATE, 2 * pool.overload_signal):
         server.slot_share = max(server.slot_share - SLOT_SHARE_DOWN, MIN_SLOT_SHARE)
     elif server.overload_signal < CALM_RATE:
         server.slot_share = min(server.slot_share + SLOT_SHARE_UP, 1.0)
 
 
-def _warm_up(fleet: FleetState, server: Server, now: float) -> None:
+def _warm_up(pool: PoolState, server: Server, now: float) -> None:
     """Set what a started server may carry, by what the settings' slowest warm-up leaves it."""
     warmth = 1.0
     if server.warming_up:
-        initial = fleet.settings.initial_capacity
+        initial = pool.settings.initial_capacity
         age = now - server.endpoint.started_at
-        warmth = initial + (1 - initial) * age / max(fleet.settings.warmup_time, 1.0)
+        warmth = initial + (1 - initial) * age / max(pool.settings.warmup_time, 1.0)
         warmth = min(max(warmth, initial), 1.0)
-    boost = max(fleet.settings.overload_factor * OVERLOAD_FACTOR_SHARE, 1.0)
+    boost = max(pool.settings.overload_factor * OVERLOAD_FACTOR_SHARE, 1.0)
     server.warming_up = warmth < 1
     server.active_share = min(warmth * boost, 1.0) * server.slot_share
-    server.credit_rate = fleet.warm_send_rate * server.weight * warmth * boost
+    server.credit_rate = pool.warm_send_rate * server.weight * warmth * boost
--- a/lupinladder/balancing/fleet_state.py
+++ b/lupinladder/balancing/pool_state.py
@@ -1,4 +1,4 @@
-"""What one balancer knows of its fleet. No decision is made here: see balancer.py."""
+"""What one balancer knows of its pool. No decision is made here: see balancer.py."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 WARM_RATE_ALPHA = 0.25  # smoothing of the rate of sends to warm servers
 MIN_MISS_RATIO = 1 / 16  # also where it begins
 MEMORY_OBJECTIVES = 16  # how long an answered key counts as kept, in latency objectives
-TENANT_HALF_LIFE_OBJECTIVES = 8  # a tenant's count halves in this time, in latency objectives
+TENANT_HALVING_OBJECTIVES = 8  # a tenant's count halves in this time, in latency objectives
 HELD_FIELD = "rif"  # of a load report: the requests that a server holds
 RATE_FIELD = "rate"  # of a load report: the requests that it ends in a second
 
@@ -25,7 +25,7 @@
     return min(request_class.latency_objective for request_class in settings.classes)
 
 
-class FleetState:
+class PoolState:
     """The servers and the smoothed signals over all of them.
 
     Times are milliseconds, rates of sends are by the millisecond, other rates and ratios from 0 to 1.
@@ -125,7 +125,7 @@
             self.older_keys = self.recent_keys
             self.recent_keys = set()
             self.recent_keys_since = now
-        left = 0.5 ** (span / (TENANT_HALF_LIFE_OBJECTIVES * self.latency_objective))
+        left = 0.5 ** (span / (TENANT_HALVING_OBJECTIVES * self.latency_objective))
         self.tenant_requests = [count * left for count in self.tenant_requests]
 
     def _smooth_warm_send_rate(self, span: float) -> None:
--- a/lupinladder/balancing/settings_reader.py
+++ b/lupinladder/balancing/settings_reader.py
@@ -25,14 +25,17 @@
     value = _find(tree, path)
     if value is _MISSING:
         if default is _MISSING:
-            raise SettingsError(f"settings: {path} is missing")
+            message = f"settings: {path} is missing"
+            raise SettingsError(message)
         return default
     if expected is float and isinstance(value, int) and not isinstance(value, bool):
         value = float(value)
     if not isinstance(value, expected) or (isinstance(value, bool) and expected is not bool):
-        raise SettingsError(f"settings: {path} is {value!r}, not a {expected.__name__}")
+        message = f"settings: {path} is {value!r}, not a {expected.__name__}"
+        raise SettingsError(message)
     if isinstance(value, float) and not 0 <= value < VALUE_BOUND:
-        raise SettingsError(f"settings: {path} is {value!r}, out of range")
+        message = f"settings: {path} is {value!r}, out of range"
+        raise SettingsError(message)
     return value
 
 
@@ -41,7 +44,8 @@
     try:
         tree = json.loads(text)
     except ValueError as error:
-        raise SettingsError(f"settings: not JSON: {error}") from None
+        message = f"settings: not JSON: {error}"
+        raise SettingsError(message) from None
     classes = _read_classes(tree)
     polled = _read_choice(tree, "membership-mode", ("ask", "push")) == "ask"
     cache_aside = _read_choice(tree, "family-info.mode", ("through", "aside"), "through") == "aside"
@@ -85,14 +89,16 @@
 def _read_choice(tree: Any, path: str, choices: tuple[str, ...], default: Any = _MISSING) -> str:
     value: str = read_value(tree, path, str, default)
     if value not in choices:
-        raise SettingsError(f"settings: {path} is {value!r}")
+        message = f"settings: {path} is {value!r}"
+        raise SettingsError(message)
     return value
 
 
 def _read_count(tree: Any, path: str) -> int:
     value: int = read_value(tree, path, int)
     if value < 1:
-        raise SettingsError(f"settings: {path} is {value}")
+        message = f"settings: {path} is {value}"
+        raise SettingsError(message)
     return value
 
 
@@ -107,7 +113,8 @@
 def _read_classes(tree: Any) -> list[RequestClass]:
     classes = [_read_class(one, number) for number, one in enumerate(read_value(tree, "classes", list))]
     if not classes:
-        raise SettingsError("settings: classes is empty")
+        message = "settings: classes is empty"
+        raise SettingsError(message)
     return classes
 
 
@@ -116,7 +123,8 @@
         latency_objective = read_value(tree, "goal-time-ms", float)
         deadline = read_value(tree, "deadline-ms", float)
         if deadline <= 0 or latency_objective <= 0:
-            raise SettingsError("settings: goal-time-ms and deadline-ms are above 0")
+            message = "settings: goal-time-ms and deadline-ms are above 0"
+            raise SettingsError(message)
         return RequestClass(
             latency_objective,
             deadline,
@@ -128,4 +136,5 @@
             stream=read_value(tree, "stream", bool, False),
         )
     except ValueError as error:
-        raise SettingsError(f"{error} (class {number})") from None
+        message = f"{error} (class {number})"
+        raise SettingsError(message) from None
--- a/lupinladder/simulator/adapter.py
+++ b/lupinladder/simulator/adapter.py
@@ -16,10 +16,8 @@
     InstanceStarted,
     Message,
     PeerMessage,
-    encode_action,
-    encode_fault,
-    encode_reply,
 )
+from lupinladder.simulator.encoder import encode_action, encode_fault, encode_reply
 
 EXIT_BAD_INPUT = 2
 
--- a/lupinladder/simulator/codec.py
+++ b/lupinladder/simulator/codec.py
@@ -1,22 +1,12 @@
-"""Codec of the simulator's wire (binary, little-endian). It decides nothing."""
+"""Decoder of the events on the simulator's wire (binary, little-endian). It decides nothing."""
 
 from __future__ import annotations
 
 import struct
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
-from enum import IntEnum
 from typing import NamedTuple
 
-from lupinladder.balancing.actions import (
-    Action,
-    CancelAttempt,
-    Fail,
-    Reject,
-    SetTimer,
-    StartAttempt,
-    WatchEndpoints,
-)
 from lupinladder.balancing.events import (
     AttemptEnded,
     CacheResult,
@@ -35,7 +25,6 @@
 from lupinladder.errors import LupinladderError
 
 HEADER = struct.Struct("<Id")  # of a batch: size of the body, time in ms
-REPLY = struct.Struct("<II")  # size of the body, number of records
 
 # Events, without their leading code; the names are those of the wire's description.
 _DEFINE_LIST = struct.Struct("<HI")  # list number, count of entries
@@ -46,7 +35,7 @@
 _PEER = struct.Struct("<HHH")  # instance, sender, size of the message
 _ATTEMPT_END = struct.Struct("<HQ6sIBdHBB")
 _HEADERS = struct.Struct("<HQd6sB")  # instance, id, latency, server, attempt
-_FLEET = struct.Struct("<HBQH")  # instance, form, version, list number
+_ENDPOINT_UPDATE = struct.Struct("<HBQH")  # instance, form, version, list number
 _UP = struct.Struct("<HQI")  # instance, seed, size of the settings
 _LEFT = struct.Struct("<HQ")  # instance, id
 _HEALTH_RESULT = struct.Struct("<H6sHdB")  # instance, server, outcome, latency, count of load figures
@@ -58,16 +47,6 @@
 _IS_RETRY = 2
 _IS_WRITE = 4
 
-# Actions: code, instance and fields.
-_TRY = struct.Struct("<BHQd6s")  # id, when the attempt is given up, server
-_WITHDRAW = struct.Struct("<BHQB")  # id, attempt
-_REFUSE = struct.Struct("<BHQd")  # id, how long to stay away
-_FAIL = struct.Struct("<BHQ")  # id
-_SCHEDULE = struct.Struct("<BHdI")  # delay, token
-_FOLLOW = struct.Struct("<BHB")  # 1: follow the list
-_TEXT = struct.Struct("<BHH")  # size of the text
-
-MAX_TEXT_SIZE = 0xFFFF  # bytes; its size has 16 bits
 MAX_LISTS = 16  # list numbers run from 0 to 15
 TIMEOUT_BOUND_MS = 1e12  # a timeout beyond it is no time
 
@@ -87,19 +66,6 @@
 _STATES = {state.value: state for state in EndpointState}
 
 
-class ActionCode(IntEnum):
-    """The codes of the records of a reply."""
-
-    FAULT = 64
-    WITHDRAW = 65
-    FOLLOW = 66
-    NOTE_DOWN = 67
-    REFUSE = 68
-    FAIL = 69
-    TRY = 71
-    SCHEDULE = 73
-
-
 class CodecError(LupinladderError):
     """Input that the wire's description does not allow; the text names the event and its offset."""
 
@@ -154,7 +120,7 @@
             4: EventReader("PEER", self._read_peer),
             5: EventReader("ATTEMPT_END", self._read_attempt_end),
             6: EventReader("HEADERS", self._read_headers),
-            7: EventReader("FLEET", self._read_fleet),
+            7: EventReader("FLEET", self._read_endpoint_update),
             8: EventReader("UP", self._read_up),
             9: EventReader("LEFT", self._read_left),
             10: EventReader("HEALTH_RESULT", self._read_health_result),
@@ -175,21 +141,26 @@
     def _read_event(self, body: bytes, offset: int) -> Decoded:
         reader = self._readers.get(body[offset])
         if reader is None:
-            raise CodecError(f"unknown event code {body[offset]} at byte {offset}")
+            text = f"unknown event code {body[offset]} at byte {offset}"
+            raise CodecError(text)
         try:
             decoded = reader.read(body, offset + 1)
         except struct.error:
-            raise CodecError(f"{reader.name} at byte {offset} is cut short") from None
+            text = f"{reader.name} at byte {offset} is cut short"
+            raise CodecError(text) from None
         except (KeyError, ValueError) as error:
-            raise CodecError(f"{reader.name} at byte {offset}: {error}") from None
+            text = f"{reader.name} at byte {offset}: {error}"
+            raise CodecError(text) from None
         if decoded.end > len(body):
-            raise CodecError(f"{reader.name} at byte {offset} is cut short")
+            text = f"{reader.name} at byte {offset} is cut short"
+            raise CodecError(text)
         return decoded
 
     def _read_define_list(self, body: bytes, offset: int) -> Decoded:
         number, count = _DEFINE_LIST.unpack_from(body, offset)
         if number >= MAX_LISTS:
-            raise ValueError(f"list number {number} is out of range")
+            text = f"list number {number} is out of range"
+            raise ValueError(text)
         start = offset + _DEFINE_LIST.size
         end = start + count * _LIST_ENTRY.size
         if end > len(body):
@@ -197,7 +168,8 @@
         endpoints = []
         for zone, cell, weight, started_at, state, kind, server in _LIST_ENTRY.iter_unpack(body[start:end]):
             if state not in _STATES:
-                raise ValueError(f"availability {state} is out of range")
+                text = f"availability {state} is out of range"
+                raise ValueError(text)
             endpoints.append(Endpoint(server, _STATES[state], weight, started_at, zone, cell, kind))
         self._lists[number] = endpoints
         return Decoded(0, None, end)
@@ -214,9 +186,11 @@
         fields = _REQUEST.unpack_from(body, offset)
         instance, request_id, tenant, request_class, timeout, key, work, flags, size = fields
         if not -TIMEOUT_BOUND_MS < timeout < TIMEOUT_BOUND_MS:
-            raise ValueError(f"patience-left-ms {timeout} is out of range")
+            text = f"patience-left-ms {timeout} is out of range"
+            raise ValueError(text)
         if request_class >= self.class_counts.get(instance, request_class + 1):
-            raise ValueError(f"class {request_class} is out of range")
+            text = f"class {request_class} is out of range"
+            raise ValueError(text)
         request = RequestReceived(
             request_id,
             request_class,
@@ -254,16 +228,18 @@
         instance, request_id, latency, _, attempt = _HEADERS.unpack_from(body, offset)
         return Decoded(instance, ResponseStarted(request_id, attempt, latency), offset + _HEADERS.size)
 
-    def _read_fleet(self, body: bytes, offset: int) -> Decoded:
-        instance, form, version, number = _FLEET.unpack_from(body, offset)
+    def _read_endpoint_update(self, body: bytes, offset: int) -> Decoded:
+        instance, form, version, number = _ENDPOINT_UPDATE.unpack_from(body, offset)
         if form not in _UPDATE_KINDS:
-            raise ValueError(f"form {form} is out of range")
+            text = f"form {form} is out of range"
+            raise ValueError(text)
         update = EndpointUpdate(_UPDATE_KINDS[form], version)
         if update.kind is not EndpointUpdateKind.FAILED:
             if number not in self._lists:
-                raise ValueError(f"list {number} was never defined")
+                text = f"list {number} was never defined"
+                raise ValueError(text)
             update.endpoints = self._lists[number]
-        return Decoded(instance, update, offset + _FLEET.size)
+        return Decoded(instance, update, offset + _ENDPOINT_UPDATE.size)
 
     def _read_up(self, body: bytes, offset: int) -> Decoded:
         instance, seed, size = _UP.unpack_from(body, offset)
@@ -288,38 +264,6 @@
 
 def _outcome(code: int) -> Outcome:
     if code not in OUTCOMES:
-        raise ValueError(f"outcome {code} is unknown")
+        text = f"outcome {code} is unknown"
+        raise ValueError(text)
     return OUTCOMES[code]
-
-
-def encode_action(instance: int, action: Action) -> bytes:
-    """One action as a record."""
-    if isinstance(action, StartAttempt):
-        return _TRY.pack(ActionCode.TRY, instance, action.request_id, action.expire_at, action.server)
-    if isinstance(action, Reject):
-        return _REFUSE.pack(ActionCode.REFUSE, instance, action.request_id, action.retry_after)
-    if isinstance(action, Fail):
-        return _FAIL.pack(ActionCode.FAIL, instance, action.request_id)
-    if isinstance(action, SetTimer):
-        return _SCHEDULE.pack(ActionCode.SCHEDULE, instance, action.delay, action.token)
-    if isinstance(action, CancelAttempt):
-        return _WITHDRAW.pack(ActionCode.WITHDRAW, instance, action.request_id, action.attempt)
-    if isinstance(action, WatchEndpoints):
-        return _FOLLOW.pack(ActionCode.FOLLOW, instance, 1)
-    return _encode_text(ActionCode.NOTE_DOWN, instance, action.text)
-
-
-def encode_fault(instance: int, text: str) -> bytes:
-    """The record that declares an instance's decisions broken."""
-    return _encode_text(ActionCode.FAULT, instance, text)
-
-
-def _encode_text(code: ActionCode, instance: int, text: str) -> bytes:
-    raw = text.encode("utf-8", "replace")[:MAX_TEXT_SIZE]
-    return _TEXT.pack(code, instance, len(raw)) + raw
-
-
-def encode_reply(records: list[bytes]) -> bytes:
-    """A whole reply frame."""
-    body = b"".join(records)
-    return REPLY.pack(len(body), len(records)) + body
--- a/tests/balancing/test_balancer_failures.py
+++ b/tests/balancing/test_balancer_failures.py
@@ -40,7 +40,7 @@
 def serve(
     proxy: Proxy, key: int, latency: float = 50, cache_result: CacheResult = CacheResult.HIT
 ) -> bytes | None:
-    """A request that is answered. Returns its first server, or None where it was refused."""
+    """A request that is answered. Returns its first server, or None where it was rejected."""
     n = ask(proxy, key)
     if not proxy.seen[n].tries:
         return None
@@ -60,7 +60,7 @@
         assert serve(one, key) == serve(one, key) == serve(other, key)
 
 
-def test_a_server_that_fails_fast_is_cut_and_tried_again_and_recovers() -> None:
+def test_a_server_that_fails_fast_is_ejected_and_probed_and_recovers() -> None:
     proxy = proxy_of()
     warm(proxy)
     bad = serve(proxy, 7)
@@ -84,14 +84,14 @@
     assert serve(proxy, 7) == bad
 
 
-def test_a_server_that_turns_some_away_keeps_its_limit_one_that_turns_all_away_is_drained() -> None:
+def test_a_server_that_rejects_some_keeps_its_limit_one_that_rejects_all_is_drained() -> None:
     proxy = proxy_of()
     warm(proxy)
     owner = serve(proxy, 7)
     assert owner is not None
     limiter = proxy.balancer.members[owner].limiter
 
-    def turn_away(every: int) -> None:
+    def reject(every: int) -> None:
         came = 0
         for key in range(1, 1000):
             n = ask(proxy, key)
@@ -103,13 +103,13 @@
             proxy.end(n, len(proxy.seen[n].tries) - 1, Outcome.OK, 50)
 
     limit = limiter.max_concurrency
-    turn_away(every=2)
+    reject(every=2)
     assert limiter.max_concurrency > limit / 2  # what it serves between shows that it has room
-    turn_away(every=1)
+    reject(every=1)
     assert limiter.max_concurrency <= 1
 
 
-def test_a_health_cut_never_takes_most_of_the_fleet() -> None:
+def test_ejections_never_take_most_of_the_pool() -> None:
     proxy = proxy_of()
     warm(proxy)
     for key in range(1, 400):
@@ -140,8 +140,8 @@
     assert hung not in [server for _, server in proxy.sends[before:]]
 
 
-def test_a_slow_origin_closes_no_server_and_refuses_unknown_keys() -> None:
-    # In `through` mode fetches crawl and fail everywhere while hits stay fast.
+def test_a_slow_origin_closes_no_server_and_rejects_unknown_keys() -> None:
+    # In read-through mode fetches crawl and fail everywhere while hits stay fast.
     proxy = proxy_of()
     warm(proxy)
     for key in range(1000, 1060):
@@ -155,13 +155,13 @@
             proxy.now += 900
             proxy.feed(AttemptEnded(n, 0, Outcome.ERROR, 900.0, False, CacheResult.MISS))
     assert len(proxy.seen[n].tries) <= 1  # a failed fetch is not repeated elsewhere
-    refused = sum(not proxy.seen[ask(proxy, key)].tries for key in range(3000, 3040))
-    assert refused > 30  # one more fetch would only join the queue
+    rejected = sum(not proxy.seen[ask(proxy, key)].tries for key in range(3000, 3040))
+    assert rejected > 30  # one more fetch would only join the queue
     assert all(serve(proxy, key) is not None for key in range(1, 100))  # hits go on
     assert not any("out for" in note for note in proxy.notes)
 
 
-def test_aside_concurrent_misses_wait_for_one_fetch() -> None:
+def test_cache_aside_concurrent_misses_wait_for_one_fetch() -> None:
     conf = balancer_harness.settings(cache_aside=True, origin_kind=1, max_attempts=3)
     proxy = Proxy(Balancer(conf, 1, 0.0), conf)
     listed = [*entries(6), Endpoint(sid(90), server_kind=1)]
@@ -176,7 +176,7 @@
     assert server_of(proxy, requests[1], 1) == cache and server_of(proxy, requests[2], 1) == cache
 
 
-def test_aside_writes_go_to_the_origin_and_no_slot_is_the_origins() -> None:
+def test_cache_aside_writes_go_to_the_origin_and_no_slot_is_the_origins() -> None:
     conf = balancer_harness.settings(cache_aside=True, origin_kind=1, max_attempts=3)
     proxy = Proxy(Balancer(conf, 1, 0.0), conf)
     proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, [*entries(6), Endpoint(sid(90), server_kind=1)]))
@@ -184,7 +184,7 @@
     assert all(server_of(proxy, ask(proxy, key)) != sid(90) for key in range(1, 60))
 
 
-def test_aside_a_hop_gets_less_than_the_aim_as_a_miss_takes_two() -> None:
+def test_cache_aside_a_hop_gets_less_than_the_objective_as_a_miss_takes_two() -> None:
     def limit(**config: object) -> float:
         proxy = proxy_of(1, **config)
         for key in range(1, 18):
@@ -195,7 +195,7 @@
     assert limit(cache_aside=True, origin_kind=1) < limit()
 
 
-def test_an_empty_fleet_and_one_that_only_drains_refuse_at_once() -> None:
+def test_an_empty_pool_and_one_that_only_drains_reject_at_once() -> None:
     proxy = proxy_of(0)
     assert not proxy.seen[ask(proxy, 1)].tries and proxy.seen[1].answered
     draining = proxy_of(0)
@@ -246,7 +246,7 @@
     assert max(waits(6, poll_endpoints=False, drain_grace_period=400.0, poll_interval=10000.0)) <= 200
 
 
-def test_a_tenant_over_its_quota_is_refused_first() -> None:
+def test_a_tenant_over_its_quota_is_rejected_first() -> None:
     conf = balancer_harness.settings(tenant_quotas=[40.0, 40.0], over_quota_weight=0.2)
     proxy = Proxy(Balancer(conf, 1, 0.0), conf)
     proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, entries(12)))
@@ -262,7 +262,7 @@
     assert proxy.seen[ask(proxy, 7, tenant=1)].tries  # room was left for who keeps to its share
 
 
-def test_load_moves_slots_from_a_server_that_strains_and_brings_them_back() -> None:
+def test_load_moves_slots_from_a_server_that_is_overloaded_and_brings_them_back() -> None:
     proxy = proxy_of()
     warm(proxy)
     slow = serve(proxy, 7)
@@ -282,7 +282,7 @@
     assert server.slot_share == 1.0
 
 
-def test_the_work_for_a_request_does_not_grow_with_the_fleet() -> None:
+def test_the_work_for_a_request_does_not_grow_with_the_pool() -> None:
     def calls(n: int) -> float:
         proxy = proxy_of(n)
         for key in range(1, 300):  # owners known, windows closed
--- a/tests/balancing/test_balancer_rules.py
+++ b/tests/balancing/test_balancer_rules.py
@@ -37,16 +37,16 @@
     draw = random.Random(seed)
     conf = balancer_harness.settings(**config)
     proxy = Proxy(Balancer(conf, seed, 0.0), conf)
-    kinds = {0: 0, 1: 1} if conf.cache_aside else {}
-    listed = [Endpoint(sid(i), zone=i % 2, cell=i % 3, server_kind=kinds.get(i, 0)) for i in range(8)]
+    server_kinds = {0: 0, 1: 1} if conf.cache_aside else {}
+    listed = [Endpoint(sid(i), zone=i % 2, cell=i % 3, server_kind=server_kinds.get(i, 0)) for i in range(8)]
     proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, listed))
     for n in range(400):
         proxy.advance(proxy.now + draw.choice([0, 1, 5, 40]))
         turn = draw.random()
         if turn < 0.5:
-            patience = draw.choice([0, 30, 300, 1500])
+            timeout = draw.choice([0, 30, 300, 1500])
             key, write = draw.randrange(6), draw.random() < 0.2
-            proxy.feed(RequestReceived(n, draw.randrange(5), patience, key, 0, write))
+            proxy.feed(RequestReceived(n, draw.randrange(5), timeout, key, 0, write))
         elif turn < 0.94 and proxy.out():
             which, attempt = draw.choice(proxy.out())
             proxy.end(which, attempt, draw.choice(ENDS))
@@ -56,9 +56,13 @@
         else:
             i = draw.randrange(9)
             changed = Endpoint(
-                sid(i), draw.choice(list(EndpointState)), zone=i % 2, cell=i % 3, server_kind=kinds.get(i, 0),
+                sid(i),
+                draw.choice(list(EndpointState)),
+                zone=i % 2,
+                cell=i % 3,
+                server_kind=server_kinds.get(i, 0),
                 started_at=draw.choice([0.0, proxy.now]),
-            )  # fmt: skip
+            )
             proxy.feed(EndpointUpdate(EndpointUpdateKind.DELTA, n + 2, [changed]))
     proxy.advance(proxy.now + 5000)
     left = [i for i, one in proxy.seen.items() if not one.answered]
@@ -93,7 +97,8 @@
                 found.append(str(broken))
                 if text in found[-1]:
                     return
-    raise AssertionError(f"no stretch broke {text!r}; seen: {set(found)}")
+    message = f"no stretch broke {text!r}; seen: {set(found)}"
+    raise AssertionError(message)
 
 
 def test_without_the_deadline_timer_a_held_request_is_lost(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -105,7 +110,7 @@
 
 
 def careless(state: RequestState, text: str) -> RequestState:
-    """A copy of the request that is read as one of which less is forbidden."""
+    """A copy of the request that is read as one with fewer restrictions."""
     loose = copy.copy(state)
     if text == "forgotten":
         loose.request_class = dataclasses.replace(state.request_class, deduplication_window=float("inf"))
@@ -132,7 +137,7 @@
     fails(text)
 
 
-def test_without_the_state_a_draining_server_is_sent_to(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_without_the_readiness_check_a_draining_server_is_sent_to(monkeypatch: pytest.MonkeyPatch) -> None:
     kept: Callable[..., bool] = Server.admits
 
     def blind(self: Server, now: float, share: float = 1.0) -> bool:
@@ -143,7 +148,7 @@
     fails("drains or is gone")
 
 
-def cold_work(seed: int) -> float:
+def warmup_load(seed: int) -> float:
     """The highest share of its fall budget that one of three joiners was sent, by four balancers together."""
     conf = balancer_harness.settings()
     draw = random.Random(seed)
@@ -181,13 +186,13 @@
     return worst
 
 
-def test_no_cold_server_is_pushed_over_and_none_is_left_idle() -> None:
+def test_no_server_that_warms_up_is_overloaded_and_none_is_left_idle() -> None:
     """Offered only what the slowest warm-up can do (0.25 of the budget here), it idles while others drown."""
     for seed in (1, 2, 3):
-        assert 0.4 < cold_work(seed) < 1
+        assert 0.4 < warmup_load(seed) < 1
 
 
-def test_without_the_ramp_a_cold_server_is_pushed_over(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_without_the_slow_start_a_server_that_warms_up_is_overloaded(monkeypatch: pytest.MonkeyPatch) -> None:
     kept = Server.__init__
 
     def warm(
@@ -202,4 +207,4 @@
         )
 
     monkeypatch.setattr(Server, "__init__", warm)
-    assert cold_work(1) > 1
+    assert warmup_load(1) > 1
--- a/tests/balancing/test_many_balancers.py
+++ b/tests/balancing/test_many_balancers.py
@@ -22,7 +22,7 @@
 from tests.support.balancer_harness import Proxy, entries, settings
 
 
-def alone(**more: object) -> Proxy:
+def lone_proxy(**more: object) -> Proxy:
     """One balancer that knows four servers."""
     conf = settings(report_fields=["rate", "rif"], **more)
     proxy = Proxy(Balancer(conf, 1, 0.0), conf)
@@ -38,9 +38,9 @@
     return proxy.seen[number].tries[0][0]
 
 
-class Trials(TestCase):
+class ProbesOfDroppedServers(TestCase):
     def test_trials_of_a_server_that_lost_all_do_not_add_up_with_the_balancers(self) -> None:
-        def trials(balancers: int) -> int:
+        def probes(balancers: int) -> int:
             """By all, in 20 s, with whatever is sent lost after 600 ms."""
             count = 0
             for _ in range(balancers):
@@ -54,9 +54,9 @@
                     now += 50
             return count
 
-        few = trials(10)
+        few = probes(10)
         for many in (20, 40):
-            self.assertLess(trials(many), 1.5 * few)
+            self.assertLess(probes(many), 1.5 * few)
 
     def test_the_origin_is_tried_again_by_what_it_carried_however_many_and_uneven_the_balancers(self) -> None:
         # How many ms apart a balancer fetches differs from one to the next.
@@ -81,7 +81,7 @@
                 self.assertLess(back, 2000 + 8 * asked)
 
 
-class Cold(TestCase):
+class SlowStart(TestCase):
     def test_many_balancers_offer_a_started_server_its_share_from_the_beginning(self) -> None:
         offered = warm = 0.0
         for seed in (7, 8):
@@ -96,10 +96,10 @@
         self.assertLess(offered, 3 * 0.22 * warm)
 
 
-class Spill(TestCase):
-    def test_three_owners_are_asked_before_a_refusal_and_all_of_them_with_many_balancers(self) -> None:
+class SpillOver(TestCase):
+    def test_three_owners_are_asked_before_a_rejection_and_all_of_them_with_many_balancers(self) -> None:
         for balancers, closed, sent in ((200, 3, 1), (4, 3, 0), (4, 2, 1)):
-            proxy = alone(balancer_count=balancers)
+            proxy = lone_proxy(balancer_count=balancers)
             owners = [server for server, _ in proxy.balancer.slots.owners(splitmix64(1) % SLOT_COUNT)]
             for server in owners[:closed]:  # a retest's drain, or the pace of a limit below one
                 server.limiter.next_send_at = proxy.now + 1000
@@ -107,10 +107,10 @@
             self.assertEqual([to for to, _ in proxy.seen[1].tries], [owners[closed].id][:sent])
 
 
-class Fetches(TestCase):
+class OriginFetches(TestCase):
     def test_a_fetch_that_had_hardly_any_time_left_closes_no_origin(self) -> None:
         for left, closed in ((50.0, False), (1400.0, True)):
-            proxy = alone(balancer_count=200, cache_aside=True, origin_kind=1)
+            proxy = lone_proxy(balancer_count=200, cache_aside=True, origin_kind=1)
             origin = Endpoint(b"origin", server_kind=1)
             proxy.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, [origin]))
             proxy.feed(RequestReceived(1, 0, 1500.0, key=1))
@@ -123,9 +123,9 @@
             self.assertEqual([to for to, _ in proxy.seen[2].tries], [] if closed else [b"origin"], left)
 
 
-class Reports(TestCase):
+class LoadReports(TestCase):
     def test_a_server_is_passed_over_until_it_has_worked_off_what_it_holds(self) -> None:
-        proxy = alone()
+        proxy = lone_proxy()
         first = send(proxy, 1, (20.0, 1.0))  # alone with one request: 20 a second, nothing waits
         self.assertEqual(send(proxy, 2, (20.0, 11.0)), first)  # ten more: half a second of work
         self.assertNotEqual(send(proxy, 3, (20.0, 1.0)), first)
@@ -134,7 +134,7 @@
 
     def test_no_report_or_one_without_the_figures_changes_nothing(self) -> None:
         for load in ((), (0.0, 11.0), (20.0, 0.0)):
-            proxy = alone()
+            proxy = lone_proxy()
             first = send(proxy, 1, load)
             self.assertEqual(send(proxy, 2), first, load)
 
@@ -147,7 +147,7 @@
         }
         for name, (outcome, latency, load) in ends.items():
             with self.subTest(name):
-                proxy = alone(balancer_count=200)
+                proxy = lone_proxy(balancer_count=200)
                 proxy.feed(RequestReceived(1, 0, 1500.0, key=1))
                 first = proxy.seen[1].tries[0][0]
                 proxy.now += latency
@@ -156,7 +156,7 @@
                 self.assertNotEqual(send(proxy, 2), first)
                 proxy.now += 50_000
                 self.assertEqual(send(proxy, 3), first)
-        proxy = alone(balancer_count=200)
+        proxy = lone_proxy(balancer_count=200)
         first = send(proxy, 1, (20.0, 1.0))
         self.assertEqual(send(proxy, 2), first)
 
--- a/tests/simulator/test_adapter.py
+++ b/tests/simulator/test_adapter.py
@@ -39,7 +39,7 @@
     return struct.pack("<BHQHHdQdBf", 3, inst, ticket, 0, kind, 600.0, 99, 0.0, 0, 0.0)
 
 
-def drill(data: bytes) -> subprocess.CompletedProcess[bytes]:
+def run_adapter(data: bytes) -> subprocess.CompletedProcess[bytes]:
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
     command = shlex.split(deploy["sim"])
     assert command[0] == "exec" and command[1].endswith("/python")
@@ -60,7 +60,7 @@
 def test_smoke() -> None:
     ended = struct.pack("<BHQ6sIBdHBB", 5, 3, 11, NODE, 1, 1, 20.0, 200, 0, 0)
     killed = struct.pack("<BH", 2, 3)
-    done = drill(
+    done = run_adapter(
         frame(1000.0)
         + frame(1000.0, up(3), LIST, fleet(3))
         + frame(1005.0, request(3, 11))
@@ -79,7 +79,9 @@
 
 def test_a_broken_instance_faults_alone() -> None:
     broken = {**SETTINGS, "n-instances": 0}
-    done = drill(frame(1.0, up(3, broken), up(4), LIST, fleet(4)) + frame(2.0, request(3, 1), request(4, 2)))
+    done = run_adapter(
+        frame(1.0, up(3, broken), up(4), LIST, fleet(4)) + frame(2.0, request(3, 1), request(4, 2))
+    )
     assert done.returncode == 0
     first, second = replies(done.stdout)
     assert b"n-instances is 0" in first[1] and first[1][0] == 64
@@ -98,11 +100,11 @@
     ],
 )
 def test_bad_input_ends_with_one_plain_line(data: bytes, message: bytes) -> None:
-    done = drill(data)
+    done = run_adapter(data)
     assert done.returncode == 2
     assert message in done.stderr and done.stderr.count(b"\n") == 1
 
 
 def test_end_of_input_between_frames() -> None:
-    assert drill(b"").returncode == 0
+    assert run_adapter(b"").returncode == 0
     assert HEADER.size == 12
--- a/tests/simulator/test_codec.py
+++ b/tests/simulator/test_codec.py
@@ -40,10 +40,8 @@
     CodecError,
     Decoder,
     Message,
-    encode_action,
-    encode_fault,
-    encode_reply,
 )
+from lupinladder.simulator.encoder import encode_action, encode_fault, encode_reply
 
 REQUEST = "03 0300 c4913a5de0b00e00 0000 0000 0000000000006e40 640ad2557c3bf091 0000000000002840 01 00000000"
 ENDED = "05 0300 c4913a5de0b00e00 0a124a07 931f 00000000 01 0000000000803240 c800 00 00"
--- a/tests/support/balancer_harness.py
+++ b/tests/support/balancer_harness.py
@@ -133,7 +133,8 @@
             assert None not in one.outcomes, "two attempts out at once"
         ran = [t for t, o in zip(one.tries, one.outcomes, strict=True) if o not in NEVER_RAN]
         if ran and kind.retry_safety is RetrySafety.NON_IDEMPOTENT:
-            raise AssertionError("an unsafe request sent again that may have run")
+            text = "an unsafe request sent again that may have run"
+            raise AssertionError(text)
         if ran and kind.retry_safety is RetrySafety.IDEMPOTENCY_KEY:
             assert self.now - ran[0][1] < kind.deduplication_window, (
                 "sent again after the servers have forgotten"
@@ -150,12 +151,12 @@
         one.outcomes.append(None)
         self.sends.append((self.now, server))
 
-    def check_answer(self, one: Seen, refusal: bool) -> None:
+    def check_answer(self, one: Seen, rejected: bool) -> None:
         kind = self.config.classes[one.request.request_class]
         assert not one.answered, "answered twice"
         assert self.now <= one.deadline + 20, "answered too late"
         if (
-            refusal
+            rejected
             and kind.retry_safety is not RetrySafety.IDEMPOTENT
             and any(o not in NEVER_RAN for o in one.outcomes)
         ):
@@ -163,7 +164,7 @@
                 kind.retry_safety is RetrySafety.IDEMPOTENCY_KEY
                 and kind.deduplication_scope is DeduplicationScope.ALL
             )
-            assert shared, "a refusal promised what may not hold"
+            assert shared, "a rejection promised what may not hold"
         one.answered = True
 
     def end(self, request: int, attempt: int, outcome: Outcome, latency: float | None = None) -> None:
