Name the model pool's times and counts; one assignment a line in the benchmarks

Cause: work, delays and time-outs stood as bare numbers and as several assignments a line. Change: named constants with units; no value is changed.

--- a/benchmarks/fleet_sums.py
+++ b/benchmarks/fleet_sums.py
@@ -11,13 +11,15 @@
 
 from benchmarks.model_fleet import ORIGIN, Fleet
 
-RATE, SEEDS, BALANCERS = 110, (7, 8, 9), (3, 12, 40, 200)
+REQUESTS_PER_SECOND = 110
+SEEDS = (7, 8, 9)
+BALANCER_COUNTS = (3, 12, 40, 200)
 
 
 def slow(fleet: Fleet) -> dict[str, float]:
     node = list(fleet.nodes.values())[5]
     node.speed = 0.05
-    fleet.run(10_000, RATE)
+    fleet.run(10_000, REQUESTS_PER_SECOND)
     return {
         "sends a second to a slow server": sum(node.sent[s] for s in range(5, 10)) / 5,
         "answered in time meanwhile": fleet.served(5, 10),
@@ -27,13 +29,13 @@
 def vanished(fleet: Fleet) -> dict[str, float]:
     node = list(fleet.nodes.values())[5]
     node.reached = False
-    fleet.run(10_000, RATE)
+    fleet.run(10_000, REQUESTS_PER_SECOND)
     return {"connects a second to a server that has vanished": sum(node.sent[s] for s in range(5, 10)) / 5}
 
 
-def cold(fleet: Fleet) -> dict[str, float]:
+def warming_up(fleet: Fleet) -> dict[str, float]:
     node = fleet.join()
-    fleet.run(14_000, RATE)
+    fleet.run(14_000, REQUESTS_PER_SECOND)
     origin = fleet.nodes[ORIGIN]
     return {
         "most sends in a second to a cold server, first 5 s": max(node.sent[s] for s in range(4, 9)),
@@ -44,16 +46,16 @@
 
 def main() -> None:
     table: dict[str, list[str]] = {}
-    for balancers in BALANCERS:
-        for scene in (slow, vanished, cold):
+    for balancers in BALANCER_COUNTS:
+        for scene in (slow, vanished, warming_up):
             runs = list[dict[str, float]]()
             for seed in SEEDS:
                 fleet = Fleet(balancers, 12, seed)
-                fleet.run(4000, RATE)
+                fleet.run(4000, REQUESTS_PER_SECOND)
                 runs.append(scene(fleet))
             for name in runs[0]:
                 table.setdefault(name, []).append(f"{mean(run[name] for run in runs):.2f}")
-    print(f"{'balancers':55} " + " ".join(f"{n:>8}" for n in BALANCERS))
+    print(f"{'balancers':55} " + " ".join(f"{n:>8}" for n in BALANCER_COUNTS))
     for name, values in table.items():
         print(f"{name:55} " + " ".join(f"{value:>8}" for value in values))
 
--- a/benchmarks/model_fleet.py
+++ b/benchmarks/model_fleet.py
@@ -24,7 +24,13 @@
 )
 from lupinladder.balancing.settings import RequestClass, Settings
 
-WORK, LEG, DIAL, AIM = 45.0, 2.0, 120.0, 300.0  # ms: mean work, one way, a connect's time-out, the aim
+MEAN_WORK_MS = 45.0
+ORIGIN_WORK_MS = 20.0
+ONE_WAY_DELAY_MS = 2.0
+CONNECT_TIMEOUT_MS = 120.0
+REQUEST_TIMEOUT_MS = 600.0
+LATENCY_OBJECTIVE_MS = 300.0
+MISS_WORK_SHARE = 0.2  # of a hit's work
 
 
 def sid(n: int) -> bytes:
@@ -39,19 +45,25 @@
     """One core, first come first served, with the load report that real nodes give."""
 
     def __init__(self, key: int, cores: int = 1) -> None:
-        self.id, self.cores, self.speed, self.reached = sid(key), cores, 1.0, True
+        self.id = sid(key)
+        self.cores = cores
+        self.speed = 1.0
+        self.reached = True
         self.kept = set[int]()
-        self.line, self.work = deque[tuple[Any, float]](), 0
+        self.line = deque[tuple[Any, float]]()
+        self.work = 0  # requests in work
         self.ended = deque[float]()  # in the last second
         self.sent = Counter[int]()  # attempts that reached it, or tried to, by second
 
 
 class Fleet:
     def __init__(self, balancers: int, nodes: int, seed: int, keys: int = 400, **more: Any) -> None:
-        self.draw, self.now, self.number = random.Random(seed), 0.0, 0
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.number = 0
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.nodes = {sid(n): Node(n, 1 if n else 4) for n in range(nodes + 1)}
-        read = RequestClass(AIM, 600.0)
+        read = RequestClass(LATENCY_OBJECTIVE_MS, REQUEST_TIMEOUT_MS)
         base = Settings(
             [read],
             balancers,
@@ -72,7 +84,10 @@
         )
         self.weights = [1 / (n + 5) for n in range(keys)]
         self.balancers = list[Balancer]()
-        self.asked, self.in_time, self.refused = Counter[int](), Counter[int](), Counter[int]()
+        # By second: requests, those answered in time, and those rejected.
+        self.asked = Counter[int]()
+        self.in_time = Counter[int]()
+        self.rejected = Counter[int]()
         self.open: dict[tuple[int, int], tuple[float, list[bytes]]] = {}
         listed = [Endpoint(i, server_kind=int(i == ORIGIN)) for i in self.nodes]
         for n in range(balancers):
@@ -99,15 +114,15 @@
             elif isinstance(one, SetTimer):
                 self.at(self.now + one.delay, lambda t=one.token: self.feed(n, TimerFired(t)))  # type: ignore[misc]
             elif isinstance(one, Reject | Fail):
-                self.refused[self.second] += (n, one.request_id) in self.open
+                self.rejected[self.second] += (n, one.request_id) in self.open
                 self.open.pop((n, one.request_id), None)
 
     def ask(self, n: int) -> None:
         self.number += 1
-        key = self.draw.choices(range(1, len(self.weights) + 1), self.weights)[0]
+        key = self.random.choices(range(1, len(self.weights) + 1), self.weights)[0]
         self.asked[self.second] += 1
         self.open[n, self.number] = (self.now, [])
-        self.feed(n, RequestReceived(self.number, 0, 600.0, key=key))
+        self.feed(n, RequestReceived(self.number, 0, REQUEST_TIMEOUT_MS, key=key))
 
     def attempt(self, n: int, request: int, node: Node) -> None:
         asked, tried = self.open.get((n, request), (self.now, []))
@@ -123,14 +138,14 @@
             asked,
         )
         if not node.reached:
-            self.at(self.now + DIAL, lambda: job.end(Outcome.CONNECT_FAILED))
+            self.at(self.now + CONNECT_TIMEOUT_MS, lambda: job.end(Outcome.CONNECT_FAILED))
             return
-        self.at(asked + 600.0, lambda: job.end(Outcome.TIMEOUT))
-        self.at(self.now + LEG, lambda: self.arrive(node, job))
+        self.at(asked + REQUEST_TIMEOUT_MS, lambda: job.end(Outcome.TIMEOUT))
+        self.at(self.now + ONE_WAY_DELAY_MS, lambda: self.arrive(node, job))
 
     def arrive(self, node: Node, job: _Job) -> None:
-        work = self.draw.expovariate(1 / WORK) if node.id != ORIGIN else 20.0
-        node.line.append((job, work * (1 if job.key in node.kept or node.id == ORIGIN else 0.2)))
+        work = self.random.expovariate(1 / MEAN_WORK_MS) if node.id != ORIGIN else ORIGIN_WORK_MS
+        node.line.append((job, work * (1 if job.key in node.kept or node.id == ORIGIN else MISS_WORK_SHARE)))
         self.serve(node)
 
     def serve(self, node: Node) -> None:
@@ -150,7 +165,7 @@
             for other in self.open.get((job.balancer, job.request), (0, []))[1]:
                 self.nodes[other].kept.add(job.key)
         end = Outcome.OK if hit else Outcome.MISS
-        self.at(self.now + LEG, lambda: job.end(end, load))
+        self.at(self.now + ONE_WAY_DELAY_MS, lambda: job.end(end, load))
         self.serve(node)
 
     def join(self) -> Node:
@@ -165,8 +180,8 @@
     def run(self, until: float, rate: float) -> None:
         """Requests at `rate` a second over the whole fleet, until this time in ms."""
         at = self.now
-        while (at := at + self.draw.expovariate(rate / 1000)) < until:
-            n = self.draw.randrange(len(self.balancers))
+        while (at := at + self.random.expovariate(rate / 1000)) < until:
+            n = self.random.randrange(len(self.balancers))
             self.at(at, lambda n=n: self.ask(n))  # type: ignore[misc]
         while self.queue and self.queue[0][0] < until:
             self.now, _, call = heapq.heappop(self.queue)
@@ -185,16 +200,24 @@
     def __init__(
         self, fleet: Fleet, balancer: int, request: int, number: int, key: int, node: Node, asked: float
     ) -> None:
-        self.fleet, self.balancer, self.request, self.number = fleet, balancer, request, number
-        self.key, self.node, self.sent, self.asked, self.over = key, node, fleet.now, asked, False
+        self.fleet = fleet
+        self.balancer = balancer
+        self.request = request
+        self.number = number
+        self.key = key
+        self.node = node
+        self.sent = fleet.now
+        self.asked = asked
+        self.over = False
 
     def end(self, outcome: Outcome, load: tuple[float, ...] = ()) -> None:
         if self.over:
             return
-        self.over, fleet = True, self.fleet
+        self.over = True
+        fleet = self.fleet
         if outcome is Outcome.OK and (self.balancer, self.request) in fleet.open:
             del fleet.open[self.balancer, self.request]
-            fleet.in_time[int(self.asked // 1000)] += fleet.now - self.asked <= AIM
+            fleet.in_time[int(self.asked // 1000)] += fleet.now - self.asked <= LATENCY_OBJECTIVE_MS
         over = (self.balancer, self.request) not in fleet.open
         took = fleet.now - self.sent
         hit = outcome is Outcome.OK and self.node.id != ORIGIN
--- a/tests/support/balancer_harness.py
+++ b/tests/support/balancer_harness.py
@@ -79,7 +79,9 @@
     """Feeds events to a balancer and asserts the rules on each action."""
 
     def __init__(self, balancer: Balancer, config: Settings, now: float = 0.0) -> None:
-        self.balancer, self.config, self.now = balancer, config, now
+        self.balancer = balancer
+        self.config = config
+        self.now = now
         self.seen: dict[int, Seen] = {}
         self.timers: list[tuple[float, int]] = []
         self.entry: dict[bytes, Endpoint] = {}
@@ -140,7 +142,8 @@
                 "sent again after the servers have forgotten"
             )
             for earlier, _ in ran:
-                a, b = self.entry[earlier], self.entry[server]
+                a = self.entry[earlier]
+                b = self.entry[server]
                 assert kind.deduplication_scope is not DeduplicationScope.ZONE or a.zone == b.zone, (
                     "sent outside its zone"
                 )
