Decide in the policy whether a request may be opened

Cause: dispatch rejected a request whose id is open or whose class is unknown by a test of its own; whether a rejection is right is the policy's to say. Change: Balancer.accepts, called by the dispatcher. The time until which a repeat is dropped is worked out in plain steps. 499 lines of policy.

--- a/lupinladder/balancing/balancer.py
+++ b/lupinladder/balancing/balancer.py
@@ -15,7 +15,7 @@
 from lupinladder.balancing.hashing import RandomSource, splitmix64
 from lupinladder.balancing.outcome_recorder import record_outcome
 from lupinladder.balancing.pool_review import MIN_SLOT_SHARE
-from lupinladder.balancing.pool_state import PoolState, strictest_objective
+from lupinladder.balancing.pool_state import MEMORY_OBJECTIVES, PoolState, strictest_objective
 from lupinladder.balancing.request_record import Attempt
 from lupinladder.balancing.request_state import RequestState
 from lupinladder.balancing.server import Server
@@ -28,7 +28,6 @@
 EXTRA_OWNERS_ASKED = 2
 RETRY_SHARE = 0.1  # further attempts after failures, as a share of requests
 MAX_RETRY_BUDGET = 16
-DROP_MEMORY_OBJECTIVES = 16  # how long a dropped fetch counts as a sign, in latency objectives
 ORIGIN_SLOWDOWN = 1.25  # over its least latency, from which on the origin is behind
 MISS_HOP_SHARE = 5 / 6  # of the objective: in cache-aside mode a miss takes two hops within one
 OVER_QUOTA_LIMIT_SHARE = 0.7  # of a server's limit, for tenants over their quota
@@ -69,6 +68,10 @@
         server.slot_share = server.active_share = min(max(event.slot_share, MIN_SLOT_SHARE), 1.0)
         server.failure_rate = event.failure_rate
 
+    def accepts(self, request_id: int, request_class: int) -> bool:
+        """Whether a request may be opened: its id is not open, and its class is known."""
+        return request_id not in self.open_requests and 0 <= request_class < len(self.settings.classes)
+
     def on_request(self, state: RequestState) -> None:
         """Send a new request to its slot's owner, or a write in cache-aside mode to the origin."""
         self._retry_budget = min(self._retry_budget + RETRY_SHARE, MAX_RETRY_BUDGET)
@@ -124,7 +127,7 @@
     def _origin_admits_fetch(self) -> bool:
         """Whether the origin has room, by the fetches expected of sends, or by all when it is behind."""
         limiter = self.pool.origin_limiter
-        lately_dropped = self.now - limiter.dropped_at < DROP_MEMORY_OBJECTIVES * self._objective
+        lately_dropped = self.now - limiter.dropped_at < MEMORY_OBJECTIVES * self._objective
         is_behind = lately_dropped or limiter.latency > ORIGIN_SLOWDOWN * limiter.min_latency
         return limiter.admits(self.now, 1.0 if is_behind else 1 / self.pool.miss_ratio)
 
@@ -151,10 +154,10 @@
         """Start an attempt, if the server's limits and what is allowed for the request admit it."""
         if not server.admits(self.now, share) or not state.may_attempt(server, self.now, self.settings):
             return False
-        start_by = inf  # from then on a repeat would be dropped no more
-        if state.request_class.retry_safety is RetrySafety.IDEMPOTENCY_KEY:
-            for earliest in state.possibly_executed()[:1]:
-                start_by = earliest.sent_at + state.request_class.deduplication_window
+        is_keyed = state.request_class.retry_safety is RetrySafety.IDEMPOTENCY_KEY
+        executed = state.possibly_executed() if is_keyed else []
+        window = state.request_class.deduplication_window  # after it a repeat would be dropped no more
+        start_by = executed[0].sent_at + window if executed else inf
         self.start_attempt(state, server, start_by, is_fetch)
         return True
 
--- a/lupinladder/balancing/event_dispatcher.py
+++ b/lupinladder/balancing/event_dispatcher.py
@@ -145,12 +145,10 @@
             self.reject_or_fail(state)
 
     def _dispatch_request(self, event: RequestReceived) -> None:
-        """Open a request; an id that is open or a class that is not in the settings is misuse."""
-        classes = self.settings.classes
-        if event.request_id in self.open_requests or not 0 <= event.request_class < len(classes):
+        if not self.accepts(event.request_id, event.request_class):
             self.actions.append(Reject(event.request_id))
             return
-        state = RequestState(event, classes[event.request_class], self.now)
+        state = RequestState(event, self.settings.classes[event.request_class], self.now)
         self.open_requests[event.request_id] = state
         self.on_request(state)
 
@@ -166,6 +164,10 @@
         self.pool.origin_limiter.inflight -= attempt.is_fetch
         self.on_attempt_ended(state, attempt, event)
 
+    @abstractmethod
+    def accepts(self, request_id: int, request_class: int) -> bool:
+        """Whether a request may be opened; one that may not is rejected at once."""
+
     @abstractmethod
     def on_request(self, state: RequestState) -> None:
         """A request has come, and is open."""
--- a/lupinladder/balancing/outcome_recorder.py
+++ b/lupinladder/balancing/outcome_recorder.py
@@ -54,7 +54,6 @@
 
 
 def _is_seldom_met(pool: PoolState, server: Server) -> bool:
-    """Whether many balancers share the server, and this one meets it too seldom for a limit of its own."""
     is_shared = pool.min_limit < SPARSE_MIN_LIMIT and server is not pool.endpoints.origin
     return is_shared and server.limiter.max_concurrency == inf
 
--- a/lupinladder/balancing/pool_state.py
+++ b/lupinladder/balancing/pool_state.py
@@ -14,7 +14,9 @@
 HEALTH_ALPHA = 0.2  # smoothing of failures and rejections
 WARM_RATE_ALPHA = 0.25  # smoothing of the rate of sends to warm servers
 MIN_MISS_RATIO = 1 / 16  # also where it begins
-MEMORY_OBJECTIVES = 16  # how long an answered key counts as kept, in latency objectives
+MEMORY_OBJECTIVES = (
+    16  # how long an answered key counts as kept, and a dropped fetch as a sign, in objectives
+)
 TENANT_HALVING_OBJECTIVES = 8  # a tenant's count halves in this time, in latency objectives
 HELD_FIELD = "rif"  # of a load report: the requests that a server holds
 RATE_FIELD = "rate"  # of a load report: the requests that it ends in a second
--- a/lupinladder/balancing/request_state.py
+++ b/lupinladder/balancing/request_state.py
@@ -41,7 +41,6 @@
         return is_remembered and self._drops_repeats_of(executed, server)
 
     def _drops_repeats_of(self, executed: list[Attempt], server: Server) -> bool:
-        """Whether the server drops repeats of what the earlier servers may have executed."""
         scope = self.request_class.deduplication_scope
         if scope is DeduplicationScope.ALL:
             return True
