--- a/lupinladder/net/request_dispatcher.py
+++ b/lupinladder/net/request_dispatcher.py
@@ -84,7 +84,7 @@
 
     def slot_load(self) -> dict[int, float]:
         """The balancer's own sends by slot, decaying."""
-        return self._balancer.slots.heat
+        return self._balancer.slots.load.by_slot
 
     def shutdown_schedule(self) -> ShutdownSchedule:
         """How to shut down, beginning now."""
--- a/lupinladder/net/state_persister.py
+++ b/lupinladder/net/state_persister.py
@@ -191,33 +191,33 @@
         """The listed servers that are ready, in discovery's form."""
         for server in self._dispatcher.servers():
             address = self._registry.address_of(server.id)
-            if address and server.entry.state is EndpointState.READY:
+            if address and server.endpoint.state is EndpointState.READY:
                 host, port = address
                 yield {
                     "name": server.id.decode(),
                     "address": f"{host}:{port}",
-                    "zone": self._conf.zones[server.entry.zone],
-                    "type": self._conf.kinds[server.entry.server_kind],
-                    "group": server.entry.cell,
+                    "zone": self._conf.zones[server.endpoint.zone],
+                    "type": self._conf.kinds[server.endpoint.server_kind],
+                    "group": server.endpoint.cell,
                     "status": "active",
-                    "weight": server.entry.weight,
-                    "since_ms": server.entry.started_at,
+                    "weight": server.endpoint.weight,
+                    "since_ms": server.endpoint.started_at,
                 }
 
     def _limits(self) -> Iterable[LimitRecord]:
         """The limit of each server on which a window has closed: what it gave, and when that was."""
         for server in self._dispatcher.servers():
             limiter = server.limiter
-            if limiter.seen and not server.cold:
+            if limiter.sample_count and not server.warming_up:
                 yield LimitRecord(
                     server=server.id.decode(),
-                    server_started_at=server.entry.started_at,
-                    at=limiter.start,
-                    samples=limiter.seen,
+                    server_started_at=server.endpoint.started_at,
+                    at=limiter.window_start,
+                    samples=limiter.sample_count,
                     min_latency=round(limiter.min_latency, 3),
                     max_qps=round(limiter.max_qps * 1000, 4),
-                    slot_share=server.moved,
-                    failure_rate=round(server.failed, 3),
+                    slot_share=server.slot_share,
+                    failure_rate=round(server.failure_rate, 3),
                 )
 
 
--- a/tests/balancing/test_balancer_rules.py
+++ b/tests/balancing/test_balancer_rules.py
@@ -37,16 +37,16 @@
     draw = random.Random(seed)
     conf = balancer_harness.settings(**config)
     proxy = Proxy(Balancer(conf, seed, 0.0), conf)
-    kinds = {0: 0, 1: 1} if conf.cache_aside else {}
-    listed = [Endpoint(sid(i), zone=i % 2, cell=i % 3, server_kind=kinds.get(i, 0)) for i in range(8)]
+    server_kinds = {0: 0, 1: 1} if conf.cache_aside else {}
+    listed = [Endpoint(sid(i), zone=i % 2, cell=i % 3, server_kind=server_kinds.get(i, 0)) for i in range(8)]
     proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, listed))
     for n in range(400):
         proxy.advance(proxy.now + draw.choice([0, 1, 5, 40]))
         turn = draw.random()
         if turn < 0.5:
-            patience = draw.choice([0, 30, 300, 1500])
+            timeout = draw.choice([0, 30, 300, 1500])
             key, write = draw.randrange(6), draw.random() < 0.2
-            proxy.feed(RequestReceived(n, draw.randrange(5), patience, key, 0, write))
+            proxy.feed(RequestReceived(n, draw.randrange(5), timeout, key, 0, write))
         elif turn < 0.94 and proxy.out():
             which, attempt = draw.choice(proxy.out())
             proxy.end(which, attempt, draw.choice(ENDS))
@@ -56,14 +56,18 @@
         else:
             i = draw.randrange(9)
             changed = Endpoint(
-                sid(i), draw.choice(list(EndpointState)), zone=i % 2, cell=i % 3, server_kind=kinds.get(i, 0),
+                sid(i),
+                draw.choice(list(EndpointState)),
+                zone=i % 2,
+                cell=i % 3,
+                server_kind=server_kinds.get(i, 0),
                 started_at=draw.choice([0.0, proxy.now]),
-            )  # fmt: skip
+            )
             proxy.feed(EndpointUpdate(EndpointUpdateKind.DELTA, n + 2, [changed]))
     proxy.advance(proxy.now + 5000)
     left = [i for i, one in proxy.seen.items() if not one.answered]
     assert not left, f"requests without an answer: {left}"
-    assert not proxy.balancer.live, "requests still held after their end"
+    assert not proxy.balancer.open_requests, "requests still held after their end"
     return proxy
 
 
@@ -93,45 +97,58 @@
                 found.append(str(broken))
                 if text in found[-1]:
                     return
-    raise AssertionError(f"no stretch broke {text!r}; seen: {set(found)}")
+    message = f"no stretch broke {text!r}; seen: {set(found)}"
+    raise AssertionError(message)
 
 
 def test_without_the_deadline_timer_a_held_request_is_lost(monkeypatch: pytest.MonkeyPatch) -> None:
-    def never(self: Balancer, delay: float, life: RequestState | None) -> None:
+    def never(self: Balancer, state: RequestState) -> None:
         return
 
-    monkeypatch.setattr(Balancer, "later", never)
+    monkeypatch.setattr(Balancer, "hold_until_deadline", never)
     fails("requests without an answer")
 
 
+def careless(state: RequestState, text: str) -> RequestState:
+    """A copy of the request that is read as one with fewer restrictions."""
+    loose = copy.copy(state)
+    if text == "forgotten":
+        loose.request_class = dataclasses.replace(state.request_class, deduplication_window=float("inf"))
+    else:
+        loose.request_class = dataclasses.replace(state.request_class, retry_safety=RetrySafety.IDEMPOTENT)
+    return loose
+
+
 @pytest.mark.parametrize("text", ["may have run", "may not hold", "forgotten", "its zone", "its cell"])
-def test_without_the_rights_an_effect_happens_twice(monkeypatch: pytest.MonkeyPatch, text: str) -> None:
-    kept = RequestState.rights
+def test_without_may_attempt_and_may_reject_an_effect_happens_twice(
+    monkeypatch: pytest.MonkeyPatch, text: str
+) -> None:
+    may_attempt = RequestState.may_attempt
+    may_reject = RequestState.may_reject
 
-    def free(self: RequestState, server: Server | None, now: float, conf: Settings) -> bool:
-        right, life = self.kind, copy.copy(self)
-        if text == "forgotten":
-            life.kind = dataclasses.replace(right, deduplication_window=float("inf"))
-        else:
-            life.kind = dataclasses.replace(right, retry_safety=RetrySafety.IDEMPOTENT)
-        return kept(life, server, now, conf)
+    def attempts(self: RequestState, server: Server, now: float, conf: Settings) -> bool:
+        return may_attempt(careless(self, text), server, now, conf)
+
+    def rejects(self: RequestState) -> bool:
+        return may_reject(careless(self, text))
 
-    monkeypatch.setattr(RequestState, "rights", free)
+    monkeypatch.setattr(RequestState, "may_attempt", attempts)
+    monkeypatch.setattr(RequestState, "may_reject", rejects)
     fails(text)
 
 
-def test_without_the_state_a_draining_server_is_sent_to(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_without_the_readiness_check_a_draining_server_is_sent_to(monkeypatch: pytest.MonkeyPatch) -> None:
     kept: Callable[..., bool] = Server.admits
 
     def blind(self: Server, now: float, share: float = 1.0) -> bool:
-        self.ready = True
+        self.is_ready = True
         return kept(self, now, share)
 
     monkeypatch.setattr(Server, "admits", blind)
     fails("drains or is gone")
 
 
-def cold_work(seed: int) -> float:
+def warmup_load(seed: int) -> float:
     """The highest share of its fall budget that one of three joiners was sent, by four balancers together."""
     conf = balancer_harness.settings()
     draw = random.Random(seed)
@@ -169,17 +186,25 @@
     return worst
 
 
-def test_no_cold_server_is_pushed_over_and_none_is_left_idle() -> None:
+def test_no_server_that_warms_up_is_overloaded_and_none_is_left_idle() -> None:
     """Offered only what the slowest warm-up can do (0.25 of the budget here), it idles while others drown."""
     for seed in (1, 2, 3):
-        assert 0.4 < cold_work(seed) < 1
+        assert 0.4 < warmup_load(seed) < 1
 
 
-def test_without_the_ramp_a_cold_server_is_pushed_over(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_without_the_slow_start_a_server_that_warms_up_is_overloaded(monkeypatch: pytest.MonkeyPatch) -> None:
     kept = Server.__init__
 
-    def warm(self: Server, entry: Endpoint, limiter: ConcurrencyLimiter, now: float, cold: bool) -> None:
-        kept(self, entry, ConcurrencyLimiter(now, limiter.aim, limiter.floor, False), now, False)
+    def warm(
+        self: Server, endpoint: Endpoint, limiter: ConcurrencyLimiter, now: float, warming_up: bool
+    ) -> None:
+        kept(
+            self,
+            endpoint,
+            ConcurrencyLimiter(now, limiter.latency_objective, limiter.min_limit, False),
+            now,
+            False,
+        )
 
     monkeypatch.setattr(Server, "__init__", warm)
-    assert cold_work(1) > 1
+    assert warmup_load(1) > 1
--- a/tests/recovery/test_warm_start.py
+++ b/tests/recovery/test_warm_start.py
@@ -104,7 +104,7 @@
         for mode in RestoreMode:
             limiter = self.proxy(LimitRestored(server, mode, 50.0, 0.1)).balancer.members[server].limiter
             limits[mode] = limiter.max_concurrency
-            self.assertEqual(limiter.fresh, mode is not RestoreMode.FULL)
+            self.assertEqual(limiter.in_slow_start, mode is not RestoreMode.FULL)
         self.assertEqual(limits[RestoreMode.PROBE], 1.0)
         self.assertEqual(limits[RestoreMode.PARTIAL] * 2, limits[RestoreMode.FULL])
         self.assertGreater(
@@ -125,5 +125,5 @@
 
     def test_slots_whose_load_is_restored_are_split_from_the_first_request_on(self) -> None:
         proxy = self.proxy(SlotLoadRestored({5: 40.0, -1: 9.0, 1 << 40: 9.0}))
-        self.assertEqual(proxy.balancer.slots.heat, {5: 40.0})
-        self.assertGreater(proxy.balancer.slots.parts(5), 1)
+        self.assertEqual(proxy.balancer.slots.load.by_slot, {5: 40.0})
+        self.assertGreater(proxy.balancer.slots.owner_count(5), 1)
--- a/tests/support/balancer_harness.py
+++ b/tests/support/balancer_harness.py
@@ -79,7 +79,9 @@
     """Feeds events to a balancer and asserts the rules on each action."""
 
     def __init__(self, balancer: Balancer, config: Settings, now: float = 0.0) -> None:
-        self.balancer, self.config, self.now = balancer, config, now
+        self.balancer = balancer
+        self.config = config
+        self.now = now
         self.seen: dict[int, Seen] = {}
         self.timers: list[tuple[float, int]] = []
         self.entry: dict[bytes, Endpoint] = {}
@@ -133,13 +135,15 @@
             assert None not in one.outcomes, "two attempts out at once"
         ran = [t for t, o in zip(one.tries, one.outcomes, strict=True) if o not in NEVER_RAN]
         if ran and kind.retry_safety is RetrySafety.NON_IDEMPOTENT:
-            raise AssertionError("an unsafe request sent again that may have run")
+            text = "an unsafe request sent again that may have run"
+            raise AssertionError(text)
         if ran and kind.retry_safety is RetrySafety.IDEMPOTENCY_KEY:
             assert self.now - ran[0][1] < kind.deduplication_window, (
                 "sent again after the servers have forgotten"
             )
             for earlier, _ in ran:
-                a, b = self.entry[earlier], self.entry[server]
+                a = self.entry[earlier]
+                b = self.entry[server]
                 assert kind.deduplication_scope is not DeduplicationScope.ZONE or a.zone == b.zone, (
                     "sent outside its zone"
                 )
@@ -150,12 +154,12 @@
         one.outcomes.append(None)
         self.sends.append((self.now, server))
 
-    def check_answer(self, one: Seen, refusal: bool) -> None:
+    def check_answer(self, one: Seen, rejected: bool) -> None:
         kind = self.config.classes[one.request.request_class]
         assert not one.answered, "answered twice"
         assert self.now <= one.deadline + 20, "answered too late"
         if (
-            refusal
+            rejected
             and kind.retry_safety is not RetrySafety.IDEMPOTENT
             and any(o not in NEVER_RAN for o in one.outcomes)
         ):
@@ -163,7 +167,7 @@
                 kind.retry_safety is RetrySafety.IDEMPOTENCY_KEY
                 and kind.deduplication_scope is DeduplicationScope.ALL
             )
-            assert shared, "a refusal promised what may not hold"
+            assert shared, "a rejection promised what may not hold"
         one.answered = True
 
     def end(self, request: int, attempt: int, outcome: Outcome, latency: float | None = None) -> None:
