--- a/lupinladder/cli/store.py
+++ b/lupinladder/cli/store.py
@@ -29,7 +29,7 @@
     \b
     Example:
         lupinladder store show /var/lib/lupinladder/n1.store
-    """  # noqa: D301, RUF100 - click needs the control character
+    """  # noqa: D301 - click needs the control character
 
 
 @store.command()
@@ -41,7 +41,7 @@
     \b
     Example:
         lupinladder store show n1.store --json
-    """  # noqa: D301, RUF100 - click needs the control character
+    """  # noqa: D301 - click needs the control character
     scan = _scan(path)
     state = records.fold(scan)
     if state is None:
@@ -67,7 +67,7 @@
     \b
     Example:
         lupinladder store check n1.store
-    """  # noqa: D301, RUF100 - click needs the control character
+    """  # noqa: D301 - click needs the control character
     scan = _scan(path)
     size = path.stat().st_size
     if scan.damage:
@@ -88,7 +88,7 @@
     \b
     Example:
         lupinladder store cut n1.store
-    """  # noqa: D301, RUF100 - click needs the control character
+    """  # noqa: D301 - click needs the control character
     with _locked(path):
         scan = _scan(path)
         if not scan.records:
--- a/lupinladder/net/event_loop.py
+++ b/lupinladder/net/event_loop.py
@@ -129,7 +129,7 @@
     def _run(self, callback: Callable[[], object]) -> None:
         try:
             callback()
-        except Exception:  # noqa: BLE001, RUF100 - the boundary: one callback's fault must not end the others
+        except Exception:  # noqa: BLE001 - the boundary: one callback's fault must not end the others
             metrics.callback_errors += 1
             log_event("callback_failed", traceback=format_traceback())
 
--- a/lupinladder/net/request_dispatcher.py
+++ b/lupinladder/net/request_dispatcher.py
@@ -168,7 +168,7 @@
         """Have the balancer decide on one event, and carry out its actions in order."""
         try:
             actions = self._balancer.handle(event, self._loop.now())
-        except Exception:  # noqa: BLE001, RUF100 - the boundary: a fault in a decision costs its request alone
+        except Exception:  # noqa: BLE001 - the boundary: a fault in a decision costs its request alone
             self._log_fault(f"balancer, at {type(event).__name__}")
             # Any other event's request is failed by its guard timer.
             if isinstance(event, RequestReceived) and event.request_id in self._requests:
@@ -177,7 +177,7 @@
         for action in actions:
             try:
                 self._carry_out(action)
-            except Exception:  # noqa: BLE001, RUF100 - the boundary: the other actions are carried out
+            except Exception:  # noqa: BLE001 - the boundary: the other actions are carried out
                 self._log_fault(f"at {type(action).__name__}")
 
     def _log_fault(self, where: str) -> None:
@@ -246,7 +246,7 @@
         attempt.expiry_timer = self._loop.call_at(deadline, lambda: self._give_up(attempt, Outcome.TIMEOUT))
         try:
             executor.start(attempt)
-        except Exception:  # noqa: BLE001, RUF100 - the boundary: it may be half written, so it counts as run
+        except Exception:  # noqa: BLE001 - the boundary: it may be half written, so it counts as run
             self._log_fault("starting an attempt")
             self._give_up(attempt, Outcome.RESET)
 
--- a/lupinladder/net/state_persister.py
+++ b/lupinladder/net/state_persister.py
@@ -99,7 +99,7 @@
             message = self._messages.get()
             try:
                 self._handle(message)
-            except Exception as error:  # noqa: BLE001, RUF100 - the boundary of the thread
+            except Exception as error:  # noqa: BLE001 - the boundary of the thread
                 metrics.store_errors += 1
                 details = traceback.format_exc().strip().replace("\n", " | ")
                 log_event("store_failed", error=f"{type(error).__name__}: {error}", traceback=details)
--- a/lupinladder/simulator/adapter.py
+++ b/lupinladder/simulator/adapter.py
@@ -36,7 +36,7 @@
             try:
                 actions = self._handle_message(instance, message, now)
                 records.extend(encode_action(instance, action) for action in actions)
-            except Exception as error:  # whatever breaks an instance is its FAULT, and no other's
+            except Exception as error:  # noqa: BLE001 - the boundary: whatever breaks an instance is its FAULT, and no other's
                 self._instances[instance] = None
                 records.append(encode_fault(instance, f"{type(error).__name__}: {error}"))
         return encode_reply(records)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,16 +10,18 @@
 
 import pytest
 
-MOST = 3
+MAX_KNOWN_RED = 3
 
 
 def known(path: Path) -> dict[str, str]:
     """The tests named, each with its cause and issue."""
     lines = [line.split("|") for line in path.read_text().splitlines() if line.strip()]
     if any(len(line) != 3 or not all(part.strip() for part in line) for line in lines):
-        raise pytest.UsageError(f"{path.name}: a line is not `test | cause | issue`")
-    if len(lines) > MOST:
-        raise pytest.UsageError(f"{path.name}: {len(lines)} lines, {MOST} are allowed")
+        message = f"{path.name}: a line is not `test | cause | issue`"
+        raise pytest.UsageError(message)
+    if len(lines) > MAX_KNOWN_RED:
+        message = f"{path.name}: {len(lines)} lines, {MAX_KNOWN_RED} are allowed"
+        raise pytest.UsageError(message)
     return {test.strip(): f"{cause.strip()} ({issue.strip()})" for test, cause, issue in lines}
 
 
@@ -29,7 +31,8 @@
     found = {item.nodeid: item for item in items}
     whole = not (config.option.file_or_dir or config.option.keyword or config.option.markexpr)
     if whole and (missing := sorted(set(red) - set(found))):
-        raise pytest.UsageError(f"{path.name}: no such test: {', '.join(missing)}")
+        message = f"{path.name}: no such test: {', '.join(missing)}"
+        raise pytest.UsageError(message)
     for name in red.keys() & found.keys():
         found[name].add_marker(pytest.mark.xfail(reason=red[name], strict=True))
 
