Name the rule checker's observations after what is seen, and drop the emulator's former names

Cause: parts that were worked on side by side kept `taken`, `told`, `cold` and the like, and re-exports. Change: members of RuleChecker, Result, LoadGenerator, MisbehavingClients and DiscoveryServer follow the field's terms, found through mypy; names are imported from the module that defines them. Keys of reports stay. Seen: the emulator's tests without the two files that start processes pass; those run in the whole test run.

--- a/benchmarks/lab_capacity.py
+++ b/benchmarks/lab_capacity.py
@@ -18,9 +18,13 @@
 import uvloop
 
 from lupinladder.emulator import report, run
+from lupinladder.emulator.client_pool import ClientPool
+from lupinladder.emulator.client_request import Result
 from lupinladder.emulator.clock import Clock, Lateness
 from lupinladder.emulator.cluster import Cluster
-from lupinladder.emulator.load_generator import ClientPool, LoadGenerator, ProxySelector, Result
+from lupinladder.emulator.load_generator import LoadGenerator
+from lupinladder.emulator.proxy_selector import ProxySelector
+from lupinladder.emulator.result_statistics import latency_percentiles
 from lupinladder.emulator.rule_checker import RuleChecker
 from lupinladder.emulator.scenario import LoadPhase, RequestClassConfig, Scenario
 from lupinladder.emulator.workload import ArrivalPlan, KeyDistribution, random_stream
@@ -90,7 +94,7 @@
     """The figures of a run in which the clients talk to the nodes."""
     outcome = uvloop.run(_run_direct(make_scenario(rate, 1)))
     counted = [result for result in outcome.results if result.at >= 0]
-    latency_ms = report._latency(counted)
+    latency_ms = latency_percentiles(counted)
     return {"direct": True, "rate": rate, "lab_late": outcome.late_share, **latency_ms}
 
 
--- a/lupinladder/cli/emulator/live_view.py
+++ b/lupinladder/cli/emulator/live_view.py
@@ -66,7 +66,7 @@
     def _state_table(self, at: float, run: Run) -> Table:
         table = Table.grid(padding=(0, 2))
         table.add_row("in time lately", self._recent_share(at, run), "open", str(run.clients.open_requests))
-        table.add_row("origin holds", str(run.cluster.origin.core.machine.held), "", "")
+        table.add_row("origin holds", str(run.cluster.origin.core.queue.held), "", "")
         for row in islice(_node_rows(run), MAX_NODES):
             table.add_row(*row)
         for when, what in run.faults.marks[-MAX_MARKS:]:
@@ -79,14 +79,14 @@
         if not recent:
             return "-"
         classes = self._scenario.classes
-        in_time = sum(outcome_of(result, classes[result.kind]) == "served" for result in recent)
+        in_time = sum(outcome_of(result, classes[result.request_class]) == "served" for result in recent)
         return f"{in_time / len(recent):.0%}"
 
 
 def _node_rows(run: Run) -> Iterator[tuple[str, str, str, str]]:
     now = run.clock.now()
     for name, node in run.cluster.nodes.items():
-        machine = node.core.machine
+        machine = node.core.queue
         warmth = machine.warmth(now)
         state = "" if warmth >= 1 else f"cold, {warmth:.0%}"
         yield name, "#" * min(machine.held, MAX_BAR_LENGTH), "", state
--- a/lupinladder/emulator/cache_node.py
+++ b/lupinladder/emulator/cache_node.py
@@ -66,11 +66,6 @@
         self._pending_fetches: dict[bytes, float] = {}  # by key: until when it counts as being fetched, ms
         self._load_reporter = LoadReporter(self.queue, config.report_ms)
 
-    @property
-    def machine(self) -> ProcessorSharingQueue:
-        """The former name of `queue`."""
-        return self.queue
-
     def submit(self, now: float, request: NodeRequest) -> None:
         """A whole command has arrived."""
         self.advance(now)
--- a/lupinladder/emulator/cache_node_connection.py
+++ b/lupinladder/emulator/cache_node_connection.py
@@ -52,8 +52,8 @@
             return
         server.connections.add(self)
         server.core.handshake(now)
-        server.rule_checker.tick("connects", now)
-        server.rule_checker.load(now, self._proxy, server.core.name, config.handshake_ms)
+        server.rule_checker.count_rate("connects", now)
+        server.rule_checker.on_server_load(now, self._proxy, server.core.name, config.handshake_ms)
         server.driver.update()
         self._handshake_done_at = now + config.handshake_rtts * server.round_trip_ms(self._proxy)
         self._restart_idle_timer()
@@ -153,7 +153,9 @@
             return
         _, key, request_id, *_ = arguments
         name = server.core.name
-        reply.attempt = server.rule_checker.sent(now, self._first_byte_at, self._proxy, name, request_id, raw)
+        reply.attempt = server.rule_checker.on_command_received(
+            now, self._first_byte_at, self._proxy, name, request_id, raw
+        )
 
         def on_reply(data: bytes, reply_type: ReplyType) -> None:
             """The node has served the request or rejected it."""
@@ -161,7 +163,7 @@
             self._replies.complete(reply, data)
 
         reply.request = NodeRequest(self._proxy, key, request_id, labels, is_write, work, on_reply)
-        if server.rule_checker.load(now, self._proxy, name, work):
+        if server.rule_checker.on_server_load(now, self._proxy, name, work):
             server.crash_from_overload()
         elif not server.is_unresponsive:
             handshake_remaining = max(0.0, self._handshake_done_at - now)
@@ -175,7 +177,7 @@
     def _write(self, reply: PendingReply) -> None:
         if self.transport is None or self.transport.is_closing() or self._server.is_unresponsive:
             if reply.attempt:
-                self._server.rule_checker.broke(reply.attempt)
+                self._server.rule_checker.on_server_connection_lost(reply.attempt)
             return
         data = reply.data or b""
         if reply.request and reply.attempt:
@@ -195,7 +197,7 @@
             if corrupted.is_unreadable:
                 reply_type = ReplyType.CORRUPTED
                 server.rule_checker.counts["spoilt"] += 1
-        server.rule_checker.replied(
+        server.rule_checker.on_server_reply(
             self._clock.now(), reply.request.request_id, reply.attempt, reply_type, value
         )
         return data
--- a/lupinladder/emulator/client_attempt.py
+++ b/lupinladder/emulator/client_attempt.py
@@ -104,7 +104,7 @@
         pool = self._pool
         now = pool.clock.now()
         remaining_ms = max(1.0, float(round(self._deadline - now)))
-        pool.rule_checker.taken(
+        pool.rule_checker.on_request_sent(
             now, pool.proxy, self.request_id, self._command.request_class, remaining_ms, self._encoded
         )
 
@@ -114,7 +114,7 @@
         if not self._is_sent:
             self.finish(ClientReply(ClientOutcome.NOT_SENT))
             return
-        self._pool.rule_checker.gone(self._pool.clock.now(), self.request_id)
+        self._pool.rule_checker.on_client_gave_up(self._pool.clock.now(), self.request_id)
         self.finish(ClientReply(ClientOutcome.UNANSWERED))
         if self.connection:
             self.connection.close()
--- a/lupinladder/emulator/client_connection.py
+++ b/lupinladder/emulator/client_connection.py
@@ -50,7 +50,7 @@
         attempt = self._attempt
         if attempt is None:
             pool = self._pool
-            pool.rule_checker.extra(pool.clock.now(), pool.proxy, self._last_request_id, data)
+            pool.rule_checker.on_unexpected_bytes(pool.clock.now(), pool.proxy, self._last_request_id, data)
             self.close()
             return
         self._raw += data
@@ -73,7 +73,7 @@
         self._attempt = None
         self._raw.clear()
         now = self._pool.clock.now()
-        self._pool.rule_checker.answered(now, attempt.request_id, reply.outcome, reply.value, raw)
+        self._pool.rule_checker.on_answer(now, attempt.request_id, reply.outcome, reply.value, raw)
         if can_be_reused:
             self._pool.release(self)
         attempt.finish(reply)
@@ -94,8 +94,8 @@
         closed_between_commands = self._replies_received and not self._raw
         if closed_between_commands and not attempt.was_resent:
             attempt.was_resent = True
-            self._pool.rule_checker.again(now, attempt.request_id)
+            self._pool.rule_checker.on_request_resent(now, attempt.request_id)
             self._pool.submit(attempt)
             return
-        self._pool.rule_checker.ended(now, attempt.request_id, bytes(self._raw))
+        self._pool.rule_checker.on_connection_ended(now, attempt.request_id, bytes(self._raw))
         attempt.finish(ClientReply(ClientOutcome.FAILED))
--- a/lupinladder/emulator/client_request.py
+++ b/lupinladder/emulator/client_request.py
@@ -20,11 +20,11 @@
     """What became of one request. Times in ms, unless they say otherwise."""
 
     at: float  # intended, in seconds from the start of the counted part
-    kind: int  # its request class
+    request_class: int  # its request class
     outcome: str  # a ClientOutcome
     latency: float  # from the intended time to the last byte of the final reply
-    tries: int
-    late: float  # by how much the emulator began it late
+    attempts: int
+    start_delay_ms: float  # by how much the emulator began it late
     retry_after: float = 0.0  # that came with a rejection
 
 
--- a/lupinladder/emulator/cluster.py
+++ b/lupinladder/emulator/cluster.py
@@ -72,7 +72,6 @@
         self._rng = random_stream(scenario.seed, "fleet")
         self.nodes: dict[str, CacheNodeServer] = {}
         self.endpoints = EndpointList()
-        self.list = self.endpoints  # the former name
         self.on_change: Callable[[str], None] = lambda _what: None
         self._rule_checker = rule_checker
         self._proxy_zones = proxy_zones
@@ -180,7 +179,7 @@
         self._shared_data.nodes[name] = core
         self.nodes[name] = server
         if starts_empty:
-            self._rule_checker.cold(now, name, config.cold_s * 1000, core.queue.capacity)
+            self._rule_checker.on_server_started(now, name, config.cold_s * 1000, core.queue.capacity)
         return server
 
     def entry(self, node: CacheNodeServer, status: EndpointStatus) -> ListedEndpoint:
@@ -198,7 +197,7 @@
         """Whether the fetch of this request began with a miss at a node that warms up."""
         now = self.clock.now()
         first_node = self._shared_data.nodes_that_missed(request_id)[:1]
-        return any(self._rule_checker.is_cold(now, name) for name in first_node)
+        return any(self._rule_checker.is_warming_up(now, name) for name in first_node)
 
     def announce(self, entry: ListedEndpoint, delay_s: float | None = None) -> None:
         """The list will show this after `delay_s`, which is drawn if it is not given."""
--- a/lupinladder/emulator/discovery_connection.py
+++ b/lupinladder/emulator/discovery_connection.py
@@ -47,7 +47,7 @@
     def on_message_complete(self) -> None:
         """The parser has read a whole request."""
         url = urlsplit(self._take_url().decode("latin-1"))
-        self._server.rule_checker.tick("calls for the list", self._server.clock.now())
+        self._server.rule_checker.count_rate("calls for the list", self._server.clock.now())
         wait_s = self._server.reserve_turn()
         if wait_s is None:
             self._respond(HTTPStatus.SERVICE_UNAVAILABLE, b"")
@@ -80,9 +80,9 @@
         clock = self._server.clock
         if changes.is_snapshot:
             names = {entry.name for entry in changes.entries}
-            rule_checker.told_whole(clock.now(), self._proxy, names)
+            rule_checker.on_full_list_sent(clock.now(), self._proxy, names)
         for entry in changes.entries:
-            rule_checker.told(clock.now(), self._proxy, entry.name, entry.status)
+            rule_checker.on_status_sent(clock.now(), self._proxy, entry.name, entry.status)
 
     def _start_watch(self, index: int) -> None:
         if self.transport is None or self.transport.is_closing():
--- a/lupinladder/emulator/discovery_server.py
+++ b/lupinladder/emulator/discovery_server.py
@@ -43,11 +43,6 @@
         self._index_sent = 0
         self.listeners = self._new_listeners()
 
-    @property
-    def doors(self) -> list[FaultyListener]:
-        """The former name of `listeners`."""
-        return self.listeners
-
     def _new_listeners(self) -> list[FaultyListener]:
         return [
             FaultyListener(self.clock, partial(DiscoveryConnection, self, proxy))
@@ -90,7 +85,7 @@
         if known is not None and known.status == EndpointStatus.ACTIVE:
             return
         for proxy in range(self._proxy_count):
-            self.rule_checker.told(self.clock.now(), proxy, entry.name, entry.status)
+            self.rule_checker.on_status_sent(self.clock.now(), proxy, entry.name, entry.status)
 
     def go_down(self) -> None:
         """Reset all connections, and new ones until `is_down` is cleared."""
--- a/lupinladder/emulator/load_generator.py
+++ b/lupinladder/emulator/load_generator.py
@@ -15,14 +15,11 @@
 from lupinladder.emulator.client_reply import ClientReply
 from lupinladder.emulator.client_request import ClientRequest, Result
 from lupinladder.emulator.clock import Clock
-from lupinladder.emulator.ports import free_port
 from lupinladder.emulator.proxy_selector import ProxySelector
 from lupinladder.emulator.rule_checker import RuleChecker
 from lupinladder.emulator.scenario import ClientsConfig, RequestClassConfig
 from lupinladder.emulator.workload import Arrival
 
-__all__ = ["ClientPool", "LoadGenerator", "ProxySelector", "Result", "free_port"]
-
 WRITE_VALUE = b"field geometry " * 8
 # Request ids come from a linear congruential generator (Knuth's MMIX): no two of a run are the same.
 ID_MULTIPLIER = 6364136223846793005
@@ -51,7 +48,7 @@
         self.start = start
         self.results: list[Result] = []
         self.open = 0  # requests that are not finished
-        self.last_ident = b"0"  # the request id that was given last
+        self.last_request_id = b"0"  # the request id that was given last
         self._pools = pools
         self._selector = selector
         self._rng = rng
@@ -64,8 +61,8 @@
 
     def _next_request_id(self) -> bytes:
         self._id_state = (self._id_state * ID_MULTIPLIER + ID_INCREMENT) % ID_MODULUS
-        self.last_ident = b"%016x" % self._id_state
-        return self.last_ident
+        self.last_request_id = b"%016x" % self._id_state
+        return self.last_request_id
 
     def start_attempt(
         self, arrival: Arrival, timeout_ms: float, on_done: Callable[[ClientReply], None]
--- a/lupinladder/emulator/misbehaving_clients.py
+++ b/lupinladder/emulator/misbehaving_clients.py
@@ -70,8 +70,8 @@
         last_request_id: Callable[[], bytes],
     ) -> None:
         """`addresses` are those of the proxies; `last_request_id` is of a usual client, for a stolen id."""
-        self.owed: Counter[str] = Counter()  # by misbehaviour
-        self.unpaid: Counter[str] = Counter()
+        self.reactions_owed: Counter[str] = Counter()  # by misbehaviour
+        self.reactions_missing: Counter[str] = Counter()
         self.open = 0
         self._clock = clock
         self._rule_checker = rule_checker
@@ -97,17 +97,17 @@
         except OSError:
             return  # nobody is there: nothing is owed
         self.open += 1
-        self.owed[misbehaviour] += 1
+        self.reactions_owed[misbehaviour] += 1
         connection.begin(self._opening_bytes(misbehaviour))
         limit_ms = BIG_VALUE_REACTION_TIME_MS if misbehaviour == "big" else REACTION_TIME_MS
         try:
             await asyncio.wait_for(connection.has_reaction.wait(), limit_ms / 1000 + TOLERANCE_S)
         except TimeoutError:
-            self.unpaid[misbehaviour] += 1
+            self.reactions_missing[misbehaviour] += 1
         connection.close()
         self.open -= 1
         if connection.was_served:
-            self._rule_checker.extra(self._clock.now(), proxy, b"", connection.received)
+            self._rule_checker.on_unexpected_bytes(self._clock.now(), proxy, b"", connection.received)
 
     def _opening_bytes(self, misbehaviour: str) -> bytes:
         stolen_id = self._last_request_id()
--- a/lupinladder/emulator/origin.py
+++ b/lupinladder/emulator/origin.py
@@ -57,11 +57,6 @@
         self._recent_work = 0.0  # of these, ms
         self._fetches: dict[bytes, list[NodeRequest]] = {}  # by key; one job serves all requests of a list
 
-    @property
-    def machine(self) -> ProcessorSharingQueue:
-        """The former name of `queue`."""
-        return self.queue
-
     def _draw_work(self) -> float:
         """Draw the work of one fetch, in ms: lognormal about the mean."""
         sigma = self._config.sigma
--- a/lupinladder/emulator/origin_connection.py
+++ b/lupinladder/emulator/origin_connection.py
@@ -90,7 +90,9 @@
             rule_checker.counts["syntax"] += 1
             self._complete(reply, HTTPStatus.BAD_REQUEST, b"syntax")
             return
-        reply.attempt = rule_checker.sent(now, self._first_byte_at, self._proxy, "origin", request_id, raw)
+        reply.attempt = rule_checker.on_command_received(
+            now, self._first_byte_at, self._proxy, "origin", request_id, raw
+        )
         on_reply = partial(self._on_reply, reply)
         reply.request = NodeRequest(self._proxy, key, request_id, labels, method == b"PUT", 0.0, on_reply)
         self._requests.call_after_delay(partial(self._submit, reply))
@@ -124,10 +126,10 @@
     def _write(self, reply: PendingReply) -> None:
         if self.transport is None or self.transport.is_closing():
             if reply.attempt:
-                self._server.rule_checker.broke(reply.attempt)
+                self._server.rule_checker.on_server_connection_lost(reply.attempt)
             return
         if reply.attempt and reply.request:
-            self._server.rule_checker.replied(
+            self._server.rule_checker.on_server_reply(
                 self._clock.now(), reply.request.request_id, reply.attempt, reply.reply_type, reply.value
             )
         interim = EARLY_HINTS if self._server.sends_interim_responses else b""
--- a/lupinladder/emulator/origin_server.py
+++ b/lupinladder/emulator/origin_server.py
@@ -50,7 +50,7 @@
         now = self.clock.now()
         self.core.submit(now, request)
         is_from_warming_node = not request.is_write and self._missed_at_warming_node(request.request_id)
-        self.rule_checker.origin_load(now, request.work, is_from_warming_node, self._overload_window_ms)
+        self.rule_checker.on_origin_load(now, request.work, is_from_warming_node, self._overload_window_ms)
         if self.core.stops > self._stops_seen:
             self._stops_seen = self.core.stops
             self.rule_checker.origin_stopped(now)
--- a/lupinladder/emulator/proxies.py
+++ b/lupinladder/emulator/proxies.py
@@ -14,15 +14,13 @@
 import psutil
 
 from lupinladder.emulator.clock import Clock
-from lupinladder.emulator.load_generator import free_port
 from lupinladder.emulator.managed_proxy import Managed, measure_usage
+from lupinladder.emulator.ports import free_port
 from lupinladder.emulator.proxy_settings import settings
 from lupinladder.emulator.rule_checker import RuleChecker
 from lupinladder.emulator.scenario import Scenario
 from lupinladder.errors import LupinladderError
 
-__all__ = ["Managed", "Proxies", "ProxyStartError"]
-
 HOST = "127.0.0.1"
 READY_TIMEOUT_S = 15.0  # for the first PONG after a start
 RETRY_CONNECT_S = 0.02
--- a/lupinladder/emulator/proxy_faults.py
+++ b/lupinladder/emulator/proxy_faults.py
@@ -6,7 +6,7 @@
 from functools import partial
 
 from lupinladder.emulator.fault_context import FaultContext, FaultHandler
-from lupinladder.emulator.proxies import Managed
+from lupinladder.emulator.managed_proxy import Managed
 from lupinladder.emulator.scenario import FaultConfig
 from lupinladder.emulator.store_corruption import corrupt_stores
 
--- a/lupinladder/emulator/reply_pipeline.py
+++ b/lupinladder/emulator/reply_pipeline.py
@@ -7,7 +7,8 @@
 from functools import partial
 
 from lupinladder.emulator.node_request import NodeRequest, ReplyType
-from lupinladder.emulator.rule_checker import ObservedAttempt, RuleChecker
+from lupinladder.emulator.observed_request import ObservedAttempt
+from lupinladder.emulator.rule_checker import RuleChecker
 from lupinladder.emulator.sockets import DelayedChannel
 
 
@@ -52,7 +53,7 @@
         """The connection is closed: cancel what has not been replied to."""
         for reply in list(self._pending):  # a copy: cancelling can complete a reply that is due just now
             if reply.attempt:
-                rule_checker.broke(reply.attempt)
+                rule_checker.on_server_connection_lost(reply.attempt)
             if reply.request:
                 cancel(reply.request)
         self._pending.clear()
--- a/lupinladder/emulator/report.py
+++ b/lupinladder/emulator/report.py
@@ -8,7 +8,7 @@
 from enum import IntEnum
 from typing import Any, NamedTuple
 
-from lupinladder.emulator.load_generator import Result
+from lupinladder.emulator.client_request import Result
 from lupinladder.emulator.managed_proxy import Managed
 from lupinladder.emulator.result_statistics import (
     by_second,
@@ -24,8 +24,6 @@
 SCHEMA = 1
 MAX_VIOLATIONS = 200  # that a report lists; it counts all
 
-_latency = latency_percentiles  # the name by which benchmarks/lab_capacity.py calls it
-
 
 class ExitCode(IntEnum):
     """How the commands that play scenarios end. Bad input ends them with 2."""
@@ -105,13 +103,13 @@
 ) -> dict[str, dict[str, Any]]:
     reports = {}
     for index, request_class in enumerate(classes):
-        own = [result for result in results if result.kind == index]
+        own = [result for result in results if result.request_class == index]
         reports[request_class.name] = {
             "asked": len(own),
             "outcomes": count_outcomes(own, classes),
             "share": round(share_in_time(own, classes), 4),
             "latency_ms": latency_percentiles(own),
-            "tries": round(statistics.fmean(result.tries for result in own), 3) if own else 0.0,
+            "tries": round(statistics.fmean(result.attempts for result in own), 3) if own else 0.0,
         }
     return reports
 
--- a/lupinladder/emulator/restart_recovery.py
+++ b/lupinladder/emulator/restart_recovery.py
@@ -12,7 +12,7 @@
 from typing import Any, Literal
 
 from lupinladder.emulator import report
-from lupinladder.emulator.load_generator import Result
+from lupinladder.emulator.client_request import Result
 from lupinladder.emulator.result_statistics import count_outcomes, outcome_of
 from lupinladder.emulator.run_result import RunResult
 from lupinladder.emulator.scenario import FaultConfig, LoadPhase, ProxiesConfig, Scenario
@@ -76,7 +76,7 @@
             step = int(result.at / STEP_S)
             if not 0 <= step < steps:
                 continue
-            request_class = played.classes[result.kind]
+            request_class = played.classes[result.request_class]
             self._requested[step] += request_class.priority_weight
             if outcome_of(result, request_class) == "served":
                 self._in_time[step] += request_class.priority_weight
--- a/lupinladder/emulator/result_statistics.py
+++ b/lupinladder/emulator/result_statistics.py
@@ -7,7 +7,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from lupinladder.emulator.load_generator import Result
+from lupinladder.emulator.client_request import Result
 from lupinladder.emulator.scenario import RequestClassConfig
 
 OUTCOMES = ("served", "late", "refused", "failed", "unanswered", "unsent")
@@ -26,7 +26,7 @@
 
 def count_outcomes(results: Sequence[Result], classes: Sequence[RequestClassConfig]) -> dict[str, int]:
     """How often each outcome happened; those that never did are missing."""
-    return dict(Counter(outcome_of(result, classes[result.kind]) for result in results))
+    return dict(Counter(outcome_of(result, classes[result.request_class]) for result in results))
 
 
 def latency_percentiles(results: Sequence[Result]) -> dict[str, float]:
@@ -46,11 +46,11 @@
 
 def share_in_time(results: Sequence[Result], classes: Sequence[RequestClassConfig]) -> float:
     """The priority weight answered within its latency objective over that requested; 1 without requests."""
-    requested = sum(classes[result.kind].priority_weight for result in results)
+    requested = sum(classes[result.request_class].priority_weight for result in results)
     in_time = sum(
-        classes[result.kind].priority_weight
+        classes[result.request_class].priority_weight
         for result in results
-        if outcome_of(result, classes[result.kind]) == "served"
+        if outcome_of(result, classes[result.request_class]) == "served"
     )
     return in_time / requested if requested else 1.0
 
@@ -63,7 +63,7 @@
     in_time: dict[int, float] = defaultdict(float)
     for result in results:
         second = int(result.at)
-        request_class = classes[result.kind]
+        request_class = classes[result.request_class]
         requested[second] += request_class.priority_weight
         if outcome_of(result, request_class) == "served":
             in_time[second] += request_class.priority_weight
--- a/lupinladder/emulator/rule_checker.py
+++ b/lupinladder/emulator/rule_checker.py
@@ -23,8 +23,6 @@
 from lupinladder.emulator.rule_violation import Rule, RuleViolation, ViolationLog
 from lupinladder.emulator.scenario import RequestClassConfig
 
-__all__ = ["GRACE", "SLACK", "ObservedAttempt", "RuleChecker"]
-
 SLACK = 50.0  # ms by which every time limit is longer on sockets
 GRACE = 20.0  # ms beyond the client's deadline within which a reply is in time
 DRAIN_GRACE_MS = 1500.0  # after discovery's word, for requests to a server that leaves
@@ -59,7 +57,7 @@
         """Counters of the report."""
         return self.log.counts
 
-    def tick(self, what: str, now: float) -> None:
+    def count_rate(self, what: str, now: float) -> None:
         """Count an event that all proxies together must not cause too often."""
         self.log.count_rate(what, now)
 
@@ -110,7 +108,9 @@
 
     # Connections of clients
 
-    def taken(self, now: float, proxy: int, ident: bytes, kind: int, wait: float, raw: bytes) -> None:
+    def on_request_sent(
+        self, now: float, proxy: int, ident: bytes, kind: int, wait: float, raw: bytes
+    ) -> None:
         """A client has written the last byte of a command of class `kind`; its deadline is `wait` ms away."""
         start = self._proxies[proxy].start_count
         request = ObservedRequest(ident, kind, now + wait, proxy, start, raw, now)
@@ -118,7 +118,7 @@
         self._open_requests.append(request)
         self.counts["taken"] += 1
 
-    def again(self, now: float, ident: bytes) -> None:
+    def on_request_resent(self, now: float, ident: bytes) -> None:
         """The connection was closed between commands, and the client sends this one on a new connection."""
         self.counts["crossed_a_close"] += 1
         request = self._requests.get(ident)
@@ -126,7 +126,7 @@
             description = "its connection was ended without an answer, though it had been read and sent on"
             self._report_lost(now, request, description)
 
-    def answered(self, now: float, ident: bytes, answer: str, value: bytes, raw: bytes) -> None:
+    def on_answer(self, now: float, ident: bytes, answer: str, value: bytes, raw: bytes) -> None:
         """A client has read a complete answer, `answer` being served, refused or failed."""
         request = self._requests.get(ident)
         if request is None or request.outcome is RequestOutcome.ABANDONED:
@@ -143,7 +143,7 @@
         if outcome is RequestOutcome.REJECTED:
             self._effects.check_rejection(now, request)
 
-    def ended(self, now: float, ident: bytes, part: bytes) -> None:
+    def on_connection_ended(self, now: float, ident: bytes, part: bytes) -> None:
         """The proxy ended the connection; `part` is what it had written of the answer."""
         request = self._requests.get(ident)
         if request is None or request.outcome is not None:
@@ -157,13 +157,13 @@
             request.end(RequestOutcome.FAILED, now)
             self._report_lost(now, request, "its connection was ended without an answer")
 
-    def gone(self, now: float, ident: bytes) -> None:
+    def on_client_gave_up(self, now: float, ident: bytes) -> None:
         """The client has given up and closed its connection. An answer that comes now reaches nobody."""
         request = self._requests.get(ident)
         if request and request.outcome is None:
             self._end_unanswered(now, request)
 
-    def extra(self, now: float, proxy: int, last: bytes, raw: bytes) -> None:
+    def on_unexpected_bytes(self, now: float, proxy: int, last: bytes, raw: bytes) -> None:
         """A client has read bytes on a connection without an open request; `last` is the last one's id."""
         self.log.add(Rule.ONE_ANSWER, now, proxy, last, "bytes that no request was owed", raw)
 
@@ -197,7 +197,7 @@
 
     # Connections of servers
 
-    def sent(
+    def on_command_received(
         self, now: float, first: float, proxy: int, server: str, ident: bytes, raw: bytes
     ) -> ObservedAttempt:
         """A complete command has reached a cache node or the origin; `first` is when its first byte did."""
@@ -213,7 +213,7 @@
         request.attempts.append(attempt)
         return attempt
 
-    def replied(
+    def on_server_reply(
         self, now: float, ident: bytes, attempt: ObservedAttempt, word: str, value: bytes = b""
     ) -> None:
         """A server has written its answer: hit, value, receipt (these with the value), miss, pending, busy
@@ -224,7 +224,7 @@
         if request and attempt.state is AttemptState.EXECUTED:
             request.values.add(value)
 
-    def broke(self, attempt: ObservedAttempt) -> None:
+    def on_server_connection_lost(self, attempt: ObservedAttempt) -> None:
         """The connection to the server ended: without an answer the command may have been executed."""
         attempt.on_connection_lost()
 
@@ -237,34 +237,36 @@
 
     # Discovery
 
-    def told(self, now: float, proxy: int, server: str, status: str) -> None:
+    def on_status_sent(self, now: float, proxy: int, server: str, status: str) -> None:
         """Discovery has written this status to the proxy, or has had the time to do so."""
         if status == "active":
             self._proxies[proxy].on_server_active(server, now)
         else:
             self._proxies[proxy].on_server_draining(server, now)
 
-    def told_whole(self, now: float, proxy: int, servers: set[str]) -> None:
+    def on_full_list_sent(self, now: float, proxy: int, servers: set[str]) -> None:
         """Discovery has written a full list to the proxy."""
         self._proxies[proxy].on_full_list(servers, now)
 
     # Load of servers
 
-    def cold(self, now: float, server: str, warm_ms: float, capacity: Callable[[float], float]) -> None:
+    def on_server_started(
+        self, now: float, server: str, warm_ms: float, capacity: Callable[[float], float]
+    ) -> None:
         """A server has started with an empty cache; `capacity(now)` is in ms of work a ms."""
         self._overload.on_server_started(now, server, warm_ms, capacity)
 
-    def is_cold(self, now: float, server: str) -> bool:
+    def is_warming_up(self, now: float, server: str) -> bool:
         """Whether the server still warms up."""
         return self._overload.is_warming_up(now, server)
 
-    def load(self, now: float, proxy: int, server: str, work: float) -> bool:
+    def on_server_load(self, now: float, proxy: int, server: str, work: float) -> bool:
         """Work (ms) has reached a server, also if it was rejected. True if the server warms up and fails
         under it."""
         is_informed = proxy >= 0 and server in self._proxies[proxy].listed_since
         return self._overload.on_server_load(now, proxy, server, work, is_informed)
 
-    def origin_load(self, now: float, work: float, cold_miss: bool, span: float) -> None:
+    def on_origin_load(self, now: float, work: float, cold_miss: bool, span: float) -> None:
         """Work (ms) has reached the origin; `cold_miss` if a miss at a server that warms up made it; `span`
         is the time in ms over which the origin's load is measured."""
         self._overload.on_origin_load(now, work, cold_miss, span)
--- a/lupinladder/emulator/run.py
+++ b/lupinladder/emulator/run.py
@@ -18,9 +18,10 @@
 from lupinladder.emulator.cluster import Cluster
 from lupinladder.emulator.endpoint_list import ListedEndpoint
 from lupinladder.emulator.faults import FaultInjector
-from lupinladder.emulator.load_generator import ProxySelector
+from lupinladder.emulator.managed_proxy import Managed
 from lupinladder.emulator.peers import Peers
-from lupinladder.emulator.proxies import Managed, Proxies
+from lupinladder.emulator.proxies import Proxies
+from lupinladder.emulator.proxy_selector import ProxySelector
 from lupinladder.emulator.rule_checker import RuleChecker
 from lupinladder.emulator.run_clients import RunClients
 from lupinladder.emulator.run_result import RunResult, Snapshot
@@ -131,9 +132,9 @@
     def _proxy_config(self, proxy: Managed) -> dict[str, Any]:
         """The part of a proxy's configuration that depends on the cluster and on the other proxies."""
         index, endpoints = self._known_endpoints()
-        text = self.cluster.list.text(True, endpoints, self.cluster.addresses(proxy.number))
+        text = self.cluster.endpoints.text(True, endpoints, self.cluster.addresses(proxy.number))
         return {
-            "discovery": self.cluster.discovery.doors[proxy.number].address,
+            "discovery": self.cluster.discovery.listeners[proxy.number].address,
             "peers": self._peers.addresses(proxy.number),
             "peers_all": self._peers.to_all(proxy.number),
             "known": {**json.loads(text), "index": index},
@@ -141,7 +142,7 @@
 
     def _known_endpoints(self) -> tuple[int, list[ListedEndpoint]]:
         """The index and the endpoints that a configuration names, by the scenario's `proxies.known`."""
-        current = self.cluster.list
+        current = self.cluster.endpoints
         if not self._first_endpoints:
             self._first_index = current.index
             self._first_endpoints = list(current.entries.values())
@@ -176,10 +177,10 @@
             now = self.clock.now()
             at = (now - self._start) / 1000
             nodes = {
-                name: (node.core.machine.held, node.core.machine.warmth(now))
+                name: (node.core.queue.held, node.core.queue.warmth(now))
                 for name, node in self.cluster.nodes.items()
             }
-            origin_held = self.cluster.origin.core.machine.held
+            origin_held = self.cluster.origin.core.queue.held
             self._snapshots.append(Snapshot(round(at, 2), nodes, origin_held, self.clients.open_requests))
             self.proxies.look(self._start)
             gc.collect(1)  # the young objects alone: what a request leaves behind
@@ -196,7 +197,7 @@
 
     def _result(self) -> RunResult:
         results = self.clients.results
-        begun_late = sorted(result.late for result in results)
+        begun_late = sorted(result.start_delay_ms for result in results)
         late_share = self._lateness.share(LATE_MS)
         return RunResult(
             scenario=self.scenario,
@@ -212,8 +213,8 @@
             void=self._void_reason(late_share),
             origin_stops=self.cluster.origin.core.stops,
             rates=self.rule_checker.log.rates,
-            misbehaving_owed=self.clients.misbehaving.owed,
-            misbehaving_unpaid=self.clients.misbehaving.unpaid,
+            misbehaving_owed=self.clients.misbehaving.reactions_owed,
+            misbehaving_unpaid=self.clients.misbehaving.reactions_missing,
             connections=self.clients.connections,
             logs=str(self._folder),
         )
--- a/lupinladder/emulator/run_clients.py
+++ b/lupinladder/emulator/run_clients.py
@@ -5,10 +5,13 @@
 import asyncio
 from collections.abc import Sequence
 
+from lupinladder.emulator.client_pool import ClientPool
+from lupinladder.emulator.client_request import Result
 from lupinladder.emulator.clock import Clock
-from lupinladder.emulator.load_generator import ClientPool, LoadGenerator, ProxySelector, Result
+from lupinladder.emulator.load_generator import LoadGenerator
 from lupinladder.emulator.managed_proxy import Managed
 from lupinladder.emulator.misbehaving_clients import MisbehavingClients
+from lupinladder.emulator.proxy_selector import ProxySelector
 from lupinladder.emulator.rule_checker import RuleChecker
 from lupinladder.emulator.scenario import MISBEHAVIOURS, Scenario
 from lupinladder.emulator.workload import Arrival, random_stream
@@ -58,7 +61,7 @@
             [proxy.listen for proxy in proxies],
             scenario.classes[0].name,
             scenario.classes[0].deadline_ms,
-            lambda: self._load_generator.last_ident,
+            lambda: self._load_generator.last_request_id,
         )
         self._misbehaving_task = clock.loop.create_task(self._send_misbehaving())
 
--- a/lupinladder/emulator/run_result.py
+++ b/lupinladder/emulator/run_result.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from lupinladder.emulator.load_generator import Result
+from lupinladder.emulator.client_request import Result
 from lupinladder.emulator.managed_proxy import Managed
 from lupinladder.emulator.rule_violation import RuleViolation
 from lupinladder.emulator.scenario import Scenario
--- a/lupinladder/emulator/standalone.py
+++ b/lupinladder/emulator/standalone.py
@@ -51,7 +51,7 @@
 
 def _address(server: ServerType, cluster: Cluster) -> str:
     if server is ServerType.DISCOVERY:
-        return cluster.discovery.doors[0].address
+        return cluster.discovery.listeners[0].address
     addresses = cluster.addresses(0)
     if server is ServerType.ORIGIN:
         return addresses["origin"]
--- a/lupinladder/operator_config/toml_decoder.py
+++ b/lupinladder/operator_config/toml_decoder.py
@@ -16,8 +16,6 @@
 from lupinladder.errors import LupinladderError
 from lupinladder.operator_config.source_lines import SourceLines, Step, parse_path
 
-__all__ = ["ConstraintError", "SourceLines", "Step", "TomlError", "load", "parse"]
-
 T = TypeVar("T")
 # The text of msgspec's error: "Expected `int`, got `str` - at `$.faults[2].at`".
 _VALIDATION_ERROR = re.compile(r"^(?P<problem>.*?)(?: - at `\$(?P<path>[^`]*)`)?$", re.S)
--- a/tests/emulator/test_reply_pipeline.py
+++ b/tests/emulator/test_reply_pipeline.py
@@ -5,8 +5,8 @@
 from unittest import TestCase, mock
 
 from lupinladder.emulator.node_request import NodeRequest
+from lupinladder.emulator.observed_request import ObservedAttempt
 from lupinladder.emulator.reply_pipeline import PendingReply, ReplyPipeline
-from lupinladder.emulator.rule_checker import ObservedAttempt
 
 
 class ReplyPipelineTest(TestCase):
@@ -42,5 +42,5 @@
         rule_checker = mock.Mock()
         self.pipeline.abandon(rule_checker, cancel)
         self.assertEqual(cancelled, [b"0", b"1"])
-        self.assertEqual(rule_checker.broke.call_count, 2)
+        self.assertEqual(rule_checker.on_server_connection_lost.call_count, 2)
         self.assertNotIn(replies[1], self.pipeline)
--- a/tests/emulator/test_report.py
+++ b/tests/emulator/test_report.py
@@ -6,7 +6,7 @@
 from unittest import TestCase
 
 from lupinladder.emulator import report, report_comparison, result_statistics, scenario
-from lupinladder.emulator.load_generator import Result
+from lupinladder.emulator.client_request import Result
 
 
 class Statistics(TestCase):
--- a/tests/emulator/test_rule_checker.py
+++ b/tests/emulator/test_rule_checker.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 from unittest import TestCase
 
-from lupinladder.emulator.rule_checker import ObservedAttempt, RuleChecker
+from lupinladder.emulator.observed_request import ObservedAttempt
+from lupinladder.emulator.rule_checker import RuleChecker
 from lupinladder.emulator.scenario import Scenario
 
 READ = 0
@@ -23,22 +24,24 @@
         self.checker.proxy_up(0, 1)
 
     def client_sends(self, now: float, request_id: str, request_class: int = READ, wait: float = 500) -> None:
-        self.checker.taken(
+        self.checker.on_request_sent(
             now, 0, request_id.encode(), request_class, wait, b"command " + request_id.encode()
         )
 
     def server_receives(
         self, now: float, request_id: str, server: str = "s1", first: float | None = None
     ) -> ObservedAttempt:
-        return self.checker.sent(now, now if first is None else first, 0, server, request_id.encode(), b"raw")
+        return self.checker.on_command_received(
+            now, now if first is None else first, 0, server, request_id.encode(), b"raw"
+        )
 
     def server_replies(
         self, now: float, request_id: str, attempt: ObservedAttempt, answer: str, value: bytes = b"v"
     ) -> None:
-        self.checker.replied(now, request_id.encode(), attempt, answer, value)
+        self.checker.on_server_reply(now, request_id.encode(), attempt, answer, value)
 
     def client_reads(self, now: float, request_id: str, answer: str = "served", value: bytes = b"v") -> None:
-        self.checker.answered(now, request_id.encode(), answer, value, b"$1\r\nv\r\n")
+        self.checker.on_answer(now, request_id.encode(), answer, value, b"$1\r\nv\r\n")
 
     def request_served(self, now: float, request_id: str, request_class: int = READ) -> None:
         self.client_sends(now, request_id, request_class)
@@ -62,7 +65,7 @@
         observed.client_sends(0, "a", request_class, 9000)
         first = observed.server_receives(1, "a")
         if reply == "broke":
-            observed.checker.broke(first)
+            observed.checker.on_server_connection_lost(first)
         elif reply:
             observed.server_replies(5, "a", first, reply)
         if answer:
@@ -75,10 +78,10 @@
 
 def sent_to_leaving_server(first: float, active_again: bool = False) -> Scene:
     def scene(observed: Observations) -> None:
-        observed.checker.told(0, 0, "s1", "leaving")
-        observed.checker.told(900, 0, "s1", "left")  # the first notice counts
+        observed.checker.on_status_sent(0, 0, "s1", "leaving")
+        observed.checker.on_status_sent(900, 0, "s1", "left")  # the first notice counts
         if active_again:
-            observed.checker.told(950, 0, "s1", "active")
+            observed.checker.on_status_sent(950, 0, "s1", "active")
         observed.client_sends(first, "a")
         observed.server_receives(first + 400, "a", first=first)
 
@@ -87,11 +90,11 @@
 
 def warming_server_loaded(work: float, informed: bool, spread: float = 0.0) -> Scene:
     def scene(observed: Observations) -> None:
-        observed.checker.cold(0, "s1", 20_000, lambda now: 0.22)
+        observed.checker.on_server_started(0, "s1", 20_000, lambda now: 0.22)
         if informed:
-            observed.checker.told(10, 0, "s1", "active")
+            observed.checker.on_status_sent(10, 0, "s1", "active")
         for n in range(20):
-            observed.checker.load(100 + n * spread, 0, "s1", work / 20)
+            observed.checker.on_server_load(100 + n * spread, 0, "s1", work / 20)
 
     return scene
 
@@ -99,7 +102,7 @@
 def origin_failed(warmup_share: float) -> Scene:
     def scene(observed: Observations) -> None:
         for n in range(100):
-            observed.checker.origin_load(n, 40, n < warmup_share * 100, 3000)
+            observed.checker.on_origin_load(n, 40, n < warmup_share * 100, 3000)
         observed.checker.origin_stopped(100)
 
     return scene
@@ -110,7 +113,7 @@
         observed.client_sends(0, "a")
         if killed:
             observed.checker.proxy_killed(100, 0)
-        observed.checker.gone(575, b"a")
+        observed.checker.on_client_gave_up(575, b"a")
 
     return scene
 
@@ -120,7 +123,7 @@
         observed.client_sends(0, "a")
         if sent:
             observed.server_receives(1, "a")
-        observed.checker.ended(50, b"a", part)
+        observed.checker.on_connection_ended(50, b"a", part)
 
     return scene
 
@@ -130,7 +133,7 @@
         observed.client_sends(0, "a")
         if sent:
             observed.server_receives(1, "a")
-        observed.checker.again(5, b"a")
+        observed.checker.on_request_resent(5, b"a")
 
     return scene
 
@@ -240,7 +243,7 @@
     def test_attempts_and_bytes_without_a_request_are_found(self) -> None:
         observed = Observations()
         observed.server_receives(5, "ghost")
-        observed.checker.extra(6, 1, b"a", b"+more\r\n")
+        observed.checker.on_unexpected_bytes(6, 1, b"a", b"+more\r\n")
         self.assertEqual([violation.rule for violation in observed.checker.violations], ["effect", "lost"])
 
     def test_a_sweep_finds_unanswered_requests_and_forgets_old_ones(self) -> None:
--- a/tests/emulator/test_scenario.py
+++ b/tests/emulator/test_scenario.py
@@ -12,6 +12,7 @@
 from lupinladder.emulator.scenario import Scenario
 from lupinladder.emulator.workload import ArrivalPlan, KeyDistribution
 from lupinladder.operator_config import toml_decoder
+from lupinladder.operator_config.source_lines import SourceLines, Step
 
 VALID = "seconds = 5\nload = [{ at = 0, rate = 10 }]\n"
 FAULTY = [  # text, line, a part of the message
@@ -61,8 +62,8 @@
             '[[t]]\n# remark\n"w\\u0061" = 1\n'
             "[[t.in]]\nm = 1\n[[t.in]]\nm = 2\n"
         )
-        source_lines = toml_decoder.SourceLines(text.encode())
-        cases: list[tuple[list[toml_decoder.Step], int]] = [
+        source_lines = SourceLines(text.encode())
+        cases: list[tuple[list[Step], int]] = [
             (["a", "b.c", "d", "e", 1], 3),
             (["t", 0, "x", "z", 0, "q"], 6),
             (["t", 0, "sub", "k"], 8),
@@ -75,9 +76,7 @@
                 self.assertEqual(source_lines.line(path), line)
         self._assert_every_key_has_a_line(tomllib.loads(text), [], source_lines)
 
-    def _assert_every_key_has_a_line(
-        self, tree: Any, path: list[toml_decoder.Step], source_lines: toml_decoder.SourceLines
-    ) -> None:
+    def _assert_every_key_has_a_line(self, tree: Any, path: list[Step], source_lines: SourceLines) -> None:
         self.assertIn(tuple(path), source_lines._lines)
         pairs = tree.items() if isinstance(tree, dict) else enumerate(tree) if isinstance(tree, list) else ()
         for step, value in pairs:
--- a/tests/recovery/test_restart_recovery.py
+++ b/tests/recovery/test_restart_recovery.py
@@ -16,7 +16,8 @@
 
 from lupinladder.cli.app import app
 from lupinladder.emulator import restart_recovery
-from lupinladder.emulator.load_generator import Result, free_port
+from lupinladder.emulator.client_request import Result
+from lupinladder.emulator.ports import free_port
 from lupinladder.emulator.scenario import FaultConfig, LoadPhase, ProxiesConfig, Scenario
 from lupinladder.net.log import log_event
 from lupinladder.store import file_store, records
