--- a/lupinladder/emulator/faults.py
+++ b/lupinladder/emulator/faults.py
@@ -1,4 +1,4 @@
-"""The faults of a scenario, played at their times. docs/lab.md has the table of kinds and settings."""
+"""The faults of a scenario, played at their times. docs/emulator.md has the table of kinds and settings."""
 
 from __future__ import annotations
 
