Word the balancer's events by keyword, and call a command's elements its arguments

Cause: events of seven to nine fields were built by position, which a reader cannot check; `words` was a withdrawn word. Change: the fields are named where events are built (client command, dispatcher, simulator's codec).

--- a/lupinladder/net/client_command.py
+++ b/lupinladder/net/client_command.py
@@ -64,7 +64,7 @@
 class ClientCommand:
     """A client's command as it came, and the fields that the decisions need."""
 
-    words: list[bytes]  # name, key, id and labels; a write's value is the fifth
+    arguments: list[bytes]  # name, key, id and labels; a write's value is the fifth
     labels: dict[bytes, bytes]
     request_class: int  # index in the classes of the settings
     tenant: int  # index in the tenants of the settings; 0 where there are none
@@ -77,12 +77,12 @@
     @property
     def request_id(self) -> bytes:
         """The id that the client gave its request; unique among the open ones."""
-        return self.words[2]
+        return self.arguments[2]
 
     @property
     def key(self) -> int:
         """The key as the decision module's number, the same at every proxy."""
-        key = self.words[1]
+        key = self.arguments[1]
         if _HEX_KEY.fullmatch(key):
             return int(key, 16)
         return int.from_bytes(blake2b(key, digest_size=KEY_DIGEST_BYTES).digest(), "big")
@@ -90,15 +90,15 @@
     def request_received(self, number: int, timeout: float) -> RequestReceived:
         """The event for the decision module, under the proxy's own number of the request; `timeout` in ms."""
         return RequestReceived(
-            number,
-            self.request_class,
-            timeout,
-            self.key,
-            self.tenant,
-            self.is_write,
-            self.is_retry,
-            self.expected_work,
-            self.size,
+            request_id=number,
+            request_class=self.request_class,
+            timeout=timeout,
+            key=self.key,
+            tenant=self.tenant,
+            is_write=self.is_write,
+            is_retry=self.is_retry,
+            expected_work=self.expected_work,
+            size=self.size,
         )
 
     def labels_with_deadline(self, wait: float) -> bytes:
@@ -108,7 +108,7 @@
 
     def with_deadline(self, wait: float) -> list[bytes]:
         """The command for a cache node: unchanged, except for the label `d` (`wait` in ms)."""
-        return [*self.words[:3], self.labels_with_deadline(wait), *self.words[4:]]
+        return [*self.arguments[:3], self.labels_with_deadline(wait), *self.arguments[4:]]
 
 
 def parse_command(
@@ -131,7 +131,7 @@
     if timeout <= 0:
         raise CommandError(CommandFault.MISSING_DEADLINE)
     return ClientCommand(
-        words=list(arguments),
+        arguments=list(arguments),
         labels=labels,
         request_class=classes.index(class_name),
         tenant=tenants.index(tenant_name) if tenants else 0,
--- a/lupinladder/net/origin_protocol.py
+++ b/lupinladder/net/origin_protocol.py
@@ -79,11 +79,11 @@
 
     def encode(self, command: ClientCommand, timeout_ms: float) -> bytes:
         """A GET or PUT of the command's key, with the time that the proxy waits in the labels."""
-        _, key, request_id, *_ = command.words
+        _, key, request_id, *_ = command.arguments
         path = "/" + key.decode("latin-1")
         headers = {"X-Txn": request_id, "X-Labels": command.labels_with_deadline(timeout_ms)}
         if command.is_write:
-            return encode_request("PUT", path, self._host, headers, command.words[4])
+            return encode_request("PUT", path, self._host, headers, command.arguments[4])
         return encode_request("GET", path, self._host, headers, None)
 
     def create_reader(self) -> OriginReplyReader:
--- a/lupinladder/net/request_dispatcher.py
+++ b/lupinladder/net/request_dispatcher.py
@@ -281,13 +281,13 @@
             self._finish(request).on_served(value or b"")
         self.notify(
             AttemptEnded(
-                request.request_id,
-                attempt.number,
-                outcome,
-                self._loop.now() - attempt.started_at,
-                request.finished,
-                cache_result,
-                load,
+                request_id=request.request_id,
+                attempt=attempt.number,
+                outcome=outcome,
+                latency=self._loop.now() - attempt.started_at,
+                request_finished=request.finished,
+                cache_result=cache_result,
+                load=load,
             )
         )
         self._forget_if_over(request)
--- a/lupinladder/simulator/codec.py
+++ b/lupinladder/simulator/codec.py
@@ -192,11 +192,11 @@
             text = f"class {request_class} is out of range"
             raise ValueError(text)
         request = RequestReceived(
-            request_id,
-            request_class,
-            timeout,
-            key,
-            tenant,
+            request_id=request_id,
+            request_class=request_class,
+            timeout=timeout,
+            key=key,
+            tenant=tenant,
             is_write=flags & _IS_WRITE != 0,
             is_retry=flags & _IS_RETRY != 0,
             expected_work=work if flags & _WORK_IS_KNOWN else 0.0,
@@ -212,12 +212,12 @@
         fields = _ATTEMPT_END.unpack_from(body, offset)
         instance, request_id, _, cache_result, finished, latency, code, attempt, figures = fields
         ended = AttemptEnded(
-            request_id,
-            attempt,
-            _outcome(code),
-            latency,
-            finished != 0,
-            _CACHE_RESULTS.get(cache_result, CacheResult.MISS_PENDING),
+            request_id=request_id,
+            attempt=attempt,
+            outcome=_outcome(code),
+            latency=latency,
+            request_finished=finished != 0,
+            cache_result=_CACHE_RESULTS.get(cache_result, CacheResult.MISS_PENDING),
         )
         end = offset + _ATTEMPT_END.size
         if figures:
