Drop a parameter of the load generator that nothing reads

Cause: LoadGenerator still took the rule checker, which only the pools use since the clients were split. Change: the parameter and its two arguments are gone.

--- a/benchmarks/lab_capacity.py
+++ b/benchmarks/lab_capacity.py
@@ -115,7 +115,6 @@
     ]
     generator = LoadGenerator(
         clock,
-        rule_checker,
         pools,
         ProxySelector([0] * len(pools)),
         scenario.classes,
--- a/lupinladder/emulator/load_generator.py
+++ b/lupinladder/emulator/load_generator.py
@@ -16,7 +16,6 @@
 from lupinladder.emulator.client_request import ClientRequest, Result
 from lupinladder.emulator.clock import Clock
 from lupinladder.emulator.proxy_selector import ProxySelector
-from lupinladder.emulator.rule_checker import RuleChecker
 from lupinladder.emulator.scenario import ClientsConfig, RequestClassConfig
 from lupinladder.emulator.workload import Arrival
 
@@ -33,7 +32,6 @@
     def __init__(
         self,
         clock: Clock,
-        _rule_checker: RuleChecker,
         pools: list[ClientPool],
         selector: ProxySelector,
         classes: list[RequestClassConfig],
--- a/lupinladder/emulator/run_clients.py
+++ b/lupinladder/emulator/run_clients.py
@@ -46,7 +46,6 @@
         ]
         self._load_generator = LoadGenerator(
             clock,
-            rule_checker,
             self._pools,
             selector,
             scenario.classes,
