--- a/tests/balancing/test_balancer_failures.py
+++ b/tests/balancing/test_balancer_failures.py
@@ -176,6 +176,30 @@
     assert server_of(proxy, requests[1], 1) == cache and server_of(proxy, requests[2], 1) == cache
 
 
+def test_cache_aside_who_waits_is_served_though_the_origin_was_listed_anew_during_the_fetch() -> None:
+    for change in ("started again", "removed and listed again"):
+        conf = balancer_harness.settings(cache_aside=True, origin_kind=1, max_attempts=3)
+        proxy = Proxy(Balancer(conf, 1, 0.0), conf)
+        listed = [*entries(6), Endpoint(sid(90), server_kind=1)]
+        proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, listed))
+        requests = [ask(proxy, 5) for _ in range(2)]
+        for n in requests:
+            proxy.end(n, 0, Outcome.MISS)
+        started_at = 0.0
+        if change == "started again":
+            started_at = 1.0
+        else:
+            removed = [Endpoint(sid(90), EndpointState.GONE, server_kind=1)]
+            proxy.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, removed))
+        again = [Endpoint(sid(90), server_kind=1, started_at=started_at)]
+        proxy.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 3, again))
+        proxy.end(requests[0], 1, Outcome.OK, 80)
+        assert len(proxy.seen[requests[1]].tries) == 2, change
+        later = ask(proxy, 5)
+        proxy.end(later, 0, Outcome.MISS)
+        assert server_of(proxy, later, 1) == sid(90), change
+
+
 def test_cache_aside_writes_go_to_the_origin_and_no_slot_is_the_origins() -> None:
     conf = balancer_harness.settings(cache_aside=True, origin_kind=1, max_attempts=3)
     proxy = Proxy(Balancer(conf, 1, 0.0), conf)
--- a/tests/net/test_client_listener.py
+++ b/tests/net/test_client_listener.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import errno
 import socket
+from typing import Any
 from unittest import mock
 
 from lupinladder.balancing.actions import Reject
@@ -15,6 +17,24 @@
 from tests.support.network_scene import SERVED, NetworkScene, RecordingPeer, get
 
 PING = b"*1\r\n$4\r\nPING\r\n"
+# What accept(2) documents beside an empty backlog: over a moment later, and no word of who waits.
+TRANSIENT_ACCEPT_ERRORS = (errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.ENETDOWN, errno.EPROTO)
+
+
+class FailingAccept:
+    """A listening socket whose next calls of accept fail with these errors."""
+
+    def __init__(self, sock: socket.socket, failures: list[OSError]) -> None:
+        self._sock = sock
+        self._failures = failures
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        if self._failures:
+            raise self._failures.pop()
+        return self._sock.accept()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._sock, name)
 
 
 class Timeouts(NetworkScene):
@@ -122,6 +142,21 @@
         self.until(lambda: not self.front.clients, "the end of all")
         self.assertEqual([one.recv(99) for one in waiting], [b"+PONG\r\n"] * len(waiting))
 
+    def test_clients_that_wait_are_answered_though_accept_fails_for_a_moment(self) -> None:
+        failures = [OSError(number, "for a moment") for number in TRANSIENT_ACCEPT_ERRORS]
+        self.front._sock = FailingAccept(self.front._sock, failures)  # type: ignore[assignment]
+        waiting = socket.create_connection(self.address)
+        self.addCleanup(waiting.close)
+        waiting.sendall(PING)
+        self.front.shut_down()
+        self.front._stop_listening()
+        self.until(lambda: self.front._stopped, "the end of the listener")
+        self.until(lambda: not len(self.front.clients) or self.front.idle_clients, "the reply")
+        self.front._close_idle_clients()
+        self.until(lambda: not self.front.clients, "the end of all")
+        waiting.settimeout(1)
+        self.assertEqual(waiting.recv(99), b"+PONG\r\n")
+
     def test_a_client_in_the_middle_of_a_command_gets_its_reply_or_an_error(self) -> None:
         halves = [self.client(get(ident)[:30]) for ident in (b"a", b"b")]
         self.until(lambda: [one._command_incomplete for one in self.front.clients] == [True, True])
--- a/tests/net/test_endpoint_registry.py
+++ b/tests/net/test_endpoint_registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from unittest import mock
 
 from lupinladder.balancing.events import EndpointUpdateKind
 from tests.support.discovery_scene import STREAM_HEAD, DiscoveryScene, chunks, delta
@@ -30,6 +31,38 @@
         self.assertIs(self.updates[3].kind, EndpointUpdateKind.FULL)
 
 
+class StartTimes(DiscoveryScene):
+    """Start times in the list are wall-clock time, which may be stepped; ages are spans of real time."""
+
+    HOUR_MS = 3_600_000.0
+
+    def age_told(self, since: float, name: str) -> float:
+        """The age at which a server is told that is listed now with this start, in ms."""
+        updates_before = len(self.updates)
+        self.registry.open_watch()
+        peer = self.at_node(0, self.discovery)
+        if updates_before == 0:
+            peer.conn.send(STREAM_HEAD)
+        peer.conn.send(chunks(delta(9 + updates_before, name=name, since_ms=since)))
+        self.until(lambda: len(self.updates) > updates_before, "the change")
+        return self.loop.now() - self.updates[-1].endpoints[0].started_at
+
+    def step(self, by_ms: float) -> None:
+        """Step the machine's wall clock, as seen by the proxy."""
+        stepped = mock.patch("time.time", lambda: (self.loop.now() + by_ms) / 1000)
+        stepped.start()
+        self.addCleanup(stepped.stop)
+        self.loop.run_once()
+
+    def test_a_server_that_started_after_a_step_of_the_wall_clock_has_its_real_age(self) -> None:
+        for number, by_ms in enumerate((-self.HOUR_MS, self.HOUR_MS, -5000.0, 5000.0)):
+            self.step(by_ms)
+            age = self.age_told(self.loop.now() + by_ms - 300, f"s-{number}")
+            self.assertTrue(200 <= age <= 2000, f"{age:.0f} ms after a step of {by_ms:.0f} ms")
+        in_the_future = self.age_told(self.loop.now() + 2 * self.HOUR_MS, "s-9")
+        self.assertTrue(0 <= in_the_future <= 2000, in_the_future)
+
+
 class MovedWatch(DiscoveryScene):
     """Discovery at a new address."""
 
