Resume who waits for a fetch also when the origin is listed anew meanwhile

Cause: the end of a fetch was recognised by `attempt.server is endpoints.origin`. When the origin started anew, or left the list and came back, while a fetch was out, its end was taken for that of a cache node: who waited was never resumed, and the key's entry stayed, so that each later miss of that key waited for its whole deadline, until the process ended. Change: a fetch is known by its attempt (OriginFetch); a request waits only for an attempt that is out; whether a server is an origin is kept with the server, so that one listed no more is no cache node either (ejections, slots).

--- a/lupinladder/balancing/balancer.py
+++ b/lupinladder/balancing/balancer.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
 from math import inf, log
 
 from lupinladder.balancing.concurrency_limiter import MIN_WINDOW_SAMPLES, SPARSE_MIN_LIMIT, ConcurrencyLimiter
@@ -33,6 +34,14 @@
 OVER_QUOTA_LIMIT_SHARE = 0.7  # of a server's limit, for tenants over their quota
 
 
+@dataclass(slots=True, eq=False)
+class OriginFetch:
+    """One key's fetch from the origin, and the requests that wait for its end."""
+
+    attempt: Attempt
+    waiting: list[RequestState] = field(default_factory=list)
+
+
 class Balancer(EventDispatcher):
     """One proxy's decisions; `handle(event, now)` returns the actions to carry out, in order."""
 
@@ -44,14 +53,14 @@
         pool = PoolState(settings, self._endpoints, RandomSource(seed), min_limit, origin_limiter, now)
         super().__init__(settings, pool, now)
         self._retry_budget = 1.0
-        self._waiting_for_fetch = dict[int, list[RequestState]]()  # by key
+        self._fetches = dict[int, OriginFetch]()  # cache-aside mode: the latest one of each key that is out
 
     def _new_server(self, endpoint: Endpoint, is_origin: bool, now: float) -> Server:
         age = now - endpoint.started_at
         warming_up = not is_origin and endpoint.started_at > 0 and age < self.settings.warmup_time
         objective = self._objective * (MISS_HOP_SHARE if self.settings.cache_aside else 1)
         limiter = ConcurrencyLimiter(now, objective, self.pool.min_limit, warming_up)
-        server = Server(endpoint, limiter, now, warming_up)
+        server = Server(endpoint, limiter, now, warming_up, is_origin)
         if is_origin:
             limiter.mean_send_interval = self._objective
         if warming_up and self.pool.min_limit < SPARSE_MIN_LIMIT:
@@ -135,17 +144,23 @@
         """Cache-aside mode: send to the origin. A key's concurrent misses wait for the one fetch."""
         key = 0 if state.request.is_write else state.request.key
         origin = self._endpoints.origin
-        if key in self._waiting_for_fetch:
-            self._waiting_for_fetch[key].append(state)
+        fetch = self._fetches.get(key)
+        if fetch is not None and fetch.attempt.outcome is None:
+            fetch.waiting.append(state)
             self.hold_until_deadline(state)
         elif origin is None or not self._send(state, origin):
             self.reject_or_fail(state)
         elif key:
-            self._waiting_for_fetch[key] = []
+            self._fetches[key] = OriginFetch(state.attempts[-1])
 
-    def _resume_waiting(self, key: int, fetched: bool) -> None:
-        """A fetch has ended: send what waited back to the server that missed, or to the origin."""
-        for state in self._waiting_for_fetch.pop(key, ()):
+    def _resume_waiting(self, key: int, attempt: Attempt, fetched: bool) -> None:
+        """An attempt has ended: if it was the key's fetch, send what waited for it back to the server that
+        missed, or to the origin. It is known by itself: the origin may be listed anew while it is out."""
+        fetch = self._fetches.get(key)
+        if fetch is None or fetch.attempt is not attempt:
+            return
+        del self._fetches[key]
+        for state in fetch.waiting:
             may_return = fetched and len(state.attempts) + 1 < self.settings.max_attempts
             if not state.finished and not (may_return and self._send(state, state.attempts[-1].server)):
                 self._fetch_from_origin(state)
@@ -164,7 +179,7 @@
     def on_attempt_ended(self, state: RequestState, attempt: Attempt, event: AttemptEnded) -> None:
         """Take in an outcome, then answer the request, send it again or let it wait."""
         self.log(record_outcome(self.pool, state.request.key, attempt, event, self.now))
-        is_origin = attempt.server is self._endpoints.origin
+        is_origin = attempt.server.is_origin
         if event.request_finished or state.finished:
             self.finish(state)
         elif event.outcome is Outcome.MISS and self.settings.cache_aside and not is_origin:
@@ -176,8 +191,7 @@
         else:
             self._retry_budget -= 1
             self._route(state)
-        if is_origin and not state.request.is_write:
-            self._resume_waiting(state.request.key, event.outcome is Outcome.OK)
+        self._resume_waiting(state.request.key, attempt, event.outcome is Outcome.OK)
 
     def _may_retry(self, event: AttemptEnded) -> bool:
         """Whether a retry is worth its work: time is left, and it is no fetch, which would fail there too."""
--- a/lupinladder/balancing/endpoint_table.py
+++ b/lupinladder/balancing/endpoint_table.py
@@ -40,7 +40,7 @@
             changed = self._merge_endpoint(endpoint, now) or changed
         if changed:
             members = self.members.values()
-            self.slot_owners = [s for s in members if s is not self.origin and s.is_ready]
+            self.slot_owners = [s for s in members if not s.is_origin and s.is_ready]
         return changed
 
     def _merge_endpoint(self, endpoint: Endpoint, now: float) -> bool:
--- a/lupinladder/balancing/outcome_recorder.py
+++ b/lupinladder/balancing/outcome_recorder.py
@@ -54,7 +54,7 @@
 
 
 def _is_seldom_met(pool: PoolState, server: Server) -> bool:
-    is_shared = pool.min_limit < SPARSE_MIN_LIMIT and server is not pool.endpoints.origin
+    is_shared = pool.min_limit < SPARSE_MIN_LIMIT and not server.is_origin
     return is_shared and server.limiter.max_concurrency == inf
 
 
@@ -80,7 +80,7 @@
     """Eject a server that fails much more than the pool; when all fail alike, the fault is behind them.
     Fast errors look like low latency: they count here, not in the window."""
     pool.smooth_failures(server, failed)
-    if not failed or server is pool.endpoints.origin or now < server.ejected_until:
+    if not failed or server.is_origin or now < server.ejected_until:
         return None
     is_outlier = server.failure_rate > max(EJECTION_FAILURE_RATE, 2 * pool.failure_rate)
     if not is_outlier or pool.ejected_count + 1 > len(pool.endpoints.members) * MAX_EJECTED_SHARE:
--- a/lupinladder/balancing/server_state.py
+++ b/lupinladder/balancing/server_state.py
@@ -10,8 +10,16 @@
 class ServerState:
     """What is known of a listed server. Times are milliseconds; rates and shares are from 0 to 1."""
 
-    def __init__(self, endpoint: Endpoint, limiter: ConcurrencyLimiter, now: float, warming_up: bool) -> None:
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        limiter: ConcurrencyLimiter,
+        now: float,
+        warming_up: bool,
+        is_origin: bool = False,
+    ) -> None:
         self.id = endpoint.server
+        self.is_origin = is_origin  # for good: attempts in flight still hold one that is listed no more
         self.id_hash = splitmix64(int.from_bytes(endpoint.server, "big"))
         self.endpoint = endpoint
         self.limiter = limiter
--- a/tests/balancing/test_balancer_rules.py
+++ b/tests/balancing/test_balancer_rules.py
@@ -106,7 +106,7 @@
         return
 
     monkeypatch.setattr(Balancer, "hold_until_deadline", never)
-    fails("requests without an answer")
+    fails("answered too late")  # at the deadline of the fetch it waits for, whose client waits longer
 
 
 def careless(state: RequestState, text: str) -> RequestState:
@@ -196,7 +196,12 @@
     kept = Server.__init__
 
     def warm(
-        self: Server, endpoint: Endpoint, limiter: ConcurrencyLimiter, now: float, warming_up: bool
+        self: Server,
+        endpoint: Endpoint,
+        limiter: ConcurrencyLimiter,
+        now: float,
+        warming_up: bool,
+        is_origin: bool,
     ) -> None:
         kept(
             self,
@@ -204,6 +209,7 @@
             ConcurrencyLimiter(now, limiter.latency_objective, limiter.min_limit, False),
             now,
             False,
+            is_origin,
         )
 
     monkeypatch.setattr(Server, "__init__", warm)
