Count a server's age by the clock that its start was read on, whatever steps the wall clock makes

Cause: EventLoop anchors Unix time once, but `since_ms` of a server that starts after a step of the wall clock is on the stepped clock. After a step back by more than the warm-up, a cold server counted as warm at once and got its full share (rule: slow start budget); after a step forward it counted as cold for as long as the step. Change: net/wall_clock.py, free of I/O, notes the steps; the registry puts each start on the loop's clock once, when it is first told, by the latest meaning that is not in the future. The store's records keep the start as listed. Its writer's clock is monotonic too: a step back by an hour stopped its writing for an hour.

--- a/lupinladder/net/discovery/endpoint_registry.py
+++ b/lupinladder/net/discovery/endpoint_registry.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from lupinladder.balancing.events import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
 from lupinladder.balancing.settings import ServerId
@@ -31,6 +32,13 @@
         return self.pool.address == address and self.started_at == endpoint.started_at
 
 
+class _StartTime(NamedTuple):
+    """When a server last started: as it is listed, and as that was understood when it was first told."""
+
+    listed: float  # Unix time in ms, by the wall clock as it was then; 0: long ago
+    on_loop_clock: float  # ms
+
+
 class EndpointRegistry:
     """Keeps the list of endpoints by a watch on discovery, and tells the balancer each change."""
 
@@ -50,6 +58,7 @@
         self._create_pool = create_pool
         self._notify = notify
         self._servers: dict[ServerId, _RegisteredServer] = {}
+        self._start_times: dict[ServerId, _StartTime] = {}  # of the listed servers
         self._version = 0
         self.is_current = False  # the open watch has told something: the list is what discovery has
         self._watch: EndpointWatch | None = None
@@ -70,6 +79,11 @@
         found = self._servers.get(server)
         return found.pool.address if found is not None else None
 
+    def listed_start(self, server: ServerId) -> float:
+        """When a server last started, as discovery lists it: Unix time in ms, 0 for long ago or unknown."""
+        start_time = self._start_times.get(server)
+        return start_time.listed if start_time is not None else 0.0
+
     def load_cached(self, tree: object) -> EndpointUpdate:
         """Take the list that the configuration or the store knows; it may be out of date.
 
@@ -139,6 +153,7 @@
         else:
             self._retire_unlisted(endpoint_list)
         for endpoint in endpoint_list.endpoints:
+            self._convert_start_time(endpoint)
             self._apply_endpoint(endpoint, endpoint_list.addresses.get(endpoint.server))
         self._version = endpoint_list.version
         return update
@@ -146,6 +161,22 @@
     def _retire_unlisted(self, endpoint_list: EndpointList) -> None:
         for server in set(self._servers) - set(endpoint_list.addresses):
             self._servers.pop(server).pool.retire()
+        for server in set(self._start_times) - set(endpoint_list.addresses):
+            del self._start_times[server]
+
+    def _convert_start_time(self, endpoint: Endpoint) -> None:
+        """Put the start on the loop's clock. The same listed start always gets the same time: another one
+        tells that the server has started anew."""
+        if endpoint.state is EndpointState.GONE:
+            self._start_times.pop(endpoint.server, None)
+            return
+        known = self._start_times.get(endpoint.server)
+        if known is None or known.listed != endpoint.started_at:
+            listed = endpoint.started_at
+            converted = self._loop.wall_clock.to_loop_time(listed, self._loop.now()) if listed else 0.0
+            known = _StartTime(listed, converted)
+            self._start_times[endpoint.server] = known
+        endpoint.started_at = known.on_loop_clock
 
     def _apply_endpoint(self, endpoint: Endpoint, address: Address | None) -> None:
         registered = self._servers.get(endpoint.server)
--- a/lupinladder/net/event_loop.py
+++ b/lupinladder/net/event_loop.py
@@ -14,6 +14,7 @@
 
 from lupinladder.net.log import format_traceback, log_event
 from lupinladder.net.metrics import metrics
+from lupinladder.net.wall_clock import WallClock
 
 # Time beyond what was asked for, after which the process counts as having stood still: the slack that the
 # rules give each time limit (PROTOCOL).
@@ -33,8 +34,9 @@
 
     def __init__(self) -> None:
         self._selector = selectors.DefaultSelector()
-        # Monotonic milliseconds, anchored once to Unix time: discovery's start times need no conversion,
-        # and a step of the system's clock moves nothing.
+        # Monotonic milliseconds, anchored once to Unix time: a step of the system's clock moves nothing.
+        # Times that others read off that clock are converted by `wall_clock`.
+        self.wall_clock = WallClock()
         self._clock_offset_ms = (time.time() - time.monotonic()) * 1000
         self._timers: list[Timer] = []  # sorted
         self._soon: deque[Callable[[], object]] = deque()
@@ -92,6 +94,7 @@
         wait = self._time_until_next(asked_at)
         ready = self._selector.select(None if wait == inf else wait / 1000)
         started_at = self.now()
+        self.wall_clock.observe(time.time() * 1000, started_at)
         if started_at - asked_at - wait > STALL_THRESHOLD_MS:
             # The process stood still: more is ready by now than what would have woken it.
             ready = self._selector.select(0)
--- a/lupinladder/net/state_persister.py
+++ b/lupinladder/net/state_persister.py
@@ -125,8 +125,9 @@
 
     def __init__(self, conf: ProxyConfig, settings: StoreSettings, now: float) -> None:
         """Open the store and plan the start. ConfigError if the store cannot be used."""
-        # The thread cannot ask the loop for the time: it reads a clock of its own, set to the loop's.
-        clock_offset_ms = time.time() * 1000 - now
+        # The thread cannot ask the loop for the time: it reads a clock of its own, set to the loop's. Like
+        # the loop's it is monotonic, or a step of the wall clock would stop the writing for as long.
+        clock_offset_ms = now - time.monotonic() * 1000
         self._conf = conf
         self._interval_ms = settings.every_ms
         store = _open_store(conf, settings, now)
@@ -136,7 +137,7 @@
         self._changes = ChangeTracker()
         self._list_index = NO_LIST_INDEX
         self._generation = self.beginning.generation
-        self._writer = StoreWriter(store, lambda: time.time() * 1000 - clock_offset_ms)
+        self._writer = StoreWriter(store, lambda: time.monotonic() * 1000 + clock_offset_ms)
 
     def start(self, loop: EventLoop, dispatcher: RequestDispatcher, registry: EndpointRegistry) -> None:
         """Log what this start begins with, and store what changes from now on."""
@@ -201,7 +202,7 @@
                     "group": server.endpoint.cell,
                     "status": "active",
                     "weight": server.endpoint.weight,
-                    "since_ms": server.endpoint.started_at,
+                    "since_ms": self._registry.listed_start(server.id),
                 }
 
     def _limits(self) -> Iterable[LimitRecord]:
@@ -211,7 +212,7 @@
             if limiter.sample_count and not server.warming_up:
                 yield LimitRecord(
                     server=server.id.decode(),
-                    server_started_at=server.endpoint.started_at,
+                    server_started_at=self._registry.listed_start(server.id),
                     at=limiter.window_start,
                     samples=limiter.sample_count,
                     min_latency=round(limiter.min_latency, 3),
--- /dev/null
+++ b/tests/net/test_wall_clock.py
@@ -0,0 +1,33 @@
+"""Times of a wall clock that is stepped."""
+
+from __future__ import annotations
+
+import unittest
+
+from lupinladder.net.wall_clock import STEP_MEMORY_MS, WallClock
+
+HOUR_MS = 3_600_000.0
+NOW = 1e12
+
+
+class Steps(unittest.TestCase):
+    def test_a_start_is_never_older_than_the_steps_allow_nor_in_the_future(self) -> None:
+        hour_back = [(-HOUR_MS, NOW - 10_000)]
+        there_and_back = [(-HOUR_MS, NOW - 10_000), (0.0, NOW - 5000)]
+        for name, steps, listed, age in (
+            ("no step", [], NOW - 700, 700),
+            ("a small difference is no step", [(100.0, NOW - 50)], NOW - 700, 700),
+            ("ahead of the clock", [], NOW + 700, 0),
+            ("after a step back", hour_back, NOW - HOUR_MS - 700, 700),
+            ("before a step back", hour_back, NOW - 11_000, 11_000),
+            ("after a step forward", [(HOUR_MS, NOW - 10_000)], NOW + HOUR_MS - 700, 700),
+            ("before a step forward", [(HOUR_MS, NOW - 10_000)], NOW - 11_000, 11_000),
+            ("between two steps", there_and_back, NOW - HOUR_MS - 7000, 7000),
+            ("before them", there_and_back, NOW - 20_000, 20_000),
+            ("long after a step", [(-5000.0, NOW - 2 * STEP_MEMORY_MS)], NOW - 5700, 700),
+        ):
+            with self.subTest(name):
+                clock = WallClock()
+                for ahead, at in steps:
+                    clock.observe(at + ahead, at)
+                self.assertEqual(NOW - clock.to_loop_time(listed, NOW), age)
