Keep the listener until all who wait are accepted, also when accept fails for a moment

Cause: at a shutdown `_accept_backlog` took every failure of accept for an empty backlog (`if not self._accept(): break`, then `return True`), so the listening socket was closed on whoever waited, and their requests were reset. While serving, ENFILE left the listener readable: the loop turned at full speed until it was over. Counter accept_errors.

--- a/lupinladder/net/client_listener.py
+++ b/lupinladder/net/client_listener.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import socket
+from enum import Enum, auto
+from math import inf
 
 from lupinladder.connection_limits.connection_capacity import ConnectionCapacity
 from lupinladder.connection_limits.idle_return_estimator import IdleReturnEstimator
@@ -15,6 +17,7 @@
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
 from lupinladder.net.request_dispatcher import RequestDispatcher
+from lupinladder.net.transient_errors import FAILED_CONNECTION_ERRORS, is_in
 
 LISTEN_BACKLOG = 1024
 MAX_ACCEPTS_PER_EVENT = 64
@@ -25,6 +28,14 @@
 SWEEP_INTERVAL_MS = 100.0  # between looks for clients to close
 
 
+class AcceptResult(Enum):
+    """What one call of accept has come to."""
+
+    TAKEN = auto()  # a connection was taken off the backlog, though it may have failed already
+    NONE_WAITS = auto()
+    FAILED = auto()  # it tells nothing of who waits
+
+
 class ClientListener:
     """Accepts clients, and holds what their connections share."""
 
@@ -53,6 +64,7 @@
         self._stopped = False  # the listening socket is closed
         self._mask = 0
         self._accept_retry: Timer | None = None
+        self._accept_failed_at = -inf  # the last time that the system could not accept
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.setblocking(False)
@@ -105,16 +117,21 @@
         mask = 0
         if self._stopped:
             pass
+        elif self.loop.now() - self._accept_failed_at < ACCEPT_RETRY_MS:
+            self._retry_listening()  # the clients still wait: to try at once would cost a core
         elif self._has_client_descriptor or self._may_take_upstream_descriptor or len(self.idle_clients):
             mask = READ
         else:
             # Upstream connections close without telling the listener, and there may be no client left whose
             # close would, so it has to look again by itself.
-            self.loop.cancel(self._accept_retry)
-            self._accept_retry = self.loop.call_at(self.loop.now() + ACCEPT_RETRY_MS, self.update_listening)
+            self._retry_listening()
         self.loop.watch(self._sock, self._mask, mask, self._on_readable)
         self._mask = mask
 
+    def _retry_listening(self) -> None:
+        self.loop.cancel(self._accept_retry)
+        self._accept_retry = self.loop.call_at(self.loop.now() + ACCEPT_RETRY_MS, self.update_listening)
+
     @property
     def _has_client_descriptor(self) -> bool:
         """Whether a descriptor is free beside the part that is kept for upstream connections."""
@@ -136,7 +153,7 @@
             if not self._has_client_descriptor and (accepted or not self._release_descriptor()):
                 log_event("accept_paused", reason="no descriptor left for a client")
                 break
-            if not self._accept():
+            if self._accept() is not AcceptResult.TAKEN:
                 break
         self.update_listening()
 
@@ -146,23 +163,25 @@
             return True
         return self.idle_clients.evict_one(self.loop.now())
 
-    def _accept(self) -> bool:
-        """Accept one client; False if none waits, or the system has no descriptor."""
+    def _accept(self) -> AcceptResult:
+        """Accept one client, if one waits."""
         try:
             sock, _ = self._sock.accept()
-        except (InterruptedError, ConnectionAbortedError):
-            return True
         except BlockingIOError:
-            return False
+            return AcceptResult.NONE_WAITS
         except OSError as error:
+            metrics.accept_errors += 1
+            if is_in(error, FAILED_CONNECTION_ERRORS):
+                return AcceptResult.TAKEN
             log_event("accept_failed", error=error)
-            return False
+            self._accept_failed_at = self.loop.now()
+            return AcceptResult.FAILED
         metrics.client_connections_accepted += 1
         self.capacity.record_accept()
         client = ClientConnection(self, sock)
         self.clients[client] = None
         client.update_idle_state()
-        return True
+        return AcceptResult.TAKEN
 
     # Shutting down
 
@@ -185,13 +204,14 @@
         """Accept whoever has connected so far, then close the listening socket.
 
         The close resets the connections that wait to be accepted, and loses the commands sent on them. So
-        without a descriptor for them it is tried again, until all has to be answered.
+        without a descriptor for them, or when the system cannot accept, it is tried again, until all has to be
+        answered.
         """
         assert self.shutdown
         has_accepted_all = self._accept_backlog()
         now = self.loop.now()
         if not has_accepted_all and now < self.shutdown.answer_by:
-            log_event("listener_close_postponed", reason="no descriptor left for a client")
+            log_event("listener_close_postponed", reason="clients may wait that cannot be accepted now")
             self.loop.call_at(now + ACCEPT_RETRY_MS, self._stop_listening)
             return
         self._stopped = True
@@ -202,12 +222,14 @@
             self._close_idle_clients()
 
     def _accept_backlog(self) -> bool:
-        """Accept all that wait; False if there is no descriptor, not even one kept for upstream."""
+        """Accept all that wait; False if the system cannot now, or there is no descriptor, not even one kept
+        for upstream."""
         for _ in range(LISTEN_BACKLOG):
             if not self.budget.has_capacity() and not self.budget.close_longest_idle():
                 return False
-            if not self._accept():
-                break
+            accepted = self._accept()
+            if accepted is not AcceptResult.TAKEN:
+                return accepted is AcceptResult.NONE_WAITS
         return True
 
     def _close_idle_clients(self) -> None:
--- a/lupinladder/net/metrics.py
+++ b/lupinladder/net/metrics.py
@@ -12,6 +12,7 @@
 class Metrics:
     """Counts since the start of the process; docs/operations.md says what each tells an operator."""
 
+    accept_errors: int = 0
     attempts_never_started: int = 0
     attempts_started: int = 0
     attempts_without_descriptor: int = 0
--- /dev/null
+++ b/lupinladder/net/transient_errors.py
@@ -0,0 +1,39 @@
+"""Which errors of system calls are over a moment later, by the manual pages of Linux. No I/O.
+
+A call that failed so is made again: what is owed over it is owed still.
+"""
+
+from __future__ import annotations
+
+import errno
+
+# The system is short of descriptors or memory just now: accept(2), socket(2), connect(2), epoll_ctl(2),
+# open(2).
+RESOURCE_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.ENOSPC})
+
+# accept(2): the connection that was taken off the backlog has failed already; the next one may be fine.
+FAILED_CONNECTION_ERRORS = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.EINTR,
+        errno.EPROTO,
+        errno.ENETDOWN,
+        errno.ENOPROTOOPT,
+        errno.EHOSTDOWN,
+        errno.ENONET,
+        errno.EHOSTUNREACH,
+        errno.EOPNOTSUPP,
+        errno.ENETUNREACH,
+    }
+)
+
+# recv(2), send(2): nothing was read or written, and the connection is as it was.
+RETRIED_TRANSFER_ERRORS = frozenset({errno.EAGAIN, errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
+
+# At a start, what may be free a moment later: resources, and an address that a former process still holds.
+RETRIED_START_ERRORS = RESOURCE_ERRORS | {errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EINTR, errno.EIO}
+
+
+def is_in(error: OSError, numbers: frozenset[int]) -> bool:
+    """Whether the error has one of these numbers."""
+    return error.errno in numbers
