--- a/lupinladder/net/client_listener.py
+++ b/lupinladder/net/client_listener.py
@@ -204,8 +204,8 @@
         """Accept whoever has connected so far, then close the listening socket.
 
         The close resets the connections that wait to be accepted, and loses the commands sent on them. So
-        without a descriptor for them, or when the system cannot accept, it is tried again, until all has to be
-        answered.
+        without a descriptor for them, or when the system cannot accept, it is tried again, until all has to
+        be answered.
         """
         assert self.shutdown
         has_accepted_all = self._accept_backlog()
