End a connection only for errors that end it, and set one up without losing it half made

Cause: `_receive` and `_flush` ended the connection at every errno but EAGAIN and EINTR, also at ENOBUFS and ENOMEM, after which it is as it was: a request that was read lost its answer. Connection.__init__ counted the descriptor before calls that may raise (TCP_NODELAY, the selector's registration): the accepted client was dropped, its descriptor counted for good. Change: the errors of transient_errors.py are tried again with the next event; TCP_NODELAY may fail; a selector without memory is asked again after 20 ms (counter selector_errors).

--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -6,12 +6,14 @@
 import selectors
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 
 from lupinladder.net.connection_handler import NULL_HANDLER, ConnectionHandler
 from lupinladder.net.descriptor_budget import DescriptorBudget
 from lupinladder.net.event_loop import EventLoop, Timer
 from lupinladder.net.metrics import metrics
 from lupinladder.net.ring_buffer import RingBuffer
+from lupinladder.net.transient_errors import RETRIED_TRANSFER_ERRORS, is_in
 
 # Of the inbox: two of the largest commands; longer answers are taken off it in parts.
 MAX_INBOX_BYTES = 160 << 10
@@ -20,6 +22,7 @@
 MAX_READS_PER_EVENT = 4  # from one connection in a turn, so that none holds up the others
 LINGER_MS = 1000.0  # how long a connection that we end is read from
 MAX_DISCARDED_BYTES = 256 << 10  # bytes read from such a connection until it is closed all the same
+WATCH_RETRY_MS = 20.0  # until a selector that had no memory for a socket is asked again
 READ = selectors.EVENT_READ
 WRITE = selectors.EVENT_WRITE
 Address = tuple[str, int]  # IPv4 address and port
@@ -61,9 +64,10 @@
         self._sending_ended = False
         self._discarded = 0  # bytes read since
         self._linger: Timer | None = None
-        budget.used += 1
+        budget.used += 1  # nothing below raises: whoever counts it also closes it
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with suppress(OSError):  # it serves without, only later; one that is reset already ends by itself
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._interest()
 
     @classmethod
@@ -113,10 +117,8 @@
             return False
         try:
             self._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
+        except OSError as error:
+            return is_in(error, RETRIED_TRANSFER_ERRORS)
         return False  # a byte, or the end
 
     def close_gracefully(self) -> None:
@@ -153,7 +155,12 @@
         can_read = not self.connecting and not self.eof and (self.inbox.available_space or self._finishing)
         can_write = self.connecting or len(self.outbox)
         mask = (READ if can_read else 0) | (WRITE if can_write else 0)
-        self._loop.watch(self._sock, self._mask, mask, self._ready)
+        try:
+            self._loop.watch(self._sock, self._mask, mask, self._ready)
+        except OSError:
+            metrics.selector_errors += 1
+            self._loop.call_at(self._loop.now() + WATCH_RETRY_MS, self._interest)
+            return
         self._mask = mask
 
     def _ready(self, mask: int) -> None:
@@ -230,10 +237,8 @@
         more: then `eof` or `_failed` is set."""
         try:
             count = self._sock.recv_into(space)
-        except (BlockingIOError, InterruptedError):
-            return 0
-        except OSError:
-            self._failed = True
+        except OSError as error:
+            self._failed = not is_in(error, RETRIED_TRANSFER_ERRORS)
             return 0
         if not count:
             self.eof = True
@@ -246,11 +251,10 @@
                 count = self._sock.send(self.outbox.readable_view())
                 self.bytes_sent += count
                 self.outbox.discard(count)
-        except (BlockingIOError, InterruptedError):
-            pass
-        except OSError:
-            self._loop.call_soon(self._fail)  # never from within the owner's own call
-            return
+        except OSError as error:
+            if not is_in(error, RETRIED_TRANSFER_ERRORS):
+                self._loop.call_soon(self._fail)  # never from within the owner's own call
+                return
         if self._finishing:
             self._end_sending()
 
--- a/lupinladder/net/metrics.py
+++ b/lupinladder/net/metrics.py
@@ -40,6 +40,7 @@
     requests_rejected_at_shutdown: int = 0
     requests_rejected_for_memory: int = 0
     requests_served: int = 0
+    selector_errors: int = 0
     store_bytes_written: int = 0
     store_errors: int = 0
     upstream_connections_opened: int = 0
