--- a/tests/net/test_client_listener.py
+++ b/tests/net/test_client_listener.py
@@ -14,7 +14,7 @@
 from lupinladder.net import client_connection
 from lupinladder.net.client_listener import MAX_ACCEPTS_PER_EVENT
 from lupinladder.net.connection import Connection
-from tests.support.network_scene import SERVED, NetworkScene, RecordingPeer, get
+from tests.support.network_scene import SERVED, NetworkScene, RecordingPeer, get, once_to
 
 PING = b"*1\r\n$4\r\nPING\r\n"
 # What accept(2) documents beside an empty backlog: over a moment later, and no word of who waits.
@@ -125,6 +125,20 @@
         self.assertEqual(client.got, b"-BUSY\r\n-BUSY\r\n")
         self.assertEqual(len([e for e in self.script.events if isinstance(e, RequestReceived)]), 1)
 
+    def test_what_is_still_open_shortly_before_the_kill_is_answered_though_its_client_waits_longer(
+        self,
+    ) -> None:
+        self.script.react = once_to()
+        client = self.client(get(wait=60_000))
+        self.at_node()  # which hangs through the whole shutdown
+        settings = Settings([RequestClass(500, 1500)], balancer_count=3)
+        nearly_over = ShutdownSchedule(settings, self.loop.now() - 1950)
+        with mock.patch.object(self.engine, "shutdown_schedule", lambda: nearly_over):
+            self.front.shut_down()
+        self.until(lambda: client.ends, "the end")
+        self.assertEqual(client.got, b"-ERR failed\r\n")
+        self.assertLess(self.loop.now(), nearly_over.killed_at)
+
     def test_clients_that_wait_to_be_accepted_when_the_listener_closes_are_answered(self) -> None:
         waiting = [socket.create_connection(self.address) for _ in range(MAX_ACCEPTS_PER_EVENT + 5)]
         for one in waiting:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -75,6 +75,26 @@
         self.assertEqual((process.returncode, errors.count(b"\n")), (2, 1))
 
 
+class AddressInUse(ProxyProcess):
+    def test_a_start_waits_for_an_address_that_a_former_process_still_holds(self) -> None:
+        conf = self.configuration()
+        host, port = parse_address(conf["listen"])
+        former = socket.create_server((host, port))
+        self.addCleanup(former.close)
+        self.config_path.write_text(json.dumps(conf))
+        with self.start({"GW_CONFIG": str(self.config_path)}) as process:
+            assert process.stderr
+            self.assertIn(b"start_postponed", process.stderr.readline())
+            former.close()
+            line = process.stderr.readline()
+            while b"start_postponed" in line:
+                line = process.stderr.readline()
+            self.assertIn(b"lupinladder: metrics", line)
+            process.send_signal(signal.SIGTERM)
+            process.communicate(timeout=END_TIMEOUT_S)
+        self.assertEqual(process.returncode, 0)
+
+
 class Imports(unittest.TestCase):
     def test_the_program_imports_nothing_optional(self) -> None:
         code = "import sys, lupinladder.__main__; print(*sys.modules)"
@@ -124,6 +144,28 @@
             process.communicate(timeout=END_TIMEOUT_S)
         self.assertEqual((process.returncode, len(listeners[1].peers)), (0, 1))
 
+    def test_a_file_that_cannot_be_read_for_a_moment_is_read_again(self) -> None:
+        listeners = [RecordingListener(self.loop) for _ in range(2)]
+        for listener in listeners:
+            self.addCleanup(listener.close)
+        conf = self.configuration()
+        conf["settings"]["obligations"]["ask-within-ms"] = 50.0
+        conf["discovery"] = f"127.0.0.1:{listeners[0].address[1]}"
+        with self.start_listening(conf) as process:
+            assert process.stderr
+            self.until(lambda: listeners[0].peers, "the first watch")
+            self.config_path.unlink()
+            process.send_signal(signal.SIGHUP)
+            self.assertIn(b"reload_postponed error=", process.stderr.readline())
+            conf["discovery"] = f"127.0.0.1:{listeners[1].address[1]}"
+            new_path = self.config_path.with_suffix(".new")
+            new_path.write_text(json.dumps(conf))
+            new_path.replace(self.config_path)
+            self.until(lambda: listeners[1].peers and listeners[1].peers[0].got, "the second watch")
+            process.send_signal(signal.SIGTERM)
+            process.communicate(timeout=END_TIMEOUT_S)
+        self.assertEqual(process.returncode, 0)
+
 
 class PushedList(ProxyProcess):
     def test_it_is_watched_from_the_first_moment_and_again_when_its_watch_is_lost(self) -> None:
