Start, reload and shut down through a fault of a moment

Cause, of the start: any OSError ended it with exit 2, ENFILE of a moment and an address that a former process still held among them. Of the reload: a file that could not be read was given up for good, and the proxy went on with a discovery address that closes 1.5 s later. New log events start_postponed, reload_postponed, counter requests_failed_at_shutdown. The record of a fetch and its waiting requests has a module of its own.

--- a/lupinladder/__main__.py
+++ b/lupinladder/__main__.py
@@ -11,6 +11,7 @@
 from lupinladder.net.metrics import metrics
 from lupinladder.proxy import Proxy
 from lupinladder.signals import SignalReceiver
+from lupinladder.startup import retry_start
 
 EXIT_OK = 0
 EXIT_BAD_CONFIGURATION = 2
@@ -22,9 +23,11 @@
 
 def main() -> int:
     """Run one proxy until it is told to stop; the process's exit code."""
-    signals = SignalReceiver()  # first of all: without a handler SIGHUP ends the process
     try:
-        proxy = Proxy(config.load(os.environ), config.load_operator_settings(os.environ))
+        signals = retry_start(SignalReceiver)  # first of all: without a handler SIGHUP ends the process
+        conf = retry_start(lambda: config.load(os.environ), lambda: signals.is_stop_pending)
+        operator = config.load_operator_settings(os.environ)
+        proxy = retry_start(lambda: Proxy(conf, operator), lambda: signals.is_stop_pending)
     except (config.ConfigError, OSError) as error:
         print(f"lupinladder: {error}", file=sys.stderr)
         return EXIT_BAD_CONFIGURATION
--- a/lupinladder/balancing/balancer.py
+++ b/lupinladder/balancing/balancer.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from math import inf, log
 
 from lupinladder.balancing.concurrency_limiter import MIN_WINDOW_SAMPLES, SPARSE_MIN_LIMIT, ConcurrencyLimiter
@@ -14,6 +13,7 @@
 from lupinladder.balancing.event_dispatcher import EventDispatcher
 from lupinladder.balancing.events import AttemptEnded, CacheResult, Endpoint, LimitRestored, Outcome
 from lupinladder.balancing.hashing import RandomSource, splitmix64
+from lupinladder.balancing.origin_fetch import OriginFetch
 from lupinladder.balancing.outcome_recorder import record_outcome
 from lupinladder.balancing.pool_review import MIN_SLOT_SHARE
 from lupinladder.balancing.pool_state import MEMORY_OBJECTIVES, PoolState, strictest_objective
@@ -34,14 +34,6 @@
 OVER_QUOTA_LIMIT_SHARE = 0.7  # of a server's limit, for tenants over their quota
 
 
-@dataclass(slots=True, eq=False)
-class OriginFetch:
-    """One key's fetch from the origin, and the requests that wait for its end."""
-
-    attempt: Attempt
-    waiting: list[RequestState] = field(default_factory=list)
-
-
 class Balancer(EventDispatcher):
     """One proxy's decisions; `handle(event, now)` returns the actions to carry out, in order."""
 
--- a/lupinladder/net/client_listener.py
+++ b/lupinladder/net/client_listener.py
@@ -190,6 +190,7 @@
         self.shutdown = self.dispatcher.shutdown_schedule()
         self.loop.call_at(self.shutdown.accept_until, self._stop_listening)
         self.loop.call_at(self.shutdown.close_idle_from, self._close_idle_clients)
+        self.loop.call_at(self.shutdown.answer_by, self.dispatcher.fail_open_requests)
 
     @property
     def is_finished(self) -> bool:
--- a/lupinladder/net/config.py
+++ b/lupinladder/net/config.py
@@ -35,6 +35,14 @@
     """A configuration that cannot be used; the text is one line."""
 
 
+class ConfigUnreadableError(ConfigError, OSError):
+    """A configuration file that the system does not let be read, perhaps only now; `errno` tells."""
+
+    def __init__(self, path: str, error: OSError) -> None:
+        super().__init__(f"{path}: {error.strerror}")
+        self.errno = error.errno
+
+
 @dataclass(slots=True)
 class ProxyConfig:
     """The configuration of one proxy, checked."""
@@ -59,7 +67,10 @@
 
 
 def load(env: Mapping[str, str]) -> ProxyConfig:
-    """Read the file that GW_CONFIG names. ConfigError if it cannot be used."""
+    """Read the file that GW_CONFIG names.
+
+    Raises ConfigError if it cannot be used, ConfigUnreadableError if it cannot be read.
+    """
     path = env.get(CONFIG_VARIABLE)
     if not path:
         message = f"{CONFIG_VARIABLE} is not set"
@@ -67,8 +78,7 @@
     try:
         return parse(Path(path).read_text())
     except OSError as error:
-        message = f"{path}: {error.strerror}"
-        raise ConfigError(message) from None
+        raise ConfigUnreadableError(path, error) from None
     except (ValueError, RecursionError) as error:
         message = f"{path}: {error}".replace("\n", " ")
         raise ConfigError(message) from None
--- a/lupinladder/net/metrics.py
+++ b/lupinladder/net/metrics.py
@@ -34,6 +34,7 @@
     origin_errors: int = 0
     requests_abandoned: int = 0
     requests_failed: int = 0
+    requests_failed_at_shutdown: int = 0
     requests_overdue: int = 0
     requests_received: int = 0
     requests_rejected: int = 0
--- a/lupinladder/net/request_dispatcher.py
+++ b/lupinladder/net/request_dispatcher.py
@@ -134,6 +134,14 @@
             self._finish(request).on_failed()
             self.notify(ClientDisconnected(request.request_id))
 
+    def fail_open_requests(self) -> None:
+        """Answer whatever still waits: at the end of a shutdown, before the process is killed."""
+        for request in list(self._requests.values()):
+            if not request.finished:
+                metrics.requests_failed_at_shutdown += 1
+                self._finish(request).on_failed()
+                self.notify(ClientDisconnected(request.request_id))
+
     def _finish(self, request: PendingRequest) -> ResponseHandler:
         """From here on the request has its final answer, which the caller gives to the handler returned."""
         handler = request.handler
--- a/lupinladder/proxy.py
+++ b/lupinladder/proxy.py
@@ -13,7 +13,7 @@
 from lupinladder.net.connection_pool import ConnectionPool
 from lupinladder.net.descriptor_budget import DescriptorBudget
 from lupinladder.net.discovery.endpoint_registry import EndpointRegistry
-from lupinladder.net.event_loop import EventLoop
+from lupinladder.net.event_loop import EventLoop, Timer
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
 from lupinladder.net.origin_protocol import OriginProtocol
@@ -24,6 +24,8 @@
     from lupinladder.net.state_persister import StatePersister
     from lupinladder.operator_config.settings import OperatorSettings
 
+RELOAD_RETRY_MS = 200.0  # until a configuration file that cannot be read is read again
+MAX_RELOAD_RETRIES = 15  # of one signal: what discovery has to tell counts as told 4 s after it (LATER)
 METRICS_INTERVAL_MS = 10_000.0  # between lines of figures in the log
 SHUTDOWN_POLL_INTERVAL_MS = 20.0  # between looks whether all is answered
 
@@ -34,6 +36,7 @@
     def __init__(self, conf: config.ProxyConfig, operator: OperatorSettings | None = None) -> None:
         self._conf = conf
         self._shutting_down = False
+        self._reload_timer: Timer | None = None  # of a reload that could not read its file
         self.loop = EventLoop()
         self._budget = DescriptorBudget(conf.max_descriptors)
         self._persister = self._open_persister(operator)
@@ -105,8 +108,22 @@
     def reload(self) -> None:
         """Read the configuration file again and watch discovery at the address that it names. What else has
         changed in it holds from the next start; with a file that cannot be used all stays as it is."""
+        self.loop.cancel(self._reload_timer)
+        self._reload_timer = None
+        self._load_again(MAX_RELOAD_RETRIES)
+
+    def _load_again(self, retries: int) -> None:
+        """Reload. One that cannot read the file is repeated: discovery may leave its former address."""
         try:
             reloaded = config.load(os.environ)
+        except config.ConfigUnreadableError as error:
+            if not retries:
+                log_event("reload_rejected", error=error)
+                return
+            log_event("reload_postponed", error=error)
+            retry_at = self.loop.now() + RELOAD_RETRY_MS
+            self._reload_timer = self.loop.call_at(retry_at, lambda: self._load_again(retries - 1))
+            return
         except config.ConfigError as error:
             log_event("reload_rejected", error=error)
             return
--- a/lupinladder/signals.py
+++ b/lupinladder/signals.py
@@ -27,6 +27,11 @@
         for number in HANDLED_SIGNALS:
             signal.signal(number, lambda number, _: self._pending.add(number))
 
+    @property
+    def is_stop_pending(self) -> bool:
+        """Whether a signal to shut down has been received and not handled."""
+        return bool(self._pending - {signal.SIGHUP})
+
     def attach(self, proxy: Proxy) -> None:
         """Have the proxy's loop call the proxy for each signal, those noted before included."""
         proxy.loop.watch(self._receiver, 0, READ, lambda _: self._on_wakeup(proxy))
