--- a/tests/net/test_client_connection.py
+++ b/tests/net/test_client_connection.py
@@ -12,7 +12,7 @@
 from lupinladder.net import connection
 from lupinladder.net.client_connection import MAX_PIPELINE_DEPTH
 from lupinladder.net.connection import Connection
-from tests.support.network_scene import MISSED, ORIGIN, SERVED, NetworkScene, get, once_to
+from tests.support.network_scene import MISSED, NODE, ORIGIN, SERVED, NetworkScene, get, once_to
 
 PING = b"*1\r\n$4\r\nPING\r\n"
 HTTP_OK = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nV"
@@ -175,6 +175,50 @@
         self.assertTrue(self.engine.is_idle)
 
 
+class UnseenDisconnects(NetworkScene):
+    """A client may have left long before the loop comes to see it: nothing is sent for it any more."""
+
+    def started(self) -> int:
+        """How many commands have come to cache nodes."""
+        return sum(peer.got.count(b"OBJ.GET") for peer in self.node.peers)
+
+    def test_a_request_that_lay_unread_beside_the_end_of_its_client_is_not_sent(self) -> None:
+        client = self.client()
+        self.until(lambda: self.front.clients, "the client")
+        client.conn._sock.send(get())
+        client.conn.close()
+        self.stand_still(1000)
+        self.until(lambda: not self.front.clients, "its leaving")
+        self.assertFalse([e for e in self.script.events if isinstance(e, RequestReceived)])
+
+    def test_a_failed_attempt_is_not_repeated_if_the_end_of_its_client_lies_unread(self) -> None:
+        self.script.react = lambda e: (
+            [] if isinstance(e, ClientDisconnected) else [StartAttempt(e.request_id, NODE)]
+        )
+        client = self.client(get())
+        self.at_node().conn.send(b"-ERR failed\r\n")  # which comes before the end
+        client.conn.close()
+        self.stand_still(1000)
+        self.until(lambda: self.script.ends(), "the end of the attempt")
+        self.until(lambda: self.engine.is_idle and not self.front.clients, "its leaving")
+        self.assertEqual(self.started(), 1)
+
+    def test_a_client_that_leaves_behind_more_than_is_read_of_it_is_seen_to_leave(self) -> None:
+        self.script.react = lambda event: []
+        client = self.client(b"".join(get(b"%c" % one) for one in ascii_letters.encode()[:32]))
+        self.until(lambda: len(self.script.events) == MAX_PIPELINE_DEPTH, "a full pipeline")
+        [accepted] = [one.conn for one in self.front.clients]
+        while accepted.inbox.available_space:
+            client.conn._sock.send(b"x" * min(accepted.inbox.available_space, 4096))
+            self.loop.run_once()
+        client.conn._sock.send(b"x" * 4096)
+        client.conn.close()
+        left_at = self.loop.now()
+        self.until(lambda: not self.front.clients, "its leaving")
+        self.assertLess(self.loop.now() - left_at, 400)  # and not by the requests' deadlines
+        self.assertTrue(self.engine.is_idle)
+
+
 class RequestIds(NetworkScene):
     def test_the_id_of_an_open_request_is_an_error_until_that_one_is_answered_or_disconnected(self) -> None:
         first = self.client(get())
--- a/tests/support/network_scene.py
+++ b/tests/support/network_scene.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections.abc import Callable
 from typing import Any, ClassVar
 from unittest import TestCase, mock
@@ -208,6 +209,13 @@
         peer.conn.send(data)
         return peer
 
+    def stand_still(self, ms: float) -> None:
+        """Let so much time pass between two turns of the loop, as when the process has no processor."""
+        monotonic = time.monotonic
+        later = mock.patch("time.monotonic", lambda: monotonic() + ms / 1000)
+        later.start()
+        self.addCleanup(later.stop)
+
     def ask(self, wait: float = 900) -> RecordingHandler:
         """A read given straight to the dispatcher, by a client that waits so many ms."""
         handler = RecordingHandler()
