See that a client has left before anything is sent for it, in late turns and behind a full inbox

Cause: (1) of commands that lie unread together with the end of their client the commands were read and sent first; (2) in a turn that comes late a reply that leads to a repeat was handled before the end of the client, by the order in which the selector names them; (3) with 160 KiB unread a connection is watched for nothing, so its end was seen only by deadlines. Each begins an attempt more than 0.1 s after the close once the process has stood still for that long, or the client has sent much at once and gone. Change: the loop measures for how long what is ready may have lain unread (unread_time: since it looked last, and what a wait overran). Over 50 ms the turn is late: all bytes are read before any command is handled, a command behind which the end is known is not dispatched, and clients are looked after before servers. The list of endpoints goes first in each turn, as before; ranks stand with the sockets, in place of a set of descriptor numbers beside the selector. Also measured now and not before: a command that lay unread while the process stood still has that much less time (the deadline told to servers is at most what the client has left); only the length of the turn before was taken off.

--- a/lupinladder/net/client_connection.py
+++ b/lupinladder/net/client_connection.py
@@ -11,6 +11,7 @@
 from lupinladder.net import resp
 from lupinladder.net.client_command import MAX_STORED_VALUE_BYTES, ClientCommand, CommandError, parse_command
 from lupinladder.net.connection import Connection
+from lupinladder.net.event_loop import WatchRank
 from lupinladder.net.metrics import metrics
 from lupinladder.net.pending_reply import PendingReply
 
@@ -23,7 +24,7 @@
 FIRST_COMMAND_TIMEOUT_MS = 2300.0
 COMMAND_TIMEOUT_MS = 2400.0
 IDLE_TIMEOUT_MS = 2000.0  # after which an idle client may be closed, and is when descriptors run short
-MIN_LOOP_LATENCY_MS = 5.0  # shorter rounds of the event loop are not taken off a request's time
+MIN_UNREAD_TIME_MS = 5.0  # less than this is not taken off a request's time
 MIN_REQUEST_TIMEOUT_MS = 1.0
 
 
@@ -42,7 +43,7 @@
         self.last_used = listener.loop.now()  # when the last command was read or the last reply written
         self._command_began_at = self.last_used  # of the command that is being received
         self._reported_idle_spans = 0  # spans outlived by this idle period that the estimator knows of
-        self.conn = Connection(listener.loop, listener.budget, sock, self)
+        self.conn = Connection(listener.loop, listener.budget, sock, self, rank=WatchRank.CLIENT)
 
     @property
     def idle(self) -> bool:
@@ -115,6 +116,9 @@
         self._dispatch(command, now)
 
     def _dispatch(self, command: ClientCommand, now: float) -> None:
+        if self.conn.has_ended:
+            self._append_reply()  # nobody waits for it, nor for those behind it: see `on_closed`
+            return
         request_id = command.request_id
         if request_id in self._listener.open_ids:
             # Attempts of two requests with one id could be taken for each other's.
@@ -131,8 +135,9 @@
                 reply.on_rejected(shutdown.retry_after(now))
                 return
         # The client counts from when it wrote, and the bytes may have lain unread for the round before this.
-        latency = self._listener.loop.loop_latency
-        unread_time = latency if latency > MIN_LOOP_LATENCY_MS else 0.0
+        unread_time = self._listener.loop.unread_time
+        if unread_time < MIN_UNREAD_TIME_MS:
+            unread_time = 0.0
         timeout = max(command.timeout - unread_time, MIN_REQUEST_TIMEOUT_MS)
         reply.request = self._listener.dispatcher.dispatch(
             command, lambda number: command.request_received(number, timeout), reply
@@ -257,6 +262,7 @@
 
     def close_if_overdue(self, now: float, descriptors_short: bool) -> None:
         """Close a client that holds a descriptor for nothing; a usual one writes a command in a moment."""
+        self.conn.look_for_end()
         if self._pending_replies or self._closing or len(self.conn.outbox):
             return
         if self.idle:
--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -10,7 +10,7 @@
 
 from lupinladder.net.connection_handler import NULL_HANDLER, ConnectionHandler
 from lupinladder.net.descriptor_budget import DescriptorBudget
-from lupinladder.net.event_loop import EventLoop, Timer
+from lupinladder.net.event_loop import EventLoop, Timer, WatchRank
 from lupinladder.net.metrics import metrics
 from lupinladder.net.ring_buffer import RingBuffer
 from lupinladder.net.transient_errors import RETRIED_TRANSFER_ERRORS, is_in
@@ -20,6 +20,8 @@
 # Of the outbox: the largest answer and its framing, since it is put in whole.
 MAX_OUTBOX_BYTES = (1 << 20) + 1024
 MAX_READS_PER_EVENT = 4  # from one connection in a turn, so that none holds up the others
+MAX_READS_IN_LATE_TURN = 64  # the same in a turn in which what is ready may lie unread for long
+TCP_STATES_AFTER_PEERS_END = (7, 8, 9)  # closed, close-wait, last-ack: the first byte of TCP_INFO, tcp(7)
 LINGER_MS = 1000.0  # how long a connection that we end is read from
 MAX_DISCARDED_BYTES = 256 << 10  # bytes read from such a connection until it is closed all the same
 WATCH_RETRY_MS = 20.0  # until a selector that had no memory for a socket is asked again
@@ -46,6 +48,7 @@
         sock: socket.socket,
         owner: ConnectionHandler,
         opening: bool = False,
+        rank: WatchRank = WatchRank.OTHER,
     ) -> None:
         self.inbox = RingBuffer(MAX_INBOX_BYTES)
         self.outbox = RingBuffer(MAX_OUTBOX_BYTES)
@@ -58,6 +61,7 @@
         self._budget = budget
         self._sock = sock
         self._owner: ConnectionHandler = owner
+        self._rank = rank
         self._mask = 0  # what the loop watches the socket for
         self._failed = False  # a read has found the connection reset
         self._finishing = False  # we are ending it: what comes in is discarded
@@ -72,7 +76,12 @@
 
     @classmethod
     def connect(
-        cls, loop: EventLoop, budget: DescriptorBudget, address: Address, owner: ConnectionHandler
+        cls,
+        loop: EventLoop,
+        budget: DescriptorBudget,
+        address: Address,
+        owner: ConnectionHandler,
+        rank: WatchRank = WatchRank.OTHER,
     ) -> Connection:
         """Begin to connect. Every failure comes through `on_closed`, never from here."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -81,7 +90,7 @@
             code = sock.connect_ex(address)
         except OSError:  # not an address
             code = errno.EINVAL
-        connection = cls(loop, budget, sock, owner, opening=True)
+        connection = cls(loop, budget, sock, owner, opening=True, rank=rank)
         if code not in (0, errno.EINPROGRESS):
             loop.call_soon(connection._fail)
         return connection
@@ -95,11 +104,6 @@
             self._flush()
         self._interest()
 
-    def prioritize(self) -> None:
-        """Have it looked after first in each turn; see `EventLoop.prioritize`."""
-        if self._mask:
-            self._loop.prioritize(self._sock)
-
     def resume_reading(self) -> None:
         """Call after taking bytes out of a full inbox outside of `on_data`."""
         self._interest()
@@ -110,6 +114,11 @@
             self._read()
             self._interest()
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the peer is known to have ended its bytes, or the connection to be broken."""
+        return self.eof or self._failed or not self.is_open
+
     @property
     def is_reusable(self) -> bool:
         """Open, with nothing unread and no end of the peer's bytes, not even in the system."""
@@ -121,6 +130,18 @@
             return is_in(error, RETRIED_TRANSFER_ERRORS)
         return False  # a byte, or the end
 
+    def look_for_end(self) -> None:
+        """Find out whether the peer has ended its bytes behind some that there is no room to read. The owner
+        is told as if the connection had failed: what it has not read is of no use any more."""
+        if not self.is_open or self.eof or self.connecting or self.inbox.available_space:
+            return
+        try:
+            state = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        except OSError:
+            return
+        if state in TCP_STATES_AFTER_PEERS_END:
+            self._fail()
+
     def close_gracefully(self) -> None:
         """Write what is queued, end our sending, and read on until the peer ends or a while has passed.
         Closing with input unread would send a reset, which can destroy an answer still on its way."""
@@ -136,7 +157,7 @@
             self._loop.cancel(self._linger)
             self._owner = NULL_HANDLER
             self._linger = None
-            self._loop.watch(self._sock, self._mask, 0, self._ready)
+            self._loop.watch(self._sock, self._mask, 0, self._ready, self._rank)
             self._mask = 0
             self._sock.close()
             self._budget.used -= 1
@@ -156,7 +177,7 @@
         can_write = self.connecting or len(self.outbox)
         mask = (READ if can_read else 0) | (WRITE if can_write else 0)
         try:
-            self._loop.watch(self._sock, self._mask, mask, self._ready)
+            self._loop.watch(self._sock, self._mask, mask, self._ready, self._rank)
         except OSError:
             metrics.selector_errors += 1
             self._loop.call_at(self._loop.now() + WATCH_RETRY_MS, self._interest)
@@ -205,9 +226,13 @@
                 self._call_owner(lambda: self._owner.on_closed(True))
 
     def _fill_inbox(self) -> bool:
-        """Read until nothing more has come or the inbox is full. Whether anything was read."""
+        """Read until nothing more has come or the inbox is full. Whether anything was read.
+
+        In a late turn all of it is read before any of it is handled, so that the end of the peer's bytes, if
+        it lies behind them, is known to whoever handles them.
+        """
         received = False
-        for _ in range(MAX_READS_PER_EVENT):
+        for _ in range(MAX_READS_IN_LATE_TURN if self._loop.is_late else MAX_READS_PER_EVENT):
             space = self.inbox.writable_view()
             if not len(space):
                 break
@@ -216,7 +241,7 @@
                 break
             self.inbox.commit(count)
             received = True
-            if count < len(space):
+            if count < len(space) and not self._loop.is_late:
                 break
         return received
 
--- a/lupinladder/net/discovery/endpoint_watch.py
+++ b/lupinladder/net/discovery/endpoint_watch.py
@@ -8,7 +8,7 @@
 from lupinladder.net.connection import Address, Connection, format_address
 from lupinladder.net.descriptor_budget import DescriptorBudget
 from lupinladder.net.discovery.json_object_stream import JsonObjectStream
-from lupinladder.net.event_loop import EventLoop, Timer
+from lupinladder.net.event_loop import EventLoop, Timer, WatchRank
 from lupinladder.net.http import HttpError, HttpResponse, ResponseReader, encode_request
 
 # Time without a sign of life until a watch counts as dead; an empty line comes every 2 s. Whatever discovery
@@ -45,8 +45,7 @@
         self._objects = JsonObjectStream(MAX_ENDPOINT_LIST_BYTES)
         self._is_answered = False  # the headers of the response have come
         self._silence_timer: Timer | None = None
-        self._connection = Connection.connect(loop, budget, address, self)
-        self._connection.prioritize()
+        self._connection = Connection.connect(loop, budget, address, self, WatchRank.ENDPOINT_LIST)
         path = f"/v1/endpoints?stream=1&index={version}"
         self._connection.send(encode_request("GET", path, format_address(address), {}, None))
         self._restart_silence_timer()
--- a/lupinladder/net/event_loop.py
+++ b/lupinladder/net/event_loop.py
@@ -8,6 +8,7 @@
 from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Callable
+from enum import IntEnum
 from functools import partial
 from math import inf
 from typing import NamedTuple
@@ -19,6 +20,9 @@
 # Time beyond what was asked for, after which the process counts as having stood still: the slack that the
 # rules give each time limit (PROTOCOL).
 STALL_THRESHOLD_MS = 50.0
+# For so long at most the end of a client may lie unread beside what is sent for it: half of the time after
+# which that counts as a lost request.
+LATE_TURN_MS = 50.0
 
 
 class Timer(NamedTuple):
@@ -29,6 +33,21 @@
     callback: Callable[[], object]
 
 
+class WatchRank(IntEnum):
+    """Whose sockets are looked after before others that are ready in the same turn."""
+
+    ENDPOINT_LIST = 0  # what it brings decides what may be done with all others, in each turn
+    CLIENT = 1  # the end of a client decides what may be sent for it, in a late turn
+    OTHER = 2
+
+
+class Watcher(NamedTuple):
+    """What the loop does for a socket that is ready."""
+
+    ready: Callable[[int], None]
+    rank: WatchRank
+
+
 class EventLoop:
     """Runs callbacks for ready sockets and for timers that are due. Nothing here may block."""
 
@@ -42,9 +61,10 @@
         self._soon: deque[Callable[[], object]] = deque()
         self._last_timer_number = 0
         self._running = True
-        self._prioritized = set[int]()  # descriptors that are looked after before the others in a turn
-        # Ms that the turn before this one took: bytes that are read now may have come so much earlier.
-        self.loop_latency = 0.0
+        self._list_watchers = 0  # sockets of the first rank: in most turns there is nothing to sort
+        self._selected_at = self.now()
+        # Ms for which bytes that are read in this turn may have lain unread when it began.
+        self.unread_time = 0.0
 
     def now(self) -> float:
         """The loop's time in ms: Unix time at its start, monotonic since."""
@@ -69,24 +89,38 @@
         """Call after the callbacks now running, so that none is entered from within another."""
         self._soon.append(callback)
 
-    def watch(self, sock: socket.socket, old: int, new: int, ready: Callable[[int], None]) -> None:
+    def watch(
+        self,
+        sock: socket.socket,
+        old: int,
+        new: int,
+        ready: Callable[[int], None],
+        rank: WatchRank = WatchRank.OTHER,
+    ) -> None:
         """Change what a socket is watched for: bits of selectors.EVENT_READ and EVENT_WRITE. `ready` is
-        called with the bits that came true."""
+        called with the bits that came true.
+
+        A list of endpoints is looked after first of all: without that a process that stood still would send
+        on, by the list it had, whatever has come meanwhile, with the new list unread beside it.
+
+        Raises OSError if the system has no memory to watch one more socket.
+        """
         if old == new:
             return
         if not old:
-            self._selector.register(sock, new, ready)
+            self._selector.register(sock, new, Watcher(ready, rank))
+            self._list_watchers += rank is WatchRank.ENDPOINT_LIST
         elif new:
-            self._selector.modify(sock, new, ready)
+            self._selector.modify(sock, new, Watcher(ready, rank))
         else:
             self._selector.unregister(sock)
-            self._prioritized.discard(sock.fileno())
+            self._list_watchers -= rank is WatchRank.ENDPOINT_LIST
 
-    def prioritize(self, sock: socket.socket) -> None:
-        """Look after this one, which is watched, before the others that are ready in the same turn: what it
-        brings decides what may be done with theirs. Without that a process that stood still would send on,
-        by the list it had, whatever has come meanwhile, with the new list unread beside it."""
-        self._prioritized.add(sock.fileno())
+    @property
+    def is_late(self) -> bool:
+        """Whether what is ready in this turn may have been so for longer than a client's end may stay unseen
+        before something is sent for it."""
+        return self.unread_time > LATE_TURN_MS
 
     def run_once(self) -> None:
         """One turn: wait for the next thing to do and do all that is due."""
@@ -95,14 +129,17 @@
         ready = self._selector.select(None if wait == inf else wait / 1000)
         started_at = self.now()
         self.wall_clock.observe(time.time() * 1000, started_at)
-        if started_at - asked_at - wait > STALL_THRESHOLD_MS:
+        overrun = max(started_at - asked_at - wait, 0.0)
+        # What is ready now came after the loop looked before this turn, or since it should have woken.
+        self.unread_time = asked_at - self._selected_at + overrun
+        self._selected_at = started_at
+        if overrun > STALL_THRESHOLD_MS or self.is_late:
             # The process stood still: more is ready by now than what would have woken it.
             ready = self._selector.select(0)
         self._run_ready(ready)
         self._run_due_timers()
         for _ in range(len(self._soon)):
             self._run(self._soon.popleft())
-        self.loop_latency = self.now() - started_at
 
     def _time_until_next(self, now: float) -> float:
         """How long a turn may wait for sockets, in ms: until the first timer is due, or without end."""
@@ -113,13 +150,16 @@
         return inf
 
     def _run_ready(self, ready: list[tuple[selectors.SelectorKey, int]]) -> None:
-        """Call back for the sockets that are ready, the prioritized ones first."""
-        if self._prioritized and len(ready) > 1:
-            ready.sort(key=lambda pair: pair[0].fd not in self._prioritized)
+        """Call back for the sockets that are ready, by rank where it matters."""
+        if len(ready) > 1:
+            if self.is_late:
+                ready.sort(key=lambda pair: pair[0].data.rank)
+            elif self._list_watchers:
+                ready.sort(key=lambda pair: pair[0].data.rank is not WatchRank.ENDPOINT_LIST)
         for key, mask in ready:
             # A callback earlier in this turn may have closed this socket, and its number may be in use again.
             if self._selector.get_map().get(key.fd) is key:
-                self._run(partial(key.data, mask))
+                self._run(partial(key.data.ready, mask))
 
     def _run_due_timers(self) -> None:
         """Call back for the timers that are due. Those that a callback adds wait for the next turn, else a
