--- a/tests/net/test_client_connection.py
+++ b/tests/net/test_client_connection.py
@@ -86,6 +86,20 @@
         client = self.client(PING * 9000)
         self.answers(client, b"+PONG\r\n" * 9000)
 
+    def test_a_command_that_waits_behind_a_full_pipeline_has_that_much_less_time(self) -> None:
+        self.script.react = lambda event: []
+        self.client(b"".join(get(b"%c" % one) for one in ascii_letters.encode()[: MAX_PIPELINE_DEPTH + 1]))
+        self.until(lambda: len(self.script.events) == MAX_PIPELINE_DEPTH, "a full pipeline")
+        full_until = self.loop.now() + 200
+        self.loop.call_at(full_until, lambda: None)
+        self.until(lambda: self.loop.now() >= full_until, "a time")
+        self.script.react = lambda event: [Reject(1)] if isinstance(event, TimerFired) else []
+        self.engine.notify(TimerFired(1))
+        self.until(lambda: len(self.script.events) == MAX_PIPELINE_DEPTH + 2, "the next command")
+        last = self.script.events[-1]
+        assert isinstance(last, RequestReceived)
+        self.assertTrue(600 <= last.timeout <= 700, last.timeout)
+
     def test_a_slow_reader_is_not_read_from_and_loses_nothing(self) -> None:
         value = b"$65536\r\n" + b"x" * 65536 + b"\r\n"
         self.script.react = lambda event: []
--- a/tests/net/test_upstream_connection.py
+++ b/tests/net/test_upstream_connection.py
@@ -4,6 +4,8 @@
 
 import socket
 from collections.abc import Callable
+from dataclasses import replace
+from math import inf
 from unittest import mock
 
 from lupinladder.balancing.actions import Fail, StartAttempt
@@ -154,6 +156,56 @@
         self.assert_labels(labels, left)
 
 
+class HalfWrittenAttempts(NetworkScene):
+    """A server begins a command with its last byte: what holds for a send holds for that one too."""
+
+    SOON_MS = 400.0  # long before the deadline of the request
+
+    def write_half(self) -> None:
+        """Have the next attempt written in part, to a node that reads no more."""
+        for patch in (
+            mock.patch("tests.support.network_scene.CacheNodeProtocol.encode", return_value=b"x" * 1_000_000),
+            mock.patch("tests.support.network_scene.RecordingPeer.on_data"),
+        ):
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    def until_half_written(self) -> None:
+        pool = self.links[NODE]
+        self.until(lambda: any(one.connection.bytes_sent for one in pool._busy), "some bytes")
+        self.begun_at = self.loop.now()
+
+    def assert_never_ran_soon(self) -> None:
+        self.until(lambda: self.script.ends(), "an end")
+        self.assertEqual(self.script.ends()[0][1], "CONNECT_FAILED")
+        self.assertLess(self.loop.now() - self.begun_at, self.SOON_MS)
+        self.until(lambda: self.node.peers[0].ends, "the end of its connection")
+
+    def test_the_rest_is_not_written_after_its_client_has_left(self) -> None:
+        self.write_half()
+        client = self.client(get())
+        self.until_half_written()
+        client.conn.close()
+        self.assert_never_ran_soon()
+
+    def test_the_rest_is_not_written_after_the_window_or_when_the_time_told_is_no_longer_left(self) -> None:
+        self.write_half()
+        for window_ms in (30.0, inf):
+            self.script.events.clear()
+            self.node.peers.clear()
+            start_by = self.loop.now() + window_ms
+            start = StartAttempt(0, NODE, start_by=start_by)
+            self.script.react = lambda e, start=start: [  # type: ignore[misc]
+                replace(start, request_id=e.request_id)
+                if isinstance(e, RequestReceived)
+                else Fail(e.request_id)
+            ]
+            self.ask()
+            self.until_half_written()
+            self.assert_never_ran_soon()
+            self.assertTrue(window_ms == inf or self.loop.now() - start_by < 60)
+
+
 class DelayedConnections:
     """Holds back each connection to a server that comes up, until `release`."""
 
