--- a/lupinladder/net/client_connection.py
+++ b/lupinladder/net/client_connection.py
@@ -10,8 +10,10 @@
 from lupinladder.connection_limits.idle_return_estimator import IDLE_SPAN_COUNT, idle_span
 from lupinladder.net import resp
 from lupinladder.net.client_command import MAX_STORED_VALUE_BYTES, ClientCommand, CommandError, parse_command
+from lupinladder.net.close_reason import CloseReason
 from lupinladder.net.connection import Connection
 from lupinladder.net.event_loop import WatchRank
+from lupinladder.net.invariants import Invariant, report_violation
 from lupinladder.net.metrics import metrics
 from lupinladder.net.pending_reply import PendingReply
 
@@ -38,6 +40,8 @@
         self._closing = False  # no more commands are read; it closes after the pending replies
         self._reading = False
         self._reading_paused = False  # as MAX_PIPELINE_DEPTH was reached; commands may lie unread
+        self._unread_since = inf  # since when commands wait in the inbox for replies to those before them
+        self._close_reason = CloseReason.CLIENT_ENDED  # once `_closing`
         self._command_incomplete = False
         self.command_count = 0
         self.last_used = listener.loop.now()  # when the last command was read or the last reply written
@@ -77,7 +81,7 @@
         except resp.FramingError as error:
             metrics.client_framing_errors += 1
             self._append_error(f"Protocol error: {error}")
-            self._closing = True
+            self._close_after_replies(CloseReason.CLIENT_FRAMING)
         finally:
             self._reading = False
         self._command_incomplete = not self._parser.idle or len(self.conn.inbox) > 0
@@ -88,11 +92,14 @@
         while self.conn.is_open and not self._closing and len(self._pending_replies) < MAX_PIPELINE_DEPTH:
             value = self._parser.next(self.conn.inbox)
             if isinstance(value, resp.Incomplete):
+                self._unread_since = inf
                 return
             self._handle_command(value)
         self._reading_paused = not self._closing
+        self._unread_since = min(self._unread_since, self._listener.loop.now())
 
     def _resume_reading(self) -> None:
+        self.conn.look_for_end()
         if self._reading_paused and self.conn.is_open and len(self._pending_replies) < MAX_PIPELINE_DEPTH:
             self.on_data()
             self.conn.resume_reading()
@@ -134,8 +141,9 @@
                 metrics.requests_rejected_at_shutdown += 1
                 reply.on_rejected(shutdown.retry_after(now))
                 return
-        # The client counts from when it wrote, and the bytes may have lain unread for the round before this.
-        unread_time = self._listener.loop.unread_time
+        # The client counts from when it wrote, and the bytes may have lain unread: for the round before this,
+        # while the process stood still, or behind as many commands as are answered at once.
+        unread_time = max(self._listener.loop.unread_time, now - self._unread_since)
         if unread_time < MIN_UNREAD_TIME_MS:
             unread_time = 0.0
         timeout = max(command.timeout - unread_time, MIN_REQUEST_TIMEOUT_MS)
@@ -194,9 +202,9 @@
         elif self._pending_replies:
             return
         elif self._closing or self.conn.eof:
-            self._close_gracefully()
+            self._close_gracefully(self._close_reason)
         elif self._listener.closes_idle_clients:
-            self._listener.loop.call_soon(self.close_if_idle)
+            self._listener.loop.call_soon(lambda: self.close_if_idle(CloseReason.CLIENT_SHUTDOWN))
 
     def _write_replies(self) -> None:
         while self.conn.is_open and self._pending_replies:
@@ -213,6 +221,10 @@
         self.flush()
         self.update_idle_state()
 
+    def may_write(self) -> bool:
+        """A reply is written whenever the client takes it."""
+        return True
+
     # Closing
 
     def on_closed(self, by_peer: bool) -> None:
@@ -225,7 +237,7 @@
         """
         metrics.client_connections_ended += by_peer
         metrics.client_connections_aborted += not by_peer
-        self._closing = True
+        self._close_after_replies(CloseReason.CLIENT_ENDED)
         self._reading_paused = False
         dropped = self._pending_replies
         self._pending_replies = deque()
@@ -238,17 +250,28 @@
         if by_peer:
             self.flush()
         else:
+            metrics.connections_closed[CloseReason.CLIENT_BROKE] += 1
             self._listener.forget(self)
             self._listener.update_listening()
 
-    def _close_gracefully(self) -> None:
+    def _close_after_replies(self, reason: CloseReason) -> None:
+        """Read no more commands, and close once the replies that are pending have been written."""
+        self._closing = True
+        self._close_reason = reason
+
+    def _close_gracefully(self, reason: CloseReason) -> None:
+        if self._pending_replies:
+            report_violation(
+                Invariant.CLOSED_OWING_NOTHING, reason=reason, replies=len(self._pending_replies)
+            )
         if self in self._listener.clients:
+            metrics.connections_closed[reason] += 1
             self._listener.forget(self)
             self._listener.await_closing(self.conn)
         self.conn.close_gracefully()
         self._listener.update_listening()
 
-    def close_if_idle(self) -> bool:
+    def close_if_idle(self, reason: CloseReason) -> bool:
         """Close the connection if it is idle; return whether it was.
 
         A command that was written before the close counts as accepted, so what has arrived is read first.
@@ -256,7 +279,7 @@
         if self.idle:
             self.conn.read_available()
         if self.idle and self.conn.is_open:
-            self._close_gracefully()
+            self._close_gracefully(reason)
             return True
         return False
 
@@ -270,10 +293,11 @@
                 self._report_idle_spans(now)
             if now - self.last_used > self._idle_timeout(descriptors_short):
                 metrics.client_connections_timed_out += 1
-                self.close_if_idle()
+                reason = CloseReason.CLIENT_IDLE if self.command_count else CloseReason.CLIENT_SILENT
+                self.close_if_idle(reason)
         elif self._is_command_overdue(now):
             metrics.client_connections_timed_out += 1
-            self._closing = True
+            self._close_after_replies(CloseReason.CLIENT_COMMAND_OVERDUE)
             self._append_error("Protocol error: command not ended in time")
             self.flush()
 
--- a/lupinladder/net/client_listener.py
+++ b/lupinladder/net/client_listener.py
@@ -10,6 +10,7 @@
 from lupinladder.connection_limits.idle_return_estimator import IdleReturnEstimator
 from lupinladder.graceful_shutdown import ShutdownSchedule
 from lupinladder.net.client_connection import ClientConnection
+from lupinladder.net.close_reason import CloseReason
 from lupinladder.net.connection import READ, Address, Connection
 from lupinladder.net.descriptor_budget import DescriptorBudget
 from lupinladder.net.event_loop import EventLoop, Timer
@@ -236,4 +237,4 @@
     def _close_idle_clients(self) -> None:
         self.closes_idle_clients = True
         for client in list(self.clients):
-            client.close_if_idle()
+            client.close_if_idle(CloseReason.CLIENT_SHUTDOWN)
--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -22,7 +22,7 @@
 MAX_READS_PER_EVENT = 4  # from one connection in a turn, so that none holds up the others
 MAX_READS_IN_LATE_TURN = 64  # the same in a turn in which what is ready may lie unread for long
 TCP_STATES_AFTER_PEERS_END = (7, 8, 9)  # closed, close-wait, last-ack: the first byte of TCP_INFO, tcp(7)
-LINGER_MS = 1000.0  # how long a connection that we end is read from
+LINGER_MS = 1000.0  # how long a connection that we end is read from, while it takes no more bytes
 MAX_DISCARDED_BYTES = 256 << 10  # bytes read from such a connection until it is closed all the same
 WATCH_RETRY_MS = 20.0  # until a selector that had no memory for a socket is asked again
 READ = selectors.EVENT_READ
@@ -147,9 +147,23 @@
         Closing with input unread would send a reset, which can destroy an answer still on its way."""
         if self.is_open and not self._finishing:
             self._finishing = True
-            self._linger = self._loop.call_at(self._loop.now() + LINGER_MS, self.close)
+            self._set_linger()
             self._end_sending()
 
+    def _set_linger(self) -> None:
+        sent_before = self.bytes_sent
+        close_at = self._loop.now() + LINGER_MS
+        self._linger = self._loop.call_at(close_at, lambda: self._on_lingered(sent_before))
+
+    def _on_lingered(self, sent_before: int) -> None:
+        """Close, unless the peer still takes what it is owed: a slow reader gets its whole answer."""
+        if len(self.outbox) and not self.eof:
+            if self.bytes_sent > sent_before:
+                self._set_linger()
+                return
+            metrics.connections_cut_off += 1
+        self.close()
+
     def close(self) -> None:
         """Close at once, without a callback."""
         if self.is_open:
@@ -193,7 +207,7 @@
                     return
                 self.connecting = False
                 self._call_owner(self._owner.on_connected)
-            if mask & WRITE and self.is_open and len(self.outbox):
+            if mask & WRITE and self.is_open and len(self.outbox) and self._owner.may_write():
                 self._flush()
                 if self.is_open:
                     self._call_owner(self._owner.on_written)
--- a/lupinladder/net/connection_handler.py
+++ b/lupinladder/net/connection_handler.py
@@ -18,6 +18,9 @@
     def on_written(self) -> None:
         """Queued bytes have been written, perhaps not all."""
 
+    def may_write(self) -> bool:
+        """Whether bytes that stayed queued may be written now; else the owner has closed the connection."""
+
     def on_closed(self, by_peer: bool) -> None:
         """The peer has ended its sending in order (`by_peer`), or the connection has failed."""
 
@@ -35,6 +38,10 @@
     def on_written(self) -> None:
         """Do nothing."""
 
+    def may_write(self) -> bool:
+        """Nothing speaks against it."""
+        return True
+
     def on_closed(self, by_peer: bool) -> None:
         """Do nothing."""
 
--- a/lupinladder/net/connection_pool.py
+++ b/lupinladder/net/connection_pool.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from lupinladder.balancing.events import Outcome
+from lupinladder.net.close_reason import CloseReason
 from lupinladder.net.connection import Address, format_address
 from lupinladder.net.descriptor_budget import DescriptorBudget
 from lupinladder.net.event_loop import EventLoop
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
 from lupinladder.net.pending_request import Attempt
+from lupinladder.net.send_guard import refuse_send
 from lupinladder.net.upstream_connection import UpstreamConnection
 from lupinladder.net.upstream_protocol import UpstreamProtocol
 
@@ -47,7 +49,7 @@
         self._max_attempts_per_connection = max_attempts_per_connection
         self._idle: list[UpstreamConnection] = []  # the one used last at the end
         self._busy: dict[UpstreamConnection, None] = {}  # in the order in which they became busy
-        self._is_retired = False
+        self._retired_at: float | None = None
 
     def start(self, attempt: Attempt) -> None:
         """Start an attempt; without a connection for it, it ends at once."""
@@ -66,32 +68,40 @@
             if connection.abandon(attempt):
                 return
 
+    def request_finished(self, attempt: Attempt) -> None:
+        """Nobody waits for the request of an attempt that is out: the rest of it must not be written."""
+        for connection in self._busy:
+            if connection.cut_off(attempt):
+                return
+
     def retire(self) -> None:
         """The server leaves: what is in flight may finish, no connection is kept."""
-        self._is_retired = True
+        self._retired_at = self.loop.now()
         for connection in list(self._idle):
-            connection.abort()
+            connection.close(CloseReason.SERVER_RETIRED)
 
-    def may_start(self, attempt: Attempt) -> bool:
-        """Whether the first byte of an attempt may be written now.
+    def may_send(self, attempt: Attempt) -> bool:
+        """Whether the first byte of an attempt may be written now; a refusal is counted."""
+        refusal = refuse_send(attempt, self._retired_at is not None, self.loop.now())
+        if refusal is None:
+            return True
+        metrics.sends_refused[refusal] += 1
+        return False
 
-        It may not if its client has left, if the server has begun to leave, or if a repeat would no longer
-        be recognised by the server as one.
-        """
-        if self._is_retired or attempt.request.finished:
-            return False
-        return self.loop.now() < attempt.start_by
+    def check_send(self, attempt: Attempt, told_deadline: float) -> None:
+        """Hold a send, which is about to be made, to the rules; the server is told a deadline in ms."""
+        attempt.dispatcher.monitor.check_send(attempt, told_deadline, self._retired_at, self.loop.now())
 
     def mark_idle(self, connection: UpstreamConnection) -> None:
         """Keep a connection that has no attempt any more, for the next one or until it is too old."""
         self._busy.pop(connection, None)
-        if self._is_retired:
-            connection.abort()
+        if self._retired_at is not None:
+            connection.close(CloseReason.SERVER_RETIRED)
             return
         self._idle.append(connection)
         self.budget.idle_connections[connection] = None
         close_at = self.loop.now() + self._idle_timeout_ms
-        connection.idle_timer = self.loop.call_at(close_at, connection.abort)
+        connection.idle_timer = self.loop.call_at(close_at, lambda: connection.close(CloseReason.SERVER_IDLE))
 
     def remove(self, connection: UpstreamConnection) -> None:
         """Forget a connection that is closed."""
@@ -112,7 +122,7 @@
                 return connection
             # The server has ended it, or sent more than was asked for, since we last looked.
             metrics.upstream_connections_stale += 1
-            connection.abort()
+            connection.close(CloseReason.SERVER_STALE)
         return None
 
     def _open_or_share(self) -> UpstreamConnection | None:
--- a/lupinladder/net/descriptor_budget.py
+++ b/lupinladder/net/descriptor_budget.py
@@ -4,11 +4,13 @@
 
 from typing import Protocol
 
+from lupinladder.net.close_reason import CloseReason
+
 
 class IdleConnection(Protocol):
     """A connection to a server that no attempt uses."""
 
-    def abort(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close it, and take it off the budget's idle connections."""
 
 
@@ -26,7 +28,7 @@
         """Close the connection to a server that has been idle for longest: at most a handshake is lost.
         False if none is idle."""
         for connection in self.idle_connections:
-            connection.abort()
+            connection.close(CloseReason.SERVER_DESCRIPTOR_NEEDED)
             return True
         return False
 
--- a/lupinladder/net/discovery/endpoint_watch.py
+++ b/lupinladder/net/discovery/endpoint_watch.py
@@ -67,6 +67,10 @@
     def on_written(self) -> None:
         """Nothing to do: the request is all that is written."""
 
+    def may_write(self) -> bool:
+        """The request may be written late."""
+        return True
+
     def on_data(self) -> None:
         """Bytes have come: tell what they complete, then end the watch if they end or spoil it."""
         end_reason: str | None = None
--- a/lupinladder/net/idle_client_tracker.py
+++ b/lupinladder/net/idle_client_tracker.py
@@ -7,6 +7,7 @@
 from lupinladder.connection_limits.eviction import IdleClient, select_for_eviction
 from lupinladder.connection_limits.idle_return_estimator import IdleReturnEstimator
 from lupinladder.net.client_connection import IDLE_TIMEOUT_MS, ClientConnection
+from lupinladder.net.close_reason import CloseReason
 from lupinladder.net.metrics import metrics
 
 EVICTION_CANDIDATES = 4  # of each kind: a few, since one may have written a command just now
@@ -44,7 +45,7 @@
         clients = list(self._with_commands)
         idle_times = [IdleClient(one.command_count, now - one.last_used) for one in clients]
         for index in select_for_eviction(idle_times, self._return_estimator, max_count):
-            metrics.client_connections_evicted += clients[index].close_if_idle()
+            metrics.client_connections_evicted += clients[index].close_if_idle(CloseReason.CLIENT_EVICTED)
 
     def evict_one(self, now: float) -> bool:
         """Close the client that has been idle for longest; it may connect again. False if there is none.
@@ -58,7 +59,7 @@
         ]
         candidates.sort(key=lambda client: (_was_used_recently(client, now), client.last_used))
         for client in candidates:
-            if client.close_if_idle():
+            if client.close_if_idle(CloseReason.CLIENT_EVICTED):
                 client.conn.close()  # its descriptor is needed now; all replies to it have been written
                 return True
         return False
--- a/lupinladder/net/metrics.py
+++ b/lupinladder/net/metrics.py
@@ -25,6 +25,7 @@
     client_connections_timed_out: int = 0
     client_framing_errors: int = 0
     connection_handler_errors: int = 0
+    connections_cut_off: int = 0
     dispatcher_errors: int = 0
     endpoint_updates: int = 0
     endpoint_watches_lost: int = 0
@@ -48,17 +49,25 @@
     upstream_connections_stale: int = 0
     upstream_replies_invalid: int = 0
     attempts_ended: Counter[Outcome] = field(default_factory=Counter)
+    connections_closed: Counter[str] = field(default_factory=Counter)  # by CloseReason
+    invariant_violations: Counter[str] = field(default_factory=Counter)  # by Invariant
+    sends_refused: Counter[str] = field(default_factory=Counter)  # by SendRefusal
 
     def summary(self) -> dict[str, int]:
-        """All counters that are not zero, by name; those of ended attempts by outcome."""
-        counts = {
-            counter.name: getattr(self, counter.name)
-            for counter in fields(self)
-            if counter.name != "attempts_ended"
-        }
-        for outcome, count in self.attempts_ended.items():
-            counts[f"attempts_ended_{outcome.name.lower()}"] = count
+        """All counters that are not zero, by name; those with several kinds by kind."""
+        counts: dict[str, int] = {}
+        for counter in fields(self):
+            value = getattr(self, counter.name)
+            if isinstance(value, Counter):
+                counts |= {f"{counter.name}_{_label(key)}": count for key, count in value.items()}
+            else:
+                counts[counter.name] = value
         return {name: count for name, count in sorted(counts.items()) if count}
 
 
+def _label(key: str | Outcome) -> str:
+    """The kind of a counter as a part of its name."""
+    return key.name.lower() if isinstance(key, Outcome) else key
+
+
 metrics = Metrics()  # the process's counters: the one place for what an operator, or later an agent, reads
--- a/lupinladder/net/pending_request.py
+++ b/lupinladder/net/pending_request.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from lupinladder.balancing.events import CacheResult, Outcome
+from lupinladder.balancing.settings import ServerId
 from lupinladder.net.event_loop import Timer
 
 if TYPE_CHECKING:  # the dispatcher imports this module; commands are carried here and never read
@@ -35,6 +36,10 @@
     def abandon(self, attempt: Attempt) -> None:
         """Stop waiting for an attempt that has been started."""
 
+    def request_finished(self, attempt: Attempt) -> None:
+        """Nobody waits any more for the request of an attempt that is out: what is not written yet of it must
+        not be."""
+
 
 @dataclass(slots=True, eq=False, weakref_slot=True)
 class PendingRequest:
@@ -46,8 +51,33 @@
     handler: ResponseHandler | None  # None once it has the final answer
     attempts: list[Attempt] = field(default_factory=list)
     finished: bool = False  # the final answer is given, or nobody waits for it
+    client_left_at: float | None = None
+    received_at: float = 0.0
     guard_timer: Timer | None = None  # fails the request if no answer comes by its deadline
 
+    def history(self) -> RequestHistory:
+        """What has happened to it, for the log."""
+        return RequestHistory(self)
+
+
+class RequestHistory:
+    """A request's attempts in one word, made only when it is printed: times are ms since it was received."""
+
+    def __init__(self, request: PendingRequest) -> None:
+        self._received_at = request.received_at
+        self._attempts = list(request.attempts)
+        self._id = request.command.request_id
+
+    def __str__(self) -> str:
+        return ",".join([self._id.decode("latin-1"), *(self._describe(one) for one in self._attempts)])
+
+    def _describe(self, attempt: Attempt) -> str:
+        sent = "unsent" if attempt.sent_at is None else f"sent@{attempt.sent_at - self._received_at:.0f}"
+        ended = "out" if attempt.outcome is None else f"{attempt.outcome.name.lower()}"
+        if attempt.ended_at is not None:
+            ended += f"@{attempt.ended_at - self._received_at:.0f}"
+        return f"{attempt.number}:{attempt.server.decode('latin-1')}:{sent}:{ended}"
+
 
 @dataclass(slots=True, eq=False, weakref_slot=True)
 class Attempt:
@@ -60,10 +90,17 @@
     started_at: float
     deadline: float
     start_by: float  # its first byte is written before this, or it is not sent
-    finished: bool = False
-    write_started: bool = False  # set by the executor
+    server: ServerId
+    sent_at: float | None = None  # when its first byte was written; set by the executor
+    outcome: Outcome | None = None  # None: outstanding
+    ended_at: float | None = None
     expiry_timer: Timer | None = None
 
+    @property
+    def finished(self) -> bool:
+        """Whether it has its outcome."""
+        return self.outcome is not None
+
     def end(
         self,
         outcome: Outcome,
--- a/lupinladder/net/request_dispatcher.py
+++ b/lupinladder/net/request_dispatcher.py
@@ -35,6 +35,7 @@
 from lupinladder.balancing.settings import ServerId, Settings
 from lupinladder.graceful_shutdown import ShutdownSchedule
 from lupinladder.net.event_loop import EventLoop
+from lupinladder.net.invariants import InvariantMonitor
 from lupinladder.net.log import format_traceback, log_event
 from lupinladder.net.metrics import metrics
 from lupinladder.net.pending_request import Attempt, AttemptExecutor, PendingRequest, ResponseHandler
@@ -71,6 +72,7 @@
         self._events: deque[Event] = deque()  # not handled yet
         self._handling_events = False
         self._balancer = Balancer(settings, seed, loop.now())
+        self.monitor = InvariantMonitor(settings)
 
     def start(self, cached: EndpointUpdate) -> None:
         """Carry out the balancer's first actions, and tell it the list as it was last known."""
@@ -111,7 +113,9 @@
         now = self._loop.now()
         self._last_request_id += 1
         event = make_event(self._last_request_id)
-        request = PendingRequest(self._last_request_id, command, now + event.timeout, handler)
+        request = PendingRequest(
+            self._last_request_id, command, now + event.timeout, handler, received_at=now
+        )
         self._requests[request.request_id] = request
         request.guard_timer = self._loop.call_at(
             request.deadline + DEADLINE_GRACE_MS, lambda: self._fail_overdue(request)
@@ -123,15 +127,20 @@
         """The client has gone: nobody waits for the answer any more."""
         if not request.finished:
             metrics.requests_abandoned += 1
+            request.client_left_at = self._loop.now()
+            outstanding = [attempt for attempt in request.attempts if not attempt.finished]
             self._finish(request)
             self.notify(ClientDisconnected(request.request_id))
+            for attempt in outstanding:
+                if attempt.executor is not None:
+                    attempt.executor.request_finished(attempt)
 
     def _fail_overdue(self, request: PendingRequest) -> None:
         """Guard against a request stranded by a fault: its client gets an answer all the same."""
         if not request.finished:
             metrics.requests_overdue += 1
             log_event("request_overdue", request=request.request_id)
-            self._finish(request).on_failed()
+            self._answer(request).on_failed()
             self.notify(ClientDisconnected(request.request_id))
 
     def fail_open_requests(self) -> None:
@@ -139,11 +148,16 @@
         for request in list(self._requests.values()):
             if not request.finished:
                 metrics.requests_failed_at_shutdown += 1
-                self._finish(request).on_failed()
+                self._answer(request).on_failed()
                 self.notify(ClientDisconnected(request.request_id))
 
+    def _answer(self, request: PendingRequest, is_rejection: bool = False) -> ResponseHandler:
+        """Finish a request whose client is there: the caller gives the answer to the handler returned."""
+        self.monitor.check_answer(request, is_rejection, self._loop.now())
+        return self._finish(request)
+
     def _finish(self, request: PendingRequest) -> ResponseHandler:
-        """From here on the request has its final answer, which the caller gives to the handler returned."""
+        """From here on nobody waits for the request; returns who did."""
         handler = request.handler
         assert handler, "a request has one final answer"
         request.handler = None
@@ -180,7 +194,7 @@
             self._log_fault(f"balancer, at {type(event).__name__}")
             # Any other event's request is failed by its guard timer.
             if isinstance(event, RequestReceived) and event.request_id in self._requests:
-                self._finish(self._requests[event.request_id]).on_failed()
+                self._answer(self._requests[event.request_id]).on_failed()
             return
         for action in actions:
             try:
@@ -225,12 +239,12 @@
     def _reject(self, request: PendingRequest, retry_after: float) -> None:
         if not request.finished:
             metrics.requests_rejected += 1
-            self._finish(request).on_rejected(retry_after)
+            self._answer(request, is_rejection=True).on_rejected(retry_after)
 
     def _fail(self, request: PendingRequest) -> None:
         if not request.finished:
             metrics.requests_failed += 1
-            self._finish(request).on_failed()
+            self._answer(request).on_failed()
 
     def _cancel_attempt(self, request: PendingRequest, number: int) -> None:
         if number < len(request.attempts):
@@ -242,7 +256,7 @@
         number = len(request.attempts)
         deadline = min(action.expire_at or request.deadline, request.deadline)
         executor = self._route(action.server)
-        attempt = Attempt(self, request, executor, number, now, deadline, action.start_by)
+        attempt = Attempt(self, request, executor, number, now, deadline, action.start_by, action.server)
         request.attempts.append(attempt)
         if request.finished or number >= self._settings.max_attempts or now >= request.deadline:
             attempt.end(Outcome.NOT_STARTED)
@@ -263,7 +277,7 @@
         if attempt.finished or attempt.executor is None:
             return
         attempt.executor.abandon(attempt)
-        if outcome is Outcome.TIMEOUT and not attempt.write_started:
+        if outcome is Outcome.TIMEOUT and attempt.sent_at is None:
             outcome = Outcome.CONNECT_FAILED
         attempt.end(outcome)
 
@@ -279,14 +293,15 @@
         balancer. Called by `Attempt.end`; further ends of the same attempt are passed over."""
         if attempt.finished:
             return
-        attempt.finished = True
+        attempt.outcome = outcome
+        attempt.ended_at = self._loop.now()
         self._loop.cancel(attempt.expiry_timer)
         attempt.expiry_timer = None
         metrics.attempts_ended[outcome] += 1
         request = attempt.request
         if outcome is Outcome.OK and not request.finished:
             metrics.requests_served += 1
-            self._finish(request).on_served(value or b"")
+            self._answer(request).on_served(value or b"")
         self.notify(
             AttemptEnded(
                 request_id=request.request_id,
--- a/lupinladder/net/upstream_connection.py
+++ b/lupinladder/net/upstream_connection.py
@@ -7,12 +7,14 @@
 from typing import TYPE_CHECKING
 
 from lupinladder.balancing.events import Outcome
+from lupinladder.net.close_reason import CloseReason
 from lupinladder.net.connection import Connection, format_address
 from lupinladder.net.event_loop import Timer
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
 from lupinladder.net.pending_request import Attempt
 from lupinladder.net.resp import FramingError
+from lupinladder.net.send_guard import SendRefusal, refuse_more, write_by
 from lupinladder.net.upstream_protocol import UpstreamProtocolError
 from lupinladder.net.upstream_reply import UpstreamReply
 
@@ -26,6 +28,7 @@
 
     attempt: Attempt | None  # None: abandoned; its reply is read all the same, as replies come in order
     end_offset: int  # bytes queued on the connection up to the attempt's last one
+    begun_at: float  # when its first byte was written, in ms
 
 
 class UpstreamConnection:
@@ -45,6 +48,7 @@
         metrics.upstream_connections_opened += 1
         connect_by = pool.loop.now() + pool.connect_timeout_ms
         self._connect_timer: Timer | None = pool.loop.call_at(connect_by, self._on_connect_timeout)
+        self._write_timer: Timer | None = None  # of a command that is written in part
 
     @property
     def attempt_count(self) -> int:
@@ -64,17 +68,32 @@
         if not self._forget(attempt):
             return False
         if not self.unsent and all(entry.attempt is None for entry in self.in_flight):
-            self.abort()
+            self.close(CloseReason.SERVER_ABANDONED)
         return True
 
-    def abort(self) -> None:
+    def cut_off(self, attempt: Attempt) -> bool:
+        """The request of an attempt is finished: close the connection if a part of it is still to be written.
+
+        False if the attempt is not on this connection. One of which nothing is written yet is refused later.
+        """
+        for entry in self.in_flight:
+            if entry.attempt is attempt:
+                if self.connection.bytes_sent < entry.end_offset:
+                    self._refuse_rest(SendRefusal.REQUEST_FINISHED)
+                return True
+        return attempt in self.unsent
+
+    def close(self, reason: CloseReason) -> None:
         """Close the connection and end its attempts: one has run only if its last byte was written."""
+        if self.connection.is_open:
+            metrics.connections_closed[reason] += 1
         bytes_sent = self.connection.bytes_sent
         self.connection.close()
-        for timer in (self._connect_timer, self.idle_timer):
+        for timer in (self._connect_timer, self.idle_timer, self._write_timer):
             self._pool.loop.cancel(timer)
         self._connect_timer = None
         self.idle_timer = None
+        self._write_timer = None
         self._pool.remove(self)
         in_flight = self.in_flight
         self.in_flight = deque()
@@ -114,6 +133,18 @@
         if self.unsent:
             self._write()
 
+    def may_write(self) -> bool:
+        """Whether bytes that are queued may still be written: the rest of the command that is written in part
+        may have to be given up."""
+        partial = next((one for one in self.in_flight if self.connection.bytes_sent < one.end_offset), None)
+        if partial is None or partial.attempt is None:
+            return True  # abandoned ones are counted as run, and others wait behind them
+        refusal = refuse_more(partial.attempt, partial.begun_at, self._pool.loop.now())
+        if refusal is None:
+            return True
+        self._refuse_rest(refusal)
+        return False
+
     def on_closed(self, by_peer: bool) -> None:
         """The connection broke, or the server ended it in order, which may complete a reply."""
         reply: UpstreamReply | None = None
@@ -122,20 +153,20 @@
             reply = self.reader.reply_at_close()
             if reply is not None:
                 attempt = self.in_flight.popleft().attempt
-        self.abort()
+        self.close(CloseReason.SERVER_ENDED if by_peer else CloseReason.SERVER_BROKE)
         if attempt is not None and reply is not None:
             _end_with_reply(attempt, reply)
 
     def _on_connect_timeout(self) -> None:
         if self.connection.connecting:
-            self.abort()
+            self.close(CloseReason.SERVER_CONNECT_TIMEOUT)
 
     def _write(self) -> None:
         """Write the attempts that may still start, one after another, as the system takes the bytes."""
         expired = list[Attempt]()
         while self.unsent and not self.connection.connecting and not len(self.connection.outbox):
             attempt = self.unsent.popleft()
-            if self._pool.may_start(attempt):
+            if self._pool.may_send(attempt):
                 self._send(attempt)
             else:
                 expired.append(attempt)
@@ -146,17 +177,27 @@
             attempt.end(Outcome.CONNECT_FAILED)
 
     def _send(self, attempt: Attempt) -> None:
-        attempt.write_started = True
-        timeout_ms = attempt.deadline - self._pool.loop.now()
+        now = self._pool.loop.now()
+        timeout_ms = attempt.deadline - now
+        self._pool.check_send(attempt, timeout_ms)
+        attempt.sent_at = now
         data = self._pool.protocol.encode(attempt.request.command, timeout_ms)
-        self.in_flight.append(InFlightAttempt(attempt, self.connection.bytes_queued + len(data)))
+        self.in_flight.append(InFlightAttempt(attempt, self.connection.bytes_queued + len(data), now))
         self.connection.send(data)
+        if len(self.connection.outbox):
+            self._pool.loop.cancel(self._write_timer)
+            self._write_timer = self._pool.loop.call_at(write_by(attempt, now), self.may_write)
+
+    def _refuse_rest(self, refusal: SendRefusal) -> None:
+        """Close the connection on a command that is written in part: it never runs."""
+        metrics.sends_refused[refusal] += 1
+        self.close(CloseReason.SERVER_HALF_WRITTEN)
 
     def _complete_oldest(self, reply: UpstreamReply) -> None:
         """End the oldest attempt in flight. The connection is settled first, as the caller may use it."""
         attempt = self.in_flight.popleft().attempt
         if self.reader.closes_connection:
-            self.abort()
+            self.close(CloseReason.SERVER_LAST_REPLY)
         elif not self.attempt_count and self._check_for_excess_bytes():
             self._pool.mark_idle(self)
         if attempt is not None:
@@ -175,7 +216,7 @@
     def _abort_as_invalid(self, reason: str) -> None:
         log_event("upstream_reply_invalid", address=format_address(self._pool.address), error=reason)
         metrics.upstream_replies_invalid += 1
-        self.abort()
+        self.close(CloseReason.SERVER_INVALID_REPLY)
 
     def _forget(self, attempt: Attempt) -> bool:
         """Drop an attempt that is not written, or mark it as abandoned; False if it is not here."""
--- a/tests/emulator/faulty_proxy.py
+++ b/tests/emulator/faulty_proxy.py
@@ -28,7 +28,7 @@
         command = attempt.request.command
         if command.is_write and command.request_class == CLAIM_SUBMIT:
             connection = upstream_connection.UpstreamConnection(self)
-            connection.in_flight.append(upstream_connection.InFlightAttempt(None, 1 << 40))
+            connection.in_flight.append(upstream_connection.InFlightAttempt(None, 1 << 40, 0.0))
             connection.connection.send(self.protocol.encode(command, 1000.0))
 
     connection_pool.ConnectionPool.start = start_twice  # type: ignore[method-assign]
--- a/tests/net/test_upstream_connection.py
+++ b/tests/net/test_upstream_connection.py
@@ -170,16 +170,21 @@
             patch.start()
             self.addCleanup(patch.stop)
 
+        self.node.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+
     def until_half_written(self) -> None:
-        pool = self.links[NODE]
-        self.until(lambda: any(one.connection.bytes_sent for one in pool._busy), "some bytes")
+        self.until(lambda: self.links[NODE]._busy, "a connection")
+        [upstream] = self.links[NODE]._busy
+        upstream.connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        self.until(lambda: upstream.connection.bytes_sent, "some bytes")
+        self.assertTrue(len(upstream.connection.outbox))
         self.begun_at = self.loop.now()
 
     def assert_never_ran_soon(self) -> None:
         self.until(lambda: self.script.ends(), "an end")
         self.assertEqual(self.script.ends()[0][1], "CONNECT_FAILED")
         self.assertLess(self.loop.now() - self.begun_at, self.SOON_MS)
-        self.until(lambda: self.node.peers[0].ends, "the end of its connection")
+        self.assertFalse(self.links[NODE]._busy)  # the connection is closed, and no byte follows
 
     def test_the_rest_is_not_written_after_its_client_has_left(self) -> None:
         self.write_half()
--- a/tests/support/network_scene.py
+++ b/tests/support/network_scene.py
@@ -50,6 +50,9 @@
     def on_written(self) -> None:
         pass
 
+    def may_write(self) -> bool:
+        return True
+
     def on_data(self) -> None:
         self.got += self.conn.inbox.read(len(self.conn.inbox))
 
