--- a/lupinladder/cli/emulator/restart_recovery.py
+++ b/lupinladder/cli/emulator/restart_recovery.py
@@ -46,7 +46,7 @@
     Exit codes are those of `emulator run`.
     """
     rows = []
-    for seed in _parse_seeds(seeds):
+    for seed in parse_seeds(seeds):
         scenario = restart_recovery.scenario(proxies, kill, store, discovery, seed)
         outcome = play(scenario, output.quiet, output.logs_of(seed))
         row = restart_recovery.figures(outcome)
@@ -62,7 +62,7 @@
     sys.exit(restart_recovery.exit_code(tree["summary"]))
 
 
-def _parse_seeds(text: str) -> range:
+def parse_seeds(text: str) -> range:
     """The seeds of `3` or `1-10`. InputError for anything else."""
     first, _, last = text.partition("-")
     last = last or first
--- a/lupinladder/emulator/client_attempt.py
+++ b/lupinladder/emulator/client_attempt.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 from typing import TYPE_CHECKING
 
 from lupinladder.emulator.client_reply import ClientOutcome, ClientReply
@@ -40,6 +42,8 @@
         "_deadline",
         "_encoded",
         "_is_sent",
+        "_leave_timer",
+        "_leaves_after_ms",
         "_on_done",
         "_pool",
         "_timer",
@@ -58,8 +62,12 @@
         timeout_ms: float,
         keeps_connection: bool,
         on_done: Callable[[ClientReply], None],
+        leaves_after_ms: float = inf,
     ) -> None:
-        """`keeps_connection`: the client holds its connection after the reply and never uses it again."""
+        """`keeps_connection`: the client holds its connection after the reply and never uses it again.
+
+        `leaves_after_ms`: it closes its connection so long after the command, if there is no reply by then.
+        """
         self._pool = pool
         self.request_id = request_id
         self._command = command
@@ -71,6 +79,8 @@
         self._is_sent = False
         self._encoded = b""
         self._deadline = pool.clock.now() + timeout_ms
+        self._leaves_after_ms = leaves_after_ms
+        self._leave_timer: asyncio.TimerHandle | None = None
         self._timer = pool.clock.at(self._deadline + LISTENING_AFTER_TIMEOUT_MS, self._give_up)
 
     def start(self) -> None:
@@ -108,6 +118,16 @@
             now, pool.proxy, self.request_id, self._command.request_class, remaining_ms, self._encoded
         )
 
+        if self._leaves_after_ms < remaining_ms:
+            self._leave_timer = pool.clock.at(now + self._leaves_after_ms, self._leave)
+
+    def _leave(self) -> None:
+        if self.is_over or self.connection is None:
+            return
+        self._pool.rule_checker.on_client_left(self._pool.clock.now(), self.request_id)
+        self.finish(ClientReply(ClientOutcome.UNANSWERED))
+        self.connection.close()
+
     def _give_up(self) -> None:
         if self.is_over:
             return
@@ -124,4 +144,6 @@
         if not self.is_over:
             self.is_over = True
             self._timer.cancel()
+            if self._leave_timer:
+                self._leave_timer.cancel()
             self._on_done(reply)
--- a/lupinladder/emulator/cluster.py
+++ b/lupinladder/emulator/cluster.py
@@ -72,6 +72,8 @@
         self._rng = random_stream(scenario.seed, "fleet")
         self.nodes: dict[str, CacheNodeServer] = {}
         self.endpoints = EndpointList()
+        self.wall_step_ms = 0.0  # by which the machines' wall clock is ahead of the run's clock
+        self._since_ms: dict[str, int] = {}  # when each node started, by the wall clock as it was then
         self.on_change: Callable[[str], None] = lambda _what: None
         self._rule_checker = rule_checker
         self._proxy_zones = proxy_zones
@@ -108,13 +110,20 @@
     def open(self) -> None:
         """Start the servers that run when the run begins; they are in the list from the start."""
         self.origin.open()
-        zone = self.scenario.fleet.zones[ORIGIN_ZONE]
-        self.endpoints.put(ListedEndpoint(ORIGIN, zone, "origin", 0, EndpointStatus.ACTIVE, 0))
+        self.endpoints.put(self._origin_entry(0))
         for _ in range(self.scenario.fleet.nodes):
             node = self._make_node(self._next_zone(), starts_empty=False)
             self.endpoints.put(self.entry(node, EndpointStatus.ACTIVE))
         self.discovery.open()
 
+    def _origin_entry(self, since_ms: int) -> ListedEndpoint:
+        zone = self.scenario.fleet.zones[ORIGIN_ZONE]
+        return ListedEndpoint(ORIGIN, zone, "origin", 0, EndpointStatus.ACTIVE, since_ms)
+
+    def relist_origin(self) -> None:
+        """Announce a new start of the origin."""
+        self.announce(self._origin_entry(int(self.clock.now() + self.wall_step_ms)))
+
     def _next_zone(self) -> int:
         self._nodes_placed += 1
         return self._nodes_placed % len(self.scenario.fleet.zones)
@@ -177,6 +186,7 @@
         server.open()
         server.on_overload_crash = lambda: self._on_overload_crash(server)
         self._shared_data.nodes[name] = core
+        self._since_ms[name] = int(core.started + self.wall_step_ms) if core.started else 0
         self.nodes[name] = server
         if starts_empty:
             self._rule_checker.on_server_started(now, name, config.cold_s * 1000, core.queue.capacity)
@@ -186,7 +196,7 @@
         """The list's entry of a node."""
         core = node.core
         zone = self.scenario.fleet.zones[core.zone]
-        return ListedEndpoint(core.name, zone, NODE_TYPE, core.zone, status, int(core.started))
+        return ListedEndpoint(core.name, zone, NODE_TYPE, core.zone, status, self._since_ms[core.name])
 
     def addresses(self, proxy: int) -> dict[str, str]:
         """Where this proxy reaches each server, by name."""
--- a/lupinladder/emulator/effect_checker.py
+++ b/lupinladder/emulator/effect_checker.py
@@ -19,7 +19,8 @@
     def check_attempt(self, now: float, request: ObservedRequest, attempt: ObservedAttempt) -> None:
         """Check an attempt that is not yet among those of the request."""
         outcome = request.outcome
-        is_finished = outcome is not None and outcome is not RequestOutcome.EXCUSED
+        has_own_limit = outcome in (RequestOutcome.EXCUSED, RequestOutcome.LEFT)
+        is_finished = outcome is not None and not has_own_limit
         if is_finished and now > request.ended_at + self._slack_ms:
             self._report(now, request, f"sent after it was {outcome}", attempt)
         earlier = request.first_attempt_with_effect()
--- a/lupinladder/emulator/environment_faults.py
+++ b/lupinladder/emulator/environment_faults.py
@@ -26,6 +26,8 @@
             "list-move": self._move_discovery,
             "slow-origin": self._slow_origin,
             "zone-delay": self._delay_zone,
+            "relist-origin": self._relist_origin,
+            "clock-step": self._step_wall_clock,
         }
 
     async def _mark_hot_key(self, fault: FaultConfig) -> None:
@@ -63,6 +65,17 @@
         queue.slowdown /= fault.size
         self._context.mark("origin as before")
 
+    async def _relist_origin(self, _fault: FaultConfig) -> None:
+        """The list names another start of the origin; its process and its connections run on."""
+        self._cluster.relist_origin()
+
+    async def _step_wall_clock(self, fault: FaultConfig) -> None:
+        """The wall clock of all machines is stepped by `size` seconds."""
+        system = self._context.proxies.system
+        assert system
+        system.step_wall_clock(fault.size * 1000)
+        self._cluster.wall_step_ms += fault.size * 1000
+
     async def _delay_zone(self, fault: FaultConfig) -> None:
         """The paths between a zone and the others take `size` seconds more."""
         zone = self._cluster.scenario.fleet.zones.index(fault.zone)
--- a/lupinladder/emulator/load_generator.py
+++ b/lupinladder/emulator/load_generator.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 
 import numpy as np
 
@@ -76,7 +77,21 @@
         value = WRITE_VALUE if request_class.write else b""
         command = ClientCommand(arrival.request_class, arrival.key, labels, value)
         pool = self._pools[self._selector.pick(arrival.zone)]
-        ClientAttempt(pool, request_id, command, timeout_ms, arrival.keeps_connection, on_done).start()
+        ClientAttempt(
+            pool,
+            request_id,
+            command,
+            timeout_ms,
+            arrival.keeps_connection,
+            on_done,
+            self._draw_leaving(timeout_ms),
+        ).start()
+
+    def _draw_leaving(self, timeout_ms: float) -> float:
+        """Draw after how many ms the client leaves; infinity if it waits."""
+        if not self.config.leave or self._rng.random() >= self.config.leave:
+            return inf
+        return float(self._rng.uniform(0, timeout_ms))
 
     def draw_backoff(self) -> float:
         """Draw how long a client waits before a retry, in ms."""
--- a/lupinladder/emulator/managed_proxy.py
+++ b/lupinladder/emulator/managed_proxy.py
@@ -33,6 +33,8 @@
     process: asyncio.subprocess.Process | None = None
     starts: int = 0
     expected_end: bool = False
+    is_ready: bool = False  # the process has answered PING
+    needs_reload: bool = False  # its file was replaced before it was ready
     usage: list[Usage] = field(default_factory=list)
     cpu_before: float = 0.0  # seconds, of its earlier processes
 
--- a/lupinladder/emulator/observed_request.py
+++ b/lupinladder/emulator/observed_request.py
@@ -27,6 +27,7 @@
     REJECTED = "refused"
     FAILED = "failed"
     ABANDONED = "gone"  # the client gave up
+    LEFT = "left"  # the client closed its connection before its time
     EXCUSED = "excused"  # the emulator stopped the proxy: no answer was owed
 
 
--- a/lupinladder/emulator/proxies.py
+++ b/lupinladder/emulator/proxies.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -19,6 +20,7 @@
 from lupinladder.emulator.proxy_settings import settings
 from lupinladder.emulator.rule_checker import RuleChecker
 from lupinladder.emulator.scenario import Scenario
+from lupinladder.emulator.system_faults import STATE_VARIABLE, SystemFaults
 from lupinladder.errors import LupinladderError
 
 HOST = "127.0.0.1"
@@ -27,6 +29,7 @@
 MAX_DEADLINE_S = 3.0  # a stop waits no longer than this for requests in progress
 STOP_MARGIN_S = 0.7  # beyond the longest deadline, until SIGKILL follows SIGTERM
 END_TIMEOUT_S = 5.0  # the same at the end of a run
+RELOAD_DELAY_MS = 1000.0  # SIGHUP never comes within the first second (LATER)
 STORE_INTERVAL_MS = 250
 CPU_CORES = 1.0
 PING = b"*1\r\n$4\r\nPING\r\n"
@@ -65,6 +68,9 @@
             Managed(number, number % zones, (HOST, free_port()), (HOST, free_port()), folder)
             for number in range(scenario.proxies.count)
         ]
+        self.system: SystemFaults | None = None
+        if scenario.proxies.faulty_system:
+            self.system = SystemFaults(folder / "system.json")
         self._watchers: set[asyncio.Task[None]] = set()
         self.on_up: Callable[[int], object] = _ignore
 
@@ -96,7 +102,10 @@
         config_path = self.write(proxy)
         proxy.starts += 1
         proxy.expected_end = False
-        command = self._scenario.proxies.command or [sys.executable, "-m", "lupinladder"]
+        proxy.is_ready = False
+        proxy.needs_reload = False
+        module = "lupinladder.emulator.faulty_system" if self.system else "lupinladder"
+        command = self._scenario.proxies.command or [sys.executable, "-m", module]
         environment = self._environment(proxy, config_path)
         with proxy.log_path.open("ab") as log:
             proxy.process = await asyncio.create_subprocess_exec(
@@ -106,6 +115,9 @@
         self._watchers.add(watcher)
         watcher.add_done_callback(self._watchers.discard)
         await self._wait_until_ready(proxy)
+        proxy.is_ready = True
+        if proxy.needs_reload:
+            self._clock.at(self._clock.now() + RELOAD_DELAY_MS, partial(self.hup, proxy))
         self._rule_checker.proxy_up(self._clock.now(), proxy.number)
         self.on_up(proxy.number)
 
@@ -116,6 +128,8 @@
             "GW_NAME": f"n{proxy.number}",
             "GW_LISTEN": proxy.address,
         }
+        if self.system:
+            environment[STATE_VARIABLE] = str(self.system.path)
         if self._scenario.proxies.store:
             environment["LUPINLADDER_OPERATOR"] = str(_operator_file(proxy.folder))
         return environment
@@ -174,10 +188,14 @@
             process.send_signal(signal.SIGCONT)
 
     def hup(self, proxy: Managed) -> None:
-        """Write the configuration anew and send SIGHUP."""
+        """Write the configuration anew and send SIGHUP, or when the proxy is ready if it is not (LATER)."""
         self.write(proxy)
-        if proxy.running:
+        if not proxy.running:
+            return
+        if proxy.is_ready:
             proxy.running.send_signal(signal.SIGHUP)
+        else:
+            proxy.needs_reload = True
 
     async def term(self, proxy: Managed) -> None:
         """Send SIGTERM and wait for the end; SIGKILL follows no sooner than the longest deadline later."""
--- a/lupinladder/emulator/proxy_faults.py
+++ b/lupinladder/emulator/proxy_faults.py
@@ -23,12 +23,15 @@
         self._context = context
         self._proxies = context.proxies
         self._clock = context.clock
+        self._being_restarted = set[int]()  # by another fault, which also starts them again
 
     def handlers(self) -> dict[str, FaultHandler]:
         """The handlers, by kind of fault."""
         return {
             "kill": self._kill,
             "term": self._restart,
+            "term-many": self._restart_many,
+            "failing-calls": self._fail_calls,
             "hup": self._reload,
             "connections": self._open_silent_connections,
             "rolling-restart": self._restart_all,
@@ -37,13 +40,15 @@
         }
 
     def _pick_proxies(self, share: float) -> list[Managed]:
-        """Draw this share of the proxies, at least one."""
+        """Draw this share of the proxies, at least one, less those that another fault restarts."""
         proxies = self._proxies.all
         count = max(1, round(share * len(proxies)))
-        return [proxies[n] for n in self._context.rng.permutation(len(proxies))[:count]]
+        picked = [proxies[n] for n in self._context.rng.permutation(len(proxies))[:count]]
+        return [proxy for proxy in picked if proxy.number not in self._being_restarted]
 
     def _kill_process(self, proxy: Managed) -> None:
         """SIGKILL; the clients notice late."""
+        self._being_restarted.add(proxy.number)
         self._proxies.kill(proxy)
         noticed_at = self._clock.now() + DEATH_NOTICE_S * 1000
         self._clock.at(noticed_at, partial(self._notice_death, proxy))
@@ -54,11 +59,14 @@
 
     async def _start(self, proxy: Managed) -> None:
         await self._proxies.start(proxy)
+        self._being_restarted.discard(proxy.number)
         self._context.selector.alive[proxy.number] = True
 
     async def _kill(self, fault: FaultConfig) -> None:
         """SIGKILL to one proxy, which is started again after a while."""
         proxy = self._proxies.all[fault.proxy]
+        if proxy.number in self._being_restarted:
+            return
         self._kill_process(proxy)
         await asyncio.sleep(fault.for_s)
         await self._start(proxy)
@@ -99,6 +107,20 @@
         """Restart one proxy as planned."""
         await self._restart_gracefully(self._proxies.all[fault.proxy], fault.for_s)
 
+    async def _restart_many(self, fault: FaultConfig) -> None:
+        """Restart a part of the proxies as planned, all at once."""
+        stopped = self._pick_proxies(fault.part)
+        await asyncio.gather(*(self._restart_gracefully(proxy, fault.for_s) for proxy in stopped))
+
+    async def _fail_calls(self, fault: FaultConfig) -> None:
+        """A share of the system calls of all proxies fails or is cut short, for a while."""
+        system = self._proxies.system
+        assert system
+        system.fail_calls(fault.part)
+        await asyncio.sleep(fault.for_s)
+        system.fail_calls(0.0)
+        self._context.mark("calls succeed again")
+
     async def _restart_all(self, fault: FaultConfig) -> None:
         """Restart all proxies as planned, one after another."""
         for proxy in self._proxies.all:
@@ -106,6 +128,9 @@
 
     async def _restart_gracefully(self, proxy: Managed, away_s: float) -> None:
         """SIGTERM, new connections for a little longer, then a start under the same name."""
+        if proxy.number in self._being_restarted:
+            return
+        self._being_restarted.add(proxy.number)
         no_longer_chosen_at = self._clock.now() + SHUTDOWN_NOTICE_S * 1000
         self._clock.at(no_longer_chosen_at, partial(self._stop_choosing, proxy))
         await self._proxies.term(proxy)
--- a/lupinladder/emulator/rule_checker.py
+++ b/lupinladder/emulator/rule_checker.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
 
@@ -27,6 +28,9 @@
 GRACE = 20.0  # ms beyond the client's deadline within which a reply is in time
 DRAIN_GRACE_MS = 1500.0  # after discovery's word, for requests to a server that leaves
 SHUTDOWN_GRACE_MS = 700.0  # after SIGTERM, for which requests that arrive must still be answered
+CLIENT_LEFT_GRACE_MS = 100.0  # after a close, within which an attempt may still begin
+TOLD_DEADLINE_SLACK_MS = 150.0  # by which the deadline that a server is told may be too long
+TOLD_DEADLINE = re.compile(rb"c=[!-~]*?,d=([0-9]+)")  # among the labels of a command
 SWEEP_MARGIN_MS = 100.0  # beyond the last moment for a reply, until a request counts as unanswered
 FINISHED_KEPT_MS = 20_000.0  # for which a finished request is remembered
 
@@ -129,7 +133,7 @@
     def on_answer(self, now: float, ident: bytes, answer: str, value: bytes, raw: bytes) -> None:
         """A client has read a complete answer, `answer` being served, refused or failed."""
         request = self._requests.get(ident)
-        if request is None or request.outcome is RequestOutcome.ABANDONED:
+        if request is None or request.outcome in (RequestOutcome.ABANDONED, RequestOutcome.LEFT):
             return
         if request.outcome is not None and not self._was_under_way(now, request):
             self._report_lost(now, request, f"a second final answer after {request.outcome}", raw)
@@ -163,6 +167,13 @@
         if request and request.outcome is None:
             self._end_unanswered(now, request)
 
+    def on_client_left(self, now: float, ident: bytes) -> None:
+        """The client has closed its connection before its time: nothing is owed, and nothing may begin."""
+        request = self._requests.get(ident)
+        if request and request.outcome is None:
+            request.end(RequestOutcome.LEFT, now)
+            self.counts["left"] += 1
+
     def on_unexpected_bytes(self, now: float, proxy: int, last: bytes, raw: bytes) -> None:
         """A client has read bytes on a connection without an open request; `last` is the last one's id."""
         self.log.add(Rule.ONE_ANSWER, now, proxy, last, "bytes that no request was owed", raw)
@@ -209,10 +220,29 @@
             description = f"sent to {server} though no client asked it"
             self.log.add(Rule.NO_DUPLICATE_EFFECT, now, proxy, ident, description, raw)
             return attempt
+        self._check_client_is_there(now, request, attempt)
+        self._check_told_deadline(now, request, attempt)
         self._effects.check_attempt(now, request, attempt)
         request.attempts.append(attempt)
         return attempt
 
+    def _check_client_is_there(self, now: float, request: ObservedRequest, attempt: ObservedAttempt) -> None:
+        if request.outcome is not RequestOutcome.LEFT:
+            return
+        since_left = now - request.ended_at
+        if since_left > CLIENT_LEFT_GRACE_MS + SLACK:
+            description = f"sent to {attempt.server} {since_left:.0f} ms after its client had left"
+            self._report_lost(now, request, description, attempt.raw)
+
+    def _check_told_deadline(self, now: float, request: ObservedRequest, attempt: ObservedAttempt) -> None:
+        told = TOLD_DEADLINE.search(attempt.raw)
+        if told is None or request.outcome is RequestOutcome.EXCUSED:
+            return
+        time_left = max(request.deadline - now, 0.0)
+        if int(told[1]) > time_left + TOLD_DEADLINE_SLACK_MS + SLACK:
+            description = f"tells {attempt.server} {int(told[1])} ms, {time_left:.0f} are left"
+            self._report_lost(now, request, description, attempt.raw)
+
     def on_server_reply(
         self, now: float, ident: bytes, attempt: ObservedAttempt, word: str, value: bytes = b""
     ) -> None:
--- a/lupinladder/emulator/scenario.py
+++ b/lupinladder/emulator/scenario.py
@@ -106,6 +106,7 @@
     sockets: int = 1024
     command: list[str] = msgspec.field(default_factory=list)  # empty: this program
     store: bool = False  # each keeps one over its restarts
+    faulty_system: bool = False  # they run on machines whose clocks and calls the faults can spoil
     # The endpoints in a proxy's configuration: as they are, as the run began, or the origin alone.
     known: Literal["now", "first", "none"] = "now"
 
@@ -144,6 +145,7 @@
     backoff_ms: float = 50.0
     honour: float = 1.0  # share of clients that wait as long as a rejection says
     try_share: tuple[float, float] = (0.8, 1.0)  # of the deadline, until a client gives up one attempt
+    leave: float = 0.0  # share of attempts whose client closes its connection before its time is over
     keys: int = 20_000
     zipf: float = 1.0
     offset: float = 5.0
@@ -168,7 +170,8 @@
     kind: Literal[
         "deploy", "shrink", "grow", "hot-key", "late-list", "list-down", "list-move", "silent", "reset",
         "garble", "slow-origin", "zone-delay", "kill", "term", "hup", "connections", "rolling-restart",
-        "pauses", "neighbour", "kill-many", "freeze",
+        "pauses", "neighbour", "kill-many", "freeze", "term-many", "relist-origin", "failing-calls",
+        "clock-step",
     ]  # fmt: skip
     at: float
     for_s: float = 5.0
--- a/lupinladder/emulator/scenario_constraints.py
+++ b/lupinladder/emulator/scenario_constraints.py
@@ -58,8 +58,9 @@
         ("fleet.cores", scenario.fleet.cores, 0.01, 256),
         ("fleet.slots", scenario.fleet.slots, 1, 10_000),
         ("fleet.cold_share", scenario.fleet.cold_share, 0.01, 1),
-        ("proxies.count", scenario.proxies.count, 1, 16),
+        ("proxies.count", scenario.proxies.count, 1, 64),
         ("clients.connections", scenario.clients.connections, 1, 20_000),
+        ("clients.leave", scenario.clients.leave, 0, 1),
         ("clients.hits", scenario.clients.hits, 0, 0.999),
         ("clients.keys", scenario.clients.keys, 1, 5_000_000),
         ("origin.work_ms", scenario.origin.work_ms, 0.1, 10_000),
@@ -105,6 +106,8 @@
     if fault.kind == "zone-delay":
         zones = scenario.fleet.zones
         _require(fault.zone in zones, f"{path}.zone", f"expected one of {', '.join(zones)}")
+    if fault.kind in ("failing-calls", "clock-step"):
+        _require(scenario.proxies.faulty_system, f"{path}.kind", "it needs proxies.faulty_system")
     if fault.kind == "kill-many" and fault.how:
         _require_one_of(f"{path}.how", fault.how, STORES)
     if fault.kind == "garble" and fault.how:
--- a/tests/emulator/test_rule_checker.py
+++ b/tests/emulator/test_rule_checker.py
@@ -29,10 +29,15 @@
         )
 
     def server_receives(
-        self, now: float, request_id: str, server: str = "s1", first: float | None = None
+        self,
+        now: float,
+        request_id: str,
+        server: str = "s1",
+        first: float | None = None,
+        raw: bytes = b"raw",
     ) -> ObservedAttempt:
         return self.checker.on_command_received(
-            now, now if first is None else first, 0, server, request_id.encode(), b"raw"
+            now, now if first is None else first, 0, server, request_id.encode(), raw
         )
 
     def server_replies(
@@ -49,6 +54,28 @@
         self.client_reads(now + 9, request_id)
 
 
+def sent_after_its_client_left(observed: Observations) -> None:
+    observed.client_sends(0, "a")
+    observed.checker.on_client_left(100, b"a")
+    observed.server_receives(100 + 160, "a")
+
+
+def sent_as_its_client_left(observed: Observations) -> None:
+    observed.client_sends(0, "a")
+    observed.checker.on_client_left(100, b"a")
+    observed.server_receives(100 + 140, "a")
+
+
+def told_more_time_than_is_left(observed: Observations) -> None:
+    observed.client_sends(0, "a")  # 500 ms
+    observed.server_receives(100, "a", raw=b"c=read,t=x,d=601,size=3")
+
+
+def told_the_time_that_is_left(observed: Observations) -> None:
+    observed.client_sends(0, "a")
+    observed.server_receives(100, "a", raw=b"c=read,t=x,d=599,size=3")
+
+
 def answered_twice(observed: Observations) -> None:
     observed.request_served(0, "a")
     observed.client_reads(20, "a")
@@ -221,6 +248,10 @@
     ("overloaded by a proxy that was never told of it", warming_server_loaded(950, False), []),
     ("the origin failed under other load", origin_failed(0.2), []),
     ("the origin failed under misses of warming servers", origin_failed(0.4), ["cold"]),
+    ("sent after its client left", sent_after_its_client_left, ["lost"]),
+    ("sent as its client left", sent_as_its_client_left, []),
+    ("told more time than is left", told_more_time_than_is_left, ["lost"]),
+    ("told the time that is left", told_the_time_that_is_left, []),
 ]
 
 
--- a/tests/emulator/test_runs.py
+++ b/tests/emulator/test_runs.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import sys
+import tempfile
+from pathlib import Path
 from typing import Any
 from unittest import SkipTest, TestCase, mock
 
 from lupinladder.emulator import report, run
+from lupinladder.emulator.proxy_alarms import read_alarms
 from lupinladder.emulator.run import LATE_MESSAGE
 from lupinladder.emulator.run_result import RunResult
 from lupinladder.emulator.scenario import FaultConfig, LoadPhase, MisbehavingClientsConfig, Scenario
+from lupinladder.emulator.soak_plan import make_scenario
 
 MAX_VOID_RUNS = 4  # in which the machine, not the proxy, was late
 
@@ -24,11 +28,11 @@
     return played
 
 
-def outcome_of(played: Scenario) -> RunResult:
+def outcome_of(played: Scenario, folder: Path | None = None) -> RunResult:
     """The result of the first run that is not void. If the machine was late in all of them nothing is known
     of the proxy, and the test skips. A fault of the emulator's own is a failure."""
     for _ in range(MAX_VOID_RUNS):
-        outcome = run.play(played)
+        outcome = run.play(played, folder)
         if not outcome.void:
             return outcome
     if outcome.void.startswith(LATE_MESSAGE.partition("{")[0]):
@@ -127,6 +131,18 @@
                     self.assertGreater(sum(tree["hostile"]["owed"].values()), 30)
 
 
+class Soak(TestCase):
+    """A short stretch of the soak; `lupinladder emulator soak` plays it at length."""
+
+    def test_overlapping_troubles_break_no_rule_and_no_invariant(self) -> None:
+        played = make_scenario(seed=3, proxies=6, seconds=9)
+        with tempfile.TemporaryDirectory() as folder:
+            outcome = outcome_of(played, Path(folder))
+            alarms = read_alarms((proxy.log_path for proxy in outcome.proxies), stops_processes=True)
+        self.assertEqual(([str(one) for one in outcome.broken], alarms), ([], []))
+        self.assertGreater(outcome.counts["served"], outcome.counts["taken"] / 2)
+
+
 class PlantedFaults(TestCase):
     """A proxy with a planted fault is found out, by the rule that it breaks."""
 
--- /dev/null
+++ b/tests/emulator/test_system_faults.py
@@ -0,0 +1,52 @@
+"""A machine whose clock is stepped and whose calls fail, as the emulator plays it."""
+
+from __future__ import annotations
+
+import socket
+import tempfile
+import time
+from pathlib import Path
+from unittest import TestCase
+
+from lupinladder.emulator.faulty_system import FaultySystem, faulty_socket_class
+from lupinladder.emulator.system_faults import SystemFaults, SystemState, read_state
+
+
+class Machine(TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.faults = SystemFaults(Path(folder.name) / "system.json")
+        self.system = FaultySystem(self.faults.path)
+
+    def look_again(self) -> None:
+        self.system._looked_at = float("-inf")
+
+    def test_the_wall_clock_is_stepped_and_real_time_is_not(self) -> None:
+        self.assertAlmostEqual(self.system.wall_clock(), time.time(), delta=1)
+        self.faults.step_wall_clock(-3_600_000)
+        self.faults.step_wall_clock(5000)
+        self.look_again()
+        self.assertAlmostEqual(self.system.wall_clock(), time.time() - 3595, delta=1)
+
+    def test_calls_fail_or_are_cut_short_while_the_emulator_says_so(self) -> None:
+        near, far = socket.socketpair()
+        self.addCleanup(near.close)
+        self.addCleanup(far.close)
+        faulty = faulty_socket_class(self.system)(fileno=near.detach())
+        self.addCleanup(faulty.close)
+        self.assertEqual(faulty.send(b"x" * 1000), 1000)
+        self.faults.fail_calls(1.0)
+        self.look_again()
+        with self.assertRaises(OSError):
+            faulty.send(b"x" * 1000)
+        with self.assertRaises(OSError):
+            faulty_socket_class(self.system)()
+        self.faults.fail_calls(0.0)
+        self.look_again()
+        self.assertEqual(faulty.send(b"x" * 1000), 1000)
+
+    def test_a_state_that_cannot_be_read_is_that_of_a_sound_machine(self) -> None:
+        self.faults.path.write_bytes(b"{")
+        self.assertEqual(read_state(self.faults.path), SystemState())
+        self.assertEqual(read_state(self.faults.path / "none"), SystemState())
