--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -42,6 +42,17 @@
                 answer = reader.finish()
                 self.assertEqual(bytes(answer.body) if answer else None, b"VALUE" if whole else None)
 
+    def test_the_body_before_does_not_count_as_headers_of_the_next_response(self) -> None:
+        reader = http.ResponseReader(1 << 20)
+        body = b"x" * (http.MAX_HEADER_BYTES + 1)
+        large = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+        head, rest = b"HTTP/1.1 200 OK\r\nContent-", b"Length: 1\r\n\r\nV"
+        for first in ([large], [large[:100], large[100:]], [large + head]):
+            self.assertEqual(sum(len(reader.feed(piece)) for piece in first), 1)
+            if not first[-1].endswith(head):
+                self.assertEqual(reader.feed(head), [])
+            self.assertEqual([bytes(one.body) for one in reader.feed(rest)], [b"V"])
+
     def test_what_was_whole_before_the_noise_is_returned(self) -> None:
         whole = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nV"
         for data, answers, idle in (
--- a/tests/store/test_file_store.py
+++ b/tests/store/test_file_store.py
@@ -129,6 +129,43 @@
             self.events.clear()
             self.path.unlink()
 
+    def test_what_a_failed_flush_held_is_written_by_the_next_one_and_at_the_close(self) -> None:
+        for ends in ("flush", "close"):
+            file_system = FaultyFileSystem(error_number=errno.EIO)
+            store = self.open(file_system)
+            self.fill(store, 1, 0.0)
+            file_system.steps = 0
+            self.fill(store, 2, 2000.0)
+            file_system.steps = UNLIMITED  # the disk is sound again, and nothing new is put
+            if ends == "flush":
+                store.flush(9000.0)
+                self.assertEqual(set(versions(self.read())), {2.0})
+            store.close(9000.0)
+            self.assertEqual(set(versions(self.read())), {2.0}, ends)
+            self.path.unlink()
+
+    def test_a_close_that_fails_ends_the_descriptor_all_the_same(self) -> None:
+        closed = list[int]()
+
+        class FailingClose(FaultyFileSystem):
+            def close(self, descriptor: int) -> None:
+                super().close(descriptor)  # as on Linux: the number is free, whatever is returned
+                closed.append(descriptor)
+                if len(closed) == 1:
+                    raise OSError(errno.EIO, "at close")
+
+        store = self.open(FailingClose(), limits=StoreLimits(bytes=1 << 20))
+        for version in range(1, 400):  # the file is written anew more than once
+            self.fill(store, version, version * 1000.0)
+            if len(closed) >= 2:
+                break
+        self.assertEqual(len(closed), 2)
+        kept = os.open(self.path, os.O_RDONLY)  # takes the number that is free
+        self.addCleanup(os.close, kept)
+        store.close(1e9)
+        self.assertNotIn(kept, closed[2:])
+        self.assertEqual(len(set(versions(self.read()))), 1)
+
 
 class DamagedFile(StoreScene):
     def test_the_valid_part_of_a_damaged_store_is_used_and_the_damage_is_reported(self) -> None:
