Count header bytes by response, and write what a failed flush held though nothing new is put

Cause: (1) `_bytes_since_headers` went on through the body, so the second of two reads of the next response's headers was refused after any body over 32 KiB (RESET; a write that had run was failed, a read repeated). (2) Store.flush returned at once while nothing was pending, also at close, though the failed append had taken the records out of `_pending`. (3) A close(2) that fails frees the number all the same; the store kept it, and the next rewrite would have closed whatever had got it meanwhile, a client's socket for example; a failed close after a failed write hid the first error. Change: bytes count while a response's headers are coming in; a file that is not whole is work; the descriptor is let go before its close, whose error is reported (store_close_failed).

--- a/lupinladder/net/http.py
+++ b/lupinladder/net/http.py
@@ -52,7 +52,7 @@
         self._completed = list[HttpResponse]()
         self._error_reason: str | None = None  # why nothing more can be read
         self._header_count = 0
-        self._bytes_since_headers = 0  # bytes fed since the last headers were whole
+        self._header_bytes = 0  # bytes fed since a response began whose headers are not whole
         self._has_length = False  # the headers tell where the body ends
         self._ends_with_connection = False  # the end of the connection alone tells where the body ends
         self._parser = httptools.HttpResponseParser(self)
@@ -83,9 +83,11 @@
             if self._error_reason is None:
                 self._parser.feed_data(data)
             # Of a header line that never ends the parser would keep every byte.
-            self._bytes_since_headers += len(data)
             in_headers = not self.is_idle and not self.current.status
-            if in_headers and self._bytes_since_headers > MAX_HEADER_BYTES:
+            # Which of these bytes belong to a response behind one that they complete is not known.
+            counts = in_headers and not self._completed
+            self._header_bytes = self._header_bytes + len(data) if counts else 0
+            if self._header_bytes > MAX_HEADER_BYTES:
                 self._error_reason = "the headers do not end"
         except httptools.HttpParserCallbackError as error:
             self._error_reason = str(error.__context__ or error)
@@ -118,7 +120,6 @@
         """All header lines are whole."""
         response = self.current
         response.status = self._parser.get_status_code()
-        self._bytes_since_headers = 0
         if response.status == HTTPStatus.SWITCHING_PROTOCOLS:
             reason = "it switches protocols"
             raise HttpError(reason)
--- a/lupinladder/store/file_store.py
+++ b/lupinladder/store/file_store.py
@@ -121,7 +121,8 @@
         bounds how many do.
         """
         self._budget.refill(now)
-        if not self._pending or self._budget.is_exhausted:
+        has_work = self._pending or not self._file_is_whole  # what a failed write held is owed still
+        if not has_work or self._budget.is_exhausted:
             return 0
         if not self._file_is_whole or self._file_size > 2 * self._snapshot_size + MAX_APPENDED_BYTES:
             return self._rewrite()
@@ -131,11 +132,21 @@
         """Write what waits, up to the largest burst of the rate, and release the lock."""
         self._budget.grant(self._limits.bytes, now)
         self.flush(now)
-        if self._file != NOT_OPEN:
-            self._file_system.close(self._file)
-            self._file = NOT_OPEN
+        former_file = self._file
+        self._file = NOT_OPEN
+        self._close_file(former_file)
         self._file_system.close(self._lock)
 
+    def _close_file(self, descriptor: int) -> None:
+        """Close a descriptor that may be none. Its number is free afterwards, also when close(2) fails: what
+        it held is in the file that has taken its place, or is written anew."""
+        if descriptor == NOT_OPEN:
+            return
+        try:
+            self._file_system.close(descriptor)
+        except OSError as error:
+            self._report("store_close_failed", path=self._path, error=error.strerror)
+
     def _acquire_lock(self) -> int:
         try:
             return self._file_system.lock(self._path.with_name(self._path.name + ".lock"))
@@ -246,9 +257,9 @@
         except OSError as error:
             self._on_write_failed(error)
             return 0
-        if self._file != NOT_OPEN:
-            self._file_system.close(self._file)
+        former_file = self._file
         self._file = new_file
+        self._close_file(former_file)
         self._file_is_whole = True
         self._file_size = len(data)
         self._snapshot_size = len(data)
@@ -267,7 +278,7 @@
             if self._limits.sync:
                 self._file_system.sync_folder(self._path.parent)
         except OSError:
-            self._file_system.close(descriptor)
+            self._close_file(descriptor)
             raise
         return descriptor
 
