--- a/tests/balancing/test_balancer_failures.py
+++ b/tests/balancing/test_balancer_failures.py
@@ -248,6 +248,16 @@
     assert waits[3] > waits[1] and max(waits) < 10000
 
 
+def test_reloads_while_discovery_fails_add_no_calls() -> None:
+    conf = balancer_harness.settings(poll_endpoints=True, poll_interval=10000.0)
+    proxy = Proxy(Balancer(conf, 1, 0.0), conf)
+    for _ in range(5):  # each reload opens a watch at once, which fails like the one before
+        proxy.feed(EndpointUpdate(EndpointUpdateKind.FAILED))
+        proxy.advance(proxy.now + 10)
+    proxy.advance(proxy.now + 10_000)
+    assert proxy.follows == 1
+
+
 def test_a_lost_list_is_asked_for_in_time_whatever_the_settings_leave() -> None:
     def waits(failures: int, **told: object) -> list[float]:
         found = []
--- a/tests/net/test_client_connection.py
+++ b/tests/net/test_client_connection.py
@@ -250,6 +250,18 @@
         second.conn.send(get() + get(b"b"))
         self.until(lambda: sum(isinstance(e, RequestReceived) for e in self.script.events) == 4, "both")
 
+    def test_an_id_is_let_go_once_and_not_again_when_its_former_connection_ends(self) -> None:
+        self.script.react = lambda event: [Reject(2)] if isinstance(event, TimerFired) else []
+        first = self.client(get() + get(b"b"))
+        self.until(lambda: len(self.script.events) == 2, "both requests")
+        self.engine.notify(TimerFired(1))  # b has its reply, which waits for that to a
+        second = self.client(get(b"b"))
+        self.until(lambda: len(self.script.events) == 4, "b once more")
+        first.reset()
+        self.until(lambda: len(self.front.clients) == 1, "the end of the first")
+        self.answers(self.client(get(b"b")), b"-ERR id is that of another open query\r\n")
+        second.conn.close()
+
 
 class Tenants(NetworkScene):
     TENANTS: ClassVar[list[str]] = ["a", "b"]
--- a/tests/net/test_client_listener.py
+++ b/tests/net/test_client_listener.py
@@ -83,6 +83,16 @@
         client.conn.close()
         self.until(lambda: self.front.is_finished, "the end of the shutdown")
 
+    def test_a_command_far_behind_others_is_read_before_its_idle_connection_is_closed(self) -> None:
+        echo = b"*2\r\n$4\r\nPING\r\n$11\r\n" + b"x" * 11 + b"\r\n"  # 32 bytes: reads end between two
+        client = self.client(PING)
+        self.answers(client, b"+PONG\r\n")
+        client.conn._sock.send(echo * 512 + get())
+        self.shut_down_at_once()
+        self.at_node().conn.send(SERVED)
+        self.until(lambda: client.ends, "the end")
+        self.assertTrue(client.got.endswith(b"$1\r\nV\r\n"))
+
     def test_the_only_proxy_serves_on_after_its_signal_and_finally_says_when_to_retry(self) -> None:
         client = self.client(PING)
         self.answers(client, b"+PONG\r\n")
