Poll for the list once at a time after failures, and let a request's id go once

Cause: each FAILED update set one more timer for a poll, also when a reload had opened a watch between: with k reloads while discovery fails, k + 1 cycles of calls ran side by side until one succeeded. An id was discarded with its reply and again when its connection ended, by which time another connection might have it open. Change: only the poll set last is made; a reply's id is cleared when it is let go.

--- a/lupinladder/balancing/event_dispatcher.py
+++ b/lupinladder/balancing/event_dispatcher.py
@@ -45,6 +45,7 @@
         self.actions = list[Action]()
         self.timers = TimerRegistry()
         self.poller = EndpointPoller(settings, pool.random)
+        self._polls_set = 0
         self.open_requests = dict[int, RequestState]()  # by id, until the last attempt has ended
 
     @property
@@ -135,10 +136,15 @@
                 self.slots.assign(endpoints.slot_owners)
 
     def _poll_endpoints_after(self, delay: float) -> None:
-        self.actions.append(self.timers.set(delay, self._poll_endpoints))
-
-    def _poll_endpoints(self) -> None:
-        self.actions.append(WatchEndpoints())
+        """Poll once after this delay, and not at the time that was set before: a reload may have had a poll
+        made between, and each failure would begin one more cycle of polls."""
+        self._polls_set += 1
+        number = self._polls_set
+        self.actions.append(self.timers.set(delay, lambda: self._poll_endpoints(number)))
+
+    def _poll_endpoints(self, number: int) -> None:
+        if number == self._polls_set:
+            self.actions.append(WatchEndpoints())
 
     def _on_deadline(self, state: RequestState) -> None:
         if not state.finished and not state.has_outstanding_attempt():
--- a/lupinladder/net/client_connection.py
+++ b/lupinladder/net/client_connection.py
@@ -189,7 +189,9 @@
 
     def _release_id(self, reply: PendingReply) -> None:
         """Allow the id again: its request has a reply, or nobody waits for one."""
-        self._listener.open_ids.discard(reply.request_id)
+        if reply.request_id:
+            self._listener.open_ids.discard(reply.request_id)
+            reply.request_id = b""  # once only: the id may be open again by the time its connection ends
 
     def flush(self) -> None:
         """Write the replies that are next in order, as far as the outbox has room, and go on from there."""
