--- a/tests/net/test_endpoint_parser.py
+++ b/tests/net/test_endpoint_parser.py
@@ -44,6 +44,8 @@
             {"name": 5},
             {"address": "127.0.0.1"},
             {"address": "127.0.0.1:0"},
+            {"address": "cache-1.example:6379"},  # a name would be looked up, and the loop stand still
+            {"address": "127.1:6379"},
             {"since_ms": "x"},
             {"since_ms": -1},
             {"since_ms": True},
--- a/tests/net/test_endpoint_watch.py
+++ b/tests/net/test_endpoint_watch.py
@@ -9,8 +9,9 @@
 from unittest import mock
 
 from lupinladder.balancing.events import EndpointUpdateKind
-from lupinladder.net.connection import READ
+from lupinladder.net.connection import READ, Connection
 from lupinladder.net.discovery import endpoint_watch
+from lupinladder.net.discovery.endpoint_watch import WATCH_SILENCE_TIMEOUT_MS
 from lupinladder.net.event_loop import EventLoop, WatchRank
 from tests.support.discovery_scene import STREAM_HEAD, DiscoveryScene, chunks, delta
 from tests.support.endpoint_lists import ENTRY, listing
@@ -89,6 +90,17 @@
         self.assertEqual(self.update_kinds(), ["FAILED"] * 3)
 
 
+class Unreachable(DiscoveryScene):
+    def test_a_call_whose_connection_does_not_come_up_is_given_up_before_it_counts_as_silent(self) -> None:
+        """One begun while discovery could not be reached may never come up, also when it can be again."""
+        with mock.patch.object(Connection, "_ready"):  # it stays as it is
+            self.registry.open_watch()
+            begun_at = self.loop.now()
+            self.until(lambda: self.updates, "the end of the call")
+        self.assertEqual(self.update_kinds(), ["FAILED"])
+        self.assertLess(self.loop.now() - begun_at, WATCH_SILENCE_TIMEOUT_MS / 2)
+
+
 class Stall(unittest.TestCase):
     """What the watch needs of the event loop after the process stood still."""
 
--- a/tests/net/test_state_persister.py
+++ b/tests/net/test_state_persister.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import tempfile
 from pathlib import Path
@@ -11,9 +12,11 @@
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
 from lupinladder.net.state_persister import StatePersister, StoreWriter, deployment_digest
-from lupinladder.operator_config.settings import StoreSettings
+from lupinladder.operator_config.settings import OperatorSettings, StoreSettings
+from lupinladder.proxy import Proxy
 from lupinladder.store import file_store, records
 from lupinladder.store.file_store import Store
+from lupinladder.store.file_system import FileSystem
 from lupinladder.store.records import EndpointListRecord, LimitRecord, SlotLoadRecord, StoreOwner
 from tests.support.endpoint_lists import ENTRY, configuration
 
@@ -79,6 +82,16 @@
         self.assertEqual(facts, expected)
 
 
+class UnusableStore(StoreScene):
+    def test_a_folder_that_takes_no_file_now_costs_the_store_and_not_the_start(self) -> None:
+        settings = OperatorSettings(store=StoreSettings(str(self.folder / "{name}.store")))
+        for number in (errno.ENOSPC, errno.EIO, errno.EROFS, errno.EDQUOT):
+            failing = mock.patch.object(FileSystem, "lock", side_effect=OSError(number, "for a while"))
+            with failing, mock.patch("lupinladder.proxy.ClientListener"):
+                proxy = Proxy(load_configuration(), settings)
+            self.assertIsNone(proxy._persister)
+
+
 class Writing(StoreScene):
     def test_records_are_written_and_the_store_is_closed(self) -> None:
         writer = StoreWriter(self.open(StoreOwner("n0", "site"), NOW), lambda: NOW)
