Give up a call for the list that does not connect, take no name for an address, start without a full disk

Cause: (1) a call begun while discovery was cut off may never come up; it was waited for 3.2 s, with the longest wait (3.2 s) and the call after it (2 s) 8.4 s from the return of discovery to the list, where a drain counts as told after 6 s and allows 1.5 s more. (2) An endpoint's address could be a name, and connect would look it up within the loop, which stands still for seconds meanwhile. (3) ENOSPC, EIO or a read-only disk at the store's lock file ended the start with exit 2. Change: 1.3 s for a connection to discovery (6.5 s in all); addresses of endpoints are IPv4 addresses, others are ignored as bad entries; a folder that takes no file now costs the store (store_unavailable), not the start. A folder that is missing or a store in use stays an error of the configuration.

--- a/lupinladder/net/discovery/endpoint_parser.py
+++ b/lupinladder/net/discovery/endpoint_parser.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -58,13 +59,23 @@
 
 
 def parse_address(text: str) -> Address:
-    """An IPv4 address with its port, `host:port`. Raises AddressError."""
+    """A host with its port, `host:port`. Raises AddressError."""
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
         raise AddressError(text)
     return host, int(port)
 
 
+def parse_ipv4_address(text: str) -> Address:
+    """An IPv4 address with its port. Raises AddressError, also for a name, as to look it up stops the loop."""
+    address = parse_address(text)
+    try:
+        socket.inet_pton(socket.AF_INET, address[0])
+    except OSError:
+        raise AddressError(text) from None
+    return address
+
+
 class EndpointParser:
     """Reads endpoint lists of one deployment, which names its zones and its types of servers."""
 
@@ -119,7 +130,7 @@
         if state is None or zone not in self._zones or server_type not in self._server_types:
             reason = "it is not of this deployment"
             raise EndpointError(reason)
-        address = parse_address(read_value(item, "address", str))
+        address = parse_ipv4_address(read_value(item, "address", str))
         endpoint = Endpoint(
             server,
             state,
--- a/lupinladder/net/discovery/endpoint_watch.py
+++ b/lupinladder/net/discovery/endpoint_watch.py
@@ -14,6 +14,9 @@
 # Time without a sign of life until a watch counts as dead; an empty line comes every 2 s. Whatever discovery
 # has to tell counts as told 6 s later, and asking again takes a wait and a call of up to 2 s.
 WATCH_SILENCE_TIMEOUT_MS = 3200.0
+# Time for its connection to come up: one begun while discovery is cut off may never do so, and with the
+# longest wait and the call after it (3.2 s and 2 s) the list is asked for anew in time after its return.
+WATCH_CONNECT_TIMEOUT_MS = 1300.0
 MAX_ENDPOINT_LIST_BYTES = 1 << 20  # of one JSON object
 
 
@@ -48,7 +51,8 @@
         self._connection = Connection.connect(loop, budget, address, self, WatchRank.ENDPOINT_LIST)
         path = f"/v1/endpoints?stream=1&index={version}"
         self._connection.send(encode_request("GET", path, format_address(address), {}, None))
-        self._restart_silence_timer()
+        connect_by = loop.now() + WATCH_CONNECT_TIMEOUT_MS
+        self._silence_timer = loop.call_at(connect_by, self._on_connect_timeout)
 
     def read_available(self) -> None:
         """Take in what discovery has written already: it counts as told."""
@@ -62,7 +66,11 @@
     # The connection calls the methods below; see `ConnectionHandler`.
 
     def on_connected(self) -> None:
-        """Nothing to do: the request is queued already."""
+        """The request, which is queued already, is written now."""
+        self._restart_silence_timer()
+
+    def _on_connect_timeout(self) -> None:
+        self._end("the connection did not come up")
 
     def on_written(self) -> None:
         """Nothing to do: the request is all that is written."""
--- a/lupinladder/net/state_persister.py
+++ b/lupinladder/net/state_persister.py
@@ -124,7 +124,10 @@
     _registry: EndpointRegistry
 
     def __init__(self, conf: ProxyConfig, settings: StoreSettings, now: float) -> None:
-        """Open the store and plan the start. ConfigError if the store cannot be used."""
+        """Open the store and plan the start.
+
+        Raises ConfigError if the store cannot be used, StoreUnavailableError if it cannot be just now.
+        """
         # The thread cannot ask the loop for the time: it reads a clock of its own, set to the loop's. Like
         # the loop's it is monotonic, or a step of the wall clock would stop the writing for as long.
         clock_offset_ms = now - time.monotonic() * 1000
@@ -223,11 +226,13 @@
 
 
 def _open_store(conf: ProxyConfig, settings: StoreSettings, now: float) -> file_store.Store:
-    """Open the proxy's store. ConfigError if it cannot be used."""
+    """Open the proxy's store. ConfigError if it cannot be used, StoreUnavailableError if it cannot be now."""
     path = Path(settings.path.replace("{name}", conf.name))
     owner = StoreOwner(conf.name, deployment_digest(conf))
     limits = file_store.StoreLimits(settings.bytes, settings.bytes_per_s, settings.sync)
     try:
         return file_store.Store(path, owner, now, log_event, limits)
+    except file_store.StoreUnavailableError:
+        raise
     except file_store.StoreError as error:
         raise ConfigError(str(error)) from None
--- a/lupinladder/proxy.py
+++ b/lupinladder/proxy.py
@@ -71,8 +71,13 @@
         if operator is None or operator.store is None:
             return None
         from lupinladder.net.state_persister import StatePersister
+        from lupinladder.store.file_store import StoreUnavailableError
 
-        return StatePersister(self._conf, operator.store, self.loop.now())
+        try:
+            return StatePersister(self._conf, operator.store, self.loop.now())
+        except StoreUnavailableError as error:  # what it would have restored is lost, and nothing else
+            log_event("store_unavailable", error=error)
+            return None
 
     def _start_dispatcher(self) -> None:
         """Give the balancer its first list: the stored one and what goes with it, or the platform's."""
--- a/lupinladder/store/file_store.py
+++ b/lupinladder/store/file_store.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 from pathlib import Path
 from typing import Protocol
 
@@ -22,6 +23,10 @@
 MAX_PEEK_BYTES = 64 << 20  # read of a file whose limit is not known
 MAX_APPENDED_BYTES = 1 << 16  # of records beyond twice a snapshot before the file is written anew
 MAX_STARTS = 8  # starts remembered, which shows a crash loop
+# A folder that fails so may do better a while later; others need a person.
+UNAVAILABLE_ERRORS = frozenset(
+    {errno.ENOSPC, errno.EDQUOT, errno.EIO, errno.EROFS, errno.ENFILE, errno.EMFILE, errno.ENOMEM}
+)
 NOT_OPEN = -1  # in place of a descriptor
 
 
@@ -34,6 +39,10 @@
         self.problem = problem
 
 
+class StoreUnavailableError(StoreError):
+    """The folder takes no file just now: the disk is full or fails."""
+
+
 class StoreNotFoundError(StoreError):
     """There is no file at the path."""
 
@@ -154,6 +163,8 @@
             problem = "another process uses this store"
             raise StoreError(self._path, problem, "give each proxy a file") from None
         except OSError as error:
+            if error.errno in UNAVAILABLE_ERRORS:
+                raise StoreUnavailableError(self._path, str(error.strerror)) from None
             advice = "the store needs a folder it may write to"
             raise StoreError(self._path, str(error.strerror), advice) from None
 
