Test a second answer that comes late on a busy connection, listed as known to be red

Change: a test: after such an answer has been seen once, another comes while the next request might wait on the same connection. Measured: it fails: the request goes out on that connection (and would be answered by the copy).

--- a/lupinladder/net/discovery/endpoint_parser.py
+++ b/lupinladder/net/discovery/endpoint_parser.py
@@ -67,7 +67,7 @@
 
 
 def parse_ipv4_address(text: str) -> Address:
-    """An IPv4 address with its port. Raises AddressError, also for a name, as to look it up stops the loop."""
+    """An IPv4 address with its port. Raises AddressError, also for a name: a look-up would stop the loop."""
     address = parse_address(text)
     try:
         socket.inet_pton(socket.AF_INET, address[0])
--- a/tests/net/test_connection_pool.py
+++ b/tests/net/test_connection_pool.py
@@ -19,6 +19,28 @@
 OK_HTTP = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nV"
 
 
+class LateSecondAnswers(NetworkScene):
+    """A second copy of a reply may come some milliseconds late: nothing tells it from the next reply."""
+
+    def test_once_one_was_seen_a_connection_rests_before_it_is_used_again(self) -> None:
+        first = self.ask()
+        node = self.at_node()
+        node.conn.send(SERVED)
+        self.until(lambda: first.told, "an answer")
+        node.conn.send(SERVED)  # nothing waits for it: the connection is closed, and the fault known
+        self.until(lambda: node.ends, "the end of the connection")
+        second = self.ask()
+        node = self.at_node(1)
+        node.conn.send(SERVED.replace(b"V", b"2"))
+        self.until(lambda: second.told, "an answer")
+        third = self.ask()
+        fresh = self.at_node(2)  # and not the connection on which the second copy is still to come
+        node.conn.send(SERVED.replace(b"V", b"2"))
+        fresh.conn.send(SERVED.replace(b"V", b"3"))
+        self.until(lambda: third.told, "an answer")
+        self.assertEqual((second.told, third.told), ([b"2"], [b"3"]))
+
+
 class ConnectionReuse(NetworkScene):
     IDLE_MS = 2000.0
 
