Rest connections between requests once a server has sent what nothing asked for

Cause: a connection went to its next request at once after a reply, the one used last first. A second copy of the reply that comes some milliseconds late is then taken for the reply to the next request, and its client is served what was not made for it. Not covered: the very first such answer of a process, if it comes while the next request is out; and bytes that lie unread when a connection is taken are no sign, as they can't be told from an end there.

--- a/lupinladder/net/connection_pool.py
+++ b/lupinladder/net/connection_pool.py
@@ -10,6 +10,7 @@
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
 from lupinladder.net.pending_request import Attempt
+from lupinladder.net.reuse_policy import ReusePolicy
 from lupinladder.net.send_guard import refuse_send
 from lupinladder.net.upstream_connection import UpstreamConnection
 from lupinladder.net.upstream_protocol import UpstreamProtocol
@@ -38,13 +39,16 @@
         idle_timeout_ms: float,
         connect_timeout_ms: float,
         max_attempts_per_connection: int,
+        reuse_policy: ReusePolicy | None = None,
     ) -> None:
-        """`idle_timeout_ms` is the time after which the server closes a connection that is idle."""
+        """`idle_timeout_ms` is the time after which the server closes a connection that is idle; all pools of a
+        proxy share one `reuse_policy`."""
         self.loop = loop
         self.budget = budget
         self.address = address
         self.protocol = protocol
         self.connect_timeout_ms = connect_timeout_ms
+        self.reuse_policy = reuse_policy or ReusePolicy()
         self._idle_timeout_ms = idle_timeout_ms * IDLE_TIMEOUT_FACTOR
         self._max_attempts_per_connection = max_attempts_per_connection
         self._idle: list[UpstreamConnection] = []  # the one used last at the end
@@ -98,6 +102,7 @@
         if self._retired_at is not None:
             connection.close(CloseReason.SERVER_RETIRED)
             return
+        connection.idle_since = self.loop.now()
         self._idle.append(connection)
         self.budget.idle_connections[connection] = None
         close_at = self.loop.now() + self._idle_timeout_ms
@@ -111,9 +116,9 @@
             self._idle.remove(connection)
 
     def _take_idle(self) -> UpstreamConnection | None:
-        """The idle connection that was used last and is still usable, now busy."""
-        while self._idle:
-            connection = self._idle.pop()
+        """The idle connection that was used last, has rested and is still usable, now busy."""
+        while (connection := self._last_rested()) is not None:
+            self._idle.remove(connection)
             self.budget.idle_connections.pop(connection, None)
             self.loop.cancel(connection.idle_timer)
             connection.idle_timer = None
@@ -125,6 +130,13 @@
             connection.close(CloseReason.SERVER_STALE)
         return None
 
+    def _last_rested(self) -> UpstreamConnection | None:
+        now = self.loop.now()
+        for connection in reversed(self._idle):
+            if self.reuse_policy.may_reuse(connection.idle_since, now):
+                return connection
+        return None
+
     def _open_or_share(self) -> UpstreamConnection | None:
         """A new connection, now busy, or while descriptors run short the least loaded one with room."""
         connection = self._open() if self._make_descriptor_available() else None
--- a/lupinladder/net/upstream_connection.py
+++ b/lupinladder/net/upstream_connection.py
@@ -44,6 +44,7 @@
         self.in_flight: deque[InFlightAttempt] = deque()
         self.reader = pool.protocol.create_reader()
         self.idle_timer: Timer | None = None
+        self.idle_since = 0.0  # when it had its last reply, in ms
         self.connection = Connection.connect(pool.loop, pool.budget, pool.address, self)
         metrics.upstream_connections_opened += 1
         connect_by = pool.loop.now() + pool.connect_timeout_ms
@@ -210,6 +211,7 @@
         the outbox still holds bytes, the reply came before its request was written.
         """
         if len(self.connection.inbox) or not self.reader.is_idle or len(self.connection.outbox):
+            self._pool.reuse_policy.record_excess(self._pool.loop.now())
             self._abort_as_invalid("bytes that nothing asked for")
         return self.connection.is_open
 
--- a/lupinladder/proxy.py
+++ b/lupinladder/proxy.py
@@ -18,6 +18,7 @@
 from lupinladder.net.metrics import metrics
 from lupinladder.net.origin_protocol import OriginProtocol
 from lupinladder.net.request_dispatcher import RequestDispatcher
+from lupinladder.net.reuse_policy import ReusePolicy
 from lupinladder.net.upstream_protocol import UpstreamProtocol
 
 if TYPE_CHECKING:  # imported only where an operator's file asks for them
@@ -40,6 +41,7 @@
         self.loop = EventLoop()
         self._budget = DescriptorBudget(conf.max_descriptors)
         self._persister = self._open_persister(operator)
+        self._reuse_policy = ReusePolicy()
         self._cache_node_protocol = CacheNodeProtocol(conf.settings.report_fields)
         self._registry = EndpointRegistry(
             self.loop,
@@ -104,6 +106,7 @@
             conf.idle_timeout_ms,
             conf.connect_timeout_ms,
             max(conf.streams_per_connection, 1),
+            self._reuse_policy,
         )
 
     def _log_metrics(self) -> None:
