--- a/lupinladder/net/connection_pool.py
+++ b/lupinladder/net/connection_pool.py
@@ -41,8 +41,10 @@
         max_attempts_per_connection: int,
         reuse_policy: ReusePolicy | None = None,
     ) -> None:
-        """`idle_timeout_ms` is the time after which the server closes a connection that is idle; all pools of a
-        proxy share one `reuse_policy`."""
+        """`idle_timeout_ms` is the time after which the server closes a connection that is idle.
+
+        All pools of a proxy share one `reuse_policy`.
+        """
         self.loop = loop
         self.budget = budget
         self.address = address
