Say why a request was rejected, failed or repeated, and log what changes around it

Counters told how many, not why: a rejection for want of an admitting server, of an origin and of another's fetch looked alike, and no line named a client's request. Tests: each reason by a case. test_proxy waits for a named event in place of the first line; what it asks of it is the same.

--- a/lupinladder/balancing/actions.py
+++ b/lupinladder/balancing/actions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 from math import inf
 
 from lupinladder.balancing.settings import ServerId
@@ -26,12 +27,25 @@
     attempt: int
 
 
+class AnswerReason(Enum):
+    """Why a request gets a final answer that is not served."""
+
+    NOT_ACCEPTED = "not_accepted"  # its id is open already, or its class is unknown
+    NO_SERVER_ADMITS = (
+        "no_server_admits"  # those asked are at their limits, ejected, or may not have it again
+    )
+    ORIGIN_CLOSED = "origin_closed"  # the origin is not listed, at its limit, or may not have it
+    ATTEMPT_FAILED = "attempt_failed"  # and a retry is not worth its work
+    FETCH_TOO_LONG = "fetch_too_long"  # it waited for another's fetch up to its deadline
+
+
 @dataclass(slots=True)
 class Reject:
     """Final answer: not served, and a retry does no harm."""
 
     request_id: int
     retry_after: float = 0.0
+    reason: AnswerReason = AnswerReason.NOT_ACCEPTED
 
 
 @dataclass(slots=True)
@@ -39,6 +53,7 @@
     """Final answer: not served, with no promise about effects."""
 
     request_id: int
+    reason: AnswerReason = AnswerReason.ATTEMPT_FAILED
 
 
 @dataclass(slots=True)
--- a/lupinladder/balancing/balancer.py
+++ b/lupinladder/balancing/balancer.py
@@ -8,6 +8,7 @@
 
 from math import inf, log
 
+from lupinladder.balancing.actions import AnswerReason
 from lupinladder.balancing.concurrency_limiter import MIN_WINDOW_SAMPLES, SPARSE_MIN_LIMIT, ConcurrencyLimiter
 from lupinladder.balancing.endpoint_table import EndpointTable
 from lupinladder.balancing.event_dispatcher import EventDispatcher
@@ -109,7 +110,7 @@
             left -= self.now >= server.ejected_until
             if not left or state.over_quota:
                 break
-        self.reject_or_fail(state)
+        self.reject_or_fail(state, AnswerReason.NO_SERVER_ADMITS)
 
     def _candidates(self, slot: int) -> tuple[list[Server], int]:
         """The servers to ask for this slot, in order, and how many of them own it."""
@@ -141,7 +142,7 @@
             fetch.waiting.append(state)
             self.hold_until_deadline(state)
         elif origin is None or not self._send(state, origin):
-            self.reject_or_fail(state)
+            self.reject_or_fail(state, AnswerReason.ORIGIN_CLOSED)
         elif key:
             self._fetches[key] = OriginFetch(state.attempts[-1])
 
@@ -179,7 +180,7 @@
         elif event.outcome is Outcome.REJECTED and not is_origin and not attempt.server.is_rejecting():
             self._route(state)  # it never ran and cost no work: not one of the few retries
         elif is_origin or not self._may_retry(event):
-            self.reject_or_fail(state)
+            self.reject_or_fail(state, AnswerReason.ATTEMPT_FAILED)
         else:
             self._retry_budget -= 1
             self._route(state)
@@ -190,9 +191,9 @@
         is_fetch = event.cache_result >= CacheResult.MISS
         return event.outcome is not Outcome.TIMEOUT and not is_fetch and self._retry_budget >= 1
 
-    def reject_or_fail(self, state: RequestState) -> None:
+    def reject_or_fail(self, state: RequestState, reason: AnswerReason) -> None:
         """The final answer: a rejection where that promise holds, else a failure."""
         if state.may_reject():
-            self.reject(state, min(self.settings.max_retry_after, self._objective / 4))
+            self.reject(state, min(self.settings.max_retry_after, self._objective / 4), reason)
         else:
-            self.fail(state)
+            self.fail(state, reason)
--- a/lupinladder/balancing/event_dispatcher.py
+++ b/lupinladder/balancing/event_dispatcher.py
@@ -7,7 +7,15 @@
 
 from abc import ABC, abstractmethod
 
-from lupinladder.balancing.actions import Action, Fail, LogMessage, Reject, StartAttempt, WatchEndpoints
+from lupinladder.balancing.actions import (
+    Action,
+    AnswerReason,
+    Fail,
+    LogMessage,
+    Reject,
+    StartAttempt,
+    WatchEndpoints,
+)
 from lupinladder.balancing.endpoint_poller import EndpointPoller
 from lupinladder.balancing.events import (
     AttemptEnded,
@@ -95,14 +103,14 @@
         if not state.has_outstanding_attempt():
             self.open_requests.pop(state.request.request_id, None)
 
-    def reject(self, state: RequestState, retry_after: float) -> None:
+    def reject(self, state: RequestState, retry_after: float, reason: AnswerReason) -> None:
         """Give the final answer that a retry does no harm."""
-        self.actions.append(Reject(state.request.request_id, retry_after))
+        self.actions.append(Reject(state.request.request_id, retry_after, reason))
         self.finish(state)
 
-    def fail(self, state: RequestState) -> None:
+    def fail(self, state: RequestState, reason: AnswerReason) -> None:
         """Give the final answer that promises nothing."""
-        self.actions.append(Fail(state.request.request_id))
+        self.actions.append(Fail(state.request.request_id, reason))
         self.finish(state)
 
     def start_attempt(self, state: RequestState, server: Server, start_by: float, is_fetch: bool) -> None:
@@ -148,7 +156,7 @@
 
     def _on_deadline(self, state: RequestState) -> None:
         if not state.finished and not state.has_outstanding_attempt():
-            self.reject_or_fail(state)
+            self.reject_or_fail(state, AnswerReason.FETCH_TOO_LONG)
 
     def _dispatch_request(self, event: RequestReceived) -> None:
         if not self.accepts(event.request_id, event.request_class):
@@ -187,5 +195,5 @@
         """What was known of a server before a restart."""
 
     @abstractmethod
-    def reject_or_fail(self, state: RequestState) -> None:
+    def reject_or_fail(self, state: RequestState, reason: AnswerReason) -> None:
         """Answer a request that gets no further attempt, or is held and at its deadline."""
--- a/lupinladder/net/client_listener.py
+++ b/lupinladder/net/client_listener.py
@@ -217,6 +217,7 @@
             self.loop.call_at(now + ACCEPT_RETRY_MS, self._stop_listening)
             return
         self._stopped = True
+        log_event("listener_closed", clients=len(self.clients))
         self.update_listening()
         self._sock.close()
         self.budget.used -= 1
--- a/lupinladder/net/discovery/endpoint_registry.py
+++ b/lupinladder/net/discovery/endpoint_registry.py
@@ -98,6 +98,7 @@
             return
         try:
             self._watch = EndpointWatch(self._loop, self._budget, self._discovery, self._version, self)
+            log_event("endpoint_watch_opened", version=self._version)
         except OSError as error:
             self.on_watch_failed(str(error))
 
@@ -183,6 +184,7 @@
         if registered is not None:
             if registered.is_current(endpoint, address):
                 return
+            log_event("endpoint_changed", server=endpoint.server.decode(), state=endpoint.state.name.lower())
             # Gone, draining, moved or started anew: what is in flight finishes, idle connections are useless.
             registered.pool.retire()
             del self._servers[endpoint.server]
--- a/lupinladder/net/metrics.py
+++ b/lupinladder/net/metrics.py
@@ -49,6 +49,9 @@
     upstream_connections_stale: int = 0
     upstream_replies_invalid: int = 0
     attempts_ended: Counter[Outcome] = field(default_factory=Counter)
+    attempts_repeated_after: Counter[Outcome] = field(default_factory=Counter)  # that of the one before
+    failures_by_reason: Counter[str] = field(default_factory=Counter)  # by AnswerReason
+    rejections_by_reason: Counter[str] = field(default_factory=Counter)  # by AnswerReason
     connections_closed: Counter[str] = field(default_factory=Counter)  # by CloseReason
     invariant_violations: Counter[str] = field(default_factory=Counter)  # by Invariant
     sends_refused: Counter[str] = field(default_factory=Counter)  # by SendRefusal
--- a/lupinladder/net/request_dispatcher.py
+++ b/lupinladder/net/request_dispatcher.py
@@ -13,6 +13,7 @@
 from lupinladder import Balancer
 from lupinladder.balancing.actions import (
     Action,
+    AnswerReason,
     CancelAttempt,
     Fail,
     LogMessage,
@@ -228,22 +229,26 @@
             case CancelAttempt():
                 self._cancel_attempt(request, action.attempt)
             case Reject():
-                self._reject(request, action.retry_after)
+                self._reject(request, action)
             case Fail():
-                self._fail(request)
+                self._fail(request, action.reason)
 
     def _set_timer(self, action: SetTimer) -> None:
         token = action.token
         self._loop.call_at(self._loop.now() + action.delay, lambda: self.notify(TimerFired(token)))
 
-    def _reject(self, request: PendingRequest, retry_after: float) -> None:
+    def _reject(self, request: PendingRequest, action: Reject) -> None:
         if not request.finished:
             metrics.requests_rejected += 1
-            self._answer(request, is_rejection=True).on_rejected(retry_after)
+            metrics.rejections_by_reason[action.reason.value] += 1
+            log_event("request_rejected", reason=action.reason.value, history=request.history())
+            self._answer(request, is_rejection=True).on_rejected(action.retry_after)
 
-    def _fail(self, request: PendingRequest) -> None:
+    def _fail(self, request: PendingRequest, reason: AnswerReason) -> None:
         if not request.finished:
             metrics.requests_failed += 1
+            metrics.failures_by_reason[reason.value] += 1
+            log_event("request_failed", reason=reason.value, history=request.history())
             self._answer(request).on_failed()
 
     def _cancel_attempt(self, request: PendingRequest, number: int) -> None:
@@ -262,6 +267,9 @@
             attempt.end(Outcome.NOT_STARTED)
             return
         metrics.attempts_started += 1
+        previous = request.attempts[number - 1].outcome if number else None
+        if previous is not None:
+            metrics.attempts_repeated_after[previous] += 1
         if executor is None:
             attempt.end(Outcome.CONNECT_FAILED)
             return
--- a/tests/balancing/test_balancer_failures.py
+++ b/tests/balancing/test_balancer_failures.py
@@ -5,6 +5,7 @@
 import sys
 
 from lupinladder import Balancer
+from lupinladder.balancing.actions import Action, AnswerReason, Fail, Reject
 from lupinladder.balancing.events import (
     AttemptEnded,
     CacheResult,
@@ -227,6 +228,35 @@
     assert not draining.seen[ask(draining, 1)].tries and draining.seen[1].answered
 
 
+def test_each_rejection_and_failure_names_its_reason() -> None:
+    conf = balancer_harness.settings(cache_aside=True, origin_kind=1, max_attempts=3)
+    proxy = Proxy(Balancer(conf, 1, 0.0), conf)
+    reasons = list[AnswerReason]()
+    carry_out = proxy.carry_out
+
+    def note_reasons(actions: list[Action]) -> None:
+        reasons.extend(action.reason for action in actions if isinstance(action, Reject | Fail))
+        carry_out(actions)
+
+    proxy.carry_out = note_reasons  # type: ignore[method-assign]
+    ask(proxy, 5)  # to an empty list
+    proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, entries(6)))
+    proxy.end(ask(proxy, 5), 0, Outcome.MISS)  # with no origin
+    proxy.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, [Endpoint(sid(90), server_kind=1)]))
+    proxy.end(ask(proxy, 5, is_write=True), 0, Outcome.ERROR)
+    requests = [ask(proxy, 6) for _ in range(2)]
+    for n in requests:
+        proxy.end(n, 0, Outcome.MISS)
+    proxy.advance(proxy.now + 5000)  # the fetch and who waits for it run out of time
+    assert reasons == [
+        AnswerReason.NO_SERVER_ADMITS,
+        AnswerReason.ORIGIN_CLOSED,
+        AnswerReason.ATTEMPT_FAILED,
+        AnswerReason.FETCH_TOO_LONG,
+        AnswerReason.ATTEMPT_FAILED,
+    ]
+
+
 def test_a_stale_delta_does_not_bring_back_what_has_gone() -> None:
     proxy = proxy_of(3)
     proxy.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 5, [Endpoint(sid(0), EndpointState.GONE)]))
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -67,12 +67,20 @@
         conf["known"] = listing(type="m2", address=f"127.0.0.1:{self.node.address[1]}", since_ms=0)
         return conf
 
+    def until_logged(self, process: subprocess.Popen[bytes], event: str) -> bytes:
+        """The next line of this event on the process's log; a test fails if the log ends before."""
+        assert process.stderr
+        for line in process.stderr:
+            if line.startswith(b"lupinladder: %b " % event.encode()):
+                return line
+        message = f"no line of {event} before the end of the process"
+        raise AssertionError(message)
+
     def start_listening(self, conf: dict[str, Any]) -> subprocess.Popen[bytes]:
         """Start with this configuration, and return once the proxy listens. `client` then connects to it."""
         self.config_path.write_text(json.dumps(conf))
         process = self.start({"GW_CONFIG": str(self.config_path)})
-        assert process.stderr
-        self.assertTrue(process.stderr.readline().startswith(b"lupinladder: metrics"), "it does not listen")
+        self.until_logged(process, "metrics")
         self.address = parse_address(conf["listen"])
         return process
 
@@ -93,12 +101,9 @@
         self.config_path.write_text(json.dumps(conf))
         with self.start({"GW_CONFIG": str(self.config_path)}) as process:
             assert process.stderr
-            self.assertIn(b"start_postponed", process.stderr.readline())
+            self.until_logged(process, "start_postponed")
             former.close()
-            line = process.stderr.readline()
-            while b"start_postponed" in line:
-                line = process.stderr.readline()
-            self.assertIn(b"lupinladder: metrics", line)
+            self.until_logged(process, "metrics")
             process.send_signal(signal.SIGTERM)
             process.communicate(timeout=END_TIMEOUT_S)
         self.assertEqual(process.returncode, 0)
@@ -137,7 +142,7 @@
             node = self.at_node()
             self.config_path.write_text("{")
             process.send_signal(signal.SIGHUP)
-            self.assertIn(b"reload_rejected error=", process.stderr.readline())
+            self.assertIn(b"error=", self.until_logged(process, "reload_rejected"))
             conf["discovery"] = f"127.0.0.1:{listeners[1].address[1]}"
             self.config_path.write_text(json.dumps(conf))
             for _ in range(50):
@@ -165,7 +170,7 @@
             self.until(lambda: listeners[0].peers, "the first watch")
             self.config_path.unlink()
             process.send_signal(signal.SIGHUP)
-            self.assertIn(b"reload_postponed error=", process.stderr.readline())
+            self.assertIn(b"error=", self.until_logged(process, "reload_postponed"))
             conf["discovery"] = f"127.0.0.1:{listeners[1].address[1]}"
             new_path = self.config_path.with_suffix(".new")
             new_path.write_text(json.dumps(conf))
