--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import fcntl
 import json
 import os
 import signal
@@ -17,7 +18,7 @@
 from lupinladder.net.discovery.endpoint_parser import parse_address
 from lupinladder.net.log import log_event
 from tests.support.endpoint_lists import configuration, listing
-from tests.support.network_scene import SERVED, NetworkScene, RecordingListener, get
+from tests.support.network_scene import SERVED, NetworkScene, RecordingListener, RecordingPeer, get
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -54,9 +55,9 @@
         self.addCleanup(folder.cleanup)
         self.config_path = Path(folder.name) / "config.json"
 
-    def start(self, env: dict[str, str]) -> subprocess.Popen[bytes]:
+    def start(self, env: dict[str, str], stderr: int = subprocess.PIPE) -> subprocess.Popen[bytes]:
         return EndedWithTest(
-            [sys.executable, "-m", "lupinladder"], cwd=ROOT, env={**os.environ, **env}, stderr=subprocess.PIPE
+            [sys.executable, "-m", "lupinladder"], cwd=ROOT, env={**os.environ, **env}, stderr=stderr
         )
 
     def configuration(self) -> dict[str, Any]:
@@ -127,6 +128,36 @@
             log_event("test", detail="x")
 
 
+class FullLog(ProxyProcess):
+    def test_a_log_that_nobody_reads_on_holds_up_no_client(self) -> None:
+        conf = self.configuration()
+        self.config_path.write_text(json.dumps(conf))
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        size = fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 4096)
+        os.write(writer, b"x" * size)  # the next byte blocks whoever writes it
+        with self.start({"GW_CONFIG": str(self.config_path)}, stderr=writer) as process:
+            os.close(writer)
+            self.address = parse_address(conf["listen"])
+            self.until_served()
+            process.send_signal(signal.SIGTERM)
+            process.wait(END_TIMEOUT_S)
+        self.assertEqual(process.returncode, 0)
+
+    def until_served(self) -> None:
+        """Connect again and again until a PING is answered."""
+        clients = list[RecordingPeer]()
+
+        def is_served() -> bool:
+            if not clients or clients[-1].ends:
+                clients.append(self.client(PING))
+            return clients[-1].got == b"+PONG\r\n"
+
+        self.loop.call_at(self.loop.now(), lambda: None)
+        self.until(is_served, "an answer")
+        clients[-1].conn.close()
+
+
 class Reload(ProxyProcess):
     def test_on_sighup_it_follows_the_list_at_the_new_address_and_goes_on(self) -> None:
         listeners = [RecordingListener(self.loop) for _ in range(2)]
