Never wait for whoever reads the log, and test that a slow reader gets its whole answer

Cause: a line of the log was written with a call that blocks while a pipe is full: a collector that hangs stopped the proxy. Change: if standard error is a pipe, writing to it does not block; a line that it does not take is dropped as one that is rate-limited.

--- a/lupinladder/__main__.py
+++ b/lupinladder/__main__.py
@@ -7,7 +7,7 @@
 import sys
 
 from lupinladder.net import config
-from lupinladder.net.log import log_event
+from lupinladder.net.log import log_event, unblock_output
 from lupinladder.net.metrics import metrics
 from lupinladder.proxy import Proxy
 from lupinladder.signals import SignalReceiver
@@ -23,6 +23,7 @@
 
 def main() -> int:
     """Run one proxy until it is told to stop; the process's exit code."""
+    unblock_output()
     try:
         signals = retry_start(SignalReceiver)  # first of all: without a handler SIGHUP ends the process
         conf = retry_start(lambda: config.load(os.environ), lambda: signals.is_stop_pending)
--- a/lupinladder/net/log.py
+++ b/lupinladder/net/log.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
+import os
 import re
+import stat
 import sys
 import time
 import traceback
@@ -46,6 +48,14 @@
         print(f"lupinladder: {line}", file=sys.stderr, flush=True)
 
 
+def unblock_output() -> None:
+    """Have lines dropped that a pipe does not take at once: who reads it may hang, and the loop with it."""
+    with suppress(OSError, ValueError):  # no standard error, or none with a descriptor
+        descriptor = sys.stderr.fileno()
+        if stat.S_ISFIFO(os.fstat(descriptor).st_mode):
+            os.set_blocking(descriptor, False)
+
+
 def format_traceback() -> str:
     """The traceback of the exception that is being handled, on one line."""
     return traceback.format_exc().strip().replace("\n", " | ")
--- a/tests/net/test_connection.py
+++ b/tests/net/test_connection.py
@@ -8,11 +8,45 @@
 from typing import Any
 from unittest import mock
 
+from lupinladder.net import connection
+from lupinladder.net.connection import Connection
+from lupinladder.net.connection_handler import NULL_HANDLER
+from lupinladder.net.descriptor_budget import DescriptorBudget
+from lupinladder.net.metrics import metrics
 from tests.support.network_scene import SERVED, NetworkScene, RecordingPeer, get
 
 TRANSIENT = (errno.ENOBUFS, errno.ENOMEM, errno.EINTR)
 
 
+class SlowReaders(NetworkScene):
+    LINGER_MS = 80.0
+
+    def test_a_peer_that_still_takes_bytes_gets_all_and_one_that_takes_none_is_cut_off(self) -> None:
+        for reads in (True, False):
+            with mock.patch.object(connection, "LINGER_MS", self.LINGER_MS):
+                self.check(reads)
+
+    def check(self, reads: bool) -> None:
+        near, far = socket.socketpair()
+        self.addCleanup(far.close)
+        near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        cut_off = metrics.connections_cut_off
+        # A socket pair has no TCP_NODELAY, which may fail.
+        ending = Connection(self.loop, DescriptorBudget(9), near, NULL_HANDLER)
+        ending.send(b"x" * 200_000)
+        ending.close_gracefully()
+        received = 0
+        while ending.is_open:
+            read_at = self.loop.now() + self.LINGER_MS / 2
+            self.loop.call_at(read_at, lambda: None)
+            self.until(lambda: self.loop.now() >= read_at, "a time")  # noqa: B023
+            if reads:
+                received += len(far.recv(30_000, socket.MSG_DONTWAIT))
+        while reads and (rest := len(far.recv(1 << 20))):
+            received += rest
+        self.assertEqual((received, metrics.connections_cut_off - cut_off), (200_000, 0) if reads else (0, 1))
+
+
 class FailingCalls(NetworkScene):
     def fail_first(self, name: str, of: set[int], numbers: tuple[int, ...] = TRANSIENT) -> list[OSError]:
         """Have the next calls of this socket method fail on sockets with these descriptors; returns what is
