--- a/tests/net/test_connection.py
+++ b/tests/net/test_connection.py
@@ -9,7 +9,7 @@
 from unittest import mock
 
 from lupinladder.net import connection
-from lupinladder.net.connection import Connection
+from lupinladder.net.connection import READ, Connection
 from lupinladder.net.connection_handler import NULL_HANDLER
 from lupinladder.net.descriptor_budget import DescriptorBudget
 from lupinladder.net.metrics import metrics
@@ -97,6 +97,16 @@
         self.answers(client, b"$1\r\nV\r\n")
         self.assertEqual(failures, [])
 
+    def test_the_listener_is_watched_again_though_the_selector_had_no_memory_for_it(self) -> None:
+        self.loop.watch(self.front._sock, READ, 0, self.front._on_readable)
+        self.front._mask = 0  # as while no descriptor is left for a client
+        no_memory = OSError(errno.ENOMEM, "for a moment")
+        with mock.patch.object(self.loop._selector, "register", side_effect=no_memory):
+            self.front.update_listening()
+        client = self.client(get())
+        self.at_node().conn.send(SERVED)
+        self.answers(client, b"$1\r\nV\r\n")
+
     def test_descriptors_are_given_back_whatever_fails(self) -> None:
         used = self.budget.used
         with mock.patch.object(socket.socket, "setsockopt", side_effect=OSError(errno.EINVAL, "reset")):
