Ask the selector for the listening socket again when it had no memory for it

Cause: update_listening let the selector's OSError out, and nothing called it again. Change: it looks again after 100 ms, as without descriptors.

--- a/lupinladder/net/client_listener.py
+++ b/lupinladder/net/client_listener.py
@@ -126,7 +126,12 @@
             # Upstream connections close without telling the listener, and there may be no client left whose
             # close would, so it has to look again by itself.
             self._retry_listening()
-        self.loop.watch(self._sock, self._mask, mask, self._on_readable)
+        try:
+            self.loop.watch(self._sock, self._mask, mask, self._on_readable)
+        except OSError:
+            metrics.selector_errors += 1
+            self._retry_listening()
+            return
         self._mask = mask
 
     def _retry_listening(self) -> None:
