Move a client's activity and idle periods out of its connection

Change: net/client_activity.py, free of I/O; a move, no behaviour. Measured: tests/net and tests/connection_limits pass.

--- /dev/null
+++ b/lupinladder/net/client_activity.py
@@ -0,0 +1,51 @@
+"""When a client was last active, and what its idle periods tell the estimator of returns. No I/O."""
+
+from __future__ import annotations
+
+from lupinladder.connection_limits.idle_return_estimator import (
+    IDLE_SPAN_COUNT,
+    IdleReturnEstimator,
+    idle_span,
+)
+
+
+class ClientActivity:
+    """The commands of one client and the idle periods between them. Times are ms on the loop's clock."""
+
+    def __init__(self, estimator: IdleReturnEstimator, now: float) -> None:
+        self.command_count = 0
+        self.last_used = now  # when the last command was read or the last reply written
+        self._estimator = estimator
+        self._reported_spans = 0  # spans outlived by this idle period that the estimator knows of
+
+    def on_command(self, was_idle: bool, now: float) -> None:
+        """A command has been read, which ends an idle period unless others waited for replies."""
+        if self.command_count and was_idle:
+            self._report_spans(now)
+            self._estimator.record_return(self.command_count, now - self.last_used)
+        self.command_count += 1
+        self._begin_period(now)
+
+    def on_reply_written(self, now: float) -> None:
+        """A reply has been written, from which on the client may be idle."""
+        self._begin_period(now)
+
+    def report_idle(self, now: float) -> None:
+        """Tell the estimator how long this idle period has lasted, if it does not know."""
+        if self.command_count and self._reported_spans < IDLE_SPAN_COUNT:
+            self._report_spans(now)
+
+    def idle_time(self, now: float) -> float:
+        """The time in ms since the client was last active."""
+        return now - self.last_used
+
+    def _begin_period(self, now: float) -> None:
+        self.last_used = now
+        self._reported_spans = 0
+
+    def _report_spans(self, now: float) -> None:
+        """Tell the estimator which spans this idle period has outlived since the last report."""
+        current_span = idle_span(now - self.last_used)
+        if current_span > self._reported_spans:
+            self._estimator.record_outlived(self.command_count, self._reported_spans, current_span)
+            self._reported_spans = current_span
--- a/lupinladder/net/client_connection.py
+++ b/lupinladder/net/client_connection.py
@@ -7,8 +7,8 @@
 from math import inf
 from typing import TYPE_CHECKING, TypeGuard
 
-from lupinladder.connection_limits.idle_return_estimator import IDLE_SPAN_COUNT, idle_span
 from lupinladder.net import resp
+from lupinladder.net.client_activity import ClientActivity
 from lupinladder.net.client_command import MAX_STORED_VALUE_BYTES, ClientCommand, CommandError, parse_command
 from lupinladder.net.close_reason import CloseReason
 from lupinladder.net.connection import Connection
@@ -43,10 +43,9 @@
         self._unread_since = inf  # since when commands wait in the inbox for replies to those before them
         self._close_reason = CloseReason.CLIENT_ENDED  # once `_closing`
         self._command_incomplete = False
-        self.command_count = 0
-        self.last_used = listener.loop.now()  # when the last command was read or the last reply written
-        self._command_began_at = self.last_used  # of the command that is being received
-        self._reported_idle_spans = 0  # spans outlived by this idle period that the estimator knows of
+        accepted_at = listener.loop.now()
+        self.activity = ClientActivity(listener.return_estimator, accepted_at)
+        self._command_began_at = accepted_at  # of the command that is being received
         self.conn = Connection(listener.loop, listener.budget, sock, self, rank=WatchRank.CLIENT)
 
     @property
@@ -72,7 +71,7 @@
         """Read the commands that have arrived."""
         if self._reading:
             return  # a reply given at once has come back here through flush
-        if self.command_count and not self._command_incomplete:
+        if self.activity.command_count and not self._command_incomplete:
             self._command_began_at = self._listener.loop.now()
         self._reading = True
         self._reading_paused = False
@@ -110,7 +109,8 @@
         if not value:
             return
         now = self._listener.loop.now()
-        self._record_command(now)
+        self.activity.on_command(not self._pending_replies, now)
+        self._command_began_at = now
         if _is_ping(value):
             self._append_reply().encoded = _ping_reply(value)
             return
@@ -151,26 +151,6 @@
             command, lambda number: command.request_received(number, timeout), reply
         )
 
-    # Idle periods, as the estimator learns of them
-
-    def _record_command(self, now: float) -> None:
-        if self.command_count and not self._pending_replies:
-            self._report_idle_spans(now)
-            self._listener.return_estimator.record_return(self.command_count, now - self.last_used)
-        self.last_used = now
-        self._command_began_at = now
-        self.command_count += 1
-        self._reported_idle_spans = 0
-
-    def _report_idle_spans(self, now: float) -> None:
-        """Tell the estimator which spans this idle period has outlived since the last report."""
-        current_span = idle_span(now - self.last_used)
-        if current_span > self._reported_idle_spans:
-            self._listener.return_estimator.record_outlived(
-                self.command_count, self._reported_idle_spans, current_span
-            )
-            self._reported_idle_spans = current_span
-
     # Writing
 
     def _append_reply(self, request_id: bytes = b"") -> PendingReply:
@@ -214,8 +194,7 @@
             if encoded is None or self.conn.outbox.available_space < len(encoded):
                 return
             self._pending_replies.popleft()
-            self.last_used = self._listener.loop.now()
-            self._reported_idle_spans = 0
+            self.activity.on_reply_written(self._listener.loop.now())
             self.conn.send(encoded)
 
     def on_written(self) -> None:
@@ -291,12 +270,11 @@
         if self._pending_replies or self._closing or len(self.conn.outbox):
             return
         if self.idle:
-            if self.command_count and self._reported_idle_spans < IDLE_SPAN_COUNT:
-                self._report_idle_spans(now)
-            if now - self.last_used > self._idle_timeout(descriptors_short):
+            self.activity.report_idle(now)
+            if self.activity.idle_time(now) > self._idle_timeout(descriptors_short):
                 metrics.client_connections_timed_out += 1
-                reason = CloseReason.CLIENT_IDLE if self.command_count else CloseReason.CLIENT_SILENT
-                self.close_if_idle(reason)
+                is_silent = not self.activity.command_count
+                self.close_if_idle(CloseReason.CLIENT_SILENT if is_silent else CloseReason.CLIENT_IDLE)
         elif self._is_command_overdue(now):
             metrics.client_connections_timed_out += 1
             self._close_after_replies(CloseReason.CLIENT_COMMAND_OVERDUE)
@@ -304,7 +282,7 @@
             self.flush()
 
     def _idle_timeout(self, descriptors_short: bool) -> float:
-        if not self.command_count:
+        if not self.activity.command_count:
             return FIRST_COMMAND_TIMEOUT_MS
         return IDLE_TIMEOUT_MS if descriptors_short else inf
 
--- a/lupinladder/net/idle_client_tracker.py
+++ b/lupinladder/net/idle_client_tracker.py
@@ -32,7 +32,7 @@
 
     def add(self, client: ClientConnection) -> None:
         """Add a client that has become idle just now."""
-        clients = self._with_commands if client.command_count else self._silent
+        clients = self._with_commands if client.activity.command_count else self._silent
         clients[client] = None
 
     def discard(self, client: ClientConnection) -> None:
@@ -43,7 +43,7 @@
     def close_unlikely_to_return(self, max_count: int, now: float) -> None:
         """Close those that are unlikely to send another command soon, at most so many."""
         clients = list(self._with_commands)
-        idle_times = [IdleClient(one.command_count, now - one.last_used) for one in clients]
+        idle_times = [IdleClient(one.activity.command_count, one.activity.idle_time(now)) for one in clients]
         for index in select_for_eviction(idle_times, self._return_estimator, max_count):
             metrics.client_connections_evicted += clients[index].close_if_idle(CloseReason.CLIENT_EVICTED)
 
@@ -57,7 +57,7 @@
             *islice(self._silent, EVICTION_CANDIDATES),
             *islice(self._with_commands, EVICTION_CANDIDATES),
         ]
-        candidates.sort(key=lambda client: (_was_used_recently(client, now), client.last_used))
+        candidates.sort(key=lambda client: (_was_used_recently(client, now), client.activity.last_used))
         for client in candidates:
             if client.close_if_idle(CloseReason.CLIENT_EVICTED):
                 client.conn.close()  # its descriptor is needed now; all replies to it have been written
@@ -66,5 +66,5 @@
 
 
 def _was_used_recently(client: ClientConnection, now: float) -> bool:
-    max_age = IDLE_TIMEOUT_MS if client.command_count else SILENT_EVICTION_AGE_MS
-    return now - client.last_used < max_age
+    max_age = IDLE_TIMEOUT_MS if client.activity.command_count else SILENT_EVICTION_AGE_MS
+    return client.activity.idle_time(now) < max_age
