Keep the open requests in a class of their own, beside the dispatcher

Change: net/open_requests.py; a move, no behaviour, but that a request is no more answered as stranded by a fault of the balancer if it has its answer already. Measured: tests/net pass.

--- a/lupinladder/net/request_dispatcher.py
+++ b/lupinladder/net/request_dispatcher.py
@@ -39,6 +39,7 @@
 from lupinladder.net.invariants import InvariantMonitor
 from lupinladder.net.log import format_traceback, log_event
 from lupinladder.net.metrics import metrics
+from lupinladder.net.open_requests import OpenRequests
 from lupinladder.net.pending_request import Attempt, AttemptExecutor, PendingRequest, ResponseHandler
 
 if TYPE_CHECKING:  # for a type alone: commands are passed on unread
@@ -68,8 +69,7 @@
         self._route = route
         self._watch_endpoints = watch_endpoints
         self._max_open = max_open
-        self._requests: dict[int, PendingRequest] = {}  # by request id; until their last attempt has ended
-        self._last_request_id = 0
+        self._requests = OpenRequests(loop)
         self._events: deque[Event] = deque()  # not handled yet
         self._handling_events = False
         self._balancer = Balancer(settings, seed, loop.now())
@@ -96,7 +96,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request waits for its answer."""
-        return all(request.finished for request in self._requests.values())
+        return not self._requests.unfinished()
 
     def dispatch(
         self,
@@ -112,12 +112,10 @@
             handler.on_rejected(self._settings.max_retry_after)
             return None
         now = self._loop.now()
-        self._last_request_id += 1
-        event = make_event(self._last_request_id)
-        request = PendingRequest(
-            self._last_request_id, command, now + event.timeout, handler, received_at=now
-        )
-        self._requests[request.request_id] = request
+        number = self._requests.next_number()
+        event = make_event(number)
+        request = PendingRequest(number, command, now + event.timeout, handler, received_at=now)
+        self._requests.add(request)
         request.guard_timer = self._loop.call_at(
             request.deadline + DEADLINE_GRACE_MS, lambda: self._fail_overdue(request)
         )
@@ -130,7 +128,7 @@
             metrics.requests_abandoned += 1
             request.client_left_at = self._loop.now()
             outstanding = [attempt for attempt in request.attempts if not attempt.finished]
-            self._finish(request)
+            self._requests.finish(request)
             self.notify(ClientDisconnected(request.request_id))
             for attempt in outstanding:
                 if attempt.executor is not None:
@@ -146,34 +144,15 @@
 
     def fail_open_requests(self) -> None:
         """Answer whatever still waits: at the end of a shutdown, before the process is killed."""
-        for request in list(self._requests.values()):
-            if not request.finished:
-                metrics.requests_failed_at_shutdown += 1
-                self._answer(request).on_failed()
-                self.notify(ClientDisconnected(request.request_id))
+        for request in self._requests.unfinished():
+            metrics.requests_failed_at_shutdown += 1
+            self._answer(request).on_failed()
+            self.notify(ClientDisconnected(request.request_id))
 
     def _answer(self, request: PendingRequest, is_rejection: bool = False) -> ResponseHandler:
         """Finish a request whose client is there: the caller gives the answer to the handler returned."""
         self.monitor.check_answer(request, is_rejection, self._loop.now())
-        return self._finish(request)
-
-    def _finish(self, request: PendingRequest) -> ResponseHandler:
-        """From here on nobody waits for the request; returns who did."""
-        handler = request.handler
-        assert handler, "a request has one final answer"
-        request.handler = None
-        request.finished = True
-        self._loop.cancel(request.guard_timer)
-        request.guard_timer = None
-        self._forget_if_over(request)
-        return handler
-
-    def _forget_if_over(self, request: PendingRequest) -> None:
-        """Let go of a request with nothing more to come. Whatever points back at it is cut here, so that it
-        is freed at once: the collector comes seldom, and meanwhile each request would hold some KiB."""
-        if request.finished and all(attempt.finished for attempt in request.attempts):
-            self._requests.pop(request.request_id, None)
-            request.attempts.clear()
+        return self._requests.finish(request)
 
     def notify(self, event: Event) -> None:
         """Tell the balancer. What its actions cause at once is told after them, never from within."""
@@ -194,8 +173,9 @@
         except Exception:  # noqa: BLE001 - the boundary: a fault in a decision costs its request alone
             self._log_fault(f"balancer, at {type(event).__name__}")
             # Any other event's request is failed by its guard timer.
-            if isinstance(event, RequestReceived) and event.request_id in self._requests:
-                self._answer(self._requests[event.request_id]).on_failed()
+            stranded = self._requests.get(event.request_id) if isinstance(event, RequestReceived) else None
+            if stranded is not None and not stranded.finished:
+                self._answer(stranded).on_failed()
             return
         for action in actions:
             try:
@@ -321,4 +301,4 @@
                 load=load,
             )
         )
-        self._forget_if_over(request)
+        self._requests.forget_if_over(request)
--- a/tests/net/test_client_connection.py
+++ b/tests/net/test_client_connection.py
@@ -109,7 +109,7 @@
         client.conn._sock.setblocking(True)
         client.conn._sock.sendall(b"".join(get(b"%c" % one) for one in ascii_letters.encode()[:40]))
         self.until(lambda: len(self.script.events) == MAX_PIPELINE_DEPTH, "a full pipeline")
-        for request in list(self.engine._requests.values()):
+        for request in self.engine._requests.unfinished():
             assert request.handler
             request.handler.on_served(b"x" * 65536)
         [accepted] = [one.conn for one in self.front.clients]
--- a/tests/net/test_request_dispatcher.py
+++ b/tests/net/test_request_dispatcher.py
@@ -24,7 +24,7 @@
             [node] = [peer for peer in self.node.peers if peer.got]
             node.got = b""
             [connection] = list(self.front.clients)
-            [request] = list(self.engine._requests.values())
+            [request] = self.engine._requests.unfinished()
             [attempt] = request.attempts
             [upstream] = list(self.links[NODE]._busy)
             refs += map(weakref.ref, (connection, connection.conn, request, attempt))
