--- a/tests/net/test_wall_clock.py
+++ b/tests/net/test_wall_clock.py
@@ -10,6 +10,15 @@
 NOW = 1e12
 
 
+class OwnStepAlone(unittest.TestCase):
+    def test_the_clocks_of_other_machines_may_not_have_been_stepped(self) -> None:
+        for ahead in (HOUR_MS, -HOUR_MS, 5000.0, -5000.0):
+            clock = WallClock()
+            stepped_at = NOW - 10 * STEP_MEMORY_MS
+            clock.observe(stepped_at + ahead, stepped_at)
+            self.assertEqual(NOW - clock.to_loop_time(NOW - 700, NOW), 700)
+
+
 class Steps(unittest.TestCase):
     def test_a_start_is_never_older_than_the_steps_allow_nor_in_the_future(self) -> None:
         hour_back = [(-HOUR_MS, NOW - 10_000)]
