--- a/lupinladder/net/wall_clock.py
+++ b/lupinladder/net/wall_clock.py
@@ -1,8 +1,8 @@
 """What the machine's wall clock said, and what a time by it means on the loop's clock. No I/O.
 
 The wall clock may be stepped while the process runs; the loop's clock, which is anchored to it once, runs on.
-Discovery tells when a server started by the wall clock as it was then, on a machine that may have been stepped
-with this one or not. So a start time has one meaning for each offset that there ever was.
+Discovery tells when a server started by the wall clock as it was then, on a machine that may have been
+stepped with this one or not. So a start time has one meaning for each offset that there ever was.
 """
 
 from __future__ import annotations
--- a/tests/net/test_endpoint_registry.py
+++ b/tests/net/test_endpoint_registry.py
@@ -63,6 +63,37 @@
         self.assertTrue(0 <= in_the_future <= 2000, in_the_future)
 
 
+class ImplausibleStarts(DiscoveryScene):
+    """A proxy that began after its machine's clock was stepped sees no step: the list itself tells more."""
+
+    HOUR_MS = 3_600_000.0
+
+    def age_of(self, line: bytes) -> float:
+        count = len(self.updates)
+        self.discovery.peers[0].conn.send(chunks(line))
+        self.until(lambda: len(self.updates) > count, "the change")
+        return self.loop.now() - self.updates[-1].endpoints[0].started_at
+
+    def test_a_server_that_is_new_on_a_live_watch_has_started_lately(self) -> None:
+        an_hour_ago = self.loop.now() - self.HOUR_MS
+        self.follow(delta(5, name="s-1", since_ms=an_hour_ago))
+        self.until(lambda: self.updates, "the first change")
+        # What the first object tells may have come about at any time before.
+        self.assertGreater(self.loop.now() - self.updates[0].endpoints[0].started_at, self.HOUR_MS - 1)
+        self.assertLess(self.age_of(delta(6, name="s-2", since_ms=an_hour_ago)), 2000)
+        self.assertLess(self.age_of(delta(7, name="s-1", since_ms=an_hour_ago + 1)), 2000)
+        few_seconds_ago = self.loop.now() - 9000
+        self.assertGreater(self.age_of(delta(8, name="s-3", since_ms=few_seconds_ago)), 8999)
+        self.assertEqual(self.updates[-1].endpoints[0].server, b"s-3")
+
+    def test_a_server_that_left_the_list_and_comes_back_without_a_new_start_is_as_old_as_it_was(self) -> None:
+        an_hour_ago = self.loop.now() - self.HOUR_MS
+        self.follow(delta(5, name="s-1", since_ms=an_hour_ago))
+        self.until(lambda: self.updates, "the first change")
+        self.age_of(delta(6, name="s-1", status="left"))
+        self.assertGreater(self.age_of(delta(7, name="s-1", since_ms=an_hour_ago)), self.HOUR_MS - 1)
+
+
 class MovedWatch(DiscoveryScene):
     """Discovery at a new address."""
 
