Believe no start that the list contradicts, and keep a server's start while it is off the list

Cause: a proxy that begins after its machine's clock was stepped forward reads each later start as an hour old, with no step to be seen: the server counts as warm and gets its full share cold. Starts of servers that left the list are remembered, so that one that comes back without a new start is as old as it was.

--- a/lupinladder/net/discovery/endpoint_registry.py
+++ b/lupinladder/net/discovery/endpoint_registry.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import NamedTuple
 
 from lupinladder.balancing.events import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
 from lupinladder.balancing.settings import ServerId
@@ -13,6 +12,7 @@
 from lupinladder.net.descriptor_budget import DescriptorBudget
 from lupinladder.net.discovery.endpoint_parser import EndpointList, EndpointParser
 from lupinladder.net.discovery.endpoint_watch import EndpointWatch
+from lupinladder.net.discovery.start_times import StartTimes
 from lupinladder.net.event_loop import EventLoop
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
@@ -32,13 +32,6 @@
         return self.pool.address == address and self.started_at == endpoint.started_at
 
 
-class _StartTime(NamedTuple):
-    """When a server last started: as it is listed, and as that was understood when it was first told."""
-
-    listed: float  # Unix time in ms, by the wall clock as it was then; 0: long ago
-    on_loop_clock: float  # ms
-
-
 class EndpointRegistry:
     """Keeps the list of endpoints by a watch on discovery, and tells the balancer each change."""
 
@@ -58,7 +51,7 @@
         self._create_pool = create_pool
         self._notify = notify
         self._servers: dict[ServerId, _RegisteredServer] = {}
-        self._start_times: dict[ServerId, _StartTime] = {}  # of the listed servers
+        self._start_times = StartTimes(loop.wall_clock)
         self._version = 0
         self.is_current = False  # the open watch has told something: the list is what discovery has
         self._watch: EndpointWatch | None = None
@@ -81,8 +74,7 @@
 
     def listed_start(self, server: ServerId) -> float:
         """When a server last started, as discovery lists it: Unix time in ms, 0 for long ago or unknown."""
-        start_time = self._start_times.get(server)
-        return start_time.listed if start_time is not None else 0.0
+        return self._start_times.listed(server)
 
     def load_cached(self, tree: object) -> EndpointUpdate:
         """Take the list that the configuration or the store knows; it may be out of date.
@@ -147,6 +139,8 @@
     def _apply(self, endpoint_list: EndpointList, update_kind: EndpointUpdateKind) -> EndpointUpdate:
         """Bring the pools in line with a list. The update is what the balancer has to be told."""
         metrics.endpoint_updates += 1
+        # The list has been followed up to now, so what it names first has come to it lately.
+        is_live = update_kind is EndpointUpdateKind.DELTA and self.is_current
         update = EndpointUpdate(update_kind, endpoint_list.version, endpoint_list.endpoints)
         if update_kind is EndpointUpdateKind.DELTA:
             if endpoint_list.version < self._version:
@@ -154,7 +148,10 @@
         else:
             self._retire_unlisted(endpoint_list)
         for endpoint in endpoint_list.endpoints:
-            self._convert_start_time(endpoint)
+            if endpoint.state is not EndpointState.GONE:
+                endpoint.started_at = self._start_times.convert(
+                    endpoint.server, endpoint.started_at, self._loop.now(), is_live
+                )
             self._apply_endpoint(endpoint, endpoint_list.addresses.get(endpoint.server))
         self._version = endpoint_list.version
         return update
@@ -162,22 +159,6 @@
     def _retire_unlisted(self, endpoint_list: EndpointList) -> None:
         for server in set(self._servers) - set(endpoint_list.addresses):
             self._servers.pop(server).pool.retire()
-        for server in set(self._start_times) - set(endpoint_list.addresses):
-            del self._start_times[server]
-
-    def _convert_start_time(self, endpoint: Endpoint) -> None:
-        """Put the start on the loop's clock. The same listed start always gets the same time: another one
-        tells that the server has started anew."""
-        if endpoint.state is EndpointState.GONE:
-            self._start_times.pop(endpoint.server, None)
-            return
-        known = self._start_times.get(endpoint.server)
-        if known is None or known.listed != endpoint.started_at:
-            listed = endpoint.started_at
-            converted = self._loop.wall_clock.to_loop_time(listed, self._loop.now()) if listed else 0.0
-            known = _StartTime(listed, converted)
-            self._start_times[endpoint.server] = known
-        endpoint.started_at = known.on_loop_clock
 
     def _apply_endpoint(self, endpoint: Endpoint, address: Address | None) -> None:
         registered = self._servers.get(endpoint.server)
