--- a/tests/net/test_connection.py
+++ b/tests/net/test_connection.py
@@ -97,6 +97,19 @@
         self.answers(client, b"$1\r\nV\r\n")
         self.assertEqual(failures, [])
 
+    def test_a_connect_that_a_signal_interrupts_goes_on(self) -> None:
+        really_connect = socket.socket.connect_ex
+
+        def interrupted(sock: socket.socket, address: Any) -> int:
+            really_connect(sock, address)  # as on Linux: the connection is made all the same
+            return errno.EINTR
+
+        with mock.patch.object(socket.socket, "connect_ex", interrupted):
+            asked = self.ask()
+        self.at_node().conn.send(SERVED)
+        self.until(lambda: asked.told, "an answer")
+        self.assertEqual(asked.told, [b"V"])
+
     def test_the_listener_is_watched_again_though_the_selector_had_no_memory_for_it(self) -> None:
         self.loop.watch(self.front._sock, READ, 0, self.front._on_readable)
         self.front._mask = 0  # as while no descriptor is left for a client
