--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -91,7 +91,7 @@
         except OSError:  # not an address
             code = errno.EINVAL
         connection = cls(loop, budget, sock, owner, opening=True, rank=rank)
-        if code not in (0, errno.EINPROGRESS):
+        if code not in (0, errno.EINPROGRESS, errno.EINTR):  # which goes on by itself, connect(2)
             loop.call_soon(connection._fail)
         return connection
 
