--- a/tests/balancing/test_balancer_rules.py
+++ b/tests/balancing/test_balancer_rules.py
@@ -6,6 +6,7 @@
 import dataclasses
 import random
 from collections.abc import Callable
+from math import sqrt
 
 import pytest
 from hypothesis import given, settings
@@ -148,29 +149,41 @@
     fails("drains or is gone")
 
 
-def warmup_load(seed: int) -> float:
-    """The highest share of its fall budget that one of three joiners was sent, by four balancers together."""
-    conf = balancer_harness.settings()
+def slow_start_budget(calls: float) -> float:
+    """What a joiner may be sent where the settings allow it so many calls; chance is part of it."""
+    return calls + 3 * sqrt(calls) + 3 if calls < 30 else calls + 2 * sqrt(calls) + 2
+
+
+def warmup_load(seed: int, balancers: int = 4, quiet_ms: int = 0) -> float:
+    """The highest share of its fall budget that one of three joiners was sent, by all balancers together.
+
+    `quiet_ms`: no request comes for so long before they join, and then a burst.
+    """
+    conf = balancer_harness.settings(balancer_count=balancers)
     draw = random.Random(seed)
-    proxies = [Proxy(Balancer(conf, seed + i, 0.0), conf) for i in range(4)]
+    proxies = [Proxy(Balancer(conf, seed + i, 0.0), conf) for i in range(balancers)]
     for proxy in proxies:
         proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, entries(6)))
     service, worst, now = 40.0, 0.0, 0.0
     ended: list[tuple[float, Proxy, int]] = []
     joined = [sid(i) for i in range(20, 23)]
     n = 0
-    while now < 24000:
+    joined_at = 4000 + quiet_ms
+    request_chance = 0.25  # 125 a second over six warm servers that do 25 each
+    while now < joined_at + 20000:
         now += 2
         for at, proxy, which in [e for e in ended if e[0] <= now]:
             proxy.now = now
             proxy.end(which, len(proxy.seen[which].tries) - 1, Outcome.OK, service)
             ended.remove((at, proxy, which))
         if now == 4000:
-            new = [Endpoint(i, started_at=3500.0) for i in joined]
+            now = joined_at
+            request_chance *= 1.5 if quiet_ms else 1
+            new = [Endpoint(i, started_at=joined_at - 500.0) for i in joined]
             for proxy in proxies:
                 proxy.now = now
                 proxy.feed(EndpointUpdate(EndpointUpdateKind.DELTA, 2, new))
-        if draw.random() < 0.25:  # 125 a second over six warm servers that do 25 each
+        if draw.random() < request_chance:
             proxy, n = draw.choice(proxies), n + 1
             proxy.now = now
             proxy.feed(RequestReceived(n, 0, 1500, draw.randrange(1, 400)))
@@ -179,10 +192,10 @@
     for server in joined:
         times = sorted(at for proxy in proxies for at, to in proxy.sends if to == server)
         for at in times:
-            age = at - 3500
+            age = at - joined_at + 500
             able = (0.12 + 0.88 * min(age / 20000, 1)) * 25 * 3
             sent = sum(1 for t in times if at <= t < at + 3000)
-            worst = max(worst, sent / (3 * able + 1))
+            worst = max(worst, sent / slow_start_budget(3 * able) if quiet_ms else sent / (3 * able + 1))
     return worst
 
 
@@ -192,6 +205,14 @@
         assert 0.4 < warmup_load(seed) < 1
 
 
+@pytest.mark.parametrize(("balancers", "quiet_ms"), [(1, 600_000), (2, 600_000), (20, 600_000), (4, 60_000)])
+def test_the_slow_start_budget_binds_after_a_long_quiet_however_many_balancers_there_are(
+    balancers: int, quiet_ms: int
+) -> None:
+    for seed in (1, 2):
+        assert warmup_load(seed, balancers, quiet_ms) < 1
+
+
 def test_without_the_slow_start_a_server_that_warms_up_is_overloaded(monkeypatch: pytest.MonkeyPatch) -> None:
     kept = Server.__init__
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -259,3 +259,37 @@
                 peer.conn.close()
             process.communicate(timeout=END_TIMEOUT_S)
         self.assertEqual(process.returncode, 0)
+
+    def test_a_stop_before_the_first_list_and_a_reload_after_it_answer_and_end_with_0(self) -> None:
+        conf = self.configuration()
+        with socket.create_server(("127.0.0.1", 0)) as unanswering:  # it accepts and says nothing
+            conf["discovery"] = f"127.0.0.1:{unanswering.getsockname()[1]}"
+            conf["settings"]["membership-mode"] = "push"
+            with self.start_listening(conf) as process:
+                client = self.client(get())
+                node = self.at_node()
+                process.send_signal(signal.SIGTERM)
+                process.send_signal(signal.SIGHUP)
+                node.conn.send(SERVED)
+                self.answers(client, b"$1\r\nV\r\n")
+                self.until(lambda: client.ends, "the end")
+                client.conn.close()
+                process.wait(END_TIMEOUT_S)
+        self.assertEqual(process.returncode, 0)
+
+    def test_a_sole_proxy_serves_on_after_its_signal_while_discovery_is_away(self) -> None:
+        conf = self.configuration()
+        conf["settings"]["n-instances"] = 1
+        conf["settings"]["membership-mode"] = "push"
+        with self.start_listening(conf) as process:  # nobody listens at the address of discovery
+            client = self.client(PING)
+            self.answers(client, b"+PONG\r\n")
+            process.send_signal(signal.SIGTERM)
+            self.until_logged(process, "listener_closed")
+            client.conn.send(get())
+            self.at_node().conn.send(SERVED)
+            self.answers(client, b"+PONG\r\n$1\r\nV\r\n")
+            self.until(lambda: client.ends, "the end")
+            client.conn.close()
+            process.wait(END_TIMEOUT_S)
+        self.assertEqual(process.returncode, 0)
