Test that the invariants count what the send guard would have refused

Cause: a check that never fires proves nothing. Change: with the guard taken out, a send after its client left and to a server that leaves is counted once each.

--- a/tests/net/test_upstream_connection.py
+++ b/tests/net/test_upstream_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 from math import inf
@@ -13,6 +14,7 @@
 from lupinladder.net import resp
 from lupinladder.net.cache_node_protocol import CacheNodeProtocol
 from lupinladder.net.connection import Connection
+from lupinladder.net.metrics import metrics
 from lupinladder.net.origin_protocol import OriginReplyReader
 from lupinladder.net.upstream_connection import UpstreamConnection
 from tests.support.network_scene import (
@@ -272,6 +274,24 @@
                 self.links[NODE] = self.link(self.node.address, CacheNodeProtocol([]))
         self.assertEqual([one[1] for one in self.script.ends()], ["CONNECT_FAILED", "OK"] * 2)
 
+    def test_without_the_send_guard_the_invariants_count_what_goes_wrong(self) -> None:
+        """They are asked at the same place as the guard, and know nothing of it."""
+        violations = metrics.invariant_violations
+        before = Counter(violations)
+        delayed = self.delay_connections()
+        client = self.client(get())
+        self.until(lambda: delayed.held, "a connection")
+        client.conn.close()
+        self.until(lambda: self.engine.is_idle, "its leaving")
+        self.links[NODE].retire()
+        self.stand_still(200)
+        with mock.patch("lupinladder.net.connection_pool.refuse_send", lambda *_: None):
+            delayed.release()
+            self.at_node()
+        self.assertEqual(
+            violations - before, {"not_sent_after_client_left": 1, "not_sent_to_leaving_server": 1}
+        )
+
     def test_no_attempt_is_sent_to_a_server_that_has_begun_to_leave(self) -> None:
         delayed = self.delay_connections()
         asked = self.ask()
