--- a/tests/net/test_upstream_connection.py
+++ b/tests/net/test_upstream_connection.py
@@ -74,6 +74,19 @@
         node.conn.close_gracefully()
         self.assertEqual(self.outcome(asked), "RESET")
 
+    def test_each_close_is_counted_with_its_reason(self) -> None:
+        closed = metrics.connections_closed
+        for name, end in (
+            ("server_broke", RecordingPeer.reset),
+            ("server_ended", lambda peer: peer.conn.close_gracefully()),
+            ("server_invalid_reply", lambda peer: peer.conn.send(b"?\r\n")),
+        ):
+            before = Counter(closed)
+            asked = self.ask()
+            end(self.at_node(len(self.node.peers)))
+            self.until(lambda: asked.told, "an end")  # noqa: B023
+            self.assertEqual(closed - before, {name: 1})
+
     def test_a_busy_reply_is_a_rejection(self) -> None:
         asked = self.ask()
         self.at_node().conn.send(b"-BUSY\r\n")
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -110,6 +110,32 @@
         self.assertEqual(process.returncode, 0)
 
 
+class PostponedStart(ProxyProcess):
+    def test_while_it_waits_for_its_address_it_calls_nobody_and_holds_no_store(self) -> None:
+        conf = self.configuration()
+        discovery = RecordingListener(self.loop)
+        self.addCleanup(discovery.close)
+        conf["discovery"] = f"127.0.0.1:{discovery.address[1]}"
+        conf["settings"]["membership-mode"] = "push"
+        operator_path = self.config_path.with_name("operator.toml")
+        operator_path.write_text(f'[store]\npath = "{self.config_path.with_name("{name}.store")}"\n')
+        host, port = parse_address(conf["listen"])
+        former = socket.create_server((host, port))
+        self.addCleanup(former.close)
+        self.config_path.write_text(json.dumps(conf))
+        env = {"GW_CONFIG": str(self.config_path), "LUPINLADDER_OPERATOR": str(operator_path)}
+        with self.start(env) as process:
+            for _ in range(3):
+                self.until_logged(process, "start_postponed")
+            former.close()
+            self.until_logged(process, "metrics")
+            self.at_node(0, discovery)
+            self.assertEqual(len(discovery.peers), 1)
+            process.send_signal(signal.SIGTERM)
+            process.communicate(timeout=END_TIMEOUT_S)
+        self.assertEqual(process.returncode, 0)
+
+
 class Imports(unittest.TestCase):
     def test_the_program_imports_nothing_optional(self) -> None:
         code = "import sys, lupinladder.__main__; print(*sys.modules)"
