Make a proxy once at a start, and count the close of each connection that breaks

(2) Connection._fail closes before it tells its owner, and UpstreamConnection.close counted only open ones. Change: what may fail for a moment, the loop and the listening socket, is made before the proxy, and a socket that can't be bound is closed; the count goes by the connection's own flag. A test that fails before its process listens leaves no process behind.

--- a/lupinladder/__main__.py
+++ b/lupinladder/__main__.py
@@ -7,6 +7,8 @@
 import sys
 
 from lupinladder.net import config
+from lupinladder.net.client_listener import open_listening_socket
+from lupinladder.net.event_loop import EventLoop
 from lupinladder.net.log import log_event, unblock_output
 from lupinladder.net.metrics import metrics
 from lupinladder.proxy import Proxy
@@ -28,7 +30,12 @@
         signals = retry_start(SignalReceiver)  # first of all: without a handler SIGHUP ends the process
         conf = retry_start(lambda: config.load(os.environ), lambda: signals.is_stop_pending)
         operator = config.load_operator_settings(os.environ)
-        proxy = retry_start(lambda: Proxy(conf, operator), lambda: signals.is_stop_pending)
+        # These may fail for a moment. The rest is made once: it calls discovery and holds the store.
+        loop = retry_start(EventLoop)
+        listening_socket = retry_start(
+            lambda: open_listening_socket(conf.listen_address), lambda: signals.is_stop_pending
+        )
+        proxy = Proxy(conf, loop, listening_socket, operator)
     except (config.ConfigError, OSError) as error:
         print(f"lupinladder: {error}", file=sys.stderr)
         return EXIT_BAD_CONFIGURATION
--- a/lupinladder/net/client_listener.py
+++ b/lupinladder/net/client_listener.py
@@ -29,6 +29,20 @@
 SWEEP_INTERVAL_MS = 100.0  # between looks for clients to close
 
 
+def open_listening_socket(address: Address) -> socket.socket:
+    """A socket that listens at this address. Raises OSError, and then holds nothing."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind(address)
+        sock.listen(LISTEN_BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 class AcceptResult(Enum):
     """What one call of accept has come to."""
 
@@ -45,10 +59,11 @@
         loop: EventLoop,
         budget: DescriptorBudget,
         dispatcher: RequestDispatcher,
-        address: Address,
+        sock: socket.socket,
         classes: list[str],
         tenants: list[str],
     ) -> None:
+        """`sock` listens already: see `open_listening_socket`."""
         self.loop = loop
         self.budget = budget
         self.dispatcher = dispatcher
@@ -66,11 +81,7 @@
         self._mask = 0
         self._accept_retry: Timer | None = None
         self._accept_failed_at = -inf  # the last time that the system could not accept
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._sock.setblocking(False)
-        self._sock.bind(address)
-        self._sock.listen(LISTEN_BACKLOG)
+        self._sock = sock
         budget.used += 1
         self.update_listening()
         self._sweep()
--- a/lupinladder/net/upstream_connection.py
+++ b/lupinladder/net/upstream_connection.py
@@ -44,6 +44,7 @@
         self.in_flight: deque[InFlightAttempt] = deque()
         self.reader = pool.protocol.create_reader()
         self.idle_timer: Timer | None = None
+        self._is_closed = False
         self.idle_since = 0.0  # when it had its last reply, in ms
         self.connection = Connection.connect(pool.loop, pool.budget, pool.address, self)
         metrics.upstream_connections_opened += 1
@@ -86,8 +87,9 @@
 
     def close(self, reason: CloseReason) -> None:
         """Close the connection and end its attempts: one has run only if its last byte was written."""
-        if self.connection.is_open:
+        if not self._is_closed:
             metrics.connections_closed[reason] += 1
+        self._is_closed = True
         bytes_sent = self.connection.bytes_sent
         self.connection.close()
         for timer in (self._connect_timer, self.idle_timer, self._write_timer):
--- a/lupinladder/proxy.py
+++ b/lupinladder/proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import socket
 from typing import TYPE_CHECKING
 
 from lupinladder.balancing.events import Endpoint
@@ -32,13 +33,20 @@
 
 
 class Proxy:
-    """One proxy: it listens from its construction on, and serves while its loop runs."""
-
-    def __init__(self, conf: config.ProxyConfig, operator: OperatorSettings | None = None) -> None:
+    """One proxy: it serves clients of its listening socket while its loop runs."""
+
+    def __init__(
+        self,
+        conf: config.ProxyConfig,
+        loop: EventLoop,
+        listening_socket: socket.socket,
+        operator: OperatorSettings | None = None,
+    ) -> None:
+        """What may fail for a moment at a start, the loop and the listening socket, is made before."""
         self._conf = conf
         self._shutting_down = False
         self._reload_timer: Timer | None = None  # of a reload that could not read its file
-        self.loop = EventLoop()
+        self.loop = loop
         self._budget = DescriptorBudget(conf.max_descriptors)
         self._persister = self._open_persister(operator)
         self._reuse_policy = ReusePolicy()
@@ -64,7 +72,7 @@
             # The list is pushed: what discovery has for us counts as told from our first moment on.
             self._registry.open_watch()
         self.listener = ClientListener(
-            self.loop, self._budget, self.dispatcher, conf.listen_address, conf.classes, conf.tenants
+            self.loop, self._budget, self.dispatcher, listening_socket, conf.classes, conf.tenants
         )
         self._log_metrics()
 
--- a/tests/net/test_state_persister.py
+++ b/tests/net/test_state_persister.py
@@ -9,6 +9,7 @@
 from unittest import TestCase, mock
 
 from lupinladder.net import config, state_persister
+from lupinladder.net.event_loop import EventLoop
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
 from lupinladder.net.state_persister import StatePersister, StoreWriter, deployment_digest
@@ -88,7 +89,7 @@
         for number in (errno.ENOSPC, errno.EIO, errno.EROFS, errno.EDQUOT):
             failing = mock.patch.object(FileSystem, "lock", side_effect=OSError(number, "for a while"))
             with failing, mock.patch("lupinladder.proxy.ClientListener"):
-                proxy = Proxy(load_configuration(), settings)
+                proxy = Proxy(load_configuration(), EventLoop(), mock.Mock(), settings)
             self.assertIsNone(proxy._persister)
 
 
--- a/tests/support/network_scene.py
+++ b/tests/support/network_scene.py
@@ -14,7 +14,7 @@
 from lupinladder.net import request_dispatcher
 from lupinladder.net.cache_node_protocol import CacheNodeProtocol
 from lupinladder.net.client_command import parse_command
-from lupinladder.net.client_listener import ClientListener
+from lupinladder.net.client_listener import ClientListener, open_listening_socket
 from lupinladder.net.connection import READ, Address, Connection
 from lupinladder.net.connection_pool import ConnectionPool
 from lupinladder.net.descriptor_budget import DescriptorBudget
@@ -174,7 +174,12 @@
         }
         self.engine = self._dispatcher()
         self.front = ClientListener(
-            self.loop, self.budget, self.engine, ("127.0.0.1", 0), ["read"], self.TENANTS
+            self.loop,
+            self.budget,
+            self.engine,
+            open_listening_socket(("127.0.0.1", 0)),
+            ["read"],
+            self.TENANTS,
         )
         self.address: Address = self.front._sock.getsockname()
         self.addCleanup(self.front._sock.close)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -56,9 +56,11 @@
         self.config_path = Path(folder.name) / "config.json"
 
     def start(self, env: dict[str, str], stderr: int = subprocess.PIPE) -> subprocess.Popen[bytes]:
-        return EndedWithTest(
+        process = EndedWithTest(
             [sys.executable, "-m", "lupinladder"], cwd=ROOT, env={**os.environ, **env}, stderr=stderr
         )
+        self.addCleanup(process.kill)  # which does nothing to one that has ended
+        return process
 
     def configuration(self) -> dict[str, Any]:
         """A configuration that names a free port to listen on and this scene's node as the one endpoint."""
