--- a/lupinladder/emulator/faulty_system.py
+++ b/lupinladder/emulator/faulty_system.py
@@ -78,17 +78,21 @@
             super().__init__(family, kind, proto, fileno)
 
         def accept(self) -> tuple[socket.socket, Any]:
+            """Fail as accept(2) may, with nothing taken off the backlog."""
             system.fail(ACCEPT_ERRORS)
             return super().accept()
 
         def connect_ex(self, address: Any) -> int:
+            """Return an error that connect(2) may meet at once, or begin to connect."""
             return system.error(CONNECT_ERRORS) or super().connect_ex(address)
 
         def send(self, data: Any, flags: int = 0) -> int:
+            """Fail as send(2) may, or send a part."""
             system.fail(TRANSFER_ERRORS)
             return super().send(system.shorten(memoryview(data)), flags)
 
         def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
+            """Fail as recv(2) may, or receive a part."""
             system.fail(TRANSFER_ERRORS)
             return super().recv_into(system.shorten(memoryview(buffer)), nbytes, flags)
 
