--- a/lupinladder/emulator/faulty_system.py
+++ b/lupinladder/emulator/faulty_system.py
@@ -78,7 +78,7 @@
             super().__init__(family, kind, proto, fileno)
 
         def accept(self) -> tuple[socket.socket, Any]:
-            """Fail as accept(2) may, with nothing taken off the backlog."""
+            """Fail as the system may, with nothing taken off the backlog."""
             system.fail(ACCEPT_ERRORS)
             return super().accept()
 
@@ -87,12 +87,12 @@
             return system.error(CONNECT_ERRORS) or super().connect_ex(address)
 
         def send(self, data: Any, flags: int = 0) -> int:
-            """Fail as send(2) may, or send a part."""
+            """Fail as the system may, or write a part."""
             system.fail(TRANSFER_ERRORS)
             return super().send(system.shorten(memoryview(data)), flags)
 
         def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
-            """Fail as recv(2) may, or receive a part."""
+            """Fail as the system may, or read a part."""
             system.fail(TRANSFER_ERRORS)
             return super().recv_into(system.shorten(memoryview(buffer)), nbytes, flags)
 
