--- /dev/null
+++ b/benchmarks/endpoint_update_cost.py
@@ -0,0 +1,109 @@
+"""What a change of the endpoint list costs one proxy's loop, by the number of cache nodes. No sockets.
+
+    .venv/bin/python -m benchmarks.endpoint_update_cost [NODES ...]
+
+Each figure is the least of three calls, in ms of one processor: for so long the loop answers nobody.
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import sys
+import time
+from collections.abc import Callable
+from unittest import mock
+
+from lupinladder import Balancer
+from lupinladder.balancing.events import Endpoint, EndpointUpdate, EndpointUpdateKind, TimerFired
+from lupinladder.balancing.settings import RequestClass, Settings
+from lupinladder.net import config
+from tests.support.endpoint_lists import ENTRY, PARSER, configuration
+
+DEFAULT_NODES = (200, 800, 3200)
+BALANCERS = 200
+CALLS = 3
+
+
+def least_ms(call: Callable[[], object], calls: int = CALLS) -> float:
+    """The least time of several calls."""
+    times = list[float]()
+    for _ in range(calls):
+        begun = time.perf_counter()
+        call()
+        times.append(time.perf_counter() - begun)
+    return min(times) * 1000
+
+
+def endpoints(count: int, first: int = 0) -> list[Endpoint]:
+    """So many endpoints of ready servers."""
+    return [Endpoint(f"s-{number:08x}".encode()) for number in range(first, first + count)]
+
+
+class ListedBalancer:
+    """A balancer that knows a list of so many servers, and the time that its calls take."""
+
+    def __init__(self, nodes: int) -> None:
+        settings = Settings([RequestClass(500, 1500)], balancer_count=BALANCERS)
+        self.balancer = Balancer(settings, 1, 0.0)
+        self.balancer.start(0.0)
+        self.nodes = nodes
+        self.version = 1
+        self.first_list_ms = least_ms(lambda: self._tell(EndpointUpdateKind.FULL, endpoints(nodes)), calls=1)
+
+    def _tell(self, kind: EndpointUpdateKind, changed: list[Endpoint]) -> None:
+        self.version += 1
+        self.balancer.handle(EndpointUpdate(kind, self.version, changed), 1.0)
+
+    def add_server(self) -> None:
+        """Take in a list that names one server more."""
+        self._tell(EndpointUpdateKind.DELTA, endpoints(1, self.nodes + self.version))
+
+    def repeat_list(self) -> None:
+        """Take in a whole list in which next to nothing has changed."""
+        self._tell(EndpointUpdateKind.FULL, endpoints(self.nodes))
+
+    def review(self) -> None:
+        """Make the review that is due from time to time."""
+        self.balancer.review_at = 0.0
+        self.balancer.handle(TimerFired(0), 2.0)
+
+
+def whole_list(nodes: int) -> dict[str, object]:
+    """A list of so many cache nodes, as discovery tells it."""
+    entries = [
+        {**ENTRY, "name": f"s-{number:08x}", "address": f"127.0.{number >> 8}.{number & 255}:6379"}
+        for number in range(nodes)
+    ]
+    return {"index": 4, "snapshot": True, "endpoints": entries}
+
+
+def measure(nodes: int) -> dict[str, float]:
+    """The cost of each part, in ms."""
+    listed = ListedBalancer(nodes)
+    tree = whole_list(nodes)
+    text = json.dumps(tree)
+    configured = json.dumps({**configuration(), "known": tree})
+    gc.collect()
+    with mock.patch("builtins.print"):
+        return {
+            "first list": listed.first_list_ms,
+            "one server more": least_ms(listed.add_server),
+            "same list": least_ms(listed.repeat_list),
+            "review": least_ms(listed.review),
+            "JSON": least_ms(lambda: json.loads(text)),
+            "entries": least_ms(lambda: PARSER.read(tree)),
+            "configuration": least_ms(lambda: config.parse(configured)),
+            "collection": least_ms(gc.collect),
+        }
+
+
+def main() -> None:
+    """Print a line for each number of nodes."""
+    for nodes in [int(argument) for argument in sys.argv[1:]] or DEFAULT_NODES:
+        figures = measure(nodes)
+        print(f"{nodes:5d} nodes:", ", ".join(f"{name} {figure:.2f}" for name, figure in figures.items()))
+
+
+if __name__ == "__main__":
+    main()
