--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -9,21 +9,15 @@
 import socket
 import subprocess
 import sys
-import tempfile
 import unittest
-from pathlib import Path
-from typing import Any
 from unittest import mock
 
 from lupinladder.net.discovery.endpoint_parser import parse_address
 from lupinladder.net.log import log_event
-from tests.support.endpoint_lists import configuration, listing
+from tests.support.endpoint_lists import listing
 from tests.support.network_scene import SERVED, NetworkScene, RecordingListener, RecordingPeer, get
+from tests.support.proxy_process import END_TIMEOUT_S, PING, ROOT, ProxyProcess
 
-ROOT = Path(__file__).resolve().parent.parent
-
-PING = b"*1\r\n$4\r\nPING\r\n"
-END_TIMEOUT_S = 30
 # What the platform's start does without: the command line, the emulator and what an operator may switch on.
 OPTIONAL_MODULES = (
     "click",
@@ -37,57 +31,6 @@
 )
 
 
-class EndedWithTest(subprocess.Popen[bytes]):
-    """A process that a failing test does not wait for."""
-
-    def __exit__(self, exc_type: Any, exc_value: Any, exc_traceback: Any) -> None:
-        if exc_type is not None:
-            self.kill()
-        super().__exit__(exc_type, exc_value, exc_traceback)
-
-
-class ProxyProcess(NetworkScene):
-    """The program itself, as deploy/balancer.toml starts it, with its configuration in a file."""
-
-    def setUp(self) -> None:
-        super().setUp()
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.config_path = Path(folder.name) / "config.json"
-
-    def start(self, env: dict[str, str], stderr: int = subprocess.PIPE) -> subprocess.Popen[bytes]:
-        process = EndedWithTest(
-            [sys.executable, "-m", "lupinladder"], cwd=ROOT, env={**os.environ, **env}, stderr=stderr
-        )
-        self.addCleanup(process.kill)  # which does nothing to one that has ended
-        return process
-
-    def configuration(self) -> dict[str, Any]:
-        """A configuration that names a free port to listen on and this scene's node as the one endpoint."""
-        conf = configuration()
-        with socket.create_server(("127.0.0.1", 0)) as spare:
-            conf["listen"] = f"127.0.0.1:{spare.getsockname()[1]}"
-        conf["known"] = listing(type="m2", address=f"127.0.0.1:{self.node.address[1]}", since_ms=0)
-        return conf
-
-    def until_logged(self, process: subprocess.Popen[bytes], event: str) -> bytes:
-        """The next line of this event on the process's log; a test fails if the log ends before."""
-        assert process.stderr
-        for line in process.stderr:
-            if line.startswith(b"lupinladder: %b " % event.encode()):
-                return line
-        message = f"no line of {event} before the end of the process"
-        raise AssertionError(message)
-
-    def start_listening(self, conf: dict[str, Any]) -> subprocess.Popen[bytes]:
-        """Start with this configuration, and return once the proxy listens. `client` then connects to it."""
-        self.config_path.write_text(json.dumps(conf))
-        process = self.start({"GW_CONFIG": str(self.config_path)})
-        self.until_logged(process, "metrics")
-        self.address = parse_address(conf["listen"])
-        return process
-
-
 class BadStart(ProxyProcess):
     def test_a_bad_configuration_is_one_plain_line(self) -> None:
         with self.start({"GW_CONFIG": "/nowhere"}) as process:
