Test a large fleet whose list changes, listed as known to be red

Cause: not mended yet; a list of 3,200 servers holds the loop at each change. Change: a real process with 3,200 servers is told ten versions, or a whole list with half of the servers replaced, while a client asks; and the slot table's hashes are counted at two sizes. Measured (2 December, untouched program): an answer came after 4,192 ms where its client waits 400; -BUSY after 611 ms behind the whole list; a change of one server hashes the points of all.

--- /dev/null
+++ b/tests/balancing/test_work_by_size.py
@@ -0,0 +1,36 @@
+"""How the balancer's work grows with the number of listed servers. Work is counted, not timed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from unittest import mock
+
+from lupinladder import Balancer
+from lupinladder.balancing import slot_table
+from lupinladder.balancing.events import Endpoint, EndpointUpdate, EndpointUpdateKind
+from lupinladder.balancing.hashing import splitmix64
+from lupinladder.balancing.slot_table import POINTS_PER_SERVER
+from tests.support.balancer_harness import entries, settings, sid
+from tests.support.large_lists import LARGE_FLEET
+
+
+def listed(count: int) -> Balancer:
+    """A balancer that has taken in a list of so many servers."""
+    balancer = Balancer(settings(), 1, 0.0)
+    balancer.start(0.0)
+    balancer.handle(EndpointUpdate(EndpointUpdateKind.FULL, 1, entries(count)), 0.0)
+    return balancer
+
+
+def points_hashed(act: Callable[[], object]) -> int:
+    """How many hashes the slot table computes meanwhile."""
+    with mock.patch.object(slot_table, "splitmix64", side_effect=splitmix64) as hashing:
+        act()
+    return hashing.call_count
+
+
+def test_a_change_of_one_server_hashes_its_own_points_alone() -> None:
+    for count in (200, LARGE_FLEET):
+        balancer = listed(count)
+        newcomer = EndpointUpdate(EndpointUpdateKind.DELTA, 2, [Endpoint(sid(count + 1))])
+        assert points_hashed(lambda: balancer.handle(newcomer, 1.0)) <= POINTS_PER_SERVER  # noqa: B023
--- a/tests/support/network_scene.py
+++ b/tests/support/network_scene.py
@@ -68,6 +68,8 @@
 class RecordingListener:
     """A listener on a port of its own, and a peer for each connection accepted."""
 
+    peer_type: type[RecordingPeer] = RecordingPeer
+
     def __init__(self, loop: EventLoop) -> None:
         self.peers = list[RecordingPeer]()
         self.sock = socket.create_server(("127.0.0.1", 0))
@@ -76,7 +78,7 @@
         loop.watch(self.sock, 0, READ, self._ready)
 
     def _ready(self, mask: int) -> None:
-        peer = RecordingPeer()
+        peer = self.peer_type()
         peer.conn = Connection(self._loop, DescriptorBudget(99), self.sock.accept()[0], peer)
         self.peers.append(peer)
 
--- /dev/null
+++ b/tests/test_large_fleet.py
@@ -0,0 +1,81 @@
+"""The program beside thousands of servers: requests are answered while the list changes."""
+
+from __future__ import annotations
+
+import signal
+
+from tests.support.discovery_scene import STREAM_HEAD, chunks
+from tests.support.large_lists import LARGE_FLEET, ServingListener, entries, list_text
+from tests.support.network_scene import RecordingListener, RecordingPeer, get
+from tests.support.proxy_process import END_TIMEOUT_S, ProxyProcess
+
+WAIT_MS = 400  # of a client: five times the value of an answer that no list delays on a busy machine
+VERSIONS = 10
+REQUESTS = 40
+VALUE = b"$1\r\nV\r\n"
+
+
+class ChangesOfTheList(ProxyProcess):
+    """A proxy that knows the largest list, and discovery, which goes on to tell changes."""
+
+    UNTIL_TIMEOUT_MS = 30_000.0
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.nodes = ServingListener(self.loop)
+        self.addCleanup(self.nodes.close)
+        self.discovery = RecordingListener(self.loop)
+        self.addCleanup(self.discovery.close)
+        conf = self.configuration()
+        conf["settings"]["membership-mode"] = "push"
+        conf["discovery"] = f"127.0.0.1:{self.discovery.address[1]}"
+        conf["known"]["endpoints"] = entries(range(LARGE_FLEET), self.port)
+        self.process = self.start_listening(conf)
+        self.addCleanup(self.process.communicate)
+        self.addCleanup(self.process.kill)
+        self.watch = self.at_node(0, self.discovery)
+        self.watch.conn.send(STREAM_HEAD)
+        self.serving_client = self.client()
+        self.assert_answered(0)
+
+    @property
+    def port(self) -> int:
+        """The port of all nodes."""
+        return self.nodes.address[1]
+
+    def assert_answered(self, number: int) -> None:
+        """Send a read; the test fails unless its value comes before its client gives up."""
+        client: RecordingPeer = self.serving_client
+        client.got = b""
+        sent_at = self.loop.now()
+        client.conn.send(get(wait=WAIT_MS))
+        self.until(lambda: client.got or client.ends, f"answer {number}")
+        waited = self.loop.now() - sent_at
+        self.assertEqual(client.got, VALUE, f"answer {number}, after {waited:.0f} ms")
+        self.assertLess(waited, WAIT_MS)
+
+    def assert_requests_answered(self) -> None:
+        for number in range(REQUESTS):
+            self.assert_answered(number)
+
+    def assert_ends_in_order(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+        self.until(lambda: self.serving_client.ends, "the end")
+        self.serving_client.conn.close()
+        self.assertEqual(self.process.wait(END_TIMEOUT_S), 0)
+
+    def test_requests_are_answered_in_time_while_versions_queue(self) -> None:
+        versions = [
+            list_text(5 + number, entries(range(LARGE_FLEET + number, LARGE_FLEET + number + 1), self.port))
+            for number in range(VERSIONS)
+        ]
+        self.watch.conn.send(chunks(*versions))
+        self.assert_requests_answered()
+        self.assert_ends_in_order()
+
+    def test_requests_are_answered_in_time_while_a_whole_list_replaces_half_of_the_servers(self) -> None:
+        half = LARGE_FLEET // 2
+        whole = list_text(9, entries(range(half, half + LARGE_FLEET), self.port), is_snapshot=True)
+        self.watch.conn.send(chunks(whole))
+        self.assert_requests_answered()
+        self.assert_ends_in_order()
