Tell how long the loop's turns take, and what a long one did

Cause: no log or counter told that a proxy stood still, nor on what. Change: counters longest_turn_ms and slow_turns, and an event turn_slow with the sockets, timers and deferred calls of the turn and the time of each; one more reading of the clock a turn.

--- a/lupinladder/net/event_loop.py
+++ b/lupinladder/net/event_loop.py
@@ -15,6 +15,7 @@
 
 from lupinladder.net.log import format_traceback, log_event
 from lupinladder.net.metrics import metrics
+from lupinladder.net.turn_monitor import TurnMonitor, TurnRecord
 from lupinladder.net.wall_clock import WallClock
 
 # Time beyond what was asked for, after which the process counts as having stood still: the slack that the
@@ -65,6 +66,8 @@
         self._selected_at = self.now()
         # Ms for which bytes that are read in this turn may have lain unread when it began.
         self.unread_time = 0.0
+        self._turn_monitor = TurnMonitor()
+        self._turn: TurnRecord | None = None  # the one that is running, or the last one
 
     def now(self) -> float:
         """The loop's time in ms: Unix time at its start, monotonic since."""
@@ -125,6 +128,8 @@
     def run_once(self) -> None:
         """One turn: wait for the next thing to do and do all that is due."""
         asked_at = self.now()
+        if self._turn is not None:
+            self._turn_monitor.record(self._turn, asked_at)
         wait = self._time_until_next(asked_at)
         ready = self._selector.select(None if wait == inf else wait / 1000)
         started_at = self.now()
@@ -136,10 +141,12 @@
         if overrun > STALL_THRESHOLD_MS or self.is_late:
             # The process stood still: more is ready by now than what would have woken it.
             ready = self._selector.select(0)
+        self._turn = TurnRecord(started_at, sockets=len(ready), deferred=len(self._soon))
         self._run_ready(ready)
-        self._run_due_timers()
-        for _ in range(len(self._soon)):
-            self._run(self._soon.popleft())
+        self._turn.timers_began_at = self.now()
+        self._turn.timers = self._run_due_timers(self._turn.timers_began_at)
+        self._turn.deferred_began_at = self.now()
+        self._run_deferred()
 
     def _time_until_next(self, now: float) -> float:
         """How long a turn may wait for sockets, in ms: until the first timer is due, or without end."""
@@ -161,13 +168,20 @@
             if self._selector.get_map().get(key.fd) is key:
                 self._run(partial(key.data.ready, mask))
 
-    def _run_due_timers(self) -> None:
-        """Call back for the timers that are due. Those that a callback adds wait for the next turn, else a
-        timer in the past would starve the sockets."""
+    def _run_due_timers(self, now: float) -> int:
+        """Call back for the timers that are due; returns how many. Those that a callback adds wait for the
+        next turn, else a timer in the past would starve the sockets."""
         last_number = self._last_timer_number
-        now = self.now()
+        fired = 0
         while self._timers and self._timers[0].when <= now and self._timers[0].number <= last_number:
             self._run(self._timers.pop(0).callback)
+            fired += 1
+        return fired
+
+    def _run_deferred(self) -> None:
+        """Call what was put off until the end of the turn."""
+        for _ in range(len(self._soon)):
+            self._run(self._soon.popleft())
 
     def _run(self, callback: Callable[[], object]) -> None:
         try:
--- a/lupinladder/net/metrics.py
+++ b/lupinladder/net/metrics.py
@@ -32,6 +32,7 @@
     endpoint_watches_requested: int = 0
     endpoints_ignored: int = 0
     invalid_commands: int = 0
+    longest_turn_ms: int = 0  # of the event loop
     origin_errors: int = 0
     requests_abandoned: int = 0
     requests_failed: int = 0
@@ -43,6 +44,7 @@
     requests_rejected_for_memory: int = 0
     requests_served: int = 0
     selector_errors: int = 0
+    slow_turns: int = 0
     store_bytes_written: int = 0
     store_errors: int = 0
     upstream_connections_opened: int = 0
