Have a change of the list cost what has changed, in steps, and reviews what was touched

Change: a ring in buckets takes single servers in and out; 24 of them a step, the rest by a timer of no length; who leaves owns nothing at once, who comes owns slots when all of its list do, unless most servers are missing. Reviews look at servers that were sent to or spilled; a warm-up is set when it is asked for; the weight of warm servers is kept.

--- a/lupinladder/balancing/balancer.py
+++ b/lupinladder/balancing/balancer.py
@@ -16,7 +16,7 @@
 from lupinladder.balancing.hashing import RandomSource, splitmix64
 from lupinladder.balancing.origin_fetch import OriginFetch
 from lupinladder.balancing.outcome_recorder import record_outcome
-from lupinladder.balancing.pool_review import MIN_SLOT_SHARE
+from lupinladder.balancing.pool_review import MIN_SLOT_SHARE, refresh_warm_up
 from lupinladder.balancing.pool_state import MEMORY_OBJECTIVES, PoolState, strictest_objective
 from lupinladder.balancing.request_record import Attempt
 from lupinladder.balancing.request_state import RequestState
@@ -69,6 +69,7 @@
         server.limiter.restore(event, self.now)
         server.slot_share = server.active_share = min(max(event.slot_share, MIN_SLOT_SHARE), 1.0)
         server.failure_rate = event.failure_rate
+        self.pool.touched[server] = None
 
     def accepts(self, request_id: int, request_class: int) -> bool:
         """Whether a request may be opened: its id is not open, and its class is known."""
@@ -115,6 +116,8 @@
     def _candidates(self, slot: int) -> tuple[list[Server], int]:
         """The servers to ask for this slot, in order, and how many of them own it."""
         owners = self.slots.owners(slot)
+        for server, _ in owners:
+            refresh_warm_up(self.pool, server)
         order = [s for s, place in owners if place <= s.active_share] or [s for s, _ in owners]
         count = min(self.slots.owner_count(slot), len(order))
         if count > 1:
--- a/lupinladder/balancing/endpoint_table.py
+++ b/lupinladder/balancing/endpoint_table.py
@@ -8,57 +8,58 @@
 from lupinladder.balancing.events import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
 from lupinladder.balancing.server import Server
 from lupinladder.balancing.settings import ServerId, Settings
+from lupinladder.balancing.slot_table import SlotTable
+from lupinladder.balancing.warm_weight import WarmWeight
 
 ServerFactory = Callable[[Endpoint, bool, float], Server]  # endpoint, whether it is the origin, now
 
 
 class EndpointTable:
-    """The listed servers by id, and which of them is the origin."""
+    """The listed servers by id, which of them is the origin, and what is kept of all that own slots.
+
+    A change costs what is changed: nothing here walks all servers but a whole list that comes in one update.
+    """
 
     def __init__(self, settings: Settings, new_server: ServerFactory) -> None:
         self._settings = settings
         self._new_server = new_server
         self._version = -1
         self.members = dict[ServerId, Server]()
-        self.slot_owners = list[Server]()  # ready members other than the origin
+        self.slots = SlotTable()
+        self.warm_weight = WarmWeight()  # of the slots' owners
+        self.owner_count = 0  # of slots: ready members other than the origin
         self.origin: Server | None = None
 
     def is_stale(self, update: EndpointUpdate) -> bool:
         """Whether a newer list than the one that this delta changes is known."""
         return update.kind is EndpointUpdateKind.DELTA and update.version < self._version
 
-    def merge(self, update: EndpointUpdate, now: float) -> bool:
-        """Take in a full, cached or changed list; true if slots change their owners."""
+    def merge(self, update: EndpointUpdate, now: float) -> None:
+        """Take in a full, cached or changed list."""
         self._version = update.version
-        endpoints = update.endpoints
         if update.kind is not EndpointUpdateKind.DELTA:  # who is missing from a whole list is gone
-            listed = {endpoint.server for endpoint in endpoints}
-            missing = [server for server in self.members if server not in listed]
-            endpoints = endpoints + [Endpoint(server, EndpointState.GONE) for server in missing]
-        changed = False
-        for endpoint in endpoints:
-            changed = self._merge_endpoint(endpoint, now) or changed
-        if changed:
-            members = self.members.values()
-            self.slot_owners = [s for s in members if not s.is_origin and s.is_ready]
-        return changed
-
-    def _merge_endpoint(self, endpoint: Endpoint, now: float) -> bool:
-        """Take in one endpoint; true if slots change their owners."""
+            listed = {endpoint.server for endpoint in update.endpoints}
+            for missing in [server for server in self.members if server not in listed]:
+                self._remove(self.members[missing])
+        for endpoint in update.endpoints:
+            self._merge_endpoint(endpoint, now)
+
+    def _merge_endpoint(self, endpoint: Endpoint, now: float) -> None:
         server = self.members.get(endpoint.server)
         if endpoint.state is EndpointState.GONE:
-            return self._remove(server)
-        changed = False
-        if server is None or server.endpoint.started_at != endpoint.started_at:
-            server = self._add(endpoint, now)  # new, or started again under its id
-            changed = True
-        is_ready = endpoint.state is EndpointState.READY
-        weight = self._weight_of(endpoint)
-        changed = changed or server.is_ready is not is_ready or server.weight != weight
+            if server is not None:
+                self._remove(server)
+            return
+        if server is not None and server.endpoint.started_at != endpoint.started_at:
+            self._remove(server)  # it has started again under its id
+            server = None
+        if server is None:
+            server = self._add(endpoint, now)
         server.endpoint = endpoint
-        server.is_ready = is_ready
-        server.weight = weight
-        return changed
+        if endpoint.state is EndpointState.READY:
+            self._set_ready(server, self._weight_of(endpoint))
+        else:
+            self._set_unready(server)
 
     def _add(self, endpoint: Endpoint, now: float) -> Server:
         is_origin = endpoint.server_kind == self._settings.origin_kind
@@ -68,17 +69,41 @@
             self.origin = server
         return server
 
+    def _set_ready(self, server: Server, weight: float) -> None:
+        was_ready = server.is_ready
+        same_weight = server.weight == weight
+        server.is_ready = True
+        server.weight = weight
+        if server.is_origin or (was_ready and same_weight):
+            return
+        if was_ready:
+            self.warm_weight.remove(server)
+            self.slots.reweigh(server)
+        else:
+            self.owner_count += 1
+            self.slots.add(server)
+        self.warm_weight.add(server, self._warm_at(server))
+
+    def _set_unready(self, server: Server) -> None:
+        if server.is_ready and not server.is_origin:
+            self.owner_count -= 1
+            self.slots.remove(server)
+            self.warm_weight.remove(server)
+        server.is_ready = False
+
+    def _warm_at(self, server: Server) -> float:
+        if self._settings.initial_capacity >= 1:
+            return -inf
+        return server.endpoint.started_at + max(self._settings.warmup_time, 1.0)
+
     def _weight_of(self, endpoint: Endpoint) -> float:
         """A server's weight as listed; weights that follow the load of the moment are not used."""
         if self._settings.live_weights or not 0 < endpoint.weight < inf:
             return 1.0
         return endpoint.weight
 
-    def _remove(self, server: Server | None) -> bool:
-        if server is None:
-            return False
-        server.is_ready = False  # attempts in flight still hold it
+    def _remove(self, server: Server) -> None:
+        self._set_unready(server)  # attempts in flight still hold it
         if server is self.origin:
             self.origin = None
         del self.members[server.id]
-        return True
--- a/lupinladder/balancing/event_dispatcher.py
+++ b/lupinladder/balancing/event_dispatcher.py
@@ -54,6 +54,8 @@
         self.timers = TimerRegistry()
         self.poller = EndpointPoller(settings, pool.random)
         self._polls_set = 0
+        self._is_list_whole = True  # no more of the list that is being taken in is to come
+        self._settling = False  # a timer is set for the next step
         self.open_requests = dict[int, RequestState]()  # by id, until the last attempt has ended
 
     @property
@@ -119,6 +121,7 @@
         state.attempts.append(Attempt(server, now, is_fetch))
         server.limiter.on_send(now)
         server.sends_since_review += 1
+        self.pool.touched[server] = None
         server.slow_start_credit -= 1
         if is_fetch:
             self.pool.origin_limiter.on_send(now)
@@ -140,8 +143,21 @@
             self._poll_endpoints_after(self.poller.delay_after_failure())
         elif not endpoints.is_stale(event):
             self.poller.on_success()
-            if endpoints.merge(event, self.now):
-                self.slots.assign(endpoints.slot_owners)
+            endpoints.merge(event, self.now)
+            self._is_list_whole = not event.more_follows
+            self._settle_slots()
+
+    def _settle_slots(self) -> None:
+        """Take a step towards the slots of the list that is known; the next one follows by itself, so that
+        other events have their turn between."""
+        is_settled = self.slots.settle(self._is_list_whole)
+        if not is_settled and not self._settling:
+            self._settling = True
+            self.actions.append(self.timers.set(0.0, self._settle_on))
+
+    def _settle_on(self) -> None:
+        self._settling = False
+        self._settle_slots()
 
     def _poll_endpoints_after(self, delay: float) -> None:
         """Poll once after this delay, and not at the time that was set before: a reload may have had a poll
--- a/lupinladder/balancing/events.py
+++ b/lupinladder/balancing/events.py
@@ -79,11 +79,16 @@
 
 @dataclass(slots=True)
 class EndpointUpdate:
-    """What discovery knows. A full or cached list replaces the old one, a delta changes it."""
+    """What discovery knows. A full or cached list replaces the old one, a delta changes it.
+
+    A long delta may come in parts: with `more_follows` the next one belongs to the same list. Who leaves by
+    a part is sent nothing from then on; who comes owns slots once the last part has come.
+    """
 
     kind: EndpointUpdateKind
     version: int = 0
     endpoints: list[Endpoint] = field(default_factory=list)
+    more_follows: bool = False
 
 
 @dataclass(slots=True)
--- a/lupinladder/balancing/outcome_recorder.py
+++ b/lupinladder/balancing/outcome_recorder.py
@@ -90,4 +90,5 @@
     server.ejected_until = now + server.ejection_time
     server.failure_rate = EJECTION_FAILURE_RATE
     pool.ejected_count += 1
+    pool.touched[server] = None
     return f"{server.id.hex()} out for {server.ejection_time:.0f} ms: attempts fail"
--- /dev/null
+++ b/lupinladder/balancing/point_ring.py
@@ -0,0 +1,78 @@
+"""A ring of hashed points, each of which belongs to a server. No decision is made here: see slot_table.py.
+
+The points stand in buckets by their highest bits, so that a change of one server costs what its own points
+cost, and not a shift of all that lie behind them.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left, bisect_right
+from collections.abc import Iterator
+
+from lupinladder.balancing.server import Server
+
+POINT_BITS = 64
+BUCKET_BITS = 8  # some points a bucket with a few servers, some hundreds with thousands
+
+
+class RingMember:
+    """A server with its points in the ring, and whether slots may go by them."""
+
+    __slots__ = ("is_listed", "is_visible", "points", "replaced", "server", "weight")
+
+    def __init__(self, server: Server, replaced: RingMember | None = None) -> None:
+        self.server = server
+        self.weight = server.weight  # by which its points are counted
+        self.points: list[int] = []  # those in the ring
+        self.is_listed = True  # false: its points are to be taken out
+        self.is_visible = False
+        self.replaced = replaced  # the same server with another weight, visible until this one is
+
+
+class PointRing:
+    """The points of all members in order; after the highest the lowest is next."""
+
+    def __init__(self) -> None:
+        self._points: list[list[int]] = [[] for _ in range(1 << BUCKET_BITS)]  # by bucket, each in order
+        self._members: list[list[RingMember]] = [[] for _ in range(1 << BUCKET_BITS)]  # whose they are
+
+    def insert(self, member: RingMember, points: list[int]) -> None:
+        """Put a member's points in."""
+        member.points = points
+        for point in points:
+            bucket = point >> (POINT_BITS - BUCKET_BITS)
+            place = self._place(bucket, point, member)
+            self._points[bucket].insert(place, point)
+            self._members[bucket].insert(place, member)
+
+    def remove(self, member: RingMember) -> None:
+        """Take a member's points out."""
+        for point in member.points:
+            bucket = point >> (POINT_BITS - BUCKET_BITS)
+            place = bisect_left(self._points[bucket], point)
+            while self._members[bucket][place] is not member:  # another server has the same point
+                place += 1
+            del self._points[bucket][place]
+            del self._members[bucket][place]
+        member.points = []
+
+    def _place(self, bucket: int, point: int, member: RingMember) -> int:
+        """Where a point belongs in its bucket: equal ones stand in the order of their servers' ids, whatever
+        the order in which they came."""
+        points = self._points[bucket]
+        members = self._members[bucket]
+        place = bisect_left(points, point)
+        while place < len(points) and points[place] == point:
+            if members[place].server.id >= member.server.id:
+                break
+            place += 1
+        return place
+
+    def members_from(self, position: int) -> Iterator[RingMember]:
+        """Whose points lie behind this position, one after another, once round the ring."""
+        first = position >> (POINT_BITS - BUCKET_BITS)
+        place = bisect_right(self._points[first], position)
+        yield from self._members[first][place:]
+        for bucket in range(first + 1, first + (1 << BUCKET_BITS)):
+            yield from self._members[bucket & ((1 << BUCKET_BITS) - 1)]
+        yield from self._members[first][:place]
--- a/lupinladder/balancing/pool_review.py
+++ b/lupinladder/balancing/pool_review.py
@@ -16,15 +16,39 @@
 
 
 def review_pool(pool: PoolState, now: float) -> float:
-    """Set what may be sent by what has been sent since the last review; returns the time of the next."""
+    """Set what may be sent by what has been sent since the last review; returns the time of the next.
+
+    It looks at the servers that something has happened to. What a warm-up leaves a server is set when that
+    is asked for: see `refresh_warm_up`.
+    """
     pool.age(now)
-    pool.ejected_count = sum(server.ejected_until > now for server in pool.endpoints.slot_owners)
-    for server in pool.endpoints.slot_owners:
+    pool.endpoints.warm_weight.advance(now)
+    pool.ejected_count = sum(server.ejected_until > now and server.is_ready for server in pool.touched)
+    for server in list(pool.touched):
+        if server.is_origin or pool.endpoints.members.get(server.id) is not server:
+            del pool.touched[server]
+            continue
+        if not server.is_ready:
+            continue  # it may come back
         _move_slots(pool, server)
         _warm_up(pool, server, now)
+        if _is_settled(server, now):
+            del pool.touched[server]
     return now + REVIEW_OBJECTIVES * pool.latency_objective
 
 
+def refresh_warm_up(pool: PoolState, server: Server) -> None:
+    """Set what a server that warms up may carry, as of the last review."""
+    if server.warming_up and server.warmth_set_at < pool.reviewed_at:
+        _warm_up(pool, server, pool.reviewed_at)
+
+
+def _is_settled(server: Server, now: float) -> bool:
+    """Whether no review changes anything until something happens to the server again."""
+    has_all_slots = server.slot_share == 1 and server.overload_signal < CALM_RATE
+    return has_all_slots and server.ejected_until <= now
+
+
 def _move_slots(pool: PoolState, server: Server) -> None:
     """Move slots by load, stepwise, in the order of owners(); a sparse balancer needs many reviews."""
     if server.overload_signal > max(OVERLOAD_RATE, 2 * pool.overload_signal):
@@ -42,6 +66,7 @@
         warmth = initial + (1 - initial) * age / max(pool.settings.warmup_time, 1.0)
         warmth = min(max(warmth, initial), 1.0)
     boost = max(pool.settings.overload_factor * OVERLOAD_FACTOR_SHARE, 1.0)
+    server.warmth_set_at = now
     server.warming_up = warmth < 1
     server.active_share = min(warmth * boost, 1.0) * server.slot_share
     server.credit_rate = pool.warm_send_rate * server.weight * warmth * boost
--- a/lupinladder/balancing/pool_state.py
+++ b/lupinladder/balancing/pool_state.py
@@ -9,7 +9,6 @@
 from lupinladder.balancing.limiter_state import EMA_ALPHA
 from lupinladder.balancing.server import Server
 from lupinladder.balancing.settings import Settings
-from lupinladder.balancing.slot_table import SlotTable
 
 HEALTH_ALPHA = 0.2  # smoothing of failures and rejections
 WARM_RATE_ALPHA = 0.25  # smoothing of the rate of sends to warm servers
@@ -45,13 +44,14 @@
         self.settings = settings
         self.latency_objective = strictest_objective(settings)
         self.endpoints = endpoints
-        self.slots = SlotTable()
+        self.slots = endpoints.slots
         self.random = random
         self.min_limit = min_limit  # the least limit of a server
         self.origin_limiter = origin_limiter  # read-through mode: of what servers may have to fetch
         self.reviewed_at = now
 
         self.warm_send_rate = 0.0  # own sends to a mean warm server, by unit of weight
+        self.touched: dict[Server, None] = {}  # the servers of which a review may change something
         self.ejected_count = 0
         self.failure_rate = 0.0
         self.overload_signal = 0.0  # smoothed share of sends that were spilled, dropped or late
@@ -72,6 +72,7 @@
 
     def smooth_overload(self, server: Server, sign: float) -> None:
         """Take in one sign: 1 where a send was spilled, dropped or late, else 0."""
+        self.touched[server] = None
         server.overload_signal += (sign - server.overload_signal) * EMA_ALPHA
         self.overload_signal += (sign - self.overload_signal) * EMA_ALPHA / 10
 
@@ -120,9 +121,9 @@
         span = max(now - self.reviewed_at, 1.0)
         self.reviewed_at = now
         self._smooth_warm_send_rate(span)
-        for server in self.endpoints.slot_owners:
+        for server in self.touched:
             server.sends_since_review = 0
-        self.slots.load.decay(len(self.endpoints.slot_owners))
+        self.slots.load.decay(self.endpoints.owner_count)
         if now - self.recent_keys_since > MEMORY_OBJECTIVES * self.latency_objective:
             self.older_keys = self.recent_keys
             self.recent_keys = set()
@@ -131,10 +132,10 @@
         self.tenant_requests = [count * left for count in self.tenant_requests]
 
     def _smooth_warm_send_rate(self, span: float) -> None:
-        warm = [server for server in self.endpoints.slot_owners if not server.warming_up]
-        if not warm:
+        warm_weight = self.endpoints.warm_weight
+        if not warm_weight.total:
             return
-        weight = sum(server.weight for server in warm)
-        rate = sum(server.sends_since_review for server in warm) / span / weight
+        sends = sum(server.sends_since_review for server in self.touched if server in warm_weight)
+        rate = sends / span / warm_weight.total
         alpha = WARM_RATE_ALPHA if self.warm_send_rate else 1.0
         self.warm_send_rate += (rate - self.warm_send_rate) * alpha
--- a/lupinladder/balancing/server_state.py
+++ b/lupinladder/balancing/server_state.py
@@ -23,7 +23,7 @@
         self.id_hash = splitmix64(int.from_bytes(endpoint.server, "big"))
         self.endpoint = endpoint
         self.limiter = limiter
-        self.is_ready = True  # listed, and neither draining nor gone
+        self.is_ready = False  # listed, and neither draining nor gone
         self.weight = 1.0
 
         self.slot_share = 1.0  # of its slots, what overload has left it
@@ -41,6 +41,7 @@
         self.ejection_time = 0.0  # how long the last ejection was
         self.busy_until = 0.0  # by then it has worked off what would keep a send waiting for too long
         self.sends_since_review = 0
+        self.warmth_set_at = now  # when the share that its warm-up leaves it was set
 
     def accrue_credit(self, now: float, most: float) -> None:
         """Add the slow start credit of the time that has passed, up to `most` sends."""
--- a/lupinladder/balancing/slot_table.py
+++ b/lupinladder/balancing/slot_table.py
@@ -2,50 +2,173 @@
 
 from __future__ import annotations
 
-from bisect import bisect
-
 from lupinladder.balancing.concurrency_limiter import MIN_WINDOW_SAMPLES
 from lupinladder.balancing.hashing import HASH_MASK, splitmix64
+from lupinladder.balancing.point_ring import PointRing, RingMember
 from lupinladder.balancing.server import Server
+from lupinladder.balancing.settings import ServerId
 from lupinladder.balancing.slot_load import SlotLoad
+from lupinladder.balancing.weight_scale import WeightScale
 
 MAX_OWNERS = 8  # owners of one slot that are looked at
+MAX_POINTS_LOOKED_AT = 8 * MAX_OWNERS  # for the owners of one slot
 POINTS_PER_SERVER = (
     32  # points of a server among the hashed ids, so that many neighbours share what it leaves
 )
+MAX_POINTS = 16 * POINTS_PER_SERVER  # of one server, however far its weight is above the others'
 SPLIT_SHARE = 0.5  # a slot gets one more owner for each such share of a mean server's sends
+# Servers that one call of `settle` puts into the ring or takes out: up to some 4 ms of a processor.
+SETTLED_PER_CALL = 24
 
 
 class SlotTable:
-    """Who owns which slot: a pure function of the listed ids, so balancers that know the same list agree."""
+    """Who owns which slot: a pure function of the listed ids and weights, once settled, so that balancers
+    that know the same list agree, whatever the order in which they learned it.
+
+    A change costs what the points of the changed servers cost. Who leaves owns nothing from then on. Who
+    comes is put into the ring step by step, and all of a list become owners at once: a table that is half
+    old and half new would be another one in each balancer.
+    """
 
     def __init__(self) -> None:
-        self._points = list[int]()  # hashed points in order, and beside them whose they are
-        self._point_owners = list[Server]()
+        self._ring = PointRing()
+        self._members: dict[ServerId, RingMember] = {}  # the listed servers
+        self._scale = WeightScale()
+        self._unit = 1.0
+        self._visible_count = 0
+        self._waiting: list[RingMember] = []  # to be put into the ring
+        self._staged: list[RingMember] = []  # in the ring, to be owners once the list is whole
+        self._departed: list[RingMember] = []  # to be taken out of the ring
+        self._recounted: list[ServerId] = []  # whose points are to be counted by another unit
         self._owners: dict[int, list[tuple[Server, float]]] = {}  # by slot, as far as asked for
         self.load = SlotLoad()
 
-    def assign(self, servers: list[Server]) -> None:
-        """Give each server its points among the hashed ids, in order of id."""
-        total_weight = sum(s.weight for s in servers)
-        points = list[tuple[int, bytes, Server]]()
-        for server in servers:
-            count = max(1, round(POINTS_PER_SERVER * server.weight * len(servers) / total_weight))
-            points += [(splitmix64(server.id_hash + i), server.id, server) for i in range(count)]
-        points.sort(key=lambda point: point[:2])
-        self._points = [point for point, _, _ in points]
-        self._point_owners = [server for _, _, server in points]
+    def add(self, server: Server) -> None:
+        """Have a server own slots as soon as the table is settled."""
+        self._scale.add(server.weight)
+        self._stage(RingMember(server))
+
+    def remove(self, server: Server) -> None:
+        """Have a server own no slot from now on; one that is not listed is no fault."""
+        member = self._members.get(server.id)
+        if member is not None and member.server is server:
+            del self._members[server.id]
+            self._scale.remove(member.weight)
+            self._hide(member)
+
+    def reweigh(self, server: Server) -> None:
+        """Count a listed server's points by its present weight; it owns what it did until then."""
+        member = self._members[server.id]
+        self._scale.remove(member.weight)
+        self._scale.add(server.weight)
+        self._restage(member)
+
+    def settle(self, is_list_whole: bool = True) -> bool:
+        """Take a step towards the listed servers; true if there is none left to take.
+
+        `is_list_whole`: no more of the list that is being taken in is to come.
+        """
+        left = SETTLED_PER_CALL
+        if is_list_whole and self._scale.unit != self._unit:
+            self._unit = self._scale.unit
+            self._recounted = list(self._members)
+        left = self._recount(left)
+        left = self._insert_waiting(left)
+        # Most servers may be missing: a few would be overrun, so that then each step counts.
+        misses_most = 2 * self._visible_count < len(self._members)
+        if misses_most or (is_list_whole and not self._recounted and not self._waiting):
+            self._publish()
+        self._remove_departed(left)
+        return not (self._recounted or self._waiting or self._departed)
+
+    def _recount(self, left: int) -> int:
+        while self._recounted and left:
+            left -= 1
+            member = self._members.get(self._recounted.pop())
+            if member is not None and member.points and self._point_count(member) != len(member.points):
+                self._restage(member)
+        return left
+
+    def _insert_waiting(self, left: int) -> int:
+        while self._waiting and left:
+            member = self._waiting.pop()
+            if member.is_listed:
+                left -= 1
+                first = member.server.id_hash
+                points = [splitmix64(first + i) for i in range(self._point_count(member))]
+                self._ring.insert(member, points)
+                self._staged.append(member)
+        return left
+
+    def _remove_departed(self, left: int) -> None:
+        while self._departed and left:
+            left -= 1
+            self._ring.remove(self._departed.pop())
+
+    def _publish(self) -> None:
+        """Have the staged servers own slots."""
+        if not self._staged:
+            return
+        for member in self._staged:
+            if member.is_listed:
+                if member.replaced is not None:
+                    self._hide(member.replaced)
+                    member.replaced = None
+                member.is_visible = True
+                self._visible_count += 1
+        self._staged = []
         self._owners = {}
 
+    def _point_count(self, member: RingMember) -> int:
+        count = round(POINTS_PER_SERVER * min(member.weight / self._unit, MAX_POINTS))
+        return min(max(1, count), MAX_POINTS)
+
+    def _stage(self, member: RingMember) -> None:
+        self._members[member.server.id] = member
+        self._waiting.append(member)
+
+    def _restage(self, member: RingMember) -> None:
+        """Have a server's points counted anew, beside those that it has until then."""
+        if member.is_visible:
+            self._stage(RingMember(member.server, member))
+            return
+        self._stage(RingMember(member.server, member.replaced))
+        member.replaced = None
+        self._hide(member)
+
+    def _hide(self, member: RingMember) -> None:
+        member.is_listed = False
+        if member.is_visible:
+            member.is_visible = False
+            self._visible_count -= 1
+            self._owners = {}
+        if member.points:
+            self._departed.append(member)
+        if member.replaced is not None:
+            self._hide(member.replaced)
+            member.replaced = None
+
     def owners(self, slot: int) -> list[tuple[Server, float]]:
         """The slot's owners in order, each with the slot's place (0 to 1) in the order it takes them."""
-        if slot not in self._owners:
-            count = len(self._points)
-            first = bisect(self._points, splitmix64(slot))
-            points = range(first, first + min(count, 8 * MAX_OWNERS))
-            found = list(dict.fromkeys(self._point_owners[i % count] for i in points))[:MAX_OWNERS]
-            self._owners[slot] = [(s, splitmix64(s.id_hash ^ slot) / HASH_MASK) for s in found]
-        return self._owners[slot]
+        found = self._owners.get(slot)
+        if found is None:
+            servers = self._servers_behind(splitmix64(slot))
+            found = [(s, splitmix64(s.id_hash ^ slot) / HASH_MASK) for s in servers]
+            self._owners[slot] = found
+        return found
+
+    def _servers_behind(self, position: int) -> list[Server]:
+        """The first servers whose points lie behind this position."""
+        found = dict[Server, None]()
+        looked_at = 0
+        for member in self._ring.members_from(position):
+            if not member.is_visible:
+                continue
+            looked_at += 1
+            found[member.server] = None
+            if len(found) == MAX_OWNERS or looked_at == MAX_POINTS_LOOKED_AT:
+                break
+        return list(found)
 
     def owner_count(self, slot: int) -> int:
         """Count a send, and return how many owners share the slot: a hot key cannot be split below it."""
--- /dev/null
+++ b/lupinladder/balancing/warm_weight.py
@@ -0,0 +1,61 @@
+"""The summed weight of the servers that have warmed up. No decision is made here."""
+
+from __future__ import annotations
+
+from bisect import insort
+from dataclasses import dataclass
+
+from lupinladder.balancing.server import Server
+
+
+@dataclass(slots=True)
+class _Warming:
+    """A server that warms up until a time, in ms."""
+
+    server: Server
+    warm_at: float
+
+
+class WarmWeight:
+    """Kept as servers come, go and warm up, so that nobody has to walk all of them. Times are ms."""
+
+    def __init__(self) -> None:
+        self.total = 0.0
+        self._counted: dict[Server, float] = {}  # the warm servers, each with its weight
+        self._warming: list[_Warming] = []  # by time; some of them may have left
+        self._listed: dict[Server, None] = {}  # those of them that have not
+
+    def __contains__(self, server: Server) -> bool:
+        """Whether a server is counted."""
+        return server in self._counted
+
+    def add(self, server: Server, warm_at: float) -> None:
+        """Count a server that is ready: at once, or from `warm_at` on if it warms up."""
+        if not server.warming_up:
+            self._count(server)
+            return
+        self._listed[server] = None
+        insort(self._warming, _Warming(server, warm_at), key=lambda one: one.warm_at)
+
+    def remove(self, server: Server) -> None:
+        """Count a server no more; one that was not added is no fault."""
+        self._listed.pop(server, None)
+        self.total -= self._counted.pop(server, 0.0)
+        if not self._counted:
+            self.total = 0.0  # sums of fractions leave something over
+
+    def advance(self, now: float) -> None:
+        """Count those that are warm by now."""
+        due = 0
+        while due < len(self._warming) and self._warming[due].warm_at <= now:
+            server = self._warming[due].server
+            due += 1
+            if server in self._listed:
+                del self._listed[server]
+                self._count(server)
+        del self._warming[:due]
+
+    def _count(self, server: Server) -> None:
+        if server not in self._counted:
+            self._counted[server] = server.weight
+            self.total += server.weight
--- a/tests/balancing/test_slot_table.py
+++ b/tests/balancing/test_slot_table.py
@@ -16,9 +16,22 @@
     return [Server(Endpoint(sid(i)), ConcurrencyLimiter(0, 500, 1, False), 0, False) for i in ids]
 
 
-def owner_map(ids: list[int]) -> dict[int, bytes]:
+def table_of(fleet: list[Server]) -> SlotTable:
+    """The settled table of these servers."""
     slots = SlotTable()
-    slots.assign(servers(ids))
+    for server in fleet:
+        slots.add(server)
+    settle(slots)
+    return slots
+
+
+def settle(slots: SlotTable) -> None:
+    while not slots.settle():
+        pass
+
+
+def owner_map(ids: list[int]) -> dict[int, bytes]:
+    slots = table_of(servers(ids))
     return {slot: slots.owners(slot)[0][0].id for slot in range(SLOT_COUNT)}
 
 
@@ -39,8 +52,7 @@
 
 
 def test_a_leavers_slots_pass_to_their_next_owners_and_to_many() -> None:
-    slots = SlotTable()
-    slots.assign(servers(list(range(30))))
+    slots = table_of(servers(list(range(30))))
     heirs = {s: slots.owners(s)[1][0].id for s in range(SLOT_COUNT) if slots.owners(s)[0][0].id == sid(7)}
     after = owner_map([i for i in range(30) if i != 7])
     assert all(after[slot] == heir for slot, heir in heirs.items())
@@ -51,24 +63,20 @@
     fleet = servers(list(range(20)))
     for server in fleet[:10]:
         server.weight = 3.0
-    slots = SlotTable()
-    slots.assign(fleet)
+    slots = table_of(fleet)
     heavy = {s.id for s in fleet[:10]}
     share = sum(slots.owners(s)[0][0].id in heavy for s in range(SLOT_COUNT)) / SLOT_COUNT
     assert 0.65 < share < 0.85
 
 
 def test_owners_are_distinct_and_empty_without_servers() -> None:
-    slots = SlotTable()
-    slots.assign([])
-    assert slots.owners(5) == []
-    slots.assign(servers([1, 2, 3]))
+    assert table_of([]).owners(5) == []
+    slots = table_of(servers([1, 2, 3]))
     assert len({s.id for s, _ in slots.owners(5)}) == 3
 
 
 def test_a_hot_slot_splits_and_merges_again() -> None:
-    slots = SlotTable()
-    slots.assign(servers(list(range(10))))
+    slots = table_of(servers(list(range(10))))
     for i in range(2000):
         slots.owner_count(i % 500 + 1)
         if i % 4 == 0:
--- a/tests/balancing/test_work_by_size.py
+++ b/tests/balancing/test_work_by_size.py
@@ -7,7 +7,8 @@
 
 from lupinladder import Balancer
 from lupinladder.balancing import slot_table
-from lupinladder.balancing.events import Endpoint, EndpointUpdate, EndpointUpdateKind
+from lupinladder.balancing.actions import SetTimer
+from lupinladder.balancing.events import Endpoint, EndpointUpdate, EndpointUpdateKind, TimerFired
 from lupinladder.balancing.hashing import splitmix64
 from lupinladder.balancing.slot_table import POINTS_PER_SERVER
 from tests.support.balancer_harness import entries, settings, sid
@@ -15,10 +16,12 @@
 
 
 def listed(count: int) -> Balancer:
-    """A balancer that has taken in a list of so many servers."""
+    """A balancer that has taken in a list of so many servers, in as many steps as it takes for that."""
     balancer = Balancer(settings(), 1, 0.0)
     balancer.start(0.0)
-    balancer.handle(EndpointUpdate(EndpointUpdateKind.FULL, 1, entries(count)), 0.0)
+    actions = balancer.handle(EndpointUpdate(EndpointUpdateKind.FULL, 1, entries(count)), 0.0)
+    while steps := [action.token for action in actions if isinstance(action, SetTimer)]:
+        actions = balancer.handle(TimerFired(steps[0]), 0.0)
     return balancer
 
 
