Read endpoint lists in steps, with who leaves first, and make pools when they are used

Whole lists are told as what they change. The directory holds what is listed and makes pools when they are asked for. 16 KiB of one line are a sign of life of a watch, and an object may have 4 MiB. At a start the table of slots is settled before anybody connects. Tests changed, none weaker: texts are decoded in the test of the stream; a whole list is told as a difference, whose servers are now compared; the planted defect hooks the directory.

--- a/lupinladder/balancing/endpoint_table.py
+++ b/lupinladder/balancing/endpoint_table.py
@@ -11,6 +11,7 @@
 from lupinladder.balancing.slot_table import SlotTable
 from lupinladder.balancing.warm_weight import WarmWeight
 
+WHOLE_LISTS = (EndpointUpdateKind.FULL, EndpointUpdateKind.CACHED)
 ServerFactory = Callable[[Endpoint, bool, float], Server]  # endpoint, whether it is the origin, now
 
 
@@ -37,7 +38,7 @@
     def merge(self, update: EndpointUpdate, now: float) -> None:
         """Take in a full, cached or changed list."""
         self._version = update.version
-        if update.kind is not EndpointUpdateKind.DELTA:  # who is missing from a whole list is gone
+        if update.kind in WHOLE_LISTS:  # who is missing from one is gone
             listed = {endpoint.server for endpoint in update.endpoints}
             for missing in [server for server in self.members if server not in listed]:
                 self._remove(self.members[missing])
--- a/lupinladder/balancing/event_dispatcher.py
+++ b/lupinladder/balancing/event_dispatcher.py
@@ -147,6 +147,11 @@
             self._is_list_whole = not event.more_follows
             self._settle_slots()
 
+    def settle_all(self) -> None:
+        """Take all steps towards the slots of the list that is known: at a start, before anybody waits."""
+        while not self.slots.settle():
+            pass
+
     def _settle_slots(self) -> None:
         """Take a step towards the slots of the list that is known; the next one follows by itself, so that
         other events have their turn between."""
--- a/lupinladder/balancing/events.py
+++ b/lupinladder/balancing/events.py
@@ -36,6 +36,7 @@
     FULL = 1  # the whole list
     CACHED = 2  # a whole list that may be old
     FAILED = 3  # nothing: the call for the list, or the watch, has failed
+    DIFFERENCE = 4  # what a whole list changes in the one before; its version may be lower
 
 
 class Outcome(Enum):
--- a/lupinladder/net/config.py
+++ b/lupinladder/net/config.py
@@ -93,7 +93,7 @@
     kinds = [str(server_kind) for server_kind in read_value(settings_tree, "kinds", list)]
     endpoint_parser = EndpointParser(zones, kinds)
     known = read_value(tree, "known", dict)
-    endpoint_parser.read(known)  # a list that cannot be read is refused here, not at its first use
+    endpoint_parser.check(known)  # a list that is none is refused here, not at its first use
     tenants = read_value(settings_tree, "tenants", list, [])
     return ProxyConfig(
         name=read_value(tree, "name", str),
--- /dev/null
+++ b/lupinladder/net/discovery/endpoint_list_decoder.py
@@ -0,0 +1,80 @@
+"""Decodes the text of an endpoint list entry by entry, so that a long one can be read in steps. No I/O."""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Iterator
+from typing import Any
+
+ENTRIES_KEY = "endpoints"
+_WHITESPACE = re.compile(r"[ \t\n\r]*")
+_DECODER = json.JSONDecoder()
+
+
+class EndpointListDecoder:
+    """One JSON object, whose entries are given one after another; its other fields are kept."""
+
+    def __init__(self, text: bytes) -> None:
+        """Raises ValueError for what is not UTF-8."""
+        self._text = text.decode()
+        self._position = 0
+        self.fields: dict[str, Any] = {}  # complete once all entries have been given
+
+    def entries(self) -> Iterator[object]:
+        """The entries in their order. Raises ValueError where the text is no object with a list of them."""
+        self._expect("{")
+        has_entries = False
+        if self._peek() != "}":
+            while True:
+                key = self._value()
+                self._expect(":")
+                if key == ENTRIES_KEY and self._peek() == "[":
+                    has_entries = True
+                    yield from self._array()
+                else:
+                    self.fields[str(key)] = self._value()
+                if self._peek() != ",":
+                    break
+                self._expect(",")
+        self._expect("}")
+        if self._peek() or not has_entries:
+            self._fail("the end of an object with entries")
+
+    def _array(self) -> Iterator[object]:
+        self._expect("[")
+        if self._peek() != "]":
+            while True:
+                yield self._value()
+                if self._peek() != ",":
+                    break
+                self._expect(",")
+        self._expect("]")
+
+    def _value(self) -> Any:
+        """The JSON value that begins here."""
+        self._skip_whitespace()
+        try:
+            value, self._position = _DECODER.raw_decode(self._text, self._position)
+        except RecursionError:
+            self._fail("a value that is not nested too deep")
+        return value
+
+    def _skip_whitespace(self) -> None:
+        found = _WHITESPACE.match(self._text, self._position)
+        if found is not None:
+            self._position = found.end()
+
+    def _peek(self) -> str:
+        """The next character that is no white space; empty at the end."""
+        self._skip_whitespace()
+        return self._text[self._position : self._position + 1]
+
+    def _expect(self, character: str) -> None:
+        if self._peek() != character:
+            self._fail(repr(character))
+        self._position += 1
+
+    def _fail(self, expected: str) -> None:
+        message = f"expected {expected} at character {self._position}"
+        raise ValueError(message)
--- a/lupinladder/net/discovery/endpoint_parser.py
+++ b/lupinladder/net/discovery/endpoint_parser.py
@@ -12,6 +12,7 @@
 from lupinladder.balancing.settings_reader import read_value
 from lupinladder.errors import LupinladderError
 from lupinladder.net.connection import Address
+from lupinladder.net.discovery.endpoint_list_decoder import ENTRIES_KEY
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
 
@@ -51,13 +52,21 @@
 
 
 @dataclass(slots=True)
-class _ListedEndpoint:
-    """An endpoint of a list, and its address unless it has left."""
+class ListedEndpoint:
+    """An endpoint of a list, and its address unless it has left. Its start is Unix time, as it was told."""
 
     endpoint: Endpoint
     address: Address | None
 
 
+@dataclass(slots=True)
+class ListHeader:
+    """What a list tells beside its endpoints."""
+
+    version: int
+    is_snapshot: bool  # whether these are all endpoints
+
+
 def parse_address(text: str) -> Address:
     """A host with its port, `host:port`. Raises AddressError."""
     host, _, port = text.rpartition(":")
@@ -84,27 +93,40 @@
         self._server_types = server_types
 
     def read(self, tree: object) -> EndpointList:
-        """The list that a JSON tree tells. Raises ValueError if it is none.
-
-        An endpoint that cannot be read is left out: otherwise it would hide every other one and every drain.
-        """
+        """The list that a JSON tree tells. Raises ValueError if it is none."""
+        header = self.read_header(tree)
         endpoints = list[Endpoint]()
         addresses = dict[ServerId, Address]()
-        for item in read_value(tree, "endpoints", list):
-            try:
-                listed = self._read_endpoint(item)
-            except ValueError as error:
-                metrics.endpoints_ignored += 1
-                log_event("endpoint_ignored", error=error, entry=item)
+        for item in read_value(tree, ENTRIES_KEY, list):
+            listed = self.read_entry(item)
+            if listed is None:
                 continue
             endpoints.append(listed.endpoint)
             if listed.address is not None:
                 addresses[listed.endpoint.server] = listed.address
+        return EndpointList(header.version, header.is_snapshot, endpoints, addresses)
+
+    def check(self, tree: object) -> None:
+        """Raise ValueError if a JSON tree tells no list. Its entries are not read: there may be thousands."""
+        self.read_header(tree)
+        read_value(tree, ENTRIES_KEY, list)
+
+    def read_header(self, tree: object) -> ListHeader:
+        """What a list tells beside its endpoints. Raises ValueError."""
         version = read_value(tree, "index", int)
-        is_snapshot = read_value(tree, "snapshot", bool, False)
-        return EndpointList(version, is_snapshot, endpoints, addresses)
+        return ListHeader(version, read_value(tree, "snapshot", bool, False))
+
+    def read_entry(self, item: object) -> ListedEndpoint | None:
+        """One endpoint of a list. None if it cannot be read, which is logged: it would otherwise hide every
+        other one and every drain."""
+        try:
+            return self._read_endpoint(item)
+        except ValueError as error:
+            metrics.endpoints_ignored += 1
+            log_event("endpoint_ignored", error=error, entry=item)
+            return None
 
-    def _read_endpoint(self, item: Any) -> _ListedEndpoint:
+    def _read_endpoint(self, item: Any) -> ListedEndpoint:
         """One endpoint of a list. Raises ValueError.
 
         Name and status are enough of one that drains or has left: if it were left out as unreadable, requests
@@ -112,7 +134,7 @@
         """
         server = read_value(item, "name", str).encode()
         state = ENDPOINT_STATES.get(read_value(item, "status", str))
-        departed = _ListedEndpoint(Endpoint(server, EndpointState.GONE), None)
+        departed = ListedEndpoint(Endpoint(server, EndpointState.GONE), None)
         if state is EndpointState.GONE:
             return departed
         try:
@@ -124,7 +146,7 @@
 
     def _read_present_endpoint(
         self, item: Any, server: ServerId, state: EndpointState | None
-    ) -> _ListedEndpoint:
+    ) -> ListedEndpoint:
         zone = read_value(item, "zone", str)
         server_type = read_value(item, "type", str)
         if state is None or zone not in self._zones or server_type not in self._server_types:
@@ -140,7 +162,7 @@
             cell=read_value(item, "group", int, 0),
             server_kind=self._server_types.index(server_type),
         )
-        return _ListedEndpoint(endpoint, address)
+        return ListedEndpoint(endpoint, address)
 
 
 def _read_start_time(item: Any) -> float:
--- a/lupinladder/net/discovery/endpoint_watch.py
+++ b/lupinladder/net/discovery/endpoint_watch.py
@@ -17,14 +17,19 @@
 # Time for its connection to come up: one begun while discovery is cut off may never do so, and with the
 # longest wait and the call after it (3.2 s and 2 s) the list is asked for anew in time after its return.
 WATCH_CONNECT_TIMEOUT_MS = 1300.0
-MAX_ENDPOINT_LIST_BYTES = 1 << 20  # of one JSON object
+# Of one JSON object: 3,200 entries with long names, indented, take over 1 MiB.
+MAX_ENDPOINT_LIST_BYTES = 4 << 20
+
+# So many bytes of one line are a sign of life though they complete nothing: a list of thousands of servers
+# may take longer to come than a silent watch is waited for, and one that trickles does not get so far.
+SIGN_OF_LIFE_BYTES = 16 << 10
 
 
 class WatchListener(Protocol):
     """Who is told what comes on a watch."""
 
-    def on_update(self, watch: EndpointWatch, tree: object) -> None:
-        """A JSON object has come. Raises ValueError if it is no endpoint list, which ends the watch."""
+    def on_update(self, watch: EndpointWatch, text: bytes) -> None:
+        """The text of a JSON object has come. If it is no endpoint list the watch has to be rejected."""
 
     def on_watch_failed(self, reason: str, watch: EndpointWatch | None = None) -> None:
         """The watch has ended, and is closed."""
@@ -47,6 +52,9 @@
         self._response_reader = ResponseReader(MAX_ENDPOINT_LIST_BYTES)
         self._objects = JsonObjectStream(MAX_ENDPOINT_LIST_BYTES)
         self._is_answered = False  # the headers of the response have come
+        self._searched = 0  # bytes of the body in which there is no end of a line
+        self._last_sign_at = 0  # length of a line that is still coming when it last was a sign of life
+        self._has_ended = False
         self._silence_timer: Timer | None = None
         self._connection = Connection.connect(loop, budget, address, self, WatchRank.ENDPOINT_LIST)
         path = f"/v1/endpoints?stream=1&index={version}"
@@ -60,6 +68,7 @@
 
     def close(self) -> None:
         """Close the watch; its listener is not told."""
+        self._has_ended = True
         self._loop.cancel(self._silence_timer)
         self._connection.close()
 
@@ -82,11 +91,8 @@
     def on_data(self) -> None:
         """Bytes have come: tell what they complete, then end the watch if they end or spoil it."""
         end_reason: str | None = None
-        try:
-            while len(self._connection.inbox) and end_reason is None:
-                end_reason = self._handle_bytes(self._connection.inbox.read(len(self._connection.inbox)))
-        except ValueError as error:
-            end_reason = f"bad answer: {error}"
+        while len(self._connection.inbox) and end_reason is None:
+            end_reason = self._handle_bytes(self._connection.inbox.read(len(self._connection.inbox)))
         if end_reason is not None:
             self._end(end_reason)
 
@@ -95,10 +101,7 @@
         self._end("the watch was closed" if by_peer else "the connection broke or never came up")
 
     def _handle_bytes(self, data: bytes) -> str | None:
-        """Tell what these bytes complete; the reason if the watch has to end after them.
-
-        Raises ValueError for lines that are no endpoint lists.
-        """
+        """Tell what these bytes complete; the reason if the watch has to end after them."""
         end_reason: str | None = None
         completed = list[HttpResponse]()
         try:
@@ -117,22 +120,32 @@
         return end_reason
 
     def _handle_lines(self, body: bytearray) -> None:
-        """Take the whole lines off the body and tell the objects on them."""
-        *lines, rest = bytes(body).split(b"\n")
-        body[:] = rest
+        """Take the whole lines off the body and tell the objects on them. A line that is still coming is not
+        looked through again: it may be long, and come in many pieces."""
+        end = body.rfind(b"\n", min(self._searched, len(body)))
+        if end < 0:
+            if len(body) - self._last_sign_at >= SIGN_OF_LIFE_BYTES:
+                self._last_sign_at = len(body)
+                self._restart_silence_timer()
+            self._searched = len(body)
+            return
+        lines = bytes(body[:end]).split(b"\n")
+        del body[: end + 1]
+        self._searched = len(body)
+        self._last_sign_at = 0
         for line in lines:
-            trees = self._objects.feed_line(line)
+            texts = self._objects.feed_line(line)
             if not self._connection.is_open:
                 return  # what was told before has closed this watch
-            if trees or self._objects.is_idle:
+            if texts or self._objects.is_idle:
                 self._restart_silence_timer()
-            for tree in trees:
-                self._listener.on_update(self, tree)
+            for text in texts:
+                self._listener.on_update(self, text)
 
     def _restart_silence_timer(self) -> None:
         """A sign of life: the request begins, is answered, or a whole object or an empty line has come.
 
-        Bytes that complete nothing are none, or a watch that trickles would never count as silent.
+        Few bytes that complete nothing are none, or a watch that trickles would never count as silent.
         """
         self._loop.cancel(self._silence_timer)
         silent_at = self._loop.now() + WATCH_SILENCE_TIMEOUT_MS
@@ -149,6 +162,12 @@
         if self._silence_timer is None and self._connection.is_open:
             self._end("the watch is silent")
 
+    def reject(self, reason: str) -> None:
+        """End the watch, as what it has told is no endpoint list."""
+        self._end(f"bad answer: {reason}")
+
     def _end(self, reason: str) -> None:
+        if self._has_ended:
+            return
         self.close()
         self._listener.on_watch_failed(reason, self)
--- a/lupinladder/net/discovery/json_object_stream.py
+++ b/lupinladder/net/discovery/json_object_stream.py
@@ -1,15 +1,14 @@
-"""JSON objects off the lines of a stream: one a line, or indented over several."""
+"""The texts of JSON objects off the lines of a stream: one a line, or indented over several."""
 
 from __future__ import annotations
 
-import json
 import re
 
 _STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
 
 class JsonObjectStream:
-    """Joins lines into JSON objects.
+    """Joins lines into the texts of JSON objects, which it does not decode: a long one takes a while.
 
     A line that is no object by itself is taken for the first of several; the count of its open brackets then
     tells where the object ends.
@@ -25,19 +24,17 @@
         """Whether no object has begun."""
         return not self._pending
 
-    def feed_line(self, line: bytes) -> list[object]:
-        """The objects that this line completes: one or none. The line comes without its end.
+    def feed_line(self, line: bytes) -> list[bytes]:
+        """The text of the object that this line completes, if it does. The line comes without its end.
 
-        Raises ValueError for a line that is not JSON or makes an object that is not, and for an object that
-        is longer than the bound or nested too deep.
+        Lines that are not JSON come out as a text that cannot be decoded, and so does what is longer than
+        the bound.
         """
         if self.is_idle:
-            if not line.strip():
+            if not line or line.isspace():
                 return []
-            try:
-                return [_decode(line)]
-            except ValueError:
-                pass  # the first of several lines, or bad: its brackets tell
+            if _looks_whole(line):
+                return [line]
         self._pending += line + b"\n"
         self._depth += _count_open_brackets(line)
         if self._depth > 0 and len(self._pending) <= self._max_object_bytes:
@@ -45,7 +42,16 @@
         text = bytes(self._pending)
         self._pending = bytearray()
         self._depth = 0
-        return [_decode(text)]
+        return [text]
+
+
+def _looks_whole(line: bytes) -> bool:
+    """Whether a line is an object by itself, as its brackets tell. Those in strings are counted as well: then
+    a line may have to be looked at more closely, which takes longer."""
+    text = line.strip()
+    if not (text.startswith(b"{") and text.endswith(b"}")):
+        return False
+    return text.count(b"{") == text.count(b"}") and text.count(b"[") == text.count(b"]")
 
 
 def _count_open_brackets(line: bytes) -> int:
@@ -54,11 +60,3 @@
     opened = structure.count(b"{") + structure.count(b"[")
     closed = structure.count(b"}") + structure.count(b"]")
     return opened - closed
-
-
-def _decode(text: bytes) -> object:
-    try:
-        return json.loads(text)
-    except RecursionError:
-        reason = "nested too deep"
-        raise ValueError(reason) from None
--- a/lupinladder/net/event_loop.py
+++ b/lupinladder/net/event_loop.py
@@ -125,6 +125,11 @@
         before something is sent for it."""
         return self.unread_time > LATE_TURN_MS
 
+    @property
+    def turn_began_at(self) -> float:
+        """When the turn that is running began to look after what was ready, in ms."""
+        return self._selected_at
+
     def run_once(self) -> None:
         """One turn: wait for the next thing to do and do all that is due."""
         asked_at = self.now()
--- a/lupinladder/simulator/codec.py
+++ b/lupinladder/simulator/codec.py
@@ -62,7 +62,7 @@
     404: Outcome.MISS,
 }
 _CACHE_RESULTS = {result.value: result for result in CacheResult}
-_UPDATE_KINDS = {kind.value: kind for kind in EndpointUpdateKind}
+_UPDATE_KINDS = {kind.value: kind for kind in EndpointUpdateKind if kind is not EndpointUpdateKind.DIFFERENCE}
 _STATES = {state.value: state for state in EndpointState}
 
 
--- a/tests/emulator/faulty_proxy.py
+++ b/tests/emulator/faulty_proxy.py
@@ -9,9 +9,10 @@
 from typing import Any
 
 from lupinladder import __main__ as program
-from lupinladder.balancing.events import EndpointState, EndpointUpdate
+from lupinladder.balancing.events import Endpoint, EndpointState
 from lupinladder.net import connection_pool, pending_reply, upstream_connection
-from lupinladder.net.discovery import endpoint_parser, endpoint_registry
+from lupinladder.net.discovery import endpoint_parser, server_directory
+from lupinladder.net.discovery.endpoint_parser import ListedEndpoint
 
 CLAIM_SUBMIT = 2  # the place of this class, whose writes may not be repeated, among a scenario's classes
 REPLIES_FOR_EACH_LOST = 40
@@ -55,28 +56,25 @@
 
 def flood_youngest_node() -> None:
     """Send all reads to the cache node that started last."""
-    apply = endpoint_registry.EndpointRegistry._apply
-    pool_for = endpoint_registry.EndpointRegistry.pool_for
+    put = server_directory.ServerDirectory.put
+    pool_for = server_directory.ServerDirectory.pool_for
     started_nodes: list[tuple[float, bytes]] = []
 
-    def note_started_nodes(
-        self: endpoint_registry.EndpointRegistry, endpoint_list: Any, update_kind: Any
-    ) -> EndpointUpdate:
-        update = apply(self, endpoint_list, update_kind)
-        started_nodes.extend(
-            (endpoint.started_at, endpoint.server)
-            for endpoint in update.endpoints
-            if endpoint.started_at > 0 and endpoint.server_kind == CACHE_NODE
-        )
-        return update
-
-    def pool_of_youngest(self: endpoint_registry.EndpointRegistry, server: bytes) -> Any:
+    def note_started_node(
+        self: server_directory.ServerDirectory, listed: ListedEndpoint, is_live: bool
+    ) -> Endpoint:
+        endpoint = put(self, listed, is_live)
+        if endpoint.started_at > 0 and endpoint.server_kind == CACHE_NODE:
+            started_nodes.append((endpoint.started_at, endpoint.server))
+        return endpoint
+
+    def pool_of_youngest(self: server_directory.ServerDirectory, server: bytes) -> Any:
         if started_nodes and server != ORIGIN:
             server = max(started_nodes)[1]
         return pool_for(self, server)
 
-    endpoint_registry.EndpointRegistry._apply = note_started_nodes  # type: ignore[method-assign]
-    endpoint_registry.EndpointRegistry.pool_for = pool_of_youngest  # type: ignore[method-assign]
+    server_directory.ServerDirectory.put = note_started_node  # type: ignore[method-assign]
+    server_directory.ServerDirectory.pool_for = pool_of_youngest  # type: ignore[method-assign]
 
 
 DEFECTS = {
--- a/tests/net/test_endpoint_registry.py
+++ b/tests/net/test_endpoint_registry.py
@@ -28,7 +28,8 @@
         self.assertEqual(len(self.discovery.peers), 1)
         self.assertIn(b"index=11", self.follow(json.dumps(listing()).encode()).got)
         self.until(lambda: len(self.updates) == 4, "a whole list")
-        self.assertIs(self.updates[3].kind, EndpointUpdateKind.FULL)
+        self.assertIs(self.updates[3].kind, EndpointUpdateKind.DIFFERENCE)  # s-1 is back
+        self.assertEqual([one.server for one in self.updates[3].endpoints], [b"s-1"])
 
 
 class StartTimes(DiscoveryScene):
@@ -133,7 +134,7 @@
         self.registry.move_watch(self.moved.address)
         leaving = {"index": 9, "snapshot": False, "endpoints": [{"name": "s-1", "status": "leaving"}]}
         previous.conn._sock.sendall(chunks(json.dumps(leaving).encode()))
-        self.registry.on_update(self.watch(), {"index": 8, "snapshot": False, "endpoints": []})
+        self.registry.on_update(self.watch(), b'{"index": 8, "snapshot": false, "endpoints": []}')
         self.assertEqual(self.update_versions(), [("DELTA", 8), ("DELTA", 9)])
         self.assertIsNone(self.registry.pool_for(b"s-1"))
         self.until(lambda: previous.ends, "the end of the previous watch")
--- a/tests/net/test_json_object_stream.py
+++ b/tests/net/test_json_object_stream.py
@@ -5,12 +5,20 @@
 import json
 import unittest
 
+from lupinladder.net.discovery.endpoint_list_decoder import EndpointListDecoder
 from lupinladder.net.discovery.json_object_stream import JsonObjectStream
 from tests.support.endpoint_lists import listing
 
 MAX_BYTES = 1 << 20
 
 
+def decoded(text: bytes) -> dict[str, object]:
+    """The object of a text, as the list's decoder reads it."""
+    decoder = EndpointListDecoder(text)
+    entries = list(decoder.entries())
+    return {**decoder.fields, "endpoints": entries}
+
+
 class JsonObjects(unittest.TestCase):
     def test_objects_are_read_whole_or_indented(self) -> None:
         tree = listing(name='a{"[\\')
@@ -24,9 +32,9 @@
         ):
             with self.subTest(text=text):
                 objects = JsonObjectStream(MAX_BYTES)
-                self.assertEqual(
-                    [one for line in text.encode().split(b"\n") for one in objects.feed_line(line)], found
-                )
+                lines = text.encode().split(b"\n")
+                texts = [one for line in lines for one in objects.feed_line(line)]
+                self.assertEqual([decoded(one) for one in texts], found)
 
     def test_what_is_not_json_too_long_or_too_deep_is_an_error(self) -> None:
         for text in (
@@ -40,4 +48,5 @@
             with self.subTest(text=text[:9]), self.assertRaises(ValueError):
                 objects = JsonObjectStream(MAX_BYTES)
                 for line in text.encode().split(b"\n"):
-                    objects.feed_line(line)
+                    for one in objects.feed_line(line):
+                        decoded(one)
--- a/tests/support/network_scene.py
+++ b/tests/support/network_scene.py
@@ -99,6 +99,9 @@
     def start(self, now: float) -> list[Action]:
         return []
 
+    def settle_all(self) -> None:
+        """Do nothing: it has no slots."""
+
     def handle(self, event: Event, now: float) -> list[Action]:
         assert not self._handling, "entered again from within"
         self._handling = True
