Bound what one turn of the loop does, and count slot points, not servers, in a step

Cause: a turn looked after all sockets, timers and deferred calls that were there, however many (a crowd, a burst of deadlines), and a step of the slot table was as long as the weights made it. Change: sockets, timers and deferred calls have 5 ms each and one call more; sockets that are left come first in the next turn, behind a list; a late turn still looks after all, clients first, as their ends are unread.

--- a/lupinladder/balancing/hashing.py
+++ b/lupinladder/balancing/hashing.py
@@ -13,6 +13,18 @@
     return value ^ (value >> 31)
 
 
+def splitmix64_series(first: int, count: int) -> list[int]:
+    """The hashes of so many numbers, one after another from the first. It is what single calls give, in half
+    of the time."""
+    hashes = list[int]()
+    for number in range(first + 0x9E3779B97F4A7C15, first + 0x9E3779B97F4A7C15 + count):
+        value = number & HASH_MASK
+        value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & HASH_MASK
+        value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & HASH_MASK
+        hashes.append(value ^ (value >> 31))
+    return hashes
+
+
 class RandomSource:
     """A balancer's own random numbers, the same for the same seed."""
 
--- a/lupinladder/balancing/slot_table.py
+++ b/lupinladder/balancing/slot_table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from lupinladder.balancing.concurrency_limiter import MIN_WINDOW_SAMPLES
-from lupinladder.balancing.hashing import HASH_MASK, splitmix64
+from lupinladder.balancing.hashing import HASH_MASK, splitmix64, splitmix64_series
 from lupinladder.balancing.point_ring import PointRing, RingMember
 from lupinladder.balancing.server import Server
 from lupinladder.balancing.settings import ServerId
@@ -17,8 +17,9 @@
 )
 MAX_POINTS = 16 * POINTS_PER_SERVER  # of one server, however far its weight is above the others'
 SPLIT_SHARE = 0.5  # a slot gets one more owner for each such share of a mean server's sends
-# Servers that one call of `settle` puts into the ring or takes out: up to some 4 ms of a processor.
-SETTLED_PER_CALL = 24
+# Points that one call of `settle` puts into the ring or takes out, and those of one server more: some ms of a
+# processor.
+POINTS_PER_STEP = 32 * POINTS_PER_SERVER
 
 
 class SlotTable:
@@ -68,7 +69,7 @@
 
         `is_list_whole`: no more of the list that is being taken in is to come.
         """
-        left = SETTLED_PER_CALL
+        left = POINTS_PER_STEP
         if is_list_whole and self._scale.unit != self._unit:
             self._unit = self._scale.unit
             self._recounted = list(self._members)
@@ -82,7 +83,7 @@
         return not (self._recounted or self._waiting or self._departed)
 
     def _recount(self, left: int) -> int:
-        while self._recounted and left:
+        while self._recounted and left > 0:
             left -= 1
             member = self._members.get(self._recounted.pop())
             if member is not None and member.points and self._point_count(member) != len(member.points):
@@ -90,20 +91,20 @@
         return left
 
     def _insert_waiting(self, left: int) -> int:
-        while self._waiting and left:
+        while self._waiting and left > 0:
             member = self._waiting.pop()
             if member.is_listed:
-                left -= 1
-                first = member.server.id_hash
-                points = [splitmix64(first + i) for i in range(self._point_count(member))]
+                points = splitmix64_series(member.server.id_hash, self._point_count(member))
                 self._ring.insert(member, points)
                 self._staged.append(member)
+                left -= len(points)
         return left
 
     def _remove_departed(self, left: int) -> None:
-        while self._departed and left:
-            left -= 1
-            self._ring.remove(self._departed.pop())
+        while self._departed and left > 0:
+            member = self._departed.pop()
+            left -= len(member.points)
+            self._ring.remove(member)
 
     def _publish(self) -> None:
         """Have the staged servers own slots."""
--- a/lupinladder/net/discovery/endpoint_list_applier.py
+++ b/lupinladder/net/discovery/endpoint_list_applier.py
@@ -42,7 +42,7 @@
 
     header: ListHeader
     entry_count: int  # of the whole list
-    changed: dict[ServerId, ListedEndpoint]
+    changed: dict[ServerId, ListedEndpoint | None]  # None: a whole list does not name it any more
 
 
 @dataclass(slots=True)
@@ -165,7 +165,7 @@
     def _read(self, text: bytes) -> Generator[None, None, _ListChanges]:
         """Find out what a list changes. Raises ValueError if it is none."""
         decoder = EndpointListDecoder(text)
-        changed = dict[ServerId, ListedEndpoint]()
+        changed = dict[ServerId, ListedEndpoint | None]()
         named = set[ServerId]()
         count = 0
         for item in decoder.entries():
@@ -183,7 +183,7 @@
         header = self._parser.read_header(decoder.fields)
         if header.is_snapshot:  # who is missing from a whole list is gone
             known = [*self._directory.servers(), *self._arrivals]
-            changed |= {server: _gone(server) for server in known if server not in named}
+            changed |= dict.fromkeys(server for server in known if server not in named)
         return _ListChanges(header, count, changed)
 
     def _change_known(
@@ -194,7 +194,7 @@
         told = list[Endpoint]()
         for server, listed in changes.changed.items():
             self._arrivals.pop(server, None)
-            if listed.endpoint.state is EndpointState.GONE:
+            if listed is None or listed.endpoint.state is EndpointState.GONE:
                 self._directory.withdraw(server)
                 told.append(Endpoint(server, EndpointState.GONE))
             elif self._directory.knows(server):
@@ -217,7 +217,3 @@
 
     def _tell(self, kind: EndpointUpdateKind, endpoints: list[Endpoint], more_follows: bool = False) -> None:
         self._notify(EndpointUpdate(kind, self.version, endpoints, more_follows or bool(self._arrivals)))
-
-
-def _gone(server: ServerId) -> ListedEndpoint:
-    return ListedEndpoint(Endpoint(server, EndpointState.GONE), None)
--- a/lupinladder/net/discovery/json_object_stream.py
+++ b/lupinladder/net/discovery/json_object_stream.py
@@ -4,6 +4,7 @@
 
 import re
 
+_BRACKETS = (b"{", b"}", b"[", b"]")
 _STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
 
@@ -56,7 +57,9 @@
 
 def _count_open_brackets(line: bytes) -> int:
     """How many brackets the line opens and does not close; strings in it are passed over."""
-    structure = _STRING.sub(b"", line)
+    if not any(bracket in line for bracket in _BRACKETS):
+        return 0
+    structure = _STRING.sub(b"", line) if b'"' in line else line
     opened = structure.count(b"{") + structure.count(b"[")
     closed = structure.count(b"}") + structure.count(b"]")
     return opened - closed
--- a/lupinladder/net/event_loop.py
+++ b/lupinladder/net/event_loop.py
@@ -24,6 +24,9 @@
 # For so long at most the end of a client may lie unread beside what is sent for it: half of the time after
 # which that counts as a lost request.
 LATE_TURN_MS = 50.0
+# A turn looks after sockets for so long, and one more; those that are left come first in the next one. The
+# same holds for timers and for deferred calls. So nothing waits for all that has come at once.
+PHASE_TIME_MS = 5.0
 
 
 class Timer(NamedTuple):
@@ -64,6 +67,8 @@
         self._running = True
         self._list_watchers = 0  # sockets of the first rank: in most turns there is nothing to sort
         self._selected_at = self.now()
+        self._postponed: set[int] = set()  # descriptors that were ready and left for the next turn
+        self._postponed_since = self._selected_at  # when the first of them was looked for
         # Ms for which bytes that are read in this turn may have lain unread when it began.
         self.unread_time = 0.0
         self._turn_monitor = TurnMonitor()
@@ -141,7 +146,9 @@
         self.wall_clock.observe(time.time() * 1000, started_at)
         overrun = max(started_at - asked_at - wait, 0.0)
         # What is ready now came after the loop looked before this turn, or since it should have woken.
-        self.unread_time = asked_at - self._selected_at + overrun
+        if not self._postponed:
+            self._postponed_since = self._selected_at
+        self.unread_time = asked_at - self._postponed_since + overrun
         self._selected_at = started_at
         if overrun > STALL_THRESHOLD_MS or self.is_late:
             # The process stood still: more is ready by now than what would have woken it.
@@ -151,7 +158,7 @@
         self._turn.timers_began_at = self.now()
         self._turn.timers = self._run_due_timers(self._turn.timers_began_at)
         self._turn.deferred_began_at = self.now()
-        self._run_deferred()
+        self._run_deferred(self._turn.deferred_began_at)
 
     def _time_until_next(self, now: float) -> float:
         """How long a turn may wait for sockets, in ms: until the first timer is due, or without end."""
@@ -162,30 +169,47 @@
         return inf
 
     def _run_ready(self, ready: list[tuple[selectors.SelectorKey, int]]) -> None:
-        """Call back for the sockets that are ready, by rank where it matters."""
+        """Call back for the sockets that are ready, by rank where it matters, until the time is over.
+
+        In a late turn all of them are looked after: an end that is unread may have been so for long.
+        """
         if len(ready) > 1:
             if self.is_late:
                 ready.sort(key=lambda pair: pair[0].data.rank)
-            elif self._list_watchers:
-                ready.sort(key=lambda pair: pair[0].data.rank is not WatchRank.ENDPOINT_LIST)
-        for key, mask in ready:
+            elif self._list_watchers or self._postponed:
+                ready.sort(key=self._place_in_turn)
+        self._postponed = set()
+        stop_at = self._selected_at + PHASE_TIME_MS
+        for place, (key, mask) in enumerate(ready):
+            if place and not self.is_late and self.now() >= stop_at:
+                self._postponed = {left.fd for left, _ in ready[place:]}
+                return
             # A callback earlier in this turn may have closed this socket, and its number may be in use again.
             if self._selector.get_map().get(key.fd) is key:
                 self._run(partial(key.data.ready, mask))
 
+    def _place_in_turn(self, ready: tuple[selectors.SelectorKey, int]) -> tuple[bool, bool]:
+        """Lists go first, then what was left by the turn before."""
+        key, _ = ready
+        return key.data.rank is not WatchRank.ENDPOINT_LIST, key.fd not in self._postponed
+
     def _run_due_timers(self, now: float) -> int:
-        """Call back for the timers that are due; returns how many. Those that a callback adds wait for the
-        next turn, else a timer in the past would starve the sockets."""
+        """Call back for the timers that are due until the time is over; returns how many. Those that a
+        callback adds wait for the next turn, else a timer in the past would starve the sockets."""
         last_number = self._last_timer_number
         fired = 0
         while self._timers and self._timers[0].when <= now and self._timers[0].number <= last_number:
+            if fired and self.now() >= now + PHASE_TIME_MS:
+                break
             self._run(self._timers.pop(0).callback)
             fired += 1
         return fired
 
-    def _run_deferred(self) -> None:
-        """Call what was put off until the end of the turn."""
-        for _ in range(len(self._soon)):
+    def _run_deferred(self, now: float) -> None:
+        """Call what was put off until the end of the turn, until the time is over."""
+        for place in range(len(self._soon)):
+            if place and self.now() >= now + PHASE_TIME_MS:
+                break
             self._run(self._soon.popleft())
 
     def _run(self, callback: Callable[[], object]) -> None:
--- a/tests/balancing/test_work_by_size.py
+++ b/tests/balancing/test_work_by_size.py
@@ -9,7 +9,7 @@
 from lupinladder.balancing import slot_table
 from lupinladder.balancing.actions import SetTimer
 from lupinladder.balancing.events import Endpoint, EndpointUpdate, EndpointUpdateKind, TimerFired
-from lupinladder.balancing.hashing import splitmix64
+from lupinladder.balancing.hashing import HASH_MASK, splitmix64, splitmix64_series
 from lupinladder.balancing.slot_table import POINTS_PER_SERVER
 from tests.support.balancer_harness import entries, settings, sid
 from tests.support.large_lists import LARGE_FLEET
@@ -27,9 +27,24 @@
 
 def points_hashed(act: Callable[[], object]) -> int:
     """How many hashes the slot table computes meanwhile."""
-    with mock.patch.object(slot_table, "splitmix64", side_effect=splitmix64) as hashing:
+    counted = 0
+
+    def count_series(first: int, count: int) -> list[int]:
+        nonlocal counted
+        counted += count
+        return splitmix64_series(first, count)
+
+    with (
+        mock.patch.object(slot_table, "splitmix64", side_effect=splitmix64) as hashing,
+        mock.patch.object(slot_table, "splitmix64_series", count_series),
+    ):
         act()
-    return hashing.call_count
+    return counted + hashing.call_count
+
+
+def test_a_series_of_hashes_is_what_single_ones_are() -> None:
+    for first in (0, 5, HASH_MASK - 3):
+        assert splitmix64_series(first, 8) == [splitmix64(first + i) for i in range(8)]
 
 
 def test_a_change_of_one_server_hashes_its_own_points_alone() -> None:
