--- a/tests/balancing/test_work_by_size.py
+++ b/tests/balancing/test_work_by_size.py
@@ -2,14 +2,27 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 from unittest import mock
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from lupinladder import Balancer
-from lupinladder.balancing import slot_table
+from lupinladder.balancing import pool_review, slot_table
 from lupinladder.balancing.actions import SetTimer
-from lupinladder.balancing.events import Endpoint, EndpointUpdate, EndpointUpdateKind, TimerFired
+from lupinladder.balancing.events import (
+    Endpoint,
+    EndpointState,
+    EndpointUpdate,
+    EndpointUpdateKind,
+    Event,
+    RequestReceived,
+    TimerFired,
+)
 from lupinladder.balancing.hashing import HASH_MASK, splitmix64, splitmix64_series
+from lupinladder.balancing.slot_load import SLOT_COUNT
 from lupinladder.balancing.slot_table import POINTS_PER_SERVER
 from tests.support.balancer_harness import entries, settings, sid
 from tests.support.large_lists import LARGE_FLEET
@@ -52,3 +65,79 @@
         balancer = listed(count)
         newcomer = EndpointUpdate(EndpointUpdateKind.DELTA, 2, [Endpoint(sid(count + 1))])
         assert points_hashed(lambda: balancer.handle(newcomer, 1.0)) <= POINTS_PER_SERVER  # noqa: B023
+
+
+def test_a_review_looks_at_the_servers_that_something_has_happened_to() -> None:
+    for count in (200, LARGE_FLEET):
+        balancer = listed(count)
+        balancer.handle(RequestReceived(1, 0, 1500.0, key=7), 1.0)
+        with mock.patch.object(pool_review, "_move_slots") as looked_at:
+            balancer.handle(TimerFired(0), 2000.0)
+        assert looked_at.call_count == 1
+        with mock.patch.object(pool_review, "_move_slots") as looked_at:
+            balancer.handle(TimerFired(0), 4000.0)
+        assert looked_at.call_count == 0
+
+
+def test_no_step_of_a_large_change_hashes_more_than_its_part() -> None:
+    balancer = listed(LARGE_FLEET)
+    others = [Endpoint(sid(LARGE_FLEET + number)) for number in range(LARGE_FLEET)]
+    tokens = list[int]()
+    event: Event = EndpointUpdate(EndpointUpdateKind.DIFFERENCE, 2, others)
+    steps = 0
+    while True:
+        hashed = points_hashed(
+            lambda: tokens.extend(a.token for a in balancer.handle(event, 1.0) if isinstance(a, SetTimer))  # noqa: B023
+        )
+        assert hashed <= slot_table.POINTS_PER_STEP
+        steps += 1
+        if not tokens:
+            break
+        event = TimerFired(tokens.pop())
+    assert steps >= LARGE_FLEET * POINTS_PER_SERVER / slot_table.POINTS_PER_STEP
+    assert balancer.slots._visible_count == 2 * LARGE_FLEET
+
+
+Change = tuple[int, int]  # a server's number, and its weight in quarters; 0: it leaves
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 40), st.integers(0, 12)), max_size=120),
+    st.randoms(use_true_random=False),
+)
+def test_the_owners_of_all_slots_follow_from_the_list_alone(
+    changes: list[Change], rng: random.Random
+) -> None:
+    """Whatever the order, the batches and the steps between them by which the list was learned."""
+    learned = Balancer(settings(), 1, 0.0)
+    version = 0
+    last = dict[int, int]()
+    while changes:
+        batch = [changes.pop() for _ in range(min(len(changes), rng.randint(1, 30)))]
+        last |= dict(batch)
+        version += 1
+        update = EndpointUpdate(EndpointUpdateKind.DELTA, version, [changed(*one) for one in batch])
+        update.more_follows = rng.random() < 0.3
+        learned.handle(update, 0.0)
+        if rng.random() < 0.5:
+            learned.slots.settle()
+    fresh = Balancer(settings(), 2, 0.0)
+    final = [changed(*one) for one in last.items() if one[1]]
+    rng.shuffle(final)
+    fresh.handle(EndpointUpdate(EndpointUpdateKind.FULL, 1, final), 0.0)
+    for balancer in (learned, fresh):
+        balancer.settle_all()
+    for slot in range(0, SLOT_COUNT, 97):
+        assert owner_ids(learned, slot) == owner_ids(fresh, slot)
+
+
+def changed(number: int, quarters: int) -> Endpoint:
+    """The entry of a server with a weight of so many quarters, or of one that is gone."""
+    if not quarters:
+        return Endpoint(sid(number), EndpointState.GONE)
+    return Endpoint(sid(number), weight=quarters / 4)
+
+
+def owner_ids(balancer: Balancer, slot: int) -> list[bytes]:
+    """The owners of a slot, in order."""
+    return [server.id for server, _ in balancer.slots.owners(slot)]
