Have the rule checker excuse a command that crossed a close and found no listener

Cause: a client whose command crossed the close of its idle connection sends it again on a new one; where that was refused, as the process had ended, the emulator forgot the request without a word and judged it as lost at the proxy's end. The proxy had answered all that it received (requests_received 56, served 56 in its log). Change: the refusal ends the request as not taken, unless the proxy had sent it on, which is still reported; a process that ends by itself is judged once its clients have seen the ends of their connections. Why the check was wrong: PROTOCOL, 'Clients to proxies': a request that crosses a close and was not read is sent once more on a new connection. What the proxy has read and not answered is held to by its own invariant closed_owing_nothing and by on_request_resent, as at any other close.

--- a/lupinladder/emulator/client_pool.py
+++ b/lupinladder/emulator/client_pool.py
@@ -67,6 +67,8 @@
             )
         except OSError:
             self._connection_count -= 1
+            if attempt.was_resent:
+                self.rule_checker.on_resend_refused(self.clock.now(), attempt.request_id)
             attempt.finish(ClientReply(ClientOutcome.FAILED))
             return
         self.opened += 1
--- a/lupinladder/emulator/proxies.py
+++ b/lupinladder/emulator/proxies.py
@@ -28,6 +28,7 @@
 RETRY_CONNECT_S = 0.02
 MAX_DEADLINE_S = 3.0  # a stop waits no longer than this for requests in progress
 STOP_MARGIN_S = 0.7  # beyond the longest deadline, until SIGKILL follows SIGTERM
+CLOSE_NOTICE_S = 0.05  # until clients have seen that a process which has ended closed their connections
 END_TIMEOUT_S = 5.0  # the same at the end of a run
 RELOAD_DELAY_MS = 1000.0  # SIGHUP never comes within the first second (LATER)
 STORE_INTERVAL_MS = 250
@@ -214,6 +215,9 @@
         longest = max(request_class.deadline_ms / 1000 for request_class in self._scenario.classes)
         if await _kill_unless_ended(process, min(MAX_DEADLINE_S, longest) + STOP_MARGIN_S):
             self._rule_checker.counts["killed_after_term"] += 1
+        else:
+            # A command that crossed the close of its connection is sent again: its client has to see the end.
+            await asyncio.sleep(CLOSE_NOTICE_S)
         # What it had received and not answered is lost; a planned stop excuses nothing.
         self._rule_checker.proxy_ended(self._clock.now(), proxy.number)
 
--- a/lupinladder/emulator/rule_checker.py
+++ b/lupinladder/emulator/rule_checker.py
@@ -130,6 +130,12 @@
             description = "its connection was ended without an answer, though it had been read and sent on"
             self._report_lost(now, request, description)
 
+    def on_resend_refused(self, now: float, ident: bytes) -> None:
+        """The new connection for a command that crossed a close was refused: nobody has taken it."""
+        request = self._requests.get(ident)
+        if request and request.outcome is None:
+            request.end(RequestOutcome.EXCUSED, now)
+
     def on_answer(self, now: float, ident: bytes, answer: str, value: bytes, raw: bytes) -> None:
         """A client has read a complete answer, `answer` being served, refused or failed."""
         request = self._requests.get(ident)
