--- a/tests/net/test_client_listener.py
+++ b/tests/net/test_client_listener.py
@@ -64,6 +64,25 @@
         self.answers(waiting, b"$1\r\nV\r\n")
 
 
+class WaitingToBeAccepted(NetworkScene):
+    STALL_MS = 400.0
+
+    def test_what_lay_unread_before_its_connection_was_accepted_is_taken_off_its_time(self) -> None:
+        """As at a start that takes a while: the socket listens, and nobody accepts yet."""
+        self.script.react = lambda event: []
+        count = MAX_ACCEPTS_PER_EVENT + 3
+        self.budget.limit = 4 * count
+        clients = [socket.create_connection(self.address) for _ in range(count)]
+        for number, client in enumerate(clients):
+            self.addCleanup(client.close)
+            client.sendall(get(b"%c" % (33 + number), 900))
+        self.loop._selected_at = self.loop.now()
+        self.stand_still(self.STALL_MS)
+        self.until(lambda: len(self.script.events) >= len(clients), "the requests")
+        asked = [event.timeout for event in self.script.events if isinstance(event, RequestReceived)]
+        self.assertLessEqual(max(asked), 900 - self.STALL_MS)
+
+
 class Shutdown(NetworkScene):
     def shut_down_at_once(self) -> None:
         """Do all at once what a shutdown does within half a second."""
