Accept and read at once what waits in a late turn, so that its time is taken off

Cause: in a late turn 64 connections were accepted and read in the next turn, which was not late; the commands on them counted as just come. Change: a late turn accepts all that wait and reads them in the same turn, whose unread time is taken off.

--- a/lupinladder/net/client_listener.py
+++ b/lupinladder/net/client_listener.py
@@ -164,13 +164,16 @@
         return len(self.clients) < self.capacity.share and bool(self.budget.idle_connections)
 
     def _on_readable(self, _events: int) -> None:
-        for accepted in range(MAX_ACCEPTS_PER_EVENT):
+        # In a late turn all are accepted and read at once: what they sent may have lain unread for as long as
+        # the turn is late, as at a start that takes a while, and in the next turn nobody would know.
+        is_late = self.loop.is_late
+        for accepted in range(LISTEN_BACKLOG if is_late else MAX_ACCEPTS_PER_EVENT):
             # Only before the first accept is it certain that a client waits, which is worth closing another
             # connection.
             if not self._has_client_descriptor and (accepted or not self._release_descriptor()):
                 log_event("accept_paused", reason="no descriptor left for a client")
                 break
-            if self._accept() is not AcceptResult.TAKEN:
+            if self._accept(read_at_once=is_late) is not AcceptResult.TAKEN:
                 break
         self.update_listening()
 
@@ -180,7 +183,7 @@
             return True
         return self.idle_clients.evict_one(self.loop.now())
 
-    def _accept(self) -> AcceptResult:
+    def _accept(self, read_at_once: bool = False) -> AcceptResult:
         """Accept one client, if one waits."""
         try:
             sock, _ = self._sock.accept()
@@ -198,6 +201,8 @@
         client = ClientConnection(self, sock)
         self.clients[client] = None
         client.update_idle_state()
+        if read_at_once:
+            client.conn.read_available()
         return AcceptResult.TAKEN
 
     # Shutting down
