--- a/lupinladder/balancing/weight_scale.py
+++ b/lupinladder/balancing/weight_scale.py
@@ -6,14 +6,18 @@
 
 # Weights are summed as whole multiples of this part of one, so that the sum does not depend on the order in
 # which they were added and taken off.
-WEIGHT_PRECISION = 1 << 16
+WEIGHT_PRECISION = 1 << 32
+# Up to so many servers points are counted by the mean weight itself: that moves some points of all others
+# with each change, which costs little then.
+SERVERS_BY_MEAN = 256
 
 
 class WeightScale:
-    """The sum of the listed weights, and the power of two that is nearest to their mean.
+    """The sum of the listed weights, and the unit in which they are counted: their mean or, with many
+    servers, the power of two nearest to it.
 
-    The mean itself moves with each server that comes or goes, and with it the points of all others would; the
-    power of two hardly ever does.
+    The mean moves with each server that comes or goes, and with it points of all others; the power of two
+    hardly ever does.
     """
 
     def __init__(self) -> None:
@@ -32,10 +36,11 @@
 
     @property
     def unit(self) -> float:
-        """The power of two that is nearest to the mean weight; 1 without any."""
+        """What a weight of one is, for the list as it is; 1 without any."""
         if not self._total:
             return 1.0
-        return 2.0 ** round(log2(self._total / self._count / WEIGHT_PRECISION))
+        mean = self._total / self._count / WEIGHT_PRECISION
+        return mean if self._count <= SERVERS_BY_MEAN else 2.0 ** round(log2(mean))
 
 
 def _as_parts(weight: float) -> int:
--- a/tests/balancing/test_slot_table.py
+++ b/tests/balancing/test_slot_table.py
@@ -8,7 +8,8 @@
 from lupinladder.balancing.events import Endpoint
 from lupinladder.balancing.server import Server
 from lupinladder.balancing.slot_load import SLOT_COUNT
-from lupinladder.balancing.slot_table import SlotTable
+from lupinladder.balancing.slot_table import POINTS_PER_SERVER, SlotTable
+from lupinladder.balancing.weight_scale import SERVERS_BY_MEAN
 from tests.support.balancer_harness import sid
 
 
@@ -69,6 +70,16 @@
     assert 0.65 < share < 0.85
 
 
+def test_points_follow_the_mean_weight_and_in_large_fleets_the_nearest_power_of_two() -> None:
+    for count, unit in ((SERVERS_BY_MEAN, 3.0), (SERVERS_BY_MEAN + 1, 4.0)):
+        fleet = servers(list(range(count)))
+        for server in fleet:
+            server.weight = 3.0
+        slots = table_of(fleet)
+        points = {len(member.points) for member in slots._members.values()}
+        assert points == {round(POINTS_PER_SERVER * 3.0 / unit)}
+
+
 def test_owners_are_distinct_and_empty_without_servers() -> None:
     assert table_of([]).owners(5) == []
     slots = table_of(servers([1, 2, 3]))
