Give each emulator a loopback address of its own, as ports pass from one to another

Cause: emulators that run side by side drew ports of one address; a node ends, its port is drawn by another emulator, and a proxy that still lists it speaks to a stranger.

--- a/lupinladder/emulator/proxies.py
+++ b/lupinladder/emulator/proxies.py
@@ -20,10 +20,10 @@
 from lupinladder.emulator.proxy_settings import settings
 from lupinladder.emulator.rule_checker import RuleChecker
 from lupinladder.emulator.scenario import Scenario
+from lupinladder.emulator.sockets import HOST
 from lupinladder.emulator.system_faults import STATE_VARIABLE, SystemFaults
 from lupinladder.errors import LupinladderError
 
-HOST = "127.0.0.1"
 READY_TIMEOUT_S = 15.0  # for the first PONG after a start
 RETRY_CONNECT_S = 0.02
 MAX_DEADLINE_S = 3.0  # a stop waits no longer than this for requests in progress
--- a/lupinladder/emulator/sockets.py
+++ b/lupinladder/emulator/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import struct
 from collections.abc import Callable, Iterable
@@ -12,7 +13,9 @@
 
 from lupinladder.emulator.clock import Clock
 
-HOST = "127.0.0.1"
+# An address of loopback for each emulator: beside another one, whose nodes come and go, a proxy could else
+# connect to a port that has passed from one emulator to the other.
+HOST = f"127.{64 + os.getpid() % 128}.{os.getpid() // 128 % 256}.1"
 BACKLOG = 512
 ACCEPTS_AT_ONCE = 64
 FULL_BACKLOG_CONNECTIONS = 4  # which fill a backlog of 0 for certain
