Test a stop and a reload in the middle of a list of 3,200 other servers

Change: a client sends on its open connection until the proxy closes it; each request is answered and the process ends with 0.

--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -79,3 +79,20 @@
         self.watch.conn.send(chunks(whole))
         self.assert_requests_answered()
         self.assert_ends_in_order()
+
+    def test_a_stop_and_a_reload_in_the_middle_of_a_long_list_leave_no_request_without_an_answer(
+        self,
+    ) -> None:
+        other = range(2 * LARGE_FLEET, 3 * LARGE_FLEET)
+        self.watch.conn.send(chunks(list_text(9, entries(other, self.port), is_snapshot=True)))
+        self.process.send_signal(signal.SIGHUP)
+        self.process.send_signal(signal.SIGTERM)
+        client = self.serving_client
+        while not client.ends:
+            client.got = b""
+            client.conn.send(get(wait=WAIT_MS))
+            self.until(lambda: client.got or client.ends, "an answer, or the close that crossed the request")
+            if client.got:
+                self.assertIn(client.got.split()[0], (b"$1", b"-BUSY"), client.got)
+        client.conn.close()
+        self.assertEqual(self.process.wait(END_TIMEOUT_S), 0)
