--- a/lupinladder/emulator/cache_node.py
+++ b/lupinladder/emulator/cache_node.py
@@ -130,8 +130,12 @@
         if version is None:
             self._reply_miss(now, request)
             return
+        request.reply(self.encode_hit(now, request), ReplyType.HIT)
+
+    def encode_hit(self, now: float, request: NodeRequest) -> bytes:
+        """Return the reply to a request whose key is cached."""
         value = self._shared_data.value(request.key, request.request_id, self.name)
-        request.reply(self._encode_reply(now, encode_bulk_string(value), ReplyType.HIT), ReplyType.HIT)
+        return self._encode_reply(now, encode_bulk_string(value), ReplyType.HIT)
 
     def _reply_miss(self, now: float, request: NodeRequest) -> None:
         is_pending = self._pending_fetches.get(request.key, 0) > now
--- a/lupinladder/emulator/cache_node_connection.py
+++ b/lupinladder/emulator/cache_node_connection.py
@@ -185,6 +185,15 @@
         if reply.request and reply.attempt:
             data = self._corrupt_and_record(reply, data)
         self.transport.write(data)
+        if self._server.second_answers and reply.request and reply.attempt:
+            self._server.second_answers.follow(self.transport, partial(self._second_answer, reply, data))
+
+    def _second_answer(self, reply: PendingReply, first_answer: bytes) -> bytes:
+        """Return a second answer to a request, as the fault sets it."""
+        server = self._server
+        if reply.request and server.second_answers and server.second_answers.always_value:
+            return server.model.encode_hit(self._clock.now(), reply.request)
+        return first_answer
 
     def _corrupt_and_record(self, reply: PendingReply, data: bytes) -> bytes:
         """Report a reply to the rule checker. Returns the bytes to write, which a fault may corrupt."""
--- a/lupinladder/emulator/cache_node_server.py
+++ b/lupinladder/emulator/cache_node_server.py
@@ -11,6 +11,7 @@
 from lupinladder.emulator.clock import Clock, ModelDriver
 from lupinladder.emulator.response_corruption import ResponseCorruption
 from lupinladder.emulator.rule_checker import RuleChecker
+from lupinladder.emulator.second_answers import SecondAnswers
 from lupinladder.emulator.sockets import FaultyListener, NetworkPath, reset_all
 
 WorkSampler = Callable[[dict[bytes, bytes]], float]
@@ -40,6 +41,7 @@
         self.driver = ModelDriver(clock, model)
         self.connections: set[CacheNodeConnection] = set()
         self.corruption: ResponseCorruption | None = None  # set by faults
+        self.second_answers: SecondAnswers | None = None  # set by faults
         self.is_unresponsive = False
         self.on_overload_crash: Callable[[], None] = lambda: None
         self.listeners = [
--- a/lupinladder/emulator/cluster.py
+++ b/lupinladder/emulator/cluster.py
@@ -75,7 +75,7 @@
         self.wall_step_ms = 0.0  # time by which the machines' wall clock is ahead of the run's clock
         self._since_ms: dict[str, int] = {}  # start of each node by the wall clock at that time
         self.on_change: Callable[[str], None] = lambda _description: None
-        self._rule_checker = rule_checker
+        self.rule_checker = rule_checker
         self._proxy_zones = proxy_zones
         self._paths: dict[tuple[int, int], NetworkPath] = {}  # by the two zones in ascending order
         self._shared_data = SharedData(keys, self._draw_ttl)
@@ -104,7 +104,7 @@
         return OriginServer(
             self.clock,
             model,
-            self._rule_checker,
+            self.rule_checker,
             self._paths_to(ORIGIN_ZONE),
             self._missed_at_warming_node,
             scenario.origin.fall_s * 1000,
@@ -184,7 +184,7 @@
         server = CacheNodeServer(
             self.clock,
             model,
-            self._rule_checker,
+            self.rule_checker,
             self.draw_work,
             self._paths_to(zone),
             sockets,
@@ -196,7 +196,7 @@
         self._since_ms[name] = int(model.started_at + self.wall_step_ms) if model.started_at else 0
         self.nodes[name] = server
         if starts_empty:
-            self._rule_checker.on_server_started(now, name, config.cold_s * 1000, model.queue.capacity)
+            self.rule_checker.on_server_started(now, name, config.cold_s * 1000, model.queue.capacity)
         return server
 
     def entry(self, node: CacheNodeServer, status: EndpointStatus) -> ListedEndpoint:
@@ -214,7 +214,7 @@
         """Return whether the fetch of this request follows a miss at a node that is warming up."""
         now = self.clock.now()
         first_node = self._shared_data.nodes_that_missed(request_id)[:1]
-        return any(self._rule_checker.is_warming_up(now, name) for name in first_node)
+        return any(self.rule_checker.is_warming_up(now, name) for name in first_node)
 
     def announce(self, entry: ListedEndpoint, delay_s: float | None = None) -> None:
         """Schedule a change of the list after `delay_s`; the delay is drawn at random if it is None."""
--- a/lupinladder/emulator/node_faults.py
+++ b/lupinladder/emulator/node_faults.py
@@ -8,8 +8,10 @@
 from lupinladder.emulator.cache_node_server import CacheNodeServer
 from lupinladder.emulator.endpoint_list import EndpointStatus
 from lupinladder.emulator.fault_context import FaultContext, FaultHandler
+from lupinladder.emulator.origin_server import OriginServer
 from lupinladder.emulator.response_corruption import ResponseCorruption
 from lupinladder.emulator.scenario import CORRUPTIONS, FaultConfig
+from lupinladder.emulator.second_answers import SecondAnswers
 
 PAUSED_SLOWDOWN = 1e6  # slowdown factor of a node that is paused
 PAUSE_INTERVAL_FACTORS = (2, 8)  # range of the time between pauses, as a multiple of the pause
@@ -35,6 +37,7 @@
             "reset": self._reset_connections,
             "garble": self._corrupt_replies,
             "pauses": self._pause_nodes,
+            "second-answers": self._answer_twice,
             "neighbour": self._run_noisy_neighbours,
         }
 
@@ -120,6 +123,26 @@
         self._cluster.origin.sends_interim_responses = False
         self._context.record_event("answers clean again")
 
+    async def _answer_twice(self, fault: FaultConfig) -> None:
+        """Let all nodes and the origin answer a part of the requests a second time."""
+        counts = self._context.cluster.rule_checker.counts
+        second_answers = SecondAnswers(
+            self._clock,
+            self._context.rng,
+            fault.part,
+            fault.lateness_ms,
+            always_value=fault.how == "value",
+            holds_back_writes=fault.hold_back,
+            on_written=lambda: counts.update(["second_answers"]),
+        )
+        servers: list[CacheNodeServer | OriginServer] = [*self._cluster.nodes.values(), self._cluster.origin]
+        for server in servers:
+            server.second_answers = second_answers
+        await asyncio.sleep(fault.for_s)
+        for server in servers:
+            server.second_answers = None
+        self._context.record_event("one answer to each request again")
+
     def _slow_down(self, node: CacheNodeServer, factor: float) -> None:
         node.driver.update()  # accounts for the work until now at the old speed
         node.model.queue.slowdown *= factor
--- a/lupinladder/emulator/origin.py
+++ b/lupinladder/emulator/origin.py
@@ -127,13 +127,18 @@
         idempotency_key = request.labels.get(b"k")
         if idempotency_key is None or self._recent_writes.is_first(idempotency_key, now):
             self._shared_data.invalidate(request.key)
-        request.reply(b"receipt|" + request.request_id + b"|origin", ReplyType.RECEIPT)
+        request.reply(self.value(request), ReplyType.RECEIPT)
 
     def _complete_fetch(self, now: float, request: NodeRequest) -> None:
         for waiting in self._fetches.pop(request.key, [request]):
             self._shared_data.store_fetched(waiting.key, waiting.request_id, now)
-            value = self._shared_data.value(waiting.key, waiting.request_id, "origin")
-            waiting.reply(value, ReplyType.VALUE)
+            waiting.reply(self.value(waiting), ReplyType.VALUE)
+
+    def value(self, request: NodeRequest) -> bytes:
+        """Return the value or the receipt of a request that has run."""
+        if request.is_write:
+            return b"receipt|" + request.request_id + b"|origin"
+        return self._shared_data.value(request.key, request.request_id, "origin")
 
     def next_wakeup(self) -> float:
         """Return the latest time in ms of the next call of `advance`; infinity if no job runs."""
--- a/lupinladder/emulator/origin_connection.py
+++ b/lupinladder/emulator/origin_connection.py
@@ -138,6 +138,15 @@
             )
         interim = EARLY_HINTS if self._server.sends_interim_responses else b""
         self.transport.write(interim + (reply.data or b""))
+        if self._server.second_answers and reply.request and reply.attempt:
+            self._server.second_answers.follow(self.transport, partial(self._second_answer, reply))
+
+    def _second_answer(self, reply: PendingReply) -> bytes:
+        """Return a second answer to a request, as the fault sets it."""
+        server = self._server
+        if reply.request and server.second_answers and server.second_answers.always_value:
+            return encode_response(HTTPStatus.OK, server.model.value(reply.request))
+        return reply.data or b""
 
 
 def _read_labels(headers: dict[bytes, bytes]) -> dict[bytes, bytes] | None:
--- a/lupinladder/emulator/origin_server.py
+++ b/lupinladder/emulator/origin_server.py
@@ -10,6 +10,7 @@
 from lupinladder.emulator.origin import OriginModel
 from lupinladder.emulator.origin_connection import OriginConnection
 from lupinladder.emulator.rule_checker import RuleChecker
+from lupinladder.emulator.second_answers import SecondAnswers
 from lupinladder.emulator.sockets import FaultyListener, NetworkPath, reset_all
 
 
@@ -33,6 +34,7 @@
         self.driver = ModelDriver(clock, model)
         self.connections: set[OriginConnection] = set()
         self.sends_interim_responses = False  # set by faults
+        self.second_answers: SecondAnswers | None = None  # set by faults
         self._missed_at_warming_node = missed_at_warming_node
         self._overload_window_ms = overload_window_ms
         self._stops_handled = 0
--- a/lupinladder/emulator/scenario.py
+++ b/lupinladder/emulator/scenario.py
@@ -173,7 +173,7 @@
         "deploy", "shrink", "grow", "hot-key", "late-list", "list-down", "list-move", "silent", "reset",
         "garble", "slow-origin", "zone-delay", "kill", "term", "hup", "connections", "rolling-restart",
         "pauses", "neighbour", "kill-many", "freeze", "term-many", "relist-origin", "failing-calls",
-        "clock-step", "signals",
+        "clock-step", "signals", "second-answers",
     ]  # fmt: skip
     at: float
     for_s: float = 5.0
@@ -187,6 +187,8 @@
     zone: str = ""
     how: str = ""
     reuse: bool = False  # whether new nodes start at the addresses of removed ones
+    lateness_ms: tuple[float, float] = (1.0, 500.0)  # range of the time from an answer to the second one
+    hold_back: bool = False  # whether servers leave small writes to Nagle's algorithm
 
 
 class MisbehavingClientsConfig(msgspec.Struct, forbid_unknown_fields=True):
--- a/lupinladder/emulator/scenario_constraints.py
+++ b/lupinladder/emulator/scenario_constraints.py
@@ -18,6 +18,9 @@
 CORRUPTIONS = ("noise", "endless", "length", "huge", "copy", "trailing", "report", "interim")
 """The ways to corrupt a reply."""
 
+SECOND_ANSWERS = ("copy", "value")
+"""What a second answer holds: the bytes of the first, or the value even if the first had none."""
+
 MISBEHAVIOURS = (
     "noise", "endless", "lengths", "huge", "big", "class", "deadline", "noid",
     "stolen", "half", "many", "again", "silent",
@@ -112,3 +115,8 @@
         _require_one_of(f"{path}.how", fault.how, STORES)
     if fault.kind == "garble" and fault.how:
         _require_one_of(f"{path}.how", fault.how, CORRUPTIONS)
+    if fault.kind == "second-answers":
+        low, high = fault.lateness_ms
+        _require(0 < low <= high, f"{path}.lateness_ms", "expected two times above 0, the shorter one first")
+        if fault.how:
+            _require_one_of(f"{path}.how", fault.how, SECOND_ANSWERS)
