Attribute replies by what may still arrive, not by their order and a rest of 25 ms

Callers saw the value or receipt of another request. Cause: in RESP and HTTP/1.1 a reply names no request, and a reply was given to the oldest attempt on its connection; a second answer to an earlier request that came while the connection was in use again was taken for the reply. ReusePolicy's rest of 25 ms began only after the first excess bytes and bounded a lateness that has no bound. Change: a connection is used again only while every value that may still arrive for its earlier requests is known (reply_history): after a value; after a miss once the request has ended, with the value it was served with; not after a rejection or an error, nor while a value may be unknown. A value that repeats is refused and its attempt ends as RESET. Requests that must not run twice avoid connections with a miss or with their key; writes share one only after distinct receipts; a server with equal values gets new connections. Only idempotent requests share a connection while descriptors are short. The guess of time is gone. To lower the price, a connection is opened ahead when one is given up, and one that comes up late is kept. The log and the metrics tell how late excess bytes came and which reply was refused. No lateness gives a wrong answer, as long as all values that servers send for one request are equal. Only one attempt a connection needs no such assumption. The test of unread bytes uses a value of its own for each case, as equal ones are refused.

--- a/lupinladder/emulator/cache_node.py
+++ b/lupinladder/emulator/cache_node.py
@@ -137,6 +137,11 @@
         value = self._shared_data.value(request.key, request.request_id, self.name)
         return self._encode_reply(now, encode_bulk_string(value), ReplyType.HIT)
 
+    def encode_fetched(self, now: float, request: NodeRequest) -> bytes:
+        """Return a reply with the value that the origin gave for a request that missed; empty until then."""
+        value = self._shared_data.fetched_value(request.request_id)
+        return self._encode_reply(now, encode_bulk_string(value), ReplyType.HIT) if value else b""
+
     def _reply_miss(self, now: float, request: NodeRequest) -> None:
         is_pending = self._pending_fetches.get(request.key, 0) > now
         if not request.is_write:
--- a/lupinladder/emulator/cache_node_connection.py
+++ b/lupinladder/emulator/cache_node_connection.py
@@ -189,11 +189,22 @@
             self._server.second_answers.follow(self.transport, partial(self._second_answer, reply, data))
 
     def _second_answer(self, reply: PendingReply, first_answer: bytes) -> bytes:
-        """Return a second answer to a request, as the fault sets it."""
-        server = self._server
-        if reply.request and server.second_answers and server.second_answers.always_value:
-            return server.model.encode_hit(self._clock.now(), reply.request)
-        return first_answer
+        """Return a second answer to a request, as the fault sets it.
+
+        All values that are sent for one request are equal: after a miss, it is the one that the origin gave.
+        """
+        now = self._clock.now()
+        model = self._server.model
+        second_answers = self._server.second_answers
+        if reply.request is None or second_answers is None or not second_answers.always_value:
+            return first_answer
+        match reply.reply_type:
+            case ReplyType.HIT:
+                return first_answer
+            case ReplyType.MISS | ReplyType.MISS_PENDING:
+                return model.encode_fetched(now, reply.request)
+            case _:
+                return model.encode_hit(now, reply.request)
 
     def _corrupt_and_record(self, reply: PendingReply, data: bytes) -> bytes:
         """Report a reply to the rule checker. Returns the bytes to write, which a fault may corrupt."""
--- a/lupinladder/emulator/cluster.py
+++ b/lupinladder/emulator/cluster.py
@@ -18,6 +18,7 @@
 from lupinladder.emulator.request_labels import UnknownClassError
 from lupinladder.emulator.rule_checker import RuleChecker
 from lupinladder.emulator.scenario import RequestClassConfig, Scenario
+from lupinladder.emulator.second_answers import SecondAnswers
 from lupinladder.emulator.shared_data import SharedData
 from lupinladder.emulator.sockets import NetworkPath
 from lupinladder.emulator.workload import KeyDistribution, random_stream
@@ -73,6 +74,7 @@
         self.nodes: dict[str, CacheNodeServer] = {}
         self.endpoints = EndpointList()
         self.wall_step_ms = 0.0  # time by which the machines' wall clock is ahead of the run's clock
+        self.second_answers: SecondAnswers | None = None  # of all nodes; set by faults
         self._since_ms: dict[str, int] = {}  # start of each node by the wall clock at that time
         self.on_change: Callable[[str], None] = lambda _description: None
         self.rule_checker = rule_checker
@@ -190,6 +192,7 @@
             sockets,
             round_trip_ms,
         )
+        server.second_answers = self.second_answers
         server.open()
         server.on_overload_crash = lambda: self._on_overload_crash(server)
         self._shared_data.nodes[name] = model
--- a/lupinladder/emulator/node_faults.py
+++ b/lupinladder/emulator/node_faults.py
@@ -8,7 +8,6 @@
 from lupinladder.emulator.cache_node_server import CacheNodeServer
 from lupinladder.emulator.endpoint_list import EndpointStatus
 from lupinladder.emulator.fault_context import FaultContext, FaultHandler
-from lupinladder.emulator.origin_server import OriginServer
 from lupinladder.emulator.response_corruption import ResponseCorruption
 from lupinladder.emulator.scenario import CORRUPTIONS, FaultConfig
 from lupinladder.emulator.second_answers import SecondAnswers
@@ -133,16 +132,20 @@
             fault.lateness_ms,
             always_value=fault.how == "value",
             holds_back_writes=fault.hold_back,
-            on_written=lambda: counts.update(["second_answers"]),
+            on_due=lambda: counts.update(["second_answers"]),
         )
-        servers: list[CacheNodeServer | OriginServer] = [*self._cluster.nodes.values(), self._cluster.origin]
-        for server in servers:
-            server.second_answers = second_answers
+        self._set_second_answers(second_answers)
         await asyncio.sleep(fault.for_s)
-        for server in servers:
-            server.second_answers = None
+        self._set_second_answers(None)
         self._context.record_event("one answer to each request again")
 
+    def _set_second_answers(self, second_answers: SecondAnswers | None) -> None:
+        """Set the second answers of the origin and of all nodes, later ones included."""
+        self._cluster.second_answers = second_answers
+        self._cluster.origin.second_answers = second_answers
+        for node in self._cluster.nodes.values():
+            node.second_answers = second_answers
+
     def _slow_down(self, node: CacheNodeServer, factor: float) -> None:
         node.driver.update()  # accounts for the work until now at the old speed
         node.model.queue.slowdown *= factor
--- a/lupinladder/emulator/second_answers.py
+++ b/lupinladder/emulator/second_answers.py
@@ -26,7 +26,7 @@
         lateness_ms: tuple[float, float],
         always_value: bool,
         holds_back_writes: bool,
-        on_written: Callable[[], None],
+        on_due: Callable[[], None],
     ) -> None:
         """`lateness_ms` is the range of the lateness.
 
@@ -40,18 +40,23 @@
         self._share = share
         self._log_lateness_range = (float(np.log(lateness_ms[0])), float(np.log(lateness_ms[1])))
         self._holds_back_writes = holds_back_writes
-        self._on_written = on_written
+        self._on_due = on_due
 
     def follow(self, transport: asyncio.Transport, make_answer: Callable[[], bytes]) -> None:
-        """The first answer to a request has been written: schedule a second one, or do nothing."""
+        """The first answer to a request has been written: schedule a second one, or do nothing.
+
+        `make_answer` is called when the second answer is due; it returns no bytes if there is none.
+        """
         if self._holds_back_writes:
             transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 0)
         if self._rng.random() < self._share:
             lateness_ms = float(np.exp(self._rng.uniform(*self._log_lateness_range)))
-            write = partial(self._write, transport, make_answer())
+            write = partial(self._write, transport, make_answer)
             self._clock.at(self._clock.now() + lateness_ms, write)
 
-    def _write(self, transport: asyncio.Transport, answer: bytes) -> None:
-        if not transport.is_closing():
+    def _write(self, transport: asyncio.Transport, make_answer: Callable[[], bytes]) -> None:
+        answer = make_answer()
+        if answer:
+            self._on_due()
+        if answer and not transport.is_closing():
             transport.write(answer)
-            self._on_written()
--- a/lupinladder/emulator/shared_data.py
+++ b/lupinladder/emulator/shared_data.py
@@ -37,6 +37,7 @@
         self.nodes: dict[str, CachingNode] = {}
         self._versions: dict[bytes, int] = {}
         self._nodes_that_missed: OrderedDict[bytes, list[str]] = OrderedDict()  # by request id
+        self._fetched_values: dict[bytes, bytes] = {}  # by request id, for requests with a miss
         self._looked_up_keys: set[bytes] = set()
 
     def version(self, key: bytes) -> int:
@@ -63,14 +64,21 @@
         """Record that this node missed for this request."""
         self._nodes_that_missed.setdefault(request_id, []).append(node)
         while len(self._nodes_that_missed) > MAX_REQUESTS_REMEMBERED:
-            self._nodes_that_missed.popitem(last=False)
+            forgotten_id, _ = self._nodes_that_missed.popitem(last=False)
+            self._fetched_values.pop(forgotten_id, None)
 
     def nodes_that_missed(self, request_id: bytes) -> list[str]:
         """Return the names of the nodes that missed for this request, in order."""
         return self._nodes_that_missed.get(request_id, [])
 
+    def fetched_value(self, request_id: bytes) -> bytes:
+        """Return the value that the origin gave for a request that missed; empty until then."""
+        return self._fetched_values.get(request_id, b"")
+
     def store_fetched(self, key: bytes, request_id: bytes, now: float) -> None:
         """Store the value that the origin answered to a read at the first nodes that missed for it."""
+        if request_id in self._nodes_that_missed:
+            self._fetched_values[request_id] = self.value(key, request_id, "origin")
         for name in self.nodes_that_missed(request_id)[:MAX_COPIES_STORED]:
             node = self.nodes.get(name)
             if node and node.is_up:
--- a/lupinladder/emulator/soak_plan.py
+++ b/lupinladder/emulator/soak_plan.py
@@ -24,6 +24,7 @@
     RequestClassConfig,
     Scenario,
 )
+from lupinladder.emulator.scenario_constraints import SECOND_ANSWERS
 from lupinladder.emulator.workload import random_stream
 
 DEFAULT_PROXIES = 24
@@ -39,6 +40,10 @@
 BURST_CHANCE = 0.35  # probability that a run has a burst of load
 BURST_FACTOR = 3.0  # the rate in a burst, as a multiple of the normal rate
 BURST_S = 2.0
+SECOND_ANSWERS_CHANCE = 0.7  # probability that servers answer some requests twice, throughout a run
+SECOND_ANSWERS_SHARE = (0.01, 0.12)  # range of the share of requests that they answer twice
+SECOND_ANSWERS_LATENESS_MS = (0.5, 2000.0)
+HELD_BACK_CHANCE = 0.3  # probability that they do so with small writes held back
 
 Rng = np.random.Generator
 Range = tuple[float, float]
@@ -123,6 +128,8 @@
     )
     if rng.random() < 0.5:
         scenario.misbehaving_clients = [MisbehavingClientsConfig(per_s=_between(rng, 2, 10))]
+    if rng.random() < SECOND_ANSWERS_CHANCE:
+        scenario.faults.append(_draw_second_answers(rng, seconds))
     scenario.check()
     return scenario
 
@@ -151,6 +158,18 @@
     ]
 
 
+def _draw_second_answers(rng: Rng, seconds: float) -> FaultConfig:
+    return FaultConfig(
+        "second-answers",
+        at=0,
+        for_s=seconds,
+        part=_between(rng, *SECOND_ANSWERS_SHARE),
+        how=str(rng.choice(SECOND_ANSWERS)),
+        lateness_ms=SECOND_ANSWERS_LATENESS_MS,
+        hold_back=bool(rng.random() < HELD_BACK_CHANCE),
+    )
+
+
 def _draw_faults(rng: Rng, proxies: int, seconds: float) -> list[FaultConfig]:
     last = max(seconds - LAST_GROUP_BEFORE_END_S, MIN_FAULT_FREE_S)
     count = int(rng.integers(*FAULT_GROUPS))
--- a/lupinladder/net/close_reason.py
+++ b/lupinladder/net/close_reason.py
@@ -27,4 +27,6 @@
     SERVER_LAST_REPLY = "server_last_reply"  # the server announced the close with its last reply
     SERVER_ABANDONED = "server_abandoned"  # all attempts in flight on it were abandoned
     SERVER_HALF_WRITTEN = "server_half_written"  # the rest of a command must not be written
+    SERVER_REPEATED_REPLY = "server_repeated_reply"  # its reply may belong to an earlier request
+    SERVER_NOT_REUSABLE = "server_not_reusable"  # later replies could not be attributed
     SERVER_DESCRIPTOR_NEEDED = "server_descriptor_needed"
--- a/lupinladder/net/invariants.py
+++ b/lupinladder/net/invariants.py
@@ -9,19 +9,14 @@
 
 from enum import StrEnum
 
-from lupinladder.balancing.events import Outcome
 from lupinladder.balancing.settings import DeduplicationScope, RequestClass, RetrySafety, Settings
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
-from lupinladder.net.pending_request import Attempt, PendingRequest
+from lupinladder.net.pending_request import NOT_EXECUTED_OUTCOMES, Attempt, PendingRequest
 
 LIMIT_SLACK_MS = 50.0  # that the rules on sockets add to each time limit (PROTOCOL)
 CLIENT_DISCONNECT_SLACK_MS = 100.0  # in which an attempt may still start
 DEADLINE_SLACK_MS = 150.0  # by which the forwarded deadline may be too long
-# Outcomes which prove that the server did not execute the attempt.
-NOT_EXECUTED_OUTCOMES = frozenset(
-    {Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_STARTED, Outcome.MISS}
-)
 
 
 class Invariant(StrEnum):
@@ -116,10 +111,7 @@
     safety = request_class.retry_safety
     if safety is RetrySafety.IDEMPOTENT:
         return True
-    if not any(
-        attempt.sent_at is not None and attempt.outcome not in NOT_EXECUTED_OUTCOMES
-        for attempt in request.attempts
-    ):
+    if not any(attempt.may_have_run for attempt in request.attempts):
         return True
     deduplicated_everywhere = request_class.deduplication_scope is DeduplicationScope.ALL
     return safety is RetrySafety.IDEMPOTENCY_KEY and deduplicated_everywhere
--- a/lupinladder/net/metrics.py
+++ b/lupinladder/net/metrics.py
@@ -7,6 +7,8 @@
 
 from lupinladder.balancing.events import Outcome
 
+TIME_RANGE_ENDS_MS = (5, 10, 25, 50, 100, 250, 500, 1000)
+
 
 @dataclass(slots=True)
 class Metrics:
@@ -50,11 +52,13 @@
     upstream_connections_opened: int = 0
     upstream_connections_stale: int = 0
     upstream_replies_invalid: int = 0
+    upstream_replies_refused: int = 0
     attempts_ended: Counter[Outcome] = field(default_factory=Counter)
     attempts_repeated_after: Counter[Outcome] = field(default_factory=Counter)  # by the previous outcome
     failures_by_reason: Counter[str] = field(default_factory=Counter)  # by AnswerReason
     rejections_by_reason: Counter[str] = field(default_factory=Counter)  # by AnswerReason
     connections_closed: Counter[str] = field(default_factory=Counter)  # by CloseReason
+    excess_bytes_after: Counter[str] = field(default_factory=Counter)  # by the time since the last reply
     invariant_violations: Counter[str] = field(default_factory=Counter)  # by Invariant
     sends_refused: Counter[str] = field(default_factory=Counter)  # by SendRefusal
 
@@ -70,6 +74,14 @@
         return {name: count for name, count in sorted(counts.items()) if count}
 
 
+def time_range(ms: float) -> str:
+    """Return the name of the range of TIME_RANGE_ENDS_MS in which a time lies."""
+    for end in TIME_RANGE_ENDS_MS:
+        if ms < end:
+            return f"under_{end}_ms"
+    return f"{TIME_RANGE_ENDS_MS[-1]}_ms_or_more"
+
+
 def _label(key: str | Outcome) -> str:
     """Return a kind as a part of the counter's name."""
     return key.name.lower() if isinstance(key, Outcome) else key
--- a/lupinladder/net/pending_request.py
+++ b/lupinladder/net/pending_request.py
@@ -13,6 +13,19 @@
     from lupinladder.net.client_command import ClientCommand
     from lupinladder.net.request_dispatcher import RequestDispatcher
 
+# Outcomes which prove that the server did not execute the attempt.
+NOT_EXECUTED_OUTCOMES = frozenset(
+    {Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_STARTED, Outcome.MISS}
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestEnd:
+    """How a request ended, for the connections on which it missed."""
+
+    served_value: bytes | None  # None if it was not served
+    may_have_value: bool  # a server to which it was sent after the miss may have executed it
+
 
 class ResponseHandler(Protocol):
     """Takes the final answer to a request: one method is called, once, unless the client disconnects."""
@@ -39,6 +52,9 @@
     def request_finished(self, attempt: Attempt) -> None:
         """The request of an outstanding attempt is finished: the rest of it must not be written."""
 
+    def release(self, attempt: Attempt, end: RequestEnd) -> None:
+        """The request of an attempt that missed is finished."""
+
 
 @dataclass(slots=True, eq=False, weakref_slot=True)
 class PendingRequest:
@@ -48,6 +64,7 @@
     command: ClientCommand
     deadline: float  # ms on the loop's clock
     handler: ResponseHandler | None  # None once the request is finished
+    is_idempotent: bool = False
     attempts: list[Attempt] = field(default_factory=list)
     finished: bool = False  # it has its final answer, or its client has disconnected
     client_disconnected_at: float | None = None
@@ -105,6 +122,11 @@
         """Whether the attempt has its outcome."""
         return self.outcome is not None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the server may have executed the attempt. A miss has no effect."""
+        return self.sent_at is not None and self.outcome not in NOT_EXECUTED_OUTCOMES
+
     def end(
         self,
         outcome: Outcome,
@@ -114,3 +136,14 @@
     ) -> None:
         """Report the outcome. Only the first report counts."""
         self.dispatcher.attempt_ended(self, outcome, value, cache_result, load)
+
+
+def release_missed(attempts: list[Attempt], served_value: bytes | None) -> None:
+    """Release the connections that wait for the end of a request, as it missed on them.
+
+    `attempts` are those of the request; `served_value` is None if it was not served.
+    """
+    may_have_value = any(attempt.may_have_run for attempt in attempts)
+    for attempt in attempts:
+        if attempt.outcome is Outcome.MISS and attempt.executor is not None:
+            attempt.executor.release(attempt, RequestEnd(served_value, may_have_value))
--- a/lupinladder/net/request_dispatcher.py
+++ b/lupinladder/net/request_dispatcher.py
@@ -33,14 +33,20 @@
     TimerFired,
 )
 from lupinladder.balancing.server import Server
-from lupinladder.balancing.settings import ServerId, Settings
+from lupinladder.balancing.settings import RetrySafety, ServerId, Settings
 from lupinladder.graceful_shutdown import ShutdownSchedule
 from lupinladder.net.event_loop import EventLoop
 from lupinladder.net.invariants import InvariantMonitor
 from lupinladder.net.log import format_traceback, log_event
 from lupinladder.net.metrics import metrics
 from lupinladder.net.open_requests import OpenRequests
-from lupinladder.net.pending_request import Attempt, AttemptExecutor, PendingRequest, ResponseHandler
+from lupinladder.net.pending_request import (
+    Attempt,
+    AttemptExecutor,
+    PendingRequest,
+    ResponseHandler,
+    release_missed,
+)
 
 if TYPE_CHECKING:  # for annotations only: commands are passed on unread
     from lupinladder.net.client_command import ClientCommand
@@ -120,7 +126,15 @@
         now = self._loop.now()
         request_id = self._requests.next_id()
         event = make_event(request_id)
-        request = PendingRequest(request_id, command, now + event.timeout, handler, received_at=now)
+        safety = self._settings.classes[event.request_class].retry_safety
+        request = PendingRequest(
+            request_id,
+            command,
+            now + event.timeout,
+            handler,
+            is_idempotent=safety is RetrySafety.IDEMPOTENT,
+            received_at=now,
+        )
         self._requests.add(request)
         request.overdue_timer = self._loop.call_at(
             request.deadline + DEADLINE_GRACE_MS, lambda: self._fail_overdue(request)
@@ -133,8 +147,10 @@
         if not request.finished:
             metrics.requests_abandoned += 1
             request.client_disconnected_at = self._loop.now()
-            outstanding = [attempt for attempt in request.attempts if not attempt.finished]
+            attempts = list(request.attempts)
+            outstanding = [attempt for attempt in attempts if not attempt.finished]
             self._requests.finish(request)
+            release_missed(attempts, None)
             self.notify(ClientDisconnected(request.request_id))
             for attempt in outstanding:
                 if attempt.executor is not None:
@@ -155,10 +171,15 @@
             self._finish_request(request).on_failed()
             self.notify(ClientDisconnected(request.request_id))
 
-    def _finish_request(self, request: PendingRequest, is_rejection: bool = False) -> ResponseHandler:
+    def _finish_request(
+        self, request: PendingRequest, is_rejection: bool = False, served_value: bytes | None = None
+    ) -> ResponseHandler:
         """Finish a request whose client is connected; the caller answers through the returned handler."""
         self.monitor.check_answer(request, is_rejection, self._loop.now())
-        return self._requests.finish(request)
+        attempts = list(request.attempts)
+        handler = self._requests.finish(request)
+        release_missed(attempts, served_value)
+        return handler
 
     def notify(self, event: Event) -> None:
         """Pass an event to the balancer.
@@ -301,7 +322,8 @@
         request = attempt.request
         if outcome is Outcome.OK and not request.finished:
             metrics.requests_served += 1
-            self._finish_request(request).on_served(value or b"")
+            served_value = value or b""
+            self._finish_request(request, served_value=served_value).on_served(served_value)
         self.notify(
             AttemptEnded(
                 request_id=request.request_id,
--- a/lupinladder/net/reuse_policy.py
+++ b/lupinladder/net/reuse_policy.py
@@ -1,34 +1,53 @@
-"""Delays the reuse of connections to servers while servers send excess bytes. No I/O.
+"""Decides by a server's replies so far whether its connections are used again. No I/O.
 
-Some servers send a second copy of a reply, or noise, some milliseconds after the reply (standing test, join).
-In RESP and HTTP/1.1 a reply does not identify its request. A copy that arrives while the next request is in
-flight would be taken for its reply, and the client would get the value of another request. Correct servers
-cause no delay: it starts with the first excess bytes from any server, and ends some time after the last ones.
+A reply that repeats an earlier value of its connection is refused (`reply_history`). This module keeps
+refusals rare for servers that give equal values to different requests:
+
+- After a refusal the next attempts use a new connection each. Their number doubles with every refusal.
+- Two writes use one connection only after several receipts of the server were all different, since the
+  receipts of writes may be equal and a refused write fails.
 """
 
 from __future__ import annotations
 
-from math import inf
-
-REUSE_DELAY_MS = 25.0  # minimum idle time before reuse: several times the delay of a second copy
-REUSE_DELAY_PERIOD_MS = 60_000.0  # time after the last excess bytes during which reuse is delayed
+FIRST_SUSPENSION_ATTEMPTS = 4
+MAX_SUSPENSION_ATTEMPTS = 1 << 20
+MIN_DISTINCT_RECEIPTS = 8
+MAX_RECEIPTS_COMPARED = 256
 
 
 class ReusePolicy:
-    """Decides whether a connection may be reused, by the excess bytes that any server has sent.
-
-    Times are in ms on the clock of the event loop.
-    """
+    """Decides whether connections to one server may be used again."""
 
     def __init__(self) -> None:
-        self._last_excess_at = -inf
-
-    def record_excess_bytes(self, now: float) -> None:
-        """Record that a server has sent bytes that belong to no request."""
-        self._last_excess_at = now
-
-    def may_reuse(self, idle_since: float, now: float) -> bool:
-        """Whether a connection that received its last reply at `idle_since` may carry a request at `now`."""
-        if now - self._last_excess_at > REUSE_DELAY_PERIOD_MS:
-            return True
-        return now - idle_since >= REUSE_DELAY_MS
+        self._next_suspension = FIRST_SUSPENSION_ATTEMPTS
+        self._suspended_attempts = 0  # number of attempts that still use new connections
+        self._receipts: set[int] = set()
+        self._has_repeated_receipt = False
+
+    @property
+    def is_suspended(self) -> bool:
+        """Whether a connection must not be used again."""
+        return self._suspended_attempts > 0
+
+    @property
+    def has_distinct_receipts(self) -> bool:
+        """Whether the receipts of the server tell its writes apart."""
+        return not self._has_repeated_receipt and len(self._receipts) >= MIN_DISTINCT_RECEIPTS
+
+    def record_attempt(self) -> None:
+        """An attempt at the server starts."""
+        self._suspended_attempts = max(0, self._suspended_attempts - 1)
+
+    def record_refusal(self) -> None:
+        """A reply of the server was refused, as it repeats an earlier one."""
+        self._suspended_attempts = self._next_suspension
+        self._next_suspension = min(2 * self._next_suspension, MAX_SUSPENSION_ATTEMPTS)
+
+    def record_receipt(self, receipt: bytes) -> None:
+        """The server answered a write with this receipt."""
+        digest = hash(receipt)
+        if digest in self._receipts:
+            self._has_repeated_receipt = True
+        elif len(self._receipts) < MAX_RECEIPTS_COMPARED:
+            self._receipts.add(digest)
--- a/lupinladder/net/upstream_connection.py
+++ b/lupinladder/net/upstream_connection.py
@@ -11,8 +11,9 @@
 from lupinladder.net.connection import Connection, format_address
 from lupinladder.net.event_loop import Timer
 from lupinladder.net.log import log_event
-from lupinladder.net.metrics import metrics
+from lupinladder.net.metrics import metrics, time_range
 from lupinladder.net.pending_request import Attempt
+from lupinladder.net.reply_history import ReplyHistory, ReplyVerdict
 from lupinladder.net.resp import FramingError
 from lupinladder.net.send_guard import SendRefusal, continue_refusal, write_by
 from lupinladder.net.upstream_protocol import UpstreamProtocolError
@@ -21,6 +22,9 @@
 if TYPE_CHECKING:  # the pool imports this module
     from lupinladder.net.connection_pool import ConnectionPool
 
+# A connection without attempts is closed if it is not established within this time.
+LATE_CONNECT_TIMEOUT_MS = 2000.0
+
 
 @dataclass(slots=True)
 class InFlightAttempt:
@@ -44,12 +48,15 @@
         self.unsent: deque[Attempt] = deque()  # they wait for the connection or for attempts before them
         self.in_flight: deque[InFlightAttempt] = deque()
         self.reader = pool.protocol.create_reader()
+        self.history = ReplyHistory()
+        self.waits_for: Attempt | None = None  # the attempt that missed, until its request is finished
         self.idle_timer: Timer | None = None
         self._is_closed = False
-        self.idle_since = 0.0  # when its last reply was received, in ms
+        self._last_reply_at = pool.loop.now()  # in ms; until the first reply, when it was opened
         self.connection = Connection.connect(pool.loop, pool.budget, pool.address, self)
         metrics.upstream_connections_opened += 1
-        connect_deadline = pool.loop.now() + pool.connect_timeout_ms
+        self.opened_at = pool.loop.now()
+        connect_deadline = self.opened_at + pool.connect_timeout_ms
         self._connect_timer: Timer | None = pool.loop.call_at(connect_deadline, self._on_connect_timeout)
         self._write_timer: Timer | None = None  # for a partly written command
 
@@ -58,6 +65,11 @@
         """The number of attempts on the connection, written or not."""
         return len(self.unsent) + len(self.in_flight)
 
+    @property
+    def is_spare(self) -> bool:
+        """Whether the connection is being established and no attempt waits for it."""
+        return self.connection.connecting and not self.unsent
+
     def assign(self, attempt: Attempt) -> None:
         """Write an attempt as soon as all attempts that were assigned before it are written."""
         self.unsent.append(attempt)
@@ -161,15 +173,28 @@
         attempt: Attempt | None = None
         if by_peer and self.in_flight:
             reply = self.reader.reply_at_close()
-            if reply is not None:
+            if reply is not None and self.history.judge(reply) is ReplyVerdict.REFUSE:
+                self._refuse_reply()
+            elif reply is not None:
                 attempt = self.in_flight.popleft().attempt
         self.close(CloseReason.SERVER_ENDED if by_peer else CloseReason.SERVER_BROKE)
         if attempt is not None and reply is not None:
             _end_with_reply(attempt, reply)
 
     def _on_connect_timeout(self) -> None:
-        if self.connection.connecting:
+        """End the attempts that wait. The connection may still be established for later attempts."""
+        if not self.connection.connecting:
+            return
+        loop = self._pool.loop
+        close_at = self.opened_at + LATE_CONNECT_TIMEOUT_MS
+        if loop.now() >= close_at or not (self.is_spare or self._pool.needs_spare()):
             self.close(CloseReason.SERVER_CONNECT_TIMEOUT)
+            return
+        self._connect_timer = loop.call_at(close_at, self._on_connect_timeout)
+        unsent = self.unsent
+        self.unsent = deque()
+        for attempt in unsent:
+            attempt.end(Outcome.CONNECT_FAILED)
 
     def _write(self) -> None:
         """Write the attempts that may still be sent, one by one, while the system accepts the bytes."""
@@ -192,6 +217,7 @@
         self._pool.check_send(attempt, timeout_ms)
         attempt.sent_at = now
         data = self._pool.protocol.encode(attempt.request.command, timeout_ms)
+        self.history.record_request(attempt)
         self.in_flight.append(InFlightAttempt(attempt, self.connection.bytes_queued + len(data), now))
         self.connection.send(data)
         if len(self.connection.outbox):
@@ -204,15 +230,54 @@
         self.close(CloseReason.SERVER_HALF_WRITTEN)
 
     def _complete_oldest(self, reply: UpstreamReply) -> None:
-        """End the oldest attempt in flight. The connection is released first, to be reusable at once."""
+        """End the oldest attempt in flight, unless the reply cannot be attributed to it. The connection is
+        released first, to be reusable at once."""
+        verdict = self.history.judge(reply)
+        if verdict is ReplyVerdict.REFUSE:
+            self._refuse_reply()
+            return
+        self._last_reply_at = self._pool.loop.now()
         attempt = self.in_flight.popleft().attempt
+        if attempt is not None and attempt.request.command.is_write and reply.value is not None:
+            self._pool.reuse_policy.record_receipt(reply.value)
         if self.reader.closes_connection:
             self.close(CloseReason.SERVER_LAST_REPLY)
-        elif not self.attempt_count and self._check_for_excess_bytes():
-            self._pool.mark_idle(self)
+        elif verdict is ReplyVerdict.ACCEPT:
+            if not self.attempt_count and self._check_for_excess_bytes():
+                self._pool.mark_idle(self)
+        elif verdict is ReplyVerdict.ACCEPT_AND_WAIT and attempt is not None and self._can_wait_for(attempt):
+            if self._check_for_excess_bytes():
+                self._pool.wait_for_end(self, attempt)
+        else:
+            self._pool.discard(self)
         if attempt is not None:
             _end_with_reply(attempt, reply)
 
+    def _oldest_history(self) -> str:
+        """Describe the request of the oldest attempt in flight, for the log."""
+        attempt = self.in_flight[0].attempt if self.in_flight else None
+        return str(attempt.request.history()) if attempt else "none"
+
+    def _can_wait_for(self, attempt: Attempt) -> bool:
+        """Whether the request of an attempt that missed is open and no other attempt is on the connection."""
+        return not attempt.request.finished and not self.attempt_count
+
+    def _refuse_reply(self) -> None:
+        """Close the connection without ending the oldest attempt in flight by its reply: the reply may belong
+        to an earlier request."""
+        entry = self.in_flight[0]
+        self._pool.reuse_policy.record_refusal()
+        metrics.upstream_replies_refused += 1
+        log_event(
+            "upstream_reply_refused",
+            address=format_address(self._pool.address),
+            ms_after_send=round(self._pool.loop.now() - entry.write_started_at),
+            ms_after_last_reply=round(self._pool.loop.now() - self._last_reply_at),
+            requests=self.history.request_count,
+            history=self._oldest_history(),
+        )
+        self.close(CloseReason.SERVER_REPEATED_REPLY)
+
     def _check_for_excess_bytes(self) -> bool:
         """Whether the connection is usable; it is closed if bytes follow the last expected reply.
 
@@ -220,12 +285,20 @@
         still holds bytes, the reply came before its request was written completely.
         """
         if len(self.connection.inbox) or not self.reader.is_idle or len(self.connection.outbox):
-            self._pool.reuse_policy.record_excess_bytes(self._pool.loop.now())
+            since_reply_ms = self._pool.loop.now() - self._last_reply_at
+            metrics.excess_bytes_after[time_range(since_reply_ms)] += 1
             self._abort_as_invalid("bytes that belong to no request")
         return self.connection.is_open
 
     def _abort_as_invalid(self, reason: str) -> None:
-        log_event("upstream_reply_invalid", address=format_address(self._pool.address), error=reason)
+        log_event(
+            "upstream_reply_invalid",
+            address=format_address(self._pool.address),
+            error=reason,
+            ms_after_last_reply=round(self._pool.loop.now() - self._last_reply_at),
+            requests=self.history.request_count,
+            history=self._oldest_history(),
+        )
         metrics.upstream_replies_invalid += 1
         self.close(CloseReason.SERVER_INVALID_REPLY)
 
--- a/lupinladder/proxy.py
+++ b/lupinladder/proxy.py
@@ -19,7 +19,6 @@
 from lupinladder.net.metrics import metrics
 from lupinladder.net.origin_protocol import OriginProtocol
 from lupinladder.net.request_dispatcher import RequestDispatcher
-from lupinladder.net.reuse_policy import ReusePolicy
 from lupinladder.net.upstream_protocol import UpstreamProtocol
 
 if TYPE_CHECKING:  # imported only if an operator's file enables them
@@ -49,7 +48,6 @@
         self.loop = loop
         self._budget = DescriptorBudget(proxy_config.max_descriptors)
         self._persister = self._open_persister(operator)
-        self._reuse_policy = ReusePolicy()
         self._cache_node_protocol = CacheNodeProtocol(proxy_config.settings.report_fields)
         self._registry = EndpointRegistry(
             self.loop,
@@ -119,7 +117,6 @@
             proxy_config.idle_timeout_ms,
             proxy_config.connect_timeout_ms,
             max(proxy_config.streams_per_connection, 1),
-            self._reuse_policy,
         )
 
     def _log_metrics(self) -> None:
--- a/tests/emulator/test_soak_plan.py
+++ b/tests/emulator/test_soak_plan.py
@@ -31,4 +31,5 @@
                 and abs(first.at - other.at) <= GROUP_SPREAD_S
             ]
             self.assertTrue(overlaps, seed)
-        self.assertEqual(played_kinds, lifecycle_kinds | {template.kind for template in DISRUPTIONS})
+        drawn_kinds = lifecycle_kinds | {template.kind for template in DISRUPTIONS}
+        self.assertEqual(played_kinds, drawn_kinds | {"second-answers"})
--- a/tests/net/test_connection_pool.py
+++ b/tests/net/test_connection_pool.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import Any
 from unittest import mock
 
+from lupinladder.balancing.actions import Action, Fail, StartAttempt
+from lupinladder.balancing.events import AttemptEnded, RequestReceived
 from tests.support.network_scene import (
+    MISSED,
     NODE,
     ORIGIN,
     SERVED,
@@ -19,26 +24,117 @@
 OK_HTTP = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nV"
 
 
-class LateDuplicateReplies(NetworkScene):
-    """A second copy of a reply may arrive some milliseconds late, and looks like the next reply."""
+def served(value: bytes) -> bytes:
+    """Return the reply of a cache node with this value."""
+    return SERVED.replace(b"V", value)
 
-    def test_after_a_duplicate_reply_a_connection_is_not_reused_at_once(self) -> None:
+
+def ok_http(value: bytes) -> bytes:
+    """Return the response of the origin with this value."""
+    return OK_HTTP.replace(b"V", value)
+
+
+def send_twice(first: bytes, second: bytes | None) -> Callable[[Any], list[Action]]:
+    """Send each request to `first`, without an answer to `second`, and without an answer fail it."""
+
+    def react(event: Any) -> list[Action]:
+        if isinstance(event, RequestReceived):
+            return [StartAttempt(event.request_id, first)]
+        if not isinstance(event, AttemptEnded) or event.request_finished:
+            return []
+        if event.attempt == 0 and second is not None:
+            return [StartAttempt(event.request_id, second)]
+        return [Fail(event.request_id)]
+
+    return react
+
+
+class SecondAnswers(NetworkScene):
+    """A server may answer a request a second time, at any time, and the answer looks like the next reply.
+
+    Guards against clients that are served the replies to others (incident of 4 December 2026).
+    """
+
+    def served_on(self, listener: RecordingListener, reply: bytes) -> RecordingPeer:
+        """Have a request served with `reply`; return the remote end of its connection, which is idle then."""
+        handler = self.dispatch_read()
+        peer = self.busy_peer(listener)
+        peer.received = b""
+        peer.conn.send(reply)
+        self.until(lambda: handler.answers, "a reply")
+        return peer
+
+    def busy_peer(self, listener: RecordingListener) -> RecordingPeer:
+        """Wait for the only connection with a request that was not answered, and return its remote end."""
+        self.until(lambda: any(peer.received for peer in listener.peers if not peer.ends), "a request")
+        [peer] = [peer for peer in listener.peers if peer.received and not peer.ends]
+        return peer
+
+    def test_the_second_answer_to_an_earlier_request_is_given_to_no_other_one(self) -> None:
+        for listener, server, reply_with in ((self.node, NODE, served), (self.origin, ORIGIN, ok_http)):
+            with self.subTest(server=server):
+                self.balancer.react = send_twice(server, server)
+                peer = self.served_on(listener, reply_with(b"1"))
+                self.assertIs(self.served_on(listener, reply_with(b"2")), peer)  # reused at once
+                third = self.dispatch_read()
+                self.assertIs(self.busy_peer(listener), peer)
+                peer.conn.send(reply_with(b"1"))  # the second answer to the first request
+                self.until(lambda: peer.ends, "the end of the connection")  # noqa: B023
+                self.assertEqual(third.answers, [])
+                retried = self.busy_peer(listener)
+                retried.received = b""
+                retried.conn.send(reply_with(b"3"))
+                self.until(lambda: third.answers, "a reply")  # noqa: B023
+                self.assertEqual(third.answers, [b"3"])
+
+    def test_a_connection_is_not_reused_after_a_rejection_or_an_error(self) -> None:
+        unavailable = b"HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"
+        for listener, server, reply in (
+            (self.node, NODE, b"-BUSY\r\n"),
+            (self.node, NODE, b"-ERR failed\r\n"),
+            (self.origin, ORIGIN, unavailable),
+            (self.origin, ORIGIN, b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"),
+        ):
+            with self.subTest(reply=reply):
+                self.balancer.react = send_once_to(server)
+                peer = self.served_on(listener, reply)
+                self.until(lambda: peer.ends, "the end of the connection")  # noqa: B023
+
+    def test_after_a_miss_a_connection_waits_for_the_value_of_the_request(self) -> None:
+        self.balancer.react = send_once_to(then=StartAttempt(1, ORIGIN))
         first = self.dispatch_read()
         node = self.accept_request()
-        node.conn.send(SERVED)
-        self.until(lambda: first.answers, "a reply")
-        node.conn.send(SERVED)  # belongs to no request: the connection is closed, and the excess is recorded
-        self.until(lambda: node.ends, "the end of the connection")
-        second = self.dispatch_read()
-        node = self.accept_request(1)
-        node.conn.send(SERVED.replace(b"V", b"2"))
-        self.until(lambda: second.answers, "a reply")
+        node.received = b""
+        node.conn.send(MISSED)
+        origin = self.accept_request(0, self.origin)
+        self.balancer.react = send_once_to()
+        self.dispatch_read()
+        self.accept_request(1)  # not the connection that may still bring a value of the first request
+        origin.conn.send(ok_http(b"1"))
+        self.until(lambda: first.answers, "the answer to the first request")
         third = self.dispatch_read()
-        third_node = self.accept_request(2)  # not the connection on which the second copy will arrive
-        node.conn.send(SERVED.replace(b"V", b"2"))
-        third_node.conn.send(SERVED.replace(b"V", b"3"))
-        self.until(lambda: third.answers, "a reply")
-        self.assertEqual((second.answers, third.answers), ([b"2"], [b"3"]))
+        self.assertIs(self.accept_request(0), node)
+        node.conn.send(served(b"1"))  # the node answers the first request once more
+        self.until(lambda: third.answers, "the answer to the third request")
+        self.assertEqual((first.answers, third.answers), ([b"1"], ["failed"]))
+
+    def test_after_a_miss_a_connection_is_closed_if_its_request_may_have_an_unknown_value(self) -> None:
+        for other_server, is_reused in ((None, True), (ORIGIN, False)):
+            with self.subTest(is_reused=is_reused):
+                self.balancer.react = send_twice(NODE, other_server)
+                handler = self.dispatch_read(100)
+                node = self.busy_peer(self.node)
+                node.received = b""
+                node.conn.send(MISSED)
+                self.until(lambda: handler.answers, "the end of the request")  # noqa: B023
+                self.assertEqual(len(self.pools[NODE]._idle), is_reused)
+
+    def test_a_server_with_equal_values_gets_a_new_connection_for_each_request(self) -> None:
+        for _ in range(2):
+            self.served_on(self.node, SERVED)
+        self.assertTrue(self.pools[NODE].reuse_policy.is_suspended)
+        connections = {id(self.served_on(self.node, SERVED)) for _ in range(3)}
+        self.assertEqual(len(connections), 3)
 
 
 class ConnectionReuse(NetworkScene):
@@ -59,15 +155,17 @@
         self.assertEqual(len(self.node.peers), 2)
 
     def test_a_connection_with_unread_bytes_or_closed_by_the_server_is_not_reused(self) -> None:
-        other = SERVED.replace(b"V", b"W")
+        other = served(b"W")
         cases = (
-            (self.node, NODE, SERVED, other),  # a second copy at once
-            (self.node, NODE, SERVED, other[:9]),  # part of one
-            (self.node, NODE, SERVED, b""),  # an orderly close
-            (self.origin, ORIGIN, OK_HTTP, OK_HTTP.replace(b"V", b"W")),
-            (self.origin, ORIGIN, OK_HTTP, b"noise\r\n"),
+            (self.node, NODE, served, other),  # a second answer at once
+            (self.node, NODE, served, other[:9]),  # part of one
+            (self.node, NODE, served, b""),  # an orderly close
+            (self.origin, ORIGIN, ok_http, ok_http(b"W")),
+            (self.origin, ORIGIN, ok_http, b"noise\r\n"),
         )
-        for listener, server, reply, excess in cases:
+        for number, (listener, server, reply_with, excess) in enumerate(cases):
+            value = b"%d" % number  # equal replies on one connection are refused
+            reply = reply_with(value)
             with self.subTest(server=server, excess=excess):
                 self.balancer.react = send_once_to(server)
                 connections_before = len(listener.peers)
@@ -77,7 +175,7 @@
                 other_peer = self.peer_with_request(listener, other_than=peer)
                 other_peer.conn.send(reply)
                 self.until(lambda: second.answers, "the second reply")  # noqa: B023
-                self.assertEqual((second.answers, peer.received), ([b"V"], b""))
+                self.assertEqual((second.answers, peer.received), ([value], b""))
                 self.assertGreater(len(listener.peers), connections_before)
                 other_peer.received = b""
 
