Keep what the log tells of unattributed replies in a module of its own

Change: net/reply_diagnostics.py holds the log lines and the histogram; no behaviour changes but history=None in place of none in the log.

--- a/lupinladder/net/upstream_connection.py
+++ b/lupinladder/net/upstream_connection.py
@@ -8,11 +8,16 @@
 
 from lupinladder.balancing.events import Outcome
 from lupinladder.net.close_reason import CloseReason
-from lupinladder.net.connection import Connection, format_address
+from lupinladder.net.connection import Connection
 from lupinladder.net.event_loop import Timer
-from lupinladder.net.log import log_event
-from lupinladder.net.metrics import metrics, time_range
+from lupinladder.net.metrics import metrics
 from lupinladder.net.pending_request import Attempt
+from lupinladder.net.reply_diagnostics import (
+    ReplyContext,
+    count_excess_bytes,
+    log_invalid_reply,
+    log_refused_reply,
+)
 from lupinladder.net.reply_history import ReplyHistory, ReplyVerdict
 from lupinladder.net.resp import FramingError
 from lupinladder.net.send_guard import SendRefusal, continue_refusal, write_by
@@ -253,10 +258,14 @@
         if attempt is not None:
             _end_with_reply(attempt, reply)
 
-    def _oldest_history(self) -> str:
-        """Describe the request of the oldest attempt in flight, for the log."""
+    def _reply_context(self) -> ReplyContext:
         attempt = self.in_flight[0].attempt if self.in_flight else None
-        return str(attempt.request.history()) if attempt else "none"
+        return ReplyContext(
+            now=self._pool.loop.now(),
+            last_reply_at=self._last_reply_at,
+            request_count=self.history.request_count,
+            history=attempt.request.history() if attempt else None,
+        )
 
     def _can_wait_for(self, attempt: Attempt) -> bool:
         """Whether the request of an attempt that missed is open and no other attempt is on the connection."""
@@ -265,17 +274,9 @@
     def _refuse_reply(self) -> None:
         """Close the connection without ending the oldest attempt in flight by its reply: the reply may belong
         to an earlier request."""
-        entry = self.in_flight[0]
         self._pool.reuse_policy.record_refusal()
         metrics.upstream_replies_refused += 1
-        log_event(
-            "upstream_reply_refused",
-            address=format_address(self._pool.address),
-            ms_after_send=round(self._pool.loop.now() - entry.write_started_at),
-            ms_after_last_reply=round(self._pool.loop.now() - self._last_reply_at),
-            requests=self.history.request_count,
-            history=self._oldest_history(),
-        )
+        log_refused_reply(self._pool.address, self._reply_context(), self.in_flight[0].write_started_at)
         self.close(CloseReason.SERVER_REPEATED_REPLY)
 
     def _check_for_excess_bytes(self) -> bool:
@@ -285,20 +286,12 @@
         still holds bytes, the reply came before its request was written completely.
         """
         if len(self.connection.inbox) or not self.reader.is_idle or len(self.connection.outbox):
-            since_reply_ms = self._pool.loop.now() - self._last_reply_at
-            metrics.excess_bytes_after[time_range(since_reply_ms)] += 1
+            count_excess_bytes(self._reply_context())
             self._abort_as_invalid("bytes that belong to no request")
         return self.connection.is_open
 
     def _abort_as_invalid(self, reason: str) -> None:
-        log_event(
-            "upstream_reply_invalid",
-            address=format_address(self._pool.address),
-            error=reason,
-            ms_after_last_reply=round(self._pool.loop.now() - self._last_reply_at),
-            requests=self.history.request_count,
-            history=self._oldest_history(),
-        )
+        log_invalid_reply(self._pool.address, self._reply_context(), reason)
         metrics.upstream_replies_invalid += 1
         self.close(CloseReason.SERVER_INVALID_REPLY)
 
