End a connection at a miss that repeats an earlier one, and give test servers distinct values

Cause: a late copy of a miss was taken for the request's own miss; the origin served it, and the node's own value, which differs from the origin's in the emulator, came one step behind. Change: a miss with the cache result and load report of an earlier miss of its connection is the connection's last reply. The other two failures were tests of the large fleet: their nodes gave the value V to every request, so replies were refused, and one answer was -BUSY. The protocol gives each value as it was made for its request. The nodes now give each request a value of its own, and the tests check that the client gets exactly that one, which is stricter.

--- a/lupinladder/net/reply_history.py
+++ b/lupinladder/net/reply_history.py
@@ -10,6 +10,7 @@
   If the request is not served though another server may have executed it, the value is unknown, and the
   connection is closed. The same holds after a second miss, which may be a second answer to the request of the
   first one: the own answer is still to come. Otherwise there is no value: a node gets it from the origin.
+- After a miss that repeats an earlier one of the connection, the own answer may still come: it is closed.
 - After a rejection or an error it is unknown, and the connection is closed.
 
 This holds for any lateness and any number of further answers. It assumes that all values that servers send
@@ -48,6 +49,7 @@
         self._keys: set[int] = set()
         self.has_carried_write = False
         self._miss_count = 0
+        self._misses: set[int] = set()  # cache results and load reports
 
     def may_carry(self, attempt: Attempt) -> bool:
         """Whether the connection may carry an attempt after those that it has carried.
@@ -85,8 +87,7 @@
     def judge(self, reply: UpstreamReply) -> ReplyVerdict:
         """Return the verdict on the next reply, and record it."""
         if reply.outcome is Outcome.MISS:
-            self._miss_count += 1
-            return ReplyVerdict.ACCEPT_AND_WAIT
+            return self._judge_miss(hash((reply.cache_result, reply.load)))
         if reply.value is None:
             return ReplyVerdict.ACCEPT_AS_LAST
         digest = hash(reply.value)
@@ -94,3 +95,10 @@
             return ReplyVerdict.REFUSE
         self._values.add(digest)
         return ReplyVerdict.ACCEPT
+
+    def _judge_miss(self, digest: int) -> ReplyVerdict:
+        self._miss_count += 1
+        if digest in self._misses:
+            return ReplyVerdict.ACCEPT_AS_LAST
+        self._misses.add(digest)
+        return ReplyVerdict.ACCEPT_AND_WAIT
--- a/tests/net/test_connection_pool.py
+++ b/tests/net/test_connection_pool.py
@@ -119,7 +119,7 @@
         self.assertEqual((first.answers, third.answers), ([b"1"], ["failed"]))
 
     def test_after_a_miss_a_connection_is_closed_if_its_request_may_have_an_unknown_value(self) -> None:
-        for other_server, is_reused in ((None, True), (ORIGIN, False)):
+        for other_server, is_reused in ((ORIGIN, False), (None, True)):
             with self.subTest(is_reused=is_reused):
                 self.balancer.react = send_twice(NODE, other_server)
                 handler = self.dispatch_read(100)
@@ -127,7 +127,8 @@
                 node.received = b""
                 node.conn.send(MISSED)
                 self.until(lambda: handler.answers, "the end of the request")  # noqa: B023
-                self.assertEqual(len(self.pools[NODE]._idle), is_reused)
+                self.until(lambda: is_reused or node.ends, "the end of the connection")  # noqa: B023
+                self.assertEqual(not node.ends, is_reused)
 
     def test_a_server_with_equal_values_gets_a_new_connection_for_each_request(self) -> None:
         for _ in range(2):
--- a/tests/net/test_reply_history.py
+++ b/tests/net/test_reply_history.py
@@ -19,6 +19,7 @@
     ReplyVerdict.REFUSE,
 )
 MISS = UpstreamReply(Outcome.MISS)
+OTHER_MISS = UpstreamReply(Outcome.MISS, load=(1.0,))
 
 
 def value(data: bytes) -> UpstreamReply:
@@ -30,7 +31,8 @@
         for replies, verdicts in (
             ([value(b"1"), value(b"2"), value(b"1")], [ACCEPT, ACCEPT, REFUSE]),
             ([value(b""), value(b"")], [ACCEPT, REFUSE]),
-            ([MISS, MISS, value(b"1")], [WAIT, WAIT, ACCEPT]),
+            ([MISS, OTHER_MISS, value(b"1")], [WAIT, WAIT, ACCEPT]),
+            ([MISS, OTHER_MISS, MISS], [WAIT, WAIT, LAST]),
             ([UpstreamReply(Outcome.REJECTED)], [LAST]),
             ([value(b"1"), UpstreamReply(Outcome.ERROR)], [ACCEPT, LAST]),
         ):
--- a/tests/support/large_lists.py
+++ b/tests/support/large_lists.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
+from typing import ClassVar
 
+from lupinladder.net.resp import encode_bulk
 from tests.support.endpoint_lists import ENTRY
 from tests.support.network_scene import SERVED, RecordingListener, RecordingPeer
 
@@ -11,12 +13,21 @@
 
 
 class ServingPeer(RecordingPeer):
-    """A cache node's end of a connection. It answers each read with a value."""
+    """A cache node's end of a connection. It answers each read with a value of its own, as real ones do."""
+
+    answer_count: ClassVar[int] = 0  # of all nodes
+
+    @classmethod
+    def last_value(cls) -> bytes:
+        """Return the value of the last answer."""
+        return b"%d" % cls.answer_count
 
     def on_data(self) -> None:
         data = self.conn.inbox.read(len(self.conn.inbox))
         self.received += data
-        self.conn.send(SERVED * data.count(b"OBJ.GET"))
+        for _ in range(data.count(b"OBJ.GET")):
+            ServingPeer.answer_count += 1
+            self.conn.send(SERVED.replace(encode_bulk(b"V"), encode_bulk(self.last_value())))
 
 
 class ServingListener(RecordingListener):
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -4,15 +4,15 @@
 
 import signal
 
+from lupinladder.net.resp import encode_bulk
 from tests.support.discovery_scene import STREAM_HEAD, chunks
-from tests.support.large_lists import LARGE_FLEET, ServingListener, entries, list_text
+from tests.support.large_lists import LARGE_FLEET, ServingListener, ServingPeer, entries, list_text
 from tests.support.network_scene import RecordingListener, RecordingPeer, get
 from tests.support.proxy_process import END_TIMEOUT_S, ProxyProcess
 
 WAIT_MS = 400  # client timeout; five times the latency on a busy machine without list updates
 VERSIONS = 10
 REQUESTS = 40
-VALUE = b"$1\r\nV\r\n"
 
 
 class EndpointListChanges(ProxyProcess):
@@ -51,7 +51,8 @@
         client.conn.send(get(wait=WAIT_MS))
         self.until(lambda: client.received or client.ends, f"answer {number}")
         waited = self.loop.now() - sent_at
-        self.assertEqual(client.received, VALUE, f"answer {number}, after {waited:.0f} ms")
+        value = encode_bulk(ServingPeer.last_value())
+        self.assertEqual(client.received, value, f"answer {number}, after {waited:.0f} ms")
         self.assertLess(waited, WAIT_MS)
 
     def assert_requests_answered(self) -> None:
@@ -95,6 +96,7 @@
                 lambda: client.received or client.ends, "an answer, or a close that crossed the request"
             )
             if client.received:
-                self.assertIn(client.received.split()[0], (b"$1", b"-BUSY"), client.received)
+                is_served = client.received == encode_bulk(ServingPeer.last_value())
+                self.assertTrue(is_served or client.received.split()[0] == b"-BUSY", client.received)
         client.conn.close()
         self.assertEqual(self.process.wait(END_TIMEOUT_S), 0)
