Give each request that must not run twice a connection that was never used

Cause: such requests reused connections that had carried values alone. A second answer without a value, a rejection say, counted as their own and allowed a repeat; and writes shared a connection by receipts that were seen to differ. Change: only idempotent requests use a connection again; the keys, the marks of writes and the comparison of receipts are gone. Withdrawn words are out of the new names: a reply is unattributable (event upstream_reply_unattributable, counter upstream_replies_unattributable), a verdict is found by classify.

--- a/lupinladder/net/connection_pool.py
+++ b/lupinladder/net/connection_pool.py
@@ -196,9 +196,6 @@
         history = connection.history
         if self.reuse_policy.is_suspended and history.request_count:
             return False
-        is_second_write = attempt.request.command.is_write and history.has_carried_write
-        if is_second_write and not self.reuse_policy.has_distinct_receipts:
-            return False
         return history.may_carry(attempt)
 
     def _open_or_share(self, attempt: Attempt) -> UpstreamConnection | None:
--- a/lupinladder/net/metrics.py
+++ b/lupinladder/net/metrics.py
@@ -52,7 +52,7 @@
     upstream_connections_opened: int = 0
     upstream_connections_stale: int = 0
     upstream_replies_invalid: int = 0
-    upstream_replies_refused: int = 0
+    upstream_replies_unattributable: int = 0
     attempts_ended: Counter[Outcome] = field(default_factory=Counter)
     attempts_repeated_after: Counter[Outcome] = field(default_factory=Counter)  # by the previous outcome
     failures_by_reason: Counter[str] = field(default_factory=Counter)  # by AnswerReason
--- a/lupinladder/net/reply_diagnostics.py
+++ b/lupinladder/net/reply_diagnostics.py
@@ -25,10 +25,10 @@
         return self.now - self.last_reply_at
 
 
-def log_refused_reply(address: Address, context: ReplyContext, sent_at: float) -> None:
+def log_unattributable_reply(address: Address, context: ReplyContext, sent_at: float) -> None:
     """Log a reply that may be a second answer to a request before the one written at `sent_at`."""
     log_event(
-        "upstream_reply_refused",
+        "upstream_reply_unattributable",
         address=format_address(address),
         ms_after_send=round(context.now - sent_at),
         ms_after_last_reply=round(context.since_last_reply),
--- a/lupinladder/net/reply_history.py
+++ b/lupinladder/net/reply_history.py
@@ -34,45 +34,30 @@
     ACCEPT = auto()
     ACCEPT_AND_WAIT = auto()  # the connection must wait for the end of the request
     ACCEPT_AS_LAST = auto()  # the connection must not carry another request
-    REFUSE = auto()  # the reply may belong to an earlier request
+    UNATTRIBUTABLE = auto()  # the reply may belong to an earlier request
 
 
 class ReplyHistory:
     """The requests and replies of one connection.
 
-    It keeps hashes, which are keyed and have 64 bits, in place of keys and values.
+    It keeps hashes, which are keyed and have 64 bits, in place of values.
     """
 
     def __init__(self) -> None:
-        self.request_count = 0
+        self.request_count = 0  # number of requests written to the connection
         self._values: set[int] = set()  # those that may arrive a second time
-        self._keys: set[int] = set()
-        self.has_carried_write = False
         self._miss_count = 0
         self._misses: set[int] = set()  # cache results and load reports
 
     def may_carry(self, attempt: Attempt) -> bool:
         """Whether the connection may carry an attempt after those that it has carried.
 
-        For an idempotent request, a foreign miss, rejection or error does no harm, and a refused reply costs
-        a retry. Other requests avoid connections on which a foreign miss may arrive, or on which their own
-        reply may equal an earlier one, as the value of the same key does. For receipts, see `reuse_policy`.
+        For an idempotent request, the miss, rejection or error of another one does no harm, and a reply that
+        cannot be attributed costs a retry. All other requests use connections that were never used.
         """
         if not self.request_count:
             return True
-        if self.request_count >= MAX_REQUESTS_PER_CONNECTION:
-            return False
-        if attempt.request.is_idempotent:
-            return True
-        key = attempt.request.command.arguments[1]
-        return not self._miss_count and hash(key) not in self._keys
-
-    def record_request(self, attempt: Attempt) -> None:
-        """Record that an attempt is written to the connection."""
-        command = attempt.request.command
-        self.request_count += 1
-        self._keys.add(hash(command.arguments[1]))
-        self.has_carried_write = self.has_carried_write or command.is_write
+        return attempt.request.is_idempotent and self.request_count < MAX_REQUESTS_PER_CONNECTION
 
     def record_end(self, end: RequestEnd) -> bool:
         """Record the end of a request that missed on this connection.
@@ -84,19 +69,19 @@
             return True
         return not end.may_have_value and self._miss_count == 1
 
-    def judge(self, reply: UpstreamReply) -> ReplyVerdict:
+    def classify(self, reply: UpstreamReply) -> ReplyVerdict:
         """Return the verdict on the next reply, and record it."""
         if reply.outcome is Outcome.MISS:
-            return self._judge_miss(hash((reply.cache_result, reply.load)))
+            return self._classify_miss(hash((reply.cache_result, reply.load)))
         if reply.value is None:
             return ReplyVerdict.ACCEPT_AS_LAST
         digest = hash(reply.value)
         if digest in self._values:
-            return ReplyVerdict.REFUSE
+            return ReplyVerdict.UNATTRIBUTABLE
         self._values.add(digest)
         return ReplyVerdict.ACCEPT
 
-    def _judge_miss(self, digest: int) -> ReplyVerdict:
+    def _classify_miss(self, digest: int) -> ReplyVerdict:
         self._miss_count += 1
         if digest in self._misses:
             return ReplyVerdict.ACCEPT_AS_LAST
--- a/lupinladder/net/upstream_connection.py
+++ b/lupinladder/net/upstream_connection.py
@@ -3,20 +3,20 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from lupinladder.balancing.events import Outcome
 from lupinladder.net.close_reason import CloseReason
 from lupinladder.net.connection import Connection
 from lupinladder.net.event_loop import Timer
+from lupinladder.net.in_flight_attempt import InFlightAttempt, end_with_reply
 from lupinladder.net.metrics import metrics
 from lupinladder.net.pending_request import Attempt
 from lupinladder.net.reply_diagnostics import (
     ReplyContext,
     count_excess_bytes,
     log_invalid_reply,
-    log_refused_reply,
+    log_unattributable_reply,
 )
 from lupinladder.net.reply_history import ReplyHistory, ReplyVerdict
 from lupinladder.net.resp import FramingError
@@ -31,15 +31,6 @@
 LATE_CONNECT_TIMEOUT_MS = 2000.0
 
 
-@dataclass(slots=True)
-class InFlightAttempt:
-    """An attempt whose command was passed to the socket and whose reply was not received yet."""
-
-    attempt: Attempt | None  # None: abandoned; its reply must still be read, as replies come in order
-    end_offset: int  # number of bytes queued on the connection up to the attempt's last byte
-    write_started_at: float  # when its first byte was written, in ms
-
-
 class UpstreamConnection:
     """A connection of a pool, with its attempts in the order in which they are written.
 
@@ -178,13 +169,13 @@
         attempt: Attempt | None = None
         if by_peer and self.in_flight:
             reply = self.reader.reply_at_close()
-            if reply is not None and self.history.judge(reply) is ReplyVerdict.REFUSE:
-                self._refuse_reply()
+            if reply is not None and self.history.classify(reply) is ReplyVerdict.UNATTRIBUTABLE:
+                self._drop_unattributable_reply()
             elif reply is not None:
                 attempt = self.in_flight.popleft().attempt
         self.close(CloseReason.SERVER_ENDED if by_peer else CloseReason.SERVER_BROKE)
         if attempt is not None and reply is not None:
-            _end_with_reply(attempt, reply)
+            end_with_reply(attempt, reply)
 
     def _on_connect_timeout(self) -> None:
         """End the attempts that wait. The connection may still be established for later attempts."""
@@ -222,7 +213,7 @@
         self._pool.check_send(attempt, timeout_ms)
         attempt.sent_at = now
         data = self._pool.protocol.encode(attempt.request.command, timeout_ms)
-        self.history.record_request(attempt)
+        self.history.request_count += 1
         self.in_flight.append(InFlightAttempt(attempt, self.connection.bytes_queued + len(data), now))
         self.connection.send(data)
         if len(self.connection.outbox):
@@ -237,14 +228,12 @@
     def _complete_oldest(self, reply: UpstreamReply) -> None:
         """End the oldest attempt in flight, unless the reply cannot be attributed to it. The connection is
         released first, to be reusable at once."""
-        verdict = self.history.judge(reply)
-        if verdict is ReplyVerdict.REFUSE:
-            self._refuse_reply()
+        verdict = self.history.classify(reply)
+        if verdict is ReplyVerdict.UNATTRIBUTABLE:
+            self._drop_unattributable_reply()
             return
         self._last_reply_at = self._pool.loop.now()
         attempt = self.in_flight.popleft().attempt
-        if attempt is not None and attempt.request.command.is_write and reply.value is not None:
-            self._pool.reuse_policy.record_receipt(reply.value)
         if self.reader.closes_connection:
             self.close(CloseReason.SERVER_LAST_REPLY)
         elif verdict is ReplyVerdict.ACCEPT:
@@ -256,7 +245,7 @@
         else:
             self._pool.discard(self)
         if attempt is not None:
-            _end_with_reply(attempt, reply)
+            end_with_reply(attempt, reply)
 
     def _reply_context(self) -> ReplyContext:
         attempt = self.in_flight[0].attempt if self.in_flight else None
@@ -271,12 +260,14 @@
         """Whether the request of an attempt that missed is open and no other attempt is on the connection."""
         return not attempt.request.finished and not self.attempt_count
 
-    def _refuse_reply(self) -> None:
+    def _drop_unattributable_reply(self) -> None:
         """Close the connection without ending the oldest attempt in flight by its reply: the reply may belong
         to an earlier request."""
-        self._pool.reuse_policy.record_refusal()
-        metrics.upstream_replies_refused += 1
-        log_refused_reply(self._pool.address, self._reply_context(), self.in_flight[0].write_started_at)
+        self._pool.reuse_policy.record_repeated_value()
+        metrics.upstream_replies_unattributable += 1
+        log_unattributable_reply(
+            self._pool.address, self._reply_context(), self.in_flight[0].write_started_at
+        )
         self.close(CloseReason.SERVER_REPEATED_REPLY)
 
     def _check_for_excess_bytes(self) -> bool:
@@ -305,7 +296,3 @@
             self.unsent.remove(attempt)
             return True
         return False
-
-
-def _end_with_reply(attempt: Attempt, reply: UpstreamReply) -> None:
-    attempt.end(reply.outcome, reply.value, reply.cache_result, reply.load)
--- a/tests/emulator/faulty_proxy.py
+++ b/tests/emulator/faulty_proxy.py
@@ -14,6 +14,7 @@
 from lupinladder.net import connection_pool, pending_reply, upstream_connection
 from lupinladder.net.discovery import endpoint_parser, server_directory
 from lupinladder.net.discovery.endpoint_parser import ListedEndpoint
+from lupinladder.net.in_flight_attempt import InFlightAttempt
 
 CLAIM_SUBMIT = 2  # index of this class in a scenario's classes; its writes may not be repeated
 REPLIES_FOR_EACH_LOST = 40  # one reply in this many is lost
@@ -30,7 +31,7 @@
         command = attempt.request.command
         if command.is_write and command.request_class == CLAIM_SUBMIT:
             connection = upstream_connection.UpstreamConnection(self)
-            connection.in_flight.append(upstream_connection.InFlightAttempt(None, 1 << 40, 0.0))
+            connection.in_flight.append(InFlightAttempt(None, 1 << 40, 0.0))
             connection.connection.send(self.protocol.encode(command, 1000.0))
 
     connection_pool.ConnectionPool.start = start_twice  # type: ignore[method-assign]
