--- a/tests/net/test_connection_pool.py
+++ b/tests/net/test_connection_pool.py
@@ -130,6 +130,34 @@
                 self.until(lambda: is_reused or node.ends, "the end of the connection")  # noqa: B023
                 self.assertEqual(not node.ends, is_reused)
 
+    # A server that executes a request again after its key was written answers with another value.
+    def test_a_second_answer_with_another_value_is_given_to_no_other_request(self) -> None:
+        peer = self.served_on(self.node, served(b"1"))
+        other = self.dispatch_read()
+        self.assertIs(self.busy_peer(self.node), peer)
+        peer.conn.send(served(b"2"))  # the second answer to the first request
+        self.until(lambda: other.answers, "the end of the request")
+        self.assertNotIn(b"2", other.answers)
+
+    # The origin and the node may give different values for one request.
+    def test_the_own_value_behind_another_miss_is_given_to_no_other_request(self) -> None:
+        second_miss = MISSED.replace(b"miss", b"pending").replace(b"$4", b"$7")
+        self.balancer.react = send_twice(NODE, ORIGIN)
+        for number, miss in enumerate((MISSED, second_miss)):
+            handler = self.dispatch_read()
+            peer = self.busy_peer(self.node)
+            peer.received = b""
+            peer.conn.send(miss)  # the second one answers the first request again
+            origin = self.busy_peer(self.origin)
+            origin.received = b""
+            origin.conn.send(ok_http(b"%d" % number))
+            self.until(lambda: handler.answers, "the value of the origin")  # noqa: B023
+        third = self.dispatch_read()
+        self.busy_peer(self.node)
+        peer.conn.send(served(b"9"))  # the node's own answer to the second request
+        self.until(lambda: third.answers or peer.ends, "the end of the third request")
+        self.assertNotIn(b"9", third.answers)
+
     def test_a_server_with_equal_values_gets_a_new_connection_for_each_request(self) -> None:
         for _ in range(2):
             self.served_on(self.node, SERVED)
