Review case 3: ten clients that send empty commands keep all others waiting

Cause: an empty array makes no reply, so one call of the command loop handles all 160 KiB of an inbox, 0.14 s. A late turn of the event loop handles all ready sockets, so a turn lasts as long as all such clients together.

Nothing outside review/ is changed.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,6 @@
+#!/bin/bash
+# Exit code 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0 leaves out the disruption.
+folder=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$folder/../.." || exit 2
+test -x .venv/bin/python || exit 2
+exec .venv/bin/python "$folder/case.py"
