--- a/review/standins.py
+++ b/review/standins.py
@@ -530,7 +530,9 @@
 class UsualClients:
     """Well-behaved clients: each request is sent at its time, on a free connection or on a new one."""
 
-    def __init__(self, record: Record, port: int, label: str = "c=map-view,d=600") -> None:
+    def __init__(
+        self, record: Record, port: int, label: str = "c=map-view,d=600", first_number: int = 0
+    ) -> None:
         self.record = record
         self.port = port
         self.label = label
@@ -538,7 +540,11 @@
         self.results = list[tuple[str, float]]()  # the kind of the answer, and when it came, in s
         self._free = list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]()
         self._tasks = set[asyncio.Task[None]]()
-        self._number = 0
+        self._number = first_number
+
+    def choose_key(self, number: int) -> bytes:
+        """Return the key of a request, by its number."""
+        return b"%x" % (number % 200 + 1)
 
     async def run(self, seconds: float, rate: float) -> None:
         """Send `rate` requests a second for some seconds."""
@@ -562,7 +568,7 @@
             await asyncio.gather(*self._tasks)
 
     async def _ask(self, number: int) -> None:
-        key = b"%x" % (number % 200 + 1)
+        key = self.choose_key(number)
         request_id = b"%016x" % (0x1000_0000 + number)
         started_at = time.monotonic()
         kind = "no answer"
@@ -585,6 +591,8 @@
             raise
         self._free.append(connection)
         if kind == "served" and not value.startswith(key + b"/" + request_id + b"/"):
+            made_for = value.split(b"/")[1:2]
+            self.record.write(f"client id={request_id.decode()} is served a value made for id={made_for}")
             return "foreign value"
         return kind
 
