Count the bytes that connections keep, by their use

Change: each connection records the bytes in its two buffers and in the messages that its handler keeps (RespParser, ResponseReader, JsonObjectStream, pending replies), under one of five uses. The sums and their peaks stand in BufferBudget, which does no I/O; the counter buffered_bytes_peak shows them. DescriptorBudget becomes ConnectionBudget, as it now holds both counts.

--- a/lupinladder/net/cache_node_protocol.py
+++ b/lupinladder/net/cache_node_protocol.py
@@ -42,6 +42,11 @@
         """Whether no byte of another reply was read since the last reply that was returned."""
         return self._parser.idle
 
+    @property
+    def kept_bytes(self) -> int:
+        """How many bytes are kept of an incomplete reply, approximately."""
+        return self._parser.kept_bytes
+
     def next_reply(self, inbox: RingBuffer) -> UpstreamReply | None:
         """Remove the next reply from the inbox and return it; None while it is incomplete.
 
--- a/lupinladder/net/client_command.py
+++ b/lupinladder/net/client_command.py
@@ -79,6 +79,11 @@
         """The id that the client gave its request; unique among the open requests."""
         return self.arguments[2]
 
+    @property
+    def byte_count(self) -> int:
+        """How many bytes the arguments have."""
+        return sum(map(len, self.arguments))
+
     @property
     def key(self) -> int:
         """The key as a number for the decision module; the same at every proxy."""
--- a/lupinladder/net/client_connection.py
+++ b/lupinladder/net/client_connection.py
@@ -7,6 +7,7 @@
 from math import inf
 from typing import TYPE_CHECKING, TypeGuard
 
+from lupinladder.connection_limits.buffer_budget import CLIENT_BUFFERS
 from lupinladder.net import resp
 from lupinladder.net.client_activity import ClientActivity
 from lupinladder.net.client_command import MAX_STORED_VALUE_BYTES, ClientCommand, CommandError, parse_command
@@ -33,6 +34,8 @@
 class ClientConnection:
     """Handles the events of one client's connection. The listener holds the state that all clients share."""
 
+    buffer_uses = CLIENT_BUFFERS
+
     def __init__(self, listener: ClientListener, sock: socket.socket) -> None:
         self._listener = listener
         self._pending_replies = deque[PendingReply]()  # in the order of the commands
@@ -48,6 +51,16 @@
         self._command_started_at = accepted_at  # when the command that is being received started
         self.conn = Connection(listener.loop, listener.budget, sock, self, rank=WatchRank.CLIENT)
 
+    @property
+    def kept_input_bytes(self) -> int:
+        """How many bytes are kept of an incomplete command."""
+        return self._parser.kept_bytes
+
+    @property
+    def kept_output_bytes(self) -> int:
+        """How many bytes are kept of open requests, and of replies that the outbox has no space for."""
+        return sum(reply.kept_bytes for reply in self._pending_replies)
+
     @property
     def idle(self) -> bool:
         """Whether all replies have been sent and no part of a further command has been received."""
@@ -168,6 +181,7 @@
         self._release_id(reply)
         self.flush()
         self.update_idle_state()
+        self.conn.record_buffers()
 
     def _release_id(self, reply: PendingReply) -> None:
         """Allow the id to be used again: its request has a reply, or the client has disconnected."""
--- a/lupinladder/net/client_listener.py
+++ b/lupinladder/net/client_listener.py
@@ -12,7 +12,7 @@
 from lupinladder.net.client_connection import ClientConnection
 from lupinladder.net.close_reason import CloseReason
 from lupinladder.net.connection import READ, Address, Connection
-from lupinladder.net.descriptor_budget import DescriptorBudget
+from lupinladder.net.connection_budget import ConnectionBudget
 from lupinladder.net.event_loop import EventLoop, Timer
 from lupinladder.net.idle_client_tracker import IdleClientTracker
 from lupinladder.net.log import log_event
@@ -57,7 +57,7 @@
     def __init__(
         self,
         loop: EventLoop,
-        budget: DescriptorBudget,
+        budget: ConnectionBudget,
         dispatcher: RequestDispatcher,
         sock: socket.socket,
         classes: list[str],
--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from contextlib import suppress
 
+from lupinladder.net.connection_budget import ConnectionBudget
 from lupinladder.net.connection_handler import NULL_HANDLER, ConnectionHandler
-from lupinladder.net.descriptor_budget import DescriptorBudget
 from lupinladder.net.event_loop import EventLoop, Timer, WatchRank
 from lupinladder.net.metrics import metrics
 from lupinladder.net.ring_buffer import RingBuffer
@@ -44,7 +44,7 @@
     def __init__(
         self,
         loop: EventLoop,
-        budget: DescriptorBudget,
+        budget: ConnectionBudget,
         sock: socket.socket,
         handler: ConnectionHandler,
         opening: bool = False,
@@ -79,7 +79,7 @@
     def connect(
         cls,
         loop: EventLoop,
-        budget: DescriptorBudget,
+        budget: ConnectionBudget,
         address: Address,
         handler: ConnectionHandler,
         rank: WatchRank = WatchRank.OTHER,
@@ -109,16 +109,30 @@
         if not self.connecting and len(self.outbox) == len(data):
             self._flush()
         self._update_watch()
+        self.record_buffers()
 
     def resume_reading(self) -> None:
         """Resume reading. Call this after taking bytes out of a full inbox outside of `on_data`."""
         self._update_watch()
+        self.record_buffers()
 
     def read_available(self) -> None:
         """Read the bytes that have arrived, for example before a close: the peer considers them accepted."""
         if self.is_open and not (self.connecting or self.eof or self._lingering):
             self._read()
             self._update_watch()
+            self.record_buffers()
+
+    def record_buffers(self) -> None:
+        """Record how many bytes are kept for this connection. The handler calls this when the number of bytes
+        that it keeps changes outside of a call of this connection."""
+        if not self.is_open:
+            return
+        handler = self._handler
+        uses = handler.buffer_uses
+        buffers = self._budget.buffers
+        buffers.record(uses.input, self, self.inbox.capacity + handler.kept_input_bytes)
+        buffers.record(uses.output, self, self.outbox.capacity + handler.kept_output_bytes)
 
     @property
     def is_disconnected(self) -> bool:
@@ -181,6 +195,7 @@
         if self.is_open:
             self.is_open = False
             self._loop.cancel(self._linger_timer)
+            self._budget.buffers.remove(self._handler.buffer_uses, self)
             self._handler = NULL_HANDLER
             self._linger_timer = None
             self._loop.watch(self._sock, self._mask, 0, self._on_ready, self._rank)
@@ -227,6 +242,7 @@
                 self._read()
         finally:
             self._update_watch()
+            self.record_buffers()
 
     def _call_handler(self, call: Callable[[], None]) -> None:
         """Call the handler. An exception ends only this connection; the loop logs it."""
--- a/lupinladder/net/descriptor_budget.py
+++ b/lupinladder/net/connection_budget.py
@@ -1,9 +1,10 @@
-"""The budget of file descriptors, shared by client connections and upstream connections."""
+"""What all connections of the process may use together: file descriptors, and bytes in buffers."""
 
 from __future__ import annotations
 
 from typing import Protocol
 
+from lupinladder.connection_limits.buffer_budget import BufferBudget
 from lupinladder.net.close_reason import CloseReason
 
 
@@ -14,15 +15,17 @@
         """Close the connection, and remove it from the budget's idle connections."""
 
 
-class DescriptorBudget:
-    """The number of descriptors that the process may use and does use.
+class ConnectionBudget:
+    """The number of descriptors that the process may use and does use, and the bytes that it buffers.
 
-    Code that opens a descriptor adds to `used`, and code that closes one subtracts from it.
+    Code that opens a descriptor adds to `used`, and code that closes one subtracts from it. `buffers` counts
+    the bytes that connections keep.
     """
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
         self.used = 0
+        self.buffers = BufferBudget()
         # Idle upstream connections of all pools, the longest idle first.
         self.idle_connections: dict[IdleConnection, None] = {}
 
--- a/lupinladder/net/connection_handler.py
+++ b/lupinladder/net/connection_handler.py
@@ -4,6 +4,8 @@
 
 from typing import Protocol
 
+from lupinladder.connection_limits.buffer_budget import SERVER_BUFFERS, BufferUses
+
 
 class ConnectionHandler(Protocol):
     """Receives the events of a connection.
@@ -12,6 +14,18 @@
     and the connection can still be written to.
     """
 
+    @property
+    def buffer_uses(self) -> BufferUses:
+        """What the bytes of the connection are kept for."""
+
+    @property
+    def kept_input_bytes(self) -> int:
+        """How many bytes of incomplete messages the handler keeps, besides those in the inbox."""
+
+    @property
+    def kept_output_bytes(self) -> int:
+        """How many bytes the handler keeps that are still to be written, besides those in the outbox."""
+
     def on_connected(self) -> None:
         """The connection has been established."""
 
@@ -36,6 +50,10 @@
     only the garbage collector frees. With many short connections, such cycles would use most of the memory.
     """
 
+    buffer_uses = SERVER_BUFFERS
+    kept_input_bytes = 0
+    kept_output_bytes = 0
+
     def on_connected(self) -> None:
         """Do nothing."""
 
--- a/lupinladder/net/connection_pool.py
+++ b/lupinladder/net/connection_pool.py
@@ -7,7 +7,7 @@
 from lupinladder.balancing.events import Outcome
 from lupinladder.net.close_reason import CloseReason
 from lupinladder.net.connection import Address, format_address
-from lupinladder.net.descriptor_budget import DescriptorBudget
+from lupinladder.net.connection_budget import ConnectionBudget
 from lupinladder.net.event_loop import EventLoop
 from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
@@ -37,7 +37,7 @@
     def __init__(
         self,
         loop: EventLoop,
-        budget: DescriptorBudget,
+        budget: ConnectionBudget,
         address: Address,
         protocol: UpstreamProtocol,
         idle_timeout_ms: float,
--- a/lupinladder/net/discovery/endpoint_registry.py
+++ b/lupinladder/net/discovery/endpoint_registry.py
@@ -7,8 +7,8 @@
 from lupinladder.balancing.events import Endpoint, EndpointState, EndpointUpdate, EndpointUpdateKind
 from lupinladder.balancing.settings import ServerId
 from lupinladder.net.connection import Address
+from lupinladder.net.connection_budget import ConnectionBudget
 from lupinladder.net.connection_pool import ConnectionPool
-from lupinladder.net.descriptor_budget import DescriptorBudget
 from lupinladder.net.discovery.endpoint_list_applier import EndpointListApplier, ReceivedList
 from lupinladder.net.discovery.endpoint_parser import EndpointList, EndpointParser, ListedEndpoint
 from lupinladder.net.discovery.endpoint_watch import EndpointWatch
@@ -24,7 +24,7 @@
     def __init__(
         self,
         loop: EventLoop,
-        budget: DescriptorBudget,
+        budget: ConnectionBudget,
         discovery: Address,
         parser: EndpointParser,
         create_pool: PoolFactory,
--- a/lupinladder/net/discovery/endpoint_watch.py
+++ b/lupinladder/net/discovery/endpoint_watch.py
@@ -5,8 +5,9 @@
 from http import HTTPStatus
 from typing import Protocol
 
+from lupinladder.connection_limits.buffer_budget import DISCOVERY_BUFFERS
 from lupinladder.net.connection import Address, Connection, format_address
-from lupinladder.net.descriptor_budget import DescriptorBudget
+from lupinladder.net.connection_budget import ConnectionBudget
 from lupinladder.net.discovery.json_object_stream import JsonObjectStream
 from lupinladder.net.event_loop import EventLoop, Timer, WatchRank
 from lupinladder.net.http import HttpError, HttpResponse, ResponseReader, encode_request
@@ -39,10 +40,13 @@
 class EndpointWatch:
     """One request for the changes since a version, open until its connection ends or becomes silent."""
 
+    buffer_uses = DISCOVERY_BUFFERS
+    kept_output_bytes = 0
+
     def __init__(
         self,
         loop: EventLoop,
-        budget: DescriptorBudget,
+        budget: ConnectionBudget,
         address: Address,
         version: int,
         listener: WatchListener,
@@ -75,6 +79,11 @@
 
     # The connection calls the methods below; see `ConnectionHandler`.
 
+    @property
+    def kept_input_bytes(self) -> int:
+        """How many bytes are kept of lists that are incomplete."""
+        return self._response_reader.kept_bytes + self._objects.kept_bytes
+
     def on_connected(self) -> None:
         """Start the silence timeout: the queued request is written now."""
         self._restart_silence_timer()
--- a/lupinladder/net/discovery/json_object_stream.py
+++ b/lupinladder/net/discovery/json_object_stream.py
@@ -25,6 +25,11 @@
         """Whether there is no incomplete object."""
         return not self._pending
 
+    @property
+    def kept_bytes(self) -> int:
+        """How many bytes are kept of an incomplete object."""
+        return len(self._pending)
+
     def feed_line(self, line: bytes) -> list[bytes]:
         """Return the text of the object that this line completes, if any. The line has no line end.
 
--- a/lupinladder/net/http.py
+++ b/lupinladder/net/http.py
@@ -57,6 +57,11 @@
         self._ends_with_connection = False  # only the end of the connection determines where the body ends
         self._parser = httptools.HttpResponseParser(self)
 
+    @property
+    def kept_bytes(self) -> int:
+        """How many bytes of the current response are kept, approximately."""
+        return self._header_bytes + len(self.current.body)
+
     def feed(self, data: bytes) -> list[HttpResponse]:
         """Parse these bytes and return the responses that they complete.
 
--- a/lupinladder/net/origin_protocol.py
+++ b/lupinladder/net/origin_protocol.py
@@ -35,6 +35,11 @@
         """Whether no byte of another reply was read since the last reply that was returned."""
         return self._response_reader.is_idle and not self._responses
 
+    @property
+    def kept_bytes(self) -> int:
+        """How many bytes are kept of replies that were not returned yet, approximately."""
+        return self._response_reader.kept_bytes + sum(len(response.body) for response in self._responses)
+
     def next_reply(self, inbox: RingBuffer) -> UpstreamReply | None:
         """Remove the next reply from the inbox and return it; None while it is incomplete.
 
--- a/lupinladder/net/pending_reply.py
+++ b/lupinladder/net/pending_reply.py
@@ -22,6 +22,13 @@
         self.request: PendingRequest | None = None
         self.encoded: bytes | None = None  # set once the reply is known
 
+    @property
+    def kept_bytes(self) -> int:
+        """How many bytes are kept: those of the reply, or before it is known those of the command."""
+        if self.encoded is not None:
+            return len(self.encoded)
+        return self.request.command.byte_count if self.request is not None else 0
+
     def on_served(self, value: bytes) -> None:
         """Reply with the value."""
         self._set(resp.encode_bulk(value))
--- a/lupinladder/net/resp.py
+++ b/lupinladder/net/resp.py
@@ -12,6 +12,7 @@
 MAX_LINE_BYTES = 4096  # of a header, a simple string or an error, without CR LF
 MAX_NESTED_ARRAYS = 4
 MAX_INTEGER_DIGITS = 20
+ELEMENT_OVERHEAD_BYTES = 96  # maximum memory of an element of an array in addition to its text
 CRLF = b"\r\n"
 
 
@@ -84,6 +85,12 @@
         self._open_arrays: list[_OpenArray] = []
         self._bulk = bytearray()  # the received part of the bulk string that is being read
         self._bulk_bytes = 0  # the length of that bulk string with CR LF; 0 if none is being read
+        self._element_bytes = 0  # memory that the complete elements of open arrays take
+
+    @property
+    def kept_bytes(self) -> int:
+        """How many bytes of memory the received part of an incomplete value takes, approximately."""
+        return self._element_bytes + len(self._bulk)
 
     @property
     def idle(self) -> bool:
@@ -150,11 +157,13 @@
             return []
         if len(self._open_arrays) >= MAX_NESTED_ARRAYS:
             raise FramingError(FramingErrorReason.NESTED_TOO_DEEP)
+        self._element_bytes += ELEMENT_OVERHEAD_BYTES
         self._open_arrays.append(_OpenArray(length))
         return _CONTENT_FOLLOWS
 
     def _append_to_array(self, value: Value) -> Value | Incomplete:
         """Append to the innermost open array; return the outermost one once it is complete."""
+        self._element_bytes += _memory_of(value)
         while self._open_arrays:
             array = self._open_arrays[-1]
             array.items.append(value)
@@ -162,9 +171,15 @@
                 return _CONTENT_FOLLOWS
             value = array.items
             self._open_arrays.pop()
+        self._element_bytes = 0
         return value
 
 
+def _memory_of(value: Value) -> int:
+    """Return the memory of a value that is not an array with elements, as an element of an array."""
+    return ELEMENT_OVERHEAD_BYTES + (len(value) if isinstance(value, bytes) else 0)
+
+
 def encode_bulk(data: bytes) -> bytes:
     """Encode a bulk string."""
     return b"$%d\r\n%b\r\n" % (len(data), data)
--- a/lupinladder/net/ring_buffer.py
+++ b/lupinladder/net/ring_buffer.py
@@ -33,6 +33,11 @@
         """How many bytes may be appended."""
         return self.max_size - self._size
 
+    @property
+    def capacity(self) -> int:
+        """How many bytes of memory the buffer takes now, used or not."""
+        return len(self._buffer)
+
     def _grow(self, min_capacity: int) -> None:
         capacity = len(self._buffer)
         while capacity < min_capacity:
--- a/lupinladder/net/upstream_connection.py
+++ b/lupinladder/net/upstream_connection.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from lupinladder.balancing.events import Outcome
+from lupinladder.connection_limits.buffer_budget import SERVER_BUFFERS
 from lupinladder.net.close_reason import CloseReason
 from lupinladder.net.connection import Connection
 from lupinladder.net.event_loop import Timer
@@ -38,6 +39,9 @@
     be sent.
     """
 
+    buffer_uses = SERVER_BUFFERS
+    kept_output_bytes = 0
+
     def __init__(self, pool: ConnectionPool) -> None:
         """Start connecting. Raises OSError if the system has no socket available."""
         self._pool = pool
@@ -124,6 +128,11 @@
 
     # The connection calls the methods below; see `ConnectionHandler`.
 
+    @property
+    def kept_input_bytes(self) -> int:
+        """How many bytes are kept of an incomplete reply."""
+        return self.reader.kept_bytes
+
     def on_connected(self) -> None:
         """The connection is established: write the queued attempts."""
         self._pool.loop.cancel(self._connect_timer)
--- a/lupinladder/net/upstream_protocol.py
+++ b/lupinladder/net/upstream_protocol.py
@@ -28,6 +28,10 @@
     def is_idle(self) -> bool:
         """Whether no byte of another reply was read since the last reply that was returned."""
 
+    @property
+    def kept_bytes(self) -> int:
+        """How many bytes are kept of replies that were not returned yet, approximately."""
+
     def next_reply(self, inbox: RingBuffer) -> UpstreamReply | None:
         """Remove the next reply from the inbox and return it; None while it is incomplete.
 
--- a/lupinladder/proxy.py
+++ b/lupinladder/proxy.py
@@ -11,8 +11,8 @@
 from lupinladder.net.cache_node_protocol import CacheNodeProtocol
 from lupinladder.net.client_listener import ClientListener
 from lupinladder.net.connection import Address, format_address
+from lupinladder.net.connection_budget import ConnectionBudget
 from lupinladder.net.connection_pool import ConnectionPool
-from lupinladder.net.descriptor_budget import DescriptorBudget
 from lupinladder.net.discovery.endpoint_registry import EndpointRegistry
 from lupinladder.net.event_loop import EventLoop, Timer
 from lupinladder.net.log import log_event
@@ -46,7 +46,8 @@
         self._shutting_down = False
         self._reload_timer: Timer | None = None  # for the retry of a reload that could not read its file
         self.loop = loop
-        self._budget = DescriptorBudget(proxy_config.max_descriptors)
+        self._budget = ConnectionBudget(proxy_config.max_descriptors)
+        metrics.buffered_bytes_peak = self._budget.buffers.peak_bytes
         self._persister = self._open_persister(operator)
         self._cache_node_protocol = CacheNodeProtocol(proxy_config.settings.report_fields)
         self._registry = EndpointRegistry(
--- a/tests/support/network_scene.py
+++ b/tests/support/network_scene.py
@@ -11,13 +11,14 @@
 from lupinladder.balancing.actions import Action, Fail, StartAttempt
 from lupinladder.balancing.events import AttemptEnded, Event, RequestReceived
 from lupinladder.balancing.settings import RequestClass, Settings
+from lupinladder.connection_limits.buffer_budget import SERVER_BUFFERS
 from lupinladder.net import request_dispatcher
 from lupinladder.net.cache_node_protocol import CacheNodeProtocol
 from lupinladder.net.client_command import parse_command
 from lupinladder.net.client_listener import ClientListener, open_listening_socket
 from lupinladder.net.connection import READ, Address, Connection
+from lupinladder.net.connection_budget import ConnectionBudget
 from lupinladder.net.connection_pool import ConnectionPool
-from lupinladder.net.descriptor_budget import DescriptorBudget
 from lupinladder.net.event_loop import EventLoop
 from lupinladder.net.origin_protocol import OriginProtocol
 from lupinladder.net.pending_request import PendingRequest
@@ -39,6 +40,10 @@
 class RecordingPeer:
     """The remote end of a connection. It records the bytes received and how the connection ended."""
 
+    buffer_uses = SERVER_BUFFERS
+    kept_input_bytes = 0
+    kept_output_bytes = 0
+
     def __init__(self) -> None:
         self.received = b""
         self.ends = list[bool]()  # by_peer of each on_closed
@@ -79,7 +84,7 @@
 
     def _on_ready(self, mask: int) -> None:
         peer = self.peer_type()
-        peer.conn = Connection(self._loop, DescriptorBudget(99), self.sock.accept()[0], peer)
+        peer.conn = Connection(self._loop, ConnectionBudget(99), self.sock.accept()[0], peer)
         self.peers.append(peer)
 
     def close(self) -> None:
@@ -166,7 +171,7 @@
         print_patch.start()
         self.addCleanup(print_patch.stop)
         self.loop = EventLoop()
-        self.budget = DescriptorBudget(self.SOCKETS)
+        self.budget = ConnectionBudget(self.SOCKETS)
         self.balancer = ScriptedBalancer()
         self.balancer.react = send_once_to()
         self.node = RecordingListener(self.loop)
@@ -220,7 +225,7 @@
     def client(self, data: bytes = b"") -> RecordingPeer:
         """Connect a client to the listener and send `data`."""
         peer = RecordingPeer()
-        peer.conn = Connection.connect(self.loop, DescriptorBudget(99), self.address, peer)
+        peer.conn = Connection.connect(self.loop, ConnectionBudget(99), self.address, peer)
         peer.conn.send(data)
         return peer
 
