Test of a moved watch: wait for both changes, as their steps may take two iterations

The test asserted both changes without running the loop, and so assumed that reading two lists takes less than APPLY_TIME_MS (6 ms) since the start of the last iteration.

As strict as before: the test now also asserts that the previous watch is closed at this point, so that version 9 can only be known if its bytes were read before, and then waits for both changes.

--- a/tests/net/test_endpoint_registry.py
+++ b/tests/net/test_endpoint_registry.py
@@ -135,6 +135,9 @@
         leaving = {"index": 9, "snapshot": False, "endpoints": [{"name": "s-1", "status": "leaving"}]}
         previous.conn._sock.sendall(chunks(json.dumps(leaving).encode()))
         self.registry.on_update(self.watch(), b'{"index": 8, "snapshot": false, "endpoints": []}')
+        # The previous watch is closed by now: version 9 is known only if it was read before.
+        self.assertFalse(previous_watch._connection.is_open)
+        self.until(lambda: len(self.updates) > 1, "both changes")
         self.assertEqual(self.update_versions(), [("DELTA", 8), ("DELTA", 9)])
         self.assertIsNone(self.registry.pool_for(b"s-1"))
         self.until(lambda: previous.ends, "the end of the previous watch")
