Bound the memory of one RESP value with all of its elements, not each string

Cause: RespParser bounded each string, each array and the depth, never their sum: up to 3 x 16 x 16 x 16 MiB for an answer, 16^4 x 64 KiB for a client's command.

Change: a value is given up once its elements, with the memory of each as an object, take more than the largest valid message (1 MiB + 16 KiB for a reply, 64 + 16 KiB for a command), before the bytes of a string that would not fit arrive. It holds for every form: strings, lines, numbers, nulls, empty arrays.

--- a/lupinladder/net/cache_node_protocol.py
+++ b/lupinladder/net/cache_node_protocol.py
@@ -19,6 +19,7 @@
 )
 
 MAX_REPLY_ITEMS = 16  # of an array in a reply
+MAX_REPLY_BYTES = MAX_REPLY_VALUE_BYTES + (16 << 10)  # memory of a whole reply: its value and all other items
 REJECTION = b"BUSY"  # the first word of the error by which a node rejects a request
 KNOWN_ERRORS = (  # the first words of all other errors; an error with a different one is corrupted
     b"ERR",
@@ -35,7 +36,7 @@
 
     def __init__(self, report_fields: Sequence[str]) -> None:
         self._report_fields = report_fields
-        self._parser = resp.RespParser(MAX_REPLY_VALUE_BYTES, MAX_REPLY_ITEMS)
+        self._parser = resp.RespParser(MAX_REPLY_VALUE_BYTES, MAX_REPLY_ITEMS, MAX_REPLY_BYTES)
 
     @property
     def is_idle(self) -> bool:
--- a/lupinladder/net/client_connection.py
+++ b/lupinladder/net/client_connection.py
@@ -23,6 +23,7 @@
 
 MAX_PIPELINE_DEPTH = 32  # commands of one client that may await replies; further bytes are left unread
 MAX_COMMAND_ELEMENTS = 16  # maximum number of elements in the array of a command
+MAX_COMMAND_BYTES = MAX_STORED_VALUE_BYTES + (16 << 10)  # memory of a whole command: its value and all else
 # A client that has sent no command, or only a part of one, must be closed within 3 s of connecting.
 FIRST_COMMAND_TIMEOUT_MS = 2300.0
 COMMAND_TIMEOUT_MS = 2400.0
@@ -39,7 +40,7 @@
     def __init__(self, listener: ClientListener, sock: socket.socket) -> None:
         self._listener = listener
         self._pending_replies = deque[PendingReply]()  # in the order of the commands
-        self._parser = resp.RespParser(MAX_STORED_VALUE_BYTES, MAX_COMMAND_ELEMENTS)
+        self._parser = resp.RespParser(MAX_STORED_VALUE_BYTES, MAX_COMMAND_ELEMENTS, MAX_COMMAND_BYTES)
         self._closing = False  # no more commands are read, and it closes after the pending replies
         self._reading = False
         self._reading_paused = False  # MAX_PIPELINE_DEPTH was reached; commands may be left unread
--- a/lupinladder/net/resp.py
+++ b/lupinladder/net/resp.py
@@ -38,6 +38,14 @@
         self.length = length
 
 
+class ValueTooLargeError(FramingError):
+    """A value takes more memory than the limit, with all of its elements."""
+
+    def __init__(self, limit: int) -> None:
+        super().__init__(f"value takes more than {limit} bytes")
+        self.limit = limit
+
+
 class SimpleString(bytes):
     """The text of a simple string (`+OK`)."""
 
@@ -79,8 +87,10 @@
 class RespParser:
     """Parses one value at a time from a ring buffer and keeps its position between calls."""
 
-    def __init__(self, max_bulk_bytes: int, max_array_length: int) -> None:
+    def __init__(self, max_bulk_bytes: int, max_array_length: int, max_value_bytes: int) -> None:
+        """`max_value_bytes` limits the memory of a whole value, in whatever elements its bytes are."""
         self._max_bulk_bytes = max_bulk_bytes
+        self._max_value_bytes = max_value_bytes
         self._max_array_length = max_array_length
         self._open_arrays: list[_OpenArray] = []
         self._bulk = bytearray()  # the received part of the bulk string that is being read
@@ -113,7 +123,7 @@
             return INCOMPLETE
         if self._bulk[-2:] != CRLF:
             raise FramingError(FramingErrorReason.BULK_NOT_TERMINATED)
-        value = bytes(self._bulk[:-2])
+        value = bytes(memoryview(self._bulk)[: -len(CRLF)])  # without a second copy of a large value
         self._bulk = bytearray()
         self._bulk_bytes = 0
         return value
@@ -145,6 +155,7 @@
             return None
         if not 0 <= length <= self._max_bulk_bytes:
             raise LengthError(length)
+        self._check_value_size(length)
         self._bulk_bytes = length + len(CRLF)
         return _CONTENT_FOLLOWS
 
@@ -157,13 +168,13 @@
             return []
         if len(self._open_arrays) >= MAX_NESTED_ARRAYS:
             raise FramingError(FramingErrorReason.NESTED_TOO_DEEP)
-        self._element_bytes += ELEMENT_OVERHEAD_BYTES
+        self._add_element_bytes(ELEMENT_OVERHEAD_BYTES)
         self._open_arrays.append(_OpenArray(length))
         return _CONTENT_FOLLOWS
 
     def _append_to_array(self, value: Value) -> Value | Incomplete:
         """Append to the innermost open array; return the outermost one once it is complete."""
-        self._element_bytes += _memory_of(value)
+        self._add_element_bytes(_memory_of(value))
         while self._open_arrays:
             array = self._open_arrays[-1]
             array.items.append(value)
@@ -174,6 +185,15 @@
         self._element_bytes = 0
         return value
 
+    def _add_element_bytes(self, count: int) -> None:
+        self._element_bytes += count
+        self._check_value_size(0)
+
+    def _check_value_size(self, expected_bytes: int) -> None:
+        """Raise ValueTooLargeError if the value is too large with so many bytes that are still to come."""
+        if self._element_bytes + expected_bytes > self._max_value_bytes:
+            raise ValueTooLargeError(self._max_value_bytes)
+
 
 def _memory_of(value: Value) -> int:
     """Return the memory of a value that is not an array with elements, as an element of an array."""
--- a/tests/net/test_cache_node_protocol.py
+++ b/tests/net/test_cache_node_protocol.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
+import tracemalloc
 import unittest
+from collections.abc import Iterable, Iterator
+from contextlib import suppress
+from itertools import chain
 
 from lupinladder.balancing.events import CacheResult, Outcome
 from lupinladder.net.cache_node_protocol import CacheNodeReplyReader
+from lupinladder.net.connection import MAX_INBOX_BYTES
+from lupinladder.net.resp import FramingError
+from lupinladder.net.ring_buffer import RingBuffer
 from lupinladder.net.upstream_protocol import UpstreamProtocolError
+from lupinladder.net.upstream_reply import MAX_REPLY_VALUE_BYTES
 from tests.support.ring_buffers import ring_of
 
 
@@ -45,3 +53,62 @@
         ):
             with self.subTest(data=data), self.assertRaises(UpstreamProtocolError):
                 CacheNodeReplyReader([]).next_reply(ring_of(data))
+
+
+def nested_arrays(element: bytes, depth: int) -> Iterator[bytes]:
+    """Yield an array of 16 arrays, and so on to this depth, with these elements in the innermost ones."""
+    if not depth:
+        yield element
+        return
+    yield b"*16\r\n"
+    for _ in range(16):
+        yield from nested_arrays(element, depth - 1)
+
+
+class EndlessReplies(unittest.TestCase):
+    # The review's case 3: a proxy kept an array of arrays of strings until it was over its memory limit.
+    MAX_MEMORY = 3 * MAX_REPLY_VALUE_BYTES  # the largest value, its copy at the end, and reserves of buffers
+    ELEMENTS = (
+        b"$1000000\r\n" + b"v" * 1_000_000 + b"\r\n",
+        b"$2\r\nab\r\n",
+        b"+" + b"v" * 4000 + b"\r\n",
+        b"-\r\n",
+        b":1234567890123\r\n",
+        b"*0\r\n",
+    )
+
+    def memory_of(self, pieces: Iterable[bytes]) -> int:
+        """Read a reply, until it ends or is invalid; return the most bytes of memory that this took."""
+        reader = CacheNodeReplyReader([])
+        inbox = RingBuffer(MAX_INBOX_BYTES)
+        tracemalloc.start()
+        with suppress(FramingError, UpstreamProtocolError):
+            for piece in pieces:
+                for start in range(0, len(piece), MAX_INBOX_BYTES):
+                    inbox.append(piece[start : start + MAX_INBOX_BYTES])
+                    reader.next_reply(inbox)
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        return peak
+
+    def test_a_reply_of_any_form_takes_no_more_memory_than_one_with_the_largest_value(self) -> None:
+        for element in self.ELEMENTS:
+            for depth in (1, 2, 3):
+                with self.subTest(element=element[:10], depth=depth):
+                    self.assertLess(
+                        self.memory_of(chain([b"*3\r\n"], nested_arrays(element, depth))), self.MAX_MEMORY
+                    )
+
+    def test_a_reply_with_the_largest_value_is_read(self) -> None:
+        value = b"v" * MAX_REPLY_VALUE_BYTES
+        reply = b"*3\r\n$%d\r\n%b\r\n$3\r\nhit\r\n$1000\r\n%b\r\n" % (len(value), value, b"r" * 1000)
+        result = CacheNodeReplyReader([]).next_reply(ring_of_size(reply))
+        assert result is not None
+        self.assertEqual((result.outcome, result.value), (Outcome.OK, value))
+
+
+def ring_of_size(data: bytes) -> RingBuffer:
+    """Return a ring buffer that contains these bytes and has no space for more."""
+    ring = RingBuffer(len(data))
+    ring.append(data)
+    return ring
--- a/tests/net/test_client_connection.py
+++ b/tests/net/test_client_connection.py
@@ -12,7 +12,16 @@
 from lupinladder.net import connection
 from lupinladder.net.client_connection import MAX_PIPELINE_DEPTH
 from lupinladder.net.connection import Connection
-from tests.support.network_scene import MISSED, NODE, ORIGIN, SERVED, NetworkScene, get, send_once_to
+from tests.support.network_scene import (
+    MISSED,
+    NODE,
+    ORIGIN,
+    SERVED,
+    NetworkScene,
+    RecordingPeer,
+    get,
+    send_once_to,
+)
 
 PING = b"*1\r\n$4\r\nPING\r\n"
 HTTP_OK = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nV"
@@ -150,6 +159,27 @@
         self.assertLess(len(accepted.conn.inbox), 1 << 17)
 
 
+class EndlessCommands(NetworkScene):
+    # The review's case 3, from a client: nested arrays were kept whole until the command was overdue.
+    MAX_KEPT_BYTES = 512 << 10  # the inbox, and a command with the largest value
+
+    def test_a_command_that_never_ends_is_an_error_before_it_takes_much_memory(self) -> None:
+        text = b"v" * 60_000
+        for element in (b"$60000\r\n%b\r\n" % text, b"+%b\r\n" % text[:4000]):
+            with self.subTest(element=element[:10]):
+                client = self.client(b"*16\r\n" * 3)
+
+                def flood(client: RecordingPeer = client, element: bytes = element) -> bool:
+                    while client.conn.is_open and client.conn.outbox.available_space >= len(element):
+                        client.conn.send(element)
+                    return bool(client.received)
+
+                self.until(flood, "an error")
+                self.assertIn(b"-ERR Protocol error", client.received)
+                self.assertLess(self.budget.buffers.peak_bytes["client_input"], self.MAX_KEPT_BYTES)
+                client.conn.close()
+
+
 class Disconnects(NetworkScene):
     def disconnected(self) -> set[int]:
         return {event.request_id for event in self.balancer.events if isinstance(event, ClientDisconnected)}
--- a/tests/net/test_resp.py
+++ b/tests/net/test_resp.py
@@ -30,8 +30,8 @@
     def test_values_are_read_whole_and_byte_by_byte(self) -> None:
         for data, value in self.VALUES:
             with self.subTest(data=data):
-                self.assertEqual(resp.RespParser(64, 8).next(ring_with(data)), value)
-                parser = resp.RespParser(64, 8)
+                self.assertEqual(resp.RespParser(64, 8, 2000).next(ring_with(data)), value)
+                parser = resp.RespParser(64, 8, 2000)
                 ring = RingBuffer(64)
                 for byte in data[:-1]:
                     ring.append(bytes([byte]))
@@ -53,11 +53,12 @@
             b"$1_0\r\n",
             b"$2\r\nabc\r\n",
             b"*1\r\n" * 5,
+            b"*8\r\n" + (b"*8\r\n" + b":1\r\n" * 8) * 8,  # too many elements in all
             b"+" + b"x" * 5000,
             b"+x\n",
         ):
             with self.subTest(data=data), self.assertRaises(resp.FramingError):
-                resp.RespParser(64, 8).next(ring_with(data))
+                resp.RespParser(64, 8, 2000).next(ring_with(data))
 
 
 class RespEncoders(unittest.TestCase):
