Bound the bytes that all connections keep together by the memory limit

Seen by callers: when many clients or servers misbehave at the same time, each within its own bounds, the platform kills the proxy and all lose their answers. 40 clients that send PING with 60 KB and read nothing took a proxy with memory_mb 64 to 144 MB.

Every bound was one of a string, a message or a connection (1 MiB outbox, 32 replies of up to 1 MiB, 160 KiB inbox, 1 MiB for a reply in progress), and nothing bounded their sum over hundreds of them.

Change: BufferBudget has a limit that follows from limits.memory_mb (less 24 MiB, half of the rest, at least 4 MiB). Over it, after the event of a connection, the use with the most bytes loses the largest: an incomplete command its bytes (an error, after the replies that are owed), a client that does not read its connection, an incomplete reply its attempt (RESET), a watch is opened again. So who floods pays, and small messages of others pass.

--- a/lupinladder/net/client_connection.py
+++ b/lupinladder/net/client_connection.py
@@ -7,7 +7,7 @@
 from math import inf
 from typing import TYPE_CHECKING, TypeGuard
 
-from lupinladder.connection_limits.buffer_budget import CLIENT_BUFFERS
+from lupinladder.connection_limits.buffer_budget import CLIENT_BUFFERS, BufferUse
 from lupinladder.net import resp
 from lupinladder.net.client_activity import ClientActivity
 from lupinladder.net.client_command import MAX_STORED_VALUE_BYTES, ClientCommand, CommandError, parse_command
@@ -252,6 +252,23 @@
             self._listener.remove_client(self)
             self._listener.update_listening()
 
+    def on_shed(self, use: BufferUse, /) -> None:
+        """Drop replies together with the client, which does not read them, or an incomplete command with the
+        ones behind it. Requests that were read before it are still answered."""
+        if use is BufferUse.CLIENT_OUTPUT:
+            self.conn.abort()
+            return
+        self._parser.reset()
+        self.conn.stop_reading()
+        self._reading_paused = False
+        self._command_incomplete = False
+        if self._closing:
+            return
+        self._close_after_replies(CloseReason.CLIENT_BUFFERS_SHED)
+        self._append_error("Protocol error: too many bytes of incomplete commands")
+        self.flush()
+        self.update_idle_state()
+
     def _close_after_replies(self, reason: CloseReason) -> None:
         """Read no more commands, and close once the pending replies have been written."""
         self._closing = True
--- a/lupinladder/net/close_reason.py
+++ b/lupinladder/net/close_reason.py
@@ -14,6 +14,7 @@
     CLIENT_IDLE = "client_idle"  # idle while descriptors were short
     CLIENT_COMMAND_OVERDUE = "client_command_overdue"
     CLIENT_FRAMING = "client_framing"
+    CLIENT_BUFFERS_SHED = "client_buffers_shed"  # its incomplete command was dropped for lack of memory
     CLIENT_EVICTED = "client_evicted"
     CLIENT_SHUTDOWN = "client_shutdown"
 
@@ -29,4 +30,5 @@
     SERVER_HALF_WRITTEN = "server_half_written"  # the rest of a command must not be written
     SERVER_REPEATED_REPLY = "server_repeated_reply"  # its reply may belong to an earlier request
     SERVER_NOT_REUSABLE = "server_not_reusable"  # later replies could not be attributed
+    SERVER_BUFFERS_SHED = "server_buffers_shed"  # its incomplete reply was dropped for lack of memory
     SERVER_DESCRIPTOR_NEEDED = "server_descriptor_needed"
--- a/lupinladder/net/config.py
+++ b/lupinladder/net/config.py
@@ -28,6 +28,12 @@
 # Share of the memory limit for values; the rest is for the interpreter, the buffers and the clients' state.
 MEMORY_SHARE_FOR_VALUES = 0.5
 BYTES_PER_MB = 1 << 20
+# Memory for the interpreter, the code and the endpoint list.
+BASE_MEMORY_BYTES = 24 * BYTES_PER_MB
+# Share of the remaining memory for what connections keep; the rest is for copies in transit, requests whose
+# clients have left, and the fragmentation of the heap.
+MEMORY_SHARE_FOR_BUFFERS = 0.5
+MIN_BUFFERED_BYTES = 4 * BYTES_PER_MB  # the largest reply, its copy for the client, and smaller messages
 
 
 class ConfigError(LupinladderError):
@@ -61,6 +67,7 @@
     connect_timeout_ms: float
     streams_per_connection: int
     max_open_requests: int
+    max_buffered_bytes: int  # in the buffers of all connections and in incomplete or unsent messages
     max_descriptors: int  # for connections, without the reserved descriptors
     endpoint_list: dict[str, Any]  # last known endpoint list in discovery's format
 
@@ -110,6 +117,7 @@
         connect_timeout_ms=read_value(settings_tree, "ceilings.connect-timeout-ms", float),
         streams_per_connection=read_value(settings_tree, "ceilings.streams-per-conn", int, 1),
         max_open_requests=_max_open_requests(tree, settings_tree),
+        max_buffered_bytes=_max_buffered_bytes(tree),
         max_descriptors=read_value(tree, "limits.sockets", int) - RESERVED_DESCRIPTORS,
         endpoint_list=endpoint_list,
     )
@@ -118,11 +126,22 @@
 def _max_open_requests(tree: Any, settings_tree: Any) -> int:
     """Return the maximum number of open requests: that of the settings, reduced to what fits in memory."""
     configured_maximum = read_value(settings_tree, "ceilings.max-open", int)
-    memory_bytes = read_value(tree, "limits.memory_mb", float) * BYTES_PER_MB
-    maximum_in_memory = int(memory_bytes * MEMORY_SHARE_FOR_VALUES / BYTES_PER_OPEN_REQUEST)
+    maximum_in_memory = int(_memory_limit(tree) * MEMORY_SHARE_FOR_VALUES / BYTES_PER_OPEN_REQUEST)
     return int(min(configured_maximum, max(maximum_in_memory, 1)))
 
 
+def _max_buffered_bytes(tree: Any) -> int:
+    """Return the maximum number of bytes that connections may keep within the memory limit."""
+    available = _memory_limit(tree) - BASE_MEMORY_BYTES
+    return max(int(available * MEMORY_SHARE_FOR_BUFFERS), MIN_BUFFERED_BYTES)
+
+
+def _memory_limit(tree: Any) -> float:
+    """Return the memory limit of the process in bytes."""
+    memory_mb: float = read_value(tree, "limits.memory_mb", float)
+    return memory_mb * BYTES_PER_MB
+
+
 def load_operator_settings(env: Mapping[str, str]) -> OperatorSettings | None:
     """Load the operator's file that LUPINLADDER_OPERATOR names.
 
--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -8,9 +8,11 @@
 from collections.abc import Callable
 from contextlib import suppress
 
+from lupinladder.connection_limits.buffer_budget import BufferUse
 from lupinladder.net.connection_budget import ConnectionBudget
 from lupinladder.net.connection_handler import NULL_HANDLER, ConnectionHandler
 from lupinladder.net.event_loop import EventLoop, Timer, WatchRank
+from lupinladder.net.log import log_event
 from lupinladder.net.metrics import metrics
 from lupinladder.net.ring_buffer import RingBuffer
 from lupinladder.net.transient_errors import RETRIED_TRANSFER_ERRORS, has_errno_in
@@ -190,6 +192,26 @@
             metrics.connections_cut_off += 1
         self.close()
 
+    def shed(self, use: BufferUse, size: int) -> None:
+        """Drop the bytes that are kept for this use; see `BufferOwner`."""
+        metrics.buffers_shed[use] += 1
+        log_event("buffers_shed", use=use, bytes=size, limit=self._budget.buffers.limit)
+        if self._lingering:
+            self.close()
+            return
+        self._handler.on_shed(use)
+        self.record_buffers()
+
+    def stop_reading(self) -> None:
+        """Drop the bytes in the inbox and take no more. A later end of input is noticed by
+        `detect_disconnect` only."""
+        self.inbox = RingBuffer(0)
+        self._update_watch()
+
+    def abort(self) -> None:
+        """Close as after a failure: the handler is notified."""
+        self._fail()
+
     def close(self) -> None:
         """Close immediately, without a callback."""
         if self.is_open:
@@ -243,6 +265,8 @@
         finally:
             self._update_watch()
             self.record_buffers()
+            if self._budget.buffers.is_exceeded:
+                self._budget.buffers.shed()
 
     def _call_handler(self, call: Callable[[], None]) -> None:
         """Call the handler. An exception ends only this connection; the loop logs it."""
--- a/lupinladder/net/connection_budget.py
+++ b/lupinladder/net/connection_budget.py
@@ -22,10 +22,10 @@
     the bytes that connections keep.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, max_buffered_bytes: int) -> None:
         self.limit = limit
         self.used = 0
-        self.buffers = BufferBudget()
+        self.buffers = BufferBudget(max_buffered_bytes)
         # Idle upstream connections of all pools, the longest idle first.
         self.idle_connections: dict[IdleConnection, None] = {}
 
--- a/lupinladder/net/connection_handler.py
+++ b/lupinladder/net/connection_handler.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol
 
-from lupinladder.connection_limits.buffer_budget import SERVER_BUFFERS, BufferUses
+from lupinladder.connection_limits.buffer_budget import SERVER_BUFFERS, BufferUse, BufferUses
 
 
 class ConnectionHandler(Protocol):
@@ -42,6 +42,9 @@
     def on_closed(self, by_peer: bool) -> None:
         """The peer has ended its sending in order (`by_peer`), or the connection has failed."""
 
+    def on_shed(self, use: BufferUse, /) -> None:
+        """The process buffers too much: drop the bytes of this use, if necessary with the connection."""
+
 
 class NullHandler:
     """The handler of a closed connection.
@@ -70,5 +73,8 @@
     def on_closed(self, by_peer: bool) -> None:
         """Do nothing."""
 
+    def on_shed(self, use: BufferUse, /) -> None:
+        """Do nothing: a closed connection keeps no bytes."""
+
 
 NULL_HANDLER = NullHandler()
--- a/lupinladder/net/discovery/endpoint_watch.py
+++ b/lupinladder/net/discovery/endpoint_watch.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 from typing import Protocol
 
-from lupinladder.connection_limits.buffer_budget import DISCOVERY_BUFFERS
+from lupinladder.connection_limits.buffer_budget import DISCOVERY_BUFFERS, BufferUse
 from lupinladder.net.connection import Address, Connection, format_address
 from lupinladder.net.connection_budget import ConnectionBudget
 from lupinladder.net.discovery.json_object_stream import JsonObjectStream
@@ -110,6 +110,10 @@
         """The connection has failed or could not be established, or discovery has closed it."""
         self._end("discovery closed the connection" if by_peer else "the connection failed")
 
+    def on_shed(self, _use: BufferUse, /) -> None:
+        """End the watch, as the incomplete list on it can no longer be read."""
+        self._end("an incomplete list was dropped for lack of memory")
+
     def _handle_bytes(self, data: bytes) -> str | None:
         """Pass on the objects that these bytes complete. Returns the reason if the watch has to end."""
         end_reason: str | None = None
--- a/lupinladder/net/metrics.py
+++ b/lupinladder/net/metrics.py
@@ -57,7 +57,8 @@
     attempts_repeated_after: Counter[Outcome] = field(default_factory=Counter)  # by the previous outcome
     failures_by_reason: Counter[str] = field(default_factory=Counter)  # by AnswerReason
     rejections_by_reason: Counter[str] = field(default_factory=Counter)  # by AnswerReason
-    buffered_bytes_peak: Counter[str] = field(default_factory=Counter)  # by BufferUse
+    buffered_bytes_peak: Counter[str] = field(default_factory=Counter)  # by BufferUse, and in total
+    buffers_shed: Counter[str] = field(default_factory=Counter)  # by BufferUse
     connections_closed: Counter[str] = field(default_factory=Counter)  # by CloseReason
     excess_bytes_after: Counter[str] = field(default_factory=Counter)  # by the time since the last reply
     invariant_violations: Counter[str] = field(default_factory=Counter)  # by Invariant
--- a/lupinladder/net/resp.py
+++ b/lupinladder/net/resp.py
@@ -107,6 +107,13 @@
         """Whether the parser is between two values."""
         return not self._open_arrays and not self._bulk_bytes
 
+    def reset(self) -> None:
+        """Drop the received part of an incomplete value. The next bytes have to start a value."""
+        self._open_arrays.clear()
+        self._bulk = bytearray()
+        self._bulk_bytes = 0
+        self._element_bytes = 0
+
     def next(self, buffer: RingBuffer) -> Value | Incomplete:
         """Return the next complete value, or INCOMPLETE if it has not arrived yet. Raises FramingError."""
         while True:
--- a/lupinladder/net/upstream_connection.py
+++ b/lupinladder/net/upstream_connection.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from lupinladder.balancing.events import Outcome
-from lupinladder.connection_limits.buffer_budget import SERVER_BUFFERS
+from lupinladder.connection_limits.buffer_budget import SERVER_BUFFERS, BufferUse
 from lupinladder.net.close_reason import CloseReason
 from lupinladder.net.connection import Connection
 from lupinladder.net.event_loop import Timer
@@ -186,6 +186,10 @@
         if attempt is not None and reply is not None:
             end_with_reply(attempt, reply)
 
+    def on_shed(self, _use: BufferUse, /) -> None:
+        """Close the connection, as its replies can no longer be read."""
+        self.close(CloseReason.SERVER_BUFFERS_SHED)
+
     def _on_connect_timeout(self) -> None:
         """End the attempts that wait. The connection may still be established for later attempts."""
         if not self.connection.connecting:
--- a/lupinladder/proxy.py
+++ b/lupinladder/proxy.py
@@ -46,7 +46,7 @@
         self._shutting_down = False
         self._reload_timer: Timer | None = None  # for the retry of a reload that could not read its file
         self.loop = loop
-        self._budget = ConnectionBudget(proxy_config.max_descriptors)
+        self._budget = ConnectionBudget(proxy_config.max_descriptors, proxy_config.max_buffered_bytes)
         metrics.buffered_bytes_peak = self._budget.buffers.peak_bytes
         self._persister = self._open_persister(operator)
         self._cache_node_protocol = CacheNodeProtocol(proxy_config.settings.report_fields)
--- a/tests/net/test_connection.py
+++ b/tests/net/test_connection.py
@@ -32,7 +32,7 @@
         local_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         cut_off_before = metrics.connections_cut_off
         # TCP_NODELAY does not exist for a socket pair; setting it may fail.
-        closing = Connection(self.loop, ConnectionBudget(9), local_socket, NULL_HANDLER)
+        closing = Connection(self.loop, ConnectionBudget(9, 64 << 20), local_socket, NULL_HANDLER)
         closing.send(b"x" * 200_000)
         closing.close_gracefully()
         received = 0
--- a/tests/support/network_scene.py
+++ b/tests/support/network_scene.py
@@ -11,7 +11,7 @@
 from lupinladder.balancing.actions import Action, Fail, StartAttempt
 from lupinladder.balancing.events import AttemptEnded, Event, RequestReceived
 from lupinladder.balancing.settings import RequestClass, Settings
-from lupinladder.connection_limits.buffer_budget import SERVER_BUFFERS
+from lupinladder.connection_limits.buffer_budget import SERVER_BUFFERS, BufferUse
 from lupinladder.net import request_dispatcher
 from lupinladder.net.cache_node_protocol import CacheNodeProtocol
 from lupinladder.net.client_command import parse_command
@@ -44,6 +44,9 @@
     kept_input_bytes = 0
     kept_output_bytes = 0
 
+    def on_shed(self, _use: BufferUse, /) -> None:
+        pass
+
     def __init__(self) -> None:
         self.received = b""
         self.ends = list[bool]()  # by_peer of each on_closed
@@ -84,7 +87,7 @@
 
     def _on_ready(self, mask: int) -> None:
         peer = self.peer_type()
-        peer.conn = Connection(self._loop, ConnectionBudget(99), self.sock.accept()[0], peer)
+        peer.conn = Connection(self._loop, ConnectionBudget(99, 64 << 20), self.sock.accept()[0], peer)
         self.peers.append(peer)
 
     def close(self) -> None:
@@ -162,6 +165,7 @@
     CONNECT_TIMEOUT_MS = 120.0
     STREAMS = 1
     SOCKETS = 100
+    MAX_BUFFERED_BYTES = 64 << 20
     MAX_OPEN = 50
     TENANTS: ClassVar[list[str]] = []
     UNTIL_TIMEOUT_MS = 5000.0
@@ -171,7 +175,7 @@
         print_patch.start()
         self.addCleanup(print_patch.stop)
         self.loop = EventLoop()
-        self.budget = ConnectionBudget(self.SOCKETS)
+        self.budget = ConnectionBudget(self.SOCKETS, self.MAX_BUFFERED_BYTES)
         self.balancer = ScriptedBalancer()
         self.balancer.react = send_once_to()
         self.node = RecordingListener(self.loop)
@@ -225,7 +229,7 @@
     def client(self, data: bytes = b"") -> RecordingPeer:
         """Connect a client to the listener and send `data`."""
         peer = RecordingPeer()
-        peer.conn = Connection.connect(self.loop, ConnectionBudget(99), self.address, peer)
+        peer.conn = Connection.connect(self.loop, ConnectionBudget(99, 64 << 20), self.address, peer)
         peer.conn.send(data)
         return peer
 
