Bound all bytes of an HTTP response that are not of its body, trailers too

A chunked response whose trailer line never ends was kept whole by httptools: 16.8 MB of memory for 8 MB fed, on a connection to the origin for as long as an attempt has, on the endpoint watch for 3.2 s at full speed.

Cause: the count of header bytes ended with the headers; trailers and the extensions of a chunk come after them and were counted by nothing.

Change: all bytes since the last byte of a body, or since the last complete response, count against one bound of 32 KiB (MAX_FRAMING_BYTES), which covers header lines, 1xx responses, trailer lines and chunk extensions.

Test: 6 of 6 cases failed before and pass now; the tests of the origin and of the watch pass.

--- a/lupinladder/net/http.py
+++ b/lupinladder/net/http.py
@@ -11,7 +11,8 @@
 from lupinladder.errors import LupinladderError
 
 MAX_HEADERS = 64  # maximum number of header lines in a response
-MAX_HEADER_BYTES = 32 << 10  # maximum number of bytes fed until the last header line is complete
+# Maximum number of bytes fed in a row that are not of a body: header lines, trailer lines, chunk extensions.
+MAX_FRAMING_BYTES = 32 << 10
 STATUSES_WITHOUT_BODY = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
 
@@ -52,7 +53,8 @@
         self._completed = list[HttpResponse]()
         self._error_reason: str | None = None  # why no more bytes can be parsed
         self._header_count = 0
-        self._header_bytes = 0  # bytes fed since the start of a response with incomplete headers
+        self._framing_bytes = 0  # bytes fed since the last byte of a body, or the end of the last response
+        self._made_progress = False  # the bytes fed last hold bytes of a body, or the end of a response
         self._has_length = False  # the headers determine where the body ends
         self._ends_with_connection = False  # only the end of the connection determines where the body ends
         self._parser = httptools.HttpResponseParser(self)
@@ -60,7 +62,7 @@
     @property
     def kept_bytes(self) -> int:
         """How many bytes of the current response are kept, approximately."""
-        return self._header_bytes + len(self.current.body)
+        return self._framing_bytes + len(self.current.body)
 
     def feed(self, data: bytes) -> list[HttpResponse]:
         """Parse these bytes and return the responses that they complete.
@@ -86,15 +88,14 @@
 
     def _parse(self, data: bytes) -> None:
         try:
+            self._made_progress = False
             if self._error_reason is None:
                 self._parser.feed_data(data)
-            # The parser would keep every byte of a header line that never ends.
-            in_headers = not self.is_idle and not self.current.status
-            # It is unknown which of these bytes belong to a response that follows one they complete.
-            is_counted = in_headers and not self._completed
-            self._header_bytes = self._header_bytes + len(data) if is_counted else 0
-            if self._header_bytes > MAX_HEADER_BYTES:
-                self._error_reason = "headers are too long"
+            # The parser would keep every byte of a header line, or of a trailer line, that never ends.
+            is_counted = not (self.is_idle or self._made_progress)
+            self._framing_bytes = self._framing_bytes + len(data) if is_counted else 0
+            if self._framing_bytes > MAX_FRAMING_BYTES:
+                self._error_reason = "headers or trailers are too long"
         except httptools.HttpParserCallbackError as error:
             self._error_reason = str(error.__context__ or error)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -139,6 +140,7 @@
             reason = "body too long"
             raise HttpError(reason)
         body += data
+        self._made_progress = True
 
     def on_message_complete(self) -> None:
         """The response is complete. After an informational response, the final one is still to come."""
@@ -149,6 +151,7 @@
         self.is_idle = True
         self.closes_connection = not self._parser.should_keep_alive()
         self._completed.append(response)
+        self._made_progress = True
 
 
 def encode_request(
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tracemalloc
 import unittest
 
 from lupinladder.net import http
@@ -46,7 +47,7 @@
 
     def test_a_body_does_not_count_as_headers_of_the_next_response(self) -> None:
         reader = http.ResponseReader(1 << 20)
-        body = b"x" * (http.MAX_HEADER_BYTES + 1)
+        body = b"x" * (http.MAX_FRAMING_BYTES + 1)
         large = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
         head, rest = b"HTTP/1.1 200 OK\r\nContent-", b"Length: 1\r\n\r\nV"
         for first in ([large], [large[:100], large[100:]], [large + head]):
@@ -55,6 +56,24 @@
                 self.assertEqual(reader.feed(head), [])
             self.assertEqual([bytes(response.body) for response in reader.feed(rest)], [b"V"])
 
+    def test_bytes_that_are_neither_headers_nor_body_and_never_end_are_an_error(self) -> None:
+        # Related to the review's case 3: a trailer that never ends was kept whole.
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for start in (chunked + b"0\r\nx: ", chunked + b"1\r\nV\r\n0\r\n", chunked + b"5;x="):
+            for piece in (b"y" * 5000, b"a: b\r\n"):
+                with self.subTest(start=start, piece=piece[:4]):
+                    reader = http.ResponseReader(8)
+                    reader.feed(start)
+                    tracemalloc.start()
+                    fed_bytes = 0
+                    with self.assertRaises(http.HttpError):
+                        while fed_bytes < 8 << 20:
+                            reader.feed(piece)
+                            fed_bytes += len(piece)
+                    peak = tracemalloc.get_traced_memory()[1]
+                    tracemalloc.stop()
+                    self.assertLess(peak, 4 * http.MAX_FRAMING_BYTES)
+
     def test_responses_completed_before_invalid_bytes_are_returned(self) -> None:
         complete = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nV"
         for data, count, idle in (
