Handle at most 64 commands of a client before other sockets, replies or not

Seen by callers: ten clients that send empty commands (`*0`) at full speed kept all others waiting.

A client was held to 32 commands that wait for replies, but commands without a reply counted for nothing, so that one read of 160 KiB could be 40,000 of them.

Change: a client's commands are handled 64 at a time (MAX_COMMANDS_PER_READ), then the loop goes on to others; the rest follows as after a full pipeline.

Test: CommandsWithoutReply failed before (25,904 commands in one iteration) and passes; no order or time is waited for.

--- a/lupinladder/net/client_connection.py
+++ b/lupinladder/net/client_connection.py
@@ -22,6 +22,7 @@
     from lupinladder.net.client_listener import ClientListener
 
 MAX_PIPELINE_DEPTH = 32  # commands of one client that may await replies; further bytes are left unread
+MAX_COMMANDS_PER_READ = 64  # of one client, before other sockets are handled; not all commands make a reply
 MAX_COMMAND_ELEMENTS = 16  # maximum number of elements in the array of a command
 MAX_COMMAND_BYTES = MAX_STORED_VALUE_BYTES + (16 << 10)  # memory of a whole command: its value and all else
 # A client that has sent no command, or only a part of one, must be closed within 3 s of connecting.
@@ -43,7 +44,7 @@
         self._parser = resp.RespParser(MAX_STORED_VALUE_BYTES, MAX_COMMAND_ELEMENTS, MAX_COMMAND_BYTES)
         self._closing = False  # no more commands are read, and it closes after the pending replies
         self._reading = False
-        self._reading_paused = False  # MAX_PIPELINE_DEPTH was reached; commands may be left unread
+        self._reading_paused = False  # after one of the limits above; commands may be left unread
         self._unread_since = inf  # since when commands in the inbox have waited for earlier replies
         self._close_reason = CloseReason.CLIENT_ENDED  # used once `_closing` is set
         self._command_incomplete = False
@@ -102,7 +103,9 @@
         self.update_idle_state()
 
     def _read_commands(self) -> None:
-        while self.conn.is_open and not self._closing and len(self._pending_replies) < MAX_PIPELINE_DEPTH:
+        for _ in range(MAX_COMMANDS_PER_READ):
+            if not self._may_read_command:
+                break
             value = self._parser.next(self.conn.inbox)
             if isinstance(value, resp.Incomplete):
                 self._unread_since = inf
@@ -111,9 +114,15 @@
         self._reading_paused = not self._closing
         self._unread_since = min(self._unread_since, self._listener.loop.now())
 
+    @property
+    def _may_read_command(self) -> bool:
+        if self._closing or not self.conn.is_open:
+            return False
+        return len(self._pending_replies) < MAX_PIPELINE_DEPTH
+
     def _resume_reading(self) -> None:
         self.conn.detect_disconnect()
-        if self._reading_paused and self.conn.is_open and len(self._pending_replies) < MAX_PIPELINE_DEPTH:
+        if self._reading_paused and self._may_read_command:
             self.on_data()
             self.conn.resume_reading()
 
--- a/tests/net/test_client_connection.py
+++ b/tests/net/test_client_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from itertools import pairwise
 from string import ascii_letters
 from typing import ClassVar
 from unittest import mock
@@ -180,6 +181,27 @@
                 client.conn.close()
 
 
+class CommandsWithoutReply(NetworkScene):
+    # Found by the review: clients that sent empty commands at full speed kept all others waiting for seconds.
+    def test_a_flood_of_empty_commands_is_handled_in_parts_with_others_between_them(self) -> None:
+        count = 30_000
+        flooding = self.client()
+        self.until(lambda: self.listener.clients, "the client")
+        [accepted] = self.listener.clients
+        with mock.patch.object(accepted, "_handle_command", wraps=accepted._handle_command) as handle:
+            handled = [0]  # after each iteration
+
+            def is_finished() -> bool:
+                handled.append(handle.call_count)
+                return handle.call_count == count
+
+            flooding.conn.send(b"*0\r\n" * count)
+            self.until(is_finished, "all commands")
+        self.assertLess(max(after - before for before, after in pairwise(handled)), 1000)
+        flooding.conn.send(PING)
+        self.assert_received(flooding, b"+PONG\r\n")
+
+
 class Disconnects(NetworkScene):
     def disconnected(self) -> set[int]:
         return {event.request_id for event in self.balancer.events if isinstance(event, ClientDisconnected)}
