Restart the silence timeout of a watch once for each read, not for each line

Discovery may send empty lines as signs of life, and each replaced a timer: a flood of them holds the event loop, and with it all clients, for a time by its length alone.

Change: lines are handled as before, and the timeout is restarted once at the end of a read that made progress.

Test: 50,000 empty lines restarted it 50,001 times before, under 20 times now. The tests of the watch, the registry and the applier pass.

--- a/lupinladder/net/discovery/endpoint_watch.py
+++ b/lupinladder/net/discovery/endpoint_watch.py
@@ -147,14 +147,16 @@
         del body[: end + 1]
         self._searched_bytes = len(body)
         self._last_progress_length = 0
+        has_progress = False
         for line in lines:
             texts = self._objects.feed_line(line)
             if not self._connection.is_open:
                 return  # the listener has closed this watch
-            if texts or self._objects.is_idle:
-                self._restart_silence_timer()
+            has_progress = has_progress or bool(texts) or self._objects.is_idle
             for text in texts:
                 self._listener.on_update(self, text)
+        if has_progress and self._connection.is_open:
+            self._restart_silence_timer()  # once, as there may be thousands of empty lines
 
     def _restart_silence_timer(self) -> None:
         """Restart the silence timeout, as the watch has made progress.
--- a/tests/net/test_endpoint_watch.py
+++ b/tests/net/test_endpoint_watch.py
@@ -49,6 +49,18 @@
                 self.assertEqual(self.update_kinds(), ["FAILED"])
                 self.updates.clear()
 
+    def test_thousands_of_empty_lines_restart_the_silence_timeout_once_for_each_read(self) -> None:
+        # Related to the review's case 3: each empty line replaced a timer, and a flood of them held the loop.
+        peer = self.serve_watch(b"")
+        self.until(lambda: self.watch()._has_response, "the watch")
+        watch = self.watch()
+        restart = mock.Mock(wraps=watch._restart_silence_timer)
+        with mock.patch.object(watch, "_restart_silence_timer", restart):
+            peer.conn.send(chunks(b"\n" * 50_000))
+            self.until(lambda: restart.call_count, "the first read")
+            self.loop.run_once()
+        self.assertLess(restart.call_count, 20)
+
     def trickle(self, peer: RecordingPeer, data: bytes) -> None:
         """Send these bytes every 5 ms until the watch ends."""
         if not self.updates and not peer.ends:
