Bound each entry, the fields and the number of entries of an endpoint list

A list has at most 4 MiB of text, but its values were decoded whole: 4 MiB of small values took 27 to 95 MB of objects, of a memory limit of 32 to 192 MB.

Cause: the bound was one of received bytes, not of what is kept of them.

Change: an entry or field is decoded from at most 16 Ki characters, a list has at most 64 other fields and 32 Ki entries (3,200 cache nodes are the most that the operators name); anything above is an invalid list, which ends its watch.

The HTTP test now feeds seven states with four endless pieces each, from the status line to the trailers; all are bounded.

--- a/lupinladder/net/discovery/endpoint_list_decoder.py
+++ b/lupinladder/net/discovery/endpoint_list_decoder.py
@@ -8,6 +8,10 @@
 from typing import Any
 
 ENTRIES_KEY = "endpoints"
+# Limits on what is decoded: a text of many small values would become many times its size in objects.
+MAX_VALUE_CHARACTERS = 16 << 10  # of an entry or of another field
+MAX_ENTRIES = 32 << 10
+MAX_FIELDS = 64
 _WHITESPACE = re.compile(r"[ \t\n\r]*")
 _DECODER = json.JSONDecoder()
 
@@ -32,8 +36,10 @@
                 if key == ENTRIES_KEY and self._peek() == "[":
                     has_entries = True
                     yield from self._read_entries()
-                else:
+                elif len(self.fields) < MAX_FIELDS:
                     self.fields[str(key)] = self._read_value()
+                else:
+                    self._fail(f"at most {MAX_FIELDS} fields")
                 if self._peek() != ",":
                     break
                 self._expect(",")
@@ -44,7 +50,7 @@
     def _read_entries(self) -> Iterator[object]:
         self._expect("[")
         if self._peek() != "]":
-            while True:
+            for _ in range(MAX_ENTRIES):
                 yield self._read_value()
                 if self._peek() != ",":
                     break
@@ -52,12 +58,17 @@
         self._expect("]")
 
     def _read_value(self) -> Any:
-        """Decode the JSON value at the current position."""
+        """Decode the JSON value at the current position.
+
+        A value above the maximum size is an error, since only a part of it is decoded.
+        """
         self._skip_whitespace()
+        text = self._text[self._position : self._position + MAX_VALUE_CHARACTERS]
         try:
-            value, self._position = _DECODER.raw_decode(self._text, self._position)
+            value, length = _DECODER.raw_decode(text)
         except RecursionError:
             self._fail("a less deeply nested value")
+        self._position += length
         return value
 
     def _skip_whitespace(self) -> None:
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -59,8 +59,11 @@
     def test_bytes_that_are_neither_headers_nor_body_and_never_end_are_an_error(self) -> None:
         # Related to the review's case 3: a trailer that never ends was kept whole.
         chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-        for start in (chunked + b"0\r\nx: ", chunked + b"1\r\nV\r\n0\r\n", chunked + b"5;x="):
-            for piece in (b"y" * 5000, b"a: b\r\n"):
+        for start in (
+            *(b"HTTP/1.1 200 ", b"HTTP/1.1 200 OK\r\nx: ", b"HTTP/1.1 100 Continue\r\n\r\n", chunked),
+            *(chunked + b"0\r\nx: ", chunked + b"1\r\nV\r\n0\r\n", chunked + b"5;x="),
+        ):
+            for piece in (b"y" * 5000, b"0" * 5000, b"a: b\r\n", b"HTTP/1.1 100 Continue\r\n\r\n"):
                 with self.subTest(start=start, piece=piece[:4]):
                     reader = http.ResponseReader(8)
                     reader.feed(start)
