Count only what connections keep beyond their empty buffers, and fit open requests

The 4 KiB of empty buffers counted for each connection, so that 1,000 idle ones would have used up the least limit of 4 MiB and been closed; and with memory_mb 32 the open requests that are admitted (85, of up to 80 KiB) did not fit into the limit, so that sound writers could have been dropped.

Change: buffers count only what they have grown by (an attribute, as the sum is read after each event), and no more requests are open at a time than fit into the limit. This changes the number of open requests below 44 MB only.

Tests: connections without messages use up nothing (new); the limit follows from memory_mb for 32 to 192 MB and holds all open requests (new).

--- a/lupinladder/net/client_command.py
+++ b/lupinladder/net/client_command.py
@@ -12,6 +12,7 @@
 from lupinladder.errors import LupinladderError
 
 MAX_STORED_VALUE_BYTES = 64 << 10  # maximum size of a value that a client may store
+MAX_COMMAND_BYTES = MAX_STORED_VALUE_BYTES + (16 << 10)  # memory of a whole command: its value and all else
 MAX_LABELS_BYTES = 1024
 MAX_LABEL_NUMBER = 1e12  # exclusive upper bound of the numbers in labels
 KEY_DIGEST_BYTES = 8
--- a/lupinladder/net/client_connection.py
+++ b/lupinladder/net/client_connection.py
@@ -10,7 +10,13 @@
 from lupinladder.connection_limits.buffer_budget import CLIENT_BUFFERS, BufferUse
 from lupinladder.net import resp
 from lupinladder.net.client_activity import ClientActivity
-from lupinladder.net.client_command import MAX_STORED_VALUE_BYTES, ClientCommand, CommandError, parse_command
+from lupinladder.net.client_command import (
+    MAX_COMMAND_BYTES,
+    MAX_STORED_VALUE_BYTES,
+    ClientCommand,
+    CommandError,
+    parse_command,
+)
 from lupinladder.net.close_reason import CloseReason
 from lupinladder.net.connection import Connection
 from lupinladder.net.event_loop import WatchRank
@@ -24,7 +30,6 @@
 MAX_PIPELINE_DEPTH = 32  # commands of one client that may await replies; further bytes are left unread
 MAX_COMMANDS_PER_READ = 64  # of one client, before other sockets are handled; not all commands make a reply
 MAX_COMMAND_ELEMENTS = 16  # maximum number of elements in the array of a command
-MAX_COMMAND_BYTES = MAX_STORED_VALUE_BYTES + (16 << 10)  # memory of a whole command: its value and all else
 # A client that has sent no command, or only a part of one, must be closed within 3 s of connecting.
 FIRST_COMMAND_TIMEOUT_MS = 2300.0
 COMMAND_TIMEOUT_MS = 2400.0
@@ -61,7 +66,7 @@
     @property
     def kept_output_bytes(self) -> int:
         """How many bytes are kept of open requests, and of replies that the outbox has no space for."""
-        return sum(reply.kept_bytes for reply in self._pending_replies)
+        return sum([reply.kept_bytes for reply in self._pending_replies]) if self._pending_replies else 0
 
     @property
     def idle(self) -> bool:
--- a/lupinladder/net/config.py
+++ b/lupinladder/net/config.py
@@ -11,7 +11,7 @@
 from lupinladder.balancing.settings import Settings
 from lupinladder.balancing.settings_reader import parse_settings, read_value
 from lupinladder.errors import LupinladderError
-from lupinladder.net.client_command import MAX_STORED_VALUE_BYTES
+from lupinladder.net.client_command import MAX_COMMAND_BYTES, MAX_STORED_VALUE_BYTES
 from lupinladder.net.connection import Address
 from lupinladder.net.discovery.endpoint_parser import EndpointParser, parse_address
 
@@ -127,7 +127,8 @@
     """Return the maximum number of open requests: that of the settings, reduced to what fits in memory."""
     configured_maximum = read_value(settings_tree, "ceilings.max-open", int)
     maximum_in_memory = int(_memory_limit(tree) * MEMORY_SHARE_FOR_VALUES / BYTES_PER_OPEN_REQUEST)
-    return int(min(configured_maximum, max(maximum_in_memory, 1)))
+    maximum_in_buffers = _max_buffered_bytes(tree) // MAX_COMMAND_BYTES
+    return int(min(configured_maximum, max(maximum_in_memory, 1), maximum_in_buffers))
 
 
 def _max_buffered_bytes(tree: Any) -> int:
--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -126,15 +126,18 @@
             self.record_buffers()
 
     def record_buffers(self) -> None:
-        """Record how many bytes are kept for this connection. The handler calls this when the number of bytes
-        that it keeps changes outside of a call of this connection."""
+        """Record how many bytes are kept for this connection, beyond what each connection needs.
+
+        The handler calls this when the number of bytes that it keeps changes outside of a call of this
+        connection.
+        """
         if not self.is_open:
             return
         handler = self._handler
         uses = handler.buffer_uses
         buffers = self._budget.buffers
-        buffers.record(uses.input, self, self.inbox.capacity + handler.kept_input_bytes)
-        buffers.record(uses.output, self, self.outbox.capacity + handler.kept_output_bytes)
+        buffers.record(uses.input, self, self.inbox.grown_bytes + handler.kept_input_bytes)
+        buffers.record(uses.output, self, self.outbox.grown_bytes + handler.kept_output_bytes)
 
     @property
     def is_disconnected(self) -> bool:
--- a/lupinladder/net/ring_buffer.py
+++ b/lupinladder/net/ring_buffer.py
@@ -21,6 +21,7 @@
 
     def __init__(self, max_size: int) -> None:
         self.max_size = max_size  # maximum number of stored bytes
+        self.grown_bytes = 0  # memory that the buffer takes now beyond its initial capacity
         self._buffer = bytearray(min(INITIAL_CAPACITY, max_size))
         self._head = 0  # index of the oldest byte
         self._size = 0
@@ -33,11 +34,6 @@
         """How many bytes may be appended."""
         return self.max_size - self._size
 
-    @property
-    def capacity(self) -> int:
-        """How many bytes of memory the buffer takes now, used or not."""
-        return len(self._buffer)
-
     def _grow(self, min_capacity: int) -> None:
         capacity = len(self._buffer)
         while capacity < min_capacity:
@@ -45,6 +41,7 @@
         larger = bytearray(min(capacity, self.max_size))
         larger[: self._size] = self.peek(self._size)
         self._buffer = larger  # views of the old buffer stay valid
+        self.grown_bytes = len(larger) - INITIAL_CAPACITY
         self._head = 0
 
     def writable_view(self) -> memoryview:
@@ -92,6 +89,7 @@
         self._head = (self._head + count) % len(self._buffer) if self._size else 0
         if not self._size and len(self._buffer) > INITIAL_CAPACITY:
             self._buffer = bytearray(INITIAL_CAPACITY)
+            self.grown_bytes = 0
 
     def peek(self, count: int) -> bytes:
         """Return at most `count` of the oldest bytes without removing them."""
--- a/tests/net/test_buffer_limit.py
+++ b/tests/net/test_buffer_limit.py
@@ -61,6 +61,12 @@
         self.accept_request(opened_before).conn.send(LARGE_REPLY)
         self.assert_received(client, b"$400000\r\n%b\r\n" % LARGE_VALUE)
 
+    def test_connections_without_messages_use_up_nothing_of_the_limit(self) -> None:
+        clients = [self.client() for _ in range(30)]
+        self.until(lambda: len(self.listener.clients) == len(clients), "the clients")
+        self.loop.run_once()
+        self.assertEqual(self.budget.buffers.total, 0)
+
     def test_many_unfinished_replies_are_dropped_and_another_one_is_served(self) -> None:
         count = 12
         for number in range(count):
--- a/tests/net/test_config.py
+++ b/tests/net/test_config.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from lupinladder.net import config
+from lupinladder.net.client_command import MAX_STORED_VALUE_BYTES
 from tests.simulator.test_codec import SETTINGS
 from tests.support.endpoint_lists import configuration
 
@@ -25,6 +26,18 @@
         bytes_of_open_requests = proxy_config.max_open_requests * 2 * (64 << 10)
         self.assertLess(bytes_of_open_requests, 192 << 20)
 
+    def test_what_connections_may_keep_follows_from_the_memory_limit_and_holds_all_open_requests(
+        self,
+    ) -> None:
+        for memory_mb, expected_mb in ((32, 4), (64, 20), (128, 52), (192, 84)):
+            with self.subTest(memory_mb=memory_mb):
+                tree = configuration()
+                tree["limits"]["memory_mb"] = memory_mb
+                proxy_config = config.parse(json.dumps(tree))
+                self.assertEqual(proxy_config.max_buffered_bytes, expected_mb << 20)
+                bytes_of_open_requests = proxy_config.max_open_requests * MAX_STORED_VALUE_BYTES
+                self.assertLess(bytes_of_open_requests, proxy_config.max_buffered_bytes)
+
     def test_an_invalid_configuration_raises_an_error_with_a_one_line_message(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "config.json"
