Record what a connection keeps only when it has changed

Each event of a connection looked up two uses by an enumeration's member, whose hash is computed in Python; nearly always nothing had changed.

--- a/lupinladder/connection_limits/buffer_budget.py
+++ b/lupinladder/connection_limits/buffer_budget.py
@@ -72,11 +72,6 @@
             self.total -= size
             self._totals[use] -= size
 
-    @property
-    def is_exceeded(self) -> bool:
-        """Whether more bytes are kept than the limit allows."""
-        return self.total > self.limit
-
     def shed(self) -> None:
         """Let connections drop bytes until the total is within the limit.
 
@@ -84,7 +79,7 @@
         is not affected by another one that takes nearly everything, and neither is a message that is small
         for its use.
         """
-        while self.is_exceeded:
+        while self.total > self.limit:
             use = max(self._totals, key=self._totals.__getitem__)
             sizes = self._sizes[use]
             owner = max(sizes, key=sizes.__getitem__)
--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -66,6 +66,7 @@
         self._rank = rank
         self._mask = 0  # the events that the loop watches the socket for
         self._failed = False  # a read has failed, for example because of a reset
+        self._recorded_bytes: tuple[int, int] | None = (0, 0)  # by direction; None after some were shed
         self._lingering = False  # closing gracefully: further input is discarded
         self._is_sending_shut_down = False
         self._discarded_bytes = 0  # number of bytes discarded since the close started
@@ -134,10 +135,14 @@
         if not self.is_open:
             return
         handler = self._handler
-        uses = handler.buffer_uses
+        input_bytes = self.inbox.grown_bytes + handler.kept_input_bytes
+        output_bytes = self.outbox.grown_bytes + handler.kept_output_bytes
+        if self._recorded_bytes == (input_bytes, output_bytes):
+            return  # as after nearly every event
+        self._recorded_bytes = (input_bytes, output_bytes)
         buffers = self._budget.buffers
-        buffers.record(uses.input, self, self.inbox.grown_bytes + handler.kept_input_bytes)
-        buffers.record(uses.output, self, self.outbox.grown_bytes + handler.kept_output_bytes)
+        buffers.record(handler.buffer_uses.input, self, input_bytes)
+        buffers.record(handler.buffer_uses.output, self, output_bytes)
 
     @property
     def is_disconnected(self) -> bool:
@@ -197,6 +202,7 @@
 
     def shed(self, use: BufferUse, size: int) -> None:
         """Drop the bytes that are kept for this use; see `BufferOwner`."""
+        self._recorded_bytes = None
         metrics.buffers_shed[use] += 1
         log_event("buffers_shed", use=use, bytes=size, limit=self._budget.buffers.limit)
         if self._lingering:
@@ -268,8 +274,9 @@
         finally:
             self._update_watch()
             self.record_buffers()
-            if self._budget.buffers.is_exceeded:
-                self._budget.buffers.shed()
+            buffers = self._budget.buffers
+            if buffers.total > buffers.limit:
+                buffers.shed()
 
     def _call_handler(self, call: Callable[[], None]) -> None:
         """Call the handler. An exception ends only this connection; the loop logs it."""
