--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Case 7: clients that stop in the middle of a command hold the descriptors, and requests of others lie unread."""
+"""Case 7: clients that stop within a command hold the descriptors, and requests of others lie unread."""
 
 from __future__ import annotations
 
