--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,89 +1,71 @@
-"""Case 10: half commands of a few bad clients make the proxy reset clients that wait for their answers."""
+"""Case 10: an answer of the origin whose length is too short for its value is served as a whole one."""
 
 from __future__ import annotations
 
 import asyncio
 import sys
-from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "standins-2"))
 
 import standins
 
-MEMORY_MB = 32
-WRITES = 48
-INTERVAL_S = 0.02
-BAD_CLIENTS = 20
-VALUE_BYTES = 64 << 10
-ORIGIN_TAKES_S = 2.2
+REQUESTS = 60
+SPOILT_EVERY = 6  # one answer of the origin in so many is spoilt
+INTERVAL_S = 0.05
+WORK_S = 0.03
 
 
 async def play(deployment: standins.Deployment, with_trouble: bool) -> list[str]:
-    """Let usual clients write values, and then bad ones send half a command each."""
+    """Read keys that the nodes lack, and write some, and check each value and receipt."""
+    answered = 0
 
     async def node_answers(
-        _node: standins.CacheNode, words: list[bytes], _connection: int
+        _node: standins.CacheNode, _words: list[bytes], _connection: int
     ) -> standins.Answer:
-        return standins.hit(words)
-
-    runs = Counter[bytes]()
+        await asyncio.sleep(WORK_S)
+        return standins.MISS
 
     async def origin_answers(
         _origin: standins.Origin, _method: str, key: bytes, request_id: bytes, _labels: bytes
     ) -> bytes:
-        runs[request_id] += 1
-        await asyncio.sleep(ORIGIN_TAKES_S)
-        return standins.http_ok(standins.value_for(key, request_id))
+        nonlocal answered
+        answered += 1
+        is_spoilt = with_trouble and answered % SPOILT_EVERY == 0
+        await asyncio.sleep(WORK_S)
+        value = standins.value_for(key, request_id)
+        response = standins.http_ok(value)
+        if is_spoilt:
+            return response.replace(b"Length: %d" % len(value), b"Length: %d" % (len(value) - 20))
+        return response
 
     for number in range(10):
         await deployment.add(standins.CacheNode(deployment.record, f"s-{number}", node_answers), "small-1")
     await deployment.add(standins.Origin(deployment.record, origin_answers), "origin")
-    proxy = await deployment.start_proxy(standins.settings(), memory_mb=MEMORY_MB, sockets=256)
+    proxy = await deployment.start_proxy(standins.settings())
     tasks = []
-    for number in range(WRITES):
-        tasks.append(asyncio.create_task(_write(deployment, proxy, number)))
+    for number in range(REQUESTS):
+        tasks.append(asyncio.create_task(_ask(deployment, proxy, number)))
         await asyncio.sleep(INTERVAL_S)
-    await asyncio.sleep(0.2)
-    bad = []
-    if with_trouble:
-        deployment.record(f"{BAD_CLIENTS} clients connect, send half a command and stay")
-        words = (b"OBJ.SET", b"%016x" % 9, b"%016x" % 9, b"c=claim-submit,d=3000", b"x" * VALUE_BYTES)
-        for _ in range(BAD_CLIENTS):
-            _, writer = await asyncio.open_connection(proxy.host, proxy.port)
-            writer.write(standins.command(*words)[: -(2 << 10)])
-            bad.append(writer)
-    results = await asyncio.gather(*tasks)
-    for writer in bad:
-        writer.close()
-    twice = [f"claim-submit {name.decode()} ran {count} times" for name, count in runs.items() if count > 1]
-    return [result for result in results if result] + twice
-
+    return [line for line in await asyncio.gather(*tasks) if line]
 
-async def _write(deployment: standins.Deployment, proxy: standins.Proxy, number: int) -> str:
-    """Write one value on a new connection; return what is wrong with its answer, if anything.
 
-    A client whose connection ends without an answer sends the request once more on a new one.
-    """
+async def _ask(deployment: standins.Deployment, proxy: standins.Proxy, number: int) -> str:
+    """Ask one request on a new connection; return what is wrong with its value, if anything."""
     record = deployment.record
-    key, request_id = b"%016x" % (number + 1), b"%016x" % (0xBED0000 + number)
-    text = b"c=claim-submit,d=3000"
-    data = standins.command(b"OBJ.SET", key, request_id, text, b"v" * VALUE_BYTES)
-    wrong = ""
-    for _ in range(2):
-        reader, writer = await asyncio.open_connection(proxy.host, proxy.port)
-        writer.write(data)
-        record(f"client {number} sends {request_id.decode()} OBJ.SET {key.decode()} {text.decode()}")
-        try:
-            reply = await asyncio.wait_for(standins.read_reply(reader), 8)
-            record(f"client {number} gets for {request_id.decode()}: {reply[:90]!r}")
-            break
-        except (asyncio.IncompleteReadError, ConnectionError, TimeoutError) as error:
-            record(f"client {number} gets no answer to {request_id.decode()}: {type(error).__name__}")
-            wrong = f"request {request_id.decode()} got no answer: {type(error).__name__}"
-        finally:
-            writer.close()
-    return wrong
+    key, request_id = b"%016x" % (number + 1), b"%016x" % (0xCAB0000 + number)
+    words = [b"OBJ.GET", key, request_id, b"c=parcel-history,d=3000"]
+    if number % 4 == 3:
+        words = [b"OBJ.SET", key, request_id, b"c=claim-submit,d=3000", b"a claim"]
+    reader, writer = await asyncio.open_connection(proxy.host, proxy.port)
+    writer.write(standins.command(*words))
+    record(f"client {number} sends {b' '.join(words).decode()}")
+    reply = await asyncio.wait_for(standins.read_reply(reader), 10)
+    writer.close()
+    record(f"client {number} gets for {request_id.decode()}: {reply[:90]!r}")
+    if reply.startswith(b"$") and reply[1:] != standins.value_for(key, request_id):
+        return f"request {request_id.decode()} for {key.decode()} was served with {reply[1:]!r}"
+    return ""
 
 
 if __name__ == "__main__":
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -110,10 +110,14 @@
         self._server = await asyncio.start_server(self._on_connection, "127.0.0.1", 0, backlog=512)
         self.port = self._server.sockets[0].getsockname()[1]
 
-    async def stop(self) -> None:
-        """Stop listening and end every connection."""
+    def stop_listening(self) -> None:
+        """Accept no new connection; the open ones stay."""
         if self._server is not None:
             self._server.close()
+
+    async def stop(self) -> None:
+        """Stop listening and end every connection."""
+        self.stop_listening()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -144,9 +148,15 @@
         super().__init__(record, "discovery")
         self.index = 1
         self.entries: dict[str, dict[str, Any]] = {}
-        self._changed: dict[str, int] = {}
+        self.changed: dict[str, int] = {}
         self._news = asyncio.Condition()
 
+    def share_list_of(self, other: Discovery) -> None:
+        """Take over the list of the same service at another address."""
+        self.index = other.index
+        self.entries = dict(other.entries)
+        self.changed = dict(other.changed)
+
     async def put(self, server: Server, kind: str, **fields: Any) -> None:
         """List a server, or change its entry."""
         entry = {
@@ -163,7 +173,7 @@
         async with self._news:
             self.index += 1
             self.entries[server.name] = entry
-            self._changed[server.name] = self.index
+            self.changed[server.name] = self.index
             self._news.notify_all()
 
     def snapshot(self) -> dict[str, Any]:
@@ -174,7 +184,7 @@
     def _changes_after(self, index: int) -> dict[str, Any]:
         if index <= 0:
             return self.snapshot()
-        changed = [entry for name, entry in self.entries.items() if self._changed[name] > index]
+        changed = [entry for name, entry in self.entries.items() if self.changed[name] > index]
         return {"index": self.index, "snapshot": False, "endpoints": changed}
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
