Review, case 8: a silent watch and one refused call keep draining nodes in use

Cause: the times of the watch leave room for one call after the silence, and a growing random wait follows each that is refused.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Case 9: while reads wait for the origin, the proxy accepts nobody, and requests of new clients lie unread."""
+"""Case 9: while reads wait for the origin the proxy accepts nobody; requests of new clients lie unread."""
 
 from __future__ import annotations
 
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -150,12 +150,11 @@
         self.entries: dict[str, dict[str, Any]] = {}
         self.changed: dict[str, int] = {}
         self._news = asyncio.Condition()
+        self._muted: set[asyncio.StreamWriter] = set()
 
-    def share_list_of(self, other: Discovery) -> None:
-        """Take over the list of the same service at another address."""
-        self.index = other.index
-        self.entries = dict(other.entries)
-        self.changed = dict(other.changed)
+    def mute(self, writers: list[asyncio.StreamWriter]) -> None:
+        """Write nothing more to these connections, which stay open."""
+        self._muted.update(writers)
 
     async def put(self, server: Server, kind: str, **fields: Any) -> None:
         """List a server, or change its entry."""
@@ -201,6 +200,8 @@
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         first = True
         while True:
+            if writer in self._muted:
+                await asyncio.Event().wait()  # never set: the connection stays open and silent
             line = b"\n"
             if first or self.index > index:
                 line = json.dumps(self._changes_after(index)).encode() + b"\n"
@@ -472,6 +473,12 @@
         self.servers: list[Server] = [self.discovery]
         self.proxies: list[Proxy] = []
 
+    async def use_discovery(self, discovery: Discovery) -> None:
+        """Use this discovery in place of the usual one, before anything is listed."""
+        await self.discovery.stop()
+        self.servers[0] = self.discovery = discovery
+        await discovery.start()
+
     async def add(self, server: Server, kind: str, **fields: Any) -> None:
         """Start a server and list it."""
         await server.start()
