--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -450,6 +450,16 @@
         self._record(f"{number.name} to proxy {self.config['name']}")
         self.process.send_signal(number)
 
+    def resident_kb(self) -> int:
+        """Return the resident memory of the process, 0 once it has ended."""
+        assert self.process is not None
+        try:
+            status = Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            return 0
+        found = re.search(r"VmRSS:\s*(\d+)", status)
+        return int(found[1]) if found else 0
+
     async def stop(self) -> None:
         """Kill the process if it still runs."""
         if self.process is not None and self.process.returncode is None:
