Review, case 7: commands at a pace, so that the verdict does not depend on the machine

Cause: with all commands at once the memory without the disruption (56 MB) grew with the speed of the machine.

Change: a client sends one command in 50 ms without waiting for answers, 32 in all.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -14,7 +14,8 @@
 
 MEMORY_MB = 72
 CLIENTS = 40
-COMMANDS = 32  # that each client sends at once
+COMMANDS = 32  # that each client sends without waiting for answers
+PACE_S = 0.05  # between two commands of a client, so that the load does not depend on the machine
 VALUE = b"v" * (64 << 10)
 USUAL_ORIGIN_S, SLOW_ORIGIN_S = 0.17, 2.8
 USUAL_WRITERS, USUAL_WRITES = 40, 12  # before: each writer asks one after another
@@ -23,7 +24,7 @@
 
 
 async def play(deployment: standins.Deployment, with_trouble: bool) -> list[str]:
-    """Let clients send many writes at once, and end the proxy when it is over its memory limit."""
+    """Let clients send many writes without waiting, and end the proxy when it is over its memory limit."""
     record = deployment.record
     is_slow = False
 
@@ -89,11 +90,13 @@
 async def _send_many(
     deployment: standins.Deployment, proxy: standins.Proxy, client: int, answers: Counter[str]
 ) -> None:
-    """Send many writes at once and read their answers."""
+    """Send many writes, and read their answers after that."""
     reader, writer = await asyncio.open_connection(proxy.host, proxy.port)
     names = [b"%016x" % (0xB0000 + client * 100 + number) for number in range(COMMANDS)]
-    deployment.record(f"client {client} sends {COMMANDS} writes from {names[0].decode()} on at once")
-    writer.write(b"".join(standins.command(b"OBJ.SET", name, name, LABELS, VALUE) for name in names))
+    deployment.record(f"client {client} sends {COMMANDS} writes from {names[0].decode()} on")
+    for name in names:
+        writer.write(standins.command(b"OBJ.SET", name, name, LABELS, VALUE))
+        await asyncio.sleep(PACE_S)
     answered = 0
     with suppress(asyncio.IncompleteReadError, ConnectionError, TimeoutError):
         for name in names:
