--- a/review/7/case.py
+++ b/review/7/case.py
@@ -95,6 +95,8 @@
     names = [b"%016x" % (0xB0000 + client * 100 + number) for number in range(COMMANDS)]
     deployment.record(f"client {client} sends {COMMANDS} writes from {names[0].decode()} on")
     for name in names:
+        if writer.is_closing():
+            break  # the proxy has been killed
         writer.write(standins.command(b"OBJ.SET", name, name, LABELS, VALUE))
         await asyncio.sleep(PACE_S)
     answered = 0
