A reply that is known no longer keeps the command of its request

Cause: PendingReply referred to its request, and so to the command of 64 KiB, while the known reply waited behind an earlier one of its client. Its counted bytes were those of the reply, and max_open_requests counts open requests alone.

Change: a reply refers to its request only until it is known, in whichever order the two come.

--- a/lupinladder/net/client_connection.py
+++ b/lupinladder/net/client_connection.py
@@ -177,9 +177,10 @@
         if unread_time < MIN_UNREAD_TIME_MS:
             unread_time = 0.0
         timeout = max(command.timeout - unread_time, MIN_REQUEST_TIMEOUT_MS)
-        reply.request = self._listener.dispatcher.dispatch(
+        request = self._listener.dispatcher.dispatch(
             command, lambda request_number: command.request_received(request_number, timeout), reply
         )
+        reply.wait_for(request)
 
     # Writing
 
--- a/lupinladder/net/pending_reply.py
+++ b/lupinladder/net/pending_reply.py
@@ -19,15 +19,30 @@
     def __init__(self, client: ClientConnection, request_id: bytes = b"") -> None:
         self._client = client
         self.request_id = request_id  # the client's id; empty for a command that is answered immediately
-        self.request: PendingRequest | None = None
         self.encoded: bytes | None = None  # set once the reply is known
+        self._request: PendingRequest | None = None  # None again once the reply is known
+
+    @property
+    def request(self) -> PendingRequest | None:
+        """The request while the reply is not known; None for a command that is answered immediately."""
+        return self._request
+
+    def wait_for(self, request: PendingRequest | None) -> None:
+        """Wait for the answer to a request.
+
+        It may have been answered while it was dispatched. A reply that is known must not refer to its
+        request: it may wait for long behind earlier ones, and would keep the command, whose bytes are counted
+        no more.
+        """
+        if self.encoded is None:
+            self._request = request
 
     @property
     def kept_bytes(self) -> int:
         """How many bytes are kept: those of the reply, or before it is known those of the command."""
         if self.encoded is not None:
             return len(self.encoded)
-        return self.request.command.byte_count if self.request is not None else 0
+        return self._request.command.byte_count if self._request is not None else 0
 
     def on_served(self, value: bytes) -> None:
         """Reply with the value."""
@@ -45,4 +60,5 @@
 
     def _set(self, answer: bytes) -> None:
         self.encoded = answer
+        self._request = None
         self._client.on_reply_ready(self)
--- a/tests/net/test_client_connection.py
+++ b/tests/net/test_client_connection.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+import gc
 import socket
 from itertools import pairwise
 from string import ascii_letters
-from typing import ClassVar
+from typing import Any, ClassVar
 from unittest import mock
 
-from lupinladder.balancing.actions import Reject, StartAttempt
+from lupinladder.balancing.actions import Action, Reject, StartAttempt
 from lupinladder.balancing.events import AttemptEnded, ClientDisconnected, RequestReceived, TimerFired
 from lupinladder.net import connection
+from lupinladder.net.client_command import ClientCommand
 from lupinladder.net.client_connection import MAX_PIPELINE_DEPTH
 from lupinladder.net.connection import Connection
+from lupinladder.net.resp import encode_array
 from tests.support.network_scene import (
     MISSED,
     NODE,
@@ -135,6 +138,47 @@
         self.assertEqual(client.received, value * 32)
 
 
+class AnsweredCommands(NetworkScene):
+    # The review's case 7: answered writes behind an open one took a process over its memory limit.
+    def test_a_command_is_not_kept_while_its_reply_waits_behind_an_earlier_one(self) -> None:
+        for answers_at_once in (True, False):
+            with self.subTest(answers_at_once=answers_at_once):
+                gc.collect()
+                earlier = {id(command) for command in self.kept_commands()}
+                client = self.client_with_answered_writes(answers_at_once)
+                self.assertEqual(client.received, b"")  # the first request has no answer yet
+                kept = [command for command in self.kept_commands() if id(command) not in earlier]
+                self.assertEqual([command.request_id for command in kept], [b"a"])
+                client.conn.close()
+                self.until(lambda: not self.listener.clients, "the disconnect")
+
+    def kept_commands(self) -> list[ClientCommand]:
+        """Return the commands that anything in the process refers to."""
+        return [one for one in gc.get_objects() if isinstance(one, ClientCommand)]
+
+    def client_with_answered_writes(self, answers_at_once: bool) -> RecordingPeer:
+        """Return a client of which all writes but the first are answered, at once or a moment later."""
+        self.balancer.events.clear()
+
+        def react(event: Any) -> list[Action]:
+            requests = [e.request_id for e in self.balancer.events if isinstance(e, RequestReceived)]
+            if isinstance(event, TimerFired):
+                return [Reject(number) for number in requests[1:]]
+            is_first = event.request_id == requests[0]
+            return [Reject(event.request_id)] if answers_at_once and not is_first else []
+
+        self.balancer.react = react
+        ids = ascii_letters.encode()[:20]
+        client = self.client(
+            b"".join(
+                encode_array([b"OBJ.SET", b"1f", b"%c" % one, b"c=read,d=900", b"v" * 8000]) for one in ids
+            )
+        )
+        self.until(lambda: len(self.balancer.events) == len(ids), "all writes")
+        self.dispatcher.notify(TimerFired(1))
+        return client
+
+
 class FramingErrors(NetworkScene):
     def test_a_framing_error_is_sent_after_the_pending_replies_and_closes_the_connection(self) -> None:
         client = self.client(get() + b"GET / HTTP/1.1\r\n\r\n")
