A connection to a server carries one attempt at a time, also without descriptors

Cause: attempts that shared a connection got the replies in order, and a dropped request has no reply.

Change: nothing is written behind an attempt in flight. While descriptors are short idempotent attempts wait unsent in a queue of their pool, up to three for each busy connection. Counter attempts_queued.

Tests: DroppedRequests failed before in both parts. Two tests asserted several commands on one connection, which is the fault; they assert now that there is one, with the same answers. The planted defect "double" of the emulator's tests opens its second connection by itself, as the old way is gone.

--- a/lupinladder/net/connection_pool.py
+++ b/lupinladder/net/connection_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from math import inf
 
 from lupinladder.balancing.events import Outcome
@@ -24,6 +25,9 @@
 IDLE_TIMEOUT_FACTOR = 0.8
 # A connection is opened ahead of the next attempt if the last two were at most this far apart.
 MAX_SPARE_INTERVAL_MS = 2000.0
+# Maximum number of attempts for each busy connection, including the one on it, while descriptors are short.
+# More of them would wait for longer than it takes to try another server.
+MAX_ATTEMPTS_PER_CONNECTION = 4
 
 
 class ConnectionPool:
@@ -31,7 +35,8 @@
 
     A connection carries one attempt at a time, and is reused only for an attempt whose reply can be told from
     those to earlier ones (`reply_history`). The most recently used idle connection is reused first, so that
-    the others can reach the idle timeout. Attempts share a connection only while descriptors are short.
+    the others can reach the idle timeout. While descriptors are short, idempotent attempts wait in a queue
+    until a connection is free.
     """
 
     def __init__(
@@ -44,7 +49,8 @@
         connect_timeout_ms: float,
         max_attempts_per_connection: int,
     ) -> None:
-        """`idle_timeout_ms` is the time after which the server closes an idle connection."""
+        """`idle_timeout_ms` is the time after which the server closes an idle connection. At most
+        `max_attempts_per_connection` attempts wait for each connection, including the one on it."""
         self.loop = loop
         self.budget = budget
         self.address = address
@@ -52,7 +58,9 @@
         self.connect_timeout_ms = connect_timeout_ms
         self.reuse_policy = ReusePolicy()
         self._idle_timeout_ms = idle_timeout_ms * IDLE_TIMEOUT_FACTOR
-        self._max_attempts_per_connection = max_attempts_per_connection
+        self._max_queued_per_connection = min(max_attempts_per_connection, MAX_ATTEMPTS_PER_CONNECTION) - 1
+        self._queue = deque[Attempt]()  # they wait for a connection while descriptors are short
+        self._is_queue_scheduled = False
         self._idle: list[UpstreamConnection] = []  # the most recently used one last
         self._busy: dict[UpstreamConnection, None] = {}  # in the order in which they became busy
         self._waiting: dict[Attempt, UpstreamConnection] = {}  # for the end of a request that missed
@@ -66,23 +74,32 @@
         self._last_interval_ms = now - self._last_started_at
         self._last_started_at = now
         self.reuse_policy.record_attempt()
-        connection = self._take_idle(attempt) or self._take_opening()
-        if connection is None:
-            connection = self._open_or_share(attempt)
-        if connection is None:
+        connection = self._take_connection(attempt)
+        if connection is not None:
+            connection.assign(attempt)
+        elif self._may_queue(attempt):
+            metrics.attempts_queued += 1
+            self._queue.append(attempt)
+        else:
             metrics.attempts_without_descriptor += 1
             attempt.end(Outcome.CONNECT_FAILED)
-            return
-        connection.assign(attempt)
 
     def abandon(self, attempt: Attempt) -> None:
         """Stop waiting for an attempt. The caller ends it."""
+        if attempt in self._queue:
+            self._queue.remove(attempt)
+            return
         for connection in self._busy:
             if connection.abandon(attempt):
                 return
 
     def request_finished(self, attempt: Attempt) -> None:
-        """Abort the rest of an attempt that is partly written, as its request is finished."""
+        """Abort the rest of an attempt that is partly written, or that is queued, as its request is
+        finished."""
+        if attempt in self._queue:
+            self._queue.remove(attempt)
+            self._end_unsent(attempt)
+            return
         for connection in self._busy:
             if connection.stop_writing(attempt):
                 return
@@ -92,6 +109,7 @@
         self._busy.pop(connection, None)
         connection.waits_for = attempt
         self._waiting[attempt] = connection
+        self._schedule_queue()
 
     def release(self, attempt: Attempt, end: RequestEnd) -> None:
         """Use the connection again on which an attempt missed. It is closed if the request may have a value
@@ -127,6 +145,7 @@
         self._retired_at = self.loop.now()
         for connection in [*self._idle, *self._waiting.values()]:
             connection.close(CloseReason.SERVER_RETIRED)
+        self._schedule_queue()
 
     def may_send(self, attempt: Attempt) -> bool:
         """Whether the first byte of an attempt may be written now; a refusal is counted."""
@@ -153,6 +172,7 @@
         self.budget.idle_connections[connection] = None
         close_at = self.loop.now() + self._idle_timeout_ms
         connection.idle_timer = self.loop.call_at(close_at, lambda: connection.close(CloseReason.SERVER_IDLE))
+        self._schedule_queue()
 
     def remove(self, connection: UpstreamConnection) -> None:
         """Remove a closed connection from the pool."""
@@ -162,6 +182,16 @@
             self._idle.remove(connection)
         if connection.waits_for is not None:
             self._waiting.pop(connection.waits_for, None)
+        self._schedule_queue()
+
+    def _take_connection(self, attempt: Attempt) -> UpstreamConnection | None:
+        """Return a connection without an attempt, marked as busy; None while descriptors are short."""
+        connection = self._take_idle(attempt) or self._take_opening()
+        if connection is None and self._make_descriptor_available():
+            connection = self._open()
+            if connection is not None:
+                self._busy[connection] = None
+        return connection
 
     def _take_idle(self, attempt: Attempt) -> UpstreamConnection | None:
         """Return the most recently used idle connection that may carry an attempt, and mark it as busy."""
@@ -198,14 +228,6 @@
             return False
         return history.may_carry(attempt)
 
-    def _open_or_share(self, attempt: Attempt) -> UpstreamConnection | None:
-        """Open a connection and mark it as busy; while descriptors are short, return one to be shared."""
-        connection = self._open() if self._make_descriptor_available() else None
-        if connection is None:
-            return self._least_loaded_with_capacity(attempt)
-        self._busy[connection] = None
-        return connection
-
     def _make_descriptor_available(self) -> bool:
         """Whether a connection may be opened; if necessary, an idle one of any pool is closed for it."""
         return self.budget.has_capacity(self._reserved_for_clients) or self.budget.close_longest_idle()
@@ -221,18 +243,42 @@
             log_event("upstream_connect_failed", address=format_address(self.address), error=error)
             return None
 
-    def _least_loaded_with_capacity(self, attempt: Attempt) -> UpstreamConnection | None:
-        """Return the connection that an attempt may share with others.
+    # The queue
 
-        Only idempotent requests share connections: a reply to one before it may be the last one that can be
-        attributed, which ends the connection.
+    def _may_queue(self, attempt: Attempt) -> bool:
+        """Whether an attempt may wait until a connection is free.
+
+        Other requests than idempotent ones are rejected early, which tells their clients that they did not
+        run.
         """
         if not attempt.request.is_idempotent:
-            return None
-        candidates = [
-            connection
-            for connection in self._busy
-            if connection.attempt_count < self._max_attempts_per_connection
-            and self._may_carry(connection, attempt)
-        ]
-        return min(candidates, key=lambda connection: connection.attempt_count, default=None)
+            return False
+        return len(self._queue) < len(self._busy) * self._max_queued_per_connection
+
+    def _schedule_queue(self) -> None:
+        """Start queued attempts soon: a connection is free, or a descriptor, or none will be."""
+        if self._queue and not self._is_queue_scheduled:
+            self._is_queue_scheduled = True
+            self.loop.call_soon(self._start_queued)
+
+    def _start_queued(self) -> None:
+        """Start the queued attempts for which there is a connection; end those that must not be sent."""
+        self._is_queue_scheduled = False
+        while self._queue:
+            attempt = self._queue[0]
+            if not self.may_send(attempt):
+                self._queue.popleft()
+                self._end_unsent(attempt)
+                continue
+            connection = self._take_connection(attempt)
+            if connection is None:
+                break
+            self._queue.popleft()
+            connection.assign(attempt)
+        while self._queue and not self._busy:  # no connection is left that could become free
+            metrics.attempts_without_descriptor += 1
+            self._queue.popleft().end(Outcome.CONNECT_FAILED)
+
+    def _end_unsent(self, attempt: Attempt) -> None:
+        metrics.attempts_never_started += 1
+        attempt.end(Outcome.CONNECT_FAILED)
--- a/lupinladder/net/in_flight_attempt.py
+++ b/lupinladder/net/in_flight_attempt.py
@@ -12,7 +12,7 @@
 class InFlightAttempt:
     """An attempt whose command was passed to the socket and whose reply was not received yet."""
 
-    attempt: Attempt | None  # None: abandoned; its reply must still be read, as replies come in order
+    attempt: Attempt
     end_offset: int  # number of bytes queued on the connection up to the attempt's last byte
     write_started_at: float  # when its first byte was written, in ms
 
--- a/lupinladder/net/metrics.py
+++ b/lupinladder/net/metrics.py
@@ -16,6 +16,7 @@
 
     accept_errors: int = 0
     attempts_never_started: int = 0
+    attempts_queued: int = 0
     attempts_started: int = 0
     attempts_without_descriptor: int = 0
     cache_node_errors: int = 0
--- a/lupinladder/net/upstream_connection.py
+++ b/lupinladder/net/upstream_connection.py
@@ -1,8 +1,7 @@
-"""One connection to a server, and its attempts from assignment to outcome."""
+"""One connection to a server, and the attempt on it from assignment to outcome."""
 
 from __future__ import annotations
 
-from collections import deque
 from typing import TYPE_CHECKING
 
 from lupinladder.balancing.events import Outcome
@@ -33,10 +32,10 @@
 
 
 class UpstreamConnection:
-    """A connection of a pool, with its attempts in the order in which they are written.
+    """A connection of a pool, which carries one attempt at a time.
 
-    It queues attempts until they can be written, and checks just before it writes one whether it may still
-    be sent.
+    Replies name no request, and a server may drop a request without a reply. If a second command were written
+    before the reply to the first one, its reply could be taken for that one.
     """
 
     buffer_uses = SERVER_BUFFERS
@@ -45,8 +44,8 @@
     def __init__(self, pool: ConnectionPool) -> None:
         """Start connecting. Raises OSError if the system has no socket available."""
         self._pool = pool
-        self.unsent: deque[Attempt] = deque()  # they wait for the connection or for attempts before them
-        self.in_flight: deque[InFlightAttempt] = deque()
+        self.unsent: Attempt | None = None  # it waits for the connection to be established
+        self.in_flight: InFlightAttempt | None = None
         self.reader = pool.protocol.create_reader()
         self.history = ReplyHistory()
         self.waits_for: Attempt | None = None  # the attempt that missed, until its request is finished
@@ -60,30 +59,30 @@
         self._connect_timer: Timer | None = pool.loop.call_at(connect_deadline, self._on_connect_timeout)
         self._write_timer: Timer | None = None  # for a partly written command
 
-    @property
-    def attempt_count(self) -> int:
-        """The number of attempts on the connection, written or not."""
-        return len(self.unsent) + len(self.in_flight)
-
     @property
     def is_spare(self) -> bool:
         """Whether the connection is being established and no attempt waits for it."""
-        return self.connection.connecting and not self.unsent
+        return self.connection.connecting and self.unsent is None
 
     def assign(self, attempt: Attempt) -> None:
-        """Write an attempt as soon as all attempts that were assigned before it are written."""
-        self.unsent.append(attempt)
+        """Write an attempt as soon as the connection is established. No other one may be on it."""
+        assert self.unsent is None
+        assert self.in_flight is None
+        self.unsent = attempt
         self._write()
 
     def abandon(self, attempt: Attempt) -> bool:
         """Stop waiting for an attempt; False if it is not on this connection.
 
-        Unless other attempts wait on the connection, it is closed, which informs the server.
+        The connection is closed, which informs the server. The caller ends the attempt.
         """
-        if not self._detach(attempt):
+        if self._sent_attempt is attempt:
+            self.in_flight = None
+        elif self.unsent is attempt:
+            self.unsent = None
+        else:
             return False
-        if not self.unsent and all(entry.attempt is None for entry in self.in_flight):
-            self.close(CloseReason.SERVER_ABANDONED)
+        self.close(CloseReason.SERVER_ABANDONED)
         return True
 
     def stop_writing(self, attempt: Attempt) -> bool:
@@ -92,22 +91,34 @@
         False if the attempt is not on this connection. An attempt that is not written at all is refused when
         it is due to be written.
         """
-        for entry in self.in_flight:
-            if entry.attempt is attempt:
-                if self.connection.bytes_sent < entry.end_offset:
-                    self._abort_partial_write(SendRefusal.REQUEST_FINISHED)
-                return True
-        return attempt in self.unsent
+        if self._sent_attempt is not attempt:
+            return self.unsent is attempt
+        if self._is_partly_written:
+            self._abort_partial_write(SendRefusal.REQUEST_FINISHED)
+        return True
+
+    @property
+    def _sent_attempt(self) -> Attempt | None:
+        return None if self.in_flight is None else self.in_flight.attempt
+
+    @property
+    def _is_partly_written(self) -> bool:
+        return self.in_flight is not None and self.connection.bytes_sent < self.in_flight.end_offset
 
     def close(self, reason: CloseReason) -> None:
-        """Close the connection and end its attempts.
+        """Close the connection and end its attempt.
 
-        The server may have executed an attempt only if its last byte was written.
+        The server may have executed the attempt only if its last byte was written.
         """
         if not self._is_closed:
             metrics.connections_closed[reason] += 1
         self._is_closed = True
-        bytes_sent = self.connection.bytes_sent
+        outcome = Outcome.CONNECT_FAILED
+        if self.in_flight is not None and not self._is_partly_written:
+            outcome = Outcome.RESET
+        attempt = self._sent_attempt or self.unsent
+        self.in_flight = None
+        self.unsent = None
         self.connection.close()
         for timer in (self._connect_timer, self.idle_timer, self._write_timer):
             self._pool.loop.cancel(timer)
@@ -115,16 +126,8 @@
         self.idle_timer = None
         self._write_timer = None
         self._pool.remove(self)
-        in_flight = self.in_flight
-        self.in_flight = deque()
-        unsent = self.unsent
-        self.unsent = deque()
-        for entry in in_flight:
-            if entry.attempt is not None:
-                was_written = bytes_sent >= entry.end_offset
-                entry.attempt.end(Outcome.RESET if was_written else Outcome.CONNECT_FAILED)
-        for attempt in unsent:
-            attempt.end(Outcome.CONNECT_FAILED)
+        if attempt is not None:
+            attempt.end(outcome)
 
     # The connection calls the methods below; see `ConnectionHandler`.
 
@@ -134,14 +137,14 @@
         return self.reader.kept_bytes
 
     def on_connected(self) -> None:
-        """The connection is established: write the queued attempts."""
+        """The connection is established: write the attempt that waits for it."""
         self._pool.loop.cancel(self._connect_timer)
         self._connect_timer = None
         self._write()
 
     def on_data(self) -> None:
-        """Bytes were received: end the attempts whose replies are complete."""
-        while self.connection.is_open and self.in_flight:
+        """Bytes were received: end the attempt if its reply is complete."""
+        while self.connection.is_open and self.in_flight is not None:
             try:
                 reply = self.reader.next_reply(self.connection.inbox)
             except (UpstreamProtocolError, FramingError) as error:
@@ -149,24 +152,20 @@
                 return
             if reply is None:
                 return
-            self._complete_oldest(reply)
-        if self.connection.is_open and not self.in_flight:
+            self._complete(self.in_flight, reply)
+        if self.connection.is_open and self.in_flight is None:
             self._check_for_excess_bytes()
 
     def on_written(self) -> None:
-        """Queued bytes were written: continue with the queued attempts."""
-        if self.unsent:
-            self._write()
+        """Do nothing: the next command is written after the reply to this one."""
 
     def may_write(self) -> bool:
         """Whether queued bytes may still be written. If the rest of a partly written command must not be
         written, the connection is closed."""
-        partial = next(
-            (entry for entry in self.in_flight if self.connection.bytes_sent < entry.end_offset), None
-        )
-        if partial is None or partial.attempt is None:
-            return True  # an abandoned attempt counts as executed, and others may wait behind it
-        refusal = continue_refusal(partial.attempt, partial.write_started_at, self._pool.loop.now())
+        entry = self.in_flight
+        if entry is None or not self._is_partly_written:
+            return True
+        refusal = continue_refusal(entry.attempt, entry.write_started_at, self._pool.loop.now())
         if refusal is None:
             return True
         self._abort_partial_write(refusal)
@@ -176,12 +175,13 @@
         """The connection has failed, or the server has closed it normally, which may complete a reply."""
         reply: UpstreamReply | None = None
         attempt: Attempt | None = None
-        if by_peer and self.in_flight:
+        if by_peer and self.in_flight is not None:
             reply = self.reader.reply_at_close()
             if reply is not None and self.history.classify(reply) is ReplyVerdict.UNATTRIBUTABLE:
-                self._drop_unattributable_reply()
+                self._drop_unattributable_reply(self.in_flight)
             elif reply is not None:
-                attempt = self.in_flight.popleft().attempt
+                attempt = self.in_flight.attempt
+                self.in_flight = None
         self.close(CloseReason.SERVER_ENDED if by_peer else CloseReason.SERVER_BROKE)
         if attempt is not None and reply is not None:
             end_with_reply(attempt, reply)
@@ -191,7 +191,7 @@
         self.close(CloseReason.SERVER_BUFFERS_SHED)
 
     def _on_connect_timeout(self) -> None:
-        """End the attempts that wait. The connection may still be established for later attempts."""
+        """End the attempt that waits. The connection may still be established for a later one."""
         if not self.connection.connecting:
             return
         loop = self._pool.loop
@@ -200,25 +200,24 @@
             self.close(CloseReason.SERVER_CONNECT_TIMEOUT)
             return
         self._connect_timer = loop.call_at(close_at, self._on_connect_timeout)
-        unsent = self.unsent
-        self.unsent = deque()
-        for attempt in unsent:
+        attempt = self.unsent
+        self.unsent = None
+        if attempt is not None:
             attempt.end(Outcome.CONNECT_FAILED)
 
     def _write(self) -> None:
-        """Write the attempts that may still be sent, one by one, while the system accepts the bytes."""
-        refused = list[Attempt]()
-        while self.unsent and not self.connection.connecting and not len(self.connection.outbox):
-            attempt = self.unsent.popleft()
-            if self._pool.may_send(attempt):
-                self._send(attempt)
-            else:
-                refused.append(attempt)
-        if not self.attempt_count and not self.connection.connecting:
-            self._pool.mark_idle(self)
-        metrics.attempts_never_started += len(refused)
-        for attempt in refused:  # last, as ending an attempt may call this connection again
-            attempt.end(Outcome.CONNECT_FAILED)
+        """Write the attempt that waits, if it may still be sent. Without one the connection is idle."""
+        if self.connection.connecting:
+            return
+        attempt = self.unsent
+        self.unsent = None
+        if attempt is not None and self._pool.may_send(attempt):
+            self._send(attempt)
+            return
+        self._pool.mark_idle(self)
+        if attempt is not None:
+            metrics.attempts_never_started += 1
+            attempt.end(Outcome.CONNECT_FAILED)  # last, as it may call this connection again
 
     def _send(self, attempt: Attempt) -> None:
         now = self._pool.loop.now()
@@ -227,7 +226,7 @@
         attempt.sent_at = now
         data = self._pool.protocol.encode(attempt.request.command, timeout_ms)
         self.history.request_count += 1
-        self.in_flight.append(InFlightAttempt(attempt, self.connection.bytes_queued + len(data), now))
+        self.in_flight = InFlightAttempt(attempt, self.connection.bytes_queued + len(data), now)
         self.connection.send(data)
         if len(self.connection.outbox):
             self._pool.loop.cancel(self._write_timer)
@@ -238,30 +237,30 @@
         metrics.sends_refused[refusal] += 1
         self.close(CloseReason.SERVER_HALF_WRITTEN)
 
-    def _complete_oldest(self, reply: UpstreamReply) -> None:
-        """End the oldest attempt in flight, unless the reply cannot be attributed to it. The connection is
-        released first, to be reusable at once."""
+    def _complete(self, entry: InFlightAttempt, reply: UpstreamReply) -> None:
+        """End the attempt in flight, unless the reply cannot be attributed to it. The connection is released
+        first, to be reusable at once."""
         verdict = self.history.classify(reply)
         if verdict is ReplyVerdict.UNATTRIBUTABLE:
-            self._drop_unattributable_reply()
+            self._drop_unattributable_reply(entry)
             return
         self._last_reply_at = self._pool.loop.now()
-        attempt = self.in_flight.popleft().attempt
+        self.in_flight = None
+        attempt = entry.attempt
         if self.reader.closes_connection:
             self.close(CloseReason.SERVER_LAST_REPLY)
         elif verdict is ReplyVerdict.ACCEPT:
-            if not self.attempt_count and self._check_for_excess_bytes():
+            if self._check_for_excess_bytes():
                 self._pool.mark_idle(self)
-        elif verdict is ReplyVerdict.ACCEPT_AND_WAIT and attempt is not None and self._can_wait_for(attempt):
+        elif verdict is ReplyVerdict.ACCEPT_AND_WAIT and not attempt.request.finished:
             if self._check_for_excess_bytes():
                 self._pool.wait_for_end(self, attempt)
         else:
             self._pool.discard(self)
-        if attempt is not None:
-            end_with_reply(attempt, reply)
+        end_with_reply(attempt, reply)
 
     def _reply_context(self) -> ReplyContext:
-        attempt = self.in_flight[0].attempt if self.in_flight else None
+        attempt = self._sent_attempt
         return ReplyContext(
             now=self._pool.loop.now(),
             last_reply_at=self._last_reply_at,
@@ -269,18 +268,12 @@
             history=attempt.request.history() if attempt else None,
         )
 
-    def _can_wait_for(self, attempt: Attempt) -> bool:
-        """Whether the request of an attempt that missed is open and no other attempt is on the connection."""
-        return not attempt.request.finished and not self.attempt_count
-
-    def _drop_unattributable_reply(self) -> None:
-        """Close the connection without ending the oldest attempt in flight by its reply: the reply may belong
-        to an earlier request."""
+    def _drop_unattributable_reply(self, entry: InFlightAttempt) -> None:
+        """Close the connection without ending the attempt by its reply, which may belong to an earlier
+        request."""
         self._pool.reuse_policy.record_repeated_value()
         metrics.upstream_replies_unattributable += 1
-        log_unattributable_reply(
-            self._pool.address, self._reply_context(), self.in_flight[0].write_started_at
-        )
+        log_unattributable_reply(self._pool.address, self._reply_context(), entry.write_started_at)
         self.close(CloseReason.SERVER_REPEATED_REPLY)
 
     def _check_for_excess_bytes(self) -> bool:
@@ -298,14 +291,3 @@
         log_invalid_reply(self._pool.address, self._reply_context(), reason)
         metrics.upstream_replies_invalid += 1
         self.close(CloseReason.SERVER_INVALID_REPLY)
-
-    def _detach(self, attempt: Attempt) -> bool:
-        """Remove an unsent attempt, or mark one in flight as abandoned; False if it is not found."""
-        for entry in self.in_flight:
-            if entry.attempt is attempt:
-                entry.attempt = None
-                return True
-        if attempt in self.unsent:
-            self.unsent.remove(attempt)
-            return True
-        return False
--- a/tests/emulator/faulty_proxy.py
+++ b/tests/emulator/faulty_proxy.py
@@ -11,10 +11,11 @@
 
 from lupinladder import __main__ as program
 from lupinladder.balancing.events import Endpoint, EndpointState
-from lupinladder.net import connection_pool, pending_reply, upstream_connection
+from lupinladder.net import connection_pool, pending_reply
+from lupinladder.net.connection import Connection
+from lupinladder.net.connection_handler import NULL_HANDLER
 from lupinladder.net.discovery import endpoint_parser, server_directory
 from lupinladder.net.discovery.endpoint_parser import ListedEndpoint
-from lupinladder.net.in_flight_attempt import InFlightAttempt
 
 CLAIM_SUBMIT = 2  # index of this class in a scenario's classes; its writes may not be repeated
 REPLIES_FOR_EACH_LOST = 40  # one reply in this many is lost
@@ -30,9 +31,8 @@
         start(self, attempt)
         command = attempt.request.command
         if command.is_write and command.request_class == CLAIM_SUBMIT:
-            connection = upstream_connection.UpstreamConnection(self)
-            connection.in_flight.append(InFlightAttempt(None, 1 << 40, 0.0))
-            connection.connection.send(self.protocol.encode(command, 1000.0))
+            second = Connection.connect(self.loop, self.budget, self.address, NULL_HANDLER)
+            second.send(self.protocol.encode(command, 1000.0))
 
     connection_pool.ConnectionPool.start = start_twice  # type: ignore[method-assign]
 
--- a/tests/net/test_connection_pool.py
+++ b/tests/net/test_connection_pool.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 from typing import Any
 from unittest import mock
 
 from lupinladder.balancing.actions import Action, Fail, StartAttempt
 from lupinladder.balancing.events import AttemptEnded, RequestReceived
+from lupinladder.net.cache_node_protocol import CacheNodeProtocol
+from lupinladder.net.pending_request import PendingRequest
+from lupinladder.net.resp import encode_array
 from tests.support.network_scene import (
     MISSED,
     NODE,
@@ -21,6 +25,7 @@
 )
 
 PING = b"*1\r\n$4\r\nPING\r\n"
+REQUEST_ID = re.compile(rb"OBJ\.GET\r\n\$2\r\n1f\r\n\$\d+\r\n(\w+)\r\n")
 OK_HTTP = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nV"
 
 
@@ -34,6 +39,11 @@
     return OK_HTTP.replace(b"V", value)
 
 
+def get_with_id(request_id: bytes, time_ms: int) -> bytes:
+    """Return a read with this request id, of a client that waits for so long."""
+    return encode_array([b"OBJ.GET", b"1f", request_id, b"c=read,d=%d" % time_ms])
+
+
 def send_twice(first: bytes, second: bytes | None) -> Callable[[Any], list[Action]]:
     """Send each request to `first`, without an answer to `second`, and without an answer fail it."""
 
@@ -255,21 +265,105 @@
         self.assertEqual(handler.answers, [b"V"])
 
 
+class DroppingPeer(RecordingPeer):
+    """A node that drops the request `dropped` without a reply, and answers all others in their order, each
+    with its id as the value."""
+
+    def on_data(self) -> None:
+        data = self.conn.inbox.read(len(self.conn.inbox))
+        self.received += data
+        for request_id in REQUEST_ID.findall(data):
+            if request_id != b"dropped":
+                self.conn.send(SERVED.replace(b"$1\r\nV", b"$%d\r\n%b" % (len(request_id), request_id)))
+
+
+class DroppingNode(RecordingListener):
+    peer_type = DroppingPeer
+
+
+class DroppedRequests(NetworkScene):
+    """A node may drop a request without a reply; the next reply on its connection is that to another one.
+
+    Guards against clients that are served the values of others while descriptors are short (review, case 6).
+    """
+
+    SOCKETS = 5  # the listener, three clients, and one connection to the node
+    STREAMS = 8
+
+    def test_the_reply_behind_a_dropped_request_is_given_to_its_own_request(self) -> None:
+        for dropped_time_ms in (60, 600):  # it expires before the others are written, or after their replies
+            with self.subTest(dropped_time_ms=dropped_time_ms):
+                node = DroppingNode(self.loop)
+                self.addCleanup(node.close)
+                self.pools[NODE] = self.link(node.address, CacheNodeProtocol([]))
+                clients = [
+                    self.client(get_with_id(request_id, time_ms))
+                    for request_id, time_ms in (
+                        (b"dropped", dropped_time_ms),
+                        (b"second", 2000),
+                        (b"third", 2000),
+                    )
+                ]
+                self.until(lambda: all(client.received for client in clients), "all replies")  # noqa: B023
+                self.assertEqual(
+                    [client.received for client in clients],
+                    [b"-ERR failed\r\n", b"$6\r\nsecond\r\n", b"$5\r\nthird\r\n"],
+                )
+                for client in clients:
+                    client.conn.close()
+                self.pools[NODE].retire()
+                self.until(lambda: self.budget.used == 1, "the end of the connections")
+
+
 class DescriptorShortage(NetworkScene):
     SOCKETS = 2
     STREAMS = 2
     MAX_OPEN = 3
 
-    def test_attempts_share_a_connection_up_to_the_limit(self) -> None:
+    def test_attempts_wait_for_a_connection_up_to_the_limit(self) -> None:
         handlers = [self.dispatch_read(), self.dispatch_read(60), self.dispatch_read()]
         self.until(lambda: handlers[2].answers, "the third to be refused")
         self.assertEqual(self.balancer.ends(), [(0, "CONNECT_FAILED", False)])
         node = self.accept_request()
         self.until(lambda: handlers[1].answers, "the second to time out")
-        self.assertEqual(handlers[0].answers, [])  # the other attempt on the connection is not aborted
-        node.conn.send(SERVED * 2)
-        self.until(lambda: handlers[0].answers, "the first reply")
-        self.assertEqual((handlers[0].answers, handlers[1].answers), ([b"V"], ["failed"]))
+        self.assertEqual(handlers[0].answers, [])  # the attempt on the connection is not aborted
+        self.assertEqual(node.received.count(b"OBJ.GET"), 1)  # only one at a time is on the connection
+        queued = self.dispatch_read()
+        node.conn.send(SERVED)
+        self.until(lambda: node.received.count(b"OBJ.GET") == 2, "the queued request")
+        node.conn.send(served(b"W"))
+        self.until(lambda: queued.answers, "the second reply")
+        self.assertEqual(
+            [handler.answers for handler in (*handlers, queued)], [[b"V"], ["failed"], ["failed"], [b"W"]]
+        )
+        self.assertEqual([outcome for _, outcome, _ in self.balancer.ends()][1], "CONNECT_FAILED")
+
+    def test_a_queued_attempt_is_not_sent_once_its_client_has_left(self) -> None:
+        self.assert_queued_is_not_sent(lambda request: self.dispatcher.client_disconnected(request))
+
+    def test_a_queued_attempt_is_not_sent_once_its_server_is_retired(self) -> None:
+        self.assert_queued_is_not_sent(lambda _: self.pools[NODE].retire())
+
+    def assert_queued_is_not_sent(self, end: Callable[[PendingRequest], None]) -> None:
+        first = self.dispatch_read()
+        node = self.accept_request()
+        queued = self.dispatch_read().query
+        assert queued
+        end(queued)
+        node.conn.send(SERVED)
+        self.until(lambda: first.answers and self.dispatcher.is_idle, "the replies")
+        self.assertEqual(node.received.count(b"OBJ.GET"), 1)
+        ends = [outcome for _, outcome, _ in self.balancer.ends()]
+        self.assertEqual(sorted(ends), ["CONNECT_FAILED", "OK"])
+
+    def test_queued_attempts_end_with_the_last_connection_if_no_descriptor_is_left(self) -> None:
+        self.dispatch_read()
+        node = self.accept_request()
+        queued = self.dispatch_read()
+        with mock.patch.object(self.budget, "has_capacity", lambda reserved=0: False):
+            node.reset()
+            self.until(lambda: queued.answers, "the end of the queued request")
+        self.assertEqual([outcome for _, outcome, _ in self.balancer.ends()], ["RESET", "CONNECT_FAILED"])
 
     def test_an_idle_connection_is_closed_when_a_client_or_another_server_needs_its_descriptor(self) -> None:
         handler = self.dispatch_read()
