The limit of buffered bytes also holds while a late iteration accepts clients

Cause: the limit was enforced after an event of each connection's socket, but a late iteration accepts all clients and reads each at once in the one event of the listening socket.

Change: Connection.read_available enforces the limit as well.

Result: the new test failed before (7.3 MB counted of 4 MiB) and passes.

--- a/lupinladder/connection_limits/buffer_budget.py
+++ b/lupinladder/connection_limits/buffer_budget.py
@@ -72,7 +72,7 @@
             self.total -= size
             self._totals[use] -= size
 
-    def shed(self) -> None:
+    def enforce_limit(self) -> None:
         """Let connections drop bytes until the total is within the limit.
 
         The use with the most bytes loses those of the connection that keeps most for it. So a use with little
--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -125,6 +125,7 @@
             self._read()
             self._update_watch()
             self.record_buffers()
+            self._budget.buffers.enforce_limit()
 
     def record_buffers(self) -> None:
         """Record how many bytes are kept for this connection, beyond what each connection needs.
@@ -274,9 +275,7 @@
         finally:
             self._update_watch()
             self.record_buffers()
-            buffers = self._budget.buffers
-            if buffers.total > buffers.limit:
-                buffers.shed()
+            self._budget.buffers.enforce_limit()
 
     def _call_handler(self, call: Callable[[], None]) -> None:
         """Call the handler. An exception ends only this connection; the loop logs it."""
--- a/tests/connection_limits/test_buffer_budget.py
+++ b/tests/connection_limits/test_buffer_budget.py
@@ -39,9 +39,9 @@
         commands = [Owner(budget, BufferUse.CLIENT_INPUT, size) for size in (300, 200, 100)]
         late = Owner(budget, BufferUse.CLIENT_INPUT, 250)
         self.assertEqual(budget.total, 1250)
-        budget.shed()
+        budget.enforce_limit()
         self.assertEqual([owner.shed_sizes for owner in (reply, *commands, late)], [[], [300], [], [], []])
         self.assertEqual(budget.total, 950)
         budget.record(BufferUse.CLIENT_INPUT, late, 1250)
-        budget.shed()
+        budget.enforce_limit()
         self.assertEqual([owner.shed_sizes for owner in (reply, late)], [[], [1250]])
--- a/tests/net/test_buffer_limit.py
+++ b/tests/net/test_buffer_limit.py
@@ -88,6 +88,21 @@
         self.until(lambda: writer.conn.bytes_sent == len(HALF_SET), "the first part of a write")
         self.assert_within_limit()
 
+    # A late iteration accepts and reads all clients; nothing was dropped before the last one was read.
+    def test_clients_that_are_accepted_in_a_late_iteration_do_not_exceed_the_limit(self) -> None:
+        clients = [socket.create_connection(self.address) for _ in range(120)]
+        for client in clients:
+            self.addCleanup(client.close)
+            client.setblocking(False)
+            client.send(HALF_SET)
+        self.stall(1000)
+        self.until(lambda: len(self.listener.clients) + self.errors_sent() >= len(clients), "the clients")
+        self.assert_within_limit()
+
+    def errors_sent(self) -> int:
+        """Return how many former clients are still to take the last bytes sent to them."""
+        return len(self.listener.lingering_connections)
+
     def test_requests_before_a_dropped_command_are_answered(self) -> None:
         client = self.client(read(b"a") + HALF_SET)
         node = self.accept_request()
