A closed connection drops its buffers at once

Cause: the loop refers to all ready sockets of an iteration until its end, and a late one may close hundreds. Each kept its inbox of up to 160 KiB, which counted no more: buffered_bytes_peak_total was 4.2 MB while the process took 42.9 MB.

Change: Connection.close drops both buffers, and send does nothing on a closed connection.

Result: ClosedConnections failed before and passes.

--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -103,10 +103,12 @@
         return connection
 
     def send(self, data: bytes) -> None:
-        """Queue the bytes and try to write them immediately.
+        """Queue the bytes and try to write them immediately. Does nothing if the connection is closed.
 
         Check `outbox.available_space` first: RingBufferFullError is raised for more bytes than that.
         """
+        if not self.is_open:
+            return
         self.outbox.append(data)
         self.bytes_queued += len(data)
         if not self.connecting and len(self.outbox) == len(data):
@@ -230,6 +232,10 @@
             self._budget.buffers.remove(self._handler.buffer_uses, self)
             self._handler = NULL_HANDLER
             self._linger_timer = None
+            # The event loop refers to each socket that was ready until its iteration ends, and may close
+            # hundreds of them in it.
+            self.inbox = RingBuffer(0)
+            self.outbox = RingBuffer(0)
             self._loop.watch(self._sock, self._mask, 0, self._on_ready, self._rank)
             self._mask = 0
             self._sock.close()
--- a/tests/net/test_connection.py
+++ b/tests/net/test_connection.py
@@ -49,6 +49,25 @@
         )
 
 
+class ClosedConnections(NetworkScene):
+    # The loop refers to all sockets of an iteration until its end; hundreds that were closed in it kept their
+    # bytes, which were counted no more.
+    def test_a_closed_connection_keeps_no_bytes(self) -> None:
+        local_socket, peer_socket = socket.socketpair()
+        self.addCleanup(peer_socket.close)
+        local_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        budget = ConnectionBudget(9, 64 << 20)
+        closing = Connection(self.loop, budget, local_socket, NULL_HANDLER)
+        closing.send(b"x" * 200_000)
+        peer_socket.send(b"x" * 100_000)
+        self.until(lambda: closing.inbox.grown_bytes, "bytes in the inbox")
+        self.assertGreater(closing.outbox.grown_bytes, 0)
+        closing.close()
+        closing.send(b"x")  # nobody will take it
+        self.assertEqual((closing.inbox.grown_bytes, closing.outbox.grown_bytes), (0, 0))
+        self.assertEqual((len(closing.inbox), len(closing.outbox), budget.buffers.total), (0, 0, 0))
+
+
 class FailingCalls(NetworkScene):
     def fail_first(
         self, name: str, affected: set[int], numbers: tuple[int, ...] = TRANSIENT_ERRORS
