Clients that send much at once no longer keep the loop in one iteration for seconds

Change: reading and handling are apart. A late iteration reads all sockets; once its 5 ms are over commands wait for the phase of deferred calls, in which each client has turns of 0.5 ms. Time before a late iteration counts as unread, and a client whose commands wait for their turn is not closed as one in the middle of a command.

Result: ManyCommands failed before (1,200 commands in one iteration, 18 allowed) and passes.

--- a/lupinladder/net/client_connection.py
+++ b/lupinladder/net/client_connection.py
@@ -29,6 +29,9 @@
 
 MAX_PIPELINE_DEPTH = 32  # commands of one client that may await replies; further bytes are left unread
 MAX_COMMANDS_PER_READ = 64  # of one client, before other sockets are handled; not all commands make a reply
+# Maximum time in ms for which commands of one client are handled before other clients have their turn. The
+# command that is being handled when it is over is completed.
+MAX_HANDLING_TIME_MS = 0.5
 MAX_COMMAND_ELEMENTS = 16  # maximum number of elements in the array of a command
 # A client that has sent no command, or only a part of one, must be closed within 3 s of connecting.
 FIRST_COMMAND_TIMEOUT_MS = 2300.0
@@ -50,6 +53,7 @@
         self._closing = False  # no more commands are read, and it closes after the pending replies
         self._reading = False
         self._reading_paused = False  # after one of the limits above; commands may be left unread
+        self._is_resume_scheduled = False
         self._unread_since = inf  # since when commands in the inbox have waited for earlier replies
         self._close_reason = CloseReason.CLIENT_ENDED  # used once `_closing` is set
         self._command_incomplete = False
@@ -91,6 +95,8 @@
         """Read the commands that have arrived."""
         if self._reading:
             return  # reentered through `flush` after an immediate reply
+        if self._is_resume_scheduled:
+            return  # the commands wait for their turn; bytes that arrive meanwhile bring it no nearer
         if self.activity.command_count and not self._command_incomplete:
             self._command_started_at = self._listener.loop.now()
         self._reading = True
@@ -108,8 +114,10 @@
         self.update_idle_state()
 
     def _read_commands(self) -> None:
+        loop = self._listener.loop
+        stop_at = loop.now() + MAX_HANDLING_TIME_MS
         for _ in range(MAX_COMMANDS_PER_READ):
-            if not self._may_read_command:
+            if not self._may_read_command or loop.is_phase_over or loop.now() >= stop_at:
                 break
             value = self._parser.next(self.conn.inbox)
             if isinstance(value, resp.Incomplete):
@@ -117,7 +125,8 @@
                 return
             self._handle_command(value)
         self._reading_paused = not self._closing
-        self._unread_since = min(self._unread_since, self._listener.loop.now())
+        # Bytes that were read in this iteration may have been unread before it, too.
+        self._unread_since = min(self._unread_since, loop.now() - loop.unread_time)
 
     @property
     def _may_read_command(self) -> bool:
@@ -125,7 +134,15 @@
             return False
         return len(self._pending_replies) < MAX_PIPELINE_DEPTH
 
+    def _schedule_resume(self) -> None:
+        """Read further commands soon: deferred, as commands that are answered at once would recurse without
+        limit, and only once, so that each client has the same number of turns."""
+        if not self._is_resume_scheduled:
+            self._is_resume_scheduled = True
+            self._listener.loop.call_soon(self._resume_reading)
+
     def _resume_reading(self) -> None:
+        self._is_resume_scheduled = False
         self.conn.detect_disconnect()
         if self._reading_paused and self._may_read_command:
             self.on_data()
@@ -211,8 +228,7 @@
         if not self.conn.is_open:
             return
         if self._reading_paused:
-            # Deferred, as commands that are answered immediately would recurse without limit.
-            self._listener.loop.call_soon(self._resume_reading)
+            self._schedule_resume()
         elif self._pending_replies:
             return
         elif self._closing or self.conn.eof:
@@ -322,6 +338,8 @@
         self.conn.detect_disconnect()
         if self._pending_replies or self._closing or len(self.conn.outbox):
             return
+        if self._reading_paused:
+            return  # its commands have arrived and wait for their turn
         if self.idle:
             self.activity.report_idle(now)
             if self.activity.idle_time(now) > self._idle_timeout(descriptors_short):
--- a/lupinladder/net/event_loop.py
+++ b/lupinladder/net/event_loop.py
@@ -68,6 +68,7 @@
         self._running = True
         self._endpoint_list_socket_count = 0  # with none, most iterations need no sorting
         self._iteration_started_at = self.now()
+        self._phase_ends_at = self._iteration_started_at  # when the time of the current phase is over
         self._postponed_descriptors: set[int] = set()  # they were ready and wait for the next iteration
         # The earliest time at which one of them may have become ready.
         self._postponed_since = self._iteration_started_at
@@ -137,6 +138,14 @@
         """When the current iteration started to handle ready sockets, in ms."""
         return self._iteration_started_at
 
+    @property
+    def is_phase_over(self) -> bool:
+        """Whether the current phase of the iteration has used its time.
+
+        A late iteration handles all ready sockets even so; work that can wait should be deferred then.
+        """
+        return self.now() >= self._phase_ends_at
+
     def run_once(self) -> None:
         """Run one iteration: wait for a socket or a timer, then handle everything that is due."""
         wait_started_at = self.now()
@@ -182,9 +191,9 @@
             elif self._endpoint_list_socket_count or self._postponed_descriptors:
                 ready.sort(key=self._handling_order)
         self._postponed_descriptors = set()
-        stop_at = self._iteration_started_at + MAX_PHASE_TIME_MS
+        self._phase_ends_at = self._iteration_started_at + MAX_PHASE_TIME_MS
         for index, (key, mask) in enumerate(ready):
-            if index and not self.is_late and self.now() >= stop_at:
+            if index and not self.is_late and self.is_phase_over:
                 self._postponed_descriptors = {remaining_key.fd for remaining_key, _ in ready[index:]}
                 return
             # An earlier callback may have closed this socket, and its descriptor may be in use again.
@@ -202,6 +211,7 @@
         Timers that a callback adds wait for the next iteration, or timers in the past would starve the
         sockets.
         """
+        self._phase_ends_at = now + MAX_PHASE_TIME_MS
         last_sequence_number = self._last_sequence_number
         fired_count = 0
         while (
@@ -209,7 +219,7 @@
             and self._timers[0].due_at <= now
             and self._timers[0].sequence_number <= last_sequence_number
         ):
-            if fired_count and self.now() >= now + MAX_PHASE_TIME_MS:
+            if fired_count and self.is_phase_over:
                 break
             self._run_callback(self._timers.pop(0).callback)
             fired_count += 1
@@ -217,8 +227,9 @@
 
     def _run_deferred_calls(self, now: float) -> None:
         """Run deferred calls for at most `MAX_PHASE_TIME_MS`."""
+        self._phase_ends_at = now + MAX_PHASE_TIME_MS
         for index in range(len(self._deferred_calls)):
-            if index and self.now() >= now + MAX_PHASE_TIME_MS:
+            if index and self.is_phase_over:
                 break
             self._run_callback(self._deferred_calls.popleft())
 
--- a/tests/net/test_client_connection.py
+++ b/tests/net/test_client_connection.py
@@ -4,6 +4,7 @@
 
 import gc
 import socket
+import time
 from itertools import pairwise
 from string import ascii_letters
 from typing import Any, ClassVar
@@ -13,9 +14,10 @@
 from lupinladder.balancing.events import AttemptEnded, ClientDisconnected, RequestReceived, TimerFired
 from lupinladder.net import connection
 from lupinladder.net.client_command import ClientCommand
-from lupinladder.net.client_connection import MAX_PIPELINE_DEPTH
+from lupinladder.net.client_connection import MAX_PIPELINE_DEPTH, ClientConnection
 from lupinladder.net.connection import Connection
-from lupinladder.net.resp import encode_array
+from lupinladder.net.event_loop import MAX_PHASE_TIME_MS
+from lupinladder.net.resp import Value, encode_array
 from tests.support.network_scene import (
     MISSED,
     NODE,
@@ -246,6 +248,65 @@
         self.assert_received(flooding, b"+PONG\r\n")
 
 
+class ManyCommands(NetworkScene):
+    # Hundreds of clients that sent much at once kept the loop in one late iteration for up to 10 s; others
+    # were not answered.
+    CLIENTS = 40
+    COMMANDS = 30  # of each client
+    COMMAND_TIME_S = 0.001  # how long each takes, on a clock that the test moves
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.handled = 0
+        self.stall_s = 0.0
+        monotonic = time.monotonic
+        clock_patch = mock.patch(
+            "time.monotonic", lambda: monotonic() + self.handled * self.COMMAND_TIME_S + self.stall_s
+        )
+        clock_patch.start()
+        self.addCleanup(clock_patch.stop)
+        handle = ClientConnection._handle_command
+
+        def handle_slowly(connection: ClientConnection, value: Value) -> None:
+            self.handled += 1
+            handle(connection, value)
+
+        handle_patch = mock.patch.object(ClientConnection, "_handle_command", handle_slowly)
+        handle_patch.start()
+        self.addCleanup(handle_patch.stop)
+
+    def test_an_iteration_in_which_many_clients_have_sent_much_handles_a_few_commands(self) -> None:
+        clients = self.clients_with_commands()
+        self.stall_s = 1.0  # the iteration is late, so that it handles all sockets
+        handled = [0]  # after each iteration
+
+        def is_finished() -> bool:
+            handled.append(self.handled)
+            return all(client.received == b"+PONG\r\n" * self.COMMANDS for client in clients)
+
+        self.until(is_finished, "all replies")
+        phases = 3
+        max_handled = phases * (MAX_PHASE_TIME_MS / 1000 / self.COMMAND_TIME_S + 1)
+        self.assertLessEqual(max(after - before for before, after in pairwise(handled)), max_handled)
+
+    def test_a_command_of_another_client_waits_for_one_turn_of_each_of_them(self) -> None:
+        self.clients_with_commands()
+        self.until(lambda: self.handled > self.CLIENTS, "some commands")
+        client = self.client(PING)
+        self.until(lambda: len(self.listener.clients) > self.CLIENTS, "the client to be accepted")
+        handled_before = self.handled
+        self.assert_received(client, b"+PONG\r\n")
+        self.assertLess(self.handled - handled_before, 3 * self.CLIENTS)
+
+    def clients_with_commands(self) -> list[RecordingPeer]:
+        """Return clients that have connected, and have sent their commands, which the loop has not read."""
+        clients = [self.client() for _ in range(self.CLIENTS)]
+        self.until(lambda: len(self.listener.clients) == self.CLIENTS, "the clients")
+        for client in clients:
+            client.conn._sock.send(PING * self.COMMANDS)
+        return clients
+
+
 class Disconnects(NetworkScene):
     def disconnected(self) -> set[int]:
         return {event.request_id for event in self.balancer.events if isinstance(event, ClientDisconnected)}
