Reads that wait for the origin no longer keep new clients out

Cause: a connection on which a read missed waits for the end of its request and carries nothing, but only idle ones were given up for a client; and the third that is reserved for connections to servers was kept from clients within their share as well. accept_paused says now what holds the descriptors: 46 of 155 in use waited, none was idle, 77 of 232 were free. No turn of the loop was slow, which excludes a late loop.

Change: ConnectionBudget.close_unused closes one that waits if none is idle. Clients within their share may use the last descriptor; those beyond it leave the third.

--- a/lupinladder/net/client_listener.py
+++ b/lupinladder/net/client_listener.py
@@ -22,7 +22,8 @@
 
 LISTEN_BACKLOG = 1024
 MAX_ACCEPTS_PER_EVENT = 64
-UPSTREAM_DESCRIPTOR_DIVISOR = 3  # one in this many descriptors is reserved for upstream connections
+# One in this many descriptors is reserved for upstream connections from clients beyond their share.
+UPSTREAM_DESCRIPTOR_DIVISOR = 3
 CLIENT_DESCRIPTOR_DIVISOR = 3  # clients use at most one in this many for requests (LATER, "Score")
 SHORTAGE_DIVISOR = 2  # descriptors are short if less than one in this many is free
 ACCEPT_RETRY_MS = 100.0  # delay before the next accept if one failed or no descriptor was free
@@ -151,17 +152,28 @@
 
     @property
     def _has_client_descriptor(self) -> bool:
-        """Whether a descriptor is free in addition to those reserved for upstream connections."""
+        """Whether a descriptor is free for a client.
+
+        Clients within their share may use all descriptors, as upstream connections are kept from a part of
+        them for this. Beyond it, some stay reserved for upstream connections, which the requests of clients
+        need.
+        """
+        if self._is_within_share:
+            return self.budget.has_capacity()
         return self.budget.has_capacity(self.budget.limit // UPSTREAM_DESCRIPTOR_DIVISOR)
 
+    @property
+    def _is_within_share(self) -> bool:
+        return len(self.clients) < self.capacity.share
+
     @property
     def _may_take_upstream_descriptor(self) -> bool:
-        """Whether clients hold less than their share while upstream connections are idle.
+        """Whether clients hold less than their share while upstream connections are unused.
 
         Beyond their share, clients displace only each other; otherwise a flood of clients would leave no
         descriptor for upstream connections.
         """
-        return len(self.clients) < self.capacity.share and bool(self.budget.idle_connections)
+        return self._is_within_share and self.budget.has_unused_connection
 
     def _on_readable(self, _events: int) -> None:
         # In a late iteration, all waiting clients are accepted and read immediately. Their bytes may have
@@ -172,15 +184,27 @@
             # Only before the first accept is it certain that a client waits, which justifies closing another
             # connection.
             if not self._has_client_descriptor and (accepted_count or not self._release_descriptor()):
-                log_event("accept_paused", reason="no descriptor is free for a client")
+                self._log_accept_paused()
                 break
             if self._accept(read_at_once=is_late) is not AcceptResult.DEQUEUED:
                 break
         self.update_listening()
 
+    def _log_accept_paused(self) -> None:
+        """Log that no client can be accepted, and what holds the descriptors."""
+        log_event(
+            "accept_paused",
+            reason="no descriptor is free for a client",
+            used=self.budget.used,
+            limit=self.budget.limit,
+            clients=len(self.clients),
+            idle=len(self.budget.idle_connections),
+            waiting=len(self.budget.waiting_connections),
+        )
+
     def _release_descriptor(self) -> bool:
-        """Close an idle upstream or client connection; return whether there was one."""
-        if self._may_take_upstream_descriptor and self.budget.close_longest_idle():
+        """Close an unused upstream connection or an idle client; return whether there was one."""
+        if self._may_take_upstream_descriptor and self.budget.close_unused():
             return True
         return self.idle_clients.evict_one(self.loop.now())
 
@@ -256,7 +280,7 @@
         connections.
         """
         for _ in range(LISTEN_BACKLOG):
-            if not self.budget.has_capacity() and not self.budget.close_longest_idle():
+            if not self.budget.has_capacity() and not self.budget.close_unused():
                 return False
             result = self._accept()
             if result is not AcceptResult.DEQUEUED:
--- a/lupinladder/net/connection_budget.py
+++ b/lupinladder/net/connection_budget.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
+from itertools import chain
 from typing import Protocol
 
 from lupinladder.connection_limits.buffer_budget import BufferBudget
 from lupinladder.net.close_reason import CloseReason
 
 
-class IdleConnection(Protocol):
-    """An upstream connection that no attempt uses."""
+class UnusedConnection(Protocol):
+    """An upstream connection that carries no attempt."""
 
     def close(self, reason: CloseReason) -> None:
-        """Close the connection, and remove it from the budget's idle connections."""
+        """Close the connection, and remove it from the budget."""
 
 
 class ConnectionBudget:
@@ -27,14 +28,22 @@
         self.used = 0
         self.buffers = BufferBudget(max_buffered_bytes)
         # Idle upstream connections of all pools, the longest idle first.
-        self.idle_connections: dict[IdleConnection, None] = {}
+        self.idle_connections: dict[UnusedConnection, None] = {}
+        # Upstream connections of all pools on which a request missed, until it has ended; the oldest first.
+        self.waiting_connections: dict[UnusedConnection, None] = {}
 
-    def close_longest_idle(self) -> bool:
-        """Close the upstream connection that has been idle for longest; return False if none is idle.
+    @property
+    def has_unused_connection(self) -> bool:
+        """Whether an upstream connection carries no attempt."""
+        return bool(self.idle_connections or self.waiting_connections)
 
-        This costs at most one handshake.
+    def close_unused(self) -> bool:
+        """Close an upstream connection that carries no attempt; return False if there is none.
+
+        This costs at most one handshake. The one that has been idle for longest is closed, and one that waits
+        only if none is idle.
         """
-        for connection in self.idle_connections:
+        for connection in chain(self.idle_connections, self.waiting_connections):
             connection.close(CloseReason.SERVER_DESCRIPTOR_NEEDED)
             return True
         return False
--- a/lupinladder/net/connection_pool.py
+++ b/lupinladder/net/connection_pool.py
@@ -109,6 +109,7 @@
         self._busy.pop(connection, None)
         connection.waits_for = attempt
         self._waiting[attempt] = connection
+        self.budget.waiting_connections[connection] = None
         self._schedule_queue()
 
     def release(self, attempt: Attempt, end: RequestEnd) -> None:
@@ -118,6 +119,7 @@
         if connection is None:
             return
         connection.waits_for = None
+        self.budget.waiting_connections.pop(connection, None)
         if connection.history.record_end(end):
             self.mark_idle(connection)
         else:
@@ -178,6 +180,7 @@
         """Remove a closed connection from the pool."""
         self._busy.pop(connection, None)
         self.budget.idle_connections.pop(connection, None)
+        self.budget.waiting_connections.pop(connection, None)
         if connection in self._idle:
             self._idle.remove(connection)
         if connection.waits_for is not None:
@@ -229,8 +232,8 @@
         return history.may_carry(attempt)
 
     def _make_descriptor_available(self) -> bool:
-        """Whether a connection may be opened; if necessary, an idle one of any pool is closed for it."""
-        return self.budget.has_capacity(self._reserved_for_clients) or self.budget.close_longest_idle()
+        """Whether a connection may be opened; if necessary, an unused one of any pool is closed for it."""
+        return self.budget.has_capacity(self._reserved_for_clients) or self.budget.close_unused()
 
     @property
     def _reserved_for_clients(self) -> int:
--- a/tests/net/test_connection_pool.py
+++ b/tests/net/test_connection_pool.py
@@ -396,6 +396,36 @@
         self.until(lambda: first_client.ends, "the first client to end")
         self.assertEqual((len(self.budget.idle_connections), self.node.peers[0].ends), (1, []))
 
+    # The review's case 10: reads that waited for a slow origin kept all new clients out.
+    def test_a_client_is_accepted_in_place_of_a_connection_that_waits_after_a_miss(self) -> None:
+        self.budget.limit = 4  # the listener, the first client, and two connections for its read
+        self.balancer.react = send_twice(NODE, ORIGIN)
+        reading = self.client(get_with_id(b"a", 2000))
+        node = self.accept_request()
+        node.conn.send(MISSED)
+        origin = self.accept_request(0, self.origin)  # which does not answer yet
+        self.assert_received(self.client(PING), b"+PONG\r\n")
+        self.until(lambda: node.ends, "the end of the connection on which the read missed")
+        origin.conn.send(OK_HTTP)
+        self.assert_received(reading, b"$1\r\nV\r\n")
+
+    def test_clients_within_their_share_may_use_the_last_descriptors(self) -> None:
+        self.budget.limit = 12  # a third is reserved for connections to servers, from other clients
+        self.budget.used += 10  # for connections to servers that are busy
+        self.assert_received(self.client(PING), b"+PONG\r\n")
+
+    def test_clients_beyond_their_share_leave_descriptors_for_connections_to_servers(self) -> None:
+        self.budget.limit, self.listener.capacity.share = 12, 1
+        self.balancer.react = lambda event: []
+        within_share = self.client(get_with_id(b"a", 2000))
+        self.until(lambda: self.balancer.events, "its request")
+        self.budget.used += 6
+        beyond = self.client(PING)
+        self.until(lambda: not self.listener._mask, "the listener to stop accepting")
+        self.assertEqual((len(self.listener.clients), beyond.received), (1, b""))
+        within_share.conn.close()
+        self.assert_received(beyond, b"+PONG\r\n")
+
     def test_accepting_resumes_when_any_descriptor_becomes_free(self) -> None:
         self.budget.used += 1  # for a connection to a server: no client's end can resume accepting
         waiting_client = self.client(PING)
