The end of a client is read however many commands it has sent before

Cause: behind 32 waiting commands and a full inbox nothing was read, and the client's end lies behind the bytes that its system still holds, where no call tells of it. A client with a framing error was not read from either while its replies were pending.

Change: commands that fill the inbox behind a full pipeline are answered -BUSY in their place, the oldest first, until half of it is free. Input of a client that closes after its replies is read and dropped.

--- a/lupinladder/net/client_connection.py
+++ b/lupinladder/net/client_connection.py
@@ -54,6 +54,7 @@
         self._reading = False
         self._reading_paused = False  # after one of the limits above; commands may be left unread
         self._is_resume_scheduled = False
+        self._is_inbox_overfull = False  # commands are rejected until half of the inbox is free
         self._unread_since = inf  # since when commands in the inbox have waited for earlier replies
         self._close_reason = CloseReason.CLIENT_ENDED  # used once `_closing` is set
         self._command_incomplete = False
@@ -117,13 +118,17 @@
         loop = self._listener.loop
         stop_at = loop.now() + MAX_HANDLING_TIME_MS
         for _ in range(MAX_COMMANDS_PER_READ):
-            if not self._may_read_command or loop.is_phase_over or loop.now() >= stop_at:
+            is_excess = not self._may_read_command and self._must_read_on
+            if not (self._may_read_command or is_excess) or loop.is_phase_over or loop.now() >= stop_at:
                 break
             value = self._parser.next(self.conn.inbox)
             if isinstance(value, resp.Incomplete):
                 self._unread_since = inf
                 return
-            self._handle_command(value)
+            if is_excess:
+                self._reject_excess(value)
+            else:
+                self._handle_command(value)
         self._reading_paused = not self._closing
         # Bytes that were read in this iteration may have been unread before it, too.
         self._unread_since = min(self._unread_since, loop.now() - loop.unread_time)
@@ -134,6 +139,32 @@
             return False
         return len(self._pending_replies) < MAX_PIPELINE_DEPTH
 
+    @property
+    def _must_read_on(self) -> bool:
+        """Whether commands behind a full pipeline have filled the inbox, and still take half of it.
+
+        If nothing more were read, the end of the client would lie behind unread bytes, and attempts would
+        begin for a client that has left.
+        """
+        inbox = self.conn.inbox
+        if not inbox.available_space:
+            self._is_inbox_overfull = True
+        elif inbox.available_space >= len(inbox):
+            self._is_inbox_overfull = False
+        return self._is_inbox_overfull and not self._closing and self.conn.is_open
+
+    def _reject_excess(self, value: resp.Value) -> None:
+        """Reject a command that is not read far enough to be dispatched, as too many are ahead of it."""
+        if not _is_command(value):
+            raise resp.FramingError(resp.FramingErrorReason.NOT_A_COMMAND)
+        if not value:
+            return
+        metrics.requests_rejected_for_backlog += 1
+        if not self._pending_replies[-1].append_rejection():
+            rejections = PendingReply(self, holds_only_rejections=True)
+            rejections.append_rejection()
+            self._pending_replies.append(rejections)
+
     def _schedule_resume(self) -> None:
         """Read further commands soon: deferred, as commands that are answered at once would recurse without
         limit, and only once, so that each client has the same number of turns."""
@@ -144,7 +175,7 @@
     def _resume_reading(self) -> None:
         self._is_resume_scheduled = False
         self.conn.detect_disconnect()
-        if self._reading_paused and self._may_read_command:
+        if self._reading_paused and (self._may_read_command or self._must_read_on):
             self.on_data()
             self.conn.resume_reading()
 
@@ -267,7 +298,6 @@
         metrics.client_connections_ended += by_peer
         metrics.client_connections_aborted += not by_peer
         self._close_after_replies(CloseReason.CLIENT_ENDED)
-        self._reading_paused = False
         dropped = self._pending_replies
         self._pending_replies = deque()
         while by_peer and dropped and dropped[0].encoded is not None:
@@ -289,11 +319,8 @@
         if use is BufferUse.CLIENT_OUTPUT:
             self.conn.abort()
             return
-        self._parser.reset()
-        self.conn.stop_reading()
-        self._reading_paused = False
-        self._command_incomplete = False
         if self._closing:
+            self._parser.reset()
             return
         self._close_after_replies(CloseReason.CLIENT_BUFFERS_SHED)
         self._append_error("Protocol error: too many bytes of incomplete commands")
@@ -301,9 +328,17 @@
         self.update_idle_state()
 
     def _close_after_replies(self, reason: CloseReason) -> None:
-        """Read no more commands, and close once the pending replies have been written."""
+        """Read no more commands, and close once the pending replies have been written.
+
+        Until then further input is discarded, so that its end is noticed: nothing may be sent for a client
+        that has left.
+        """
         self._closing = True
         self._close_reason = reason
+        self._reading_paused = False
+        self._command_incomplete = False
+        self._parser.reset()
+        self.conn.discard_input()
 
     def _close_gracefully(self, reason: CloseReason) -> None:
         if self._pending_replies:
--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -68,6 +68,7 @@
         self._failed = False  # a read has failed, for example because of a reset
         self._recorded_bytes: tuple[int, int] | None = (0, 0)  # by direction; None after some were shed
         self._lingering = False  # closing gracefully: further input is discarded
+        self._discards_input = False  # input is of no use, but its end is
         self._is_sending_shut_down = False
         self._discarded_bytes = 0  # number of bytes discarded since the close started
         self._linger_timer: Timer | None = None
@@ -214,10 +215,10 @@
         self._handler.on_shed(use)
         self.record_buffers()
 
-    def stop_reading(self) -> None:
-        """Drop the bytes in the inbox and take no more. A later end of input is noticed by
-        `detect_disconnect` only."""
+    def discard_input(self) -> None:
+        """Drop the bytes in the inbox and all that follow. The end of input is still noticed."""
         self.inbox = RingBuffer(0)
+        self._discards_input = True
         self._update_watch()
 
     def abort(self) -> None:
@@ -252,7 +253,8 @@
         """Watch the socket for what is possible now: reading if the inbox has space, writing queued bytes."""
         if not self.is_open:
             return
-        can_read = not self.connecting and not self.eof and (self.inbox.available_space or self._lingering)
+        has_space = self.inbox.available_space or self._lingering or self._discards_input
+        can_read = not self.connecting and not self.eof and has_space
         can_write = self.connecting or len(self.outbox)
         mask = (READ if can_read else 0) | (WRITE if can_write else 0)
         try:
@@ -295,7 +297,9 @@
     def _read(self) -> None:
         """Read what has arrived, and notify the handler of it and of the end of input."""
         if self._lingering:
-            self._discard_input()
+            self._discard_lingering_input()
+        elif self._discards_input:
+            self._discard_available()
         elif self._fill_inbox():
             self._call_handler(self._handler.on_data)
         if self._failed:
@@ -326,20 +330,25 @@
                 break
         return received
 
-    def _discard_input(self) -> None:
+    def _discard_lingering_input(self) -> None:
         """Discard input that is not needed, as the peer sends it again on another connection.
 
         A peer that keeps sending at full speed would use a whole core, so the connection is closed after
         MAX_DISCARDED_BYTES.
         """
+        self._discarded_bytes += self._discard_available()
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            self.close()
+
+    def _discard_available(self) -> int:
+        """Read and discard bytes that have arrived, as many as in one event; return their number."""
+        total = 0
         for _ in range(MAX_READS_PER_EVENT):
             count = self._receive(_discard_buffer)
+            total += count
             if not count:
-                return
-            self._discarded_bytes += count
-            if self._discarded_bytes > MAX_DISCARDED_BYTES:
-                self.close()
-                return
+                break
+        return total
 
     def _receive(self, space: bytearray | memoryview) -> int:
         """Read once into `space` and return the number of bytes.
--- a/lupinladder/net/metrics.py
+++ b/lupinladder/net/metrics.py
@@ -45,6 +45,7 @@
     requests_received: int = 0
     requests_rejected: int = 0
     requests_rejected_at_shutdown: int = 0
+    requests_rejected_for_backlog: int = 0
     requests_rejected_for_memory: int = 0
     requests_served: int = 0
     selector_errors: int = 0
--- a/tests/net/test_client_connection.py
+++ b/tests/net/test_client_connection.py
@@ -15,7 +15,7 @@
 from lupinladder.net import connection
 from lupinladder.net.client_command import ClientCommand
 from lupinladder.net.client_connection import MAX_PIPELINE_DEPTH, ClientConnection
-from lupinladder.net.connection import Connection
+from lupinladder.net.connection import MAX_INBOX_BYTES, Connection
 from lupinladder.net.event_loop import MAX_PHASE_TIME_MS
 from lupinladder.net.resp import Value, encode_array
 from tests.support.network_scene import (
@@ -397,6 +397,68 @@
         self.assertLess(self.loop.now() - disconnected_at, 400)  # earlier than the requests' deadlines
         self.assertTrue(self.dispatcher.is_idle)
 
+    # Reported by operators: requests of a client that had left with much unread were sent on.
+    def test_a_disconnect_behind_more_commands_than_the_inbox_holds_is_detected(self) -> None:
+        self.balancer.react = lambda event: []
+        ids = b"".join(b"%c" % one for one in ascii_letters.encode())
+        writes = [
+            encode_array([b"OBJ.SET", b"1f", b"w%d" % number, b"c=read,d=900", b"v" * 60_000])
+            for number in range(100)
+        ]
+        client = socket.create_connection(self.address)
+        self.addCleanup(client.close)
+        client.setblocking(False)
+        data = b"".join(get(b"%c" % one) for one in ids[:MAX_PIPELINE_DEPTH]) + b"".join(writes)
+        sent = client.send(data)
+        self.assertGreater(sent, 10 * MAX_INBOX_BYTES)  # far more than the proxy keeps of it
+        client.close()
+        disconnected_at = self.loop.now()
+        self.until(lambda: self.disconnected_count() == MAX_PIPELINE_DEPTH, "the disconnect")
+        self.assertLess(self.loop.now() - disconnected_at, 400)  # earlier than the requests' deadlines
+        self.assertTrue(self.dispatcher.is_idle)
+        self.assertEqual(len([e for e in self.balancer.events if isinstance(e, RequestReceived)]), 32)
+
+    def disconnected_count(self) -> int:
+        return sum(isinstance(event, ClientDisconnected) for event in self.balancer.events)
+
+    def test_a_client_that_stays_gets_a_reply_to_each_command_in_order(self) -> None:
+        self.balancer.react = lambda event: []
+        ids = ascii_letters.encode()[:MAX_PIPELINE_DEPTH]
+        excess = 20_000
+        reads = [encode_array([b"OBJ.GET", b"1f", b"%c" % one, b"c=read,d=9000"]) for one in ids]
+        data = b"".join(reads) + PING * excess
+        client = self.client()
+        unsent = [data]
+
+        def send_more() -> bool:
+            while unsent[0] and client.conn.outbox.available_space >= 50_000:
+                client.conn.send(unsent[0][:50_000])
+                unsent[0] = unsent[0][50_000:]
+            return not unsent[0] and not len(client.conn.outbox)
+
+        self.until(send_more, "all commands to be taken")
+        self.until(lambda: len(self.balancer.events) == len(ids), "a full pipeline")
+        self.balancer.react = lambda event: (
+            [Reject(number + 1) for number in range(len(ids))] if isinstance(event, TimerFired) else []
+        )
+        self.dispatcher.notify(TimerFired(1))
+        self.until(lambda: client.received.count(b"\r\n") >= len(ids) + excess, "all replies")
+        replies = client.received.split(b"\r\n")[:-1]
+        self.assertEqual(len(replies), len(ids) + excess)
+        self.assertEqual(set(replies), {b"-BUSY", b"+PONG"})
+
+    def test_a_disconnect_after_a_framing_error_behind_open_requests_is_detected(self) -> None:
+        self.balancer.react = lambda event: []
+        client = socket.create_connection(self.address)
+        self.addCleanup(client.close)
+        client.setblocking(False)
+        client.send(get() + b"noise\r\n" + b"x" * 5_000_000)
+        client.close()
+        disconnected_at = self.loop.now()
+        self.until(lambda: self.disconnected_count() == 1, "the disconnect")
+        self.assertLess(self.loop.now() - disconnected_at, 400)  # earlier than the request's deadline
+        self.assertTrue(self.dispatcher.is_idle)
+
 
 class RequestIds(NetworkScene):
     def test_the_id_of_an_open_request_is_an_error_until_it_is_answered_or_disconnected(self) -> None:
