The id of a request that may have run stays in use after its client has left

Cause: the id was released with the disconnect, whatever had been written.

Change: if an attempt may have run and the class is not to be repeated, the id stays in use until the request's time is over, at most the deadline of its class. Other ids are free at once, as before.

Result: RequestsOfFormerClients, three tests; the first failed before, the others guard the bound and what is free.

--- a/lupinladder/net/client_connection.py
+++ b/lupinladder/net/client_connection.py
@@ -303,9 +303,7 @@
         while by_peer and dropped and dropped[0].encoded is not None:
             self._pending_replies.append(dropped.popleft())
         for reply in dropped:
-            self._release_id(reply)
-            if reply.request:
-                self._listener.dispatcher.client_disconnected(reply.request)
+            self._drop(reply)
         if by_peer:
             self.flush()
         else:
@@ -313,6 +311,17 @@
             self._listener.remove_client(self)
             self._listener.update_listening()
 
+    def _drop(self, reply: PendingReply) -> None:
+        """Drop the request of a client that has left. Its id stays in use while a repeat could run twice."""
+        request = reply.request
+        if request is not None:
+            repeatable_at = self._listener.dispatcher.repeatable_at(request)
+            self._listener.dispatcher.client_disconnected(request)
+            if repeatable_at > self._listener.loop.now():
+                self._listener.hold_id(reply.request_id, repeatable_at)
+                return
+        self._release_id(reply)
+
     def on_shed(self, use: BufferUse, /) -> None:
         """Drop replies together with the client, which does not read them, or an incomplete command with the
         ones behind it. Requests that were read before it are still answered."""
--- a/lupinladder/net/client_listener.py
+++ b/lupinladder/net/client_listener.py
@@ -77,7 +77,8 @@
         self.lingering_connections: list[Connection] = []  # of former clients, until all bytes are sent
         self.shutdown: ShutdownSchedule | None = None  # set by `shut_down`
         self.closes_idle_clients = False  # during a shutdown: each connection is closed as soon as it is idle
-        self.open_request_ids = set[bytes]()  # ids of the requests that await their replies
+        # Ids of the requests that await their replies, and of those that must not run again for now.
+        self.open_request_ids = set[bytes]()
         self._stopped = False  # the listening socket has been closed
         self._mask = 0
         self._accept_retry: Timer | None = None
@@ -92,6 +93,10 @@
         self.clients.pop(client, None)
         self.idle_clients.discard(client)
 
+    def hold_id(self, request_id: bytes, until: float) -> None:
+        """Keep an id in use until this time, in ms, though its client has left."""
+        self.loop.call_at(until, lambda: self.open_request_ids.discard(request_id))
+
     def add_lingering(self, connection: Connection) -> None:
         """Keep track of a connection until its last bytes are sent.
 
--- a/lupinladder/net/request_dispatcher.py
+++ b/lupinladder/net/request_dispatcher.py
@@ -142,6 +142,20 @@
         self.notify(event)
         return request
 
+    def repeatable_at(self, request: PendingRequest) -> float:
+        """Return from when on a request may be dispatched again after its client has disconnected, in ms.
+
+        An attempt that may have run, or is still to run, is not repeated if its class forbids that. After the
+        time that a client waits, its id counts as that of another request.
+        """
+        now = self._loop.now()
+        request_class = self._settings.classes[request.command.request_class]
+        if request_class.retry_safety is not RetrySafety.NON_IDEMPOTENT:
+            return now
+        if not any(attempt.may_have_run for attempt in request.attempts):
+            return now
+        return now + min(max(request.deadline - now, 0.0), request_class.deadline)
+
     def client_disconnected(self, request: PendingRequest) -> None:
         """Finish a request whose client has disconnected: it needs no answer any more."""
         if not request.finished:
--- a/tests/net/test_client_connection.py
+++ b/tests/net/test_client_connection.py
@@ -5,6 +5,7 @@
 import gc
 import socket
 import time
+from collections.abc import Callable
 from itertools import pairwise
 from string import ascii_letters
 from typing import Any, ClassVar
@@ -12,6 +13,7 @@
 
 from lupinladder.balancing.actions import Action, Reject, StartAttempt
 from lupinladder.balancing.events import AttemptEnded, ClientDisconnected, RequestReceived, TimerFired
+from lupinladder.balancing.settings import RetrySafety
 from lupinladder.net import connection
 from lupinladder.net.client_command import ClientCommand
 from lupinladder.net.client_connection import MAX_PIPELINE_DEPTH, ClientConnection
@@ -489,6 +491,48 @@
         second.conn.close()
 
 
+class RequestsOfFormerClients(NetworkScene):
+    # Reported by operators: an id ran twice when it came again after its client had left.
+    def setUp(self) -> None:
+        super().setUp()
+        self.request_class = self.dispatcher._settings.classes[0]
+        self.request_class.retry_safety = RetrySafety.NON_IDEMPOTENT
+
+    def disconnect_after(self, event: Callable[[], object], client: RecordingPeer) -> None:
+        event()
+        client.conn.close()
+        self.until(lambda: not self.listener.clients, "the disconnect")
+
+    def test_a_request_that_may_have_run_is_not_repeated_when_its_id_comes_again(self) -> None:
+        client = self.client(get(wait=300))
+        self.disconnect_after(lambda: self.accept_request(), client)
+        again = self.client(get())
+        self.assert_received(again, b"-ERR id is that of another open query\r\n")
+        self.until(lambda: not self.listener.open_request_ids, "the end of its time")
+        again.conn.send(get())
+        self.accept_request(1)
+
+    def test_the_id_is_held_for_the_time_of_its_class_at_most(self) -> None:
+        self.request_class.deadline = 200.0
+        self.disconnect_after(lambda: self.accept_request(), self.client(get(wait=900)))
+        left_at = self.loop.now()
+        self.until(lambda: not self.listener.open_request_ids, "the end of its time")
+        self.assertLess(self.loop.now() - left_at, 400)
+
+    def test_an_id_comes_again_at_once_if_nothing_ran_or_its_class_allows_a_repeat(self) -> None:
+        self.balancer.react = lambda event: []  # no attempt is made
+        client = self.client(get())
+        self.disconnect_after(lambda: self.until(lambda: self.balancer.events, "the request"), client)
+        self.assertFalse(self.listener.open_request_ids)
+        self.balancer.react = send_once_to()
+        for safety in (RetrySafety.IDEMPOTENT, RetrySafety.IDEMPOTENCY_KEY):
+            self.request_class.retry_safety = safety
+            before = len(self.node.peers)
+            client = self.client(get())
+            self.disconnect_after(lambda: self.accept_request(before), client)  # noqa: B023
+            self.assertFalse(self.listener.open_request_ids)
+
+
 class Tenants(NetworkScene):
     TENANTS: ClassVar[list[str]] = ["a", "b"]
 
