A server that starts later at a listed address takes the older server's place

Cause: both servers are listed, and the pools of both lead to the new process.

Change: an endpoint with a later start than the listed server at its address retires that one, and the balancer is told that it is gone. Equal starts tell nothing.

Tests: two of ReusedAddresses failed before, the third guards equal starts. Tests of start times that listed several servers at one address give each its own; what they assert is unchanged.

--- a/lupinladder/net/discovery/endpoint_list_applier.py
+++ b/lupinladder/net/discovery/endpoint_list_applier.py
@@ -202,10 +202,10 @@
                 self._directory.retire_server(server)
                 updated.append(Endpoint(server, EndpointState.GONE))
             elif self._directory.is_listed(server):
-                updated.append(self._directory.put(listed, is_live))
+                updated += self._put(listed, is_live)
             else:
                 self._pending_additions[server] = _PendingAddition(listed, is_live)
-            if len(updated) == ENTRIES_PER_STEP:
+            if len(updated) >= ENTRIES_PER_STEP:
                 self._notify_balancer(kind, updated, more_follows=True)
                 updated = []
                 yield
@@ -216,9 +216,18 @@
         added = list[Endpoint]()
         while self._pending_additions and len(added) < ENTRIES_PER_STEP:
             _, addition = self._pending_additions.popitem()
-            added.append(self._directory.put(addition.listed, addition.is_live))
+            added += self._put(addition.listed, addition.is_live)
         return added
 
+    def _put(self, listed: ListedEndpoint, is_live: bool) -> list[Endpoint]:
+        """Add or update a server, and retire the one whose address it has taken over. Returns the endpoints
+        that have changed, for the balancer."""
+        superseded = self._directory.superseded_by(listed)
+        if superseded is None:
+            return [self._directory.put(listed, is_live)]
+        self._directory.retire_server(superseded)
+        return [Endpoint(superseded, EndpointState.GONE), self._directory.put(listed, is_live)]
+
     def _notify_balancer(
         self, kind: EndpointUpdateKind, endpoints: list[Endpoint], more_follows: bool = False
     ) -> None:
--- a/lupinladder/net/discovery/server_directory.py
+++ b/lupinladder/net/discovery/server_directory.py
@@ -35,6 +35,7 @@
         self._loop = loop
         self._create_pool = create_pool
         self._entries: dict[ServerId, _DirectoryEntry] = {}
+        self._server_at_address: dict[Address, ServerId] = {}  # the server that was listed last with it
         self._start_times = StartTimes(loop.wall_clock)
 
     def pool_for(self, server: ServerId) -> ConnectionPool | None:
@@ -71,12 +72,29 @@
             return listed.endpoint.state is EndpointState.GONE
         return entry.listed == listed
 
+    def superseded_by(self, listed: ListedEndpoint) -> ServerId | None:
+        """The server whose address this endpoint has taken over, as it has started there later.
+
+        Two processes cannot listen on one address, so the earlier one is gone, though the list may not say so
+        yet. The requests of both would be sent to the new process, which may be cold.
+        """
+        if listed.address is None:
+            return None
+        holder = self._server_at_address.get(listed.address)
+        if holder is None or holder == listed.endpoint.server:
+            return None
+        has_started_later = listed.endpoint.started_at > self._entries[holder].listed.endpoint.started_at
+        return holder if has_started_later else None
+
     def retire_server(self, server: ServerId, state: EndpointState = EndpointState.GONE) -> None:
         """Remove a server, which is now in this state. It gets no new requests, its attempts in flight may
         finish, and its idle connections are closed."""
         entry = self._entries.pop(server, None)
         if entry is None:
             return
+        address = entry.listed.address
+        if address is not None and self._server_at_address.get(address) == server:
+            del self._server_at_address[address]
         log_event("endpoint_changed", server=server.decode(), state=state.name.lower())
         if entry.pool is not None:
             entry.pool.retire()
@@ -94,6 +112,8 @@
         else:
             self.retire_server(endpoint.server, endpoint.state)
             self._entries[endpoint.server] = _DirectoryEntry(listed)
+        if listed.address is not None:
+            self._server_at_address[listed.address] = endpoint.server
         started_at = self._start_times.convert(
             endpoint.server, endpoint.started_at, self._loop.now(), is_live
         )
--- a/tests/net/test_endpoint_registry.py
+++ b/tests/net/test_endpoint_registry.py
@@ -7,7 +7,7 @@
 
 from lupinladder.balancing.events import EndpointUpdateKind
 from tests.support.discovery_scene import STREAM_HEAD, DiscoveryScene, chunks, delta
-from tests.support.endpoint_lists import endpoint_snapshot
+from tests.support.endpoint_lists import ENTRY, endpoint_snapshot
 from tests.support.network_scene import RecordingListener
 
 
@@ -44,7 +44,8 @@
         peer = self.accept_request(0, self.discovery)
         if updates_before == 0:
             peer.conn.send(STREAM_HEAD)
-        peer.conn.send(chunks(delta(9 + updates_before, name=name, since_ms=since)))
+        address = f"127.0.0.1:{7000 + updates_before}"
+        peer.conn.send(chunks(delta(9 + updates_before, name=name, since_ms=since, address=address)))
         self.until(lambda: len(self.updates) > updates_before, "the change")
         return self.loop.now() - self.updates[-1].endpoints[0].started_at
 
@@ -81,10 +82,12 @@
         self.until(lambda: self.updates, "the first change")
         # The changes in the first object of a watch may have happened at any earlier time.
         self.assertGreater(self.loop.now() - self.updates[0].endpoints[0].started_at, self.HOUR_MS - 1)
-        self.assertLess(self.age_of(delta(6, name="s-2", since_ms=an_hour_ago)), 2000)
+        self.assertLess(self.age_of(delta(6, name="s-2", since_ms=an_hour_ago, address="127.0.0.1:2")), 2000)
         self.assertLess(self.age_of(delta(7, name="s-1", since_ms=an_hour_ago + 1)), 2000)
         few_seconds_ago = self.loop.now() - 9000
-        self.assertGreater(self.age_of(delta(8, name="s-3", since_ms=few_seconds_ago)), 8999)
+        self.assertGreater(
+            self.age_of(delta(8, name="s-3", since_ms=few_seconds_ago, address="127.0.0.1:3")), 8999
+        )
         self.assertEqual(self.updates[-1].endpoints[0].server, b"s-3")
 
     def test_a_removed_server_that_is_listed_again_with_the_same_start_keeps_its_age(self) -> None:
@@ -142,3 +145,44 @@
         self.assertIsNone(self.registry.pool_for(b"s-1"))
         self.until(lambda: previous.ends, "the end of the previous watch")
         self.assertTrue(self.registry.is_current)
+
+
+class ReusedAddresses(DiscoveryScene):
+    # Reported by operators: a process that came up at the address of one that had gone was taken for it.
+    START = int(str(ENTRY["since_ms"]))
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.registry.load_cached(endpoint_snapshot())
+        self.peer = self.serve_watch(b"")
+
+    def receive(self, version: int, **changes: object) -> None:
+        """Receive a delta with this one entry, and wait until it is applied."""
+        self.peer.conn.send(chunks(delta(version, **changes)))
+        self.until(lambda: ("DELTA", version) in self.update_versions(), "the delta")
+
+    def last_states(self) -> dict[bytes, str]:
+        return {
+            endpoint.server: endpoint.state.name for update in self.updates for endpoint in update.endpoints
+        }
+
+    def test_a_server_is_gone_once_another_has_started_later_at_its_address(self) -> None:
+        self.receive(9, name="s-2", since_ms=self.START + 5000)
+        self.assertEqual(self.last_states(), {b"s-1": "GONE", b"s-2": "READY"})
+        self.assertIsNone(self.registry.pool_for(b"s-1"))
+        self.receive(10, status="left")
+        self.assertEqual(self.last_states(), {b"s-1": "GONE", b"s-2": "READY"})
+        self.assertIsNotNone(self.registry.pool_for(b"s-2"))
+
+    def test_the_former_server_counts_again_if_it_starts_later_or_the_other_one_has_left(self) -> None:
+        self.receive(9, name="s-2", since_ms=self.START + 5000)
+        self.receive(10, since_ms=self.START + 9000)
+        self.assertEqual(self.last_states(), {b"s-1": "READY", b"s-2": "GONE"})
+        self.receive(11, status="left")
+        self.receive(12, name="s-2", since_ms=self.START + 5000)
+        self.assertEqual(self.last_states(), {b"s-1": "GONE", b"s-2": "READY"})
+
+    def test_servers_whose_starts_do_not_tell_which_is_later_may_share_an_address(self) -> None:
+        self.receive(9, name="s-2")
+        self.assertEqual(self.last_states(), {b"s-2": "READY"})
+        self.assertIsNotNone(self.registry.pool_for(b"s-1"))
