A request that has waited for a fetch is not kept for a deadline of years

Cause: the timer of a request that waits for another's fetch refers to it until its own deadline, also when it is answered, and clients may state any deadline.

Change: the timer is set for at most the deadline of the class, and again while the request still waits.

--- a/lupinladder/balancing/event_dispatcher.py
+++ b/lupinladder/balancing/event_dispatcher.py
@@ -37,6 +37,8 @@
 from lupinladder.balancing.slot_table import SlotTable
 from lupinladder.balancing.timers import TimerRegistry
 
+MIN_HOLD_TIMER_MS = 100.0  # the least time until a timer that holds a request is set again
+
 
 class EventDispatcher(ABC):
     """Receives events one by one and returns the actions that their handlers add.
@@ -128,8 +130,13 @@
         self.actions.append(StartAttempt(state.request.request_id, server.id, start_by=start_by))
 
     def hold_until_deadline(self, state: RequestState) -> None:
-        """Set the timer that answers the request at its deadline if it is still unanswered."""
-        self.actions.append(self.timers.set(state.deadline - self.now, lambda: self._on_deadline(state)))
+        """Set the timer that answers the request at its deadline if it is still unanswered.
+
+        A timer keeps its request until it fires, and a client may state any deadline, so that one further off
+        than that of the class takes several timers.
+        """
+        delay = min(state.deadline - self.now, max(state.request_class.deadline, MIN_HOLD_TIMER_MS))
+        self.actions.append(self.timers.set(delay, lambda: self._on_deadline(state)))
 
     def log(self, text: str | None) -> None:
         """Log this text for the operator, if there is any."""
@@ -176,7 +183,11 @@
             self.actions.append(WatchEndpoints())
 
     def _on_deadline(self, state: RequestState) -> None:
-        if not state.finished and not state.has_outstanding_attempt():
+        if state.finished:
+            return
+        if self.now < state.deadline:
+            self.hold_until_deadline(state)
+        elif not state.has_outstanding_attempt():
             self.reject_or_fail(state, AnswerReason.FETCH_TOO_LONG)
 
     def _dispatch_request(self, event: RequestReceived) -> None:
--- a/tests/balancing/test_balancer_failures.py
+++ b/tests/balancing/test_balancer_failures.py
@@ -177,6 +177,24 @@
     assert server_of(proxy, request_ids[1], 1) == cache and server_of(proxy, request_ids[2], 1) == cache
 
 
+# One client's requests with a deadline of years were kept for as long once they had waited for a fetch.
+def test_cache_aside_a_request_that_has_waited_is_kept_no_longer_than_the_deadline_of_its_class() -> None:
+    for is_served in (True, False):
+        conf = balancer_harness.settings(cache_aside=True, origin_kind=1, max_attempts=3)
+        proxy = Proxy(Balancer(conf, 1, 0.0), conf)
+        listed = [*entries(6), Endpoint(server_id(90), server_kind=1)]
+        proxy.feed(EndpointUpdate(EndpointUpdateKind.CACHED, 1, listed))
+        request_ids = [1, 2]
+        for n in request_ids:
+            proxy.feed(RequestReceived(n, 0, 4000.0 if n == 1 else 1e12, 5))
+            proxy.end(n, 0, Outcome.MISS)
+        if is_served:
+            proxy.end(1, 1, Outcome.OK, 80)
+            proxy.end(2, 1, Outcome.OK, 80)
+        proxy.advance(proxy.now + conf.classes[0].deadline)
+        assert len(proxy.timers) == (0 if is_served else 1), "a request is held only while it waits"
+
+
 def test_cache_aside_waiting_requests_are_served_if_the_origin_is_listed_again_during_the_fetch() -> None:
     for change in ("started again", "removed and listed again"):
         conf = balancer_harness.settings(cache_aside=True, origin_kind=1, max_attempts=3)
