The end of a client that gets an error no longer costs the replies before it

Seen by test: a client sends a command and bytes that are no RESP, and ends its sending.

Cause: since the inbox of such a client has no space, as its input is dropped, and detect_disconnect takes this for an end that lies behind unread bytes.

Change: of a connection whose input is dropped all bytes are read, so that its end is found there.

Result: the new test failed before (nothing was received) and passes. Two tests of unseen ends are one table now, with the same assertions on each case.

--- a/lupinladder/net/connection.py
+++ b/lupinladder/net/connection.py
@@ -172,6 +172,8 @@
         """
         if not self.is_open or self.eof or self.connecting or self.inbox.available_space:
             return
+        if self._discards_input:
+            return  # all bytes are read, and the replies before the end may still be written
         try:
             state = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
         except OSError:
--- a/tests/net/test_client_connection.py
+++ b/tests/net/test_client_connection.py
@@ -400,30 +400,31 @@
         self.assertTrue(self.dispatcher.is_idle)
 
     # Reported by operators: requests of a client that had left with much unread were sent on.
-    def test_a_disconnect_behind_more_commands_than_the_inbox_holds_is_detected(self) -> None:
+    def test_a_disconnect_behind_more_bytes_than_the_inbox_holds_is_detected(self) -> None:
         self.balancer.react = lambda event: []
-        ids = b"".join(b"%c" % one for one in ascii_letters.encode())
-        writes = [
-            encode_array([b"OBJ.SET", b"1f", b"w%d" % number, b"c=read,d=900", b"v" * 60_000])
-            for number in range(100)
-        ]
-        client = socket.create_connection(self.address)
-        self.addCleanup(client.close)
-        client.setblocking(False)
-        data = b"".join(get(b"%c" % one) for one in ids[:MAX_PIPELINE_DEPTH]) + b"".join(writes)
-        sent = client.send(data)
-        self.assertGreater(sent, 10 * MAX_INBOX_BYTES)  # far more than the proxy keeps of it
-        client.close()
-        disconnected_at = self.loop.now()
-        self.until(lambda: self.disconnected_count() == MAX_PIPELINE_DEPTH, "the disconnect")
-        self.assertLess(self.loop.now() - disconnected_at, 400)  # earlier than the requests' deadlines
-        self.assertTrue(self.dispatcher.is_idle)
-        self.assertEqual(len([e for e in self.balancer.events if isinstance(e, RequestReceived)]), 32)
+        reads = [get(b"%c" % one) for one in ascii_letters.encode()[:MAX_PIPELINE_DEPTH]]
+        write = encode_array([b"OBJ.SET", b"1f", b"w", b"c=read,d=900", b"v" * 60_000])
+        for request_count, data in (
+            (MAX_PIPELINE_DEPTH, b"".join(reads) + write * 100),
+            (1, reads[0] + b"noise\r\n" + b"x" * 5_000_000),  # an error closes it after the replies
+        ):
+            with self.subTest(request_count=request_count), socket.create_connection(self.address) as client:
+                self.balancer.events.clear()
+                client.setblocking(False)
+                sent = client.send(data)
+                self.assertGreater(sent, 10 * MAX_INBOX_BYTES)  # far more than the proxy keeps of it
+                client.close()
+                disconnected_at = self.loop.now()
+                self.until(lambda: self.disconnected_count() == request_count, "the disconnect")  # noqa: B023
+                self.assertLess(self.loop.now() - disconnected_at, 400)  # before the requests' deadlines
+                self.assertTrue(self.dispatcher.is_idle)
+                received = [e for e in self.balancer.events if isinstance(e, RequestReceived)]
+                self.assertEqual(len(received), request_count)
 
     def disconnected_count(self) -> int:
         return sum(isinstance(event, ClientDisconnected) for event in self.balancer.events)
 
-    def test_a_client_that_stays_gets_a_reply_to_each_command_in_order(self) -> None:
+    def test_a_client_that_stays_gets_a_reply_to_each_command(self) -> None:
         self.balancer.react = lambda event: []
         ids = ascii_letters.encode()[:MAX_PIPELINE_DEPTH]
         excess = 20_000
@@ -449,17 +450,17 @@
         self.assertEqual(len(replies), len(ids) + excess)
         self.assertEqual(set(replies), {b"-BUSY", b"+PONG"})
 
-    def test_a_disconnect_after_a_framing_error_behind_open_requests_is_detected(self) -> None:
-        self.balancer.react = lambda event: []
-        client = socket.create_connection(self.address)
-        self.addCleanup(client.close)
-        client.setblocking(False)
-        client.send(get() + b"noise\r\n" + b"x" * 5_000_000)
-        client.close()
-        disconnected_at = self.loop.now()
-        self.until(lambda: self.disconnected_count() == 1, "the disconnect")
-        self.assertLess(self.loop.now() - disconnected_at, 400)  # earlier than the request's deadline
-        self.assertTrue(self.dispatcher.is_idle)
+    def test_the_end_of_a_client_with_an_error_costs_none_of_the_replies_before_it(self) -> None:
+        self.balancer.react = lambda event: [Reject(1)] if isinstance(event, TimerFired) else []
+        client = self.client(PING + b"noise\r\n")
+        self.until(lambda: self.listener.clients, "the client")
+        [accepted] = self.listener.clients
+        with mock.patch.object(Connection, "_flush"):  # the system takes nothing
+            self.until(lambda: accepted._closing, "the error")
+            client.conn._sock.shutdown(socket.SHUT_WR)
+            accepted.conn.detect_disconnect()  # the end has arrived and was not read
+        self.until(lambda: client.ends, "the close")
+        self.assertEqual(client.received, b"+PONG\r\n-ERR Protocol error: unknown type byte\r\n")
 
 
 class RequestIds(NetworkScene):
