Simpler: rejections behind a full pipeline keep no state, and one look at the clock

Whether a client's inbox is overfull follows from the inbox and the pipeline; a flag that a property set is gone, and the rejections stand in a function of their own. A command costs one look at the clock in place of two. A silent watch that is already replaced is left as it is until the new one delivers, as its page says; it was closed if it fell silent a second time.

--- a/lupinladder/net/client_connection.py
+++ b/lupinladder/net/client_connection.py
@@ -54,7 +54,6 @@
         self._reading = False
         self._reading_paused = False  # after one of the limits above; commands may be left unread
         self._is_resume_scheduled = False
-        self._is_inbox_overfull = False  # commands are rejected until half of the inbox is free
         self._unread_since = inf  # since when commands in the inbox have waited for earlier replies
         self._close_reason = CloseReason.CLIENT_ENDED  # used once `_closing` is set
         self._command_incomplete = False
@@ -116,19 +115,17 @@
 
     def _read_commands(self) -> None:
         loop = self._listener.loop
-        stop_at = loop.now() + MAX_HANDLING_TIME_MS
+        stop_at = min(loop.now() + MAX_HANDLING_TIME_MS, loop.phase_ends_at)
+        if self._is_overfull:
+            self._reject_excess_commands(stop_at)
         for _ in range(MAX_COMMANDS_PER_READ):
-            is_excess = not self._may_read_command and self._must_read_on
-            if not (self._may_read_command or is_excess) or loop.is_phase_over or loop.now() >= stop_at:
+            if not self._may_read_command or loop.now() >= stop_at:
                 break
             value = self._parser.next(self.conn.inbox)
             if isinstance(value, resp.Incomplete):
                 self._unread_since = inf
                 return
-            if is_excess:
-                self._reject_excess(value)
-            else:
-                self._handle_command(value)
+            self._handle_command(value)
         self._reading_paused = not self._closing
         # Bytes that were read in this iteration may have been unread before it, too.
         self._unread_since = min(self._unread_since, loop.now() - loop.unread_time)
@@ -140,21 +137,27 @@
         return len(self._pending_replies) < MAX_PIPELINE_DEPTH
 
     @property
-    def _must_read_on(self) -> bool:
-        """Whether commands behind a full pipeline have filled the inbox, and still take half of it.
+    def _is_overfull(self) -> bool:
+        """Whether the pipeline is full and commands behind it have filled the inbox.
 
         If nothing more were read, the end of the client would lie behind unread bytes, and attempts would
         begin for a client that has left.
         """
+        if self._closing or not self.conn.is_open or self.conn.inbox.available_space:
+            return False
+        return len(self._pending_replies) >= MAX_PIPELINE_DEPTH
+
+    def _reject_excess_commands(self, stop_at: float) -> None:
+        """Reject commands, the oldest unread ones first, until half of the inbox is free or the time is
+        over."""
         inbox = self.conn.inbox
-        if not inbox.available_space:
-            self._is_inbox_overfull = True
-        elif inbox.available_space >= len(inbox):
-            self._is_inbox_overfull = False
-        return self._is_inbox_overfull and not self._closing and self.conn.is_open
-
-    def _reject_excess(self, value: resp.Value) -> None:
-        """Reject a command that is not read far enough to be dispatched, as too many are ahead of it."""
+        while inbox.available_space < len(inbox) and self._listener.loop.now() < stop_at:
+            value = self._parser.next(inbox)
+            if isinstance(value, resp.Incomplete):
+                return
+            self._reject_unseen(value)
+
+    def _reject_unseen(self, value: resp.Value) -> None:
         if not _is_command(value):
             raise resp.FramingError(resp.FramingErrorReason.NOT_A_COMMAND)
         if not value:
@@ -175,7 +178,7 @@
     def _resume_reading(self) -> None:
         self._is_resume_scheduled = False
         self.conn.detect_disconnect()
-        if self._reading_paused and (self._may_read_command or self._must_read_on):
+        if self._reading_paused and (self._may_read_command or self._is_overfull):
             self.on_data()
             self.conn.resume_reading()
 
--- a/lupinladder/net/discovery/endpoint_registry.py
+++ b/lupinladder/net/discovery/endpoint_registry.py
@@ -120,7 +120,6 @@
         """Keep a silent watch until another one delivers, and notify the balancer, which decides when to open
         that one. What is only late on the silent watch is still read."""
         if watch is not self._watch:
-            self._close_previous_watch()
             return
         self._close_previous_watch()
         self._previous_watch = watch
--- a/lupinladder/net/event_loop.py
+++ b/lupinladder/net/event_loop.py
@@ -139,12 +139,12 @@
         return self._iteration_started_at
 
     @property
-    def is_phase_over(self) -> bool:
-        """Whether the current phase of the iteration has used its time.
+    def phase_ends_at(self) -> float:
+        """When the time of the current phase of the iteration is over, in ms.
 
         A late iteration handles all ready sockets even so; work that can wait should be deferred then.
         """
-        return self.now() >= self._phase_ends_at
+        return self._phase_ends_at
 
     def run_once(self) -> None:
         """Run one iteration: wait for a socket or a timer, then handle everything that is due."""
@@ -193,7 +193,7 @@
         self._postponed_descriptors = set()
         self._phase_ends_at = self._iteration_started_at + MAX_PHASE_TIME_MS
         for index, (key, mask) in enumerate(ready):
-            if index and not self.is_late and self.is_phase_over:
+            if index and not self.is_late and self.now() >= self._phase_ends_at:
                 self._postponed_descriptors = {remaining_key.fd for remaining_key, _ in ready[index:]}
                 return
             # An earlier callback may have closed this socket, and its descriptor may be in use again.
@@ -219,7 +219,7 @@
             and self._timers[0].due_at <= now
             and self._timers[0].sequence_number <= last_sequence_number
         ):
-            if fired_count and self.is_phase_over:
+            if fired_count and self.now() >= self._phase_ends_at:
                 break
             self._run_callback(self._timers.pop(0).callback)
             fired_count += 1
@@ -229,7 +229,7 @@
         """Run deferred calls for at most `MAX_PHASE_TIME_MS`."""
         self._phase_ends_at = now + MAX_PHASE_TIME_MS
         for index in range(len(self._deferred_calls)):
-            if index and self.is_phase_over:
+            if index and self.now() >= self._phase_ends_at:
                 break
             self._run_callback(self._deferred_calls.popleft())
 
