A client in the middle of a command gives way to one that waits for a descriptor

Cause: a client in the middle of a command is not idle, and nothing gave it up before its 2.4 s were over. Memory is excluded (26.1 of 32 MB), and the loop (it had no slow turn in this form).

Change: if no descriptor is free and no other can be given up, the client that has been in the middle of a command for longest is closed, from 250 ms on, after what has arrived of it is read.

Result: the new test failed before (2.4 s, 1 s allowed) and passes.

--- a/lupinladder/net/client_connection.py
+++ b/lupinladder/net/client_connection.py
@@ -377,6 +377,25 @@
             return True
         return False
 
+    def incomplete_for(self, now: float) -> float:
+        """Return for how long the client has been in the middle of a command that nothing else waits behind,
+        in ms; 0 if it is not."""
+        is_waiting = self._pending_replies or self._closing or self._reading_paused or len(self.conn.outbox)
+        return now - self._command_started_at if self._command_incomplete and not is_waiting else 0.0
+
+    def close_if_incomplete(self) -> bool:
+        """Close the connection if it is still in the middle of a command after what has arrived is read.
+
+        Returns whether it was closed. The client may send the command once more, as it was not taken.
+        """
+        self.conn.read_available()
+        if not self.conn.is_open or not self.incomplete_for(self._listener.loop.now()):
+            return False
+        metrics.connections_closed[CloseReason.CLIENT_EVICTED] += 1
+        self._listener.remove_client(self)
+        self.conn.close()
+        return True
+
     def close_if_timed_out(self, now: float, descriptors_short: bool) -> None:
         """Close a client that has been idle, or in the middle of a command, for too long.
 
--- a/lupinladder/net/client_listener.py
+++ b/lupinladder/net/client_listener.py
@@ -26,6 +26,8 @@
 UPSTREAM_DESCRIPTOR_DIVISOR = 3
 CLIENT_DESCRIPTOR_DIVISOR = 3  # clients use at most one in this many for requests (LATER, "Score")
 SHORTAGE_DIVISOR = 2  # descriptors are short if less than one in this many is free
+# Time in the middle of a command after which a client may be closed for another one that wants to connect.
+INCOMPLETE_EVICTION_AGE_MS = 250.0
 ACCEPT_RETRY_MS = 100.0  # delay before the next accept if one failed or no descriptor was free
 SWEEP_INTERVAL_MS = 100.0  # interval between checks for clients to close
 
@@ -137,7 +139,7 @@
             pass
         elif self.loop.now() - self._accept_failed_at < ACCEPT_RETRY_MS:
             self._schedule_listening_retry()  # clients still wait: an immediate retry would use a core
-        elif self._has_client_descriptor or self._may_take_upstream_descriptor or len(self.idle_clients):
+        elif self._has_client_descriptor or self._may_release_descriptor:
             mask = READ
         else:
             # Upstream connections close without notifying the listener, and there may be no client whose
@@ -195,6 +197,20 @@
                 break
         self.update_listening()
 
+    @property
+    def _may_release_descriptor(self) -> bool:
+        if self._may_take_upstream_descriptor or len(self.idle_clients):
+            return True
+        return self._longest_incomplete_client() is not None
+
+    def _longest_incomplete_client(self) -> ClientConnection | None:
+        """Return the client that has been in the middle of a command for longest, if that is long."""
+        now = self.loop.now()
+        client = max(self.clients, key=lambda client: client.incomplete_for(now), default=None)
+        if client is None or client.incomplete_for(now) < INCOMPLETE_EVICTION_AGE_MS:
+            return None
+        return client
+
     def _log_accept_paused(self) -> None:
         """Log that no client can be accepted, and what holds the descriptors."""
         log_event(
@@ -208,10 +224,14 @@
         )
 
     def _release_descriptor(self) -> bool:
-        """Close an unused upstream connection or an idle client; return whether there was one."""
+        """Close an unused upstream connection, an idle client, or one that has been in the middle of a
+        command for long; return whether there was one."""
         if self._may_take_upstream_descriptor and self.budget.close_unused():
             return True
-        return self.idle_clients.evict_one(self.loop.now())
+        if self.idle_clients.evict_one(self.loop.now()):
+            return True
+        client = self._longest_incomplete_client()
+        return client is not None and client.close_if_incomplete()
 
     def _accept(self, read_at_once: bool = False) -> AcceptResult:
         """Accept one client if one is waiting."""
--- a/tests/net/test_connection_pool.py
+++ b/tests/net/test_connection_pool.py
@@ -426,6 +426,19 @@
         within_share.conn.close()
         self.assert_received(beyond, b"+PONG\r\n")
 
+    # Clients that wrote slowly, or stopped half way, held all descriptors while others waited for seconds.
+    def test_a_client_that_has_been_in_the_middle_of_a_command_for_long_is_closed_for_another(self) -> None:
+        self.budget.limit, self.listener.capacity.share = 4, 1  # one is reserved, the listener has one
+        slow = [self.client(PING[:9]), self.client(PING[:9])]
+        self.until(lambda: len(self.listener.clients) == len(slow), "the slow clients")
+        waiting = self.client(PING)
+        asked_at = self.loop.now()
+        self.assert_received(waiting, b"+PONG\r\n")
+        self.assertLess(self.loop.now() - asked_at, 1000)  # others give up commands after 2.4 s
+        self.assertEqual([len(client.ends) for client in slow], [1, 0])  # the longest, and only as needed
+        slow[1].conn.send(PING[9:])
+        self.assert_received(slow[1], b"+PONG\r\n")
+
     def test_accepting_resumes_when_any_descriptor_becomes_free(self) -> None:
         self.budget.used += 1  # for a connection to a server: no client's end can resume accepting
         waiting_client = self.client(PING)
